Lay the frame: micro-kernel, numbered events, wire messages, store client's surface

Cause: the repository was empty. Conclusion: the surfaces stand, so that the parts behind them can be built side by side. Not yet a running path.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+GO ?= go
+PACKAGES := ./...
+
+.DEFAULT_GOAL := help
+
+.PHONY: help
+help: ## list the targets
+	@grep -hE '^[a-z-]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/^([a-z-]+):.*## (.*)/  \1\t\2/' | expand -t 18
+
+.PHONY: build
+build: ## build the program into build/bamboospread
+	$(GO) build -o build/bamboospread .
+
+.PHONY: demo
+demo: ## run the whole path on embedded stand-ins
+	$(GO) run . demo
+
+.PHONY: format
+format: ## format all sources
+	$(GO) tool gofumpt -w main.go internal tests
+
+.PHONY: lint
+lint: ## check the format and lint
+	@out=$$($(GO) tool gofumpt -l main.go internal tests); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	$(GO) vet $(PACKAGES)
+	$(GO) tool revive -config revive.toml -set_exit_status $(PACKAGES)
+
+.PHONY: test
+test: test-unit test-integration ## run all tests
+
+.PHONY: test-unit
+test-unit: ## run the unit tests with the race detector
+	$(GO) test -race -count=1 ./internal/...
+
+.PHONY: test-integration
+test-integration: build ## run the integration tests with real processes
+	BAMBOOSPREAD_BINARY=$(CURDIR)/build/bamboospread $(GO) test -count=1 -timeout 30m ./tests/...
--- /dev/null
+++ b/internal/fleet/describer/describer.go
@@ -0,0 +1,157 @@
+// Package describer holds the model of a fleet text: tenants, services, task
+// classes and availability zones. A Fleet is immutable and safe to share.
+package describer
+
+import "time"
+
+// Resources is an amount of a VM. The zero value asks for nothing.
+type Resources struct {
+	Millicores   int64 `json:"millicores" yaml:"millicores"`     // thousandths of a processor
+	MemoryBytes  int64 `json:"memory-bytes" yaml:"memory-bytes"` // bytes
+	Accelerators int64 `json:"accelerators" yaml:"accelerators"` // whole devices
+}
+
+// Add returns r + o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.Millicores + o.Millicores, r.MemoryBytes + o.MemoryBytes, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns r - o; parts may become negative.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.Millicores - o.Millicores, r.MemoryBytes - o.MemoryBytes, r.Accelerators - o.Accelerators}
+}
+
+// Fits tells whether r is within limit in every dimension.
+func (r Resources) Fits(limit Resources) bool {
+	return r.Millicores <= limit.Millicores && r.MemoryBytes <= limit.MemoryBytes && r.Accelerators <= limit.Accelerators
+}
+
+// ZoneState tells whether an availability zone may receive new work.
+type ZoneState string
+
+// States of an availability zone.
+const (
+	ZoneIn  ZoneState = "in"
+	ZoneOut ZoneState = "out"
+)
+
+// Zone is an availability zone of the fleet.
+type Zone struct {
+	Name  string
+	State ZoneState
+}
+
+// Tenant owns services and tasks.
+type Tenant struct {
+	Name              string
+	Quota             Resources // zero parts mean: no limit in that dimension
+	Weight            float64   // share of the fleet relative to other tenants; at least 0.01
+	RequestsPerSecond float64   // admission limit at each entry; 0 means no limit
+	Burst             int       // requests that may come at once above the rate
+}
+
+// Service answers requests on upstreams that announce themselves.
+type Service struct {
+	Name             string
+	Tenant           string
+	Needs            Resources     // of one upstream
+	Replicas         int           // upstreams that the scheduler keeps running; 0: they are started by others
+	Slots            int           // requests that one upstream runs at once
+	Connections      int           // connections that one upstream accepts
+	LatencyObjective time.Duration // p99 that the tenant expects
+	DependsOn        []string      // names of other services
+}
+
+// TaskClass describes batch tasks of one kind.
+type TaskClass struct {
+	Name        string
+	Needs       Resources
+	RunTime     time.Duration // declared; often far off
+	Urgent      bool          // starts before others within the quota of its tenant
+	Checkpoint  bool          // can be checkpointed and resumed
+	MaxAttempts int           // failed attempts before the task is held
+}
+
+// Policy weighs the measures of the placement against one another.
+type Policy struct {
+	TailLatencyWeight  float64
+	ThroughputWeight   float64
+	EvictionWeight     float64
+	EvictionsPerMinute float64       // budget of planned evictions in the cell
+	OutageLease        time.Duration // how long tasks run on when the cell's owner or the store is away
+}
+
+// Config is the content of a Fleet.
+type Config struct {
+	Name        string
+	Version     int64 // version of the stored record; 0 for a text not stored
+	Zones       []Zone
+	Tenants     []Tenant
+	Services    []Service
+	TaskClasses []TaskClass
+	Policy      Policy
+}
+
+// Fleet is a checked fleet text with its version.
+type Fleet struct {
+	config  Config
+	zones   map[string]ZoneState
+	tenants map[string]Tenant
+	service map[string]Service
+	classes map[string]TaskClass
+}
+
+// New returns the Fleet of a content that a validator has accepted.
+func New(c Config) *Fleet {
+	f := &Fleet{
+		config: c, zones: make(map[string]ZoneState), tenants: make(map[string]Tenant),
+		service: make(map[string]Service), classes: make(map[string]TaskClass),
+	}
+	for _, z := range c.Zones {
+		f.zones[z.Name] = z.State
+	}
+	for _, t := range c.Tenants {
+		f.tenants[t.Name] = t
+	}
+	for _, s := range c.Services {
+		f.service[s.Name] = s
+	}
+	for _, t := range c.TaskClasses {
+		f.classes[t.Name] = t
+	}
+	return f
+}
+
+// Name returns the name of the fleet.
+func (f *Fleet) Name() string { return f.config.Name }
+
+// Version returns the version of the stored record, which only rises.
+func (f *Fleet) Version() int64 { return f.config.Version }
+
+// Zones returns the availability zones in the order of the text.
+func (f *Fleet) Zones() []Zone { return f.config.Zones }
+
+// ZoneIsOut tells whether operators have taken the availability zone out. A
+// zone that the text does not name counts as out: nothing starts there.
+func (f *Fleet) ZoneIsOut(name string) bool { return f.zones[name] != ZoneIn }
+
+// Tenants returns the tenants in the order of the text.
+func (f *Fleet) Tenants() []Tenant { return f.config.Tenants }
+
+// Tenant returns the tenant with the given name.
+func (f *Fleet) Tenant(name string) (Tenant, bool) { t, ok := f.tenants[name]; return t, ok }
+
+// Services returns the services in the order of the text.
+func (f *Fleet) Services() []Service { return f.config.Services }
+
+// Service returns the service with the given name.
+func (f *Fleet) Service(name string) (Service, bool) { s, ok := f.service[name]; return s, ok }
+
+// TaskClasses returns the task classes in the order of the text.
+func (f *Fleet) TaskClasses() []TaskClass { return f.config.TaskClasses }
+
+// TaskClass returns the task class with the given name.
+func (f *Fleet) TaskClass(name string) (TaskClass, bool) { c, ok := f.classes[name]; return c, ok }
+
+// Policy returns the weights and budgets of the placement.
+func (f *Fleet) Policy() Policy { return f.config.Policy }
--- /dev/null
+++ b/internal/kernel/loader/loader.go
@@ -0,0 +1,52 @@
+// Package loader fills settings from flags and environment variables. A flag
+// wins over its variable; the variable of flag "store-url" is
+// BAMBOOSPREAD_STORE_URL.
+package loader
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/spf13/pflag"
+)
+
+// EnvPrefix begins the name of every environment variable of the program.
+const EnvPrefix = "BAMBOOSPREAD_"
+
+// Variable returns the environment variable of a flag.
+func Variable(flag string) string {
+	return EnvPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+// Fill sets each flag that was not given from its environment variable. All
+// variables with bad values are reported together.
+func Fill(flags *pflag.FlagSet) error {
+	var errs []error
+	flags.VisitAll(func(f *pflag.Flag) {
+		if f.Changed {
+			return
+		}
+		value, ok := os.LookupEnv(Variable(f.Name))
+		if !ok {
+			return
+		}
+		if err := flags.Set(f.Name, value); err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", Variable(f.Name), err))
+		}
+	})
+	return errors.Join(errs...)
+}
+
+// Findings collects the faults of several settings, so that an operator sees
+// all of them at once.
+type Findings struct{ list []error }
+
+// Add notes a fault of the setting with the given flag name.
+func (f *Findings) Add(flag, format string, args ...any) {
+	f.list = append(f.list, fmt.Errorf("--%s (%s): %s", flag, Variable(flag), fmt.Sprintf(format, args...)))
+}
+
+// Err returns all faults joined, or nil.
+func (f *Findings) Err() error { return errors.Join(f.list...) }
--- /dev/null
+++ b/internal/kernel/registrar/registrar.go
@@ -0,0 +1,198 @@
+// Package registrar is the micro-kernel: it starts named services in the order
+// of their needs, lets them find each other by name, and stops them in reverse
+// order as one run group.
+package registrar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"bamboospread/internal/kernel/reporter"
+)
+
+// Service is a part of a process.
+type Service struct {
+	Name  string
+	Needs []string // names of services that must have started before
+	// Start prepares the service and returns the value that others find under
+	// its name. It must not block longer than a few seconds.
+	Start func(ctx context.Context, r *Registrar) (any, error)
+	// Run works until ctx ends; nil for a service without a goroutine. A
+	// return while ctx is alive stops the whole process.
+	Run func(ctx context.Context) error
+	// Drain runs before any service is stopped, in reverse order of starting:
+	// it refuses new work and waits for work in flight. It may be nil.
+	Drain func(ctx context.Context) error
+}
+
+// Config holds the settings of a Registrar.
+type Config struct {
+	Reporter  *reporter.Reporter
+	StopLimit time.Duration // upper bound of a graceful stop
+}
+
+// Registrar owns the services of one process.
+type Registrar struct {
+	reporter  *reporter.Reporter
+	stopLimit time.Duration
+	services  []Service
+	values    map[string]any
+}
+
+// ErrServiceNotExist is returned by Lookup for a name that has not started.
+type ErrServiceNotExist struct{ Name string }
+
+func (e ErrServiceNotExist) Error() string {
+	return fmt.Sprintf("service %q has not started", e.Name)
+}
+
+// New returns an empty Registrar.
+func New(c Config) *Registrar {
+	if c.StopLimit <= 0 {
+		c.StopLimit = 30 * time.Second
+	}
+	return &Registrar{reporter: c.Reporter, stopLimit: c.StopLimit, values: make(map[string]any)}
+}
+
+// Add registers a service; it starts when Run is called.
+func (r *Registrar) Add(s Service) { r.services = append(r.services, s) }
+
+// Lookup returns the value of the service with the given name. Services call it
+// in Start for the names that they need.
+func Lookup[T any](r *Registrar, name string) (T, error) {
+	var zero T
+	v, ok := r.values[name]
+	if !ok {
+		return zero, ErrServiceNotExist{Name: name}
+	}
+	t, ok := v.(T)
+	if !ok {
+		return zero, fmt.Errorf("service %q is a %T, not a %T", name, v, zero)
+	}
+	return t, nil
+}
+
+// running is a started service with the channel on which its goroutine reports.
+type running struct {
+	service Service
+	cancel  context.CancelFunc
+	done    chan error
+}
+
+// Run starts all services and blocks until ctx ends or one service fails, then
+// drains and stops them. It returns the first failure, or nil.
+func (r *Registrar) Run(ctx context.Context) error {
+	order, err := sortByNeeds(r.services)
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, len(order))
+	var started []running
+	for _, s := range order {
+		run, err := r.start(ctx, s, failed)
+		if err != nil {
+			r.stop(started)
+			return err
+		}
+		started = append(started, run)
+	}
+	var cause error
+	select {
+	case <-ctx.Done():
+	case cause = <-failed:
+	}
+	r.reporter.Report(reporter.StopBegan, reporter.Fields{"limit": r.stopLimit.String()})
+	return errors.Join(cause, r.stop(started))
+}
+
+func (r *Registrar) start(ctx context.Context, s Service, failed chan<- error) (running, error) {
+	value, err := s.Start(ctx, r)
+	if err != nil {
+		r.reporter.Report(reporter.ServiceFailed, reporter.Fields{"service": s.Name, "error": err.Error()})
+		return running{}, fmt.Errorf("start service %s: %w", s.Name, err)
+	}
+	r.values[s.Name] = value
+	// A service outlives the stop signal until its turn comes, so that what
+	// depends on it can drain; hence a context of its own.
+	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	run := running{service: s, cancel: cancel, done: make(chan error, 1)}
+	if s.Run == nil {
+		run.done <- nil
+	} else {
+		go func() {
+			err := s.Run(own)
+			if own.Err() == nil {
+				r.reporter.Report(reporter.ServiceFailed, reporter.Fields{"service": s.Name, "error": fmt.Sprint(err)})
+				failed <- fmt.Errorf("service %s ended: %w", s.Name, err)
+			}
+			run.done <- err
+		}()
+	}
+	r.reporter.Report(reporter.ServiceStarted, reporter.Fields{"service": s.Name})
+	return run, nil
+}
+
+func (r *Registrar) stop(started []running) error {
+	ctx, cancel := context.WithTimeout(context.Background(), r.stopLimit)
+	defer cancel()
+	var errs []error
+	for i := len(started) - 1; i >= 0; i-- {
+		if drain := started[i].service.Drain; drain != nil {
+			if err := drain(ctx); err != nil {
+				errs = append(errs, fmt.Errorf("drain service %s: %w", started[i].service.Name, err))
+			}
+		}
+	}
+	for i := len(started) - 1; i >= 0; i-- {
+		started[i].cancel()
+		select {
+		case <-started[i].done:
+			r.reporter.Report(reporter.ServiceStopped, reporter.Fields{"service": started[i].service.Name})
+		case <-ctx.Done():
+			r.reporter.Report(reporter.StopTimedOut, reporter.Fields{"service": started[i].service.Name})
+			errs = append(errs, fmt.Errorf("stop service %s: %w", started[i].service.Name, ctx.Err()))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func sortByNeeds(services []Service) ([]Service, error) {
+	byName := make(map[string]Service, len(services))
+	for _, s := range services {
+		if _, twice := byName[s.Name]; twice {
+			return nil, fmt.Errorf("service %q is registered twice", s.Name)
+		}
+		byName[s.Name] = s
+	}
+	var order []Service
+	state := make(map[string]int) // 1: being visited, 2: done
+	var visit func(name, by string) error
+	visit = func(name, by string) error {
+		s, ok := byName[name]
+		switch {
+		case !ok:
+			return fmt.Errorf("service %q needs %q, which is not registered", by, name)
+		case state[name] == 2:
+			return nil
+		case state[name] == 1:
+			return fmt.Errorf("services %q and %q need each other", by, name)
+		}
+		state[name] = 1
+		for _, need := range s.Needs {
+			if err := visit(need, name); err != nil {
+				return err
+			}
+		}
+		state[name] = 2
+		order = append(order, s)
+		return nil
+	}
+	for _, s := range services {
+		if err := visit(s.Name, ""); err != nil {
+			return nil, err
+		}
+	}
+	return order, nil
+}
--- /dev/null
+++ b/internal/kernel/registrar/registrar_test.go
@@ -0,0 +1,58 @@
+package registrar
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bamboospread/internal/kernel/reporter"
+)
+
+// TestServicesStopInReverse starts three services that need one another and
+// stops them: the last one to start must drain first, since callers reach the
+// system through it, and all drain before the first is ended.
+func TestServicesStopInReverse(t *testing.T) {
+	var log []string
+	r := New(Config{Reporter: reporter.Discard(), StopLimit: time.Second})
+	add := func(name string, needs ...string) {
+		r.Add(Service{
+			Name: name, Needs: needs,
+			Start: func(context.Context, *Registrar) (any, error) { log = append(log, "start "+name); return name, nil },
+			Drain: func(context.Context) error { log = append(log, "drain "+name); return nil },
+		})
+	}
+	add("front", "middle")
+	add("middle", "back")
+	add("back")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := r.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	want := []string{"start back", "start middle", "start front", "drain front", "drain middle", "drain back"}
+	if diff := cmp.Diff(want, log); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestSortByNeedsRefuses(t *testing.T) {
+	cases := []struct {
+		name     string
+		services []Service
+		want     string
+	}{
+		{"missing need", []Service{{Name: "a", Needs: []string{"b"}}}, `service "a" needs "b", which is not registered`},
+		{"cycle", []Service{{Name: "a", Needs: []string{"b"}}, {Name: "b", Needs: []string{"a"}}}, `services "b" and "a" need each other`},
+		{"twice", []Service{{Name: "a"}, {Name: "a"}}, `service "a" is registered twice`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := sortByNeeds(c.services)
+			if err == nil || err.Error() != c.want {
+				t.Errorf("got %v, want %s", err, c.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/kernel/reporter/catalogue_agent.go
@@ -0,0 +1,6 @@
+package reporter
+
+// Events of the area "agent", numbered from 600.
+const ()
+
+var agentDefinitions = []Definition{}
--- /dev/null
+++ b/internal/kernel/reporter/catalogue_kernel.go
@@ -0,0 +1,20 @@
+package reporter
+
+import "github.com/apex/log"
+
+// Events of the area "kernel", numbered from 100.
+const (
+	ServiceStarted Code = 100 + iota
+	ServiceStopped
+	ServiceFailed
+	StopBegan
+	StopTimedOut
+)
+
+var kernelDefinitions = []Definition{
+	{ServiceStarted, log.InfoLevel, "service started", "A named part of the process is up; the parts that need it start next."},
+	{ServiceStopped, log.InfoLevel, "service stopped", "A named part has ended after finishing what was in flight."},
+	{ServiceFailed, log.ErrorLevel, "service failed", "A named part ended with an error; the whole process stops in order."},
+	{StopBegan, log.InfoLevel, "stop began", "The process was asked to stop and drains."},
+	{StopTimedOut, log.ErrorLevel, "stop timed out", "A part did not end within the stop limit and was left."},
+}
--- /dev/null
+++ b/internal/kernel/reporter/catalogue_operator.go
@@ -0,0 +1,6 @@
+package reporter
+
+// Events of the area "operator", numbered from 700.
+const ()
+
+var operatorDefinitions = []Definition{}
--- /dev/null
+++ b/tests/integration/doc.go
@@ -0,0 +1,2 @@
+// Package integration holds the tests that run separate processes.
+package integration
