Add the connections between processes

Cause: processes need calls both ways on one connection, and a frozen peer must not block callers: a plain write hangs under the connection's lock. Ruled out: write deadlines alone, since up to the deadline every caller waits.

--- /dev/null
+++ b/internal/wire/connector/codec.go
@@ -0,0 +1,49 @@
+package connector
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+)
+
+// MaxMessageBytes bounds one message, so that a broken length prefix can't make
+// the reader allocate without limit.
+const MaxMessageBytes = 24 << 20
+
+// codec is jsonrpc2's varint framing with the bound above.
+type codec struct{}
+
+// WriteObject implements jsonrpc2.ObjectCodec.
+func (codec) WriteObject(stream io.Writer, obj any) error {
+	data, err := json.Marshal(obj)
+	if err != nil {
+		return fmt.Errorf("encode message: %w", err)
+	}
+	if len(data) > MaxMessageBytes {
+		return fmt.Errorf("message of %d bytes is above the limit of %d", len(data), MaxMessageBytes)
+	}
+	var length [binary.MaxVarintLen64]byte
+	if _, err := stream.Write(length[:binary.PutUvarint(length[:], uint64(len(data)))]); err != nil {
+		return err
+	}
+	_, err = stream.Write(data)
+	return err
+}
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (codec) ReadObject(stream *bufio.Reader, v any) error {
+	length, err := binary.ReadUvarint(stream)
+	if err != nil {
+		return err
+	}
+	if length > MaxMessageBytes {
+		return fmt.Errorf("message of %d bytes is above the limit of %d", length, MaxMessageBytes)
+	}
+	data := make([]byte, length)
+	if _, err := io.ReadFull(stream, data); err != nil {
+		return err
+	}
+	return json.Unmarshal(data, v)
+}
--- /dev/null
+++ b/internal/wire/connector/connector_test.go
@@ -0,0 +1,86 @@
+package connector
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"bamboospread/internal/wire/messenger"
+)
+
+func serve(t *testing.T, handle Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- Serve(ctx, l, handle, nil) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return l.Addr().String()
+}
+
+func refuse(context.Context, *Conn, string, json.RawMessage) (any, error) {
+	return nil, Errorf(messenger.CodeUnavailable, "refused")
+}
+
+// TestCallsGoBothWays calls the listener, which calls the dialler back before it
+// answers: agents dial entries, and entries send requests over that connection.
+func TestCallsGoBothWays(t *testing.T) {
+	address := serve(t, func(ctx context.Context, c *Conn, _ string, _ json.RawMessage) (any, error) {
+		var back string
+		err := c.Call(ctx, "back", messenger.Empty{}, &back)
+		return "out and " + back, err
+	})
+	c, err := Dial(context.Background(), address, func(context.Context, *Conn, string, json.RawMessage) (any, error) {
+		return "back", nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	var got string
+	if err := c.Call(context.Background(), "out", messenger.Empty{}, &got); err != nil || got != "out and back" {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
+func TestErrorKeepsItsCode(t *testing.T) {
+	c, err := Dial(context.Background(), serve(t, refuse), refuse)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	err = c.Call(context.Background(), "x", messenger.Empty{}, nil)
+	if CodeOf(err) != messenger.CodeUnavailable {
+		t.Errorf("got %v", err)
+	}
+}
+
+// TestFrozenPeerDoesNotBlockCallers sends large calls to a peer that accepts the
+// connection and never reads. Each caller must come back at its own deadline;
+// with a plain write all would hang once the kernel's buffer is full.
+func TestFrozenPeerDoesNotBlockCallers(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, err := Dial(context.Background(), l.Addr().String(), refuse)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for range 5 {
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		err := c.Call(ctx, "x", make([]byte, 1<<20), nil)
+		cancel()
+		if !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("got %v, want the caller's deadline", err)
+		}
+	}
+}
