--- /dev/null
+++ b/internal/control/bookkeeper/bookkeeper.go
@@ -0,0 +1,284 @@
+// Package bookkeeper holds the state of a cell: its tasks, VMs, attempts and
+// claims. The state changes only by Apply, without clock, network or chance, so
+// that the same records always give the same state.
+package bookkeeper
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/wire/messenger"
+)
+
+// Limits of what is remembered.
+const (
+	maxDecisions     = 4096
+	maxTaskDecisions = 16
+	maxFinished      = 20000
+)
+
+// Task is a task in the books.
+type Task struct {
+	Spec       messenger.TaskSpec  `json:"spec"`
+	Digest     string              `json:"digest"`
+	Order      int64               `json:"order"` // of submission
+	State      messenger.TaskState `json:"state"`
+	Reason     string              `json:"reason,omitempty"`
+	Impossible bool                `json:"impossible,omitempty"`
+	VM         string              `json:"vm,omitempty"` // where it holds resources
+	Attempt    int64               `json:"attempt"`
+	Stop       StopKind            `json:"stop,omitempty"`
+	Percent    int                 `json:"percent,omitempty"`
+	Failures   int                 `json:"failures,omitempty"`
+	Evictions  int                 `json:"evictions,omitempty"`
+	FailedOn   []string            `json:"failed-on,omitempty"`
+	Checkpoint string              `json:"checkpoint,omitempty"`
+	NotBefore  time.Time           `json:"not-before,omitzero"`
+	Submitted  time.Time           `json:"submitted"`
+	Changed    time.Time           `json:"changed"`
+	Decisions  []int64             `json:"decisions,omitempty"` // the last few
+}
+
+// Holds tells whether the task holds resources of its VM.
+func (t *Task) Holds() bool {
+	return t.State == messenger.TaskStarting || t.State == messenger.TaskRunning || t.State == messenger.TaskStopping
+}
+
+// Final tells whether the task has ended for good.
+func (t *Task) Final() bool {
+	return t.State == messenger.TaskCompleted || t.State == messenger.TaskCancelled
+}
+
+// VM is a machine in the books.
+type VM struct {
+	Seen        VMSeen    `json:"seen"`
+	Quarantined string    `json:"quarantined,omitempty"`
+	Until       time.Time `json:"until,omitzero"`
+	Quarantines int       `json:"quarantines,omitempty"` // in a row without a success
+	// Failing names different tasks that failed on the VM since a success.
+	Failing []string `json:"failing,omitempty"`
+}
+
+// Claim is the right to run a keyed request.
+type Claim struct {
+	Claimed
+	At     time.Time             `json:"at"`
+	State  messenger.ClaimState  `json:"state"` // granted, held or settled
+	Answer *messenger.KeptAnswer `json:"answer,omitempty"`
+}
+
+// state is the encoded form of the books.
+type state struct {
+	Epoch     int64                         `json:"epoch"`
+	Owner     string                        `json:"owner"`
+	VMLease   time.Duration                 `json:"vm-lease"`
+	MaxLease  time.Duration                 `json:"max-lease"` // longest that any unsettled epoch may have granted
+	NextOrder int64                         `json:"next-order"`
+	NextEvent int64                         `json:"next-event"`
+	Tasks     map[string]*Task              `json:"tasks"`
+	VMs       map[string]*VM                `json:"vms"`
+	Claims    map[string]*Claim             `json:"claims"`
+	Decisions map[int64]*messenger.Decision `json:"decisions"`
+	Finished  []string                      `json:"finished"` // oldest first
+	Settled   time.Duration                 `json:"own-lease"`
+}
+
+// Books is the state of a cell. It belongs to one goroutine.
+type Books struct {
+	s      state
+	onVM   map[string]map[string]*Task // tasks that hold resources, by VM
+	queued map[string]*Task
+	counts map[messenger.TaskState]int
+}
+
+// New returns empty books.
+func New() *Books {
+	b := &Books{s: state{
+		Tasks: make(map[string]*Task), VMs: make(map[string]*VM),
+		Claims: make(map[string]*Claim), Decisions: make(map[int64]*messenger.Decision),
+		NextEvent: 1, NextOrder: 1,
+	}}
+	b.index()
+	return b
+}
+
+// Decode returns the books of a snapshot.
+func Decode(snapshot []byte) (*Books, error) {
+	b := New()
+	if err := json.Unmarshal(snapshot, &b.s); err != nil {
+		return nil, fmt.Errorf("decode snapshot of cell: %w", err)
+	}
+	b.index()
+	return b, nil
+}
+
+// Encode returns a snapshot; equal books give equal bytes.
+func (b *Books) Encode() ([]byte, error) {
+	out, err := json.Marshal(b.s)
+	if err != nil {
+		return nil, fmt.Errorf("encode snapshot of cell: %w", err)
+	}
+	return out, nil
+}
+
+func (b *Books) index() {
+	b.onVM = make(map[string]map[string]*Task)
+	b.queued = make(map[string]*Task)
+	b.counts = make(map[messenger.TaskState]int)
+	for _, t := range b.s.Tasks {
+		b.enter(t)
+	}
+}
+
+func (b *Books) enter(t *Task) {
+	b.counts[t.State]++
+	switch {
+	case t.State == messenger.TaskQueued:
+		b.queued[t.Spec.ID] = t
+	case t.Holds():
+		if b.onVM[t.VM] == nil {
+			b.onVM[t.VM] = make(map[string]*Task)
+		}
+		b.onVM[t.VM][t.Spec.ID] = t
+	}
+}
+
+func (b *Books) leave(t *Task) {
+	b.counts[t.State]--
+	delete(b.queued, t.Spec.ID)
+	delete(b.onVM[t.VM], t.Spec.ID)
+}
+
+// Epoch returns the epoch of the last take-over.
+func (b *Books) Epoch() int64 { return b.s.Epoch }
+
+// Owner returns the entry that took over last.
+func (b *Books) Owner() string { return b.s.Owner }
+
+// MaxLease returns the longest lease that may be in force on a VM by a grant of
+// an earlier owner.
+func (b *Books) MaxLease() time.Duration { return b.s.MaxLease }
+
+// Task returns a task, or nil. The caller must not change it.
+func (b *Books) Task(id string) *Task { return b.s.Tasks[id] }
+
+// VM returns a VM, or nil. The caller must not change it.
+func (b *Books) VM(name string) *VM { return b.s.VMs[name] }
+
+// VMs returns the names of all VMs in order.
+func (b *Books) VMs() []string { return sortedKeys(b.s.VMs) }
+
+// Tasks returns all tasks in the order of submission.
+func (b *Books) Tasks() []*Task { return inOrder(b.s.Tasks) }
+
+// Queued returns the queued tasks in the order of submission.
+func (b *Books) Queued() []*Task { return inOrder(b.queued) }
+
+// CountQueued returns the number of queued tasks.
+func (b *Books) CountQueued() int { return len(b.queued) }
+
+// On returns the tasks that hold resources of a VM, in the order of submission.
+func (b *Books) On(vm string) []*Task { return inOrder(b.onVM[vm]) }
+
+// CountOn returns how many tasks hold resources of a VM.
+func (b *Books) CountOn(vm string) int { return len(b.onVM[vm]) }
+
+// Counts returns the number of tasks by state.
+func (b *Books) Counts() map[messenger.TaskState]int {
+	counts := make(map[messenger.TaskState]int, len(b.counts))
+	for s, n := range b.counts {
+		if n > 0 {
+			counts[s] = n
+		}
+	}
+	return counts
+}
+
+// Committed returns what tasks and upstreams hold of a VM. An upstream that is
+// a replica task's own counts once.
+func (b *Books) Committed(vm string) describer.Resources {
+	var sum describer.Resources
+	replicas := make(map[string]int64)
+	for _, t := range b.onVM[vm] {
+		sum = sum.Add(t.Spec.Needs)
+		if t.Spec.Service != "" {
+			replicas[t.Spec.Service]++
+		}
+	}
+	v := b.s.VMs[vm]
+	if v == nil {
+		return sum
+	}
+	for _, h := range v.Seen.Services {
+		for n := replicas[h.Service]; n < h.Count; n++ {
+			sum = sum.Add(h.Needs)
+		}
+	}
+	return sum
+}
+
+// Claim returns the claim of a tenant's key, or nil.
+func (b *Books) Claim(tenant, key string) *Claim { return b.s.Claims[claimKey(tenant, key)] }
+
+// CountClaims returns the number of claims kept.
+func (b *Books) CountClaims() int { return len(b.s.Claims) }
+
+// OldestClaim returns when the oldest claim was made; zero without claims.
+func (b *Books) OldestClaim() time.Time {
+	var oldest time.Time
+	for _, c := range b.s.Claims {
+		if oldest.IsZero() || c.At.Before(oldest) {
+			oldest = c.At
+		}
+	}
+	return oldest
+}
+
+// Decisions returns up to limit decisions with numbers above the given one.
+func (b *Books) Decisions(above int64, limit int) []messenger.Decision {
+	var out []messenger.Decision
+	for n := max(above+1, b.s.NextEvent-maxDecisions); n < b.s.NextEvent && len(out) < limit; n++ {
+		if d := b.s.Decisions[n]; d != nil {
+			out = append(out, *d)
+		}
+	}
+	return out
+}
+
+// FindDecisions returns the decisions for which match is true, oldest first.
+func (b *Books) FindDecisions(match func(*messenger.Decision) bool) []messenger.Decision {
+	var out []messenger.Decision
+	for _, d := range b.s.Decisions {
+		if match(d) {
+			out = append(out, *d)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Number < out[j].Number })
+	return out
+}
+
+func claimKey(tenant, key string) string { return tenant + "\x00" + key }
+
+func inOrder(tasks map[string]*Task) []*Task {
+	out := make([]*Task, 0, len(tasks))
+	for _, t := range tasks {
+		out = append(out, t)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Order < out[j].Order })
+	return out
+}
+
+func sortedKeys[T any](m map[string]T) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// NextOrder returns the place in the order of submission of the next task.
+func (b *Books) NextOrder() int64 { return b.s.NextOrder }
--- /dev/null
+++ b/internal/control/controller/planning.go
@@ -0,0 +1,153 @@
+package controller
+
+import (
+	"slices"
+	"time"
+
+	"bamboospread/internal/control/bookkeeper"
+	"bamboospread/internal/control/placer"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/wire/messenger"
+)
+
+// Pace of rounds.
+const (
+	roundPause = 50 * time.Millisecond
+	roundEvery = 200 * time.Millisecond
+)
+
+// plan runs a round of the placer if there is work for it. Starts need a recent
+// store contact; without one the round waits for it.
+func (o *owner) plan() {
+	now := o.config.Now()
+	since := now.Sub(o.planned)
+	work := o.books.CountQueued() > 0 || o.books.Counts()[messenger.TaskRunning] > 0
+	if !work || !o.freshAt(now) || o.slow() || o.stopping || !o.held() {
+		return
+	}
+	if since < roundEvery && !o.urgent && !(o.dirty && since >= roundPause) {
+		return
+	}
+	o.planned, o.dirty, o.urgent = now, false, false
+	snapshot := o.snapshot(now)
+	began := time.Now()
+	plan := o.config.Placer.Plan(snapshot)
+	o.meters.round.Update(time.Since(began).Seconds())
+	o.waits = plan.Waits
+	o.carryOut(plan, now)
+}
+
+func (o *owner) carryOut(plan placer.Plan, now time.Time) {
+	probed := make(map[string]bool)
+	for _, s := range plan.Starts {
+		o.start(s, probed)
+	}
+	for _, e := range plan.Evictions {
+		if t := o.books.Task(e.TaskID); t != nil && t.State == messenger.TaskRunning && o.evicts.take(now, o.evictionRate()) {
+			o.move(t, e.Reason, e.Inputs)
+		}
+	}
+	for _, h := range plan.Throttles {
+		t := o.books.Task(h.TaskID)
+		if t == nil || t.State != messenger.TaskRunning || t.Percent == h.Percent {
+			continue
+		}
+		d := messenger.Decision{Task: h.TaskID, VM: t.VM, Reason: h.Reason, Inputs: h.Inputs}
+		o.decide(bookkeeper.Record{Throttled: &bookkeeper.Throttled{Task: h.TaskID, Percent: h.Percent}}, reporter.ThrottleDecided, d, nil)
+	}
+	for _, h := range plan.Holds {
+		if t := o.books.Task(h.TaskID); t != nil && t.State == messenger.TaskQueued {
+			o.hold(h.TaskID, h.Reason, true, nil)
+		}
+	}
+}
+
+// start journals one start. A VM that is being probed after a quarantine gets
+// one task at a time, so that it can't fail a whole wave.
+func (o *owner) start(s placer.Start, probed map[string]bool) {
+	t, v := o.books.Task(s.TaskID), o.books.VM(s.VM)
+	if t == nil || v == nil || t.State != messenger.TaskQueued {
+		return
+	}
+	if v.Quarantines > 0 {
+		if probed[s.VM] {
+			return
+		}
+		probed[s.VM] = true
+	}
+	d := messenger.Decision{Task: s.TaskID, VM: s.VM, Service: t.Spec.Service, Reason: s.Reason, Inputs: s.Inputs}
+	started := bookkeeper.Started{Task: s.TaskID, VM: s.VM, Attempt: t.Attempt + 1}
+	if o.decide(bookkeeper.Record{Started: &started}, reporter.StartDecided, d, nil) {
+		o.meters.starts.Inc()
+		o.session(s.VM).openHistory(t, o.config.Now())
+	}
+}
+
+func (o *owner) move(t *bookkeeper.Task, reason string, inputs map[string]string) {
+	d := messenger.Decision{Task: t.Spec.ID, VM: t.VM, Service: t.Spec.Service, Reason: reason, Inputs: inputs}
+	stopping := bookkeeper.Stopping{Task: t.Spec.ID, Attempt: t.Attempt, Kind: bookkeeper.StopMove}
+	if o.decide(bookkeeper.Record{Stopping: &stopping}, reporter.MoveDecided, d, nil) {
+		o.meters.evictions.Inc()
+	}
+}
+
+// snapshot describes the cell to the placer.
+func (o *owner) snapshot(now time.Time) placer.Snapshot {
+	s := placer.Snapshot{
+		Now: now, Fleet: o.fleet, Interference: o.config.Interference, Pressure: o.config.Pressure,
+		EvictionsLeft: o.evicts.left(now, o.evictionRate()),
+	}
+	names := o.books.VMs()
+	for _, name := range names {
+		s.VMs = append(s.VMs, o.describeVM(name, now))
+		for _, t := range o.books.On(name) {
+			s.Placed = append(s.Placed, o.describeTask(t, len(names)))
+		}
+	}
+	for _, t := range o.books.Queued() {
+		if !t.NotBefore.After(now) {
+			s.Queued = append(s.Queued, o.describeTask(t, len(names)))
+		}
+	}
+	return s
+}
+
+func (o *owner) describeVM(name string, now time.Time) placer.VM {
+	v, session := o.books.VM(name), o.session(name)
+	c := v.Seen.Capacity
+	vm := placer.VM{
+		Name: name, Zone: c.Zone, Rack: c.Rack, Total: c.Total, Committed: o.books.Committed(name),
+		Reachable: session.reachable(now), Leaving: v.Seen.Leaving,
+		Quarantined: v.Quarantined != "" || v.Quarantines > 0 && o.books.CountOn(name) > 0,
+		ReturnedAt:  o.returned[c.Zone],
+	}
+	for _, h := range v.Seen.Services {
+		vm.Services = append(vm.Services, h.Service)
+	}
+	for _, t := range o.books.On(name) {
+		if t.Spec.Service != "" && !slices.Contains(vm.Services, t.Spec.Service) {
+			vm.Services = append(vm.Services, t.Spec.Service)
+		}
+	}
+	return vm
+}
+
+func (o *owner) describeTask(t *bookkeeper.Task, vms int) placer.Task {
+	class, _ := o.fleet.TaskClass(t.Spec.Class)
+	p := placer.Task{
+		ID: t.Spec.ID, Tenant: t.Spec.Tenant, Class: t.Spec.Class, Service: t.Spec.Service,
+		Needs: t.Spec.Needs, Urgent: t.Spec.Urgent, Checkpoint: class.Checkpoint, VM: t.VM,
+		Stopping: t.State == messenger.TaskStopping, Submitted: t.Submitted,
+		NotBefore: t.NotBefore, Percent: t.Percent,
+	}
+	if t.Holds() {
+		p.Started, p.NotBefore = t.NotBefore, time.Time{} // while it holds, NotBefore is when it was started
+	}
+	if len(t.FailedOn) > 0 && len(t.FailedOn) < vms { // failed everywhere: any VM is as good
+		p.Avoid = make(map[string]bool, len(t.FailedOn))
+		for _, vm := range t.FailedOn {
+			p.Avoid[vm] = true
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/control/controller/report.go
@@ -0,0 +1,136 @@
+package controller
+
+import (
+	"time"
+
+	"bamboospread/internal/control/bookkeeper"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/wire/messenger"
+)
+
+// Lengths after failures.
+const (
+	firstBackoff       = 500 * time.Millisecond
+	lastBackoff        = 30 * time.Second
+	refusedBackoff     = 300 * time.Millisecond
+	defaultMaxAttempts = 3
+)
+
+// ending is how an attempt ended.
+type ending struct {
+	state      messenger.ReportState
+	reason     string
+	checkpoint string
+}
+
+// takeReports takes what the agent says about attempts. A poll lists every
+// attempt on the VM, so one that is confirmed and missing runs no more.
+func (o *owner) takeReports(s *session, p messenger.Poll) {
+	vm := p.Capacity.VM
+	reported := make(map[messenger.TaskAttempt]bool, len(p.Tasks))
+	for _, r := range p.Tasks {
+		at := messenger.TaskAttempt{TaskID: r.TaskID, Attempt: r.Attempt}
+		reported[at] = true
+		o.takeReport(s, vm, at, r)
+	}
+	for at := range s.strays {
+		if !reported[at] {
+			delete(s.strays, at)
+		}
+	}
+	for _, t := range o.books.On(vm) {
+		at := messenger.TaskAttempt{TaskID: t.Spec.ID, Attempt: t.Attempt}
+		if t.State == messenger.TaskRunning && !reported[at] {
+			o.endAttempt(t, ending{state: messenger.ReportLost, reason: "not running on its VM any more"}, nil)
+		}
+	}
+}
+
+func (o *owner) takeReport(s *session, vm string, at messenger.TaskAttempt, r messenger.TaskReport) {
+	t := o.books.Task(at.TaskID)
+	current := t != nil && t.Holds() && t.VM == vm && t.Attempt == at.Attempt
+	switch {
+	case current && r.State == messenger.ReportRunning:
+		if t.State == messenger.TaskStarting {
+			o.decide(bookkeeper.Record{Confirmed: &bookkeeper.Confirmed{Task: at.TaskID, Attempt: at.Attempt}},
+				reporter.StartConfirmed, messenger.Decision{Task: at.TaskID, VM: vm, Reason: "agent reports it running"}, nil)
+		}
+	case current:
+		o.endAttempt(t, ending{r.State, r.Reason, r.Checkpoint}, func() { o.ack(s, at) })
+	case r.State == messenger.ReportRunning:
+		if !s.strays[at] {
+			s.strays[at] = true
+			o.config.Reporter.Report(reporter.StrayStopped, reporter.Fields{"cell": o.config.Cell, "task": at.TaskID, "vm": vm, "attempt": at.Attempt})
+		}
+	case o.commits.open[at.TaskID] == 0:
+		// The end is journalled already, or was decided without this report.
+		o.ack(s, at)
+	}
+}
+
+// ack acknowledges a final report in the next reply. The agent repeats a report
+// until then, so a report whose record was never journalled comes again.
+func (o *owner) ack(s *session, at messenger.TaskAttempt) {
+	s.acked = append(s.acked, at)
+	s.answerNow = true
+}
+
+// endAttempt journals the end of an attempt and what becomes of the task.
+func (o *owner) endAttempt(t *bookkeeper.Task, e ending, after func()) {
+	ended := bookkeeper.Ended{Task: t.Spec.ID, Attempt: t.Attempt, Reason: e.reason, Checkpoint: e.checkpoint, Next: messenger.TaskQueued}
+	code := o.judgeEnd(t, e, &ended)
+	vm, s := t.VM, o.session(t.VM)
+	d := messenger.Decision{Task: t.Spec.ID, VM: vm, Service: t.Spec.Service, Reason: reasonOr(e.reason, string(e.state))}
+	if !o.decide(bookkeeper.Record{Ended: &ended}, code, d, after) {
+		return
+	}
+	s.closeHistory(t.Spec.ID, o.config.Now())
+	o.meters.ended(ended.Next)
+	if ended.Failed {
+		o.suspect(vm)
+	}
+}
+
+func reasonOr(reason, other string) string {
+	if reason == "" {
+		return other
+	}
+	return reason
+}
+
+// judgeEnd fills in what follows from the way an attempt ended.
+func (o *owner) judgeEnd(t *bookkeeper.Task, e ending, ended *bookkeeper.Ended) reporter.Code {
+	now := o.config.Now().Round(0).UTC()
+	if e.state == messenger.ReportCompleted && t.Spec.Service == "" {
+		ended.Next = messenger.TaskCompleted
+		return reporter.TaskCompleted
+	}
+	if t.Stop == bookkeeper.StopCancel {
+		ended.Next = messenger.TaskCancelled
+		return reporter.TaskCancelled
+	}
+	switch e.state {
+	case messenger.ReportStopped:
+		ended.Evicted = t.Stop == bookkeeper.StopMove
+		return reporter.AttemptMoved
+	case messenger.ReportRefused:
+		ended.NotBefore = now.Add(refusedBackoff)
+		return reporter.StartRefused
+	case messenger.ReportLost:
+		return reporter.AttemptLost
+	}
+	ended.Failed = true
+	ended.NotBefore = now.Add(min(firstBackoff<<min(t.Failures, 10), lastBackoff))
+	if t.Spec.Service == "" && t.Failures+1 >= o.maxAttempts(t) {
+		ended.Next = messenger.TaskHeld
+		ended.Reason = "failed too often, last on " + t.VM + ": " + reasonOr(e.reason, "no reason given")
+	}
+	return reporter.AttemptFailed
+}
+
+func (o *owner) maxAttempts(t *bookkeeper.Task) int {
+	if c, ok := o.fleet.TaskClass(t.Spec.Class); ok && c.MaxAttempts > 0 {
+		return c.MaxAttempts
+	}
+	return defaultMaxAttempts
+}
--- /dev/null
+++ b/internal/control/controller/zone.go
@@ -0,0 +1,156 @@
+package controller
+
+import (
+	"fmt"
+	"time"
+
+	"bamboospread/internal/control/bookkeeper"
+	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/wire/messenger"
+)
+
+// Budget of planned evictions.
+const (
+	defaultEvictionsPerMinute = 60
+	burstShare                = 6 // this part of a minute's budget may be spent at once
+	forgetReturnAfter         = 10 * time.Minute
+)
+
+// budget is a token bucket. Its field full tells when it was or will be full.
+type budget struct {
+	tokens float64
+	at     time.Time
+}
+
+func (b *budget) refill(now time.Time, perMinute float64) {
+	limit := max(1, perMinute/burstShare)
+	if b.at.IsZero() {
+		b.tokens = limit
+	} else {
+		b.tokens = min(limit, b.tokens+now.Sub(b.at).Minutes()*perMinute)
+	}
+	b.at = now
+}
+
+func (b *budget) left(now time.Time, perMinute float64) int {
+	b.refill(now, perMinute)
+	return int(b.tokens)
+}
+
+func (b *budget) take(now time.Time, perMinute float64) bool {
+	if b.left(now, perMinute) < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+func (o *owner) evictionRate() float64 {
+	if rate := o.fleet.Policy().EvictionsPerMinute; rate > 0 {
+		return rate
+	}
+	return defaultEvictionsPerMinute
+}
+
+// checkZones moves running tasks out of zones that were taken out, within the
+// budget: first those that lose nothing by it.
+func (o *owner) checkZones(now time.Time) {
+	for zone, at := range o.returned {
+		if now.Sub(at) > forgetReturnAfter {
+			delete(o.returned, zone)
+		}
+	}
+	if o.slow() || o.fleet.Version() == 0 {
+		return
+	}
+	o.withdrawStarts()
+	for _, checkpoint := range []bool{true, false} {
+		for _, vm := range o.books.VMs() {
+			if o.zoneOut(vm) && !o.moveAll(vm, checkpoint, now) {
+				return
+			}
+		}
+	}
+}
+
+// moveAll moves batch tasks off a VM until the budget ends.
+func (o *owner) moveAll(vm string, checkpoint bool, now time.Time) bool {
+	for _, t := range o.books.On(vm) {
+		class, _ := o.fleet.TaskClass(t.Spec.Class)
+		if t.State != messenger.TaskRunning || t.Spec.Service != "" || class.Checkpoint != checkpoint {
+			continue
+		}
+		if !o.evicts.take(now, o.evictionRate()) {
+			return false
+		}
+		o.move(t, "its zone was taken out", map[string]string{"zone": o.books.VM(vm).Seen.Capacity.Zone})
+	}
+	return true
+}
+
+// checkReplicas keeps the wanted number of replicas of each service. Replicas in
+// a zone that was taken out go only once as many run elsewhere.
+func (o *owner) checkReplicas() {
+	if o.fleet.Version() == 0 || o.slow() {
+		return
+	}
+	byService := make(map[string][]*bookkeeper.Task)
+	for _, t := range o.books.Tasks() {
+		if t.Spec.Service != "" && !t.Final() && t.Stop != bookkeeper.StopCancel {
+			byService[t.Spec.Service] = append(byService[t.Spec.Service], t)
+		}
+	}
+	for _, service := range o.fleet.Services() {
+		o.keepReplicas(service, byService[service.Name])
+		delete(byService, service.Name)
+	}
+	for _, left := range byService {
+		for _, t := range left {
+			o.cancel(t, "the service is gone or keeps no replicas", o.newWait(func() {}))
+		}
+	}
+}
+
+func (o *owner) keepReplicas(service describer.Service, have []*bookkeeper.Task) {
+	var leaving, staying []*bookkeeper.Task
+	running := 0
+	for _, t := range have {
+		if t.Holds() && (o.zoneOut(t.VM) || o.vmLeaving(t.VM)) {
+			leaving = append(leaving, t)
+			continue
+		}
+		staying = append(staying, t)
+		if t.State == messenger.TaskRunning {
+			running++
+		}
+	}
+	for n := len(staying); n < service.Replicas; n++ {
+		o.addReplica(service)
+	}
+	for len(staying) > service.Replicas {
+		last := staying[len(staying)-1]
+		staying = staying[:len(staying)-1]
+		o.cancel(last, "more replicas than wanted", o.newWait(func() {}))
+	}
+	// Each replica that runs elsewhere beyond those lost lets one go.
+	for n := 0; n < len(leaving) && running+len(leaving)-n > service.Replicas; n++ {
+		o.cancel(leaving[n], "replaced, its zone or VM is leaving", o.newWait(func() {}))
+	}
+}
+
+func (o *owner) vmLeaving(vm string) bool {
+	v := o.books.VM(vm)
+	return v != nil && v.Seen.Leaving
+}
+
+func (o *owner) addReplica(service describer.Service) {
+	id := ""
+	for n := o.books.NextOrder(); id == "" || o.books.Task(id) != nil; n++ {
+		id = fmt.Sprintf("%s%s-%d", replicaPrefix, service.Name, n)
+	}
+	spec := messenger.TaskSpec{ID: id, Tenant: service.Tenant, Service: service.Name, Needs: service.Needs, Urgent: true}
+	o.decide(bookkeeper.Record{Submitted: &bookkeeper.Submitted{Spec: spec}}, reporter.TaskSubmitted,
+		messenger.Decision{Task: id, Service: service.Name, Reason: fmt.Sprintf("the service keeps %d replicas", service.Replicas)}, nil)
+	o.urgent = true
+}
