Add the store's client and its stand-in

Cause: keeper had only its surface; nothing stood for the platform's service. Change: a write counts as sent once it was given a connection, so a failed dial is ErrUnavailable and a lost answer ErrOutcomeUnknown; SwapSettled repeats the same swap until a definite answer. ErrConflict.AfterLoss tells that the own write may have been in force before the record that stands. Ruled out: reading back alone, since a delayed write may come after the read.

--- a/internal/platform/keeper/keeper.go
+++ b/internal/platform/keeper/keeper.go
@@ -33,6 +33,9 @@
 type ErrConflict struct {
 	Key     string
 	Current Record // Revision 0: the key does not exist
+	// AfterLoss is set by SwapSettled when an earlier answer to the same write
+	// was lost: the write may have been in force before Current replaced it.
+	AfterLoss bool
 }
 
 func (e ErrConflict) Error() string {
@@ -112,8 +115,8 @@
 
 // Change is a written or deleted record.
 type Change struct {
-	Record  Record
-	Deleted bool
+	Record  Record `json:"record"`
+	Deleted bool   `json:"deleted,omitempty"`
 }
 
 // ListOptions selects records by prefix, in the order of their keys.
@@ -143,51 +146,72 @@
 	}
 	client := c.HTTP
 	if client == nil {
-		client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+		client = &http.Client{
+			Transport: &http.Transport{MaxIdleConnsPerHost: 16},
+			// A redirect would send a write a second time.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}
 	}
 	return &Keeper{config: c, client: client}
 }
 
-var errNotBuilt = fmt.Errorf("not built yet")
-
 // GetRecord reads one record.
-func (k *Keeper) GetRecord(_ context.Context, _ string) (Record, error) {
-	return Record{}, ErrUnavailable{errNotBuilt}
+func (k *Keeper) GetRecord(ctx context.Context, key string) (Record, error) {
+	var a RecordAnswer
+	err := k.call(ctx, callOptions{kind: KindGet, key: key, body: KeyCall{Key: key}, answer: &a})
+	return a.Record, err
 }
 
 // FindRecords lists records.
-func (k *Keeper) FindRecords(_ context.Context, _ ListOptions) (ListResult, error) {
-	return ListResult{}, ErrUnavailable{errNotBuilt}
+func (k *Keeper) FindRecords(ctx context.Context, o ListOptions) (ListResult, error) {
+	var a ListAnswer
+	err := k.call(ctx, callOptions{kind: KindList, body: ListCall(o), answer: &a})
+	return ListResult(a), err
 }
 
 // CompareAndSwap writes a record if it is at the expected revision, and returns
 // its new revision.
-func (k *Keeper) CompareAndSwap(_ context.Context, _ SwapOptions) (int64, error) {
-	return 0, ErrUnavailable{errNotBuilt}
+func (k *Keeper) CompareAndSwap(ctx context.Context, o SwapOptions) (int64, error) {
+	var a RevisionAnswer
+	err := k.call(ctx, callOptions{kind: KindSwap, write: true, key: o.Key, lease: o.Lease, body: SwapCall(o), answer: &a})
+	if err == nil && a.Revision == 0 {
+		return 0, ErrOutcomeUnknown{fmt.Errorf("answer without a revision")}
+	}
+	return a.Revision, err
 }
 
 // DeleteRecord deletes a record if it is at the expected revision.
-func (k *Keeper) DeleteRecord(_ context.Context, _ string, _ int64) error {
-	return ErrUnavailable{errNotBuilt}
+func (k *Keeper) DeleteRecord(ctx context.Context, key string, expectRevision int64) error {
+	body := DeleteCall{Key: key, ExpectRevision: expectRevision}
+	return k.call(ctx, callOptions{kind: KindDelete, write: true, key: key, body: body})
 }
 
 // GrantLease returns a new lease.
-func (k *Keeper) GrantLease(_ context.Context, _ time.Duration) (Lease, error) {
-	return Lease{}, ErrUnavailable{errNotBuilt}
+func (k *Keeper) GrantLease(ctx context.Context, ttl time.Duration) (Lease, error) {
+	var a LeaseCall
+	body := LeaseCall{TTLMillis: ttl.Milliseconds()}
+	err := k.call(ctx, callOptions{kind: KindGrant, write: true, body: body, answer: &a})
+	if err == nil && a.Lease == 0 {
+		return Lease{}, ErrOutcomeUnknown{fmt.Errorf("answer without a lease")}
+	}
+	return Lease{ID: a.Lease, TTL: time.Duration(a.TTLMillis) * time.Millisecond}, err
 }
 
 // KeepAlive renews a lease for its full time.
-func (k *Keeper) KeepAlive(_ context.Context, _ int64) error {
-	return ErrUnavailable{errNotBuilt}
+func (k *Keeper) KeepAlive(ctx context.Context, lease int64) error {
+	return k.call(ctx, callOptions{kind: KindKeepAlive, write: true, lease: lease, body: LeaseCall{Lease: lease}})
 }
 
 // RevokeLease ends a lease and deletes its records.
-func (k *Keeper) RevokeLease(_ context.Context, _ int64) error {
-	return ErrUnavailable{errNotBuilt}
+func (k *Keeper) RevokeLease(ctx context.Context, lease int64) error {
+	return k.call(ctx, callOptions{kind: KindRevoke, write: true, lease: lease, body: LeaseCall{Lease: lease}})
 }
 
 // Watch waits for changes below a prefix. An empty result means that none came
-// in time.
-func (k *Keeper) Watch(_ context.Context, _ WatchOptions) (WatchResult, error) {
-	return WatchResult{}, ErrUnavailable{errNotBuilt}
+// in time. Of several changes to one key only the latest is told.
+func (k *Keeper) Watch(ctx context.Context, o WatchOptions) (WatchResult, error) {
+	var a WatchAnswer
+	body := WatchCall{Prefix: o.Prefix, After: o.After, WaitMillis: o.Wait.Milliseconds()}
+	err := k.call(ctx, callOptions{kind: KindWatch, body: body, answer: &a, wait: o.Wait})
+	return WatchResult(a), err
 }
--- /dev/null
+++ b/internal/standin/storer/calls.go
@@ -0,0 +1,161 @@
+package storer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/standin/server"
+)
+
+// Bodies of calls may be this large: a value in base64 and its frame.
+const maxBodyBytes = 2 * keeper.MaxValueBytes
+
+// expiryStep is how often a waiting watch looks for leases that ran out.
+const expiryStep = 25 * time.Millisecond
+
+func (s *Store) routes() {
+	handle(s, keeper.KindGet, false, s.get)
+	handle(s, keeper.KindList, false, s.list)
+	handle(s, keeper.KindWatch, false, s.watch)
+	handle(s, keeper.KindSwap, true, s.swap)
+	handle(s, keeper.KindDelete, true, s.remove)
+	handle(s, keeper.KindGrant, true, s.grant)
+	handle(s, keeper.KindKeepAlive, true, s.keepAlive)
+	handle(s, keeper.KindRevoke, true, s.revoke)
+	s.mux.HandleFunc("POST /control/faults", s.setFaults)
+	s.mux.HandleFunc("GET /control/calls", s.showCalls)
+}
+
+// result is the answer to a call.
+type result struct {
+	status int
+	body   any
+}
+
+func ok(body any) result { return result{http.StatusOK, body} }
+
+// handle registers the call of the given kind, wrapped in counting and faults.
+func handle[C any](s *Store, kind string, write bool, do func(ctx context.Context, c C) result) {
+	s.mux.HandleFunc("POST "+keeper.PathPrefix+kind, func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		var c C
+		if !server.ReadJSON(w, r, &c) {
+			return
+		}
+		f, status := s.admit(kind, write)
+		if status != http.StatusOK {
+			http.Error(w, http.StatusText(status), status)
+			return
+		}
+		time.Sleep(f.Delay())
+		a := do(r.Context(), c)
+		if s.losesAnswer(f) {
+			panic(http.ErrAbortHandler) // closes the connection without an answer
+		}
+		server.WriteJSON(w, a.status, a.body)
+	})
+}
+
+func (s *Store) get(_ context.Context, c keeper.KeyCall) result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	r := s.recordLocked(c.Key)
+	if r.Revision == 0 {
+		return result{http.StatusNotFound, r}
+	}
+	return ok(keeper.RecordAnswer{Record: r})
+}
+
+func (s *Store) list(_ context.Context, c keeper.ListCall) result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	return ok(s.listLocked(c))
+}
+
+func (s *Store) swap(_ context.Context, c keeper.SwapCall) result {
+	if len(c.Value) > keeper.MaxValueBytes {
+		return result{http.StatusRequestEntityTooLarge, "value too large"}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	if c.Lease != 0 && s.leases[c.Lease] == nil {
+		return result{http.StatusGone, c.Lease}
+	}
+	if old := s.recordLocked(c.Key); old.Revision != c.ExpectRevision {
+		return result{http.StatusConflict, keeper.RecordAnswer{Record: old}}
+	}
+	return ok(keeper.RevisionAnswer{Revision: s.putLocked(keeper.Record{Key: c.Key, Value: c.Value, Lease: c.Lease})})
+}
+
+func (s *Store) remove(_ context.Context, c keeper.DeleteCall) result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	old := s.recordLocked(c.Key)
+	switch {
+	case old.Revision == 0:
+		return result{http.StatusNotFound, old}
+	case old.Revision != c.ExpectRevision:
+		return result{http.StatusConflict, keeper.RecordAnswer{Record: old}}
+	}
+	s.deleteLocked(c.Key)
+	return ok(struct{}{})
+}
+
+func (s *Store) grant(_ context.Context, c keeper.LeaseCall) result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastID++
+	ttl := time.Duration(c.TTLMillis) * time.Millisecond
+	s.leases[s.lastID] = &lease{ttl: ttl, ends: s.config.Now().Add(ttl), keys: make(map[string]bool)}
+	return ok(keeper.LeaseCall{Lease: s.lastID, TTLMillis: c.TTLMillis})
+}
+
+func (s *Store) keepAlive(_ context.Context, c keeper.LeaseCall) result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	l := s.leases[c.Lease]
+	if l == nil {
+		return result{http.StatusGone, c.Lease}
+	}
+	l.ends = s.config.Now().Add(l.ttl)
+	return ok(struct{}{})
+}
+
+func (s *Store) revoke(_ context.Context, c keeper.LeaseCall) result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	if s.leases[c.Lease] == nil {
+		return result{http.StatusGone, c.Lease}
+	}
+	s.endLeaseLocked(c.Lease)
+	return ok(struct{}{})
+}
+
+func (s *Store) watch(ctx context.Context, c keeper.WatchCall) result {
+	deadline := time.NewTimer(time.Duration(c.WaitMillis) * time.Millisecond)
+	defer deadline.Stop()
+	for over := c.WaitMillis <= 0; ; {
+		s.mu.Lock()
+		s.expireLocked()
+		found, revision, changed := s.changesLocked(c.Prefix, c.After), s.revision, s.changed
+		s.mu.Unlock()
+		if len(found) > 0 || over || ctx.Err() != nil {
+			return ok(keeper.WatchAnswer{Changes: found, Revision: revision})
+		}
+		select {
+		case <-ctx.Done():
+		case <-deadline.C:
+			over = true
+		case <-changed:
+		case <-time.After(expiryStep):
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/storer/faults.go
@@ -0,0 +1,101 @@
+package storer
+
+import (
+	"maps"
+	"net/http"
+	"time"
+
+	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/standin/server"
+)
+
+// Faults are the faults in force.
+type Faults struct {
+	Down        bool    `json:"down"`         // refuse every call with 503
+	DelayMillis int64   `json:"delay-ms"`     // before the effect, which comes also if the caller has gone
+	LoseAnswers float64 `json:"lose-answers"` // probability of closing the connection after the effect
+}
+
+// Delay returns the delay of each call.
+func (f Faults) Delay() time.Duration { return time.Duration(f.DelayMillis) * time.Millisecond }
+
+// Calls counts what callers asked for.
+type Calls struct {
+	Calls   map[string]int64 `json:"calls"` // by kind, also refused ones
+	Refused int64            `json:"refused"`
+}
+
+// SetFaults replaces the faults in force. Watches that wait stay.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Calls returns the calls counted so far.
+func (s *Store) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Calls{Calls: maps.Clone(s.calls), Refused: s.refused}
+}
+
+// Record returns the record of key, for tests.
+func (s *Store) Record(key string) keeper.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	return s.recordLocked(key)
+}
+
+// admit counts a call and returns the faults that it meets and the status 200,
+// 429 or 503.
+func (s *Store) admit(kind string, write bool) (Faults, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[kind]++
+	limit, w := s.config.ReadsPerSecond, &s.reads
+	if write {
+		limit, w = s.config.WritesPerSecond, &s.writes
+	}
+	status := http.StatusOK
+	switch {
+	case s.faults.Down:
+		status = http.StatusServiceUnavailable
+	case !w.take(limit, s.config.Now().Unix()):
+		status = http.StatusTooManyRequests
+	}
+	if status != http.StatusOK {
+		s.refused++
+	}
+	return s.faults, status
+}
+
+// take counts one call in the given second and tells whether it is within limit.
+func (w *window) take(limit int, second int64) bool {
+	if w.second != second {
+		*w = window{second: second}
+	}
+	w.count++
+	return limit <= 0 || w.count <= limit
+}
+
+func (s *Store) losesAnswer(f Faults) bool {
+	if f.LoseAnswers <= 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.Float64() < f.LoseAnswers
+}
+
+func (s *Store) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if server.ReadJSON(w, r, &f) {
+		s.SetFaults(f)
+		server.WriteJSON(w, http.StatusOK, f)
+	}
+}
+
+func (s *Store) showCalls(w http.ResponseWriter, _ *http.Request) {
+	server.WriteJSON(w, http.StatusOK, s.Calls())
+}
--- /dev/null
+++ b/internal/standin/storer/storer.go
@@ -0,0 +1,183 @@
+// Package storer is a stand-in for the platform's key-value service, held in
+// memory: compare-and-swap, leases, waiting watches, a limit on the size of
+// values and on the rate of calls, with faults on demand.
+package storer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/standin/server"
+)
+
+// Limits of a list answer.
+const (
+	maxListRecords = 1000
+	maxListBytes   = 4 << 20
+)
+
+// Config holds the settings of a Store.
+type Config struct {
+	WritesPerSecond int // 0: no limit; above it calls are refused with 429
+	ReadsPerSecond  int // 0: no limit
+	Seed            uint64
+	Now             func() time.Time
+}
+
+// Store is the service. It is safe for concurrent use.
+type Store struct {
+	config Config
+	mux    *http.ServeMux
+
+	mu       sync.Mutex
+	revision int64
+	changes  map[string]keeper.Change // latest change of each key, also deletions
+	leases   map[int64]*lease
+	lastID   int64
+	changed  chan struct{} // closed and replaced at each change
+	faults   Faults
+	random   *rand.Rand
+	calls    map[string]int64
+	refused  int64
+	writes   window
+	reads    window
+}
+
+type lease struct {
+	ttl  time.Duration
+	ends time.Time
+	keys map[string]bool
+}
+
+// window counts the calls of the current second.
+type window struct {
+	second int64
+	count  int
+}
+
+// New returns an empty Store.
+func New(c Config) *Store {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	s := &Store{
+		config: c, mux: http.NewServeMux(), changes: make(map[string]keeper.Change),
+		leases: make(map[int64]*lease), changed: make(chan struct{}),
+		random: rand.New(rand.NewPCG(c.Seed, c.Seed)), calls: make(map[string]int64),
+	}
+	s.routes()
+	return s
+}
+
+// Handler returns the service's HTTP interface.
+func (s *Store) Handler() http.Handler { return s.mux }
+
+// Run serves on l until ctx ends.
+func (s *Store) Run(ctx context.Context, l net.Listener) error {
+	return server.Serve(ctx, l, s.mux)
+}
+
+// expireLocked ends the leases whose time is over. It goes by the clock alone,
+// so leases also run out while the service is down to its callers.
+func (s *Store) expireLocked() {
+	now := s.config.Now()
+	for id, l := range s.leases {
+		if now.After(l.ends) {
+			s.endLeaseLocked(id)
+		}
+	}
+}
+
+func (s *Store) endLeaseLocked(id int64) {
+	keys := make([]string, 0, len(s.leases[id].keys))
+	for key := range s.leases[id].keys {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	for _, key := range keys {
+		s.deleteLocked(key)
+	}
+	delete(s.leases, id)
+}
+
+// recordLocked returns the record of key, with revision 0 if there is none.
+func (s *Store) recordLocked(key string) keeper.Record {
+	if c, ok := s.changes[key]; ok && !c.Deleted {
+		return c.Record
+	}
+	return keeper.Record{Key: key}
+}
+
+func (s *Store) putLocked(r keeper.Record) int64 {
+	if old := s.recordLocked(r.Key); old.Lease != 0 {
+		delete(s.leases[old.Lease].keys, r.Key)
+	}
+	if r.Lease != 0 {
+		s.leases[r.Lease].keys[r.Key] = true
+	}
+	s.revision++
+	r.Revision = s.revision
+	s.changes[r.Key] = keeper.Change{Record: r}
+	s.wakeLocked()
+	return r.Revision
+}
+
+func (s *Store) deleteLocked(key string) {
+	if old := s.recordLocked(key); old.Lease != 0 {
+		delete(s.leases[old.Lease].keys, key)
+	}
+	s.revision++
+	s.changes[key] = keeper.Change{Record: keeper.Record{Key: key, Revision: s.revision}, Deleted: true}
+	s.wakeLocked()
+}
+
+func (s *Store) wakeLocked() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) listLocked(c keeper.ListCall) keeper.ListAnswer {
+	if c.Limit <= 0 || c.Limit > maxListRecords {
+		c.Limit = maxListRecords
+	}
+	var keys []string
+	for key, change := range s.changes {
+		if !change.Deleted && key > c.After && strings.HasPrefix(key, c.Prefix) {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	a := keeper.ListAnswer{Revision: s.revision}
+	size := 0
+	for _, key := range keys {
+		r := s.changes[key].Record
+		size += len(r.Value)
+		if len(a.Records) == c.Limit || (size > maxListBytes && len(a.Records) > 0) {
+			a.More = true
+			break
+		}
+		a.Records = append(a.Records, r)
+	}
+	return a
+}
+
+func (s *Store) changesLocked(prefix string, after int64) []keeper.Change {
+	var found []keeper.Change
+	if s.revision <= after {
+		return nil
+	}
+	for key, c := range s.changes {
+		if c.Record.Revision > after && strings.HasPrefix(key, prefix) {
+			found = append(found, c)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Record.Revision < found[j].Record.Revision })
+	return found
+}
--- /dev/null
+++ b/internal/standin/storer/storer_test.go
@@ -0,0 +1,202 @@
+package storer_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/standin/storer"
+)
+
+func start(t *testing.T, c storer.Config) (*storer.Store, *keeper.Keeper) {
+	t.Helper()
+	s := storer.New(c)
+	h := httptest.NewServer(s.Handler())
+	t.Cleanup(h.Close)
+	return s, keeper.New(keeper.Config{URL: h.URL, CallTimeout: 300 * time.Millisecond})
+}
+
+func TestRecords(t *testing.T) {
+	ctx := context.Background()
+	_, k := start(t, storer.Config{})
+	if _, err := k.GetRecord(ctx, "a/1"); !keeper.IsErrKeyNotExist(err) {
+		t.Fatalf("got %v", err)
+	}
+	first, err := k.CompareAndSwap(ctx, keeper.SwapOptions{Key: "a/1", Value: []byte("x")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = k.CompareAndSwap(ctx, keeper.SwapOptions{Key: "a/1", Value: []byte("y")})
+	want := keeper.ErrConflict{Key: "a/1", Current: keeper.Record{Key: "a/1", Value: []byte("x"), Revision: first}}
+	if diff := cmp.Diff(want, err); diff != "" {
+		t.Fatal(diff)
+	}
+	second, err := k.CompareAndSwap(ctx, keeper.SwapOptions{Key: "a/1", Value: []byte("y"), ExpectRevision: first})
+	if err != nil || second <= first {
+		t.Fatal(second, err)
+	}
+	big := bytes.Repeat([]byte{7}, keeper.MaxValueBytes)
+	if _, err := k.CompareAndSwap(ctx, keeper.SwapOptions{Key: "a/2", Value: big}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := k.CompareAndSwap(ctx, keeper.SwapOptions{Key: "a/3", Value: append(big, 7)}); err == nil {
+		t.Fatal("a value above the limit was taken")
+	}
+	list, err := k.FindRecords(ctx, keeper.ListOptions{Prefix: "a/", Limit: 1})
+	if err != nil || len(list.Records) != 1 || !list.More || string(list.Records[0].Value) != "y" {
+		t.Fatal(list, err)
+	}
+	if err := k.DeleteRecord(ctx, "a/1", first); !keeper.IsErrConflict(err) {
+		t.Fatal(err)
+	}
+	if err := k.DeleteRecord(ctx, "a/1", second); err != nil {
+		t.Fatal(err)
+	}
+	w, err := k.Watch(ctx, keeper.WatchOptions{Prefix: "a/1", After: first})
+	if err != nil || len(w.Changes) != 1 || !w.Changes[0].Deleted {
+		t.Fatal(w, err)
+	}
+}
+
+// A lease runs out while the service refuses every call. Its records are gone
+// when the service answers again, and a watch tells of it.
+func TestLeaseRunsOutWhileDown(t *testing.T) {
+	ctx := context.Background()
+	s, k := start(t, storer.Config{})
+	l, err := k.GrantLease(ctx, 60*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	revision, err := k.CompareAndSwap(ctx, keeper.SwapOptions{Key: "o", Value: []byte("x"), Lease: l.ID})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.SetFaults(storer.Faults{Down: true})
+	if err := k.KeepAlive(ctx, l.ID); !keeper.IsErrUnavailable(err) {
+		t.Fatal(err)
+	}
+	time.Sleep(80 * time.Millisecond)
+	s.SetFaults(storer.Faults{})
+	w, err := k.Watch(ctx, keeper.WatchOptions{Prefix: "o", After: revision, Wait: time.Second})
+	if err != nil || len(w.Changes) != 1 || !w.Changes[0].Deleted {
+		t.Fatal(w, err)
+	}
+	if err := k.KeepAlive(ctx, l.ID); !keeper.IsErrLeaseNotExist(err) {
+		t.Fatal(err)
+	}
+}
+
+func TestOutcomeOfWrites(t *testing.T) {
+	ctx := context.Background()
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed.Close()
+	cases := []struct {
+		name    string
+		config  storer.Config
+		faults  storer.Faults
+		closed  bool
+		is      func(error) bool
+		written bool
+	}{
+		{"down", storer.Config{}, storer.Faults{Down: true}, false, keeper.IsErrUnavailable, false},
+		{"nobody listens", storer.Config{}, storer.Faults{}, true, keeper.IsErrUnavailable, false},
+		{"answer lost", storer.Config{}, storer.Faults{LoseAnswers: 1}, false, keeper.IsErrOutcomeUnknown, true},
+		{"late", storer.Config{}, storer.Faults{DelayMillis: 400}, false, keeper.IsErrOutcomeUnknown, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s, k := start(t, c.config)
+			if c.closed {
+				k = keeper.New(keeper.Config{URL: "http://" + closed.Addr().String()})
+			}
+			// The first call leaves an idle connection, which the second uses.
+			_, _ = k.GetRecord(ctx, "a")
+			s.SetFaults(c.faults)
+			if _, err := k.CompareAndSwap(ctx, keeper.SwapOptions{Key: "a", Value: []byte("x")}); !c.is(err) {
+				t.Errorf("got %v", err)
+			}
+			time.Sleep(time.Duration(c.faults.DelayMillis) * time.Millisecond)
+			if written := s.Record("a").Revision > 0; written != c.written {
+				t.Errorf("written %v, want %v", written, c.written)
+			}
+			if n := s.Calls().Calls[keeper.KindSwap]; n > 1 {
+				t.Errorf("the write was sent %d times", n)
+			}
+		})
+	}
+}
+
+// Answers are lost after the effect and other writers race. The caller of
+// SwapSettled is told a revision only if its own value was written there, and
+// told of a conflict only if another record stands.
+func TestSwapSettledTellsTruth(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		s := storer.New(storer.Config{Seed: rapid.Uint64().Draw(rt, "seed")})
+		h := httptest.NewServer(s.Handler())
+		defer h.Close()
+		k := keeper.New(keeper.Config{URL: h.URL})
+		if rapid.Bool().Draw(rt, "other first") {
+			if _, err := k.CompareAndSwap(ctx, keeper.SwapOptions{Key: "a", Value: []byte("other")}); err != nil {
+				rt.Fatal(err)
+			}
+		}
+		before := s.Record("a")
+		s.SetFaults(storer.Faults{LoseAnswers: 0.5})
+		revision, err := k.SwapSettled(ctx, keeper.SwapOptions{Key: "a", Value: []byte("mine")})
+		now := s.Record("a")
+		switch {
+		case err == nil && (string(now.Value) != "mine" || now.Revision != revision):
+			rt.Fatalf("told revision %d, the record is %+v", revision, now)
+		case keeper.IsErrConflict(err) && before.Revision == 0:
+			rt.Fatalf("told of a conflict with nobody: %v", err)
+		case err != nil && !keeper.IsErrConflict(err):
+			rt.Fatal(err)
+		}
+	})
+}
+
+// The answer is lost after the effect and the service is then down until the
+// caller's time is over. The caller is told that it is not known, never that
+// nothing happened.
+func TestSwapSettledStaysUnknown(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+	defer cancel()
+	s, k := start(t, storer.Config{})
+	s.SetFaults(storer.Faults{LoseAnswers: 1})
+	go func() {
+		for s.Record("a").Revision == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		s.SetFaults(storer.Faults{Down: true})
+	}()
+	if _, err := k.SwapSettled(ctx, keeper.SwapOptions{Key: "a", Value: []byte("x")}); !keeper.IsErrOutcomeUnknown(err) {
+		t.Fatal(err)
+	}
+}
+
+func TestRateLimit(t *testing.T) {
+	ctx := context.Background()
+	at := time.Unix(100, 0)
+	_, k := start(t, storer.Config{WritesPerSecond: 2, Now: func() time.Time { return at }})
+	refused := 0
+	for range 5 {
+		if _, err := k.GrantLease(ctx, time.Minute); keeper.IsErrUnavailable(err) {
+			refused++
+		}
+	}
+	if refused != 3 {
+		t.Errorf("%d refused, want 3", refused)
+	}
+}
