Add the worker's client and its stand-in

Cause: agents had nothing to drive, and tests no witness of starts and ends. Change: leases go to the worker as a moment on the VM's clock with the time of issue, so that a call that waits or is overtaken can't outlast the grant; a task paused past its lease is lost and can't complete on waking.

--- /dev/null
+++ b/internal/platform/driver/protocol.go
@@ -0,0 +1,72 @@
+package driver
+
+import (
+	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/wire/messenger"
+)
+
+// Paths of the worker's HTTP interface.
+const (
+	PathVM         = "/v1/vm"               // GET: messenger.Capacity
+	PathUsage      = "/v1/usage"            // GET: messenger.Usage
+	PathTasks      = "/v1/tasks"            // GET: TasksAnswer
+	PathStart      = "/v1/tasks/start"      // POST StartCall
+	PathStop       = "/v1/tasks/stop"       // POST TaskCall: EndAnswer
+	PathCheckpoint = "/v1/tasks/checkpoint" // POST TaskCall: EndAnswer
+	PathThrottle   = "/v1/tasks/throttle"   // POST TaskCall
+	PathForget     = "/v1/tasks/forget"     // POST TaskCall
+	PathLeases     = "/v1/leases"           // POST LeaseCall
+)
+
+// StartCall asks the worker to start an attempt. Times are Unix ns on the VM's
+// clock, which the worker and its callers share.
+type StartCall struct {
+	TaskID     string              `json:"task-id"`
+	Attempt    int64               `json:"attempt"`
+	Needs      describer.Resources `json:"needs"`
+	Class      string              `json:"class,omitempty"`
+	Tenant     string              `json:"tenant,omitempty"`
+	Service    string              `json:"service,omitempty"`
+	Payload    string              `json:"payload,omitempty"`
+	Checkpoint string              `json:"checkpoint,omitempty"`
+	RunTime    int64               `json:"run-time-ms,omitempty"`
+	LeaseUntil int64               `json:"lease-until-ns"`
+	StartBy    int64               `json:"start-by-ns,omitempty"` // 0: any time
+}
+
+// TaskCall names an attempt.
+type TaskCall struct {
+	TaskID  string `json:"task-id"`
+	Attempt int64  `json:"attempt"`
+	Percent int    `json:"percent,omitempty"` // of a throttle
+}
+
+// LeaseCall renews the leases of all running tasks. A call issued before the
+// latest one that the worker has seen is void.
+type LeaseCall struct {
+	Issued int64 `json:"issued-ns"`
+	Until  int64 `json:"until-ns"`
+}
+
+// EndAnswer tells from where an ended attempt can be resumed.
+type EndAnswer struct {
+	Checkpoint string `json:"checkpoint"`
+}
+
+// TasksAnswer lists the attempts that the worker knows.
+type TasksAnswer struct {
+	Tasks []Task `json:"tasks"`
+}
+
+// Task is an attempt at the worker; ended ones stay until forgotten.
+type Task struct {
+	TaskID     string                `json:"task-id"`
+	Attempt    int64                 `json:"attempt"`
+	State      messenger.ReportState `json:"state"`
+	Reason     string                `json:"reason,omitempty"`
+	Checkpoint string                `json:"checkpoint,omitempty"`
+	Needs      describer.Resources   `json:"needs"`
+	Class      string                `json:"class,omitempty"`
+	Tenant     string                `json:"tenant,omitempty"`
+	Service    string                `json:"service,omitempty"`
+}
--- /dev/null
+++ b/internal/standin/worker/calls.go
@@ -0,0 +1,184 @@
+package worker
+
+import (
+	"net/http"
+	"sort"
+	"time"
+
+	"bamboospread/internal/platform/driver"
+	"bamboospread/internal/standin/server"
+	"bamboospread/internal/wire/messenger"
+)
+
+// Faults are the faults in force.
+type Faults struct {
+	FailAll      bool  `json:"fail-all"`      // every task fails shortly after its start
+	Refuse       bool  `json:"refuse"`        // refuse every start with 503
+	DelayMillis  int64 `json:"delay-ms"`      // before the effect of each call
+	Freeze       bool  `json:"freeze"`        // hold every answer, after the effect, until this is unset
+	SpeedPercent int64 `json:"speed-percent"` // of all tasks; 0: 100
+}
+
+func (f Faults) speed() int64 {
+	if f.SpeedPercent <= 0 {
+		return 100
+	}
+	return f.SpeedPercent
+}
+
+func (w *Worker) routes() {
+	handle(w, "GET "+driver.PathVM, func(struct{}) (int, any) { return http.StatusOK, w.config.Capacity })
+	handle(w, "GET "+driver.PathTasks, w.list)
+	handle(w, "GET "+driver.PathUsage, w.measure)
+	handle(w, "POST "+driver.PathStart, w.start)
+	handle(w, "POST "+driver.PathStop, w.stop)
+	handle(w, "POST "+driver.PathCheckpoint, w.checkpoint)
+	handle(w, "POST "+driver.PathThrottle, w.throttle)
+	handle(w, "POST "+driver.PathForget, w.forget)
+	handle(w, "POST "+driver.PathLeases, w.renew)
+	w.mux.HandleFunc("POST /control/faults", func(rw http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if server.ReadJSON(rw, r, &f) {
+			w.SetFaults(f)
+			server.WriteJSON(rw, http.StatusOK, f)
+		}
+	})
+	w.mux.HandleFunc("GET /control/witness", func(rw http.ResponseWriter, _ *http.Request) {
+		server.WriteJSON(rw, http.StatusOK, w.Events())
+	})
+}
+
+// SetFaults replaces the faults in force.
+func (w *Worker) SetFaults(f Faults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case f.Freeze && !w.faults.Freeze:
+		w.thawed = make(chan struct{})
+	case !f.Freeze && w.faults.Freeze:
+		close(w.thawed)
+	}
+	w.faults = f
+}
+
+// handle registers a call; do runs with the lock held and tasks up to date.
+func handle[C any](w *Worker, pattern string, do func(C) (int, any)) {
+	w.mux.HandleFunc(pattern, func(rw http.ResponseWriter, r *http.Request) {
+		var c C
+		if r.Method == http.MethodPost && !server.ReadJSON(rw, r, &c) {
+			return
+		}
+		w.mu.Lock()
+		delay := time.Duration(w.faults.DelayMillis) * time.Millisecond
+		w.mu.Unlock()
+		time.Sleep(delay)
+		w.mu.Lock()
+		w.advanceLocked()
+		status, answer := do(c)
+		thawed := w.thawed
+		w.mu.Unlock()
+		select {
+		case <-thawed:
+			server.WriteJSON(rw, status, answer)
+		case <-r.Context().Done():
+		}
+	})
+}
+
+func (w *Worker) start(c driver.StartCall) (int, any) {
+	t := w.tasks[c.TaskID]
+	running := t != nil && t.info.State == messenger.ReportRunning
+	switch {
+	case running && t.info.Attempt == c.Attempt:
+		return http.StatusOK, struct{}{}
+	case c.Attempt <= w.seen[c.TaskID]:
+		return http.StatusConflict, "attempt is over"
+	case c.StartBy != 0 && w.config.Now().UnixNano() > c.StartBy:
+		return http.StatusPreconditionFailed, "too late"
+	case w.faults.Refuse:
+		return http.StatusServiceUnavailable, "refused on demand"
+	case running:
+		// Two attempts at once on one VM: the scheduler's fault. The witness
+		// shows the second start before the first one's end.
+		defer w.endLocked(t, messenger.ReportLost, "replaced by a later attempt")
+	}
+	if err := w.startLocked(c); err != nil {
+		return http.StatusBadRequest, err.Error()
+	}
+	return http.StatusOK, struct{}{}
+}
+
+// end finds the attempt, or leaves a tombstone for one that never came.
+func (w *Worker) end(c driver.TaskCall, do func(*task)) (int, any) {
+	t := w.tasks[c.TaskID]
+	w.seen[c.TaskID] = max(w.seen[c.TaskID], c.Attempt)
+	if t == nil || t.info.Attempt != c.Attempt {
+		return http.StatusOK, driver.EndAnswer{}
+	}
+	if t.info.State == messenger.ReportRunning {
+		do(t)
+	}
+	return http.StatusOK, driver.EndAnswer{Checkpoint: t.info.Checkpoint}
+}
+
+func (w *Worker) stop(c driver.TaskCall) (int, any) {
+	return w.end(c, func(t *task) { w.endLocked(t, messenger.ReportStopped, "stopped") })
+}
+
+func (w *Worker) checkpoint(c driver.TaskCall) (int, any) {
+	return w.end(c, w.checkpointLocked)
+}
+
+func (w *Worker) throttle(c driver.TaskCall) (int, any) {
+	t := w.tasks[c.TaskID]
+	if t == nil || t.info.Attempt != c.Attempt || t.info.State != messenger.ReportRunning {
+		return http.StatusNotFound, "no such attempt"
+	}
+	if c.Percent < 1 || c.Percent > 100 {
+		return http.StatusBadRequest, "percent must be from 1 to 100"
+	}
+	t.percent = c.Percent
+	return http.StatusOK, struct{}{}
+}
+
+func (w *Worker) forget(c driver.TaskCall) (int, any) {
+	t := w.tasks[c.TaskID]
+	if t != nil && t.info.Attempt == c.Attempt && t.info.State != messenger.ReportRunning {
+		delete(w.tasks, c.TaskID)
+	}
+	return http.StatusOK, struct{}{}
+}
+
+// renew sets the leases of all running tasks. Calls may overtake each other; a
+// late one with a longer lease would outlast what the caller granted last, so
+// only the latest issued counts.
+func (w *Worker) renew(c driver.LeaseCall) (int, any) {
+	if c.Issued < w.issued {
+		return http.StatusOK, struct{}{}
+	}
+	w.issued = c.Issued
+	end := w.leaseEnd(c.Until)
+	for _, t := range w.tasks {
+		t.leaseEnd = end
+	}
+	return http.StatusOK, struct{}{}
+}
+
+func (w *Worker) list(struct{}) (int, any) {
+	a := driver.TasksAnswer{Tasks: make([]driver.Task, 0, len(w.tasks))}
+	for _, t := range w.tasks {
+		a.Tasks = append(a.Tasks, t.info)
+	}
+	sort.Slice(a.Tasks, func(i, j int) bool { return a.Tasks[i].TaskID < a.Tasks[j].TaskID })
+	return http.StatusOK, a
+}
+
+func (w *Worker) measure(struct{}) (int, any) {
+	latest := messenger.Usage{}
+	for _, u := range w.usage {
+		if u.ToMillis <= w.config.Now().Add(-w.config.UsageLag).UnixMilli() {
+			latest = u
+		}
+	}
+	return http.StatusOK, latest
+}
