--- /dev/null
+++ b/internal/standin/responder/responder_test.go
@@ -0,0 +1,117 @@
+package responder_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bamboospread/internal/standin/responder"
+)
+
+func ask(t *testing.T, base, id, body string) (int, string, string, error) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, base+"/print", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set(responder.RequestIDHeader, id)
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", "", err
+	}
+	defer a.Body.Close()
+	data, err := io.ReadAll(a.Body)
+	return a.StatusCode, a.Header.Get(responder.RequestIDHeader), string(data), err
+}
+
+func TestModes(t *testing.T) {
+	cases := []struct {
+		name   string
+		modes  responder.Modes
+		status int
+		id     string
+		body   string
+		broken bool
+	}{
+		{"whole", responder.Modes{}, 200, "2", "second", false},
+		{"crossed", responder.Modes{Crossed: true}, 200, "1", "first", false},
+		{"truncated", responder.Modes{Truncated: true}, 200, "2", "sec", true},
+		{"status", responder.Modes{Status: 500}, 500, "2", "second", false},
+		{"cut", responder.Modes{CutAfterEffect: true}, 0, "", "", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			u := responder.New(responder.Config{ID: "u", Service: "labels"})
+			h := httptest.NewServer(u.Handler())
+			defer h.Close()
+			if _, _, body, err := ask(t, h.URL, "1", "first"); body != "first" || err != nil {
+				t.Fatal(body, err)
+			}
+			u.SetModes(c.modes)
+			status, id, body, err := ask(t, h.URL, "2", "second")
+			if status != c.status || id != c.id || body != c.body || (err != nil) != c.broken {
+				t.Error(status, id, body, err)
+			}
+			if runs := u.Runs(); len(runs) != 4 || runs[3].RequestID != "2" || runs[3].Phase != "end" {
+				t.Error(runs)
+			}
+		})
+	}
+}
+
+func TestOverloadIsRecorded(t *testing.T) {
+	u := responder.New(responder.Config{ID: "u", Slots: 2, ServiceTime: 100 * time.Millisecond})
+	h := httptest.NewServer(u.Handler())
+	defer h.Close()
+	var wait sync.WaitGroup
+	for range 3 {
+		wait.Go(func() { ask(t, h.URL, "", "x") })
+	}
+	wait.Wait()
+	want := responder.Counts{Requests: 3, MostRunning: 3, Overloads: 1}
+	if diff := cmp.Diff(want, u.Counts()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// The upstream is stopped while a request runs. The caller gets its whole
+// answer, since the upstream tells its agent first and then finishes.
+func TestStopFinishesWhatRuns(t *testing.T) {
+	told := make(chan string, 10)
+	agent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		told <- r.Method + " " + r.URL.Path
+	}))
+	defer agent.Close()
+	u := responder.New(responder.Config{ID: "u", Agent: agent.URL, ServiceTime: 200 * time.Millisecond})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- u.Run(ctx, l) }()
+	if got := <-told; got != "POST /v1/upstreams" {
+		t.Fatal(got)
+	}
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		cancel()
+	}()
+	if _, _, body, err := ask(t, "http://"+l.Addr().String(), "1", "whole"); body != "whole" || err != nil {
+		t.Error(body, err)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if got := <-told; got != "DELETE /v1/upstreams/u" {
+		t.Error(got)
+	}
+}
