--- a/internal/kernel/reporter/catalogue_platform.go
+++ b/internal/kernel/reporter/catalogue_platform.go
@@ -1,6 +1,14 @@
 package reporter
 
+import "github.com/apex/log"
+
 // Events of the area "platform", numbered from 200.
-const ()
+const (
+	RegistrationFailed Code = 200 + iota
+	Listening
+)
 
-var platformDefinitions = []Definition{}
+var platformDefinitions = []Definition{
+	{RegistrationFailed, log.WarnLevel, "registration failed", "The entry could not write or renew its address in the store; others still find it through the entries that they know."},
+	{Listening, log.InfoLevel, "listening", "A listener of the process is open at the address given."},
+}
--- /dev/null
+++ b/internal/service/enroller/enroller.go
@@ -0,0 +1,384 @@
+// Package enroller keeps the list of live entries. An entry writes its address
+// to the platform's store under a lease and exchanges lists with the entries it
+// reaches, so that the list also holds while the store is down.
+package enroller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/wire/connector"
+	"bamboospread/internal/wire/messenger"
+)
+
+const (
+	keyPrefix       = "entries/"
+	exchangeEvery   = time.Second
+	callLimit       = time.Second
+	liveFor         = 5 * time.Second  // an entry counts as live this long after the last exchange
+	candidateFor    = 60 * time.Second // an address is tried this long after it was last named
+	listEvery       = 5 * time.Second
+	registrationTTL = 15 * time.Second
+)
+
+// Config holds the settings of an Enroller.
+type Config struct {
+	Self         messenger.PeerAddress
+	Seeds        []string // RPC addresses of entries, for a start while the store is down
+	Keeper       *keeper.Keeper
+	Handle       connector.Handler // answers calls that a peer sends back on a dialled connection
+	OwnOwner     func() (messenger.CellOwner, bool)
+	FleetVersion func() int64
+	Reporter     *reporter.Reporter
+	Now          func() time.Time
+}
+
+// peer is an entry that was named by the store, a seed or another entry.
+type peer struct {
+	id       string
+	address  string
+	named    time.Time
+	heard    time.Time // of the last exchange; zero: never reached
+	version  int64     // highest fleet version that it reported
+	conn     *connector.Conn
+	isSeed   bool
+	inFlight bool
+}
+
+// Enroller owns the list. It is safe for concurrent use.
+type Enroller struct {
+	config Config
+	mu     sync.Mutex
+	peers  map[string]*peer // by address
+	owners map[string]messenger.CellOwner
+	lease  int64
+}
+
+// New returns an Enroller that knows only itself and its seeds.
+func New(c Config) *Enroller {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	e := &Enroller{config: c, peers: make(map[string]*peer), owners: make(map[string]messenger.CellOwner)}
+	for _, address := range c.Seeds {
+		if address != c.Self.Address {
+			e.peers[address] = &peer{address: address, isSeed: true}
+		}
+	}
+	return e
+}
+
+// Run registers the entry and exchanges lists until ctx ends; then it removes
+// the registration.
+func (e *Enroller) Run(ctx context.Context) error {
+	registered := make(chan error, 1)
+	go func() { registered <- e.keepRegistered(ctx) }()
+	ticker := time.NewTicker(exchangeEvery)
+	defer ticker.Stop()
+	for {
+		e.exchangeAll(ctx)
+		select {
+		case <-ctx.Done():
+			return <-registered
+		case <-ticker.C:
+		}
+	}
+}
+
+// Peers returns the live entries, this one included, by id.
+func (e *Enroller) Peers() []messenger.PeerAddress {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := []messenger.PeerAddress{e.config.Self}
+	for _, p := range e.peers {
+		if e.isLive(p) {
+			list = append(list, messenger.PeerAddress{EntryID: p.id, Address: p.address})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].EntryID < list[j].EntryID })
+	return list
+}
+
+// Owners returns the owner with the highest epoch known of each cell.
+func (e *Enroller) Owners() []messenger.CellOwner {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.noteOwnOwner()
+	list := make([]messenger.CellOwner, 0, len(e.owners))
+	for _, o := range e.owners {
+		list = append(list, o)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Cell < list[j].Cell })
+	return list
+}
+
+// Owner returns the owner of a cell as far as it is known.
+func (e *Enroller) Owner(cell string) (messenger.CellOwner, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.noteOwnOwner()
+	o, ok := e.owners[cell]
+	return o, ok
+}
+
+// Handle answers MethodPeers.
+func (e *Enroller) Handle(_ context.Context, _ *connector.Conn, _ string, params json.RawMessage) (any, error) {
+	r, err := connector.Decode[messenger.PeersRequest](params)
+	if err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	p := e.name(r.From)
+	p.version = max(p.version, r.FleetVersion)
+	e.mu.Unlock()
+	return e.Reply(), nil
+}
+
+// Reply returns what this entry tells others of the system.
+func (e *Enroller) Reply() messenger.AnnounceReply {
+	return messenger.AnnounceReply{
+		EntryID: e.config.Self.EntryID, Peers: e.Peers(), Owners: e.Owners(), FleetVersion: e.config.FleetVersion(),
+	}
+}
+
+// FetchFleet asks the live entry with the highest version for a fleet record
+// above the given version.
+func (e *Enroller) FetchFleet(ctx context.Context, above int64) (messenger.FleetReply, error) {
+	e.mu.Lock()
+	var best *peer
+	for _, p := range e.peers {
+		if e.isLive(p) && p.version > above && (best == nil || p.version > best.version) {
+			best = p
+		}
+	}
+	address := ""
+	if best != nil {
+		address = best.address
+	}
+	e.mu.Unlock()
+	if address == "" {
+		return messenger.FleetReply{}, nil
+	}
+	var reply messenger.FleetReply
+	err := e.Call(ctx, address, messenger.MethodFleet, messenger.FleetRequest{Above: above}, &reply)
+	return reply, err
+}
+
+// Call calls the entry at an RPC address over the connection kept for it.
+func (e *Enroller) Call(ctx context.Context, address, method string, params, result any) error {
+	conn, err := e.connect(ctx, address)
+	if err != nil {
+		return connector.Errorf(messenger.CodeUnavailable, "%v", err) // nothing was sent
+	}
+	return conn.Call(ctx, method, params, result)
+}
+
+func (e *Enroller) connect(ctx context.Context, address string) (*connector.Conn, error) {
+	e.mu.Lock()
+	p := e.name(messenger.PeerAddress{Address: address})
+	conn := p.conn
+	e.mu.Unlock()
+	if conn != nil {
+		select {
+		case <-conn.Done():
+		default:
+			return conn, nil
+		}
+	}
+	dialled, err := connector.Dial(ctx, address, e.config.Handle)
+	if err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p.conn != nil && p.conn != conn {
+		dialled.Close() // another call was faster
+		return p.conn, nil
+	}
+	p.conn = dialled
+	return dialled, nil
+}
+
+// name notes that an entry was named and returns its record. The caller holds mu.
+func (e *Enroller) name(a messenger.PeerAddress) *peer {
+	p, ok := e.peers[a.Address]
+	if !ok {
+		p = &peer{address: a.Address}
+		e.peers[a.Address] = p
+	}
+	p.named = e.config.Now()
+	if a.EntryID != "" {
+		p.id = a.EntryID
+	}
+	return p
+}
+
+func (e *Enroller) isLive(p *peer) bool {
+	return p.id != "" && !p.heard.IsZero() && e.config.Now().Sub(p.heard) < liveFor
+}
+
+// noteOwnOwner takes over what the own controller knows. The caller holds mu.
+func (e *Enroller) noteOwnOwner() {
+	if own, ok := e.config.OwnOwner(); ok {
+		e.noteOwner(own)
+	}
+}
+
+// noteOwner keeps the owner with the highest epoch. The caller holds mu.
+func (e *Enroller) noteOwner(o messenger.CellOwner) {
+	if known, ok := e.owners[o.Cell]; !ok || o.Epoch > known.Epoch {
+		e.owners[o.Cell] = o
+	}
+}
+
+// exchangeAll begins an exchange with each known entry that has none under way.
+// Each runs on its own, so that a frozen entry delays only its own.
+func (e *Enroller) exchangeAll(ctx context.Context) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.config.Now()
+	for address, p := range e.peers {
+		if address == e.config.Self.Address {
+			delete(e.peers, address)
+			continue
+		}
+		if !p.isSeed && now.Sub(p.named) > candidateFor && now.Sub(p.heard) > candidateFor {
+			if p.conn != nil {
+				p.conn.Close()
+			}
+			delete(e.peers, address)
+			continue
+		}
+		if !p.inFlight {
+			p.inFlight = true
+			go e.exchange(ctx, p)
+		}
+	}
+}
+
+// exchange ends by itself within callLimit and reports its end through inFlight.
+func (e *Enroller) exchange(ctx context.Context, p *peer) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	var reply messenger.AnnounceReply
+	request := messenger.PeersRequest{From: e.config.Self, FleetVersion: e.config.FleetVersion()}
+	err := e.Call(ctx, p.address, messenger.MethodPeers, request, &reply)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p.inFlight = false
+	if err != nil {
+		// A connection that carries no answer may lead to a frozen or replaced
+		// process; a new one is dialled at the next exchange.
+		if p.conn != nil {
+			p.conn.Close()
+			p.conn = nil
+		}
+		return
+	}
+	p.id, p.heard = reply.EntryID, e.config.Now()
+	p.version = max(p.version, reply.FleetVersion)
+	for _, o := range reply.Owners {
+		e.noteOwner(o)
+	}
+	for _, other := range reply.Peers {
+		if _, known := e.peers[other.Address]; !known && other.Address != e.config.Self.Address {
+			e.name(other)
+		}
+	}
+}
+
+// keepRegistered holds the entry's record in the store and reads the others'.
+func (e *Enroller) keepRegistered(ctx context.Context) error {
+	ticker := time.NewTicker(listEvery)
+	defer ticker.Stop()
+	for {
+		if err := e.register(ctx); err != nil && ctx.Err() == nil {
+			e.config.Reporter.Report(reporter.RegistrationFailed, reporter.Fields{"error": err.Error()})
+		}
+		select {
+		case <-ctx.Done():
+			return e.unregister()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (e *Enroller) register(ctx context.Context) error {
+	if e.lease != 0 {
+		if err := e.config.Keeper.KeepAlive(ctx, e.lease); keeper.IsErrLeaseNotExist(err) {
+			e.lease = 0
+		} else if err != nil {
+			return fmt.Errorf("renew registration: %w", err)
+		}
+	}
+	if e.lease == 0 {
+		lease, err := e.config.Keeper.GrantLease(ctx, registrationTTL)
+		if err != nil {
+			return fmt.Errorf("get lease for registration: %w", err)
+		}
+		e.lease = lease.ID
+	}
+	found, err := e.config.Keeper.FindRecords(ctx, keeper.ListOptions{Prefix: keyPrefix})
+	if err != nil {
+		return fmt.Errorf("list entries: %w", err)
+	}
+	return e.takeRecords(ctx, found.Records)
+}
+
+// takeRecords names the registered entries and writes the own record where it is
+// missing, or belongs to an earlier run of this process.
+func (e *Enroller) takeRecords(ctx context.Context, records []keeper.Record) error {
+	own := keeper.Record{}
+	e.mu.Lock()
+	for _, r := range records {
+		var a messenger.PeerAddress
+		if err := json.Unmarshal(r.Value, &a); err != nil {
+			continue // written by a newer version; the exchange still finds it
+		}
+		if a.EntryID == e.config.Self.EntryID {
+			own = r
+		} else if a.Address != e.config.Self.Address {
+			e.name(a)
+		}
+	}
+	e.mu.Unlock()
+	if own.Lease == e.lease {
+		return nil
+	}
+	value, err := json.Marshal(e.config.Self)
+	if err != nil {
+		return fmt.Errorf("encode registration: %w", err)
+	}
+	_, err = e.config.Keeper.CompareAndSwap(ctx, keeper.SwapOptions{
+		Key: keyPrefix + e.config.Self.EntryID, Value: value, ExpectRevision: own.Revision, Lease: e.lease,
+	})
+	if err != nil {
+		return fmt.Errorf("write registration: %w", err)
+	}
+	return nil
+}
+
+func (e *Enroller) unregister() error {
+	e.mu.Lock()
+	for _, p := range e.peers {
+		if p.conn != nil {
+			p.conn.Close()
+		}
+	}
+	e.mu.Unlock()
+	if e.lease == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	// Left to run out if this fails; the exchange has stopped, so no entry
+	// counts this one as live for longer than liveFor.
+	_ = e.config.Keeper.RevokeLease(ctx, e.lease)
+	return nil
+}
