--- /dev/null
+++ b/internal/fleet/follower/follower.go
@@ -0,0 +1,231 @@
+// Package follower keeps a process at the newest fleet record that it can learn
+// of: by a watch of the store, and from its peers while the store is away.
+// Versions only rise.
+package follower
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/fleet/recorder"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/wire/messenger"
+)
+
+// Times of the watch loop.
+const (
+	watchWait    = 10 * time.Second
+	pauseMin     = 50 * time.Millisecond
+	pauseMax     = time.Second
+	peerInterval = time.Second
+	watchSlack   = 2 * time.Second // for the answer, above the wait
+)
+
+// Sources of a record, as they stand in events.
+const (
+	fromStore = "store"
+	fromPeer  = "peer"
+)
+
+// keptTexts is the number of earlier versions whose text is remembered.
+const keptTexts = 32
+
+// Config holds the settings of a Follower.
+type Config struct {
+	Keeper   *keeper.Keeper // nil: the process learns from peers only
+	Reporter *reporter.Reporter
+	// FetchFromPeer asks another process for a record above a version. It is
+	// called while the store can't be read. It may be nil.
+	FetchFromPeer func(ctx context.Context, above int64) (messenger.FleetReply, error)
+	// Changed, if set, is told each version taken, in rising order. It must
+	// not block.
+	Changed func(f *describer.Fleet)
+	Now     func() time.Time
+}
+
+// Follower holds the newest record known. It is safe for concurrent use.
+type Follower struct {
+	config  Config
+	current atomic.Pointer[state]
+
+	mu         sync.Mutex // guards what follows and writes of current
+	revision   int64      // of the store, up to which all changes were seen
+	known      bool       // the store was read at least once
+	unreadable int64      // highest version that could not be read
+	texts      map[int64]string
+}
+
+// state is an immutable snapshot.
+type state struct {
+	fleet *describer.Fleet
+	reply messenger.FleetReply
+	meta  recorder.Record
+}
+
+// New returns a Follower that holds the empty fleet of version 0.
+func New(c Config) *Follower {
+	if c.Reporter == nil {
+		c.Reporter = reporter.Discard()
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	f := &Follower{config: c, texts: make(map[int64]string)}
+	f.current.Store(&state{fleet: describer.New(describer.Config{})})
+	return f
+}
+
+// Fleet returns the fleet in force, never nil; its version is 0 before the
+// first record.
+func (f *Follower) Fleet() *describer.Fleet { return f.current.Load().fleet }
+
+// Version returns the version in force.
+func (f *Follower) Version() int64 { return f.Fleet().Version() }
+
+// Record returns the record in force in its stored form, for peers.
+func (f *Follower) Record() messenger.FleetReply { return f.current.Load().reply }
+
+// Stored returns the record in force, decoded.
+func (f *Follower) Stored() recorder.Record { return f.current.Load().meta }
+
+// FindText returns the text of a recent version.
+func (f *Follower) FindText(version int64) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	text, ok := f.texts[version]
+	return text, ok
+}
+
+// Offer takes a record from a peer, or one just accepted by the store, if its
+// version is higher than the one held.
+func (f *Follower) Offer(r messenger.FleetReply) error {
+	if len(r.Record) == 0 || r.Version <= f.Version() {
+		return nil
+	}
+	return f.take(r.Record, fromPeer)
+}
+
+// take makes value the record in force if its version is higher.
+//
+// Records arrive by several ways at once: watch, peers, refresh. An old one can
+// come late, and taking it would put a zone back in that operators have taken
+// out. Comparing versions under the lock keeps every process from going back,
+// and versions are given by compare-and-swap, so that each names one content.
+func (f *Follower) take(value []byte, source string) error {
+	record, fleet, err := recorder.Decode(value)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		return f.refuse(err, source)
+	}
+	if held := f.Version(); record.Version <= held {
+		if source == fromStore && record.Version < held {
+			f.config.Reporter.Report(reporter.FleetWentBack, reporter.Fields{"held": held, "stored": record.Version})
+		}
+		return nil
+	}
+	f.texts[record.Version] = record.Text
+	delete(f.texts, record.Version-keptTexts)
+	f.current.Store(&state{
+		fleet: fleet, meta: record,
+		reply: messenger.FleetReply{Version: record.Version, Record: value},
+	})
+	f.config.Reporter.Report(reporter.FleetVersionTaken, reporter.Fields{"version": record.Version, "change-id": record.ChangeID, "source": source})
+	if f.config.Changed != nil {
+		f.config.Changed(fleet)
+	}
+	return nil
+}
+
+// refuse notes a record that can't be read. It may be one that a newer program
+// wrote: the fleet held stays in force, but is known not to be the newest.
+func (f *Follower) refuse(err error, source string) error {
+	var bad recorder.ErrUnreadable
+	if errors.As(err, &bad) && source == fromStore {
+		f.unreadable = max(f.unreadable, bad.Version, f.Version()+1)
+	}
+	f.config.Reporter.Report(reporter.FleetUnreadable, reporter.Fields{"version": bad.Version, "source": source, "error": err.Error()})
+	return err
+}
+
+// Refresh makes one call to the store, and returns a fleet that was the newest
+// at some moment after the call of Refresh began.
+func (f *Follower) Refresh(ctx context.Context) (*describer.Fleet, error) {
+	if f.config.Keeper == nil {
+		return nil, errors.New("refresh fleet: the process has no store")
+	}
+	f.mu.Lock()
+	after, known := f.revision, f.known
+	f.mu.Unlock()
+	var err error
+	if known {
+		err = f.watch(ctx, after, 0)
+	} else {
+		err = f.read(ctx)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("refresh fleet: %w", err)
+	}
+	f.mu.Lock()
+	unreadable := f.unreadable
+	f.mu.Unlock()
+	// Without this a start could obey a fleet that is known to be outdated: the
+	// record that could not be read may take a zone out.
+	if unreadable > f.Version() {
+		return nil, recorder.ErrUnreadable{Version: unreadable, Cause: errors.New("a newer record is stored that this program can't read")}
+	}
+	return f.Fleet(), nil
+}
+
+// read reads the record and the store's revision in one call.
+func (f *Follower) read(ctx context.Context) error {
+	found, err := f.config.Keeper.FindRecords(ctx, keeper.ListOptions{Prefix: recorder.Key, Limit: 1})
+	if err != nil {
+		return err
+	}
+	for _, r := range found.Records {
+		if r.Key == recorder.Key {
+			// A record that can't be read is noted by take; the revision moves on.
+			_ = f.take(r.Value, fromStore)
+		}
+	}
+	f.seen(found.Revision)
+	return nil
+}
+
+// watch takes the changes after a revision.
+func (f *Follower) watch(ctx context.Context, after int64, wait time.Duration) error {
+	result, err := f.config.Keeper.Watch(ctx, keeper.WatchOptions{Prefix: recorder.Key, After: after, Wait: wait})
+	if err != nil {
+		return err
+	}
+	if result.Revision < after {
+		// The service lost its state and counts anew; read what it holds.
+		return f.read(ctx)
+	}
+	for _, c := range result.Changes {
+		switch {
+		case c.Record.Key != recorder.Key:
+		case c.Deleted:
+			f.config.Reporter.Report(reporter.FleetRecordDeleted, reporter.Fields{"held": f.Version()})
+		default:
+			_ = f.take(c.Record.Value, fromStore)
+		}
+	}
+	f.seen(result.Revision)
+	return nil
+}
+
+// seen notes that all changes up to a revision were taken.
+func (f *Follower) seen(revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.known = true
+	f.revision = max(f.revision, revision)
+}
--- /dev/null
+++ b/internal/fleet/parser/fleet.go
@@ -0,0 +1,126 @@
+package parser
+
+import (
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+
+	"bamboospread/internal/fleet/describer"
+)
+
+// Values that a fleet text need not give.
+const (
+	DefaultSlots              = 8
+	DefaultConnections        = 64
+	DefaultWeight             = 1.0
+	DefaultMaxAttempts        = 3
+	DefaultLatencyObjective   = 250 * time.Millisecond
+	DefaultRunTime            = time.Minute
+	DefaultOutageLease        = 180 * time.Second
+	DefaultEvictionsPerMinute = 30.0
+)
+
+func (d *decoder) fleet(n ast.Node) describer.Config {
+	c := describer.Config{Policy: describer.Policy{
+		TailLatencyWeight: DefaultWeight, ThroughputWeight: DefaultWeight, EvictionWeight: DefaultWeight,
+		EvictionsPerMinute: DefaultEvictionsPerMinute, OutageLease: DefaultOutageLease,
+	}}
+	d.object(n, "", map[string]field{
+		"fleet":              d.text(&c.Name),
+		"availability-zones": func(n ast.Node, p string) { d.list(n, p, d.zone(&c.Zones)) },
+		"tenants":            func(n ast.Node, p string) { d.list(n, p, d.tenant(&c.Tenants)) },
+		"services":           func(n ast.Node, p string) { d.list(n, p, d.service(&c.Services)) },
+		"task-classes":       func(n ast.Node, p string) { d.list(n, p, d.taskClass(&c.TaskClasses)) },
+		"policy":             d.policy(&c.Policy),
+	})
+	return c
+}
+
+func (d *decoder) zone(out *[]describer.Zone) field {
+	return func(n ast.Node, path string) {
+		z := describer.Zone{State: describer.ZoneIn}
+		state := string(describer.ZoneIn)
+		d.object(n, path, map[string]field{"name": d.text(&z.Name), "state": d.text(&state)})
+		z.State = describer.ZoneState(state)
+		*out = append(*out, z)
+	}
+}
+
+func (d *decoder) tenant(out *[]describer.Tenant) field {
+	return func(n ast.Node, path string) {
+		t := describer.Tenant{Weight: DefaultWeight}
+		d.object(n, path, map[string]field{
+			"name":                d.text(&t.Name),
+			"quota":               d.resources(&t.Quota),
+			"weight":              d.number(&t.Weight),
+			"requests-per-second": d.number(&t.RequestsPerSecond),
+			"burst":               d.whole(&t.Burst),
+		})
+		*out = append(*out, t)
+	}
+}
+
+func (d *decoder) service(out *[]describer.Service) field {
+	return func(n ast.Node, path string) {
+		s := describer.Service{Slots: DefaultSlots, Connections: DefaultConnections, LatencyObjective: DefaultLatencyObjective}
+		d.object(n, path, map[string]field{
+			"name":              d.text(&s.Name),
+			"tenant":            d.text(&s.Tenant),
+			"needs":             d.resources(&s.Needs),
+			"replicas":          d.whole(&s.Replicas),
+			"slots":             d.whole(&s.Slots),
+			"connections":       d.whole(&s.Connections),
+			"latency-objective": d.duration(&s.LatencyObjective),
+			"depends-on":        func(n ast.Node, p string) { d.list(n, p, d.textItem(&s.DependsOn)) },
+		})
+		*out = append(*out, s)
+	}
+}
+
+func (d *decoder) taskClass(out *[]describer.TaskClass) field {
+	return func(n ast.Node, path string) {
+		c := describer.TaskClass{RunTime: DefaultRunTime, MaxAttempts: DefaultMaxAttempts}
+		d.object(n, path, map[string]field{
+			"name":         d.text(&c.Name),
+			"needs":        d.resources(&c.Needs),
+			"run-time":     d.duration(&c.RunTime),
+			"urgent":       d.flag(&c.Urgent),
+			"checkpoint":   d.flag(&c.Checkpoint),
+			"max-attempts": d.whole(&c.MaxAttempts),
+		})
+		*out = append(*out, c)
+	}
+}
+
+func (d *decoder) policy(out *describer.Policy) field {
+	return func(n ast.Node, path string) {
+		d.object(n, path, map[string]field{
+			"tail-latency-weight":  d.number(&out.TailLatencyWeight),
+			"throughput-weight":    d.number(&out.ThroughputWeight),
+			"eviction-weight":      d.number(&out.EvictionWeight),
+			"evictions-per-minute": d.number(&out.EvictionsPerMinute),
+			"outage-lease":         d.duration(&out.OutageLease),
+		})
+	}
+}
+
+// textItem reads an item of a list of texts.
+func (d *decoder) textItem(out *[]string) field {
+	return func(n ast.Node, path string) {
+		var s string
+		d.text(&s)(n, path)
+		*out = append(*out, s)
+	}
+}
+
+func (d *decoder) resources(out *describer.Resources) field {
+	return func(n ast.Node, path string) {
+		accelerators := 0
+		d.object(n, path, map[string]field{
+			"processors":   d.processors(&out.Millicores),
+			"memory":       d.memory(&out.MemoryBytes),
+			"accelerators": d.whole(&accelerators),
+		})
+		out.Accelerators = int64(accelerators)
+	}
+}
--- /dev/null
+++ b/internal/fleet/validator/dependencies.go
@@ -0,0 +1,81 @@
+package validator
+
+import (
+	"fmt"
+	"strings"
+)
+
+// dependencies checks that depends-on names known services and has no cycle: a
+// cycle would leave services that each wait for the other.
+func (c *checker) dependencies() {
+	index := make(map[string]int)
+	for i, s := range c.Config.Services {
+		index[s.Name] = i
+	}
+	for i, s := range c.Config.Services {
+		seen := make(map[string]bool)
+		for j, name := range s.DependsOn {
+			path := fmt.Sprintf("services[%d].depends-on[%d]", i, j)
+			if _, ok := index[name]; !ok {
+				c.add(path, "there is no service %q", name)
+			}
+			if seen[name] {
+				c.add(path, "the service %q is given twice", name)
+			}
+			seen[name] = true
+		}
+	}
+	walk := &cycleFinder{checker: c, index: index, state: make([]visit, len(c.Config.Services))}
+	for i := range c.Config.Services {
+		walk.visit(i)
+	}
+}
+
+type visit int
+
+const (
+	visitNone visit = iota
+	visitOpen
+	visitDone
+)
+
+// cycleFinder walks the dependencies depth first; an edge to an open service
+// closes a cycle, which is reported once, at that edge.
+type cycleFinder struct {
+	checker *checker
+	index   map[string]int
+	state   []visit
+	stack   []string
+}
+
+func (w *cycleFinder) visit(i int) {
+	if w.state[i] != visitNone {
+		return
+	}
+	service := w.checker.Config.Services[i]
+	w.state[i] = visitOpen
+	w.stack = append(w.stack, service.Name)
+	for j, name := range service.DependsOn {
+		next, ok := w.index[name]
+		if !ok {
+			continue
+		}
+		if w.state[next] == visitOpen {
+			w.checker.add(fmt.Sprintf("services[%d].depends-on[%d]", i, j), "cycle: %s", w.cycle(name))
+		}
+		w.visit(next)
+	}
+	w.stack = w.stack[:len(w.stack)-1]
+	w.state[i] = visitDone
+}
+
+// cycle names the services from name to the top of the stack and name again.
+func (w *cycleFinder) cycle(name string) string {
+	from := 0
+	for i, s := range w.stack {
+		if s == name {
+			from = i
+		}
+	}
+	return strings.Join(append(append([]string{}, w.stack[from:]...), name), " needs ")
+}
