--- /dev/null
+++ b/tests/proxy/proxy_test.go
@@ -0,0 +1,113 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// echo answers each line with itself and reports the lines that it read.
+func echo(t *testing.T) (string, chan string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	read := make(chan string, 100)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				lines := bufio.NewScanner(c)
+				for lines.Scan() {
+					read <- lines.Text()
+					fmt.Fprintln(c, lines.Text())
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), read
+}
+
+func ask(c net.Conn, line string) (string, error) {
+	if _, err := fmt.Fprintln(c, line); err != nil {
+		return "", err
+	}
+	_ = c.SetReadDeadline(time.Now().Add(150 * time.Millisecond))
+	answer := make([]byte, len(line)+1)
+	_, err := io.ReadFull(c, answer)
+	return string(answer[:len(line)]), err
+}
+
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name     string
+		faults   Faults
+		reaches  bool // the server reads the line
+		answered bool
+		after    bool // the connection works after the fault
+	}{
+		{"none", Faults{}, true, true, true},
+		{"refuse", Faults{Refuse: true}, false, false, false},
+		{"cut both ways", Faults{Cut: BothWays}, false, false, false},
+		{"cut to server", Faults{Cut: ToServer}, false, false, false},
+		{"cut to client", Faults{Cut: ToClient}, true, false, false},
+		{"hold to client", Faults{Hold: ToClient}, true, false, true},
+		{"hold to server", Faults{Hold: ToServer}, false, false, true},
+		{"drop answers", Faults{DropAnswers: true}, true, false, false},
+		{"long delay", Faults{Delay: 400 * time.Millisecond}, false, false, true},
+		{"short delay", Faults{Delay: 20 * time.Millisecond}, true, true, true},
+		{"low rate", Faults{BytesPerSec: 10}, false, false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			target, read := echo(t)
+			p, err := New(target)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer p.Close()
+			conn, err := net.Dial("tcp", p.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := ask(conn, "first"); err != nil {
+				t.Fatal(err)
+			}
+			<-read
+			p.Set(c.faults)
+			if answer, err := ask(conn, "second"); (answer == "second" && err == nil) != c.answered {
+				t.Errorf("answer %q, %v", answer, err)
+			}
+			if reached := len(read) > 0; reached != c.reaches {
+				t.Errorf("reached the server: %v", reached)
+			}
+			p.Reset()
+			_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+			if !c.answered {
+				_, err = io.ReadFull(conn, make([]byte, len("second")))
+			}
+			if (err == nil) != c.after {
+				t.Errorf("after the fault: %v", err)
+			}
+			fresh, err := net.Dial("tcp", p.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer fresh.Close()
+			if _, err := ask(fresh, "third"); err != nil {
+				t.Errorf("new connection after the fault: %v", err)
+			}
+		})
+	}
+}
