--- /dev/null
+++ b/internal/cli/commander/apply.go
@@ -0,0 +1,119 @@
+package commander
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/fleet/differ"
+	"bamboospread/internal/fleet/validator"
+	"bamboospread/internal/operator/requester"
+)
+
+// baseInForce stands for the version in force when the command runs.
+const baseInForce = -1
+
+func newApplyCommand() *cobra.Command {
+	var flags operatorFlags
+	var change changeIDFlag
+	var base int64
+	cmd := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Put a fleet text in force",
+		Long: `Put a fleet text in force. The text is based on a version: if another change
+came since, nothing is changed, the difference is shown and the exit code is 3.
+Without --base the version in force now is taken. FILE may be - for standard input.`,
+		Example: `  bamboospread apply examples/caroni.yaml
+  bamboospread apply --base 12 fleet.yaml`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			q, err := flags.requester()
+			if err != nil {
+				return err
+			}
+			text, err := readText(cmd, args[0])
+			if err != nil {
+				return err
+			}
+			if _, err := validator.Check(text); err != nil {
+				return flags.findingsError(cmd, err)
+			}
+			if base == baseInForce {
+				now, err := q.GetFleet(cmd.Context())
+				if err != nil {
+					return flags.fail(cmd, "", err)
+				}
+				base = now.Version
+			}
+			answer, err := q.Apply(cmd.Context(), requester.ApplyOptions{Text: text, Base: base, ChangeID: change.get()})
+			if err != nil {
+				return flags.fail(cmd, change.get(), err)
+			}
+			return flags.write(cmd.OutOrStdout(), answer, func(w io.Writer) {
+				fmt.Fprintf(w, "version %d is in force (change %s)\n", answer.Version, answer.ChangeID)
+			})
+		},
+	}
+	flags.register(cmd)
+	change.register(cmd)
+	cmd.Flags().Int64Var(&base, "base", baseInForce, "version on which the text is based; 0 for the first text, -1 for the version in force")
+	return cmd
+}
+
+// diffAnswer is what diff writes.
+type diffAnswer struct {
+	Version    int64    `json:"version"` // in force
+	Difference []string `json:"difference"`
+}
+
+func newDiffCommand() *cobra.Command {
+	var flags operatorFlags
+	cmd := &cobra.Command{
+		Use:     "diff FILE",
+		Short:   "Show what applying a fleet text would change",
+		Long:    "Show what applying a fleet text would change, by meaning: comments, order and ways of writing a size don't count.",
+		Example: "  bamboospread diff fleet.yaml",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			q, err := flags.requester()
+			if err != nil {
+				return err
+			}
+			text, err := readText(cmd, args[0])
+			if err != nil {
+				return err
+			}
+			wanted, err := validator.Check(text)
+			if err != nil {
+				return flags.findingsError(cmd, err)
+			}
+			now, err := q.GetFleet(cmd.Context())
+			if err != nil {
+				return flags.fail(cmd, "", err)
+			}
+			current := describer.Config{}
+			if now.Version > 0 {
+				if current, err = validator.Check([]byte(now.Text)); err != nil {
+					return ExitError{Code: ExitFailed, Err: fmt.Errorf("read the text in force: %w", err)}
+				}
+			}
+			a := diffAnswer{now.Version, differ.Diff(current, wanted)}
+			return flags.write(cmd.OutOrStdout(), a, func(w io.Writer) { writeDiff(w, a) })
+		},
+	}
+	flags.register(cmd)
+	return cmd
+}
+
+func writeDiff(w io.Writer, a diffAnswer) {
+	if len(a.Difference) == 0 {
+		fmt.Fprintf(w, "no difference to version %d\n", a.Version)
+		return
+	}
+	fmt.Fprintf(w, "against version %d:\n", a.Version)
+	for _, line := range a.Difference {
+		fmt.Fprintln(w, "  "+line)
+	}
+}
--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -67,5 +67,6 @@
 			return nil
 		},
 	}
+	root.AddCommand(operatorCommands()...)
 	return root
 }
--- a/internal/fleet/changer/changer.go
+++ b/internal/fleet/changer/changer.go
@@ -30,6 +30,11 @@
 	// FindText returns the text of an earlier version, to show in a conflict
 	// what changed since. It may be nil.
 	FindText func(version int64) (string, bool)
+	// Held returns the newest record that this process knows. If the store has
+	// lost its record, a change goes on from this one: followers take only
+	// higher versions, so a count that began anew would be in force nowhere. It
+	// may be nil.
+	Held func() recorder.Record
 	// Accepted, if set, is told of each record that this process got accepted,
 	// so that its own follower need not wait for the watch.
 	Accepted func(version int64, value []byte)
@@ -133,7 +138,7 @@
 		return 0, ErrUnavailable{Cause: err}
 	}
 	for {
-		current, err := decodeAny(stored)
+		current, err := c.decode(stored)
 		if err != nil {
 			return 0, err
 		}
@@ -187,9 +192,13 @@
 	return false, keeper.Record{}, ErrUnavailable{Cause: err}
 }
 
-// decodeAny decodes a stored record; one that does not exist is version 0.
-func decodeAny(stored keeper.Record) (recorder.Record, error) {
+// decode decodes a stored record; one that does not exist is version 0, or what
+// this process held before it was lost.
+func (c *Changer) decode(stored keeper.Record) (recorder.Record, error) {
 	if stored.Revision == 0 {
+		if c.config.Held != nil {
+			return c.config.Held(), nil
+		}
 		return recorder.Record{}, nil
 	}
 	// A record that this program can't read may hold what it would destroy by
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -21,8 +21,8 @@
 // Times of the watch loop.
 const (
 	watchWait    = 10 * time.Second
-	pauseMin     = 50 * time.Millisecond
-	pauseMax     = time.Second
+	firstPause   = 50 * time.Millisecond
+	longestPause = time.Second
 	peerInterval = time.Second
 	watchSlack   = 2 * time.Second // for the answer, above the wait
 )
--- a/internal/fleet/follower/loop.go
+++ b/internal/fleet/follower/loop.go
@@ -24,7 +24,7 @@
 		<-ctx.Done()
 		return
 	}
-	pause, down := pauseMin, false
+	pause, down := firstPause, false
 	for ctx.Err() == nil {
 		err := f.follow(ctx)
 		if ctx.Err() != nil {
@@ -36,13 +36,13 @@
 			setLatest(storeDown, down)
 		}
 		if err == nil {
-			pause = pauseMin
+			pause = firstPause
 			continue
 		}
 		// Spread the retries, so that a store that returns is not met by all
 		// processes at once.
 		wait(ctx, pause/2+rand.N(pause/2+1))
-		pause = min(2*pause, pauseMax)
+		pause = min(2*pause, longestPause)
 	}
 }
 
--- /dev/null
+++ b/internal/operator/handler/answer.go
@@ -0,0 +1,115 @@
+package handler
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"bamboospread/internal/fleet/changer"
+	"bamboospread/internal/fleet/finder"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/wire/connector"
+	"bamboospread/internal/wire/messenger"
+)
+
+// retryAfterSeconds is told with every answer that asks to come back.
+const retryAfterSeconds = 1
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)+1))
+	w.WriteHeader(status)
+	// A caller that has gone can't be told.
+	_, _ = w.Write(append(data, '\n'))
+}
+
+func writeError(w http.ResponseWriter, status int, a ErrorAnswer) {
+	if status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout {
+		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+	}
+	writeJSON(w, status, a)
+}
+
+// readBody reads a body of at most limit bytes; on failure it has answered.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		return body, true
+	}
+	status := http.StatusBadRequest
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	writeError(w, status, ErrorAnswer{Error: "read body: " + err.Error(), Outcome: OutcomeRefused})
+	return nil, false
+}
+
+// readJSON reads a body into v; on failure it has answered.
+func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	body, ok := readBody(w, r, maxJSONBody)
+	if !ok {
+		return false
+	}
+	if err := json.Unmarshal(body, v); err != nil {
+		writeError(w, http.StatusBadRequest, ErrorAnswer{Error: "decode body: " + err.Error(), Outcome: OutcomeRefused})
+		return false
+	}
+	return true
+}
+
+// writeChangeError answers a change that was not accepted, or not surely.
+func (h *Handler) writeChangeError(w http.ResponseWriter, changeID string, err error) {
+	a := ErrorAnswer{Error: err.Error(), ChangeID: changeID, Outcome: OutcomeRefused}
+	status := http.StatusBadRequest
+	var conflict changer.ErrConflict
+	switch {
+	case errors.As(err, &conflict):
+		status, a.Outcome = http.StatusConflict, OutcomeConflict
+		a.Version, a.Difference, a.DifferenceFrom = conflict.Current, conflict.Difference, "change"
+		if conflict.BaseKnown {
+			a.DifferenceFrom = "base"
+		}
+	case changer.IsErrUnavailable(err):
+		status, a.Outcome = http.StatusServiceUnavailable, OutcomeUnavailable
+	case changer.IsErrOutcomeUnknown(err):
+		status, a.Outcome = http.StatusGatewayTimeout, OutcomeUnknown
+	case changer.IsErrZoneNotExist(err):
+		status = http.StatusNotFound
+	case changer.IsErrZoneOutInText(err), changer.IsErrChangeIDReused(err):
+		status = http.StatusUnprocessableEntity
+	default:
+		if findings, ok := finder.AsFindings(err); ok {
+			a.Error, a.Findings = "the fleet text has faults", findings
+		}
+	}
+	h.config.Reporter.Report(reporter.OperatorChangeRefused, reporter.Fields{"change-id": changeID, "outcome": string(a.Outcome), "error": err.Error()})
+	writeError(w, status, a)
+}
+
+// writeCellError answers a call of the cell's owner that failed. Read-only
+// calls have no effect that could be unknown.
+func writeCellError(w http.ResponseWriter, err error, readOnly bool) {
+	a := ErrorAnswer{Error: err.Error(), Outcome: OutcomeUnknown}
+	status := http.StatusGatewayTimeout
+	switch connector.CodeOf(err) {
+	case messenger.CodeNotOwner, messenger.CodeUnavailable:
+		status, a.Outcome = http.StatusServiceUnavailable, OutcomeUnavailable
+	case messenger.CodeBadRequest:
+		status, a.Outcome = http.StatusBadRequest, OutcomeRefused
+	case messenger.CodeNotExist:
+		status, a.Outcome = http.StatusNotFound, OutcomeRefused
+	default:
+		if readOnly {
+			status, a.Outcome = http.StatusServiceUnavailable, OutcomeUnavailable
+		}
+	}
+	writeError(w, status, a)
+}
--- /dev/null
+++ b/internal/operator/requester/requester.go
@@ -0,0 +1,241 @@
+// Package requester is the client of the operators' HTTP interface. It tries
+// several entries, and repeats only what is harmless to repeat.
+package requester
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"bamboospread/internal/operator/handler"
+)
+
+// Times of a request.
+const (
+	DefaultTimeout = 15 * time.Second
+	firstPause     = 50 * time.Millisecond
+	longestPause   = time.Second
+	readTryTimeout = 3 * time.Second
+	maxAnswerBytes = 64 << 20
+)
+
+// Config holds the settings of a Requester.
+type Config struct {
+	Entries []string      // host:port or http://host:port
+	Timeout time.Duration // of a request with its repeats; 0: DefaultTimeout
+	HTTP    *http.Client
+}
+
+// Requester is a client; it is safe for concurrent use.
+type Requester struct {
+	config Config
+	client *http.Client
+}
+
+// New returns a Requester.
+func New(c Config) *Requester {
+	if c.Timeout <= 0 {
+		c.Timeout = DefaultTimeout
+	}
+	client := c.HTTP
+	if client == nil {
+		client = &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
+	}
+	entries := make([]string, 0, len(c.Entries))
+	for _, e := range c.Entries {
+		if !strings.Contains(e, "://") {
+			e = "http://" + e
+		}
+		entries = append(entries, strings.TrimRight(e, "/"))
+	}
+	c.Entries = entries
+	return &Requester{config: c, client: client}
+}
+
+// ErrRefused is returned when an entry answered that the request can't be done
+// as asked, or lost a race. Nothing was changed.
+type ErrRefused struct {
+	Status int
+	Answer handler.ErrorAnswer
+}
+
+func (e ErrRefused) Error() string { return e.Answer.Error }
+
+// IsErrRefused tells whether err is, or wraps, an ErrRefused.
+func IsErrRefused(err error) bool { return as[ErrRefused](err) }
+
+// ErrUnavailable is returned when no entry could do the request. Nothing was
+// changed.
+type ErrUnavailable struct{ Cause error }
+
+func (e ErrUnavailable) Error() string {
+	return fmt.Sprintf("no entry can do this now, nothing was changed: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e ErrUnavailable) Unwrap() error { return e.Cause }
+
+// IsErrUnavailable tells whether err is, or wraps, an ErrUnavailable.
+func IsErrUnavailable(err error) bool { return as[ErrUnavailable](err) }
+
+// ErrOutcomeUnknown is returned when it is not known whether a change took
+// effect.
+type ErrOutcomeUnknown struct {
+	Cause error
+}
+
+func (e ErrOutcomeUnknown) Error() string {
+	return fmt.Sprintf("it is not known whether this took effect: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e ErrOutcomeUnknown) Unwrap() error { return e.Cause }
+
+// IsErrOutcomeUnknown tells whether err is, or wraps, an ErrOutcomeUnknown.
+func IsErrOutcomeUnknown(err error) bool { return as[ErrOutcomeUnknown](err) }
+
+func as[T error](err error) bool {
+	var target T
+	return errors.As(err, &target)
+}
+
+// call describes one request.
+type call struct {
+	method, path string
+	query        url.Values
+	header       http.Header
+	body         []byte
+	readOnly     bool // has no effect
+	repeatable   bool // may be sent again although an earlier one may have had its effect
+	result       any
+}
+
+// do sends c to one entry after the other until one gives a definite answer.
+//
+// A connection that breaks, or an answer of unknown outcome, leaves open whether
+// the change took effect. Asking again with the same change id settles it, and
+// from then on only an answer that follows from the store's state counts: done,
+// refused or conflict. "Unavailable" from the next entry says nothing about the
+// earlier try, so the outcome stays unknown.
+func (q *Requester) do(ctx context.Context, c call) error {
+	if len(q.config.Entries) == 0 {
+		return ErrUnavailable{Cause: errors.New("no entries are given")}
+	}
+	ctx, cancel := context.WithTimeout(ctx, q.config.Timeout)
+	defer cancel()
+	var unknown, last error
+	pause := firstPause
+	for try := 0; ; try++ {
+		err := q.try(ctx, q.config.Entries[try%len(q.config.Entries)], c)
+		switch {
+		case err == nil || IsErrRefused(err):
+			return err
+		case IsErrOutcomeUnknown(err) && !c.readOnly:
+			unknown = err
+			if !c.repeatable {
+				return unknown
+			}
+		}
+		last = err
+		if (try+1)%len(q.config.Entries) == 0 {
+			if !sleep(ctx, pause) {
+				break
+			}
+			pause = min(2*pause, longestPause)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if unknown != nil {
+		return unknown
+	}
+	if IsErrUnavailable(last) {
+		return last
+	}
+	return ErrUnavailable{Cause: last}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// try bounds one try, so that a frozen entry leaves time for another one.
+func (q *Requester) try(ctx context.Context, entry string, c call) error {
+	limit := q.config.Timeout * 2 / 3
+	if c.readOnly {
+		limit = min(limit, readTryTimeout)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return q.send(ctx, entry, c)
+}
+
+// send makes one request to one entry.
+func (q *Requester) send(ctx context.Context, entry string, c call) error {
+	target := entry + c.path
+	if len(c.query) > 0 {
+		target += "?" + c.query.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, c.method, target, bytes.NewReader(c.body))
+	if err != nil {
+		return ErrRefused{Answer: handler.ErrorAnswer{Error: err.Error(), Outcome: handler.OutcomeRefused}}
+	}
+	for k, v := range c.header {
+		request.Header[k] = v
+	}
+	// The standard client sends some requests again by itself when a kept
+	// connection breaks; without GetBody it does so only if nothing was sent.
+	request.GetBody = nil
+	answer, err := q.client.Do(request)
+	if err != nil {
+		var dial *net.OpError
+		if errors.As(err, &dial) && dial.Op == "dial" {
+			return ErrUnavailable{Cause: err}
+		}
+		return ErrOutcomeUnknown{Cause: err}
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	if err != nil {
+		return ErrOutcomeUnknown{Cause: fmt.Errorf("read answer of %s: %w", entry, err)}
+	}
+	return judge(answer.StatusCode, body, c.result)
+}
+
+func judge(status int, body []byte, result any) error {
+	if status == http.StatusOK {
+		if err := json.Unmarshal(body, result); err != nil {
+			return ErrOutcomeUnknown{Cause: fmt.Errorf("decode answer: %w", err)}
+		}
+		return nil
+	}
+	failure := ErrRefused{Status: status, Answer: handler.DecodeError(body)}
+	switch failure.Answer.Outcome {
+	case handler.OutcomeUnavailable:
+		return ErrUnavailable{Cause: failure}
+	case handler.OutcomeUnknown:
+		return ErrOutcomeUnknown{Cause: failure}
+	}
+	if status >= http.StatusInternalServerError && failure.Answer.Outcome == "" {
+		// Not an answer of an entry, but of something between.
+		return ErrOutcomeUnknown{Cause: fmt.Errorf("status %s: %w", strconv.Itoa(status), failure)}
+	}
+	return failure
+}
