Place by predicted interference, fair shares and a ladder; learn pair effects

Change: the placer filters (room, zone, quarantine, refill of a returned zone, predicted pressure), scores (interference, fragmentation, spread), serves tenants by dominant share with urgent work first within the quota, reserves a VM for a large task that waits, holds what can never run, drains zones that are out, and throttles before it moves, with a band between the thresholds and fresh measurements for each step.

--- /dev/null
+++ b/internal/control/learner/history.go
@@ -0,0 +1,128 @@
+package learner
+
+import (
+	"time"
+
+	"bamboospread/internal/control/placer"
+)
+
+const (
+	windowsKept   = 8 // of each VM, to know duplicates
+	pressuresKept = 4 // of each service on a VM
+)
+
+// history is what a VM reported lately.
+type history struct {
+	seen     []window // latest last
+	services map[string]*pressure
+	arrived  time.Time // of the latest report
+}
+
+type window struct{ from, to time.Time }
+
+// pressure holds measurements of a service on a VM, newest first.
+type pressure struct {
+	windows []placer.Window
+	arrived time.Time // of the newest
+}
+
+func (l *Learner) history(vm string) *history {
+	now := l.config.Now()
+	h := l.vms[vm]
+	if h == nil {
+		if len(l.vms) >= l.config.MaxVMs {
+			l.dropOldestVM()
+		}
+		h = &history{services: make(map[string]*pressure)}
+		l.vms[vm] = h
+	}
+	h.arrived = now
+	return h
+}
+
+func (l *Learner) dropOldestVM() {
+	oldest := ""
+	for name, h := range l.vms {
+		if oldest == "" || h.arrived.Before(l.vms[oldest].arrived) {
+			oldest = name
+		}
+	}
+	delete(l.vms, oldest)
+}
+
+// accept tells whether a window is new. Agents repeat reports whose answer was
+// lost: counting one twice would make the estimate surer than it is. A window
+// that is older than all kept ones can't be told from a repeat and is dropped.
+func (h *history) accept(from, to time.Time) bool {
+	for _, w := range h.seen {
+		if w.from.Equal(from) && w.to.Equal(to) {
+			return false
+		}
+	}
+	if len(h.seen) == windowsKept && to.Before(h.seen[0].to) {
+		return false
+	}
+	at := len(h.seen)
+	for at > 0 && h.seen[at-1].to.After(to) {
+		at--
+	}
+	h.seen = append(h.seen, window{})
+	copy(h.seen[at+1:], h.seen[at:])
+	h.seen[at] = window{from, to}
+	if len(h.seen) > windowsKept {
+		h.seen = h.seen[1:]
+	}
+	return true
+}
+
+// add keeps a measurement in its place by time; one that came late does not
+// displace a newer one.
+func (h *history) add(service string, w placer.Window, now time.Time) {
+	p := h.services[service]
+	if p == nil {
+		p = &pressure{}
+		h.services[service] = p
+	}
+	at := 0
+	for at < len(p.windows) && p.windows[at].To.After(w.To) {
+		at++
+	}
+	if at == 0 {
+		p.arrived = now
+	}
+	// A new slice each time: callers of Recent may still hold the old one.
+	next := make([]placer.Window, 0, pressuresKept+1)
+	next = append(next, p.windows[:at]...)
+	next = append(next, w)
+	next = append(next, p.windows[at:]...)
+	p.windows = next[:min(len(next), pressuresKept)]
+}
+
+// Recent returns the latest measurements of a service on a VM, newest first, and
+// none when reports stopped coming. Callers must not change the result.
+func (l *Learner) Recent(vm, service string) []placer.Window {
+	h := l.vms[vm]
+	if h == nil {
+		return nil
+	}
+	p := h.services[service]
+	if p == nil || l.config.Now().Sub(p.arrived) > l.config.StaleAfter {
+		return nil
+	}
+	return p.windows
+}
+
+// Pressure returns the measured latency of a service on a VM divided by its
+// objective, smoothed over the last two reports; 0 when no report is recent,
+// which means unknown and not idle.
+func (l *Learner) Pressure(vm, service string) float64 {
+	const newest = 0.6
+	w := l.Recent(vm, service)
+	switch len(w) {
+	case 0:
+		return 0
+	case 1:
+		return w[0].Ratio
+	}
+	return newest*w[0].Ratio + (1-newest)*w[1].Ratio
+}
--- /dev/null
+++ b/internal/control/placer/share_test.go
@@ -0,0 +1,174 @@
+package placer
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"bamboospread/internal/fleet/describer"
+)
+
+func TestSharesConverge(t *testing.T) {
+	// Tenants with more work than fits, tasks that end at random: dominant
+	// shares, divided by the weights, come to differ by one task at most.
+	rapid.Check(t, func(t *rapid.T) {
+		weights := []float64{1, rapid.Float64Range(0.5, 3).Draw(t, "w1"), rapid.Float64Range(0.5, 3).Draw(t, "w2")}
+		var tenants []describer.Tenant
+		for i, w := range weights {
+			tenants = append(tenants, describer.Tenant{Name: fmt.Sprint("t", i), Weight: w})
+		}
+		w := world{s: Snapshot{Now: start, Fleet: describer.New(fleetOf(tenants...)), VMs: vmsOf(6, "a", "b")}}
+		for i := range 600 {
+			w.s.Queued = append(w.s.Queued, queued(fmt.Sprint(i), fmt.Sprint("t", i/200), cores(1)))
+		}
+		p := New(Config{})
+		for range 40 {
+			w.s.Now = w.s.Now.Add(time.Second)
+			w.apply(p.Plan(w.s))
+			for range 10 {
+				w.end(w.s.Placed[rapid.IntRange(0, len(w.s.Placed)-1).Draw(t, "ends")].ID)
+			}
+		}
+		w.apply(p.Plan(w.s))
+		checkShares(t, &w, weights)
+	})
+}
+
+func checkShares(t *rapid.T, w *world, weights []float64) {
+	used := make([]float64, len(weights))
+	for _, task := range w.s.Placed {
+		used[task.Tenant[1]-'0']++
+	}
+	left := make(map[string]int)
+	for _, task := range w.s.Queued {
+		left[task.Tenant]++
+	}
+	least, most, slack := math.Inf(1), 0.0, 0.0
+	for i, n := range used {
+		if left[fmt.Sprint("t", i)] == 0 {
+			return // a tenant without work has no claim to a share
+		}
+		least, most = min(least, n/weights[i]), max(most, n/weights[i])
+		slack = max(slack, 1/weights[i])
+	}
+	if most-least > 2*slack+1e-9 {
+		t.Fatalf("shares %v with weights %v", used, weights)
+	}
+}
+
+func TestOrderOfStarts(t *testing.T) {
+	urgent := queued("urgent", "t1", cores(16))
+	urgent.Urgent = true
+	replica := queued("replica", "t1", cores(16))
+	replica.Service = "depth"
+	backoff := queued("backoff", "t0", cores(1))
+	backoff.NotBefore = start.Add(time.Minute)
+	cases := []struct {
+		name   string
+		quota  int64
+		queue  []Task
+		starts []string
+		waits  map[string]string // parts of the reasons
+	}{
+		{
+			name: "urgent work goes first", queue: []Task{queued("plain", "t0", cores(32)), urgent},
+			starts: []string{"urgent"}, waits: map[string]string{"plain": "no room"},
+		},
+		{
+			name: "a replica goes before urgent work", queue: []Task{queued("big", "t0", cores(32)), urgent, replica},
+			starts: []string{"replica", "urgent"}, waits: map[string]string{"big": "no room"},
+		},
+		{
+			name: "urgent work stays within the quota", quota: 20, queue: []Task{urgent, queued("plain", "t1", cores(10)), queued("small", "t1", cores(4))},
+			starts: []string{"urgent", "small"}, waits: map[string]string{"plain": "quota of tenant t1"},
+		},
+		{
+			name: "a backoff lets others pass", queue: []Task{backoff, queued("plain", "t0", cores(1))},
+			starts: []string{"plain"}, waits: map[string]string{"backoff": "backs off until"},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := describer.New(fleetOf(describer.Tenant{Name: "t0", Weight: 1}, describer.Tenant{Name: "t1", Weight: 1, Quota: describer.Resources{Millicores: c.quota * 1000}}))
+			plan := New(Config{}).Plan(Snapshot{Now: start, Fleet: f, VMs: vmsOf(1, "a"), Queued: c.queue})
+			var starts []string
+			for _, s := range plan.Starts {
+				starts = append(starts, s.TaskID)
+				wantReason(t, s.Reason)
+			}
+			if diff := cmp.Diff(c.starts, starts); diff != "" {
+				t.Error(diff)
+			}
+			for id, part := range c.waits {
+				if !strings.Contains(plan.Waits[id], part) {
+					t.Errorf("%s waits for %q, want %q", id, plan.Waits[id], part)
+				}
+			}
+		})
+	}
+}
+
+func TestLargeTaskDoesNotStarve(t *testing.T) {
+	// Small tasks keep coming and each gap goes to one of them before it is
+	// large enough for the large task. Once that has waited, a VM is kept free
+	// for it and it starts.
+	w := world{s: Snapshot{Now: start, Fleet: describer.New(fleetOf()), VMs: vmsOf(3, "a")}}
+	p := New(Config{})
+	large := queued("large", "t0", cores(30))
+	next := 0
+	for round := range 200 {
+		for range 10 {
+			w.s.Queued = append(w.s.Queued, queued(fmt.Sprint(next), "t1", cores(2)))
+			next++
+		}
+		if round == 10 {
+			large.Submitted = w.s.Now
+			w.s.Queued = append(w.s.Queued, large)
+		}
+		w.apply(p.Plan(w.s))
+		if w.placed("large") != nil {
+			return
+		}
+		for range 5 { // the oldest end
+			w.end(w.s.Placed[0].ID)
+		}
+		w.s.Now = w.s.Now.Add(time.Second)
+	}
+	t.Fatal("the large task never started")
+}
+
+func TestHolds(t *testing.T) {
+	failed := queued("failed", "t0", cores(1))
+	failed.Avoid = map[string]bool{"vm-00": true, "vm-01": true}
+	cases := []struct {
+		name      string
+		task      Task
+		unsettled bool
+		reason    string // part; empty: not held
+	}{
+		{name: "beyond every VM", task: queued("x", "t0", cores(33)), reason: "beyond every VM"},
+		{name: "no accelerators", task: queued("x", "t0", describer.Resources{Accelerators: 1}), reason: "beyond every VM"},
+		{name: "beyond the quota", task: queued("x", "t1", cores(9)), reason: "quota of tenant t1"},
+		{name: "failed on all VMs", task: failed, reason: "failed on each VM"},
+		{name: "while VMs are still unknown", task: queued("x", "t0", cores(33)), unsettled: true},
+		{name: "a fitting task", task: queued("x", "t0", cores(32))},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := describer.New(fleetOf(describer.Tenant{Name: "t1", Quota: cores(8)}))
+			plan := New(Config{}).Plan(Snapshot{Now: start, Fleet: f, VMs: vmsOf(2, "a"), Queued: []Task{c.task}, Unsettled: c.unsettled})
+			got := ""
+			if len(plan.Holds) > 0 {
+				got = plan.Holds[0].Reason
+			}
+			if (c.reason == "") != (got == "") || !strings.Contains(got, c.reason) {
+				t.Errorf("held with %q, want %q", got, c.reason)
+			}
+		})
+	}
+}
