--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -68,5 +68,6 @@
 		},
 	}
 	root.AddCommand(newStandinCommand())
+	root.AddCommand(operatorCommands()...)
 	return root
 }
