--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -67,5 +67,7 @@
 			return nil
 		},
 	}
+	root.AddCommand(newStandinCommand())
+	root.AddCommand(operatorCommands()...)
 	return root
 }
