--- /dev/null
+++ b/internal/agent/runner/runner.go
@@ -0,0 +1,269 @@
+// Package runner carries out the orders of a cell's owner on the agent's own VM
+// and reports what the worker runs. It is the last line of defence: it refuses
+// orders of earlier owners, starts that come too late, and what would exceed
+// the VM.
+package runner
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/platform/driver"
+	"bamboospread/internal/wire/messenger"
+)
+
+// Lengths.
+const (
+	pollWait     = time.Second             // how long the owner may hold a poll
+	pollLimit    = 2500 * time.Millisecond // until a poll is given up
+	retryPause   = 150 * time.Millisecond
+	lookEvery    = 100 * time.Millisecond // for tasks that ended while a poll waits
+	usageEvery   = time.Second
+	capacityAge  = 10 * time.Second
+	ordersAtOnce = 8
+)
+
+// Config holds the settings of a Runner.
+type Config struct {
+	Cell        string
+	AgentID     string
+	Incarnation int64
+	Driver      *driver.Driver
+	// CallOwner calls the owner of the cell.
+	CallOwner   func(ctx context.Context, method string, params, result any) error
+	Upstreams   func() []messenger.Upstream    // may be nil
+	ServiceLoad func() []messenger.ServiceLoad // may be nil
+	// ServiceNeeds returns what one upstream of a service holds. May be nil.
+	ServiceNeeds func(service string) (describer.Resources, bool)
+	Reporter     *reporter.Reporter
+	Now          func() time.Time
+}
+
+// Runner is the part of an agent that deals with tasks. All but Drain belongs
+// to the goroutine of Run.
+type Runner struct {
+	config     Config
+	epoch      int64 // highest seen
+	sequence   int64
+	leaseUntil time.Time
+	capacity   messenger.Capacity
+	capacityAt time.Time
+	usageAt    time.Time
+	connected  bool
+	workerAway bool
+	tasks      []driver.Task
+	refused    map[messenger.TaskAttempt]messenger.TaskReport // until acknowledged
+
+	leaving  atomic.Bool
+	draining chan struct{} // closed by the first Drain
+	left     chan struct{} // closed when the owner knows of the leaving
+}
+
+// New returns a Runner.
+func New(c Config) *Runner {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Reporter == nil {
+		c.Reporter = reporter.Discard()
+	}
+	return &Runner{
+		config: c, refused: make(map[messenger.TaskAttempt]messenger.TaskReport),
+		draining: make(chan struct{}), left: make(chan struct{}),
+	}
+}
+
+// Run polls the owner until ctx ends. Tasks that run then keep running under
+// their lease, so that an agent that replaces this one finds them.
+func (r *Runner) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := r.round(ctx); err != nil {
+			_ = pause(ctx, retryPause)
+		}
+	}
+	return nil
+}
+
+// Drain tells the owner that this agent leaves, so that it starts nothing more
+// here, and returns when the owner knows.
+func (r *Runner) Drain(ctx context.Context) error {
+	if r.leaving.CompareAndSwap(false, true) {
+		close(r.draining)
+	}
+	select {
+	case <-r.left:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("tell owner of cell %s that agent %s leaves: %w", r.config.Cell, r.config.AgentID, ctx.Err())
+	}
+}
+
+// round makes one poll and carries out its orders.
+func (r *Runner) round(ctx context.Context) error {
+	if err := r.look(ctx); err != nil {
+		// A poll without the full list would make the owner take the missing
+		// attempts as ended, and run them elsewhere while they run here.
+		if !r.workerAway {
+			r.config.Reporter.Report(reporter.RunnerWorkerAway, reporter.Fields{"error": err.Error()})
+		}
+		r.workerAway = true
+		return err
+	}
+	r.workerAway = false
+	p := r.poll(ctx)
+	// Lease and void times count from here, before the poll is on its way: the
+	// owner counts from later moments, so this side always ends first.
+	sent := r.config.Now()
+	reply, err := r.call(ctx, p)
+	if err != nil {
+		r.noteSession(false, err)
+		return err
+	}
+	if reply == nil { // given up since a task ended meanwhile
+		return nil
+	}
+	return r.take(ctx, sent, p, *reply)
+}
+
+func (r *Runner) noteSession(connected bool, err error) {
+	if connected == r.connected {
+		return
+	}
+	r.connected = connected
+	if connected {
+		r.config.Reporter.Report(reporter.RunnerSessionOpened, reporter.Fields{"cell": r.config.Cell, "epoch": r.epoch})
+		return
+	}
+	r.config.Reporter.Report(reporter.RunnerSessionLost, reporter.Fields{"cell": r.config.Cell, "error": err.Error()})
+}
+
+// look reads what the worker runs.
+func (r *Runner) look(ctx context.Context) error {
+	now := r.config.Now()
+	if r.capacityAt.IsZero() || now.Sub(r.capacityAt) > capacityAge {
+		c, err := r.config.Driver.GetVM(ctx)
+		if err != nil {
+			return fmt.Errorf("read capacity: %w", err)
+		}
+		r.capacity, r.capacityAt = c, now
+	}
+	tasks, err := r.config.Driver.FindTasks(ctx)
+	if err != nil {
+		return fmt.Errorf("list tasks: %w", err)
+	}
+	r.tasks = tasks
+	return nil
+}
+
+func (r *Runner) poll(ctx context.Context) messenger.Poll {
+	r.sequence++
+	p := messenger.Poll{
+		Cell: r.config.Cell, AgentID: r.config.AgentID, Incarnation: r.config.Incarnation, Epoch: r.epoch,
+		Sequence: r.sequence, Capacity: r.capacity, Upstreams: r.upstreams(), Leaving: r.leaving.Load(),
+		WaitMillis: messenger.Millis(pollWait),
+	}
+	for _, t := range r.tasks {
+		// The worker knows better than an earlier refusal noted here.
+		delete(r.refused, messenger.TaskAttempt{TaskID: t.TaskID, Attempt: t.Attempt})
+		p.Tasks = append(p.Tasks, messenger.TaskReport{
+			TaskID: t.TaskID, Attempt: t.Attempt, State: t.State, Reason: t.Reason, Checkpoint: t.Checkpoint,
+			Needs: t.Needs, Class: t.Class, Tenant: t.Tenant, Service: t.Service,
+		})
+	}
+	for _, report := range r.refused {
+		p.Tasks = append(p.Tasks, report)
+	}
+	if now := r.config.Now(); now.Sub(r.usageAt) >= usageEvery {
+		r.usageAt = now
+		if usage, err := r.config.Driver.GetUsage(ctx); err == nil && usage.ToMillis > 0 {
+			if r.config.ServiceLoad != nil {
+				usage.Services = r.config.ServiceLoad()
+			}
+			p.Usage = &usage
+		}
+	}
+	return p
+}
+
+func (r *Runner) upstreams() []messenger.Upstream {
+	if r.config.Upstreams == nil {
+		return nil
+	}
+	return r.config.Upstreams()
+}
+
+// call sends the poll and waits for the reply. It gives the poll up, and
+// returns no reply, when a task has ended that the poll does not tell of or the
+// agent is to leave: the next poll tells at once. A reply to a poll given up is
+// dropped, and with it the orders that it carried; the owner sends them again.
+func (r *Runner) call(ctx context.Context, p messenger.Poll) (*messenger.PollReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollLimit)
+	defer cancel()
+	var reply messenger.PollReply
+	done := make(chan error, 1)
+	go func() { done <- r.config.CallOwner(ctx, messenger.MethodPoll, p, &reply) }()
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	draining := r.draining
+	if p.Leaving {
+		draining = nil
+	}
+	for {
+		select {
+		case err := <-done:
+			if err != nil {
+				return nil, fmt.Errorf("poll owner of cell %s: %w", r.config.Cell, err)
+			}
+			return &reply, nil
+		case <-draining:
+			cancel()
+			<-done
+			return nil, nil
+		case <-ticker.C:
+			if r.endedSince(ctx, p) {
+				cancel()
+				<-done
+				return nil, nil
+			}
+		}
+	}
+}
+
+// endedSince tells whether the worker has an ended attempt that the poll does
+// not report as ended.
+func (r *Runner) endedSince(ctx context.Context, p messenger.Poll) bool {
+	running := 0
+	for _, t := range p.Tasks {
+		if t.State == messenger.ReportRunning {
+			running++
+		}
+	}
+	if running == 0 {
+		return false
+	}
+	tasks, err := r.config.Driver.FindTasks(ctx)
+	if err != nil {
+		return false
+	}
+	for _, t := range tasks {
+		if t.State == messenger.ReportRunning {
+			running--
+		}
+	}
+	return running > 0
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- a/internal/control/controller/session.go
+++ b/internal/control/controller/session.go
@@ -13,11 +13,11 @@
 
 // Lengths of sessions.
 const (
-	maxWait        = time.Second
-	reachableFor   = 2500 * time.Millisecond // without a poll
-	leaseMarginDiv = 20                      // clocks run at rates that differ by far less than a twentieth
-	leaseMarginMin = 250 * time.Millisecond
-	historyFor     = time.Minute
+	maxWait          = time.Second
+	reachableFor     = 2500 * time.Millisecond // without a poll
+	leaseMarginDiv   = 20                      // clocks run at rates that differ by far less than a twentieth
+	leastLeaseMargin = 250 * time.Millisecond
+	historyFor       = time.Minute
 )
 
 // session is what the owner knows of a VM in this epoch only.
@@ -54,7 +54,7 @@
 	if lease <= 0 {
 		return granted
 	}
-	return granted.Add(lease + max(lease/leaseMarginDiv, leaseMarginMin))
+	return granted.Add(lease + max(lease/leaseMarginDiv, leastLeaseMargin))
 }
 
 func (s *session) reachable(now time.Time) bool {
--- a/internal/control/controller/zone.go
+++ b/internal/control/controller/zone.go
@@ -116,7 +116,7 @@
 	var leaving, staying []*bookkeeper.Task
 	running := 0
 	for _, t := range have {
-		if t.Holds() && (o.zoneOut(t.VM) || o.vmLeaving(t.VM)) {
+		if t.Holds() && o.zoneOut(t.VM) {
 			leaving = append(leaving, t)
 			continue
 		}
@@ -135,15 +135,10 @@
 	}
 	// Each replica that runs elsewhere beyond those lost lets one go.
 	for n := 0; n < len(leaving) && running+len(leaving)-n > service.Replicas; n++ {
-		o.cancel(leaving[n], "replaced, its zone or VM is leaving", o.newWait(func() {}))
+		o.cancel(leaving[n], "replaced, its zone was taken out", o.newWait(func() {}))
 	}
 }
 
-func (o *owner) vmLeaving(vm string) bool {
-	v := o.books.VM(vm)
-	return v != nil && v.Seen.Leaving
-}
-
 func (o *owner) addReplica(service describer.Service) {
 	id := ""
 	for n := o.books.NextOrder(); id == "" || o.books.Task(id) != nil; n++ {
--- a/internal/kernel/reporter/reporter.go
+++ b/internal/kernel/reporter/reporter.go
@@ -110,7 +110,7 @@
 var definitions = index(
 	kernelDefinitions, platformDefinitions, fleetDefinitions,
 	requestDefinitions, controlDefinitions, agentDefinitions,
-	operatorDefinitions, standinDefinitions,
+	operatorDefinitions, standinDefinitions, runnerDefinitions,
 )
 
 func index(groups ...[]Definition) map[Code]Definition {
--- a/internal/platform/driver/driver.go
+++ b/internal/platform/driver/driver.go
@@ -118,6 +118,7 @@
 	Checkpoint string // to resume from
 	RunTime    time.Duration
 	Lease      time.Duration // from the call on; the worker ends the task after it
+	LeaseUntil time.Time     // if set, in place of Lease
 	StartBy    time.Time     // zero: any time
 }
 
@@ -133,6 +134,9 @@
 		RunTime:    messenger.Millis(o.RunTime),
 		LeaseUntil: d.config.Now().Add(o.Lease).UnixNano(),
 	}
+	if !o.LeaseUntil.IsZero() {
+		c.LeaseUntil = o.LeaseUntil.UnixNano()
+	}
 	if !o.StartBy.IsZero() {
 		c.StartBy = o.StartBy.UnixNano()
 	}
@@ -173,8 +177,13 @@
 // RenewLeases sets the leases of all running tasks to end after lease, counted
 // from this call. The worker ends a task whose lease runs out.
 func (d *Driver) RenewLeases(ctx context.Context, lease time.Duration) error {
-	now := d.config.Now()
-	c := LeaseCall{Issued: now.UnixNano(), Until: now.Add(lease).UnixNano()}
+	return d.RenewLeasesUntil(ctx, d.config.Now().Add(lease))
+}
+
+// RenewLeasesUntil sets the leases of all running tasks to end at a moment of
+// the VM's clock. A caller that is paused before the call gives nothing away.
+func (d *Driver) RenewLeasesUntil(ctx context.Context, until time.Time) error {
+	c := LeaseCall{Issued: d.config.Now().UnixNano(), Until: until.UnixNano()}
 	return d.post(ctx, PathLeases, TaskCall{}, c, nil)
 }
 
