--- /dev/null
+++ b/internal/control/controller/cell_test.go
@@ -0,0 +1,226 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bamboospread/internal/agent/runner"
+	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/platform/driver"
+	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/standin/storer"
+	"bamboospread/internal/standin/worker"
+	"bamboospread/internal/wire/connector"
+	"bamboospread/internal/wire/messenger"
+)
+
+const (
+	gib        = int64(1) << 30
+	testLimit  = 20 * time.Second
+	ownerLease = 600 * time.Millisecond
+	vmLease    = 1500 * time.Millisecond
+)
+
+// cell is a cell in one process: the stand-ins of store and workers behind
+// their HTTP interfaces, the real clients, runners and controllers.
+type cell struct {
+	t           *testing.T
+	ctx         context.Context
+	store       *storer.Store
+	storeURL    string
+	fleet       atomic.Pointer[describer.Fleet]
+	workers     []*worker.Worker
+	controllers []*Controller
+	stops       []context.CancelFunc
+	cutAgents   []*atomic.Bool
+}
+
+func newCell(t *testing.T, vms, controllers int) *cell {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &cell{t: t, ctx: ctx, store: storer.New(storer.Config{})}
+	server := httptest.NewServer(c.store.Handler())
+	c.storeURL = server.URL
+	c.setFleet(1, "")
+	var ended []chan error
+	run := func(f func(context.Context) error) context.CancelFunc {
+		own, stop := context.WithCancel(ctx)
+		done := make(chan error, 1)
+		go func() { done <- f(own) }()
+		ended = append(ended, done)
+		return stop
+	}
+	for i := range controllers {
+		ctrl := New(Config{
+			Cell: "c1", EntryID: fmt.Sprintf("e%d", i), Keeper: keeper.New(keeper.Config{URL: c.storeURL, CallTimeout: 300 * time.Millisecond}),
+			Refresh: c.refresh, Fleet: c.fleet.Load, OwnerLease: ownerLease, VMLease: vmLease, OutageLease: 2 * vmLease,
+		})
+		c.controllers = append(c.controllers, ctrl)
+		c.stops = append(c.stops, run(ctrl.Run))
+	}
+	for i := range vms {
+		c.addVM(i, run)
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, done := range ended {
+			<-done
+		}
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return c
+}
+
+func (c *cell) addVM(i int, run func(func(context.Context) error) context.CancelFunc) {
+	w := worker.New(worker.Config{Capacity: messenger.Capacity{
+		VM: fmt.Sprintf("vm%d", i), Zone: fmt.Sprintf("z%d", i%2), Rack: fmt.Sprintf("r%d", i),
+		Total: describer.Resources{Millicores: 4000, MemoryBytes: 8 * gib},
+	}})
+	server := httptest.NewServer(w.Handler())
+	c.t.Cleanup(server.Close)
+	c.workers = append(c.workers, w)
+	run(func(ctx context.Context) error { // moves the tasks on, as the worker's own loop does
+		d := driver.New(driver.Config{URL: server.URL})
+		for ctx.Err() == nil {
+			_, _ = d.FindTasks(ctx)
+			_ = pause(ctx, 10*time.Millisecond)
+		}
+		return nil
+	})
+	cut := &atomic.Bool{}
+	c.cutAgents = append(c.cutAgents, cut)
+	r := runner.New(runner.Config{
+		Cell: "c1", AgentID: fmt.Sprintf("a%d", i), Incarnation: 1, Driver: driver.New(driver.Config{URL: server.URL}),
+		CallOwner: func(ctx context.Context, method string, params, result any) error {
+			if cut.Load() {
+				return errors.New("cut")
+			}
+			return c.call(ctx, method, params, result)
+		},
+	})
+	run(r.Run)
+}
+
+func (c *cell) setFleet(version int64, zoneOut string) {
+	zones := []describer.Zone{{Name: "z0", State: describer.ZoneIn}, {Name: "z1", State: describer.ZoneIn}}
+	for i := range zones {
+		if zones[i].Name == zoneOut {
+			zones[i].State = describer.ZoneOut
+		}
+	}
+	c.fleet.Store(describer.New(describer.Config{
+		Name: "test", Version: version, Zones: zones,
+		Tenants: []describer.Tenant{{Name: "caroni", Weight: 1, Quota: describer.Resources{Millicores: 100000}}},
+		TaskClasses: []describer.TaskClass{{
+			Name: "labels", Needs: describer.Resources{Millicores: 1000, MemoryBytes: gib},
+			RunTime: 200 * time.Millisecond, Checkpoint: true, MaxAttempts: 3,
+		}},
+		Policy: describer.Policy{EvictionsPerMinute: 600},
+	}))
+}
+
+func (c *cell) refresh(context.Context) (*describer.Fleet, error) { return c.fleet.Load(), nil }
+
+// call asks each controller until one owns the cell.
+func (c *cell) call(ctx context.Context, method string, params, result any) error {
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	err = errors.New("no controller")
+	for _, ctrl := range c.controllers {
+		var a any
+		if a, err = ctrl.Handle(ctx, method, raw); err == nil {
+			out, _ := json.Marshal(a)
+			return json.Unmarshal(out, result)
+		}
+		if connector.CodeOf(err) != messenger.CodeNotOwner {
+			return err
+		}
+	}
+	return err
+}
+
+// eventually waits until f is true.
+func (c *cell) eventually(what string, f func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(testLimit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	var s messenger.Status
+	err := c.call(c.ctx, messenger.MethodStatus, messenger.StatusRequest{Cell: "c1"}, &s)
+	var story messenger.EventsReply
+	_ = c.call(c.ctx, messenger.MethodEvents, messenger.EventsRequest{Cell: "c1"}, &story)
+	for _, d := range story.Decisions[max(0, len(story.Decisions)-40):] {
+		c.t.Logf("%d %s %d %s %s %s %v", d.Number, d.Time.Format("05.000"), d.Code, d.Task, d.VM, d.Reason, d.Inputs)
+	}
+	c.t.Fatalf("did not happen in time: %s; status %+v, %v", what, s, err)
+}
+
+func (c *cell) submit(specs ...messenger.TaskSpec) []messenger.SubmitVerdict {
+	c.t.Helper()
+	var reply messenger.SubmitReply
+	c.eventually("submission", func() bool {
+		return c.call(c.ctx, messenger.MethodSubmit, messenger.SubmitRequest{Cell: "c1", Tasks: specs}, &reply) == nil
+	})
+	return reply.Verdicts
+}
+
+func (c *cell) task(id string) messenger.Task {
+	var reply messenger.FindTasksReply
+	err := c.call(c.ctx, messenger.MethodFindTasks, messenger.FindTasksOptions{Cell: "c1", IDs: []string{id}}, &reply)
+	if err != nil || len(reply.Tasks) == 0 {
+		return messenger.Task{}
+	}
+	return reply.Tasks[0]
+}
+
+func (c *cell) counts() map[messenger.TaskState]int {
+	var s messenger.Status
+	_ = c.call(c.ctx, messenger.MethodStatus, messenger.StatusRequest{Cell: "c1"}, &s)
+	return s.Tasks
+}
+
+// checkWitness fails if the workers saw a task twice at once, completed twice,
+// or a VM beyond its size.
+func (c *cell) checkWitness() {
+	c.t.Helper()
+	var all []worker.Event
+	for _, w := range c.workers {
+		all = append(all, w.Events()...)
+	}
+	running, completed := make(map[string]map[string]bool), make(map[string]int)
+	sortEvents(all)
+	for _, e := range all {
+		at := fmt.Sprintf("%s/%d", e.VM, e.Attempt)
+		if running[e.Task] == nil {
+			running[e.Task] = make(map[string]bool)
+		}
+		if e.OverCommitted {
+			c.t.Errorf("%s is over-committed by %s", e.VM, e.Task)
+		}
+		switch e.Event {
+		case worker.EventStart:
+			if len(running[e.Task]) > 0 {
+				c.t.Errorf("%s started as %s while it runs as %v", e.Task, at, running[e.Task])
+			}
+			running[e.Task][at] = true
+		default:
+			delete(running[e.Task], at)
+		}
+		if e.Event == worker.EventCompleted {
+			if completed[e.Task]++; completed[e.Task] > 1 {
+				c.t.Errorf("%s completed %d times", e.Task, completed[e.Task])
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/controller/controller_test.go
@@ -0,0 +1,205 @@
+package controller
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/standin/worker"
+	"bamboospread/internal/wire/messenger"
+)
+
+func sortEvents(all []worker.Event) {
+	sort.SliceStable(all, func(i, j int) bool { return all[i].Time.Before(all[j].Time) })
+}
+
+func labels(n int) []messenger.TaskSpec {
+	specs := make([]messenger.TaskSpec, n)
+	for i := range specs {
+		specs[i] = messenger.TaskSpec{ID: fmt.Sprintf("batch-%03d", i), Tenant: "caroni", Class: "labels"}
+	}
+	return specs
+}
+
+// TestTasksCompleteOnce submits more tasks than fit at once, twice over with
+// the same ids: each must run and complete once.
+func TestTasksCompleteOnce(t *testing.T) {
+	c := newCell(t, 3, 1)
+	for range 2 {
+		for _, v := range c.submit(labels(40)...) {
+			if !v.Accepted {
+				t.Errorf("%s refused: %s", v.ID, v.Reason)
+			}
+		}
+	}
+	c.eventually("all completed", func() bool { return c.counts()[messenger.TaskCompleted] == 40 })
+	c.checkWitness()
+}
+
+// TestOwnerDiesAndTasksGoOn kills the owner while tasks run: the successor
+// recovers the state, adopts what the agents report and starts the rest.
+func TestOwnerDiesAndTasksGoOn(t *testing.T) {
+	c := newCell(t, 3, 2)
+	c.submit(labels(60)...)
+	c.eventually("some completed", func() bool { return c.counts()[messenger.TaskCompleted] > 5 })
+	for i, ctrl := range c.controllers {
+		if ctrl.current.Load() != nil {
+			c.stops[i]()
+		}
+	}
+	c.eventually("all completed", func() bool { return c.counts()[messenger.TaskCompleted] == 60 })
+	c.checkWitness()
+}
+
+// TestLostVMCostsTheShortLease cuts an agent off: its tasks run elsewhere only
+// after its lease has run out at the worker.
+func TestLostVMCostsTheShortLease(t *testing.T) {
+	c := newCell(t, 2, 1)
+	specs := labels(6)
+	for i := range specs {
+		specs[i].RunTimeMillis = 3000
+	}
+	c.submit(specs...)
+	c.eventually("running", func() bool { return c.counts()[messenger.TaskRunning] == 6 })
+	c.cutAgents[0].Store(true)
+	cut := time.Now()
+	c.eventually("all completed", func() bool { return c.counts()[messenger.TaskCompleted] == 6 })
+	t.Logf("completed %v after the cut", time.Since(cut))
+	c.checkWitness()
+}
+
+// TestZoneOutMovesTasks takes a zone out: its tasks are checkpointed and resume
+// in the other zone from where they were.
+func TestZoneOutMovesTasks(t *testing.T) {
+	c := newCell(t, 4, 1)
+	specs := labels(6)
+	for i := range specs {
+		specs[i].RunTimeMillis = 2000
+	}
+	c.submit(specs...)
+	c.eventually("running", func() bool { return c.counts()[messenger.TaskRunning] == 6 })
+	time.Sleep(500 * time.Millisecond)
+	c.setFleet(2, "z1")
+	out := time.Now()
+	c.eventually("all completed", func() bool { return c.counts()[messenger.TaskCompleted] == 6 })
+	c.checkWitness()
+	for _, w := range c.workers {
+		for _, e := range w.Events() {
+			if e.Zone == "z1" && e.Event == worker.EventStart && e.Time.After(out.Add(contactAge+voidAfter)) {
+				t.Errorf("%s started in z1 at %v after it was taken out", e.Task, e.Time.Sub(out))
+			}
+			if e.Event == worker.EventStart && e.Attempt > 1 && e.ProgressMillis == 0 {
+				t.Errorf("%s started anew instead of resuming", e.Task)
+			}
+		}
+	}
+}
+
+// TestVerdicts submits tasks that can't run, and one that fails always.
+func TestVerdicts(t *testing.T) {
+	c := newCell(t, 4, 1)
+	c.eventually("VMs known", func() bool { return c.counts() != nil && len(c.status().VMs) == 4 })
+	cases := []struct {
+		name     string
+		spec     messenger.TaskSpec
+		accepted bool
+		state    messenger.TaskState
+	}{
+		{"unknown tenant", messenger.TaskSpec{ID: "a", Tenant: "nobody", Class: "labels"}, false, ""},
+		{"unknown class", messenger.TaskSpec{ID: "b", Tenant: "caroni", Class: "none"}, false, ""},
+		{"too big for any VM", messenger.TaskSpec{ID: "c", Tenant: "caroni", Class: "labels", Needs: describer.Resources{Millicores: 9000}}, true, messenger.TaskHeld},
+		{"beyond quota", messenger.TaskSpec{ID: "d", Tenant: "caroni", Class: "labels", Needs: describer.Resources{Millicores: 200000}}, true, messenger.TaskHeld},
+		{"ordinary", messenger.TaskSpec{ID: "e", Tenant: "caroni", Class: "labels"}, true, messenger.TaskQueued},
+		{"fails always", messenger.TaskSpec{ID: "f", Tenant: "caroni", Class: "labels", Payload: `{"run-ms":20,"fail":true}`}, true, messenger.TaskQueued},
+		{"same id, other task", messenger.TaskSpec{ID: "e", Tenant: "caroni", Class: "labels", Payload: "x"}, false, ""},
+	}
+	for _, tc := range cases {
+		v := c.submit(tc.spec)[0]
+		if v.Accepted != tc.accepted || v.State != tc.state || v.Reason == "" && tc.state != messenger.TaskQueued {
+			t.Errorf("%s: got %+v", tc.name, v)
+		}
+	}
+	c.eventually("held after its attempts", func() bool { return c.task("f").State == messenger.TaskHeld })
+	if f := c.task("f"); f.Failures != 3 {
+		t.Errorf("got %+v, want 3 failures", f)
+	}
+	var reply messenger.CancelReply
+	if err := c.call(c.ctx, messenger.MethodCancel, messenger.CancelRequest{Cell: "c1", IDs: []string{"c", "nope"}}, &reply); err != nil || reply.Cancelled != 1 || len(reply.Unknown) != 1 {
+		t.Errorf("cancel: %+v, %v", reply, err)
+	}
+}
+
+func (c *cell) status() messenger.Status {
+	var s messenger.Status
+	_ = c.call(c.ctx, messenger.MethodStatus, messenger.StatusRequest{Cell: "c1"}, &s)
+	return s
+}
+
+// TestFailingWorkerIsQuarantined lets one worker fail everything: it must not
+// use up the attempts of a wave of tasks.
+func TestFailingWorkerIsQuarantined(t *testing.T) {
+	c := newCell(t, 3, 1)
+	c.workers[0].SetFaults(worker.Faults{FailAll: true})
+	c.submit(labels(40)...)
+	c.eventually("all completed", func() bool { return c.counts()[messenger.TaskCompleted] == 40 })
+	if q := c.status().VMs[0].Quarantined; q == "" {
+		t.Error("the failing worker is not in quarantine")
+	}
+	c.checkWitness()
+}
+
+// TestCancelWave cancels thousands of tasks at once, some of them running.
+func TestCancelWave(t *testing.T) {
+	c := newCell(t, 2, 1)
+	c.submit(labels(2000)...)
+	c.eventually("some run", func() bool { return c.counts()[messenger.TaskRunning] > 0 })
+	var reply messenger.CancelReply
+	if err := c.call(c.ctx, messenger.MethodCancel, messenger.CancelRequest{Cell: "c1", Class: "labels"}, &reply); err != nil {
+		t.Fatal(err)
+	}
+	c.eventually("none left", func() bool {
+		n := c.counts()
+		return n[messenger.TaskCompleted]+n[messenger.TaskCancelled] == 2000
+	})
+	c.checkWitness()
+}
+
+// TestClaims claims a key twice, also over a change of owner.
+func TestClaims(t *testing.T) {
+	c := newCell(t, 1, 2)
+	claim := func(request, digest string) (reply messenger.ClaimReply) {
+		c.eventually("claim", func() bool {
+			return c.call(c.ctx, messenger.MethodClaim, messenger.ClaimRequest{
+				Cell: "c1", Tenant: "caroni", Service: "print", Key: "k", Digest: digest, RequestID: request,
+			}, &reply) == nil
+		})
+		return reply
+	}
+	expect := func(what string, got messenger.ClaimReply, want messenger.ClaimState) {
+		t.Helper()
+		if got.State != want {
+			t.Errorf("%s: got %s, want %s", what, got.State, want)
+		}
+	}
+	expect("first", claim("r1", "d"), messenger.ClaimGranted)
+	expect("again", claim("r1", "d"), messenger.ClaimGranted)
+	expect("other request", claim("r2", "d"), messenger.ClaimHeld)
+	expect("other digest", claim("r1", "x"), messenger.ClaimMismatch)
+	for i, ctrl := range c.controllers {
+		if ctrl.current.Load() != nil {
+			c.stops[i]()
+		}
+	}
+	expect("other request at the successor", claim("r2", "d"), messenger.ClaimHeld)
+	settle := messenger.SettleRequest{Cell: "c1", Tenant: "caroni", Key: "k", RequestID: "r1", Outcome: messenger.OutcomeRun, Answer: &messenger.KeptAnswer{Status: 201, Whole: true}}
+	if err := c.call(c.ctx, messenger.MethodSettle, settle, &messenger.Empty{}); err != nil {
+		t.Fatal(err)
+	}
+	got := claim("r2", "d")
+	expect("after it ran", got, messenger.ClaimSettled)
+	if got.Answer == nil || got.Answer.Status != 201 {
+		t.Errorf("kept answer: %+v", got.Answer)
+	}
+}
--- a/internal/control/controller/session.go
+++ b/internal/control/controller/session.go
@@ -15,6 +15,7 @@
 const (
 	maxWait          = time.Second
 	reachableFor     = 2500 * time.Millisecond // without a poll
+	heldShare        = 4                       // a poll is held for at most this part of the lease
 	leaseMarginDiv   = 20                      // clocks run at rates that differ by far less than a twentieth
 	leastLeaseMargin = 250 * time.Millisecond
 	historyFor       = time.Minute
@@ -86,7 +87,9 @@
 	if s.parked != nil {
 		s.parked.call.fail(messenger.CodeBadRequest, "replaced by a later poll")
 	}
-	wait := min(messenger.FromMillis(p.WaitMillis), maxWait)
+	// A lease counts from when its poll was sent, so a poll held long would
+	// leave nothing of it before the next reply.
+	wait := min(messenger.FromMillis(p.WaitMillis), maxWait, o.config.VMLease/heldShare)
 	s.parked = &parkedPoll{call: call, until: call.received.Add(wait)}
 }
 
