Keep queued messages whole on a connection

Cause: flush kept the buffer that it had just handed to the queue as its spare too, so the next batch was queued into the buffer being written. Change: the spare goes to the queue and is forgotten; an empty queue is left as it is.

--- a/internal/wire/connector/connector_test.go
+++ b/internal/wire/connector/connector_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -84,3 +87,33 @@
 		}
 	}
 }
+
+// TestMessagesStayWhole sends answers back and forth from several callers with
+// idle moments between. A buffer that is queued into while it is still being
+// written reaches the other side as broken bytes, which ends the connection or
+// gives a caller another one's answer.
+func TestMessagesStayWhole(t *testing.T) {
+	address := serve(t, func(_ context.Context, _ *Conn, _ string, params json.RawMessage) (any, error) {
+		return params, nil
+	})
+	c, err := Dial(context.Background(), address, refuse)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	var group sync.WaitGroup
+	for caller := range 4 {
+		group.Go(func() {
+			for i := range 300 {
+				want := fmt.Sprint(strings.Repeat("x", i*7%500), caller, i)
+				var got string
+				if err := c.Call(context.Background(), "echo", want, &got); err != nil || got != want {
+					t.Errorf("got %q, %v, want %q", got, err, want)
+					return
+				}
+				time.Sleep(time.Duration(i%3) * 100 * time.Microsecond)
+			}
+		})
+	}
+	group.Wait()
+}
--- a/internal/wire/connector/queued_conn.go
+++ b/internal/wire/connector/queued_conn.go
@@ -70,11 +70,15 @@
 		for {
 			c.mu.Lock()
 			batch := c.queue
-			c.queue = c.spare[:0]
-			c.mu.Unlock()
 			if len(batch) == 0 {
+				c.mu.Unlock()
 				break
 			}
+			// The spare buffer goes to the queue and is nobody else's: kept here
+			// too, it would be queued into while it is being written, and the
+			// other side would read broken messages.
+			c.queue, c.spare = c.spare[:0], nil
+			c.mu.Unlock()
 			// A deadline that can't be set shows as a failed write below.
 			_ = c.SetWriteDeadline(time.Now().Add(writeLimit))
 			if _, err := c.Conn.Write(batch); err != nil {
