--- a/internal/kernel/reporter/reporter.go
+++ b/internal/kernel/reporter/reporter.go
@@ -110,7 +110,7 @@
 var definitions = index(
 	kernelDefinitions, platformDefinitions, fleetDefinitions,
 	requestDefinitions, controlDefinitions, agentDefinitions, agentRequestDefinitions,
-	operatorDefinitions, standinDefinitions,
+	runnerDefinitions, operatorDefinitions, standinDefinitions,
 )
 
 func index(groups ...[]Definition) map[Code]Definition {
