Add the harness that runs real processes for integration tests

Change: starts, pauses, kills and restarts the built program; every child dies with the tests (PDEATHSIG, set from one system thread that lives on). Entries advertise a proxy that tells the connections of each agent apart by the process that owns the socket, so that one agent can be cut off alone.

--- /dev/null
+++ b/tests/harness/cluster.go
@@ -0,0 +1,277 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bamboospread/internal/operator/requester"
+	"bamboospread/internal/standin/responder"
+	"bamboospread/internal/standin/storer"
+	"bamboospread/internal/standin/worker"
+	"bamboospread/tests/proxy"
+)
+
+// Config describes a cluster of processes.
+type Config struct {
+	Entries      int // default 2
+	VMs          int // default 3; VM i is in zone i modulo Zones and rack i/3
+	Zones        int // default 3, named zone-a, zone-b, ...
+	Service      string
+	StoreArgs    []string
+	EntryArgs    []string
+	AgentArgs    []string
+	WorkerArgs   []string
+	UpstreamArgs []string
+}
+
+// Cluster is a store, entries and VMs as processes, with a proxy before the
+// store for each entry and before the RPC address of each entry. On the latter
+// connections are told apart by the name of the process that opened them.
+type Cluster struct {
+	Store    *Process
+	StoreURL string
+	Entries  []*Entry
+	VMs      []*VM
+	dir      string
+	t        testing.TB
+	mu       sync.Mutex
+	parties  []*Process // those that open connections to entries
+}
+
+// Entry is an entry with its links.
+type Entry struct {
+	*Process
+	HTTP      string       // host:port for callers and operators
+	StoreLink *proxy.Proxy // from this entry to the store
+	RPCLink   *proxy.Proxy // from agents and other entries to this one
+}
+
+// VM is a worker, an upstream and an agent.
+type VM struct {
+	Name, Zone, Rack        string
+	Worker, Upstream, Agent *Process
+	WorkerURL, UpstreamURL  string
+	Admin                   string // host:port of the agent's /metrics
+}
+
+// New starts a cluster and waits until every process is ready.
+func New(t testing.TB, c Config) *Cluster {
+	t.Helper()
+	setDefaults(&c)
+	storeAddress := FreeAddress(t)
+	k := &Cluster{t: t, dir: t.TempDir(), StoreURL: "http://" + storeAddress}
+	k.Store = StartProcess(t, "store", append([]string{"standin", "store", "--listen", storeAddress}, c.StoreArgs...)...)
+	k.wait(k.StoreURL + "/control/calls")
+	for i := range c.Entries {
+		k.Entries = append(k.Entries, k.startEntry(c, i, storeAddress))
+	}
+	for _, e := range k.Entries {
+		k.wait("http://" + e.HTTP + "/readyz")
+	}
+	for i := range c.VMs {
+		k.VMs = append(k.VMs, k.startVM(c, i))
+	}
+	for _, vm := range k.VMs {
+		k.wait("http://" + vm.Admin + "/readyz")
+	}
+	return k
+}
+
+func setDefaults(c *Config) {
+	if c.Entries == 0 {
+		c.Entries = 2
+	}
+	if c.VMs == 0 {
+		c.VMs = 3
+	}
+	if c.Zones == 0 {
+		c.Zones = 3
+	}
+	if c.Service == "" {
+		c.Service = "labelling"
+	}
+}
+
+func (k *Cluster) wait(url string) {
+	k.t.Helper()
+	WaitFor(k.t, readyLimit, url, func(ctx context.Context) error { return checkURL(ctx, url) })
+}
+
+// Link returns a proxy to target that ends with the test.
+func (k *Cluster) Link(target string) *proxy.Proxy {
+	k.t.Helper()
+	p, err := proxy.New(proxy.Config{Target: target, Classify: k.nameOfPeer})
+	if err != nil {
+		k.t.Fatal(err)
+	}
+	k.t.Cleanup(p.Close)
+	return p
+}
+
+func (k *Cluster) startEntry(c Config, i int, storeAddress string) *Entry {
+	k.t.Helper()
+	name, rpc := fmt.Sprintf("entry-%d", i+1), FreeAddress(k.t)
+	e := &Entry{HTTP: FreeAddress(k.t), StoreLink: k.Link(storeAddress), RPCLink: k.Link(rpc)}
+	var peers []string
+	for _, other := range k.Entries {
+		peers = append(peers, other.RPCLink.Address())
+	}
+	args := []string{
+		"entry", "--id", name, "--listen", e.HTTP, "--rpc-listen", rpc, "--advertise", e.RPCLink.Address(),
+		"--store-url", "http://" + e.StoreLink.Address(), "--zone", zoneName(0), "--peers", strings.Join(peers, ","),
+	}
+	e.Process = k.startParty(name, append(args, c.EntryArgs...)...)
+	return e
+}
+
+func zoneName(i int) string { return "zone-" + string(rune('a'+i)) }
+
+func (k *Cluster) startVM(c Config, i int) *VM {
+	k.t.Helper()
+	vm := &VM{
+		Name: fmt.Sprintf("vm-%d", i+1), Zone: zoneName(i % c.Zones), Rack: fmt.Sprintf("rack-%d", i/3),
+		Admin: FreeAddress(k.t),
+	}
+	worker, upstream, local := FreeAddress(k.t), FreeAddress(k.t), FreeAddress(k.t)
+	vm.WorkerURL, vm.UpstreamURL = "http://"+worker, "http://"+upstream
+	vm.Worker = StartProcess(k.t, "worker-"+vm.Name, append([]string{
+		"standin", "worker", "--listen", worker, "--vm", vm.Name, "--zone", vm.Zone, "--rack", vm.Rack,
+		"--witness-file", k.witnessFile("tasks", vm.Name),
+	}, c.WorkerArgs...)...)
+	k.wait(vm.WorkerURL + "/control/witness")
+	vm.Agent = k.startParty("agent-"+vm.Name, append([]string{
+		"agent", "--id", "agent-" + vm.Name, "--vm", vm.Name, "--zone", vm.Zone, "--rack", vm.Rack,
+		"--entries", k.Entries[0].RPCLink.Address(), "--worker-url", vm.WorkerURL,
+		"--local-listen", local, "--listen", vm.Admin,
+	}, c.AgentArgs...)...)
+	vm.Upstream = StartProcess(k.t, "upstream-"+vm.Name, append([]string{
+		"standin", "upstream", "--listen", upstream, "--id", "upstream-" + vm.Name, "--service", c.Service,
+		"--agent", "http://" + local, "--witness-file", k.witnessFile("runs", vm.Name),
+	}, c.UpstreamArgs...)...)
+	return vm
+}
+
+// CutAgent breaks or restores the links of one VM's agent to all entries.
+func (k *Cluster) CutAgent(vm *VM, f proxy.Faults) {
+	for _, e := range k.Entries {
+		e.RPCLink.SetFor(vm.Agent.Name, f)
+	}
+}
+
+// Heal ends the faults of all links, of the store, workers and upstreams.
+func (k *Cluster) Heal() {
+	k.t.Helper()
+	for _, e := range k.Entries {
+		e.StoreLink.Reset()
+		e.RPCLink.Reset()
+	}
+	k.SetStore(storer.Faults{})
+	for _, vm := range k.VMs {
+		k.Control(vm.WorkerURL+"/control/faults", worker.Faults{})
+		k.Control(vm.UpstreamURL+"/control/modes", responder.Modes{})
+	}
+}
+
+// SetStore replaces the faults of the store.
+func (k *Cluster) SetStore(f storer.Faults) {
+	k.t.Helper()
+	k.Control(k.StoreURL+"/control/faults", f)
+}
+
+// Control posts faults to a stand-in.
+func (k *Cluster) Control(url string, body any) {
+	k.t.Helper()
+	data, err := json.Marshal(body)
+	if err != nil {
+		k.t.Fatal(err)
+	}
+	a, err := http.Post(url, "application/json", bytes.NewReader(data))
+	if err != nil {
+		k.t.Fatalf("control %s: %v", url, err)
+	}
+	a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		k.t.Fatalf("control %s: %s", url, a.Status)
+	}
+}
+
+// Operator returns a client of the operators' interface through all entries.
+func (k *Cluster) Operator() *requester.Requester {
+	var entries []string
+	for _, e := range k.Entries {
+		entries = append(entries, e.HTTP)
+	}
+	return requester.New(requester.Config{Entries: entries})
+}
+
+// ApplyFleet puts the first fleet text in force.
+func (k *Cluster) ApplyFleet(text string) {
+	k.t.Helper()
+	o := requester.ApplyOptions{Text: []byte(text), ChangeID: "first"}
+	if _, err := k.Operator().Apply(context.Background(), o); err != nil {
+		k.t.Fatalf("apply the fleet text: %v", err)
+	}
+}
+
+func (k *Cluster) witnessFile(kind, vm string) string {
+	return filepath.Join(k.dir, kind+"-"+vm+".jsonl")
+}
+
+// nameOfPeer returns the name of the process at the other end of a connection
+// accepted on the loopback. It finds the socket's inode by its port, and the
+// process that has it open; that one may be too new to be listed.
+func (k *Cluster) nameOfPeer(c net.Conn) string {
+	socket := "socket:[" + inodeOfPort(c.RemoteAddr().(*net.TCPAddr).Port) + "]"
+	for range 20 {
+		k.mu.Lock()
+		parties := slices.Clone(k.parties)
+		k.mu.Unlock()
+		for _, p := range parties {
+			dir := fmt.Sprintf("/proc/%d/fd", p.PID())
+			files, _ := os.ReadDir(dir) // none if the process has ended
+			for _, f := range files {
+				if target, _ := os.Readlink(filepath.Join(dir, f.Name())); target == socket {
+					return p.Name
+				}
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return ""
+}
+
+// startParty starts a process that opens connections to entries.
+func (k *Cluster) startParty(name string, args ...string) *Process {
+	k.t.Helper()
+	p := StartProcess(k.t, name, args...)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.parties = append(k.parties, p)
+	return p
+}
+
+func inodeOfPort(port int) string {
+	const localAddress, inode = 1, 9 // columns
+	data, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return ""
+	}
+	for line := range strings.Lines(string(data)) {
+		columns := strings.Fields(line)
+		if len(columns) > inode && columns[localAddress] == fmt.Sprintf("0100007F:%04X", port) {
+			return columns[inode]
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/tests/harness/process.go
@@ -0,0 +1,257 @@
+// Package harness runs the program as real processes for integration tests:
+// it starts, signals and ends them, puts the fault proxy between them, and reads
+// the records of the stand-ins, which are the witnesses.
+package harness
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// Ports below the range from which the system takes those of outgoing
+	// connections, so that a restarted process finds its port free.
+	portMin, portMax = 12000, 30000
+	readyLimit       = 30 * time.Second
+	shownLogLines    = 60
+)
+
+// Seed returns the seed of a test and prints it. BAMBOOSPREAD_SEED sets it.
+func Seed(t testing.TB) uint64 {
+	t.Helper()
+	seed := uint64(time.Now().UnixNano())
+	if s, err := strconv.ParseUint(os.Getenv("BAMBOOSPREAD_SEED"), 10, 64); err == nil {
+		seed = s
+	}
+	t.Logf("seed %d (set BAMBOOSPREAD_SEED to repeat)", seed)
+	return seed
+}
+
+// Binary returns the path of the program: BAMBOOSPREAD_BINARY, or one built once
+// for this run of tests.
+func Binary(t testing.TB) string {
+	t.Helper()
+	path, err := buildOnce()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+var buildOnce = sync.OnceValues(func() (string, error) {
+	if path := os.Getenv("BAMBOOSPREAD_BINARY"); path != "" {
+		return path, nil
+	}
+	dir, err := os.MkdirTemp("", "bamboospread-test-")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "bamboospread")
+	out, err := exec.Command("go", "build", "-o", path, "bamboospread").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build the program: %w\n%s", err, out)
+	}
+	return path, nil
+})
+
+// Run runs a command of the program to its end and returns its output and exit
+// code.
+func Run(t testing.TB, args ...string) (string, int) {
+	t.Helper()
+	cmd := exec.Command(Binary(t), args...)
+	var errors strings.Builder
+	cmd.Stderr = &errors
+	out, err := cmd.Output()
+	if cmd.ProcessState == nil {
+		t.Fatalf("run %v: %v", args, err)
+	}
+	if code := cmd.ProcessState.ExitCode(); code != 0 {
+		t.Logf("%v ended with %d: %s", args, code, errors.String())
+	}
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// FreeAddress returns an address of the loopback on which nothing listens.
+func FreeAddress(t testing.TB) string {
+	t.Helper()
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", portMin+rand.IntN(portMax-portMin))
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// starter runs functions on one system thread that lives as long as the tests:
+// the kernel kills children with PDEATHSIG when the thread that started them
+// ends, which for an ordinary goroutine can be long before the process does.
+var starter = sync.OnceValue(func() chan<- func() {
+	jobs := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for job := range jobs {
+			job()
+		}
+	}()
+	return jobs
+})
+
+// Process is a running program that ends with the test.
+type Process struct {
+	Name string
+	Args []string
+
+	t    testing.TB
+	log  string
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error // of the end, once done is closed
+}
+
+// StartProcess starts the program with the given arguments. Its log is shown
+// when the test fails.
+func StartProcess(t testing.TB, name string, args ...string) *Process {
+	t.Helper()
+	p := &Process{Name: name, Args: args, t: t, log: filepath.Join(t.TempDir(), name+".log")}
+	p.Start()
+	t.Cleanup(func() {
+		p.Kill()
+		if t.Failed() {
+			t.Logf("end of the log of %s:\n%s", name, p.logEnd())
+		}
+	})
+	return p
+}
+
+// Start starts the process again after it ended.
+func (p *Process) Start() {
+	p.t.Helper()
+	file, err := os.OpenFile(p.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer file.Close()
+	cmd := exec.Command(Binary(p.t), p.Args...)
+	cmd.Stdout, cmd.Stderr = file, file
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	starter() <- func() { started <- cmd.Start() }
+	if err := <-started; err != nil {
+		p.t.Fatalf("start %s: %v", p.Name, err)
+	}
+	done := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.done = cmd, done
+	p.mu.Unlock()
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		p.err = err
+		p.mu.Unlock()
+		close(done)
+	}()
+}
+
+// PID returns the id of the running process.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
+func (p *Process) signal(s syscall.Signal) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(s) // it may have ended
+	return p.done
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() { <-p.signal(syscall.SIGKILL) }
+
+// Pause stops the process until Resume.
+func (p *Process) Pause() { p.signal(syscall.SIGSTOP) }
+
+// Resume lets a paused process go on.
+func (p *Process) Resume() { p.signal(syscall.SIGCONT) }
+
+// Terminate asks for a graceful stop and returns how the process ended.
+func (p *Process) Terminate(limit time.Duration) error {
+	select {
+	case <-p.signal(syscall.SIGTERM):
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.err
+	case <-time.After(limit):
+		return fmt.Errorf("%s did not end within %s", p.Name, limit)
+	}
+}
+
+// Restart kills the process and starts it again.
+func (p *Process) Restart() {
+	p.t.Helper()
+	p.Kill()
+	p.Start()
+}
+
+func (p *Process) logEnd() string {
+	data, err := os.ReadFile(p.log)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	return strings.Join(lines[max(0, len(lines)-shownLogLines):], "\n")
+}
+
+// WaitFor waits until check returns nil.
+func WaitFor(t testing.TB, limit time.Duration, what string, check func(ctx context.Context) error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	for {
+		err := check(ctx)
+		if err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			t.Fatalf("%s not within %s: %v", what, limit, err)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// checkURL returns nil when the URL answers with status 200.
+func checkURL(ctx context.Context, url string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return errors.New(a.Status)
+	}
+	return nil
+}
--- a/tests/proxy/proxy.go
+++ b/tests/proxy/proxy.go
@@ -34,32 +34,43 @@
 	BytesPerSec int           // each way and connection; 0: no limit
 }
 
+// Config holds the settings of a Proxy.
+type Config struct {
+	Target string // host:port
+	// Classify, if set, names the party that opened a connection, so that
+	// faults can be set for one party alone.
+	Classify func(net.Conn) string
+}
+
 // Proxy forwards connections to one target.
 type Proxy struct {
+	config   Config
 	listener net.Listener
-	target   string
-	faults   atomic.Pointer[Faults]
 
 	mu      sync.Mutex
-	changed chan struct{} // closed and replaced when faults change
+	all     Faults
+	byClass map[string]Faults // goes before all
+	changed chan struct{}     // closed and replaced when faults change
 	links   map[*link]bool
-	closed  bool
 }
 
 // link is one connection with both its ends.
 type link struct {
+	class          string
 	client, server net.Conn
 	torn           atomic.Bool // bytes were swallowed: it can't go on when the fault ends
 }
 
-// New returns a proxy to target that listens on a port of its own.
-func New(target string) (*Proxy, error) {
+// New returns a proxy to a target that listens on a port of its own.
+func New(c Config) (*Proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), links: make(map[*link]bool)}
-	p.faults.Store(&Faults{})
+	p := &Proxy{
+		config: c, listener: l, byClass: make(map[string]Faults),
+		changed: make(chan struct{}), links: make(map[*link]bool),
+	}
 	go p.accept()
 	return p, nil
 }
@@ -67,31 +78,63 @@
 // Address returns where the proxy listens.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
-// Set replaces the faults in force. Connections that lost bytes are reset once
-// the link is whole again.
+// Set replaces the faults in force for all but the classes that have their own.
+// Connections that lost bytes are reset once the link is whole again.
 func (p *Proxy) Set(f Faults) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.faults.Store(&f)
+	p.all = f
+	p.applyLocked()
+}
+
+// SetFor replaces the faults in force for the connections of one class.
+func (p *Proxy) SetFor(class string, f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.byClass[class] = f
+	p.applyLocked()
+}
+
+// Reset ends all faults.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.all, p.byClass = Faults{}, make(map[string]Faults)
+	p.applyLocked()
+}
+
+func (p *Proxy) applyLocked() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 	for l := range p.links {
-		if f.Refuse || (f.Cut == 0 && l.torn.Load()) {
+		if f := p.faultsLocked(l.class); f.Refuse || (f.Cut == 0 && l.torn.Load()) {
 			l.reset()
 		}
 	}
 }
 
-// Reset ends all faults.
-func (p *Proxy) Reset() { p.Set(Faults{}) }
+func (p *Proxy) faultsLocked(class string) Faults {
+	if f, ok := p.byClass[class]; ok {
+		return f
+	}
+	return p.all
+}
+
+// look returns the faults in force and a channel that is closed at the next
+// change.
+func (p *Proxy) look(class string) (Faults, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faultsLocked(class), p.changed
+}
 
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	p.listener.Close()
 	p.mu.Lock()
-	p.closed = true
-	p.mu.Unlock()
-	p.Set(Faults{Refuse: true})
+	defer p.mu.Unlock()
+	p.all, p.byClass = Faults{Refuse: true}, nil
+	p.applyLocked()
 }
 
 func (p *Proxy) accept() {
@@ -100,17 +143,15 @@
 		if err != nil {
 			return
 		}
-		go p.connect(c)
+		go p.connect(&link{client: c})
 	}
 }
 
-func (p *Proxy) connect(client net.Conn) {
-	l := &link{client: client}
-	if p.faults.Load().Refuse {
-		l.reset()
-		return
+func (p *Proxy) connect(l *link) {
+	if p.config.Classify != nil {
+		l.class = p.config.Classify(l.client)
 	}
-	server, err := net.DialTimeout("tcp", p.target, time.Second)
+	server, err := net.DialTimeout("tcp", p.config.Target, time.Second)
 	if err != nil {
 		l.reset()
 		return
@@ -118,14 +159,14 @@
 	l.server = server
 	p.mu.Lock()
 	p.links[l] = true
-	closed := p.closed
+	refuse := p.faultsLocked(l.class).Refuse
 	p.mu.Unlock()
-	if closed || p.faults.Load().Refuse {
+	if refuse {
 		l.reset()
 	}
 	var both sync.WaitGroup
-	both.Go(func() { p.pump(l, client, server, ToServer) })
-	both.Go(func() { p.pump(l, server, client, ToClient) })
+	both.Go(func() { p.pump(l, l.client, l.server, ToServer) })
+	both.Go(func() { p.pump(l, l.server, l.client, ToClient) })
 	both.Wait()
 	p.mu.Lock()
 	delete(p.links, l)
@@ -170,7 +211,7 @@
 			l.reset()
 		}
 	}
-	if p.release(way).Cut&way != 0 || l.torn.Load() {
+	if p.release(l, way).Cut&way != 0 || l.torn.Load() {
 		return // the other end must not learn over a cut link that this one closed
 	}
 	if t, ok := to.(*net.TCPConn); ok {
@@ -179,23 +220,20 @@
 }
 
 // release waits until nothing holds the way and returns the faults in force.
-func (p *Proxy) release(way Way) Faults {
+func (p *Proxy) release(l *link, way Way) Faults {
 	for {
-		p.mu.Lock()
-		changed := p.changed
-		p.mu.Unlock()
-		f := p.faults.Load()
+		f, changed := p.look(l.class)
 		if f.Hold&way == 0 {
-			return *f
+			return f
 		}
 		<-changed
 	}
 }
 
 func (p *Proxy) deliver(l *link, to net.Conn, way Way, c chunk) bool {
-	f := p.release(way)
+	f := p.release(l, way)
 	time.Sleep(time.Until(c.arrived.Add(f.Delay)))
-	f = p.release(way) // it may have changed meanwhile
+	f = p.release(l, way) // it may have changed meanwhile
 	if f.BytesPerSec > 0 {
 		time.Sleep(time.Duration(len(c.data)) * time.Second / time.Duration(f.BytesPerSec))
 	}
--- a/tests/proxy/proxy_test.go
+++ b/tests/proxy/proxy_test.go
@@ -71,7 +71,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			target, read := echo(t)
-			p, err := New(target)
+			p, err := New(Config{Target: target})
 			if err != nil {
 				t.Fatal(err)
 			}
