--- a/internal/control/bookkeeper/bookkeeper.go
+++ b/internal/control/bookkeeper/bookkeeper.go
@@ -282,3 +282,6 @@
 
 // NextOrder returns the place in the order of submission of the next task.
 func (b *Books) NextOrder() int64 { return b.s.NextOrder }
+
+// Count returns the number of tasks in one state.
+func (b *Books) Count(s messenger.TaskState) int { return b.counts[s] }
--- /dev/null
+++ b/internal/control/bookkeeper/bookkeeper_test.go
@@ -0,0 +1,191 @@
+package bookkeeper
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/wire/messenger"
+)
+
+var start = time.Date(2026, 12, 3, 0, 0, 0, 0, time.UTC)
+
+// drawRecord returns any record, sensible or not, over a few tasks and VMs.
+func drawRecord(t *rapid.T, n int) Record {
+	pick := func(prefix string, many int) string {
+		return fmt.Sprintf("%s%d", prefix, rapid.IntRange(1, many).Draw(t, prefix))
+	}
+	task, vm := pick("t", 6), pick("v", 3)
+	attempt := int64(rapid.IntRange(1, 4).Draw(t, "attempt"))
+	r := Record{At: start.Add(time.Duration(n) * time.Second)}
+	if rapid.Bool().Draw(t, "decision") {
+		r.Decision = &messenger.Decision{Task: task, VM: vm, Reason: "drawn", Inputs: map[string]string{"n": fmt.Sprint(n)}}
+	}
+	needs := describer.Resources{Millicores: int64(rapid.IntRange(0, 900).Draw(t, "needs")), MemoryBytes: int64(rapid.IntRange(0, 90).Draw(t, "memory"))}
+	switch rapid.IntRange(0, 15).Draw(t, "kind") {
+	case 0:
+		r.TookOver = &TookOver{Epoch: int64(n), EntryID: "e", VMLease: 6 * time.Second, OutageLease: time.Duration(n) * time.Second}
+	case 1:
+		r.Settled = &LeasesSettled{}
+	case 2, 3:
+		r.VMSeen = &VMSeen{Capacity: messenger.Capacity{VM: vm, Zone: "z", Total: describer.Resources{Millicores: 1000, MemoryBytes: 100}}, AgentID: "a", Incarnation: int64(n)}
+	case 4:
+		r.Quarantine = &Quarantine{VM: vm, Reason: rapid.SampledFrom([]string{"", "fails"}).Draw(t, "reason"), Until: r.At}
+	case 5, 6, 7:
+		r.Submitted = &Submitted{Spec: messenger.TaskSpec{ID: task, Tenant: "x", Needs: needs, Payload: "p"}, Digest: "d"}
+	case 8, 9, 10:
+		r.Started = &Started{Task: task, VM: vm, Attempt: attempt}
+	case 11:
+		r.Confirmed = &Confirmed{Task: task, Attempt: attempt}
+	case 12:
+		r.Stopping = &Stopping{Task: task, Attempt: attempt, Kind: rapid.SampledFrom([]StopKind{StopMove, StopCancel, StopAbort}).Draw(t, "stop")}
+	case 13:
+		next := rapid.SampledFrom([]messenger.TaskState{messenger.TaskQueued, messenger.TaskCompleted, messenger.TaskCancelled, messenger.TaskHeld}).Draw(t, "next")
+		r.Ended = &Ended{Task: task, Attempt: attempt, Next: next, Failed: rapid.Bool().Draw(t, "failed"), Checkpoint: rapid.SampledFrom([]string{"", "c"}).Draw(t, "checkpoint")}
+	case 14:
+		r.Cancelled = &Cancelled{Task: task}
+	case 15:
+		if rapid.Bool().Draw(t, "close") {
+			r.ClaimClosed = &ClaimClosed{Tenant: "x", Key: task, RequestID: vm, Outcome: rapid.SampledFrom([]messenger.Outcome{messenger.OutcomeRun, messenger.OutcomeNotRun, messenger.OutcomeUnknown}).Draw(t, "outcome")}
+		} else {
+			r.Claimed = &Claimed{Tenant: "x", Key: task, RequestID: vm}
+		}
+	}
+	return r
+}
+
+func encode(t *rapid.T, b *Books) string {
+	raw, err := b.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(raw)
+}
+
+// TestReplayAfterCut journals what was applied, snapshots at any record, and
+// replays the rest on the decoded snapshot: the state is the same, and each
+// journalled record applies again.
+func TestReplayAfterCut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New()
+		var journal [][]byte
+		count := rapid.IntRange(1, 80).Draw(t, "records")
+		cut := rapid.IntRange(0, count).Draw(t, "cut")
+		snapshot, from := encode(t, b), 0
+		for n := range count {
+			r := drawRecord(t, n+1)
+			raw, err := json.Marshal(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			before := encode(t, b)
+			if b.Apply(r) == nil {
+				journal = append(journal, raw)
+			} else if after := encode(t, b); after != before {
+				t.Fatalf("a refused record changed the state: %s", cmp.Diff(before, after))
+			}
+			if n+1 == cut {
+				snapshot, from = encode(t, b), len(journal)
+			}
+		}
+		again, err := Decode([]byte(snapshot))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, raw := range journal[from:] {
+			var r Record
+			if err := json.Unmarshal(raw, &r); err != nil {
+				t.Fatal(err)
+			}
+			if err := again.Apply(r); err != nil {
+				t.Fatalf("journalled record does not apply again: %v", err)
+			}
+		}
+		if diff := cmp.Diff(encode(t, b), encode(t, again)); diff != "" {
+			t.Fatal(diff)
+		}
+		if diff := cmp.Diff(b.Counts(), again.Counts()); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+// TestNeverOvercommits applies any records: what tasks hold of a VM never
+// exceeds it, and a task never holds two VMs.
+func TestNeverOvercommits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New()
+		for n := range rapid.IntRange(1, 120).Draw(t, "records") {
+			_ = b.Apply(drawRecord(t, n+1))
+			held := make(map[string]string)
+			for _, vm := range b.VMs() {
+				if c := b.Committed(vm); !c.Fits(b.VM(vm).Seen.Capacity.Total) {
+					t.Fatalf("%s is committed for %+v", vm, c)
+				}
+				for _, task := range b.On(vm) {
+					if other, twice := held[task.Spec.ID]; twice {
+						t.Fatalf("%s holds %s and %s", task.Spec.ID, other, vm)
+					}
+					held[task.Spec.ID] = vm
+				}
+			}
+		}
+	})
+}
+
+// TestUpstreamsAreCommitted counts upstreams beside tasks; that of a replica
+// task counts once.
+func TestUpstreamsAreCommitted(t *testing.T) {
+	needs := describer.Resources{Millicores: 300}
+	cases := []struct {
+		name      string
+		replicas  int
+		upstreams int64
+		want      int64
+	}{
+		{"upstreams of others", 0, 2, 600},
+		{"a replica and its upstream", 1, 1, 300},
+		{"a replica before its upstream", 2, 1, 600},
+		{"more upstreams than replicas", 1, 3, 900},
+	}
+	for _, c := range cases {
+		b := New()
+		seen := &VMSeen{Capacity: messenger.Capacity{VM: "v", Total: describer.Resources{Millicores: 1000}}}
+		records := []Record{{VMSeen: seen}}
+		for i := range c.replicas {
+			id := fmt.Sprint("r", i)
+			records = append(records, Record{Submitted: &Submitted{Spec: messenger.TaskSpec{ID: id, Service: "s", Needs: needs}}},
+				Record{Started: &Started{Task: id, VM: "v", Attempt: 1}})
+		}
+		announced := *seen
+		announced.Services = []ServiceHold{{Service: "s", Count: c.upstreams, Needs: needs}}
+		for _, r := range append(records, Record{VMSeen: &announced}) {
+			if err := b.Apply(r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := b.Committed("v").Millicores; got != c.want {
+			t.Errorf("%s: got %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+func BenchmarkEncode(b *testing.B) {
+	books := New()
+	for n := range 10000 {
+		spec := messenger.TaskSpec{ID: fmt.Sprint("task-", n), Tenant: "caroni", Class: "labels"}
+		if err := books.Apply(Record{At: start, Submitted: &Submitted{Spec: spec}}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for b.Loop() {
+		if _, err := books.Encode(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -47,6 +47,7 @@
 	Observe      func(vm string, usage messenger.Usage, placed []Placement)
 	Interference func(service, class string) (slowdown, confidence float64) // may be nil
 	Pressure     func(vm, service string) float64                           // may be nil
+	Recent       func(vm, service string) []placer.Window                   // may be nil
 	Reporter     *reporter.Reporter
 	Metrics      *metrics.Set
 	Now          func() time.Time
@@ -66,6 +67,7 @@
 	TaskID  string
 	Class   string
 	Service string
+	Percent int // 0 or 100: not throttled
 	From    time.Time
 	To      time.Time // zero: still there
 }
--- a/internal/control/controller/order.go
+++ b/internal/control/controller/order.go
@@ -59,7 +59,7 @@
 }
 
 func (o *owner) needContact() bool {
-	return o.books.CountQueued() > 0 || o.books.Counts()[messenger.TaskStarting] > 0
+	return o.books.CountQueued() > 0 || o.books.Count(messenger.TaskStarting) > 0
 }
 
 func (o *owner) takeContact(e contactEvent) {
--- a/internal/control/controller/planning.go
+++ b/internal/control/controller/planning.go
@@ -17,23 +17,29 @@
 )
 
 // plan runs a round of the placer if there is work for it. Starts need a recent
-// store contact; without one the round waits for it.
+// store contact; a round without one only moves and throttles.
 func (o *owner) plan() {
 	now := o.config.Now()
 	since := now.Sub(o.planned)
-	work := o.books.CountQueued() > 0 || o.books.Counts()[messenger.TaskRunning] > 0
-	if !work || !o.freshAt(now) || o.slow() || o.stopping || !o.held() {
+	queued, fresh := o.books.CountQueued() > 0, o.freshAt(now)
+	work := queued || o.books.Count(messenger.TaskRunning) > 0
+	if !work || o.slow() || o.stopping || !o.held() {
 		return
 	}
-	if since < roundEvery && !o.urgent && !(o.dirty && since >= roundPause) {
+	if since < roundEvery && !(fresh && (o.urgent || o.dirty && since >= roundPause)) {
 		return
 	}
-	o.planned, o.dirty, o.urgent = now, false, false
 	snapshot := o.snapshot(now)
+	if !fresh {
+		snapshot.Queued = nil
+	}
+	o.planned, o.dirty, o.urgent = now, false, false
 	began := time.Now()
 	plan := o.config.Placer.Plan(snapshot)
 	o.meters.round.Update(time.Since(began).Seconds())
-	o.waits = plan.Waits
+	if fresh {
+		o.waits = plan.Waits
+	}
 	o.carryOut(plan, now)
 }
 
@@ -53,7 +59,10 @@
 			continue
 		}
 		d := messenger.Decision{Task: h.TaskID, VM: t.VM, Reason: h.Reason, Inputs: h.Inputs}
-		o.decide(bookkeeper.Record{Throttled: &bookkeeper.Throttled{Task: h.TaskID, Percent: h.Percent}}, reporter.ThrottleDecided, d, nil)
+		if o.decide(bookkeeper.Record{Throttled: &bookkeeper.Throttled{Task: h.TaskID, Percent: h.Percent}}, reporter.ThrottleDecided, d, nil) {
+			o.session(t.VM).closeHistory(h.TaskID, now)
+			o.session(t.VM).openHistory(t, now)
+		}
 	}
 	for _, h := range plan.Holds {
 		if t := o.books.Task(h.TaskID); t != nil && t.State == messenger.TaskQueued {
@@ -95,6 +104,7 @@
 func (o *owner) snapshot(now time.Time) placer.Snapshot {
 	s := placer.Snapshot{
 		Now: now, Fleet: o.fleet, Interference: o.config.Interference, Pressure: o.config.Pressure,
+		Recent: o.config.Recent, Unsettled: !o.settled,
 		EvictionsLeft: o.evicts.left(now, o.evictionRate()),
 	}
 	names := o.books.VMs()
--- a/internal/control/controller/submission.go
+++ b/internal/control/controller/submission.go
@@ -146,7 +146,7 @@
 
 // checkHeld queues tasks again that were held as impossible and now are not.
 func (o *owner) checkHeld() {
-	if o.books.Counts()[messenger.TaskHeld] == 0 {
+	if o.books.Count(messenger.TaskHeld) == 0 {
 		return
 	}
 	for _, t := range o.books.Tasks() {
--- a/internal/control/controller/usage.go
+++ b/internal/control/controller/usage.go
@@ -26,7 +26,7 @@
 }
 
 func (s *session) openHistory(t *bookkeeper.Task, now time.Time) {
-	s.history = append(s.history, Placement{TaskID: t.Spec.ID, Class: t.Spec.Class, Service: t.Spec.Service, From: now.Round(0)})
+	s.history = append(s.history, Placement{TaskID: t.Spec.ID, Class: t.Spec.Class, Service: t.Spec.Service, Percent: t.Percent, From: now.Round(0)})
 }
 
 func (s *session) closeHistory(id string, now time.Time) {
--- a/internal/control/controller/zone.go
+++ b/internal/control/controller/zone.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"bamboospread/internal/control/bookkeeper"
@@ -53,40 +54,17 @@
 	return defaultEvictionsPerMinute
 }
 
-// checkZones moves running tasks out of zones that were taken out, within the
-// budget: first those that lose nothing by it.
+// checkZones withdraws starts in zones that were taken out. What runs there is
+// moved by the placer's rounds, within the eviction budget.
 func (o *owner) checkZones(now time.Time) {
 	for zone, at := range o.returned {
 		if now.Sub(at) > forgetReturnAfter {
 			delete(o.returned, zone)
 		}
 	}
-	if o.slow() || o.fleet.Version() == 0 {
-		return
-	}
-	o.withdrawStarts()
-	for _, checkpoint := range []bool{true, false} {
-		for _, vm := range o.books.VMs() {
-			if o.zoneOut(vm) && !o.moveAll(vm, checkpoint, now) {
-				return
-			}
-		}
-	}
-}
-
-// moveAll moves batch tasks off a VM until the budget ends.
-func (o *owner) moveAll(vm string, checkpoint bool, now time.Time) bool {
-	for _, t := range o.books.On(vm) {
-		class, _ := o.fleet.TaskClass(t.Spec.Class)
-		if t.State != messenger.TaskRunning || t.Spec.Service != "" || class.Checkpoint != checkpoint {
-			continue
-		}
-		if !o.evicts.take(now, o.evictionRate()) {
-			return false
-		}
-		o.move(t, "its zone was taken out", map[string]string{"zone": o.books.VM(vm).Seen.Capacity.Zone})
+	if o.fleet.Version() > 0 {
+		o.withdrawStarts()
 	}
-	return true
 }
 
 // checkReplicas keeps the wanted number of replicas of each service. Replicas in
@@ -128,6 +106,8 @@
 	for n := len(staying); n < service.Replicas; n++ {
 		o.addReplica(service)
 	}
+	// Surplus: first those that do not run yet, and of the others the latest.
+	slices.SortStableFunc(staying, func(a, b *bookkeeper.Task) int { return startRank(a) - startRank(b) })
 	for len(staying) > service.Replicas {
 		last := staying[len(staying)-1]
 		staying = staying[:len(staying)-1]
@@ -139,6 +119,16 @@
 	}
 }
 
+func startRank(t *bookkeeper.Task) int {
+	switch t.State {
+	case messenger.TaskRunning:
+		return 0
+	case messenger.TaskStarting:
+		return 1
+	}
+	return 2
+}
+
 func (o *owner) addReplica(service describer.Service) {
 	id := ""
 	for n := o.books.NextOrder(); id == "" || o.books.Task(id) != nil; n++ {
--- a/internal/control/journaler/journaler.go
+++ b/internal/control/journaler/journaler.go
@@ -49,7 +49,9 @@
 	CompareAndSwap func(ctx context.Context, o keeper.SwapOptions) (int64, error)
 	DeleteRecord   func(ctx context.Context, key string, revision int64) error
 	// NewID returns an id that no other entry of any process has.
-	NewID         func() string
+	NewID func() string
+	// Pause waits between tries; nil: by a timer.
+	Pause         func(ctx context.Context, d time.Duration) error
 	SnapshotEvery int           // entries between snapshots; 0: 500
 	DeletePause   time.Duration // between deletions of old entries, to spare the store
 }
@@ -95,6 +97,9 @@
 	if c.SnapshotEvery <= 0 {
 		c.SnapshotEvery = defaultSnapshotAt
 	}
+	if c.Pause == nil {
+		c.Pause = pause
+	}
 	return &Journaler{config: c, tail: make(chan ref, 1<<16)}
 }
 
@@ -171,7 +176,7 @@
 				return 0, nil, ErrFenced{Cell: j.config.Cell, Seq: e.Seq}
 			}
 		}
-		if err := pause(ctx, wait); err != nil {
+		if err := j.config.Pause(ctx, wait); err != nil {
 			return 0, nil, fmt.Errorf("append entry %d of cell %s: %w", e.Seq, j.config.Cell, err)
 		}
 	}
--- a/internal/control/journaler/recovery.go
+++ b/internal/control/journaler/recovery.go
@@ -17,23 +17,23 @@
 // fails: it holds the number at which that entry stands, or a lower one.
 // Opening returns the records of the opening entry for its epoch.
 func (j *Journaler) Open(ctx context.Context, opening func(epoch int64) ([]json.RawMessage, error)) (Recovered, error) {
-	var r Recovered
 	var err error
-	for try := 0; try < maxOpenTries; try++ {
-		if r, err = j.read(ctx); err != errMoved {
+	for range maxOpenTries {
+		var r Recovered
+		if r, err = j.read(ctx); err == nil {
+			err = j.open(ctx, &r, opening)
+		}
+		if err == nil {
+			return r, nil
+		}
+		if err != errMoved {
 			break
 		}
-		if err := pause(ctx, firstRetry); err != nil {
+		if err := j.config.Pause(ctx, firstRetry); err != nil {
 			return Recovered{}, err
 		}
 	}
-	if err != nil {
-		return Recovered{}, fmt.Errorf("recover cell %s: %w", j.config.Cell, err)
-	}
-	if err := j.open(ctx, &r, opening); err != nil {
-		return Recovered{}, fmt.Errorf("open epoch of cell %s: %w", j.config.Cell, err)
-	}
-	return r, nil
+	return Recovered{}, fmt.Errorf("recover cell %s: %w", j.config.Cell, err)
 }
 
 func (j *Journaler) read(ctx context.Context) (Recovered, error) {
@@ -86,6 +86,7 @@
 // open appends the opening entry. An earlier owner that still runs may take
 // numbers meanwhile; its entries are part of the state.
 func (j *Journaler) open(ctx context.Context, r *Recovered, opening func(epoch int64) ([]json.RawMessage, error)) error {
+	before := j.head
 	for {
 		records, err := opening(r.Epoch + 1)
 		if err != nil {
@@ -100,6 +101,9 @@
 			return err
 		}
 		if taken == nil {
+			if err := j.confirmOpen(ctx, before); err != nil {
+				return err
+			}
 			r.Epoch = e.Epoch
 			r.Entries = append(r.Entries, e)
 			j.epoch = e.Epoch
@@ -111,3 +115,26 @@
 		}
 	}
 }
+
+// confirmOpen checks that the snapshot's head has not moved since the journal
+// was listed. An earlier owner that still ran may have appended, snapshotted and
+// deleted entries meanwhile. Since opening entries are left standing, the list
+// then looks whole, a number after it is free again although it was used, and
+// the new state lacks what was journalled under it. That owner moved the head
+// before it deleted, so a head that stands still after the opening entry was
+// created proves that nothing was missed. An opening entry that stands where it
+// should not is harmless: its owner starts over and never acts under its epoch.
+func (j *Journaler) confirmOpen(ctx context.Context, before head) error {
+	for {
+		err := j.readHead(ctx)
+		if err == nil && j.head != before {
+			return errMoved
+		}
+		if err == nil {
+			return nil
+		}
+		if err := j.config.Pause(ctx, lastRetry); err != nil {
+			return err
+		}
+	}
+}
--- a/internal/control/journaler/snapshot.go
+++ b/internal/control/journaler/snapshot.go
@@ -82,7 +82,7 @@
 		if j.head.Seq > h.Seq || j.head.Epoch > h.Epoch {
 			return ErrFenced{Cell: j.config.Cell, Seq: h.Seq}
 		}
-		if err := pause(ctx, firstRetry); err != nil {
+		if err := j.config.Pause(ctx, firstRetry); err != nil {
 			return err
 		}
 	}
@@ -187,7 +187,7 @@
 		return fmt.Errorf("delete journal entry %d: %w", r.seq, err)
 	}
 	if j.config.DeletePause > 0 {
-		return pause(ctx, j.config.DeletePause)
+		return j.config.Pause(ctx, j.config.DeletePause)
 	}
 	return nil
 }
