Relieve services also while nothing is queued

Cause: a round of the placer needed a recent store contact, and a contact was asked for only while something was queued or starting; so with an empty queue, or a slow store, services under pressure were never relieved. Found by reading. Change: a round without a contact leaves the queue out. A planned hand-over is no longer logged as lost ownership. Not measured: relief under a slow store.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -112,7 +112,7 @@
 		if err := c.elector.Acquire(ctx); err != nil {
 			continue
 		}
-		if err := c.own(ctx); err != nil && ctx.Err() == nil {
+		if err := c.own(ctx); err != nil && ctx.Err() == nil && !c.drained.Load() {
 			c.config.Reporter.Report(reporter.OwnershipLost, reporter.Fields{"cell": c.config.Cell, "error": err.Error()})
 		}
 		_ = pause(ctx, recoveryPause)
--- a/internal/control/controller/order.go
+++ b/internal/control/controller/order.go
@@ -67,7 +67,7 @@
 	if e.err != nil || e.fleet == nil {
 		return
 	}
-	o.contact = e
+	o.contact, o.dirty = e, true
 	o.takeFleet(e.fleet)
 	o.withdrawStarts()
 }
--- a/internal/control/controller/planning.go
+++ b/internal/control/controller/planning.go
@@ -14,15 +14,24 @@
 const (
 	roundPause = 50 * time.Millisecond
 	roundEvery = 200 * time.Millisecond
+	// staleRoundEvery is the pace of rounds that only relieve services, while
+	// queued tasks wait for a store contact.
+	staleRoundEvery = time.Second
 )
 
 // plan runs a round of the placer if there is work for it. Starts need a recent
-// store contact; without one the round waits for it.
+// store contact; a round without one leaves the queue out, so that services
+// under pressure are relieved also while nothing is queued, and no contact is
+// asked for, or while the store is slow.
 func (o *owner) plan() {
 	now := o.config.Now()
 	since := now.Sub(o.planned)
 	work := o.books.CountQueued() > 0 || o.books.Counts()[messenger.TaskRunning] > 0
-	if !work || !o.freshAt(now) || o.slow() || o.stopping || !o.held() {
+	if !work || o.slow() || o.stopping || !o.held() {
+		return
+	}
+	fresh := o.freshAt(now)
+	if !fresh && o.books.CountQueued() > 0 && since < staleRoundEvery {
 		return
 	}
 	if since < roundEvery && !o.urgent && !(o.dirty && since >= roundPause) {
@@ -30,10 +39,15 @@
 	}
 	o.planned, o.dirty, o.urgent = now, false, false
 	snapshot := o.snapshot(now)
+	if !fresh {
+		snapshot.Queued = nil
+	}
 	began := time.Now()
 	plan := o.config.Placer.Plan(snapshot)
 	o.meters.round.Update(time.Since(began).Seconds())
-	o.waits = plan.Waits
+	if fresh {
+		o.waits = plan.Waits
+	}
 	o.carryOut(plan, now)
 }
 
