Add the load command: open loop, histogram, per-outcome counts

Cause: a closed loop sends less to a slow server and hides the wait. Change: arrivals follow a schedule; latency counts from the scheduled time; the generator's own lag is reported beside it.

--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -67,7 +67,7 @@
 			return nil
 		},
 	}
-	root.AddCommand(newStandinCommand())
+	root.AddCommand(newStandinCommand(), newLoadCommand())
 	root.AddCommand(operatorCommands()...)
 	return root
 }
--- /dev/null
+++ b/internal/load/generator/generator.go
@@ -0,0 +1,163 @@
+// Package generator sends requests in an open loop and measures the answers.
+// Arrivals follow a schedule that does not wait for answers, and latency counts
+// from the scheduled time, so that slow answers neither thin the load nor hide
+// the wait of those behind them.
+package generator
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Defaults of a Config.
+const (
+	DefaultTimeout     = 2 * time.Second
+	DefaultMaxInFlight = 10_000
+)
+
+// Tenant is a tenant with its share of the load.
+type Tenant struct {
+	Name  string
+	Share float64
+}
+
+// Config holds the settings of a Generator.
+type Config struct {
+	Targets     []string // base URLs, taken in turn
+	Path        string   // below a target
+	Method      string   // GET or POST; the answer to a POST must be its body
+	Rate        float64  // arrivals a second
+	Duration    time.Duration
+	WarmUp      time.Duration // sent before and not counted
+	Slice       time.Duration // length of the slices of the report; 0: none
+	Timeout     time.Duration
+	BodyBytes   int
+	Tenants     []Tenant // empty: no tenant header
+	Keyed       bool     // send an Idempotency-Key
+	MaxInFlight int
+	Seed        uint64
+	HTTP        *http.Client // nil: one of its own
+}
+
+// Generator sends one load.
+type Generator struct {
+	config Config
+	client *http.Client
+	prefix string // of the request ids of this run
+}
+
+// New returns a Generator.
+func New(c Config) *Generator {
+	if c.Timeout <= 0 {
+		c.Timeout = DefaultTimeout
+	}
+	if c.MaxInFlight <= 0 {
+		c.MaxInFlight = DefaultMaxInFlight
+	}
+	if c.Method == "" {
+		c.Method = http.MethodGet
+	}
+	client := c.HTTP
+	if client == nil {
+		client = &http.Client{Transport: &http.Transport{
+			MaxIdleConns: 0, MaxIdleConnsPerHost: 1024, IdleConnTimeout: time.Minute, DisableCompression: true,
+		}}
+	}
+	return &Generator{config: c, client: client, prefix: fmt.Sprintf("load-%d", c.Seed)}
+}
+
+// arrival is one scheduled request.
+type arrival struct {
+	number  int64
+	at      time.Time
+	offset  time.Duration // since the end of the warm-up
+	tenant  string
+	counted bool
+}
+
+// Run sends the load and returns the report when every answer is in.
+func (g *Generator) Run(ctx context.Context) Report {
+	results := make(chan result, 1024)
+	collected := make(chan Report)
+	go func() { collected <- collect(g.config, results) }()
+	var inFlight sync.WaitGroup
+	slots := make(chan struct{}, g.config.MaxInFlight)
+	for a := range g.schedule() {
+		if !sleepUntil(ctx, a.at) {
+			break
+		}
+		lag := time.Since(a.at)
+		select {
+		case slots <- struct{}{}:
+		default:
+			results <- result{arrival: a, outcome: outcomeNotSent, lag: lag}
+			continue
+		}
+		inFlight.Go(func() {
+			defer func() { <-slots }()
+			r := g.send(ctx, a)
+			r.lag = lag
+			results <- r
+		})
+	}
+	inFlight.Wait()
+	close(results)
+	return <-collected
+}
+
+// schedule yields arrivals with exponential gaps, as from many independent
+// callers.
+func (g *Generator) schedule() func(yield func(arrival) bool) {
+	random := rand.New(rand.NewPCG(g.config.Seed, 1))
+	return func(yield func(arrival) bool) {
+		start := time.Now()
+		var since time.Duration
+		for n := int64(0); ; n++ {
+			since += time.Duration(random.ExpFloat64() / g.config.Rate * float64(time.Second))
+			if since >= g.config.WarmUp+g.config.Duration {
+				return
+			}
+			a := arrival{
+				number: n, at: start.Add(since), offset: since - g.config.WarmUp,
+				tenant: pick(g.config.Tenants, random.Float64()), counted: since >= g.config.WarmUp,
+			}
+			if !yield(a) {
+				return
+			}
+		}
+	}
+}
+
+// pick returns the tenant at the point x, from 0 to 1, of the summed shares.
+func pick(tenants []Tenant, x float64) string {
+	var sum float64
+	for _, t := range tenants {
+		sum += t.Share
+	}
+	x *= sum
+	for _, t := range tenants {
+		if x -= t.Share; x < 0 {
+			return t.Name
+		}
+	}
+	return ""
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	wait := time.Until(at)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/load/generator/send.go
@@ -0,0 +1,111 @@
+package generator
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"bamboospread/internal/wire/messenger"
+)
+
+// Headers between callers and entries.
+const (
+	headerOutcome   = "Bamboospread-Outcome"
+	headerTenant    = "Bamboospread-Tenant"
+	headerTimeout   = "Bamboospread-Timeout-Ms"
+	headerKey       = "Idempotency-Key"
+	headerRequestID = "X-Request-Id"
+)
+
+// Outcomes that the generator adds to those of the entries.
+const (
+	outcomeError   messenger.Outcome = "error"    // no answer, or not a whole one
+	outcomeNotSent messenger.Outcome = "not-sent" // too many in flight at the generator
+)
+
+// timeoutMargin is how much longer than the caller's deadline the generator
+// waits, so that an answer at the deadline is counted as it is.
+const timeoutMargin = 500 * time.Millisecond
+
+// result is what became of one arrival.
+type result struct {
+	arrival
+	outcome messenger.Outcome
+	status  int
+	wrong   bool // answered as run, with another body than its own
+	latency time.Duration
+	lag     time.Duration // of the generator behind its schedule
+}
+
+func (g *Generator) send(ctx context.Context, a arrival) result {
+	ctx, cancel := context.WithTimeout(ctx, g.config.Timeout+timeoutMargin)
+	defer cancel()
+	id := g.prefix + "-" + strconv.FormatInt(a.number, 10)
+	res := result{arrival: a, outcome: outcomeError}
+	r, body, err := g.request(ctx, a, id)
+	if err != nil {
+		return res
+	}
+	answer, err := g.client.Do(r)
+	if err != nil {
+		res.latency = time.Since(a.at)
+		return res
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(answer.Body)
+	res.latency, res.status = time.Since(a.at), answer.StatusCode
+	if err != nil {
+		return res
+	}
+	res.outcome = messenger.Outcome(answer.Header.Get(headerOutcome))
+	if res.outcome == "" && answer.StatusCode == http.StatusOK {
+		res.outcome = messenger.OutcomeRun // straight from an upstream
+	}
+	if res.outcome == "" {
+		res.outcome = outcomeError
+	}
+	if res.outcome == messenger.OutcomeRun && answer.StatusCode == http.StatusOK {
+		res.wrong = !isOwn(id, body, data)
+	}
+	return res
+}
+
+func (g *Generator) request(ctx context.Context, a arrival, id string) (*http.Request, []byte, error) {
+	target := g.config.Targets[a.number%int64(len(g.config.Targets))] + g.config.Path + "?id=" + id
+	var body []byte
+	if g.config.Method == http.MethodPost {
+		body = fmt.Appendf(nil, "id=%s ", id)
+		if fill := g.config.BodyBytes - len(body); fill > 0 {
+			body = append(body, strings.Repeat("x", fill)...)
+		}
+	} else if g.config.BodyBytes > 0 {
+		target += "&bytes=" + strconv.Itoa(g.config.BodyBytes)
+	}
+	r, err := http.NewRequestWithContext(ctx, g.config.Method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, nil, err
+	}
+	r.Header.Set(headerRequestID, id)
+	r.Header.Set(headerTimeout, strconv.FormatInt(messenger.Millis(g.config.Timeout), 10))
+	if a.tenant != "" {
+		r.Header.Set(headerTenant, a.tenant)
+	}
+	if g.config.Keyed {
+		r.Header.Set(headerKey, id)
+	}
+	return r, body, nil
+}
+
+// isOwn tells whether an answer of the stand-in upstream belongs to the request:
+// it echoes the body, or names the path.
+func isOwn(id string, body, answer []byte) bool {
+	if len(body) > 0 {
+		return bytes.Equal(body, answer)
+	}
+	return bytes.Contains(answer, []byte("id="+id+" ")) || bytes.Contains(answer, []byte("id="+id+"&"))
+}
