--- a/internal/cli/commander/load.go
+++ b/internal/cli/commander/load.go
@@ -31,7 +31,7 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var f loader.Findings
 			checkLoad(&f, &c, tenants, output)
-			if err := check(&f); err != nil {
+			if err := usage(f.Err()); err != nil {
 				return err
 			}
 			if service != "" {
