--- /dev/null
+++ b/internal/request/balancer/balancer_test.go
@@ -0,0 +1,168 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func drawCandidates(t *rapid.T) []Candidate {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Candidate {
+		return Candidate{
+			Zone: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"), Slots: rapid.IntRange(1, 8).Draw(t, "slots"),
+			InFlight: rapid.IntRange(0, 10).Draw(t, "in-flight"), Age: time.Hour,
+			Latency:  time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond,
+			Health:   Verdict(rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "health")),
+			Excluded: rapid.Bool().Draw(t, "excluded"),
+		}
+	}), 0, 12).Draw(t, "candidates")
+}
+
+// TestChooseProperties checks over random candidates that one is chosen whenever
+// one is usable, never a tried or ejected one, and a full one only if all are.
+func TestChooseProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := drawCandidates(t)
+		seed := rapid.Uint64().Draw(t, "seed")
+		b := New(Config{Zone: "a", Random: rand.New(rand.NewPCG(seed, 1)).IntN})
+		eject := b.ejects(list)
+		usable, room := 0, 0
+		for i := range list {
+			if !list[i].Excluded && (!eject || list[i].Health == Healthy) {
+				usable++
+				if !list[i].full() {
+					room++
+				}
+			}
+		}
+		c := b.Choose(list)
+		if (c.Index >= 0) != (usable > 0) {
+			t.Fatalf("%d usable, chose %d", usable, c.Index)
+		}
+		if c.Index < 0 {
+			return
+		}
+		got := list[c.Index]
+		if got.Excluded || (eject && got.Health != Healthy) || got.full() != (room == 0) || c.Full != got.full() {
+			t.Fatalf("%d with room, chose %+v, %+v", room, got, c)
+		}
+	})
+}
+
+// share returns how often the candidate at index 0 is chosen in 10000 choices.
+func share(b *Balancer, list []Candidate) float64 {
+	n := 0
+	for range 10000 {
+		if b.Choose(list).Index == 0 {
+			n++
+		}
+	}
+	return float64(n) / 10000
+}
+
+func TestChooseShares(t *testing.T) {
+	old := Candidate{Zone: "a", Slots: 8, InFlight: 2, Latency: 10 * time.Millisecond, Age: time.Hour}
+	with := func(change func(*Candidate)) []Candidate {
+		list := make([]Candidate, 11)
+		for i := range list {
+			list[i] = old
+		}
+		change(&list[0])
+		return list
+	}
+	cases := []struct {
+		name     string
+		list     []Candidate
+		min, max float64
+	}{
+		{"equal", with(func(*Candidate) {}), 0.07, 0.11},
+		{"slow", with(func(c *Candidate) { c.Latency *= 20 }), 0, 0},
+		{"new", with(func(c *Candidate) { c.Age, c.Latency = 0, 0 }), 0, 0.02},
+		{"other zone", with(func(c *Candidate) { c.Zone = "b" }), 0, 0},
+		{"own zone", with(func(c *Candidate) { c.Zone = "c" }), 1, 1},
+		{"own zone without room", with(func(c *Candidate) { c.Zone, c.InFlight = "c", 7 }), 0, 0},
+		{"own zone slow", with(func(c *Candidate) { c.Zone, c.Latency = "c", time.Second }), 0, 0},
+		{"ejected", with(func(c *Candidate) { c.Health = Ejected }), 0, 0},
+		{"probe due", with(func(c *Candidate) { c.Health = ProbeDue }), 1, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			zone := "a"
+			if c.list[0].Zone == "c" {
+				zone = "c"
+			}
+			b := New(Config{Zone: zone, Random: rand.New(rand.NewPCG(1, 2)).IntN})
+			if got := share(b, c.list); got < c.min || got > c.max {
+				t.Errorf("share %.3f, want %.3f to %.3f", got, c.min, c.max)
+			}
+		})
+	}
+}
+
+// TestEjectionIsCapped has 6 of 11 fail. Ejecting them all would send everything
+// to 5, so none counts as ejected.
+func TestEjectionIsCapped(t *testing.T) {
+	for _, c := range []struct {
+		failing int
+		want    bool
+	}{{0, false}, {1, true}, {5, true}, {6, false}, {11, false}} {
+		list := make([]Candidate, 11)
+		for i := range c.failing {
+			list[i].Health = Ejected
+		}
+		if got := New(Config{}).ejects(list); got != c.want {
+			t.Errorf("%d failing: ejects %v", c.failing, got)
+		}
+	}
+}
+
+// TestHealthTellsOfFailures gives results one after the other ("o" good, "x"
+// failed, "." one second) and reads the verdict at the end.
+func TestHealthTellsOfFailures(t *testing.T) {
+	cases := []struct {
+		name, results string
+		want          Verdict
+	}{
+		{"good", "oooooooo", Healthy},
+		{"some failures", "xxxxoxxxxo", Healthy},
+		{"failures in a row", "xxxxx", Ejected},
+		{"most of a window", "xxxoxxxoxxxoxxxoxxxo", Ejected},
+		{"probe after a second", "xxxxx.", ProbeDue},
+		{"probe succeeds", "xxxxx.o", Healthy},
+		{"probe fails", "xxxxx.x", Ejected},
+		{"ejected for longer then", "xxxxx.x.", Ejected},
+		{"and probed again", "xxxxx.x..", ProbeDue},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h, now := &Health{}, time.Now()
+			for _, r := range c.results {
+				if r == '.' {
+					now = now.Add(time.Second)
+					continue
+				}
+				h.BeginProbe(now)
+				h.Observe(now, time.Millisecond, r == 'x')
+			}
+			if got := h.Verdict(now); got != c.want {
+				t.Errorf("got %d, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+func TestOneProbeAtATime(t *testing.T) {
+	h, now := &Health{}, time.Now()
+	for range ejectAfterFailures {
+		h.Observe(now, time.Millisecond, true)
+	}
+	now = now.Add(2 * firstEjection)
+	if !h.BeginProbe(now) || h.BeginProbe(now) || h.Verdict(now) != Ejected {
+		t.Error("a second probe was let through")
+	}
+	if !h.BeginProbe(now.Add(probeLimit)) {
+		t.Error("a lost probe blocks for good")
+	}
+}
--- a/internal/request/receiver/request.go
+++ b/internal/request/receiver/request.go
@@ -71,10 +71,10 @@
 // parse reads the request; the second result is the refusal of a wrong one.
 func (r *Receiver) parse(w http.ResponseWriter, req *http.Request) (*call, *answer) {
 	c := &call{
-		id: r.config.NewID(), method: req.Method, path: "/" + req.PathValue("path"),
+		id: r.config.NewID(), method: req.Method,
 		header: req.Header, started: r.config.Now(), key: req.Header.Get(KeyHeader),
+		path: upstreamPath(req),
 	}
-	c.path = upstreamPath(req)
 	if refusal := r.identify(c, req); refusal != nil {
 		return c, refusal
 	}
@@ -90,7 +90,12 @@
 		return c, refuse(http.StatusBadRequest, err.Error())
 	}
 	c.deadline = c.started.Add(timeout)
+	// A caller that stops in the middle of its body must not hold the request
+	// past its deadline.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(c.deadline) // a connection without deadlines has none to set
 	c.body, err = io.ReadAll(http.MaxBytesReader(w, req.Body, MaxBodyBytes))
+	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/request/tracker/tracker.go
+++ b/internal/request/tracker/tracker.go
@@ -41,6 +41,7 @@
 	config   Config
 	events   chan event
 	snapshot atomic.Pointer[Snapshot]
+	entries  atomic.Int64        // live entries when an agent was last answered
 	sessions map[string]*session // owned by Run
 }
 
@@ -159,6 +160,7 @@
 	r := messenger.AnnounceReply{EntryID: t.config.EntryID}
 	if t.config.Peers != nil {
 		r.Peers = t.config.Peers()
+		t.entries.Store(int64(len(r.Peers)))
 	}
 	if t.config.Owners != nil {
 		r.Owners = t.config.Owners()
@@ -284,12 +286,7 @@
 }
 
 // CountEntries returns the number of live entries, this one included.
-func (t *Tracker) CountEntries() int {
-	if t.config.Peers == nil {
-		return 1
-	}
-	return max(1, len(t.config.Peers()))
-}
+func (t *Tracker) CountEntries() int { return max(1, int(t.entries.Load())) }
 
 // Snapshot returns what is known now. It is never nil.
 func (t *Tracker) Snapshot() *Snapshot { return t.snapshot.Load() }
--- a/internal/standin/responder/announce.go
+++ b/internal/standin/responder/announce.go
@@ -25,6 +25,9 @@
 	Slots       int                     `json:"slots"`
 	Connections int                     `json:"connections"`
 	State       messenger.UpstreamState `json:"state"`
+	// SentAtMillis is the Unix time of sending: an agent that was paused finds
+	// old announcements when it wakes and must not take them for new ones.
+	SentAtMillis int64 `json:"sent-at-ms"`
 }
 
 // announce tells the agent of the upstream until ctx ends, then that it leaves.
@@ -35,11 +38,12 @@
 		ID: u.config.ID, Service: u.config.Service, Address: address,
 		Slots: u.config.Slots, Connections: u.config.Connections, State: messenger.UpstreamReady,
 	}
-	body, err := json.Marshal(a)
-	if err != nil {
-		panic(err) // a struct of strings and numbers
-	}
 	for ctx.Err() == nil {
+		a.SentAtMillis = time.Now().UnixMilli()
+		body, err := json.Marshal(a)
+		if err != nil {
+			panic(err) // a struct of strings and numbers
+		}
 		u.tell(ctx, http.MethodPost, UpstreamsPath, body)
 		select {
 		case <-ctx.Done():
