--- a/internal/kernel/reporter/catalogue_agent_requests.go
+++ b/internal/kernel/reporter/catalogue_agent_requests.go
@@ -2,10 +2,10 @@
 
 import "github.com/apex/log"
 
-// Events of the area "agent" about requests, numbered from 650; those about tasks
+// Events of the area "agent" about requests, numbered from 600; those about tasks
 // are in catalogue_agent.go.
 const (
-	UpstreamAnnounced Code = 650 + iota
+	UpstreamAnnounced Code = 600 + iota
 	UpstreamLeaving
 	UpstreamGone
 	SessionOpened
