--- a/internal/fleet/parser/parser.go
+++ b/internal/fleet/parser/parser.go
@@ -5,7 +5,6 @@
 
 import (
 	"errors"
-	"fmt"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
@@ -113,52 +112,79 @@
 	return nil
 }
 
-// checkTokens refuses what could make a small text large or slow to read:
-// aliases repeat their anchor, so that a few lines unfold to gigabytes, and deep
-// nesting costs stack. Both are seen in the tokens, before anything is built.
+// forbidden are the parts of YAML that a fleet text does not need. Aliases
+// repeat their anchor, so that a few lines unfold to gigabytes; the rest could
+// only hide a mistake.
+var forbidden = map[token.Type]string{
+	token.AnchorType:     "anchors, aliases and merge keys are not allowed; write the value out",
+	token.AliasType:      "anchors, aliases and merge keys are not allowed; write the value out",
+	token.MergeKeyType:   "anchors, aliases and merge keys are not allowed; write the value out",
+	token.TagType:        "tags and directives are not allowed",
+	token.DirectiveType:  "tags and directives are not allowed",
+	token.MappingKeyType: "keys that are not plain words are not allowed",
+}
+
+// checkTokens refuses what could make a small text large or slow to read. It is
+// seen in the tokens, before anything is built from them.
 func (d *decoder) checkTokens(tokens token.Tokens) bool {
 	if len(tokens) > MaxTokens {
 		d.found.Add(finder.Place{Line: 1, Column: 1}, "", "the text has more than %d parts", MaxTokens)
 		return false
 	}
 	fine := true
-	refuse := func(t *token.Token, what string) {
-		d.found.Add(placeOfToken(t), "", "%s", what)
-		fine = false
-	}
-	depth, indents := 0, make(map[int]bool)
+	var n nesting
 	for _, t := range tokens {
-		switch t.Type {
-		case token.AnchorType, token.AliasType, token.MergeKeyType:
-			refuse(t, "anchors, aliases and merge keys are not allowed; write the value out")
-		case token.TagType, token.DirectiveType:
-			refuse(t, "tags and directives are not allowed")
-		case token.MappingKeyType:
-			refuse(t, "keys that are not plain words are not allowed")
-		case token.InvalidType:
-			refuse(t, "this can't be read: "+t.Error)
-		case token.MappingStartType, token.SequenceStartType:
-			depth++
-		case token.MappingEndType, token.SequenceEndType:
-			depth--
-		case token.SequenceEntryType, token.MappingValueType:
-			indents[t.Position.Column] = indents[t.Position.Column] || t.Type == token.SequenceEntryType
+		if why, ok := forbidden[t.Type]; ok {
+			d.found.Add(placeOfToken(t), "", "%s", why)
+			fine = false
+		}
+		if t.Type == token.InvalidType {
+			d.found.Add(placeOfToken(t), "", "this can't be read: %s", t.Error)
+			fine = false
 		}
-		if depth > MaxDepth {
-			refuse(t, fmt.Sprintf("lists and mappings are nested more than %d deep", MaxDepth))
+		if n.add(t) > MaxDepth {
+			// The reader recurses; deep nesting would cost its stack.
+			d.found.Add(placeOfToken(t), "", "lists and mappings are nested more than %d deep", MaxDepth)
 			return false
 		}
 	}
-	entries := 0
-	for _, entry := range indents {
-		if entry {
-			entries++
+	return fine
+}
+
+// nesting counts how deep lists and mappings are nested: by brackets, and by
+// the columns of keys and dashes outside of brackets.
+type nesting struct {
+	brackets int
+	columns  []int
+}
+
+func (n *nesting) add(t *token.Token) int {
+	switch t.Type {
+	case token.MappingStartType, token.SequenceStartType:
+		n.brackets++
+	case token.MappingEndType, token.SequenceEndType:
+		n.brackets--
+	case token.SequenceEntryType:
+		n.block(t)
+	case token.MappingValueType:
+		if t.Prev != nil {
+			n.block(t.Prev) // the key
 		}
 	}
-	if entries > MaxDepth {
-		refuse(tokens[0], fmt.Sprintf("lists are nested more than %d deep", MaxDepth))
+	return n.brackets + len(n.columns)
+}
+
+func (n *nesting) block(t *token.Token) {
+	if n.brackets > 0 || t.Position == nil {
+		return
+	}
+	column := t.Position.Column
+	for len(n.columns) > 0 && n.columns[len(n.columns)-1] > column {
+		n.columns = n.columns[:len(n.columns)-1]
+	}
+	if len(n.columns) == 0 || n.columns[len(n.columns)-1] < column {
+		n.columns = append(n.columns, column)
 	}
-	return fine
 }
 
 func (d *decoder) addSyntaxError(err error) {
