--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -195,7 +195,10 @@
 			_ = f.take(r.Value, fromStore)
 		}
 	}
-	f.seen(found.Revision)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	// Not the highest seen: after a loss of its state the service counts anew.
+	f.known, f.revision = true, found.Revision
 	return nil
 }
 
@@ -226,6 +229,5 @@
 func (f *Follower) seen(revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.known = true
 	f.revision = max(f.revision, revision)
 }
--- /dev/null
+++ b/internal/fleet/follower/follower_test.go
@@ -0,0 +1,247 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/fleet/recorder"
+	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/standin/storer"
+	"bamboospread/internal/wire/messenger"
+)
+
+const limit = 10 * time.Second
+
+func newStore(t testing.TB) (*storer.Store, *keeper.Keeper) {
+	t.Helper()
+	store := storer.New(storer.Config{})
+	server := httptest.NewServer(store.Handler())
+	t.Cleanup(func() {
+		server.CloseClientConnections() // of watches that wait
+		server.Close()
+	})
+	return store, keeper.New(keeper.Config{URL: server.URL, CallTimeout: 200 * time.Millisecond})
+}
+
+func valueOf(t interface{ Fatal(...any) }, version int64) []byte {
+	value, err := recorder.Encode(recorder.Record{
+		Version: version, ChangeID: fmt.Sprint(version),
+		Text: fmt.Sprintf("fleet: v%d\navailability-zones: [{name: a}]\n", version),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
+func put(t testing.TB, k *keeper.Keeper, value []byte) {
+	t.Helper()
+	old, err := k.GetRecord(context.Background(), recorder.Key)
+	if err != nil && !keeper.IsErrKeyNotExist(err) {
+		t.Fatal(err)
+	}
+	if _, err := k.CompareAndSwap(context.Background(), keeper.SwapOptions{Key: recorder.Key, Value: value, ExpectRevision: old.Revision}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// run starts the follower's loop and ends it with the test.
+func run(t testing.TB, f *Follower) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func waitVersion(t testing.TB, f *Follower, version int64) {
+	t.Helper()
+	for end := time.Now().Add(limit); f.Version() != version; time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("version %d after %s, want %d", f.Version(), limit, version)
+		}
+	}
+}
+
+func TestWatchTakesEachVersion(t *testing.T) {
+	_, k := newStore(t)
+	f := New(Config{Keeper: k})
+	run(t, f)
+	for v := range int64(5) {
+		put(t, k, valueOf(t, v+1))
+		waitVersion(t, f, v+1)
+	}
+	if text, ok := f.FindText(3); !ok || text != "fleet: v3\navailability-zones: [{name: a}]\n" {
+		t.Errorf("text of version 3: %q, %v", text, ok)
+	}
+	if got := f.Record(); got.Version != 5 || string(got.Record) != string(valueOf(t, 5)) {
+		t.Errorf("record %+v", got)
+	}
+}
+
+// TestVersionsOnlyRise offers records in a drawn order, as watch, peers and
+// refresh may do at once; an old one must never come back in force.
+func TestVersionsOnlyRise(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var taken []int64
+		f := New(Config{Changed: func(fleet *describer.Fleet) { taken = append(taken, fleet.Version()) }})
+		offers := rapid.SliceOf(rapid.Int64Range(1, 8)).Draw(t, "offers")
+		var group sync.WaitGroup
+		for _, v := range offers {
+			reply := messenger.FleetReply{Version: v, Record: valueOf(t, v)}
+			group.Go(func() {
+				if err := f.Offer(reply); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		group.Wait()
+		if !slices.IsSorted(taken) || len(slices.Compact(slices.Clone(taken))) != len(taken) {
+			t.Errorf("taken in this order: %v", taken)
+		}
+		if len(offers) > 0 && f.Version() != slices.Max(offers) {
+			t.Errorf("version %d of %v", f.Version(), offers)
+		}
+	})
+}
+
+// TestOfferedVersionIsThatOfTheRecord: a peer that names a higher version than
+// its record has must not get it taken as that version.
+func TestOfferedVersionIsThatOfTheRecord(t *testing.T) {
+	f := New(Config{})
+	for _, offer := range []messenger.FleetReply{{Version: 5, Record: valueOf(t, 5)}, {Version: 9, Record: valueOf(t, 4)}, {Version: 6}} {
+		if err := f.Offer(offer); err != nil {
+			t.Error(err)
+		}
+	}
+	if f.Version() != 5 {
+		t.Errorf("version %d", f.Version())
+	}
+}
+
+// TestRefreshSeesWhatWasAcceptedBefore accepts a change and refreshes at once.
+// A start commits on the returned fleet, so an older one would start a task in
+// a zone that was already out.
+func TestRefreshSeesWhatWasAcceptedBefore(t *testing.T) {
+	store, k := newStore(t)
+	f := New(Config{Keeper: k})
+	for v := range int64(4) {
+		if v > 0 {
+			put(t, k, valueOf(t, v))
+		}
+		before := store.Calls().Calls
+		fleet, err := f.Refresh(context.Background())
+		if err != nil || fleet.Version() != v {
+			t.Errorf("got %v, %v; want version %d", fleet, err, v)
+		}
+		after := store.Calls().Calls
+		calls := int64(0)
+		for kind := range after {
+			calls += after[kind] - before[kind]
+		}
+		if calls != 1 {
+			t.Errorf("refresh made %d calls, want 1", calls)
+		}
+	}
+	store.SetFaults(storer.Faults{Down: true})
+	if _, err := f.Refresh(context.Background()); !keeper.IsErrUnavailable(err) {
+		t.Errorf("store down: %v", err)
+	}
+}
+
+// TestUnreadableRecordIsNotTaken stores a record that only a newer program can
+// read. What is held stays in force for requests, but Refresh must fail: the new
+// record may take a zone out, so nothing may be started on the old one.
+func TestUnreadableRecordIsNotTaken(t *testing.T) {
+	_, k := newStore(t)
+	f := New(Config{Keeper: k})
+	put(t, k, valueOf(t, 1))
+	if _, err := f.Refresh(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	put(t, k, []byte(`{"version":2,"text":"fleet: f\nnew-key: 1"}`))
+	for range 2 {
+		if _, err := f.Refresh(context.Background()); !errors.As(err, &recorder.ErrUnreadable{}) {
+			t.Errorf("got %v, want ErrUnreadable", err)
+		}
+	}
+	if f.Version() != 1 {
+		t.Errorf("version %d", f.Version())
+	}
+	put(t, k, valueOf(t, 3))
+	if fleet, err := f.Refresh(context.Background()); err != nil || fleet.Version() != 3 {
+		t.Errorf("got %v, %v", fleet, err)
+	}
+}
+
+// TestPeersHelpWhileTheStoreIsDown takes the store down right after a change was
+// accepted: a process that missed it learns it from a peer.
+func TestPeersHelpWhileTheStoreIsDown(t *testing.T) {
+	store, k := newStore(t)
+	store.SetFaults(storer.Faults{Down: true})
+	tests := []struct {
+		name string
+		k    *keeper.Keeper
+	}{{"store down", k}, {"no store", nil}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := New(Config{Keeper: tt.k, FetchFromPeer: func(_ context.Context, above int64) (messenger.FleetReply, error) {
+				if above >= 2 {
+					return messenger.FleetReply{Version: 2}, nil
+				}
+				return messenger.FleetReply{Version: 2, Record: valueOf(t, 2)}, nil
+			}})
+			run(t, f)
+			waitVersion(t, f, 2)
+		})
+	}
+}
+
+// TestStoreThatLostItsStateIsFollowedAgain replaces the store by an empty one,
+// whose revisions begin anew: the follower must not wait for a revision that
+// will not come for long, and must not go back.
+func TestStoreThatLostItsStateIsFollowedAgain(t *testing.T) {
+	_, k := newStore(t)
+	_, empty := newStore(t)
+	f := New(Config{Keeper: k})
+	for v := range int64(6) {
+		put(t, k, valueOf(t, v+1))
+	}
+	if _, err := f.Refresh(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	f.config.Keeper = empty
+	put(t, empty, valueOf(t, 2))
+	if fleet, err := f.Refresh(context.Background()); err != nil || fleet.Version() != 6 {
+		t.Errorf("got %v, %v", fleet, err)
+	}
+	put(t, empty, valueOf(t, 7))
+	if fleet, err := f.Refresh(context.Background()); err != nil || fleet.Version() != 7 {
+		t.Errorf("got %v, %v", fleet, err)
+	}
+}
+
+func TestEmptyFollower(t *testing.T) {
+	f := New(Config{})
+	if diff := cmp.Diff(messenger.FleetReply{}, f.Record()); diff != "" || f.Fleet() == nil || f.Version() != 0 {
+		t.Errorf("%s, version %d", diff, f.Version())
+	}
+	if _, err := f.Refresh(context.Background()); err == nil {
+		t.Error("refreshed without a store")
+	}
+}
