Ask peers for the fleet also while the store seems well

A watch cut without a reset looks like one that waits; the process would stay at an old version for up to 11 s. Asking costs nothing while no peer is ahead.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -1,5 +1,5 @@
 // Package follower keeps a process at the newest fleet record that it can learn
-// of: by a watch of the store, and from its peers while the store is away.
+// of: by a watch of the store, and from its peers.
 // Versions only rise.
 package follower
 
@@ -23,8 +23,8 @@
 	watchWait    = 10 * time.Second
 	firstPause   = 50 * time.Millisecond
 	longestPause = time.Second
-	peerInterval = time.Second
-	watchSlack   = 2 * time.Second // for the answer, above the wait
+	peerInterval = 500 * time.Millisecond
+	peerTimeout  = 2 * time.Second
 )
 
 // Sources of a record, as they stand in events.
@@ -40,8 +40,9 @@
 type Config struct {
 	Keeper   *keeper.Keeper // nil: the process learns from peers only
 	Reporter *reporter.Reporter
-	// FetchFromPeer asks another process for a record above a version. It is
-	// called while the store can't be read. It may be nil.
+	// FetchFromPeer returns the record of another process if that is above a
+	// version, else an empty reply. It is called about twice a second and should
+	// make no call when no peer is known to be ahead. It may be nil.
 	FetchFromPeer func(ctx context.Context, above int64) (messenger.FleetReply, error)
 	// Changed, if set, is told each version taken, in rising order. It must
 	// not block.
--- a/internal/fleet/follower/loop.go
+++ b/internal/fleet/follower/loop.go
@@ -8,32 +8,32 @@
 	"bamboospread/internal/kernel/reporter"
 )
 
-// Run watches the store, and asks peers while the store can't be read, until
-// ctx ends.
+// Run watches the store and asks peers until ctx ends.
+//
+// Peers are asked also while the store seems well: a watch whose connection was
+// cut without a reset looks the same as one that waits, and would leave this
+// process at an old version for as long as the watch lasts.
 func (f *Follower) Run(ctx context.Context) error {
 	peers := make(chan error, 1)
-	storeDown := make(chan bool, 1)
-	go func() { peers <- f.runPeers(ctx, storeDown) }()
-	f.runStore(ctx, storeDown)
+	go func() { peers <- f.followPeers(ctx) }()
+	f.followStore(ctx)
 	return <-peers
 }
 
-func (f *Follower) runStore(ctx context.Context, storeDown chan bool) {
+func (f *Follower) followStore(ctx context.Context) {
 	if f.config.Keeper == nil {
-		setLatest(storeDown, true)
 		<-ctx.Done()
 		return
 	}
-	pause, down := firstPause, false
+	pause, away := firstPause, false
 	for ctx.Err() == nil {
 		err := f.follow(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if (err != nil) != down {
-			down = err != nil
+		if (err != nil) != away {
+			away = err != nil
 			f.reportStore(err)
-			setLatest(storeDown, down)
 		}
 		if err == nil {
 			pause = firstPause
@@ -54,8 +54,6 @@
 	if !known {
 		return f.read(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-	defer cancel()
 	return f.watch(ctx, after, watchWait)
 }
 
@@ -67,45 +65,27 @@
 	f.config.Reporter.Report(reporter.FleetStoreAway, reporter.Fields{"version": f.Version(), "error": err.Error()})
 }
 
-// runPeers asks a peer each second while the store is down. A version that was
-// accepted just before an outage reaches every process by this way.
-func (f *Follower) runPeers(ctx context.Context, storeDown <-chan bool) error {
-	down := false
-	ticker := time.NewTicker(peerInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case down = <-storeDown:
-		case <-ticker.C:
-		}
-		if !down || f.config.FetchFromPeer == nil {
-			continue
-		}
+func (f *Follower) followPeers(ctx context.Context) error {
+	if f.config.FetchFromPeer == nil {
+		return nil
+	}
+	for ctx.Err() == nil {
 		f.askPeer(ctx)
+		wait(ctx, peerInterval)
 	}
+	return nil
 }
 
 func (f *Follower) askPeer(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, peerInterval)
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	reply, err := f.config.FetchFromPeer(ctx, f.Version())
 	if err != nil {
-		return // asked again in a second
+		return // asked again soon
 	}
 	_ = f.Offer(reply) // reported there
 }
 
-// setLatest replaces what is in c, which holds one value.
-func setLatest(c chan bool, v bool) {
-	select {
-	case <-c:
-	default:
-	}
-	c <- v
-}
-
 func wait(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/kernel/reporter/catalogue_runner.go
+++ b/internal/kernel/reporter/catalogue_runner.go
@@ -4,7 +4,7 @@
 
 // Events of the agent's part for tasks, numbered from 650.
 const (
-	RunnerSessionOpened Code = 650 + iota
+	RunnerSessionOpened Code = 670 + iota
 	RunnerSessionLost
 	RunnerOrderRefused
 	RunnerWorkerAway
