--- a/internal/operator/requester/requester.go
+++ b/internal/operator/requester/requester.go
@@ -12,7 +12,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 	"time"
 
@@ -226,16 +225,15 @@
 		}
 		return nil
 	}
-	failure := ErrRefused{Status: status, Answer: handler.DecodeError(body)}
-	switch failure.Answer.Outcome {
-	case handler.OutcomeUnavailable:
-		return ErrUnavailable{Cause: failure}
-	case handler.OutcomeUnknown:
-		return ErrOutcomeUnknown{Cause: failure}
-	}
-	if status >= http.StatusInternalServerError && failure.Answer.Outcome == "" {
+	a := handler.DecodeError(body)
+	switch {
+	case a.Outcome == handler.OutcomeUnavailable:
+		return ErrUnavailable{Cause: errors.New(a.Error)}
+	case a.Outcome == handler.OutcomeUnknown:
+		return ErrOutcomeUnknown{Cause: errors.New(a.Error)}
+	case status >= http.StatusInternalServerError && a.Outcome == "":
 		// Not an answer of an entry, but of something between.
-		return ErrOutcomeUnknown{Cause: fmt.Errorf("status %s: %w", strconv.Itoa(status), failure)}
+		return ErrOutcomeUnknown{Cause: fmt.Errorf("status %d: %s", status, a.Error)}
 	}
-	return failure
+	return ErrRefused{Status: status, Answer: a}
 }
