--- a/internal/cli/commander/standin_worker.go
+++ b/internal/cli/commander/standin_worker.go
@@ -30,7 +30,7 @@
 			if c.Capacity.Total.Millicores <= 0 || c.Capacity.Total.MemoryBytes <= 0 || c.Capacity.Total.Accelerators < 0 {
 				f.Add("millicores", "a VM needs processors and memory")
 			}
-			if err := check(&f); err != nil {
+			if err := usage(f.Err()); err != nil {
 				return err
 			}
 			var err error
--- a/internal/control/controller/planning.go
+++ b/internal/control/controller/planning.go
@@ -14,26 +14,34 @@
 const (
 	roundPause = 50 * time.Millisecond
 	roundEvery = 200 * time.Millisecond
+	// staleRoundEvery is the pace of rounds that only relieve services, while
+	// queued tasks wait for a store contact.
+	staleRoundEvery = time.Second
 )
 
 // plan runs a round of the placer if there is work for it. Starts need a recent
-// store contact; a round without one only moves and throttles.
+// store contact; a round without one leaves the queue out, so that services
+// under pressure are relieved also while nothing is queued, and no contact is
+// asked for, or while the store is slow.
 func (o *owner) plan() {
 	now := o.config.Now()
 	since := now.Sub(o.planned)
-	queued, fresh := o.books.CountQueued() > 0, o.freshAt(now)
-	work := queued || o.books.Count(messenger.TaskRunning) > 0
+	work := o.books.CountQueued() > 0 || o.books.Count(messenger.TaskRunning) > 0
 	if !work || o.slow() || o.stopping || !o.held() {
 		return
 	}
-	if since < roundEvery && !(fresh && (o.urgent || o.dirty && since >= roundPause)) {
+	fresh := o.freshAt(now)
+	if !fresh && o.books.CountQueued() > 0 && since < staleRoundEvery {
 		return
 	}
+	if since < roundEvery && !o.urgent && !(o.dirty && since >= roundPause) {
+		return
+	}
+	o.planned, o.dirty, o.urgent = now, false, false
 	snapshot := o.snapshot(now)
 	if !fresh {
 		snapshot.Queued = nil
 	}
-	o.planned, o.dirty, o.urgent = now, false, false
 	began := time.Now()
 	plan := o.config.Placer.Plan(snapshot)
 	o.meters.round.Update(time.Since(began).Seconds())
