--- a/internal/control/controller/owner.go
+++ b/internal/control/controller/owner.go
@@ -270,6 +270,7 @@
 	o.checkHeld()
 	o.checkReplicas()
 	o.checkZones(now)
+	o.checkRoom()
 	o.checkClaims(now)
 }
 
--- a/internal/control/controller/planning.go
+++ b/internal/control/controller/planning.go
@@ -100,6 +100,35 @@
 	}
 }
 
+// checkRoom moves tasks off a VM on which an upstream has come up that its room
+// was not kept for: upstreams announce themselves where their operators start
+// them. The promise that a VM is never overcommitted goes before the budget of
+// evictions; tasks that can be checkpointed go first, the latest first.
+func (o *owner) checkRoom() {
+	for _, vm := range o.books.VMs() {
+		total, held := o.books.VM(vm).Seen.Capacity.Total, o.books.Committed(vm)
+		if held.Fits(total) {
+			continue
+		}
+		tasks := o.books.On(vm)
+		for _, t := range tasks {
+			if t.State == messenger.TaskStopping {
+				held = held.Sub(t.Spec.Needs)
+			}
+		}
+		for _, checkpoint := range []bool{true, false} {
+			for i := len(tasks) - 1; i >= 0 && !held.Fits(total); i-- {
+				t := tasks[i]
+				class, _ := o.fleet.TaskClass(t.Spec.Class)
+				if t.Spec.Service == "" && t.State != messenger.TaskStopping && class.Checkpoint == checkpoint {
+					held = held.Sub(t.Spec.Needs)
+					o.move(t, "an upstream needs its room", map[string]string{"vm": vm})
+				}
+			}
+		}
+	}
+}
+
 func (o *owner) move(t *bookkeeper.Task, reason string, inputs map[string]string) {
 	d := messenger.Decision{Task: t.Spec.ID, VM: t.VM, Service: t.Spec.Service, Reason: reason, Inputs: inputs}
 	stopping := bookkeeper.Stopping{Task: t.Spec.ID, Attempt: t.Attempt, Kind: bookkeeper.StopMove}
@@ -135,7 +164,7 @@
 	c := v.Seen.Capacity
 	vm := placer.VM{
 		Name: name, Zone: c.Zone, Rack: c.Rack, Total: c.Total, Committed: o.books.Committed(name),
-		Reachable: session.reachable(now), Leaving: v.Seen.Leaving,
+		Reachable: session.reachable(now) && now.Sub(session.joined) >= newVMPause, Leaving: v.Seen.Leaving,
 		Quarantined: v.Quarantined != "" || v.Quarantines > 0 && o.books.CountOn(name) > 0,
 		ReturnedAt:  o.returned[c.Zone],
 	}
--- a/internal/control/controller/session.go
+++ b/internal/control/controller/session.go
@@ -19,6 +19,8 @@
 	leaseMarginDiv   = 20                      // clocks run at rates that differ by far less than a twentieth
 	leastLeaseMargin = 250 * time.Millisecond
 	historyFor       = time.Minute
+	newVMPause       = 1500 * time.Millisecond // until the upstreams of a new VM have announced themselves
+	holdGrace        = 10 * time.Second        // of the commitment for an upstream that is not announced any more
 )
 
 // session is what the owner knows of a VM in this epoch only.
@@ -35,6 +37,8 @@
 	strays      map[messenger.TaskAttempt]bool
 	sent        map[sentOrder]time.Time
 	history     []Placement
+	joined      time.Time            // when the VM was first seen at all, if by this owner
+	fewer       map[string]time.Time // since when a service has had fewer upstreams than committed
 }
 
 // parkedPoll is a poll that waits for orders.
@@ -135,7 +139,11 @@
 		Services: o.serviceHolds(p.Upstreams), Leaving: p.Leaving,
 	}
 	code, reason := reporter.VMJoined, "first session of agent "+p.AgentID
-	if v := o.books.VM(p.Capacity.VM); v != nil {
+	s, v := o.session(p.Capacity.VM), o.books.VM(p.Capacity.VM)
+	if v == nil {
+		s.joined = o.config.Now()
+	} else {
+		seen.Services = s.keepHolds(v.Seen.Services, seen.Services, o.config.Now())
 		if sameVM(v.Seen, seen) {
 			return
 		}
@@ -144,6 +152,36 @@
 	o.decide(bookkeeper.Record{VMSeen: &seen}, code, messenger.Decision{VM: p.Capacity.VM, Reason: reason}, nil)
 }
 
+// keepHolds returns the holds to commit, given the earlier and the announced
+// ones. A restarted agent knows no upstreams until they announce themselves to
+// it again; were their room freed meanwhile, tasks would take it and the VM be
+// overcommitted a second later. So a hold only shrinks once it was smaller for
+// longer than upstreams take to announce themselves.
+func (s *session) keepHolds(earlier, announced []bookkeeper.ServiceHold, now time.Time) []bookkeeper.ServiceHold {
+	if s.fewer == nil {
+		s.fewer = make(map[string]time.Time)
+	}
+	for _, old := range earlier {
+		at := slices.IndexFunc(announced, func(h bookkeeper.ServiceHold) bool { return h.Service == old.Service })
+		if at >= 0 && announced[at].Count >= old.Count {
+			delete(s.fewer, old.Service)
+			continue
+		}
+		if since, ok := s.fewer[old.Service]; !ok {
+			s.fewer[old.Service] = now
+		} else if now.Sub(since) > holdGrace {
+			continue
+		}
+		if at >= 0 {
+			announced[at].Count = old.Count
+		} else {
+			announced = append(announced, old)
+		}
+	}
+	sort.Slice(announced, func(i, j int) bool { return announced[i].Service < announced[j].Service })
+	return announced
+}
+
 func sameVM(a, b bookkeeper.VMSeen) bool {
 	return a.Capacity == b.Capacity && a.AgentID == b.AgentID && a.Incarnation == b.Incarnation &&
 		a.Leaving == b.Leaving && slices.Equal(a.Services, b.Services)
--- a/tests/integration/control_helpers_test.go
+++ b/tests/integration/control_helpers_test.go
@@ -60,10 +60,16 @@
 		Cluster: k, t: t, random: rand.New(rand.NewPCG(seed, 1)), operator: k.Operator(),
 		accepted: make(map[string]bool), away: make(map[string]bool),
 	}
-	harness.WaitFor(t, 20*time.Second, "all VMs known to the owner", func(ctx context.Context) error {
+	harness.WaitFor(t, 20*time.Second, "all VMs and upstreams known to the owner", func(ctx context.Context) error {
 		s, err := r.operator.GetStatus(ctx)
-		if err == nil && len(s.VMs) < vms {
-			err = fmt.Errorf("%d VMs", len(s.VMs))
+		known := 0
+		for _, vm := range s.VMs {
+			if vm.Committed == upstreamNeeds {
+				known++
+			}
+		}
+		if err == nil && known < vms {
+			err = fmt.Errorf("%d of %d", known, vms)
 		}
 		return err
 	})
