--- a/internal/load/generator/generator_test.go
+++ b/internal/load/generator/generator_test.go
@@ -15,10 +15,14 @@
 func TestSlowAnswersDontThinLoad(t *testing.T) {
 	for _, delay := range []time.Duration{0, 300 * time.Millisecond} {
 		t.Run(delay.String(), func(t *testing.T) {
-			var came atomic.Int64
+			var came, running, most atomic.Int64
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				came.Add(1)
+				if n := running.Add(1); n > most.Load() {
+					most.Store(n)
+				}
 				time.Sleep(delay)
+				running.Add(-1)
 				fmt.Fprintf(w, "%s %s ", r.Method, r.URL.RequestURI())
 			}))
 			defer s.Close()
@@ -31,6 +35,9 @@
 			if came.Load() != arrivals || r.Good != arrivals || r.Wrong != 0 {
 				t.Errorf("%d came, %d good, %d wrong of %d", came.Load(), r.Good, r.Wrong, arrivals)
 			}
+			if delay > 0 && most.Load() < 10 {
+				t.Errorf("at most %d requests ran at once: arrivals waited for answers", most.Load())
+			}
 			if r.Latency.P50 < float64(delay.Milliseconds()) {
 				t.Errorf("p50 %.1f ms", r.Latency.P50)
 			}
--- a/internal/standin/responder/responder_test.go
+++ b/internal/standin/responder/responder_test.go
@@ -82,19 +82,26 @@
 	}
 }
 
-// The upstream is stopped while a request runs. The caller gets its whole
-// answer, since the upstream tells its agent first and then finishes.
+// The upstream is stopped while a request runs. The caller gets its whole answer,
+// and so does one that the agent sends before it has learned of the leaving: the
+// upstream tells its agent first, and only then stops listening.
 func TestStopFinishesWhatRuns(t *testing.T) {
 	told := make(chan string, 10)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
 	agent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			time.Sleep(300 * time.Millisecond) // longer than the request that runs
+			if _, _, body, err := ask(t, "http://"+l.Addr().String(), "2", "late"); body != "late" || err != nil {
+				t.Errorf("request before the agent knew: %q, %v", body, err)
+			}
+		}
 		told <- r.Method + " " + r.URL.Path
 	}))
 	defer agent.Close()
 	u := responder.New(responder.Config{ID: "u", Agent: agent.URL, ServiceTime: 200 * time.Millisecond})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- u.Run(ctx, l) }()
--- a/tests/harness/cluster.go
+++ b/tests/harness/cluster.go
@@ -129,7 +129,7 @@
 	}
 	args := []string{
 		"entry", "--id", name, "--listen", e.HTTP, "--rpc-listen", rpc, "--advertise", e.RPCLink.Address(),
-		"--store-url", "http://" + e.StoreLink.Address(), "--zone", zoneName(0), "--peers", strings.Join(peers, ","),
+		"--store-url", "http://" + e.StoreLink.Address(), "--zone", zoneName(i % c.Zones), "--peers", strings.Join(peers, ","),
 	}
 	e.Process = k.startParty(name, append(args, c.EntryArgs...)...)
 	return e
--- a/tests/proxy/proxy_test.go
+++ b/tests/proxy/proxy_test.go
@@ -100,6 +100,11 @@
 			if (err == nil) != c.after {
 				t.Errorf("after the fault: %v", err)
 			}
+			if !c.after {
+				if answer, err := ask(conn, "later"); err == nil {
+					t.Errorf("a connection that lost bytes went on and answered %q", answer)
+				}
+			}
 			fresh, err := net.Dial("tcp", p.Address())
 			if err != nil {
 				t.Fatal(err)
