Measure requests with long service times, so that the policy shows

The processes of 11 VMs on one busy machine used its processors up at 2200/s (load average 40): figures told of the machine. Cost of the path is now measured with 3 VMs at 20 ms, the rest with 11 VMs at 100 ms.

--- a/tests/measure/requests_test.go
+++ b/tests/measure/requests_test.go
@@ -17,35 +17,47 @@
 	"bamboospread/tests/harness"
 )
 
-// The service of the measurements: 11 upstreams with 8 slots of 20 ms each.
 const (
-	vms          = 11
 	slots        = 8
-	serviceTime  = 20 * time.Millisecond
-	capacity     = vms * slots * 50.0 // requests a second
-	halfLoad     = capacity / 2
-	fullLoad     = capacity
 	clockTicks   = 100 // of /proc/PID/stat, a second
 	slowFactor   = 20
 	measuredTime = 10 * time.Second
+	firstLoad    = 50 // requests a second until every upstream is known
+	slowStart    = 12 * time.Second
 )
 
+// Services of the measurements. The long one keeps the processes' own use of
+// processors small on one machine, so that the policy shows and not the machine.
+var (
+	shortService = service{vms: 3, time: 20 * time.Millisecond}
+	longService  = service{vms: 11, time: 100 * time.Millisecond}
+)
+
+// service is a number of upstreams with the time that each request takes.
+type service struct {
+	vms  int
+	time time.Duration
+}
+
+// capacity returns how many requests a second the upstreams can run.
+func (s service) capacity() float64 { return float64(s.vms*slots) / s.time.Seconds() }
+
 // bench is a cluster under load.
 type bench struct {
 	*harness.Cluster
-	b *testing.B
+	b    *testing.B
+	full float64 // capacity in requests a second
 }
 
-func start(b *testing.B, c harness.Config) *bench {
+func start(b *testing.B, s service) *bench {
 	b.Helper()
-	c.VMs = vms
-	c.UpstreamArgs = append(c.UpstreamArgs, "--service-time", serviceTime.String())
-	k := &bench{harness.New(b, c), b}
+	c := harness.Config{VMs: s.vms, UpstreamArgs: []string{"--service-time", s.time.String()}}
+	k := &bench{harness.New(b, c), b, s.capacity()}
 	k.ApplyFleet(harness.FleetText)
 	for _, vm := range k.VMs {
 		k.Control(vm.UpstreamURL+"/control/modes", responder.Modes{NoRecord: true})
 	}
-	k.load(100, 3*time.Second) // until every upstream is known and past its slow start
+	k.load(firstLoad, slowStart)
 	return k
 }
 
@@ -87,8 +99,8 @@
 
 // show logs one line of figures.
 func (k *bench) show(name string, r generator.Report) {
-	k.b.Logf("%-22s offered %6d good %6d (%.0f/s) wrong %d outcomes %v p50 %.2f p99 %.2f p99.9 %.2f max %.1f ms | refused p99 %.1f ms | lag p99 %.2f ms",
-		name, r.Offered, r.Good, r.Goodput, r.Wrong, r.Outcomes, r.Latency.P50, r.Latency.P99, r.Latency.P999, r.Latency.Max, r.Refused.P99, r.Lag.P99)
+	k.b.Logf("%-22s offered %6d good %6d (%.0f/s) wrong %d outcomes %v p50 %.2f p90 %.2f p99 %.2f p99.9 %.2f max %.1f ms | refused p99 %.1f ms | lag p99 %.2f ms",
+		name, r.Offered, r.Good, r.Goodput, r.Wrong, r.Outcomes, r.Latency.P50, r.Latency.P90, r.Latency.P99, r.Latency.P999, r.Latency.Max, r.Refused.P99, r.Lag.P99)
 	for tenant, c := range r.ByTenant {
 		k.b.Logf("    %-18s offered %6d good %6d outcomes %v", tenant, c.Offered, c.Good, c.Outcomes)
 	}
@@ -133,9 +145,9 @@
 // BenchmarkPathCost sends the same load through entry and agent and straight to
 // the upstreams, in turn.
 func BenchmarkPathCost(b *testing.B) {
-	k := start(b, harness.Config{})
+	k := start(b, shortService)
 	for b.Loop() {
-		for _, rate := range []float64{halfLoad / 10, halfLoad} {
+		for _, rate := range []float64{k.full / 20, k.full / 2} {
 			k.show(fmt.Sprintf("direct at %.0f/s", rate), k.loadAt(k.direct(), rate, measuredTime))
 			entries, agents := k.entriesTime(), k.agentsTime()
 			r := k.load(rate, measuredTime)
@@ -149,25 +161,25 @@
 
 // BenchmarkOverload offers twice the capacity, with one tenant within its share.
 func BenchmarkOverload(b *testing.B) {
-	k := start(b, harness.Config{})
+	k := start(b, longService)
 	for b.Loop() {
-		k.show("at capacity", k.load(fullLoad, measuredTime, "--tenants", "packhouse=1,export-desk=9"))
-		k.show("at twice capacity", k.load(2*fullLoad, measuredTime, "--tenants", "packhouse=1,export-desk=19"))
+		k.show("at capacity", k.load(k.full, measuredTime, "--tenants", "packhouse=1,export-desk=9"))
+		k.show("at twice capacity", k.load(2*k.full, measuredTime, "--tenants", "packhouse=1,export-desk=19"))
 	}
 }
 
 // BenchmarkSlowUpstream makes one of the upstreams 20 times slower, and later
 // kills one.
 func BenchmarkSlowUpstream(b *testing.B) {
-	k := start(b, harness.Config{})
+	k := start(b, longService)
 	for b.Loop() {
-		k.show("before", k.load(halfLoad, measuredTime))
+		k.show("before", k.load(k.full/2, measuredTime))
 		k.Control(k.VMs[0].UpstreamURL+"/control/modes", responder.Modes{NoRecord: true, Slow: slowFactor})
-		k.show("one slow", k.load(halfLoad, measuredTime))
+		k.show("one slow", k.load(k.full/2, measuredTime))
 		k.Control(k.VMs[0].UpstreamURL+"/control/modes", responder.Modes{NoRecord: true})
-		k.show("slow one well again", k.load(halfLoad, measuredTime))
+		k.show("slow one well again", k.load(k.full/2, measuredTime))
 		kill := time.AfterFunc(4*time.Second, k.VMs[1].Upstream.Kill)
-		k.show("one killed", k.load(halfLoad, measuredTime))
+		k.show("one killed", k.load(k.full/2, measuredTime))
 		kill.Stop()
 		k.VMs[1].Upstream.Restart()
 	}
@@ -175,12 +187,12 @@
 
 // BenchmarkStoreDown has the store down for the whole of a load.
 func BenchmarkStoreDown(b *testing.B) {
-	k := start(b, harness.Config{})
+	k := start(b, longService)
 	for b.Loop() {
-		k.show("store up", k.load(halfLoad, measuredTime))
+		k.show("store up", k.load(k.full/2, measuredTime))
 		k.SetStore(storer.Faults{Down: true})
-		k.show("store down", k.load(halfLoad, 3*measuredTime))
+		k.show("store down", k.load(k.full/2, 3*measuredTime))
 		k.SetStore(storer.Faults{})
-		k.show("store up again", k.load(halfLoad, measuredTime))
+		k.show("store up again", k.load(k.full/2, measuredTime))
 	}
 }
