--- a/internal/load/generator/report.go
+++ b/internal/load/generator/report.go
@@ -13,6 +13,7 @@
 	minMicros         = 1
 	maxMicros         = 120_000_000
 	significantDigits = 3
+	maxReasons        = 20
 )
 
 // Latency is a distribution of times in milliseconds.
@@ -31,8 +32,9 @@
 	Offered  int64                       `json:"offered"`
 	Outcomes map[messenger.Outcome]int64 `json:"outcomes"`
 	Statuses map[int]int64               `json:"statuses"`
-	Good     int64                       `json:"good"`  // run, status 200, own answer
-	Wrong    int64                       `json:"wrong"` // status 200 with another answer
+	Reasons  map[string]int64            `json:"reasons"` // of answers that are not good
+	Good     int64                       `json:"good"`    // run, status 200, own answer
+	Wrong    int64                       `json:"wrong"`   // status 200 with another answer
 }
 
 // Slice is a part of the run.
@@ -71,7 +73,7 @@
 }
 
 func newCounts() Counts {
-	return Counts{Outcomes: make(map[messenger.Outcome]int64), Statuses: make(map[int]int64)}
+	return Counts{Outcomes: make(map[messenger.Outcome]int64), Statuses: make(map[int]int64), Reasons: make(map[string]int64)}
 }
 
 func collect(c Config, results <-chan result) Report {
@@ -98,7 +100,13 @@
 	}
 	if r.isGood() {
 		c.Good++
+		return
+	}
+	// Reasons may name requests; beyond a few kinds they are summed up.
+	if _, known := c.Reasons[r.reason]; !known && len(c.Reasons) >= maxReasons {
+		r.reason = "other"
 	}
+	c.Reasons[r.reason]++
 }
 
 func (r result) isGood() bool {
--- a/internal/load/generator/send.go
+++ b/internal/load/generator/send.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -37,7 +38,8 @@
 	arrival
 	outcome messenger.Outcome
 	status  int
-	wrong   bool // answered as run, with another body than its own
+	reason  string // given by the entry, or the failure of the call
+	wrong   bool   // answered as run, with another body than its own
 	latency time.Duration
 	lag     time.Duration // of the generator behind its schedule
 }
@@ -53,13 +55,14 @@
 	}
 	answer, err := g.client.Do(r)
 	if err != nil {
-		res.latency = time.Since(a.at)
+		res.latency, res.reason = time.Since(a.at), "no answer"
 		return res
 	}
 	defer answer.Body.Close()
 	data, err := io.ReadAll(answer.Body)
 	res.latency, res.status = time.Since(a.at), answer.StatusCode
 	if err != nil {
+		res.reason = "answer cut short"
 		return res
 	}
 	res.outcome = messenger.Outcome(answer.Header.Get(headerOutcome))
@@ -71,10 +74,23 @@
 	}
 	if res.outcome == messenger.OutcomeRun && answer.StatusCode == http.StatusOK {
 		res.wrong = !isOwn(id, body, data)
+		return res
 	}
+	res.reason = reasonOf(data)
 	return res
 }
 
+// reasonOf returns the reason in an answer of the entry's own, if it is one.
+func reasonOf(data []byte) string {
+	var body struct {
+		Error string `json:"error"`
+	}
+	if json.Unmarshal(data, &body) != nil {
+		return ""
+	}
+	return body.Error
+}
+
 func (g *Generator) request(ctx context.Context, a arrival, id string) (*http.Request, []byte, error) {
 	target := g.config.Targets[a.number%int64(len(g.config.Targets))] + g.config.Path + "?id=" + id
 	var body []byte
--- a/tests/measure/requests_test.go
+++ b/tests/measure/requests_test.go
@@ -102,7 +102,7 @@
 	k.b.Logf("%-22s offered %6d good %6d (%.0f/s) wrong %d outcomes %v p50 %.2f p90 %.2f p99 %.2f p99.9 %.2f max %.1f ms | refused p99 %.1f ms | lag p99 %.2f ms",
 		name, r.Offered, r.Good, r.Goodput, r.Wrong, r.Outcomes, r.Latency.P50, r.Latency.P90, r.Latency.P99, r.Latency.P999, r.Latency.Max, r.Refused.P99, r.Lag.P99)
 	for tenant, c := range r.ByTenant {
-		k.b.Logf("    %-18s offered %6d good %6d outcomes %v", tenant, c.Offered, c.Good, c.Outcomes)
+		k.b.Logf("    %-18s offered %6d good %6d outcomes %v reasons %v", tenant, c.Offered, c.Good, c.Outcomes, c.Reasons)
 	}
 }
 
