--- a/internal/agent/gatekeeper/gatekeeper.go
+++ b/internal/agent/gatekeeper/gatekeeper.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	defaultExpiry      = 3 * time.Second
+	defaultExpiry      = 2500 * time.Millisecond
 	defaultLateLimit   = 5 * time.Second
 	defaultDialTimeout = time.Second
 	defaultSlots       = 8
@@ -28,7 +28,7 @@
 type Config struct {
 	Reporter *reporter.Reporter
 	// Expiry is the time without a renewal after which an upstream takes
-	// nothing new; default 3 s.
+	// nothing new; default 2.5 s, so that the last request is with it within 3 s.
 	Expiry time.Duration
 	// LateLimit is how long the slot of a request past its deadline stays taken
 	// while its upstream still works on it; default 5 s.
