--- a/internal/cli/commander/standin.go
+++ b/internal/cli/commander/standin.go
@@ -8,7 +8,6 @@
 
 	"github.com/spf13/cobra"
 
-	"bamboospread/internal/kernel/loader"
 	"bamboospread/internal/kernel/reporter"
 )
 
@@ -54,11 +53,3 @@
 	}
 	return nil
 }
-
-// check returns the findings as a usage error, or nil.
-func check(f *loader.Findings) error {
-	if err := f.Err(); err != nil {
-		return ExitError{Code: ExitUsage, Err: err}
-	}
-	return nil
-}
--- a/internal/cli/commander/standin_store.go
+++ b/internal/cli/commander/standin_store.go
@@ -26,7 +26,7 @@
 			if c.ReadsPerSecond < 0 {
 				f.Add("reads-per-second", "%d is below 0", c.ReadsPerSecond)
 			}
-			if err := check(&f); err != nil {
+			if err := usage(f.Err()); err != nil {
 				return err
 			}
 			c.Seed = o.seed
