Ask again right before sending; start new upstreams by chance; bound the hand-over

Cause and seen: TestLeavingUpstreamGetsNoNewWork (entry and agents paused) had a request reach a silent upstream 4.2 s after it fell silent: the gate let it in, the agent was stopped before the write and wrote when it woke. Now the gate is asked again last thing before one write. Slow start weighed the age in the comparison, which gave a new upstream nothing at low load; now it takes part with the chance that its age gives it.

--- a/internal/agent/gatekeeper/gatekeeper.go
+++ b/internal/agent/gatekeeper/gatekeeper.go
@@ -125,7 +125,7 @@
 	// really ended: freeing it at the deadline would let a slow upstream be sent
 	// more than its slots. It reports on done; leave tells that the slot is free.
 	go func() {
-		reply := gate.exchange(g.config, r, deadline)
+		reply := gate.exchange(g.config, r, deadline, func() string { return g.mayStart(gate, deadline) })
 		reply.InFlight = g.leave(gate, started, reply)
 		done <- reply
 	}()
@@ -182,6 +182,23 @@
 	return t, nil
 }
 
+// mayStart returns why a request that has its slot must not be sent after all.
+func (g *Gatekeeper) mayStart(t *gate, deadline time.Time) string {
+	now := g.config.Now()
+	if !now.Before(deadline) {
+		return "the deadline passed before sending"
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.leaving {
+		return messenger.ReasonLeaving
+	}
+	if now.Sub(t.renewed) > g.config.Expiry {
+		return messenger.ReasonGone
+	}
+	return ""
+}
+
 // leave frees the slot and returns how many requests the upstream still runs.
 func (g *Gatekeeper) leave(t *gate, started time.Time, reply messenger.RunReply) int {
 	took := g.config.Now().Sub(started)
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -88,6 +88,33 @@
 	usable := func(c *Candidate) bool {
 		return !c.Excluded && !(eject && c.Health != Healthy)
 	}
+	started := b.holdBack(list)
+	if choice := b.among(list, mean, func(c *Candidate) bool { return usable(c) && started(c) }); choice.Index >= 0 && !choice.Full {
+		return choice
+	}
+	return b.among(list, mean, usable)
+}
+
+// holdBack decides which new upstreams take part in this choice: each with the
+// chance that its age gives it, so that its share of the requests rises evenly.
+// Counting its age against it in the comparison instead would give it nothing
+// at a low load, and then all at once.
+func (b *Balancer) holdBack(list []Candidate) func(*Candidate) bool {
+	youngest := b.config.SlowStart
+	for i := range list {
+		youngest = min(youngest, list[i].Age)
+	}
+	if youngest >= b.config.SlowStart {
+		return func(*Candidate) bool { return true }
+	}
+	chance := time.Duration(b.config.Random(int(b.config.SlowStart)))
+	return func(c *Candidate) bool {
+		return max(c.Age, time.Duration(slowStartFloor*float64(b.config.SlowStart))) > chance
+	}
+}
+
+// among chooses among the usable candidates.
+func (b *Balancer) among(list []Candidate, mean time.Duration, usable func(*Candidate) bool) Choice {
 	own := b.better(list, mean, func(c *Candidate) bool {
 		return usable(c) && b.config.Zone != "" && c.Zone == b.config.Zone && float64(c.InFlight) < b.config.ZoneRoom*float64(c.Slots)
 	})
@@ -135,11 +162,7 @@
 		latency = max(mean, time.Microsecond)
 	}
 	load := float64(c.InFlight+1) / float64(max(c.Slots, 1))
-	share := 1.0
-	if c.Age < b.config.SlowStart {
-		share = max(slowStartFloor, float64(c.Age)/float64(b.config.SlowStart))
-	}
-	return load * float64(latency) / share
+	return load * float64(latency)
 }
 
 func (b *Balancer) ejects(list []Candidate) bool {
--- a/internal/service/server/server.go
+++ b/internal/service/server/server.go
@@ -27,6 +27,9 @@
 	"bamboospread/internal/wire/messenger"
 )
 
+// handOverLimit bounds the orderly end of an ownership in a planned stop.
+const handOverLimit = 3 * time.Second
+
 // Names of the entry's services in its registrar.
 const (
 	serviceFollower   = "follower"
@@ -180,7 +183,7 @@
 	r.Add(part(serviceEnroller, s.enroller, s.enroller.Run, nil, serviceFollower))
 	r.Add(part(serviceTracker, s.tracker, s.tracker.Run, nil, serviceEnroller))
 	if s.config.MayOwn {
-		r.Add(part(serviceController, s.controller, s.controller.Run, s.controller.Drain, serviceFollower))
+		r.Add(part(serviceController, s.controller, s.controller.Run, s.handOver, serviceFollower))
 	}
 	r.Add(part(serviceReceiver, s.receiver, nil, s.drainRequests, serviceTracker))
 	r.Add(part(serviceRPC, s.rpc, s.serveRPC, nil, serviceTracker))
@@ -191,6 +194,19 @@
 	return r.Run(ctx)
 }
 
+// handOver gives the ownership of the cell up. With the store away it can't be
+// given up in order; waiting for the store would hold the stop up to its limit and
+// end it as failed. The lease then runs out by itself, and what was not yet
+// journalled was not yet answered.
+func (s *Server) handOver(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, handOverLimit)
+	defer cancel()
+	if err := s.controller.Drain(ctx); err != nil {
+		s.config.Reporter.Report(reporter.HandOverNotDone, reporter.Fields{"cell": s.config.Cell, "error": err.Error()})
+	}
+	return nil
+}
+
 // part describes a service whose value is built before it starts.
 func part(name string, value any, run, drain func(context.Context) error, needs ...string) registrar.Service {
 	return registrar.Service{
