--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -82,6 +82,14 @@
 	return f
 }
 
+// Known tells whether the fleet is known: a record is held, or the store was read
+// and has none.
+func (f *Follower) Known() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known || f.current.Load().fleet.Version() > 0
+}
+
 // Fleet returns the fleet in force, never nil; its version is 0 before the
 // first record.
 func (f *Follower) Fleet() *describer.Fleet { return f.current.Load().fleet }
--- a/internal/service/server/serve.go
+++ b/internal/service/server/serve.go
@@ -70,8 +70,10 @@
 }
 
 func (s *Server) writeReady(w http.ResponseWriter, _ *http.Request) {
+	// An entry that started while the store is away refuses every request until a
+	// peer gave it the fleet record; until then callers are better off elsewhere.
 	state := readiness{
-		Ready: s.ready.Load(), ID: s.config.ID, FleetVersion: s.follower.Version(),
+		Ready: s.ready.Load() && s.follower.Known(), ID: s.config.ID, FleetVersion: s.follower.Version(),
 		Peers: s.enroller.Peers(), Owners: s.enroller.Owners(),
 	}
 	w.Header().Set("Content-Type", "application/json")
