--- a/tests/integration/control_helpers_test.go
+++ b/tests/integration/control_helpers_test.go
@@ -137,28 +137,28 @@
 	}
 }
 
-// fault does something bad to a trial and mends it before it returns.
-type fault struct {
+// cellFault does something bad to a trial and mends it before it returns.
+type cellFault struct {
 	name string
 	do   func(*trial)
 }
 
 // Faults of these tests.
 var (
-	ownerKilled = fault{"owner killed", func(r *trial) {
+	ownerKilled = cellFault{"owner killed", func(r *trial) {
 		i := r.ownerIndex()
 		r.Entries[i].Kill()
 		time.Sleep(pastLease)
 		r.Entries[i].Start()
 	}}
-	ownerPaused = fault{"owner paused past its lease and waking", func(r *trial) {
+	ownerPaused = cellFault{"owner paused past its lease and waking", func(r *trial) {
 		e := r.Entries[r.ownerIndex()]
 		e.Pause()
 		time.Sleep(pastLease + time.Second)
 		e.Resume()
 		time.Sleep(time.Second)
 	}}
-	ownerCutFromStore = fault{"owner cut from the store, agents still reach it", func(r *trial) {
+	ownerCutFromStore = cellFault{"owner cut from the store, agents still reach it", func(r *trial) {
 		e := r.Entries[r.ownerIndex()]
 		way := []proxy.Way{proxy.ToServer, proxy.ToClient, proxy.BothWays}[r.draw(3)]
 		e.StoreLink.Set(proxy.Faults{Cut: way})
@@ -166,14 +166,14 @@
 		e.StoreLink.Reset()
 		time.Sleep(time.Second)
 	}}
-	agentPaused = fault{"agent paused past its lease and waking", func(r *trial) {
+	agentPaused = cellFault{"agent paused past its lease and waking", func(r *trial) {
 		vm := r.takeAway()
 		vm.Agent.Pause()
 		time.Sleep(pastLease)
 		vm.Agent.Resume()
 		time.Sleep(time.Second)
 	}}
-	agentKilled = fault{"agent killed and replaced", func(r *trial) {
+	agentKilled = cellFault{"agent killed and replaced", func(r *trial) {
 		vm := r.takeAway()
 		vm.Agent.Kill()
 		time.Sleep(time.Duration(r.draw(2500)) * time.Millisecond)
@@ -183,30 +183,30 @@
 	vmCut       = cutVM("VM unreachable but alive", proxy.BothWays)
 	vmSendsOnly = cutVM("answers to a VM are cut", proxy.ToClient)
 	vmHearsOnly = cutVM("what a VM sends is cut", proxy.ToServer)
-	vmHeld      = fault{"polls and answers held back, then delivered", func(r *trial) {
+	vmHeld      = cellFault{"polls and answers held back, then delivered", func(r *trial) {
 		vm := r.takeAway()
 		r.CutAgent(vm, proxy.Faults{Hold: proxy.BothWays})
 		time.Sleep(pastLease)
 		r.CutAgent(vm, proxy.Faults{})
 		time.Sleep(time.Second)
 	}}
-	storeDown = fault{"store down", func(r *trial) {
+	storeDown = cellFault{"store down", func(r *trial) {
 		r.allAway()
 		r.SetStore(storer.Faults{Down: true})
 		time.Sleep(testOwnerLease + 2*time.Second)
 		r.SetStore(storer.Faults{})
 	}}
-	storeSlow = fault{"store slow", func(r *trial) {
+	storeSlow = cellFault{"store slow", func(r *trial) {
 		r.SetStore(storer.Faults{DelayMillis: 350})
 		time.Sleep(pastLease)
 		r.SetStore(storer.Faults{})
 	}}
-	storeLoses = fault{"store loses answers after the effect", func(r *trial) {
+	storeLoses = cellFault{"store loses answers after the effect", func(r *trial) {
 		r.SetStore(storer.Faults{LoseAnswers: 0.3})
 		time.Sleep(pastLease)
 		r.SetStore(storer.Faults{})
 	}}
-	zoneRace = fault{"operators take a zone out and back, racing", func(r *trial) {
+	zoneRace = cellFault{"operators take a zone out and back, racing", func(r *trial) {
 		zone := r.VMs[r.draw(len(r.VMs))].Zone
 		for _, state := range []describer.ZoneState{describer.ZoneOut, describer.ZoneIn} {
 			r.setZone(zone, state)
@@ -215,8 +215,8 @@
 	}}
 )
 
-func cutVM(name string, way proxy.Way) fault {
-	return fault{name, func(r *trial) {
+func cutVM(name string, way proxy.Way) cellFault {
+	return cellFault{name, func(r *trial) {
 		vm := r.takeAway()
 		r.CutAgent(vm, proxy.Faults{Cut: way})
 		time.Sleep(pastLease)
@@ -261,7 +261,7 @@
 
 // under runs load while the faults are made, one after the other or at once,
 // then waits until every accepted task has completed.
-func (r *trial) under(load func(context.Context), together bool, faults ...fault) {
+func (r *trial) under(load func(context.Context), together bool, faults ...cellFault) {
 	r.t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	loaded := make(chan struct{})
--- a/tests/integration/control_twice_test.go
+++ b/tests/integration/control_twice_test.go
@@ -12,17 +12,17 @@
 type scenario struct {
 	name     string
 	together bool
-	faults   []fault
+	faults   []cellFault
 }
 
-func alone(f fault) scenario { return scenario{name: f.name, faults: []fault{f}} }
+func alone(f cellFault) scenario { return scenario{name: f.name, faults: []cellFault{f}} }
 
-func together(a, b fault) scenario {
-	return scenario{name: a.name + ", and " + b.name, together: true, faults: []fault{a, b}}
+func together(a, b cellFault) scenario {
+	return scenario{name: a.name + ", and " + b.name, together: true, faults: []cellFault{a, b}}
 }
 
 // drawPairs returns two faults at once, as the seed has it.
-func drawPairs(seed uint64, n int, from ...fault) []scenario {
+func drawPairs(seed uint64, n int, from ...cellFault) []scenario {
 	random := rand.New(rand.NewPCG(seed, 3))
 	var out []scenario
 	for range n {
@@ -45,8 +45,8 @@
 	seed := harness.Seed(t)
 	scenarios := append([]scenario{
 		alone(ownerPaused), alone(agentPaused), alone(vmCut),
-		{name: "links cut one way", faults: []fault{vmSendsOnly, vmHearsOnly}},
-		{name: "store slow, losing answers, down", faults: []fault{storeSlow, storeLoses, storeDown}},
+		{name: "links cut one way", faults: []cellFault{vmSendsOnly, vmHearsOnly}},
+		{name: "store slow, losing answers, down", faults: []cellFault{storeSlow, storeLoses, storeDown}},
 		together(ownerKilled, agentKilled),
 		together(ownerCutFromStore, vmHeld),
 	}, drawPairs(seed, 1, ownerPaused, agentPaused, vmCut, vmHeld, ownerCutFromStore, storeLoses, ownerKilled)...)
@@ -68,8 +68,8 @@
 func TestVMNeverOvercommitted(t *testing.T) {
 	seed := harness.Seed(t)
 	scenarios := append([]scenario{
-		{name: "declared sizes far off", faults: []fault{storeSlow}},
-		{name: "two owners at once", together: true, faults: []fault{ownerPaused, agentKilled}},
+		{name: "declared sizes far off", faults: []cellFault{storeSlow}},
+		{name: "two owners at once", together: true, faults: []cellFault{ownerPaused, agentKilled}},
 		together(ownerCutFromStore, storeLoses),
 		together(ownerKilled, zoneRace),
 	}, drawPairs(seed, 1, ownerPaused, agentPaused, vmCut, vmHeld, storeLoses, zoneRace, ownerKilled)...)
