--- a/internal/control/placer/filter.go
+++ b/internal/control/placer/filter.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"bamboospread/internal/fleet/describer"
 )
@@ -88,6 +89,12 @@
 	urgent  bool
 }
 
+// failure is why a task found no VM in this round.
+type failure struct {
+	reason    string
+	submitted time.Time
+}
+
 func keyOf(t *Task) failureKey {
 	return failureKey{needs: t.Needs, class: t.Class, service: t.Service, urgent: t.Urgent}
 }
--- a/internal/control/placer/round.go
+++ b/internal/control/placer/round.go
@@ -11,16 +11,18 @@
 	config    Config
 	s         *Snapshot
 	weights   weights
+	limits    limits
 	vms       []vmState
 	byName    map[string]int
 	tasks     [][]int // indexes into Placed, for each VM
 	total     describer.Resources
+	demand    float64 // processors of queued batch tasks by those free for them, at most 1
 	tenants   map[string]*tenantState
 	spread    map[string]*spreadState // for each service with replicas
 	effects   map[pair]float64
-	failed    map[failureKey]string // what found no VM in this round, and why
-	evictions int                   // left of the budget
-	moving    map[string]bool       // tasks that this round evicts
+	failed    map[failureKey]failure // what found no VM in this round, and why
+	evictions int                    // left of the budget
+	moving    map[string]bool        // tasks that this round evicts
 	plan      Plan
 }
 
@@ -66,7 +68,7 @@
 		config: c, s: s, weights: newWeights(s.Fleet.Policy()),
 		vms: make([]vmState, len(s.VMs)), byName: make(map[string]int, len(s.VMs)), tasks: make([][]int, len(s.VMs)),
 		tenants: make(map[string]*tenantState), spread: make(map[string]*spreadState),
-		effects: make(map[pair]float64), failed: make(map[failureKey]string),
+		effects: make(map[pair]float64), failed: make(map[failureKey]failure),
 		evictions: s.EvictionsLeft, moving: make(map[string]bool),
 		plan: Plan{Waits: make(map[string]string, len(s.Queued))},
 	}
@@ -76,13 +78,33 @@
 		r.vms[i] = vmState{vm: v, free: v.Total.Sub(v.Committed), blocked: r.blockedReason(v)}
 		r.total = r.total.Add(v.Total)
 	}
+	r.limits = newLimits(r.weights)
 	r.addPlaced()
 	for i := range r.vms {
 		r.measure(i)
 	}
+	r.demand = r.queuedDemand()
 	return r
 }
 
+func (r *round) queuedDemand() float64 {
+	var waiting, free int64
+	for i := range r.s.Queued {
+		if t := &r.s.Queued[i]; t.Service == "" {
+			waiting += t.Needs.Millicores
+		}
+	}
+	for i := range r.vms {
+		if v := &r.vms[i]; v.blocked == "" {
+			free += max(0, v.free.Millicores)
+		}
+	}
+	if waiting >= free {
+		return 1
+	}
+	return float64(waiting) / float64(free)
+}
+
 // addPlaced counts what runs by VM, tenant and service.
 func (r *round) addPlaced() {
 	for i := range r.s.Placed {
--- a/internal/control/placer/score.go
+++ b/internal/control/placer/score.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"math"
+	"time"
 
 	"bamboospread/internal/fleet/describer"
 )
@@ -16,6 +17,9 @@
 	comfortable     = 0.8   // pressure from which each further slowdown costs more
 	steepness       = 5     // how much more
 	negligible      = 0.005 // effect that is not worth a decision
+
+	paceSlack = 1.5              // times its part that a task may disturb at once
+	paceWait  = 10 * time.Minute // wait after which it may that much more
 )
 
 // Weights of the terms of a score that the fleet text does not set.
@@ -37,24 +41,30 @@
 	case PolicyStaticHeadroom:
 		return r.headroomRefusal(t, v)
 	}
-	limit := math.Log(r.admitLimit(t))
 	for i := range v.services {
 		effect := r.effect(v.services[i].name, t.Class)
-		if effect < negligible {
-			continue
-		}
-		if v.throttled || v.services[i].log+effect > limit {
+		if effect >= negligible && (v.throttled || effect > r.allowance(t, v, &v.services[i])) {
 			return refusedPressure
 		}
 	}
 	return ""
 }
 
-// admitLimit is the predicted pressure up to which a batch task starts beside a
-// service. Fleets that weigh throughput higher accept more of it.
-func (r *round) admitLimit(*Task) float64 {
-	balance := (r.weights.throughput + 0.1) / (r.weights.tail + 0.1)
-	return min(1.0, max(0.7, 0.9*math.Pow(balance, 0.1)))
+// allowance is the effect that a task may have on a service of a VM. What is
+// left up to the limit belongs to the processors that are left: a task gets its
+// part of it, times a slack that grows with its wait. Without that, the first
+// disturbing task uses up what would have let many quiet ones run. When less
+// waits than there is room for, parts are of the room that will be used.
+func (r *round) allowance(t *Task, v *vmState, s *serviceState) float64 {
+	left := math.Log(r.limits.admit) - s.log
+	free := part(v.free.Millicores, v.vm.Total.Millicores) * r.demand
+	takes := part(t.Needs.Millicores, v.vm.Total.Millicores)
+	waited := max(0, r.s.Now.Sub(t.Submitted).Seconds())
+	slack := paceSlack * (1 + waited/paceWait.Seconds())
+	if free <= 0 {
+		return left
+	}
+	return left * min(1, slack*takes/free)
 }
 
 // effect returns the predicted logarithm of the slowdown that one task of a
--- a/internal/control/placer/share.go
+++ b/internal/control/placer/share.go
@@ -111,14 +111,14 @@
 		return "quota of tenant " + t.Tenant + " is used up"
 	}
 	key := keyOf(t)
-	if reason, ok := r.failed[key]; ok { // room only shrinks within a round
-		return reason
+	if f, ok := r.failed[key]; ok && !t.Submitted.Before(f.submitted) {
+		return f.reason // room only shrinks within a round, and a younger task may disturb less
 	}
 	c, ok := r.best(t)
 	if !ok {
 		reason := r.waitReason(t)
 		if len(t.Avoid) == 0 {
-			r.failed[key] = reason
+			r.failed[key] = failure{reason, t.Submitted}
 		}
 		return reason
 	}
--- /dev/null
+++ b/tests/bench/apply.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"math"
+
+	"bamboospread/internal/control/learner"
+	"bamboospread/internal/control/placer"
+)
+
+// apply carries out a plan.
+func (p *pool) apply(plan placer.Plan) {
+	for _, s := range plan.Starts {
+		p.start(p.tasks[s.TaskID], p.byName(s.VM))
+	}
+	for _, th := range plan.Throttles {
+		t := p.tasks[th.TaskID]
+		v := p.byName(t.VM)
+		t.Percent = th.Percent
+		v.spec.Acted = p.clock()
+		v.endPlacement(t.ID, p.clock())
+		v.placements = append(v.placements, learner.Placement{TaskID: t.ID, Class: t.Class, From: p.clock(), Percent: th.Percent})
+		p.tally.throttles++
+	}
+	for _, e := range plan.Evictions {
+		t := p.tasks[e.TaskID]
+		t.Stopping, t.stopped = true, p.now+checkpointTime
+		t.moves++
+		p.byName(t.VM).spec.Acted = p.clock()
+		p.tally.evict(p.out[p.byName(t.VM).spec.Zone])
+	}
+}
+
+func (p *pool) start(t *task, v *vm) {
+	for i, q := range p.queue {
+		if q == t {
+			p.queue = append(p.queue[:i], p.queue[i+1:]...)
+			break
+		}
+	}
+	t.VM, t.Started, t.warm, t.done = v.spec.Name, p.clock(), p.now+warmUp, t.saved
+	v.spec.Committed = v.spec.Committed.Add(t.Needs)
+	if !v.spec.Committed.Fits(v.spec.Total) || p.out[v.spec.Zone] || v.off {
+		p.tally.broken++
+	}
+	v.tasks = append(v.tasks, t)
+	v.placements = append(v.placements, learner.Placement{TaskID: t.ID, Class: t.Class, From: p.clock()})
+	p.tally.starts++
+}
+
+func (p *pool) byName(name string) *vm {
+	for _, v := range p.vms {
+		if v.spec.Name == name {
+			return v
+		}
+	}
+	return nil
+}
+
+// switchZone turns the VMs of a zone off or on again. What runs there is lost
+// back to its checkpoint.
+func (p *pool) switchZone(zone string, on bool) {
+	for _, v := range p.vms {
+		if v.spec.Zone != zone {
+			continue
+		}
+		v.off, v.spec.Reachable, v.window = !on, on, nil
+		if on {
+			v.spec.ReturnedAt = p.clock()
+			continue
+		}
+		for _, t := range v.tasks {
+			p.tally.lost++
+			p.tally.lostWork += (t.done - t.saved) * float64(t.Needs.Millicores) / 1000
+			p.leave(v, t)
+			t.done = t.saved
+			p.queue = append(p.queue, t)
+		}
+		v.tasks = nil
+	}
+}
+
+// trueInterference is what the hidden truth says at medium load.
+func (p *pool) trueInterference(_, class string) (slowdown, confidence float64) {
+	for i, c := range p.user.classes {
+		if c.name == class {
+			return math.Expm1(p.effects()[i]), 1
+		}
+	}
+	return 0, 0
+}
+
+// finish counts the work of tasks that still run.
+func (p *pool) finish() {
+	for _, t := range p.tasks {
+		p.tally.unfinished(t)
+	}
+}
--- /dev/null
+++ b/tests/bench/main.go
@@ -0,0 +1,65 @@
+// Command bench measures the placement under interference on a small fake
+// worker pool, for the sizes of both users, against its baselines. It writes
+// CSV files and plots.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// outcome is one run.
+type outcome struct {
+	user    string
+	variant string
+	seed    uint64
+	tally   *tally
+}
+
+func main() {
+	seeds := flag.Int("seeds", 10, "number of seeds, from 1")
+	out := flag.String("out", "build/bench", "folder for CSV and SVG files")
+	parallel := flag.Int("parallel", 4, "runs at once")
+	only := flag.String("only", "", "variants, separated by semicolons; all, if empty")
+	flag.Parse()
+	outcomes := runAll(*seeds, *parallel, *only)
+	if err := write(*out, outcomes); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+// runAll runs every user, variant and seed.
+func runAll(seeds, parallel int, only string) []outcome {
+	var outcomes []outcome
+	var jobs []func()
+	for _, u := range users() {
+		for _, v := range variants() {
+			if only != "" && !slices.Contains(strings.Split(only, ";"), v.name) {
+				continue
+			}
+			for seed := range seeds {
+				outcomes = append(outcomes, outcome{user: u.name, variant: v.name, seed: uint64(seed + 1)})
+				i := len(outcomes) - 1
+				jobs = append(jobs, func() {
+					outcomes[i].tally = newRunner(u, v, uint64(seed+1)).run()
+				})
+			}
+		}
+	}
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, parallel)
+	for _, job := range jobs {
+		slots <- struct{}{}
+		wg.Go(func() {
+			job()
+			<-slots
+		})
+	}
+	wg.Wait()
+	return outcomes
+}
