--- a/internal/kernel/reporter/reporter.go
+++ b/internal/kernel/reporter/reporter.go
@@ -109,8 +109,8 @@
 
 var definitions = index(
 	kernelDefinitions, platformDefinitions, fleetDefinitions,
-	requestDefinitions, controlDefinitions, agentDefinitions,
-	operatorDefinitions, standinDefinitions,
+	requestDefinitions, controlDefinitions, agentDefinitions, agentRequestDefinitions,
+	runnerDefinitions, operatorDefinitions, standinDefinitions,
 )
 
 func index(groups ...[]Definition) map[Code]Definition {
