Give the placer the time of the last step on a VM and the latest reports

Change: tiny edits in controller (session.acted, set when a throttle or move is decided) and in service/server (Recent, Percent). Nothing else there.

--- a/internal/control/controller/planning.go
+++ b/internal/control/controller/planning.go
@@ -70,6 +70,7 @@
 		if o.decide(bookkeeper.Record{Throttled: &bookkeeper.Throttled{Task: h.TaskID, Percent: h.Percent}}, reporter.ThrottleDecided, d, nil) {
 			o.session(t.VM).closeHistory(h.TaskID, now)
 			o.session(t.VM).openHistory(t, now)
+			o.session(t.VM).acted = now
 		}
 	}
 	for _, h := range plan.Holds {
@@ -105,6 +106,7 @@
 	stopping := bookkeeper.Stopping{Task: t.Spec.ID, Attempt: t.Attempt, Kind: bookkeeper.StopMove}
 	if o.decide(bookkeeper.Record{Stopping: &stopping}, reporter.MoveDecided, d, nil) {
 		o.meters.evictions.Inc()
+		o.session(t.VM).acted = o.config.Now()
 	}
 }
 
@@ -137,7 +139,7 @@
 		Name: name, Zone: c.Zone, Rack: c.Rack, Total: c.Total, Committed: o.books.Committed(name),
 		Reachable: session.reachable(now), Leaving: v.Seen.Leaving,
 		Quarantined: v.Quarantined != "" || v.Quarantines > 0 && o.books.CountOn(name) > 0,
-		ReturnedAt:  o.returned[c.Zone],
+		ReturnedAt:  o.returned[c.Zone], Acted: session.acted,
 	}
 	for _, h := range v.Seen.Services {
 		vm.Services = append(vm.Services, h.Service)
--- a/internal/control/controller/session.go
+++ b/internal/control/controller/session.go
@@ -35,6 +35,7 @@
 	strays      map[messenger.TaskAttempt]bool
 	sent        map[sentOrder]time.Time
 	history     []Placement
+	acted       time.Time // when a task of the VM was last throttled or moved; reports lag
 }
 
 // parkedPoll is a poll that waits for orders.
--- a/internal/service/server/server.go
+++ b/internal/service/server/server.go
@@ -122,7 +122,7 @@
 		Cell: c.Cell, EntryID: c.ID, RPCAddress: c.Advertise, Keeper: s.keeper,
 		Refresh: s.follower.Refresh, Fleet: s.follower.Fleet, Reporter: c.Reporter, Metrics: s.metrics,
 		Placer: placer.New(placer.Config{}), Observe: observe(known),
-		Interference: known.Interference, Pressure: known.Pressure,
+		Interference: known.Interference, Pressure: known.Pressure, Recent: known.Recent,
 		OwnerLease: c.OwnerLease, VMLease: c.VMLease, OutageLease: c.OutageLease,
 	})
 	s.forwarder = forwarder.New(forwarder.Config{
@@ -159,7 +159,7 @@
 		batch := make([]learner.Placement, 0, len(placed))
 		for _, p := range placed {
 			if p.Service == "" {
-				batch = append(batch, learner.Placement{TaskID: p.TaskID, Class: p.Class, From: p.From, To: p.To})
+				batch = append(batch, learner.Placement{TaskID: p.TaskID, Class: p.Class, From: p.From, To: p.To, Percent: p.Percent})
 			}
 		}
 		known.Observe(vm, usage, batch)
