Measure the slopes of the capacity page on real processes

tests/capacity: owners by VMs, starts and tasks, entries by agents, cells, agents by tasks and entries, encoded sizes. tests/proxy counts bytes for it. make bench and make bench-capacity run the measurements.

--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,13 @@
 .PHONY: test-integration
 test-integration: build ## run the integration tests with real processes
 	BAMBOOSPREAD_BINARY=$(CURDIR)/build/bamboospread $(GO) test -count=1 -timeout 30m ./tests/...
+
+.PHONY: bench
+bench: ## measure the placement under interference; CSV, SVG and tables under build/bench
+	@mkdir -p build/bench
+	$(GO) run ./tests/bench -out build/bench | tee build/bench/placement.md
+
+.PHONY: bench-capacity
+bench-capacity: build ## measure the slopes of docs/CAPACITY.md on real processes
+	$(GO) test -run '^$$' -bench 'Plan|Observe' ./internal/control/...
+	BAMBOOSPREAD_BINARY=$(CURDIR)/build/bamboospread $(GO) test -run '^$$' -bench . -benchtime 1x -timeout 30m ./tests/capacity
--- /dev/null
+++ b/tests/capacity/slopes_test.go
@@ -0,0 +1,214 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/wire/messenger"
+	"bamboospread/tests/harness"
+	"bamboospread/tests/proxy"
+)
+
+// Sizes of a VM at the target: 22,000 service and 100,000 batch tasks on 4,500.
+const tasksOfVM = 27
+
+func submit(b *testing.B, k *harness.Cluster, prefix string, n int, needs describer.Resources, runTime time.Duration) {
+	b.Helper()
+	const batch = 500
+	operator := k.Operator()
+	for done := 0; done < n; done += batch {
+		var specs []messenger.TaskSpec
+		for i := done; i < min(n, done+batch); i++ {
+			specs = append(specs, messenger.TaskSpec{
+				ID: fmt.Sprintf("%s-%06d", prefix, i), Tenant: "packhouse", Class: "queue-watcher", Needs: needs,
+				RunTimeMillis: runTime.Milliseconds(),
+			})
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		_, err := operator.Submit(ctx, specs)
+		cancel()
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// cluster starts a store and entries without VMs.
+func cluster(b *testing.B, entries int) *harness.Cluster {
+	b.Helper()
+	k := harness.New(b, harness.Config{Entries: entries, VMs: -1})
+	k.ApplyFleet(harness.FleetText)
+	return k
+}
+
+var smallNeeds = describer.Resources{Millicores: 2000, MemoryBytes: 4 << 30}
+
+// BenchmarkOwnerByVMs measures an owner of VMs that each run the tasks of the
+// target size and poll.
+func BenchmarkOwnerByVMs(b *testing.B) {
+	for _, vms := range []int{25, 100, 400} {
+		b.Run(fmt.Sprint("vms=", vms), func(b *testing.B) {
+			k := cluster(b, 1)
+			agents := startAgents(b, k.Entries[0].RPCLink.Address(), vms)
+			submit(b, k, "task", vms*tasksOfVM, smallNeeds, time.Hour)
+			waitTasks(b, func() int { return running(agents) }, vms*tasksOfVM)
+			probe{pid: k.Entries[0].PID(), links: []*proxy.Proxy{k.Entries[0].RPCLink}, store: k.StoreURL}.measure(b)
+			reportRound(b, k)
+		})
+	}
+}
+
+// reportRound reports the mean time of a round of the placer.
+func reportRound(b *testing.B, k *harness.Cluster) {
+	b.Helper()
+	sum, n := meter(b, k.Entries[0], "bamboospread_cell_placement_round_seconds_sum"), meter(b, k.Entries[0], "bamboospread_cell_placement_round_seconds_count")
+	if n > 0 {
+		b.ReportMetric(1000*sum/n, "ms/round")
+	}
+}
+
+// BenchmarkOwnerByStarts measures an owner of 50 VMs at several rates of starts.
+func BenchmarkOwnerByStarts(b *testing.B) {
+	for _, rate := range []int{20, 60, 180} {
+		b.Run(fmt.Sprint("starts=", rate), func(b *testing.B) {
+			k := cluster(b, 1)
+			startAgents(b, k.Entries[0].RPCLink.Address(), 50)
+			stop := make(chan struct{})
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				for i := 0; ; i++ {
+					select {
+					case <-stop:
+						return
+					case <-time.After(time.Second):
+						submit(b, k, fmt.Sprint("wave", i), rate, smallNeeds, 4*time.Second)
+					}
+				}
+			}()
+			before := meter(b, k.Entries[0], "bamboospread_cell_starts_total")
+			probe{pid: k.Entries[0].PID(), links: []*proxy.Proxy{k.Entries[0].StoreLink}, store: k.StoreURL}.measure(b)
+			b.ReportMetric((meter(b, k.Entries[0], "bamboospread_cell_starts_total")-before)/(settle+window).Seconds(), "starts/s")
+			close(stop)
+			<-ended
+		})
+	}
+}
+
+// BenchmarkOwnerByTasks measures an owner that holds queued tasks.
+func BenchmarkOwnerByTasks(b *testing.B) {
+	for _, tasks := range []int{1000, 10000, 30000, 100000} {
+		b.Run(fmt.Sprint("tasks=", tasks), func(b *testing.B) {
+			k := cluster(b, 1)
+			submit(b, k, "task", tasks, smallNeeds, time.Hour)
+			probe{pid: k.Entries[0].PID(), store: k.StoreURL}.measure(b)
+			reportRound(b, k)
+		})
+	}
+}
+
+// BenchmarkEntryByAgents measures an entry with which agents keep sessions.
+func BenchmarkEntryByAgents(b *testing.B) {
+	for _, agents := range []int{200, 600, 1800} {
+		b.Run(fmt.Sprint("agents=", agents), func(b *testing.B) {
+			k := cluster(b, 1)
+			startHeartbeats(b, k.Entries[0].RPCLink.Address(), agents)
+			probe{pid: k.Entries[0].PID(), links: []*proxy.Proxy{k.Entries[0].RPCLink}}.measure(b)
+		})
+	}
+}
+
+// BenchmarkCells measures the calls of the store by entries that own one cell
+// each and have nothing to do.
+func BenchmarkCells(b *testing.B) {
+	for _, cells := range []int{1, 2, 4, 8} {
+		b.Run(fmt.Sprint("cells=", cells), func(b *testing.B) {
+			k := cluster(b, 1)
+			for i := 1; i < cells; i++ {
+				name := fmt.Sprint("entry-of-cell-", i)
+				harness.StartProcess(b, name, "entry", "--id", name, "--cell", fmt.Sprint("cell-", i),
+					"--listen", harness.FreeAddress(b), "--rpc-listen", harness.FreeAddress(b), "--store-url", k.StoreURL, "--zone", "zone-a")
+			}
+			probe{pid: k.Store.PID(), store: k.StoreURL}.measure(b)
+		})
+	}
+}
+
+// BenchmarkAgentByTasks measures a real agent whose worker runs tasks.
+func BenchmarkAgentByTasks(b *testing.B) {
+	for _, tasks := range []int{0, 9, 27, 54} {
+		b.Run(fmt.Sprint("tasks=", tasks), func(b *testing.B) {
+			k := harness.New(b, harness.Config{Entries: 1, VMs: 1})
+			k.ApplyFleet(harness.FleetText)
+			submit(b, k, "task", tasks, describer.Resources{Millicores: 100, MemoryBytes: 1 << 28}, time.Hour)
+			waitTasks(b, func() int {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				found, _ := k.Operator().FindTasks(ctx, messenger.FindTasksOptions{Cell: "main", State: messenger.TaskRunning})
+				return len(found.Tasks)
+			}, tasks)
+			probe{pid: k.VMs[0].Agent.PID(), links: []*proxy.Proxy{k.Entries[0].RPCLink}}.measure(b)
+		})
+	}
+}
+
+// BenchmarkAgentByEntries measures a real agent that keeps sessions with several
+// entries.
+func BenchmarkAgentByEntries(b *testing.B) {
+	for _, entries := range []int{1, 2, 4, 8} {
+		b.Run(fmt.Sprint("entries=", entries), func(b *testing.B) {
+			k := harness.New(b, harness.Config{Entries: entries, VMs: 1})
+			k.ApplyFleet(harness.FleetText)
+			p := probe{pid: k.VMs[0].Agent.PID()}
+			p.measure(b)
+		})
+	}
+}
+
+// BenchmarkMessages reports the encoded sizes of the messages that repeat.
+func BenchmarkMessages(b *testing.B) {
+	for _, tasks := range []int{0, 9, 27, 54} {
+		b.Run(fmt.Sprint("poll/tasks=", tasks), func(b *testing.B) {
+			a := &fakeAgent{tasks: make(map[messenger.TaskAttempt]*fakeTask)}
+			var r messenger.PollReply
+			for i := range tasks {
+				r.Orders = append(r.Orders, messenger.Order{
+					Kind: messenger.OrderStart, TaskID: fmt.Sprintf("sorting-run-2026-12-02-%06d", i), Attempt: 1,
+					Class: "sorting-run", Tenant: "packhouse", Needs: smallNeeds, RunTime: 3600000,
+				})
+			}
+			a.take(r)
+			p := messenger.Poll{Cell: "main", AgentID: "agent-vm-0001", Incarnation: time.Now().UnixNano(), Tasks: a.reports(), Usage: a.usage(time.Now())}
+			size(b, p, "B/poll")
+			p.Usage = nil
+			size(b, p, "B/poll-without-usage")
+			size(b, r, "B/start-orders")
+		})
+	}
+	for _, entries := range []int{2, 8, 24} {
+		b.Run(fmt.Sprint("heartbeat/entries=", entries), func(b *testing.B) {
+			up := []messenger.Upstream{{ID: "runner-vm-0001", Service: "labelling", Slots: 8, Connections: 64, State: messenger.UpstreamReady}}
+			size(b, messenger.Heartbeat{AgentID: "agent-vm-0001", Incarnation: time.Now().UnixNano(), Sequence: 1000, Upstreams: up, FleetVersion: 1000}, "B/heartbeat")
+			r := messenger.AnnounceReply{EntryID: "entry-1", FleetVersion: 1000}
+			for i := range entries {
+				r.Peers = append(r.Peers, messenger.PeerAddress{EntryID: fmt.Sprint("entry-", i), Address: "10.0.0.10:8081"})
+			}
+			r.Owners = []messenger.CellOwner{{Cell: "main", Epoch: 10, EntryID: "entry-1", Address: "10.0.0.10:8081"}}
+			size(b, r, "B/reply")
+		})
+	}
+}
+
+func size(b *testing.B, v any, unit string) {
+	b.Helper()
+	data, err := json.Marshal(v)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(len(data)), unit)
+	b.ReportMetric(0, "ns/op")
+}
--- a/tests/proxy/proxy.go
+++ b/tests/proxy/proxy.go
@@ -52,6 +52,8 @@
 	byClass map[string]Faults // goes before all
 	changed chan struct{}     // closed and replaced when faults change
 	links   map[*link]bool
+
+	toServer, toClient atomic.Int64 // bytes delivered
 }
 
 // link is one connection with both its ends.
@@ -247,5 +249,15 @@
 		return false
 	}
 	_, err := to.Write(c.data)
+	if way == ToServer {
+		p.toServer.Add(int64(len(c.data)))
+	} else {
+		p.toClient.Add(int64(len(c.data)))
+	}
 	return err == nil
 }
+
+// CountBytes returns how many bytes were delivered so far, each way.
+func (p *Proxy) CountBytes() (toServer, toClient int64) {
+	return p.toServer.Load(), p.toClient.Load()
+}
