--- a/internal/control/controller/cell_test.go
+++ b/internal/control/controller/cell_test.go
@@ -30,7 +30,7 @@
 // cell is a cell in one process: the stand-ins of store and workers behind
 // their HTTP interfaces, the real clients, runners and controllers.
 type cell struct {
-	t           *testing.T
+	t           testing.TB
 	ctx         context.Context
 	store       *storer.Store
 	storeURL    string
@@ -41,7 +41,12 @@
 	cutAgents   []*atomic.Bool
 }
 
-func newCell(t *testing.T, vms, controllers int) *cell {
+func newCell(t testing.TB, vms, controllers int) *cell {
+	t.Helper()
+	return newCellWith(t, vms, controllers, func(*Config) {})
+}
+
+func newCellWith(t testing.TB, vms, controllers int, change func(*Config)) *cell {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &cell{t: t, ctx: ctx, store: storer.New(storer.Config{})}
@@ -57,10 +62,12 @@
 		return stop
 	}
 	for i := range controllers {
-		ctrl := New(Config{
+		config := Config{
 			Cell: "c1", EntryID: fmt.Sprintf("e%d", i), Keeper: keeper.New(keeper.Config{URL: c.storeURL, CallTimeout: 300 * time.Millisecond}),
 			Refresh: c.refresh, Fleet: c.fleet.Load, OwnerLease: ownerLease, VMLease: vmLease, OutageLease: 2 * vmLease,
-		})
+		}
+		change(&config)
+		ctrl := New(config)
 		c.controllers = append(c.controllers, ctrl)
 		c.stops = append(c.stops, run(ctrl.Run))
 	}
--- a/internal/control/controller/session.go
+++ b/internal/control/controller/session.go
@@ -39,6 +39,7 @@
 	history     []Placement
 	joined      time.Time            // when the VM was first seen at all, if by this owner
 	fewer       map[string]time.Time // since when a service has had fewer upstreams than committed
+	acted       time.Time            // when a task of the VM was last throttled or moved; reports lag
 }
 
 // parkedPoll is a poll that waits for orders.
--- a/tests/integration/control_evicted_test.go
+++ b/tests/integration/control_evicted_test.go
@@ -12,7 +12,7 @@
 )
 
 // zoneLeaves takes a zone with running tasks out for a while and back.
-var zoneLeaves = fault{"a zone leaves and returns", func(r *trial) {
+var zoneLeaves = cellFault{"a zone leaves and returns", func(r *trial) {
 	time.Sleep(time.Second) // for some work to be worth a checkpoint
 	for _, zone := range []string{"zone-a", "zone-b"} {
 		r.setZone(zone, describer.ZoneOut)
@@ -31,8 +31,8 @@
 	scenarios := append([]scenario{
 		alone(zoneLeaves), together(zoneLeaves, ownerKilled), together(zoneLeaves, storeLoses),
 		together(zoneLeaves, agentKilled), together(zoneLeaves, ownerPaused),
-		{name: "zone leaves, owner killed, VM unreachable", together: true, faults: []fault{zoneLeaves, ownerKilled, vmCut}},
-	}, together(zoneLeaves, []fault{storeSlow, storeDown, vmHeld, ownerCutFromStore}[seed%4]))
+		{name: "zone leaves, owner killed, VM unreachable", together: true, faults: []cellFault{zoneLeaves, ownerKilled, vmCut}},
+	}, together(zoneLeaves, []cellFault{storeSlow, storeDown, vmHeld, ownerCutFromStore}[seed%4]))
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			r := newTrial(t, seed, 4, harness.FleetText)
