--- a/internal/control/bookkeeper/apply.go
+++ b/internal/control/bookkeeper/apply.go
@@ -288,6 +288,7 @@
 			delete(b.s.Claims, k)
 		case messenger.OutcomeRun:
 			c.State, c.Answer = messenger.ClaimSettled, r.ClaimClosed.Answer
+			b.keepAnswer(k, c)
 		default:
 			c.State = messenger.ClaimHeld
 		}
@@ -297,10 +298,42 @@
 				delete(b.s.Claims, k)
 			}
 		}
+		b.dropAnswers(func(a keptAnswer) bool { return b.s.Claims[a.Claim] == nil })
 	}
 	return nil
 }
 
+// keepAnswer bounds the bytes of all kept answers, which are part of each
+// snapshot: the oldest are dropped, and a repeat of their request learns only
+// that it ran.
+func (b *Books) keepAnswer(key string, c *Claim) {
+	if c.Answer == nil || len(c.Answer.Body) == 0 {
+		return
+	}
+	b.s.Answered = append(b.s.Answered, keptAnswer{key, len(c.Answer.Body)})
+	b.s.Answers += len(c.Answer.Body)
+	for b.s.Answers > maxAnswerBytes {
+		oldest := b.s.Answered[0]
+		if old := b.s.Claims[oldest.Claim]; old != nil && old.Answer != nil {
+			old.Answer = &messenger.KeptAnswer{Status: old.Answer.Status}
+		}
+		b.s.Answered = b.s.Answered[1:]
+		b.s.Answers -= oldest.Bytes
+	}
+}
+
+func (b *Books) dropAnswers(drop func(keptAnswer) bool) {
+	kept := b.s.Answered[:0]
+	for _, a := range b.s.Answered {
+		if drop(a) {
+			b.s.Answers -= a.Bytes
+			continue
+		}
+		kept = append(kept, a)
+	}
+	b.s.Answered = kept
+}
+
 // note numbers a decision and keeps the last ones, for the cell and the last
 // few of each task.
 func (b *Books) note(r Record) {
--- a/internal/control/bookkeeper/bookkeeper.go
+++ b/internal/control/bookkeeper/bookkeeper.go
@@ -18,6 +18,7 @@
 	maxDecisions     = 4096
 	maxTaskDecisions = 16
 	maxFinished      = 20000
+	maxAnswerBytes   = 16 << 20 // of all kept answers together
 )
 
 // Task is a task in the books.
@@ -84,6 +85,14 @@
 	Decisions map[int64]*messenger.Decision `json:"decisions"`
 	Finished  []string                      `json:"finished"` // oldest first
 	Settled   time.Duration                 `json:"own-lease"`
+	Answered  []keptAnswer                  `json:"answered"` // claims with an answer, oldest first
+	Answers   int                           `json:"answers"`  // bytes of these
+}
+
+// keptAnswer names a claim whose answer is kept, with its size.
+type keptAnswer struct {
+	Claim string `json:"claim"`
+	Bytes int    `json:"bytes"`
 }
 
 // Books is the state of a cell. It belongs to one goroutine.
--- a/internal/control/bookkeeper/bookkeeper_test.go
+++ b/internal/control/bookkeeper/bookkeeper_test.go
@@ -191,3 +191,38 @@
 		}
 	}
 }
+
+// TestAnswersAreBounded settles requests with large answers: the books keep the
+// latest and still know of each that it ran.
+func TestAnswersAreBounded(t *testing.T) {
+	b := New()
+	body := make([]byte, 1<<20)
+	const requests = 20
+	for n := range requests {
+		key := fmt.Sprint("k", n)
+		for _, r := range []Record{
+			{At: start, Claimed: &Claimed{Tenant: "x", Key: key, RequestID: "r"}},
+			{At: start, ClaimClosed: &ClaimClosed{Tenant: "x", Key: key, RequestID: "r", Outcome: messenger.OutcomeRun, Answer: &messenger.KeptAnswer{Status: 200, Body: body, Whole: true}}},
+		} {
+			if err := b.Apply(r); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	whole := 0
+	for n := range requests {
+		c := b.Claim("x", fmt.Sprint("k", n))
+		if c.State != messenger.ClaimSettled || c.Answer.Status != 200 {
+			t.Errorf("claim %d: %+v", n, c)
+		}
+		if c.Answer.Whole {
+			whole++
+		}
+	}
+	if want := maxAnswerBytes / len(body); whole != want {
+		t.Errorf("%d answers kept, want %d", whole, want)
+	}
+	if err := b.Apply(Record{At: start, ClaimsOld: &ClaimsOld{Before: start.Add(time.Hour)}}); err != nil || b.s.Answers != 0 || b.CountClaims() != 0 {
+		t.Errorf("after forgetting: %d bytes, %d claims, %v", b.s.Answers, b.CountClaims(), err)
+	}
+}
--- a/internal/control/controller/claim.go
+++ b/internal/control/controller/claim.go
@@ -11,7 +11,7 @@
 const (
 	claimsKept     = 24 * time.Hour
 	claimsSwept    = 10 * time.Minute
-	maxClaims      = 500000
+	maxClaims      = 100000
 	maxAnswerBytes = 16 << 10
 )
 
