Report idle services, so that batch tasks start beside them

Ruled out: store contact, leases (all VMs reachable, reason 'a service there would miss its objective on 4 of 4 VMs'). Change: the runner reports a ready upstream with nothing in flight as idle, the learner takes that as a window that misses nothing.

--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -180,15 +180,40 @@
 	if now := r.config.Now(); now.Sub(r.usageAt) >= usageEvery {
 		r.usageAt = now
 		if usage, err := r.config.Driver.GetUsage(ctx); err == nil && usage.ToMillis > 0 {
-			if r.config.ServiceLoad != nil {
-				usage.Services = r.config.ServiceLoad()
-			}
+			usage.Services = r.serviceLoad()
 			p.Usage = &usage
 		}
 	}
 	return p
 }
 
+// serviceLoad returns what was measured of the local upstreams. One that had no
+// requests and has none in flight is reported too, as idle: without that the
+// owner can't tell it from one that is stuck, and keeps batch tasks away.
+func (r *Runner) serviceLoad() []messenger.ServiceLoad {
+	if r.config.ServiceLoad == nil {
+		return nil
+	}
+	loads := r.config.ServiceLoad()
+	busy := make(map[string]bool)
+	for _, l := range loads {
+		busy[l.Service] = true
+	}
+	upstreams := r.upstreams()
+	for _, u := range upstreams {
+		if u.InFlight > 0 || u.State != messenger.UpstreamReady {
+			busy[u.Service] = true
+		}
+	}
+	for _, u := range upstreams {
+		if !busy[u.Service] {
+			busy[u.Service] = true
+			loads = append(loads, messenger.ServiceLoad{Service: u.Service})
+		}
+	}
+	return loads
+}
+
 func (r *Runner) upstreams() []messenger.Upstream {
 	if r.config.Upstreams == nil {
 		return nil
--- a/internal/control/learner/learner.go
+++ b/internal/control/learner/learner.go
@@ -99,6 +99,10 @@
 	now := l.config.Now()
 	shares := sharesByClass(from, to, placed)
 	for _, s := range usage.Services {
+		if s.Requests == 0 && s.P99Micros == 0 { // idle: it misses nothing, and teaches nothing
+			h.add(s.Service, placer.Window{From: from, To: to}, now)
+			continue
+		}
 		if s.Requests <= 0 || s.P99Micros <= 0 {
 			continue
 		}
