--- a/tests/integration/control_helpers_test.go
+++ b/tests/integration/control_helpers_test.go
@@ -25,6 +25,7 @@
 	testVMLease     = 2 * time.Second
 	testOutageLease = 6 * time.Second
 	pastLease       = 3 * time.Second // a pause that outlasts the owner's and a VM's lease
+	awayFor         = 5 * time.Second // a VM's absence that its tasks elsewhere begin in
 	settleLimit     = 60 * time.Second
 	vmProcessors    = 16000
 )
@@ -175,16 +176,33 @@
 	agentPaused = cellFault{"agent paused past its lease and waking", func(r *trial) {
 		vm := r.takeAway()
 		vm.Agent.Pause()
-		time.Sleep(pastLease)
+		time.Sleep(awayFor)
 		vm.Agent.Resume()
 		time.Sleep(time.Second)
 	}}
 	agentKilled = cellFault{"agent killed and replaced", func(r *trial) {
+		for range 3 {
+			vm := r.takeAway()
+			vm.Agent.Kill()
+			time.Sleep(time.Duration(r.draw(1500)) * time.Millisecond)
+			vm.Agent.Start()
+			time.Sleep(time.Second)
+		}
+	}}
+	ownerIslanded = cellFault{"old owner and one VM reach only each other", func(r *trial) {
+		old := r.ownerIndex()
 		vm := r.takeAway()
-		vm.Agent.Kill()
-		time.Sleep(time.Duration(r.draw(2500)) * time.Millisecond)
-		vm.Agent.Start()
-		time.Sleep(time.Second)
+		r.Entries[old].StoreLink.Set(proxy.Faults{Cut: proxy.BothWays})
+		for i, e := range r.Entries {
+			if i != old {
+				e.RPCLink.SetFor(vm.Agent.Name, proxy.Faults{Cut: proxy.BothWays})
+				e.RPCLink.SetFor(r.Entries[old].Name, proxy.Faults{Cut: proxy.BothWays})
+				r.Entries[old].RPCLink.SetFor(e.Name, proxy.Faults{Cut: proxy.BothWays})
+			}
+		}
+		// The successor waits the outage lease out before it restarts the
+		// VM's tasks; the cut lasts until well after that.
+		time.Sleep(testOwnerLease + testOutageLease + 4*time.Second)
 	}}
 	vmCut       = cutVM("VM unreachable but alive", proxy.BothWays)
 	vmSendsOnly = cutVM("answers to a VM are cut", proxy.ToClient)
@@ -192,7 +210,7 @@
 	vmHeld      = cellFault{"polls and answers held back, then delivered", func(r *trial) {
 		vm := r.takeAway()
 		r.CutAgent(vm, proxy.Faults{Hold: proxy.BothWays})
-		time.Sleep(pastLease)
+		time.Sleep(awayFor)
 		r.CutAgent(vm, proxy.Faults{})
 		time.Sleep(time.Second)
 	}}
@@ -225,7 +243,7 @@
 	return cellFault{name, func(r *trial) {
 		vm := r.takeAway()
 		r.CutAgent(vm, proxy.Faults{Cut: way})
-		time.Sleep(pastLease)
+		time.Sleep(awayFor)
 		r.CutAgent(vm, proxy.Faults{})
 		time.Sleep(time.Second)
 	}}
@@ -238,11 +256,32 @@
 	return r.random.IntN(n)
 }
 
-// takeAway draws a VM whose agent will be away longer than its lease.
+// takeAway draws a VM whose agent will be away longer than its lease, among
+// those that run tasks: a fault where nothing runs shows nothing.
 func (r *trial) takeAway() *harness.VM {
+	const enough = 3
+	var busy []*harness.VM
+	for end := time.Now().Add(10 * time.Second); len(busy) == 0 && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		running := make(map[string]int)
+		for _, e := range r.TaskEvents() {
+			if e.Event == worker.EventStart {
+				running[e.VM]++
+			} else {
+				running[e.VM]--
+			}
+		}
+		for _, vm := range r.VMs {
+			if running[vm.Name] >= enough {
+				busy = append(busy, vm)
+			}
+		}
+	}
+	if len(busy) == 0 {
+		busy = r.VMs
+	}
+	vm := busy[r.draw(len(busy))]
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	vm := r.VMs[r.random.IntN(len(r.VMs))]
 	r.away[vm.Name] = true
 	return vm
 }
--- a/tests/integration/control_twice_test.go
+++ b/tests/integration/control_twice_test.go
@@ -37,6 +37,17 @@
 	return func() int64 { return 200 + random.Int64N(1800) }
 }
 
+// longRuns outlast the leases, so that a task that is restarted too early or
+// ended too late is seen.
+func longRuns(random *rand.Rand) func() int64 {
+	return func() int64 {
+		if random.IntN(4) == 0 {
+			return 16000
+		}
+		return 1000 + random.Int64N(5000)
+	}
+}
+
 // TestTaskNeverRunsTwice: a label batch whose owner, agent or VM goes away must
 // not run in two places when that one comes back. Owners, agents and links fail
 // while batches are submitted; what was paused or cut wakes with old orders and
@@ -45,7 +56,7 @@
 func TestTaskNeverRunsTwice(t *testing.T) {
 	seed := harness.Seed(t)
 	scenarios := append([]scenario{
-		alone(ownerPaused), alone(agentPaused), alone(vmCut),
+		alone(ownerPaused), alone(agentPaused), alone(vmCut), alone(ownerIslanded),
 		{name: "links cut one way", faults: []cellFault{vmSendsOnly, vmHearsOnly}},
 		{name: "store slow, losing answers, down", faults: []cellFault{storeSlow, storeLoses, storeDown}},
 		together(ownerKilled, agentKilled),
@@ -55,7 +66,7 @@
 		t.Run(s.name, func(t *testing.T) {
 			r := newTrial(t, seed, 4, harness.FleetText)
 			random := rand.New(rand.NewPCG(seed, 4))
-			r.under(func(ctx context.Context) { r.submitUntil(ctx, "label-batch", 150*time.Millisecond, shortRuns(random)) }, s.together, s.faults...)
+			r.under(func(ctx context.Context) { r.submitUntil(ctx, "label-batch", 250*time.Millisecond, longRuns(random)) }, s.together, s.faults...)
 			r.checkOnce()
 			r.checkRoom()
 		})
