Bound the bodies held, avoid zones taken out

An entry holds at most 256 MiB of bodies and refuses more as not run: one that ends for want of memory cuts off everything in flight. Upstreams in a zone taken out are used only when no other has room.

--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -43,6 +43,7 @@
 	Age      time.Duration // since it was first seen
 	Health   Verdict
 	Excluded bool // was tried for this request
+	Avoid    bool // is in a zone taken out: used only when no other has room
 }
 
 func (c *Candidate) full() bool { return c.InFlight >= c.Slots }
@@ -89,7 +90,10 @@
 		return !c.Excluded && !(eject && c.Health != Healthy)
 	}
 	started := b.holdBack(list)
-	if choice := b.among(list, mean, func(c *Candidate) bool { return usable(c) && started(c) }); choice.Index >= 0 && !choice.Full {
+	if choice := b.among(list, mean, func(c *Candidate) bool { return usable(c) && started(c) && !c.Avoid }); choice.Index >= 0 && !choice.Full {
+		return choice
+	}
+	if choice := b.among(list, mean, func(c *Candidate) bool { return usable(c) && !c.Avoid }); choice.Index >= 0 && !choice.Full {
 		return choice
 	}
 	return b.among(list, mean, usable)
--- a/internal/request/receiver/receiver.go
+++ b/internal/request/receiver/receiver.go
@@ -7,6 +7,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -47,6 +48,8 @@
 	admitter *admitter.Admitter
 	claimer  *claimer.Claimer
 
+	bodyBytes atomic.Int64 // of requests in flight
+
 	mu       sync.Mutex
 	draining bool
 	inFlight int
--- a/internal/request/receiver/receiver_test.go
+++ b/internal/request/receiver/receiver_test.go
@@ -220,3 +220,19 @@
 		t.Errorf("got %d %s", r.status, r.outcome())
 	}
 }
+
+// TestBodiesAreBounded has the entry hold bodies up to its limit: one more is
+// refused as not run, and with those gone the entry takes bodies again.
+func TestBodiesAreBounded(t *testing.T) {
+	b := newBed(t)
+	b.upstream("u1", 8, echo)
+	b.receiver.bodyBytes.Store(maxBodiesBytes)
+	if r := b.send("POST", "/v1/services/labels/", "x"); r.status != 503 || r.outcome() != messenger.OutcomeNotRun {
+		t.Errorf("got %d %s", r.status, r.outcome())
+	}
+	b.receiver.bodyBytes.Store(0)
+	if r := b.send("POST", "/v1/services/labels/", "x"); r.status != 200 {
+		t.Errorf("got %d", r.status)
+	}
+	waitFor(t, func() bool { return b.receiver.bodyBytes.Load() == 0 })
+}
--- a/internal/request/receiver/request.go
+++ b/internal/request/receiver/request.go
@@ -30,6 +30,7 @@
 // Limits of a request.
 const (
 	MaxBodyBytes      = 8 << 20
+	maxBodiesBytes    = 256 << 20 // of all requests in flight
 	maxKeyBytes       = 256
 	maxTimeout        = 60 * time.Second
 	defaultTimeout    = 10 * time.Second
@@ -54,6 +55,7 @@
 	body       []byte
 	started    time.Time
 	deadline   time.Time
+	heldBytes  int64 // counted by holdBody
 }
 
 func randomID() string { return rand.Text() }
@@ -90,6 +92,9 @@
 		return c, refuse(http.StatusBadRequest, err.Error())
 	}
 	c.deadline = c.started.Add(timeout)
+	if !r.holdBody(c, req.ContentLength) {
+		return c, refuseFor(http.StatusServiceUnavailable, "the entry holds as many bodies as it can", defaultRetryAfter)
+	}
 	// A caller that stops in the middle of its body must not hold the request
 	// past its deadline.
 	control := http.NewResponseController(w)
@@ -106,6 +111,21 @@
 	return c, nil
 }
 
+// holdBody counts the memory of a body that is to be read. Without a bound, many
+// large bodies at once end the whole process for want of memory, and with it
+// every other request in flight.
+func (r *Receiver) holdBody(c *call, length int64) bool {
+	if length < 0 || length > MaxBodyBytes {
+		length = MaxBodyBytes // the length is not told, or will be refused on reading
+	}
+	if r.bodyBytes.Add(length) > maxBodiesBytes {
+		r.bodyBytes.Add(-length)
+		return false
+	}
+	c.heldBytes = length
+	return true
+}
+
 // identify finds the service and the tenant.
 func (r *Receiver) identify(c *call, req *http.Request) *answer {
 	fleet := r.config.Fleet()
--- a/internal/request/receiver/route.go
+++ b/internal/request/receiver/route.go
@@ -85,12 +85,13 @@
 	var ready [maxCandidates]*tracker.Upstream
 	candidates, upstreams := buffer[:0], ready[:0]
 	fresh := false
+	fleet := r.config.Fleet()
 	for _, u := range r.config.Tracker.Snapshot().Upstreams(c.service.Name) {
 		if !u.Ready(now) {
 			continue
 		}
 		candidate := u.Candidate(now)
-		candidate.Excluded = j.tried[u.ID()]
+		candidate.Excluded, candidate.Avoid = j.tried[u.ID()], fleet.ZoneIsOut(u.Zone())
 		fresh = fresh || !candidate.Excluded
 		candidates, upstreams = append(candidates, candidate), append(upstreams, u)
 	}
--- a/internal/request/receiver/serve.go
+++ b/internal/request/receiver/serve.go
@@ -27,6 +27,7 @@
 	}
 	defer r.end()
 	c, refusal := r.parse(w, req)
+	defer r.bodyBytes.Add(-c.heldBytes)
 	a := refusal
 	if a == nil {
 		a = r.answer(req.Context(), c)
