Give a slow service its time; bound claims while the owner is away

Cause and change: - The first attempt of an idempotent request got half of the time, the next a quarter and so on; a service that needs 0.6 of the deadline was never answered. Now only the first is cut, and only where half is four times what other upstreams take. - A claim was asked for until the deadline while the owner said that it can't give one, holding a place that requests without a key could use. Now 250 ms, and for a second after that once. - A keyed request goes on when its caller's connection breaks, so that the repeat gets the answer and not an unknown end.

--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -20,8 +20,14 @@
 
 const (
 	// MaxKeptBytes is the largest body kept for repeats of a key.
-	MaxKeptBytes   = 16 << 10
-	claimTryLimit  = time.Second
+	MaxKeptBytes  = 16 << 10
+	claimTryLimit = time.Second
+	awayTryLimit  = 100 * time.Millisecond
+	// awayLimit is how long a claim is asked for again while the owner says that
+	// it can't give one, as in a store outage. A request that waits holds a
+	// place that others could use, and is answered at once when given up.
+	awayLimit      = 250 * time.Millisecond
+	awayMemory     = time.Second // claims are asked for just once this long after one was given up
 	claimPause     = 20 * time.Millisecond
 	settleTryLimit = 2 * time.Second
 	settleLimit    = 30 * time.Second
@@ -41,6 +47,7 @@
 	config  Config
 	mu      sync.Mutex
 	pending int
+	away    time.Time     // when a claim was last given up because the owner was away
 	idle    chan struct{} // closed and replaced when pending falls to zero
 }
 
@@ -79,26 +86,36 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
-// Claim asks for the claim until ctx ends. Asking again with the same request id
-// is safe after a lost answer: the owner grants it to the same id again.
+// Claim asks for the claim for a bounded time. Asking again with the same request
+// id is safe after a lost answer: the owner grants it to the same id again.
 func (c *Claimer) Claim(ctx context.Context, o Options) (messenger.ClaimReply, error) {
 	req := messenger.ClaimRequest{
 		Cell: c.config.Cell, Tenant: o.Tenant, Service: o.Service, Key: o.Key,
 		Digest: o.Digest, RequestID: o.RequestID,
 	}
+	began := time.Now()
+	patience, tryLimit := awayLimit, claimTryLimit
+	if c.isAway(began) {
+		patience, tryLimit = 0, awayTryLimit
+	}
 	pause := claimPause
 	uncertain := false
 	for {
 		var reply messenger.ClaimReply
-		try, cancel := context.WithTimeout(ctx, claimTryLimit)
+		try, cancel := context.WithTimeout(ctx, tryLimit)
 		err := c.config.CallCell(try, c.config.Cell, messenger.MethodClaim, req, &reply)
 		cancel()
 		if err == nil {
+			c.setAway(time.Time{})
 			return reply, nil
 		}
 		code := connector.CodeOf(err)
 		uncertain = uncertain || code == 0 || code == messenger.CodeUnknown
-		if code == messenger.CodeBadRequest || !sleep(ctx, pause) {
+		wrong := code == messenger.CodeBadRequest
+		if wrong || time.Since(began) >= patience || !sleep(ctx, pause) {
+			if !wrong {
+				c.setAway(time.Now())
+			}
 			if uncertain {
 				// The owner may hold the claim for us. Nothing was sent, so it
 				// is freed; else all repeats of the key would be refused.
@@ -110,6 +127,18 @@
 	}
 }
 
+func (c *Claimer) isAway(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.away.IsZero() && now.Sub(c.away) < awayMemory
+}
+
+func (c *Claimer) setAway(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.away = at
+}
+
 // Settle tells the owner how the request ended and returns a channel that is
 // closed when the owner knows or telling it was given up. It repeats in the
 // background: until the owner knows, repeats of the key are refused, so a lost
--- a/internal/request/receiver/receiver_test.go
+++ b/internal/request/receiver/receiver_test.go
@@ -236,3 +236,83 @@
 	}
 	waitFor(t, func() bool { return b.receiver.bodyBytes.Load() == 0 })
 }
+
+// TestSlowServiceIsAnswered has both upstreams take 600 ms of a deadline of 1 s.
+// Cutting attempts short to save time for another upstream would leave no attempt
+// enough time.
+func TestSlowServiceIsAnswered(t *testing.T) {
+	b := newBed(t)
+	for _, id := range []string{"u1", "u2"} {
+		b.upstream(id, 8, func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(600 * time.Millisecond)
+			echo(w, r)
+		})
+	}
+	for range 3 {
+		if r := b.send("GET", "/v1/services/labels/", "", TimeoutHeader, "1000"); r.status != 200 {
+			t.Errorf("got %d %s", r.status, r.body)
+		}
+	}
+}
+
+// TestFrozenUpstreamIsLeftForAnother has one of two upstreams stop answering. An
+// idempotent request that meets it is answered by the other one within its
+// deadline; one that is not idempotent ends as unknown and ran nowhere else.
+func TestFrozenUpstreamIsLeftForAnother(t *testing.T) {
+	b := newBed(t)
+	var frozen atomic.Bool
+	release := make(chan struct{})
+	defer close(release)
+	b.upstream("u1", 8, func(w http.ResponseWriter, r *http.Request) {
+		if frozen.Load() {
+			<-release
+		}
+		echo(w, r)
+	})
+	b.upstream("u2", 8, echo)
+	for range 20 {
+		b.send("GET", "/v1/services/labels/", "")
+	}
+	frozen.Store(true)
+	unknowns := 0
+	for i := range 12 {
+		method := []string{"GET", "POST"}[i%2]
+		switch r := b.send(method, "/v1/services/labels/", "", TimeoutHeader, "600"); {
+		case r.status == 200:
+		case method == "POST" && r.outcome() == messenger.OutcomeUnknown:
+			unknowns++
+		default:
+			t.Errorf("%s got %d %s", method, r.status, r.body)
+		}
+	}
+	t.Logf("%d of 6 without idempotence ended as unknown", unknowns)
+}
+
+// TestKeyedRequestOutlivesItsCaller breaks the caller's connection while its keyed
+// request runs. The repeat must get the answer of the first, which ran once.
+func TestKeyedRequestOutlivesItsCaller(t *testing.T) {
+	b := newBed(t)
+	var runs atomic.Int64
+	b.upstream("u1", 8, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		time.Sleep(200 * time.Millisecond)
+		echo(w, r)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.url+"/v1/services/labels/print", strings.NewReader("lot 7"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(KeyHeader, "k")
+	if _, err := http.DefaultClient.Do(req); err == nil {
+		t.Fatal("answered before the caller left")
+	}
+	waitFor(t, func() bool {
+		r := b.send("POST", "/v1/services/labels/print", "lot 7", KeyHeader, "k")
+		return r.status == 200 && r.body == "/print lot 7" && r.header.Get(ReplayedHeader) == "true"
+	})
+	if runs.Load() != 1 {
+		t.Errorf("ran %d times", runs.Load())
+	}
+}
--- a/internal/request/receiver/route.go
+++ b/internal/request/receiver/route.go
@@ -20,6 +20,9 @@
 	pauseWhenFull  = 5 * time.Millisecond
 	pauseWhenNone  = 20 * time.Millisecond
 	minAttemptTime = 20 * time.Millisecond
+	// usualTimesAllowed is how often its usual time an attempt may take before
+	// another upstream is asked.
+	usualTimesAllowed = 4
 )
 
 // journey is the state of a request over its attempts.
@@ -28,6 +31,7 @@
 	moves   int
 	tries   int
 	tried   map[string]bool
+	usual   time.Duration // mean time of the other upstreams; 0: not known
 	reason  string
 	late    bool // the last unknown outcome came by the deadline
 	after   time.Duration
@@ -106,6 +110,7 @@
 			return nil
 		}
 		u := upstreams[choice.Index]
+		j.usual = usualTime(candidates, choice.Index)
 		if candidates[choice.Index].Health != balancer.ProbeDue || u.Health().BeginProbe(now) {
 			return u
 		}
@@ -113,10 +118,26 @@
 	}
 }
 
+// usualTime returns the mean time of the candidates but the one chosen.
+func usualTime(candidates []balancer.Candidate, chosen int) time.Duration {
+	var sum time.Duration
+	n := 0
+	for i := range candidates {
+		if i != chosen && candidates[i].Latency > 0 {
+			sum += candidates[i].Latency
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / time.Duration(n)
+}
+
 // try makes one attempt and checks the reply.
 func (r *Receiver) try(ctx context.Context, c *call, j *journey, u *tracker.Upstream) messenger.RunReply {
 	j.attempt++
-	left := r.attemptTime(c)
+	left := r.attemptTime(c, j)
 	req := messenger.RunRequest{
 		RequestID: c.id, Attempt: j.attempt, Upstream: u.ID(), Service: c.service.Name, Tenant: c.tenant.Name,
 		Method: c.method, Path: c.path, Header: c.header, Body: c.body, TimeoutMillis: messenger.Millis(left),
@@ -147,15 +168,20 @@
 	return reply
 }
 
-// attemptTime is the time that one attempt may take. An idempotent request keeps
-// half of what is left for another upstream, so that a frozen one does not cost
-// it the whole deadline; another request has just this attempt.
-func (r *Receiver) attemptTime(c *call) time.Duration {
+// attemptTime is the time that one attempt may take. The first attempt of an
+// idempotent request leaves half of the time for another upstream, so that a
+// frozen one does not cost it the whole deadline; but only where that half is far
+// more than other upstreams take, else a slow service would never be answered.
+func (r *Receiver) attemptTime(c *call, j *journey) time.Duration {
 	left := c.deadline.Sub(r.config.Now())
-	if !c.idempotent || left < 2*minAttemptTime || !r.retrier.HasBudget(c.service.Name) {
+	half := left / 2
+	if !c.idempotent || j.attempt > 1 || j.usual == 0 || half < usualTimesAllowed*j.usual || half < minAttemptTime {
+		return left
+	}
+	if !r.retrier.HasBudget(c.service.Name) {
 		return left
 	}
-	return left / 2
+	return half
 }
 
 // unanswered is the result of an attempt whose call failed. Only an agent that
--- a/internal/request/receiver/serve.go
+++ b/internal/request/receiver/serve.go
@@ -97,6 +97,10 @@
 		a.retryAfter = heldRetryAfter
 		return a
 	}
+	// A caller whose connection broke repeats its key; the attempt goes on without
+	// it, so that the repeat gets the answer and not an unknown end.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.deadline)
+	defer cancel()
 	a := r.route(ctx, c)
 	r.settle(ctx, c, options, a)
 	return a
