--- a/internal/agent/gatekeeper/gatekeeper_test.go
+++ b/internal/agent/gatekeeper/gatekeeper_test.go
@@ -182,6 +182,7 @@
 	if r := g.Run(context.Background(), late); r.Outcome != messenger.OutcomeUnknown {
 		t.Errorf("got %+v", r)
 	}
+	time.Sleep(50 * time.Millisecond)
 	if r := g.Run(context.Background(), request("r2", 1)); r.Reason != messenger.ReasonFull || r.RetryAfterMillis <= 0 {
 		t.Errorf("got %+v", r)
 	}
--- a/internal/request/receiver/receiver_test.go
+++ b/internal/request/receiver/receiver_test.go
@@ -261,15 +261,20 @@
 func TestFrozenUpstreamIsLeftForAnother(t *testing.T) {
 	b := newBed(t)
 	var frozen atomic.Bool
+	var met atomic.Int64
 	release := make(chan struct{})
 	defer close(release)
 	b.upstream("u1", 8, func(w http.ResponseWriter, r *http.Request) {
 		if frozen.Load() {
+			met.Add(1)
 			<-release
 		}
 		echo(w, r)
 	})
-	b.upstream("u2", 8, echo)
+	b.upstream("u2", 8, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond) // the frozen one is the faster until then
+		echo(w, r)
+	})
 	for range 20 {
 		b.send("GET", "/v1/services/labels/", "")
 	}
@@ -285,7 +290,10 @@
 			t.Errorf("%s got %d %s", method, r.status, r.body)
 		}
 	}
-	t.Logf("%d of 6 without idempotence ended as unknown", unknowns)
+	t.Logf("%d met the frozen upstream, %d of 6 that are not idempotent ended as unknown", met.Load(), unknowns)
+	if met.Load() == 0 {
+		t.Error("no request met the frozen upstream: this shows nothing")
+	}
 }
 
 // TestKeyedRequestOutlivesItsCaller breaks the caller's connection while its keyed
