--- a/tests/integration/request_stop_test.go
+++ b/tests/integration/request_stop_test.go
@@ -44,9 +44,10 @@
 // TestPlannedStopCutsNothing: operators replace every process of the system in
 // turn while callers go on. A caller's request that an entry has taken must be
 // answered whole or refused as not run: a stop that cuts it off would leave the
-// caller with a broken connection or an unknown end. Some requests take 400 ms,
-// so that each stop finds some in flight. As behind the platform's balancer, a
-// caller goes to an entry that is ready.
+// caller with a broken connection or an unknown end. Some requests take 0.9 s,
+// longer than an entry goes on after it has turned unready, so that each stop finds
+// some in flight. As behind the platform's balancer, a caller goes to an entry that
+// is ready.
 func TestPlannedStopCutsNothing(t *testing.T) {
 	b := newRequestBed(t, "--service-time", "30ms")
 	slow := proxy.Faults{Delay: 20 * time.Millisecond}
@@ -68,7 +69,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			b.modes(responder.Modes{LateMillis: 400, Share: 0.1})
+			b.modes(responder.Modes{LateMillis: 900, Share: 0.1})
 			stop := b.loadReady(16, func(random *rand.Rand, n int) sent {
 				s := sent{method: http.MethodGet, path: fmt.Sprint("/depth/", n), timeout: 5 * time.Second}
 				if random.IntN(2) == 0 {
