Let an admitted request wait for a slot until 45 ms after its arrival

Cause: two entries admit to the same free slot; the slower one's request found upstreams full four times within 10 to 20 ms and was refused, also that of a tenant within its share. Change: refusals for a full upstream count against the limit of moves only 45 ms after the arrival; the pause between tries is 2 ms instead of 5. Ruled out: a queue longer than 35 ms, which would answer refusals later.

--- a/internal/request/receiver/route.go
+++ b/internal/request/receiver/route.go
@@ -17,9 +17,16 @@
 
 const (
 	maxCandidates  = 32 // kept on the stack; more upstreams cost an allocation
-	pauseWhenFull  = 5 * time.Millisecond
+	pauseWhenFull  = 2 * time.Millisecond
 	pauseWhenNone  = 20 * time.Millisecond
 	minAttemptTime = 20 * time.Millisecond
+	// slotWait is how long after its arrival an admitted request goes on asking
+	// for a slot. Entries admit without knowing of each other's latest grants,
+	// so under load an admitted request finds upstreams full several times in a
+	// row although slots come free all the time; refused after a few quick
+	// tries, tenants within their share were refused too. Callers are refused
+	// within 50 ms, so the wait ends a little before.
+	slotWait = 45 * time.Millisecond
 )
 
 // journey is the state of a request over its attempts.
@@ -58,7 +65,7 @@
 		}
 		again := ctx.Err() == nil && r.retrier.MaySend(retrier.Attempted{
 			Service: c.service.Name, Outcome: outcome, Idempotent: c.idempotent,
-			Moves: j.moves, Tries: j.tries, Left: c.deadline.Sub(r.config.Now()),
+			Moves: r.countedMoves(c, j), Tries: j.tries, Left: c.deadline.Sub(r.config.Now()),
 		})
 		if !again {
 			return j.giveUp(ctx)
@@ -66,6 +73,15 @@
 	}
 }
 
+// countedMoves returns how many moves count against their limit: none while the
+// request only waits for a slot.
+func (r *Receiver) countedMoves(c *call, j *journey) int {
+	if j.reason == messenger.ReasonFull && r.config.Now().Sub(c.started) < slotWait {
+		return 0
+	}
+	return j.moves
+}
+
 // giveUp is the final answer of a request that no upstream answered. It says
 // not-run only if every attempt surely did not run.
 func (j *journey) giveUp(ctx context.Context) *answer {
