--- a/internal/control/controller/planning.go
+++ b/internal/control/controller/planning.go
@@ -26,7 +26,7 @@
 func (o *owner) plan() {
 	now := o.config.Now()
 	since := now.Sub(o.planned)
-	work := o.books.CountQueued() > 0 || o.books.Counts()[messenger.TaskRunning] > 0
+	work := o.books.CountQueued() > 0 || o.books.Count(messenger.TaskRunning) > 0
 	if !work || o.slow() || o.stopping || !o.held() {
 		return
 	}
@@ -67,7 +67,11 @@
 			continue
 		}
 		d := messenger.Decision{Task: h.TaskID, VM: t.VM, Reason: h.Reason, Inputs: h.Inputs}
-		o.decide(bookkeeper.Record{Throttled: &bookkeeper.Throttled{Task: h.TaskID, Percent: h.Percent}}, reporter.ThrottleDecided, d, nil)
+		if o.decide(bookkeeper.Record{Throttled: &bookkeeper.Throttled{Task: h.TaskID, Percent: h.Percent}}, reporter.ThrottleDecided, d, nil) {
+			o.session(t.VM).closeHistory(h.TaskID, now)
+			o.session(t.VM).openHistory(t, now)
+			o.session(t.VM).acted = now
+		}
 	}
 	for _, h := range plan.Holds {
 		if t := o.books.Task(h.TaskID); t != nil && t.State == messenger.TaskQueued {
@@ -102,6 +106,7 @@
 	stopping := bookkeeper.Stopping{Task: t.Spec.ID, Attempt: t.Attempt, Kind: bookkeeper.StopMove}
 	if o.decide(bookkeeper.Record{Stopping: &stopping}, reporter.MoveDecided, d, nil) {
 		o.meters.evictions.Inc()
+		o.session(t.VM).acted = o.config.Now()
 	}
 }
 
@@ -109,6 +114,7 @@
 func (o *owner) snapshot(now time.Time) placer.Snapshot {
 	s := placer.Snapshot{
 		Now: now, Fleet: o.fleet, Interference: o.config.Interference, Pressure: o.config.Pressure,
+		Recent: o.config.Recent, Unsettled: !o.settled,
 		EvictionsLeft: o.evicts.left(now, o.evictionRate()),
 	}
 	names := o.books.VMs()
@@ -133,7 +139,7 @@
 		Name: name, Zone: c.Zone, Rack: c.Rack, Total: c.Total, Committed: o.books.Committed(name),
 		Reachable: session.reachable(now), Leaving: v.Seen.Leaving,
 		Quarantined: v.Quarantined != "" || v.Quarantines > 0 && o.books.CountOn(name) > 0,
-		ReturnedAt:  o.returned[c.Zone],
+		ReturnedAt:  o.returned[c.Zone], Acted: session.acted,
 	}
 	for _, h := range v.Seen.Services {
 		vm.Services = append(vm.Services, h.Service)
