--- a/tests/harness/process.go
+++ b/tests/harness/process.go
@@ -73,16 +73,16 @@
 func Run(t testing.TB, args ...string) (string, int) {
 	t.Helper()
 	cmd := exec.Command(Binary(t), args...)
-	var errors strings.Builder
-	cmd.Stderr = &errors
-	out, err := cmd.Output()
-	if cmd.ProcessState == nil {
+	var out, failure strings.Builder
+	cmd.Stdout, cmd.Stderr = &out, &failure
+	if err := startChild(cmd); err != nil {
 		t.Fatalf("run %v: %v", args, err)
 	}
-	if code := cmd.ProcessState.ExitCode(); code != 0 {
-		t.Logf("%v ended with %d: %s", args, code, errors.String())
+	err := cmd.Wait()
+	if err != nil {
+		t.Logf("%v: %v: %s", args, err, failure.String())
 	}
-	return string(out), cmd.ProcessState.ExitCode()
+	return out.String(), cmd.ProcessState.ExitCode()
 }
 
 // FreeAddress returns an address of the loopback on which nothing listens.
@@ -113,6 +113,15 @@
 	return jobs
 })
 
+// startChild starts a command that is killed when the tests end, however they
+// do.
+func startChild(cmd *exec.Cmd) error {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	starter() <- func() { started <- cmd.Start() }
+	return <-started
+}
+
 // Process is a running program that ends with the test.
 type Process struct {
 	Name string
@@ -151,10 +160,7 @@
 	defer file.Close()
 	cmd := exec.Command(Binary(p.t), p.Args...)
 	cmd.Stdout, cmd.Stderr = file, file
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	started := make(chan error)
-	starter() <- func() { started <- cmd.Start() }
-	if err := <-started; err != nil {
+	if err := startChild(cmd); err != nil {
 		p.t.Fatalf("start %s: %v", p.Name, err)
 	}
 	done := make(chan struct{})
