--- a/tests/integration/request_answers_test.go
+++ b/tests/integration/request_answers_test.go
@@ -77,7 +77,15 @@
 			return s
 		})
 	}
+	overloads := 0
 	total := b.each(b.scenarios(), run, func(t *testing.T, all []got) {
+		// The gate counts slots, so no upstream is ever sent more than it has. An
+		// agent that was killed has lost its count: what still runs comes on top.
+		before := overloads
+		overloads = b.countOverloads()
+		if overloads > before && !strings.Contains(t.Name(), "kill_agent") {
+			t.Errorf("%d requests came to an upstream whose slots were all taken", overloads-before)
+		}
 		begun := b.begun(byRequestID)
 		for _, r := range all {
 			ran := begun[r.id] > 0
@@ -90,7 +98,12 @@
 		}
 	})
 	refused := count(total, func(r got) bool { return r.outcome == messenger.OutcomeNotRun })
-	t.Log(summarise(total))
+	t.Logf("%s; %d above the slots, after agents were killed", summarise(total), overloads)
+	for _, vm := range b.VMs {
+		if most := b.mostConnections(vm); most > 64 {
+			t.Errorf("%s had %d connections at once", vm.Name, most)
+		}
+	}
 	if refused == 0 {
 		t.Error("no request was refused: this shows nothing")
 	}
--- a/tests/integration/request_bed_test.go
+++ b/tests/integration/request_bed_test.go
@@ -276,6 +276,33 @@
 	return counts
 }
 
+// countOverloads returns how many requests came while all slots were taken.
+func (b *requestBed) countOverloads() int {
+	n := 0
+	for _, run := range b.Runs() {
+		if run.Overload {
+			n++
+		}
+	}
+	return n
+}
+
+// mostConnections returns the most connections that an upstream had at once since
+// it was last started, the test's own included.
+func (b *requestBed) mostConnections(vm *harness.VM) int {
+	b.t.Helper()
+	resp, err := http.Get(vm.UpstreamURL + "/control/counts")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var counts responder.Counts
+	if err := json.NewDecoder(resp.Body).Decode(&counts); err != nil {
+		b.t.Fatal(err)
+	}
+	return counts.MostConnections
+}
+
 func byRequestID(r responder.Run) string { return r.RequestID }
 func byKey(r responder.Run) string       { return r.IdempotencyKey }
 func byPath(r responder.Run) string      { return r.Path }
