--- a/internal/cli/commander/standin_upstream.go
+++ b/internal/cli/commander/standin_upstream.go
@@ -34,7 +34,7 @@
 			if c.Distribution != responder.Fixed && c.Distribution != responder.Exponential {
 				f.Add("distribution", "%q: want fixed or exponential", distribution)
 			}
-			if err := check(&f); err != nil {
+			if err := usage(f.Err()); err != nil {
 				return err
 			}
 			var err error
