Start tasks that predictions keep off every VM

Cause: a task was refused wherever a service was predicted to miss its objective, without a bound: with 4 idle VMs and a class learned as harmful, 30 of 34 tasks of TestTaskNeverRunsTwice/owner_paused stayed queued for over a minute, urgent ones included (explain: 'a service there would miss its objective on 4 of 4 VMs'). Ruled out: ownership and freshness (owner in epoch 1, store contacts every 250 ms); quarantine and zones (VMs ready). Change: a task that waited 20 s may start on a VM where nothing else disturbs; an urgent one after 1 s there, after 2 s anywhere. Harm stays bounded by one disturber a VM and by the ladder.

--- a/internal/cli/commander/agent.go
+++ b/internal/cli/commander/agent.go
@@ -13,7 +13,7 @@
 	cmd := &cobra.Command{
 		Use:   "agent",
 		Short: "Run the agent of a VM: guard its upstreams and run tasks on its worker",
-		Example: `  bamboospread agent --id agent-7 --vm vm-7 --zone tt-1a --rack r2 \
+		Example: `  bamboospread agent --id agent-7 --vm vm-7 --zone north --rack r2 \
     --entries 10.0.0.1:8081,10.0.0.2:8081 --worker-url http://127.0.0.1:2500`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/internal/cli/commander/entry.go
+++ b/internal/cli/commander/entry.go
@@ -16,7 +16,7 @@
 		Use:   "entry",
 		Short: "Run an entry: serve callers and operators, route requests, own the cell if need be",
 		Example: `  bamboospread entry --id entry-1 --listen 10.0.0.1:8080 --rpc-listen 10.0.0.1:8081 \
-    --store-url http://10.0.0.9:2400 --zone tt-1a`,
+    --store-url http://10.0.0.9:2400 --zone north`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var findings loader.Findings
--- a/internal/control/placer/filter.go
+++ b/internal/control/placer/filter.go
@@ -12,7 +12,7 @@
 	blockedUnreachable = "not reachable"
 	blockedLeaving     = "leaving"
 	blockedQuarantined = "quarantined"
-	blockedZoneOut     = "zone is out"
+	blockedZoneOut     = "zone is out, or not in the fleet text"
 )
 
 // Reasons for which a task does not start on a VM that takes others.
--- a/internal/control/placer/round.go
+++ b/internal/control/placer/round.go
@@ -41,6 +41,8 @@
 	name  string
 	known bool    // a recent report exists
 	log   float64 // logarithm of the predicted p99 divided by the objective
+	// disturbers counts batch tasks on the VM that slow the service noticeably.
+	disturbers int
 }
 
 type pair struct{ service, class string }
@@ -157,8 +159,12 @@
 			if t.Service != "" {
 				continue
 			}
+			effect := r.effect(name, t.Class) * share(t.Percent)
+			if effect >= negligible {
+				st.disturbers++
+			}
 			if unseen := !ok || t.Started.After(w.From.Add(w.To.Sub(w.From)/2)); unseen {
-				st.log += r.effect(name, t.Class) * share(t.Percent)
+				st.log += effect
 			}
 		}
 		v.services = append(v.services, st)
@@ -205,6 +211,10 @@
 		return
 	}
 	for i := range v.services {
-		v.services[i].log += r.effect(v.services[i].name, t.Class)
+		effect := r.effect(v.services[i].name, t.Class)
+		v.services[i].log += effect
+		if effect >= negligible {
+			v.services[i].disturbers++
+		}
 	}
 }
--- a/internal/control/placer/score.go
+++ b/internal/control/placer/score.go
@@ -14,9 +14,12 @@
 	// idle, which would draw tasks to a VM that may be drowning, nor overloaded.
 	unknownPressure = 0.8
 	minPressure     = 0.01
-	comfortable     = 0.8   // pressure from which each further slowdown costs more
-	steepness       = 5     // how much more
-	negligible      = 0.005 // effect that is not worth a decision
+	comfortable     = 0.8 // pressure from which each further slowdown costs more
+	steepness       = 5   // how much more
+	// How long predictions may keep a task waiting, see outlasts.
+	patience       = 20 * time.Second
+	urgentPatience = 2 * time.Second
+	negligible     = 0.005 // effect that is not worth a decision
 
 	paceSlack = 1.5              // times its part that a task may disturb at once
 	paceWait  = 10 * time.Minute // wait after which it may that much more
@@ -43,13 +46,28 @@
 	}
 	for i := range v.services {
 		effect := r.effect(v.services[i].name, t.Class)
-		if effect >= negligible && (v.throttled || effect > r.allowance(t, v, &v.services[i])) {
+		refused := v.throttled || effect > r.allowance(t, v, &v.services[i])
+		if effect >= negligible && refused && !r.outlasts(t, &v.services[i]) {
 			return refusedPressure
 		}
 	}
 	return ""
 }
 
+// outlasts tells whether a task has waited so long that predictions no longer
+// keep it off a VM. A pair predicted to be harmful, or a service that misses its
+// objective whatever runs beside it, would otherwise keep a task queued for
+// good, also on VMs where nothing else disturbs: batch tasks must finish, and
+// urgent ones start within seconds. One disturber on a VM bounds the harm, and
+// the ladder throttles it if the service suffers.
+func (r *round) outlasts(t *Task, s *serviceState) bool {
+	waited := r.s.Now.Sub(t.Submitted)
+	if t.Urgent {
+		return waited >= urgentPatience || waited >= urgentPatience/2 && s.disturbers == 0
+	}
+	return waited >= patience && s.disturbers == 0
+}
+
 // allowance is the effect that a task may have on a service of a VM. What is
 // left up to the limit belongs to the processors that are left: a task gets its
 // part of it, times a slack that grows with its wait. Without that, the first
