Carry headers and queries byte by byte

Cause: JSON replaces bytes that are no UTF-8; a header value such as "caf\xe9" reached the upstream and the caller as another one (seen in TestHeadersAndQueriesTravelUnchanged with the packing removed). Two keys that differ only in such bytes would have been one key. Change: header values travel as characters of their bytes (messenger/header), queries are escaped, keys must be ASCII.

--- a/internal/agent/gatekeeper/exchange.go
+++ b/internal/agent/gatekeeper/exchange.go
@@ -74,7 +74,7 @@
 		t.pool.put(conn, c.Now())
 	}
 	removeHopHeaders(resp.Header)
-	reply.Outcome, reply.Status, reply.Header = messenger.OutcomeRun, resp.StatusCode, resp.Header
+	reply.Outcome, reply.Status, reply.Header = messenger.OutcomeRun, resp.StatusCode, messenger.PackHeader(resp.Header)
 	reply.Body, reply.BodyLength = body, len(body)
 	return reply
 }
@@ -87,7 +87,7 @@
 	target.Scheme, target.Host = "http", address
 	req := &http.Request{
 		Method: r.Method, URL: target, Host: address, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: r.Header.Clone(), ContentLength: int64(len(r.Body)),
+		Header: messenger.UnpackHeader(r.Header).Clone(), ContentLength: int64(len(r.Body)),
 	}
 	if req.Header == nil {
 		req.Header = make(http.Header)
--- a/internal/request/receiver/receiver_test.go
+++ b/internal/request/receiver/receiver_test.go
@@ -47,6 +47,7 @@
 		{"no tenant", "GET", "/v1/services/labels/", []string{TenantHeader, "none"}, "", 403, false},
 		{"bad timeout", "GET", "/v1/services/labels/", []string{TimeoutHeader, "soon"}, "", 400, false},
 		{"bad mark", "GET", "/v1/services/labels/", []string{IdempotentHeader, "maybe"}, "", 400, false},
+		{"key not ASCII", "POST", "/v1/services/labels/", []string{KeyHeader, "caf\xe9"}, "", 400, false},
 		{"large body", "POST", "/v1/services/labels/", nil, strings.Repeat("x", MaxBodyBytes+1), 413, false},
 		{"tenant's rate", "GET", "/v1/services/labels/", []string{TenantHeader, "slow"}, "", 429, true},
 	}
@@ -324,3 +325,27 @@
 		t.Errorf("ran %d times", runs.Load())
 	}
 }
+
+// TestHeadersAndQueriesTravelUnchanged sends bytes that are no UTF-8. The upstream
+// must get the header's bytes and the query's meaning, and the caller the header
+// of the answer; JSON between entry and agent would replace each of them.
+func TestHeadersAndQueriesTravelUnchanged(t *testing.T) {
+	b := newBed(t)
+	b.upstream("u1", 8, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Name", r.Header.Get("X-Name")+" "+r.URL.Query().Get("q"))
+		echo(w, r)
+	})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "GET /v1/services/labels/?q=\xe9 HTTP/1.0\r\nX-Name: caf\xe9 \xc3\xa9\r\n\r\n")
+	answer, err := io.ReadAll(conn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := "X-Name: caf\xe9 \xc3\xa9 \xe9\r\n"; !strings.Contains(string(answer), want) {
+		t.Errorf("got %q", answer)
+	}
+}
--- a/internal/request/receiver/request.go
+++ b/internal/request/receiver/request.go
@@ -7,7 +7,9 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"bamboospread/internal/fleet/describer"
 	"bamboospread/internal/request/claimer"
@@ -84,8 +86,8 @@
 	if c.idempotent, err = idempotent(req); err != nil {
 		return c, refuse(http.StatusBadRequest, err.Error())
 	}
-	if len(c.key) > maxKeyBytes {
-		return c, refuse(http.StatusBadRequest, fmt.Sprintf("%s is longer than %d bytes", KeyHeader, maxKeyBytes))
+	if len(c.key) > maxKeyBytes || !messenger.IsASCII(c.key) {
+		return c, refuse(http.StatusBadRequest, fmt.Sprintf("%s is longer than %d bytes or not ASCII", KeyHeader, maxKeyBytes))
 	}
 	timeout, err := timeoutOf(req, c.service)
 	if err != nil {
@@ -163,11 +165,28 @@
 		}
 	}
 	if req.URL.RawQuery != "" {
-		escaped += "?" + req.URL.RawQuery
+		escaped += "?" + escapeBytes(req.URL.RawQuery)
 	}
 	return escaped
 }
 
+// escapeBytes escapes bytes above ASCII, which some callers send in a query as
+// they are and which JSON would not carry unchanged.
+func escapeBytes(query string) string {
+	if messenger.IsASCII(query) {
+		return query
+	}
+	var b strings.Builder
+	for i := range len(query) {
+		if query[i] < utf8.RuneSelf {
+			b.WriteByte(query[i])
+			continue
+		}
+		fmt.Fprintf(&b, "%%%02X", query[i])
+	}
+	return b.String()
+}
+
 func idempotent(req *http.Request) (bool, error) {
 	switch v := req.Header.Get(IdempotentHeader); v {
 	case "true", "false":
--- a/internal/request/receiver/route.go
+++ b/internal/request/receiver/route.go
@@ -57,7 +57,9 @@
 		} else {
 			reply := r.try(ctx, c, j, u)
 			if reply.Outcome == messenger.OutcomeRun {
-				return &answer{status: reply.Status, outcome: reply.Outcome, header: reply.Header, body: reply.Body}
+				return &answer{
+					status: reply.Status, outcome: reply.Outcome, header: messenger.UnpackHeader(reply.Header), body: reply.Body,
+				}
 			}
 			outcome = reply.Outcome
 			r.note(ctx, j, u, reply)
@@ -156,7 +158,7 @@
 	left := r.attemptTime(c, j)
 	req := messenger.RunRequest{
 		RequestID: c.id, Attempt: j.attempt, Upstream: u.ID(), Service: c.service.Name, Tenant: c.tenant.Name,
-		Method: c.method, Path: c.path, Header: c.header, Body: c.body, TimeoutMillis: messenger.Millis(left),
+		Method: c.method, Path: c.path, Header: messenger.PackHeader(c.header), Body: c.body, TimeoutMillis: messenger.Millis(left),
 	}
 	if left <= 0 || ctx.Err() != nil {
 		return messenger.RunReply{Outcome: messenger.OutcomeNotRun, Reason: "the deadline passed before sending"}
--- a/internal/request/receiver/serve.go
+++ b/internal/request/receiver/serve.go
@@ -111,7 +111,7 @@
 // fast; all else goes on in the background.
 func (r *Receiver) settle(ctx context.Context, c *call, options claimer.Options, a *answer) {
 	if a.outcome != messenger.OutcomeNotRun {
-		kept := &messenger.KeptAnswer{Status: a.status, Header: a.header, Body: a.body}
+		kept := &messenger.KeptAnswer{Status: a.status, Header: messenger.PackHeader(a.header), Body: a.body}
 		if a.outcome != messenger.OutcomeRun {
 			kept = nil
 		}
@@ -136,5 +136,5 @@
 			reason: "the request with this key ran; its answer was not kept",
 		}
 	}
-	return &answer{status: kept.Status, outcome: messenger.OutcomeRun, header: kept.Header, body: kept.Body, replayed: true}
+	return &answer{status: kept.Status, outcome: messenger.OutcomeRun, header: messenger.UnpackHeader(kept.Header), body: kept.Body, replayed: true}
 }
