Bound the wait for ends of keyed requests in a stop; serve a service's root

A stop with the owner away waited for settlements up to the stop limit and ended as failed. POST /v1/services/NAME was redirected, which makes clients send a GET; answers without a Content-Type got a guessed one.

--- a/internal/request/receiver/answer.go
+++ b/internal/request/receiver/answer.go
@@ -61,6 +61,9 @@
 		body = append(body, '\n')
 		h.Set("Content-Type", "application/json")
 	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // net/http would guess one that the upstream did not give
+	}
 	h.Set(OutcomeHeader, string(a.outcome))
 	h.Set(RequestIDHeader, id)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/request/receiver/receiver.go
+++ b/internal/request/receiver/receiver.go
@@ -21,6 +21,9 @@
 	"bamboospread/internal/request/tracker"
 )
 
+// settleDrainLimit bounds the wait for the ends of keyed requests in a stop.
+const settleDrainLimit = 3 * time.Second
+
 // Config holds the settings of a Receiver.
 type Config struct {
 	EntryID  string
@@ -85,6 +88,7 @@
 		r.admitter = admitter.New(admitter.Config{Capacity: r.capacity, Now: c.Now})
 	}
 	r.mux.HandleFunc("/v1/services/{service}/{path...}", r.serve)
+	r.mux.HandleFunc("/v1/services/{service}", r.serve) // else redirected, which makes a GET of a POST
 	return r
 }
 
@@ -145,5 +149,12 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	return r.claimer.Drain(ctx)
+	ctx, cancel := context.WithTimeout(ctx, settleDrainLimit)
+	defer cancel()
+	// With the owner away the ends can't be recorded; waiting on would hold the
+	// stop up for nothing. Their keys stay refused, which is safe.
+	if err := r.claimer.Drain(ctx); err != nil {
+		r.config.Reporter.Report(reporter.ClaimUnsettled, reporter.Fields{"error": err.Error()})
+	}
+	return nil
 }
--- a/internal/request/receiver/receiver_test.go
+++ b/internal/request/receiver/receiver_test.go
@@ -22,6 +22,8 @@
 	cases := []struct{ method, path, body, want string }{
 		{"GET", "/v1/services/labels/a%2Fb?c=d", "", "/a%2Fb?c=d "},
 		{"POST", "/v1/services/labels/", "lot 7", "/ lot 7"},
+		{"POST", "/v1/services/labels", "lot 7", "/ lot 7"},
+		{"POST", "/v1/services/labels?a=/b/c", "lot 7", "/?a=/b/c lot 7"},
 		{"PUT", "/v1/services/labels/big", big, "/big " + big},
 	}
 	for _, c := range cases {
--- a/internal/request/receiver/request.go
+++ b/internal/request/receiver/request.go
@@ -152,17 +152,10 @@
 
 // upstreamPath returns the path below the service as the caller escaped it.
 func upstreamPath(req *http.Request) string {
-	escaped := req.URL.EscapedPath()
-	slashes := 0
-	for i := range len(escaped) {
-		if escaped[i] != '/' {
-			continue
-		}
-		slashes++
-		if slashes == 4 { // /v1/services/{service}/
-			escaped = escaped[i:]
-			break
-		}
+	const before = 4 // parts: the empty one, v1, services and the service
+	escaped := "/"
+	if parts := strings.SplitN(req.URL.EscapedPath(), "/", before+1); len(parts) > before {
+		escaped += parts[before]
 	}
 	if req.URL.RawQuery != "" {
 		escaped += "?" + escapeBytes(req.URL.RawQuery)
--- a/tests/integration/request_stop_test.go
+++ b/tests/integration/request_stop_test.go
@@ -74,6 +74,9 @@
 				s := sent{method: http.MethodGet, path: fmt.Sprint("/depth/", n), timeout: 5 * time.Second}
 				if random.IntN(2) == 0 {
 					s.method, s.body = http.MethodPost, fmt.Sprint("lot ", n)
+					if random.IntN(3) == 0 {
+						s.key = fmt.Sprint("stop-", b.seed, "-", n)
+					}
 				}
 				return s
 			})
