Show that an accepted configuration holds

TestAcceptedConfigNeverReverts: two operators race 50 changes in six scenarios; the store's own record is the witness. The harness gives each address once, since parallel scenarios picked the same port (seen: an entry that could not listen); a process's log can be read.

--- a/tests/harness/process.go
+++ b/tests/harness/process.go
@@ -85,6 +85,9 @@
 	return string(out), cmd.ProcessState.ExitCode()
 }
 
+// handedOut holds the addresses that FreeAddress gave.
+var handedOut sync.Map
+
 // FreeAddress returns an address of the loopback on which nothing listens.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
@@ -92,7 +95,10 @@
 		address := fmt.Sprintf("127.0.0.1:%d", portMin+rand.IntN(portMax-portMin))
 		if l, err := net.Listen("tcp", address); err == nil {
 			l.Close()
-			return address
+			// Until its process listens a port looks free to other tests too.
+			if _, taken := handedOut.LoadOrStore(address, true); !taken {
+				return address
+			}
 		}
 	}
 	t.Fatal("no free port")
@@ -212,12 +218,17 @@
 	p.Start()
 }
 
-func (p *Process) logEnd() string {
+// LogLines returns what the process has logged, also in earlier runs.
+func (p *Process) LogLines() []string {
 	data, err := os.ReadFile(p.log)
 	if err != nil {
-		return err.Error()
+		return []string{err.Error()}
 	}
-	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	return strings.Split(strings.TrimSpace(string(data)), "\n")
+}
+
+func (p *Process) logEnd() string {
+	lines := p.LogLines()
 	return strings.Join(lines[max(0, len(lines)-shownLogLines):], "\n")
 }
 
--- a/tests/integration/fleet_config_test.go
+++ b/tests/integration/fleet_config_test.go
@@ -22,7 +22,7 @@
 const (
 	inForceLimit       = 4 * time.Second // from acceptance, while the store is up
 	changesPerOperator = 25
-	changeEvery        = 250 * time.Millisecond
+	changeEvery        = 150 * time.Millisecond
 )
 
 // configScene is what a scenario works on. It notes the times within which a
@@ -31,6 +31,7 @@
 	*harness.Cluster
 	t      *testing.T
 	random *rand.Rand
+	links  []*proxy.Proxy // from operators to the first two entries
 	mu     sync.Mutex
 	excuse []excuse
 }
@@ -58,33 +59,37 @@
 	c.during("", d, func() { c.SetStore(storer.Faults{Down: true}) }, func() { c.SetStore(storer.Faults{}) })
 }
 
+// Operators work through the first two entries; the third only follows.
 var configScenarios = []struct {
 	name string
-	// disturb runs beside the operators' changes, which take about 7 s.
+	// disturb runs beside the operators' changes, which take about 8 s.
 	disturb func(c *configScene)
 }{
 	{"outage with lost answers before it", func(c *configScene) {
-		c.SetStore(storer.Faults{LoseAnswers: 0.4})
+		c.SetStore(storer.Faults{LoseAnswers: 0.3})
 		time.Sleep(2 * time.Second)
-		c.outage(3 * time.Second)
-		c.SetStore(storer.Faults{LoseAnswers: 0.4})
+		c.outage(2500 * time.Millisecond)
+		c.SetStore(storer.Faults{LoseAnswers: 0.3})
 	}},
-	{"an entry's store link cut one way", func(c *configScene) {
+	{"entries' store links cut one way", func(c *configScene) {
+		c.Entries[2].StoreLink.Set(proxy.Faults{Cut: proxy.ToClient})
 		time.Sleep(time.Second)
 		c.Entries[0].StoreLink.Set(proxy.Faults{Cut: proxy.ToClient})
-		time.Sleep(4 * time.Second)
+		time.Sleep(2 * time.Second)
 		c.Entries[0].StoreLink.Reset()
+		time.Sleep(4 * time.Second)
+		c.Entries[2].StoreLink.Reset()
 	}},
 	{"an entry's store link holds answers back", func(c *configScene) {
 		for range 3 {
-			c.Entries[1].StoreLink.Set(proxy.Faults{Hold: proxy.ToClient})
-			time.Sleep(2 * time.Second) // it hears of newer versions from the other entry
-			c.Entries[1].StoreLink.Reset()
+			c.Entries[2].StoreLink.Set(proxy.Faults{Hold: proxy.ToClient})
+			time.Sleep(2 * time.Second) // it hears of newer versions from other entries
+			c.Entries[2].StoreLink.Reset()
 			time.Sleep(500 * time.Millisecond)
 		}
 	}},
 	{"an entry's store link drops answers, slow store", func(c *configScene) {
-		c.SetStore(storer.Faults{DelayMillis: 150})
+		c.SetStore(storer.Faults{DelayMillis: 100})
 		for range 3 {
 			c.Entries[1].StoreLink.Set(proxy.Faults{DropAnswers: true})
 			time.Sleep(time.Second)
@@ -94,9 +99,9 @@
 	}},
 	{"an entry and an agent paused", func(c *configScene) {
 		time.Sleep(time.Second)
-		agent := c.VMs[0].Agent
+		agent, e := c.VMs[0].Agent, c.Entries[2]
 		go c.during(agent.Name, 3*time.Second, agent.Pause, agent.Resume)
-		c.during(c.Entries[1].Name, 4*time.Second, c.Entries[1].Pause, c.Entries[1].Resume)
+		c.during(e.Name, 4*time.Second, e.Pause, e.Resume)
 	}},
 	{"an entry killed over an outage", func(c *configScene) {
 		time.Sleep(1500 * time.Millisecond)
@@ -135,13 +140,15 @@
 		t.Run(s.name, func(t *testing.T) {
 			t.Parallel()
 			seed := harness.Seed(t)
-			c := &configScene{Cluster: harness.New(t, harness.Config{}), t: t, random: rand.New(rand.NewPCG(seed, seed))}
+			c := &configScene{Cluster: harness.New(t, harness.Config{Entries: 3, VMs: 2}), t: t, random: rand.New(rand.NewPCG(seed, seed))}
 			c.ApplyFleet(textOf(0))
 			accepted := watchAcceptances(t, c.Cluster)
 			versions := watchVersions(t, c.Cluster)
 			disturbed := make(chan struct{})
 			go func() { defer close(disturbed); s.disturb(c) }()
+			stop := c.loseAnswersToOperators()
 			attempts := race(c)
+			stop()
 			<-disturbed
 			c.Heal()
 			settle(t, c, attempts)
@@ -149,11 +156,28 @@
 			record := accepted.record(t)
 			checkAnswers(t, attempts, record)
 			checkContent(t, c, attempts, record)
+			checkLogs(t, c)
 			checkInForce(t, c, versions, accepted, record.Version)
 		})
 	}
 }
 
+// loseAnswersToOperators drops what entries answer to operators, from time to
+// time and each link on its own.
+func (c *configScene) loseAnswersToOperators() (stop func()) {
+	for _, e := range c.Entries[:2] {
+		c.links = append(c.links, c.Link(e.HTTP))
+	}
+	return background(c.t, func(ctx context.Context) {
+		for i := 0; ctx.Err() == nil; i = 1 - i {
+			c.links[i].Set(proxy.Faults{DropAnswers: true})
+			sleep(ctx, 100*time.Millisecond)
+			c.links[i].Reset()
+			sleep(ctx, 250*time.Millisecond)
+		}
+	})
+}
+
 func textOf(burst int) string {
 	return strings.Replace(harness.FleetText, "{name: packhouse, weight: 4}", fmt.Sprintf("{name: packhouse, weight: 4, burst: %d}", burst), 1)
 }
@@ -163,7 +187,9 @@
 	all := make([][]*attempt, 2)
 	var both sync.WaitGroup
 	for i := range all {
-		q := operatorOf(3*time.Second, c.Entries[i], c.Entries[1-i])
+		q := requester.New(requester.Config{
+			Entries: []string{c.links[i].Address(), c.links[1-i].Address()}, Timeout: 3 * time.Second,
+		})
 		random := rand.New(rand.NewPCG(c.random.Uint64(), uint64(i)))
 		both.Go(func() {
 			for n := range changesPerOperator {
--- a/tests/integration/fleet_versions_test.go
+++ b/tests/integration/fleet_versions_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"bamboospread/internal/kernel/reporter"
 	"bamboospread/tests/harness"
 )
 
@@ -80,6 +83,41 @@
 	t.Logf("%d versions; the slowest was in force everywhere after %s", last, worst)
 }
 
+// checkLogs checks that the versions that each process logged as taken rose. A
+// process that went back for a moment between two questions shows here.
+func checkLogs(t *testing.T, c *configScene) {
+	t.Helper()
+	processes := []*harness.Process{}
+	for _, e := range c.Entries {
+		processes = append(processes, e.Process)
+	}
+	for _, vm := range c.VMs {
+		processes = append(processes, vm.Agent)
+	}
+	for _, p := range processes {
+		held, taken := int64(0), 0
+		for _, line := range p.LogLines() {
+			switch {
+			case strings.Contains(line, fmt.Sprintf(" event=%d ", reporter.Listening)):
+				held = 0 // started
+			case strings.Contains(line, fmt.Sprintf(" event=%d ", reporter.FleetVersionTaken)):
+				var version int64
+				if _, err := fmt.Sscanf(line[strings.LastIndex(line, "version="):], "version=%d", &version); err != nil {
+					t.Fatalf("%s: %v", line, err)
+				}
+				if version <= held {
+					t.Errorf("%s took version %d after %d", p.Name, version, held)
+				}
+				held = version
+				taken++
+			}
+		}
+		if taken == 0 {
+			t.Errorf("%s logged no version", p.Name)
+		}
+	}
+}
+
 // lagOf returns how long after acceptance a process first showed a version or a
 // higher one. It counts to when the process was asked: its answer was later.
 func lagOf(shown []shownVersion, version int64, accepted time.Time) (time.Duration, bool) {
