Run the scenarios of the cell's tests side by side

Cause: each scenario is a cluster of its own that mostly waits for leases and faults; one after the other they take minutes.

--- a/tests/integration/control_evicted_test.go
+++ b/tests/integration/control_evicted_test.go
@@ -35,6 +35,7 @@
 	}, together(zoneLeaves, []cellFault{storeSlow, storeDown, vmHeld, ownerCutFromStore}[seed%4]))
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
 			r := newTrial(t, seed, 4, harness.FleetText)
 			random := rand.New(rand.NewPCG(seed, 6))
 			r.under(func(ctx context.Context) {
--- a/tests/integration/control_twice_test.go
+++ b/tests/integration/control_twice_test.go
@@ -53,6 +53,7 @@
 	}, drawPairs(seed, 1, ownerPaused, agentPaused, vmCut, vmHeld, ownerCutFromStore, storeLoses, ownerKilled)...)
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
 			r := newTrial(t, seed, 4, harness.FleetText)
 			random := rand.New(rand.NewPCG(seed, 4))
 			r.under(func(ctx context.Context) { r.submitUntil(ctx, "label-batch", 150*time.Millisecond, shortRuns(random)) }, s.together, s.faults...)
@@ -76,6 +77,7 @@
 	}, drawPairs(seed, 1, ownerPaused, agentPaused, vmCut, vmHeld, storeLoses, zoneRace, ownerKilled)...)
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
 			r := newTrial(t, seed, 3, harness.FleetText)
 			random := rand.New(rand.NewPCG(seed, 5))
 			r.under(func(ctx context.Context) {
--- a/tests/integration/fleet_config_test.go
+++ b/tests/integration/fleet_config_test.go
@@ -166,7 +166,7 @@
 // time and each link on its own.
 func (c *configScene) loseAnswersToOperators() (stop func()) {
 	for _, e := range c.Entries[:2] {
-		c.links = append(c.links, c.Link(e.HTTP))
+		c.links = append(c.links, c.Link(proxy.Config{Target: e.HTTP}))
 	}
 	return background(c.t, func(ctx context.Context) {
 		for i := 0; ctx.Err() == nil; i = 1 - i {
