--- a/tests/measure/requests_test.go
+++ b/tests/measure/requests_test.go
@@ -193,6 +193,12 @@
 		k.show("store up", k.load(k.full/2, measuredTime))
 		k.SetStore(storer.Faults{Down: true})
 		k.show("store down", k.load(k.full/2, 3*measuredTime))
+		beside := make(chan generator.Report)
+		go func() {
+			beside <- k.load(k.full/8, 2*measuredTime, "--method", "POST", "--keyed", "--seed", "5")
+		}()
+		k.show("down, keyed beside", k.load(k.full/2, measuredTime))
+		k.show("the keyed ones", <-beside)
 		k.SetStore(storer.Faults{})
 		k.show("store up again", k.load(k.full/2, measuredTime))
 	}
