--- a/internal/agent/announcer/announcer.go
+++ b/internal/agent/announcer/announcer.go
@@ -50,8 +50,14 @@
 	sessions map[string]*session // by address
 	owners   map[string]messenger.CellOwner
 	sequence int64
-	fetching bool
-	added    chan string // addresses for which Run starts a session
+	added    chan string    // addresses for which Run starts a session
+	fleets   chan fleetNews // one at a time
+}
+
+// fleetNews is a higher fleet version and the entry that has it.
+type fleetNews struct {
+	conn    *connector.Conn
+	version int64
 }
 
 // New returns an Announcer; it hears of changes from the Gatekeeper.
@@ -68,6 +74,7 @@
 	a := &Announcer{
 		config: c, sessions: make(map[string]*session),
 		owners: make(map[string]messenger.CellOwner), added: make(chan string, 64),
+		fleets: make(chan fleetNews),
 	}
 	c.Gatekeeper.SetOnChange(a.Notify)
 	return a
@@ -92,10 +99,17 @@
 	for _, address := range a.config.Entries {
 		start(address, true)
 	}
+	fetched := make(chan struct{})
+	fleets := a.fleets // nil while one is fetched
 	for {
 		select {
 		case address := <-a.added:
 			start(address, false)
+		case n := <-fleets:
+			fleets = nil
+			go func() { a.fetchFleet(n); fetched <- struct{}{} }()
+		case <-fetched:
+			fleets = a.fleets
 		case address := <-ended:
 			a.remove(address)
 			delete(running, address)
@@ -105,6 +119,9 @@
 				a.remove(address)
 				delete(running, address)
 			}
+			if fleets == nil {
+				<-fetched // its connection has ended with the session
+			}
 			return nil
 		}
 	}
@@ -200,29 +217,24 @@
 	return nil
 }
 
-// checkFleet tells of a higher fleet version, one fetch at a time and off the
+// checkFleet has Run tell of a higher fleet version. It is fetched off the
 // session's goroutine, so that heartbeats go on.
 func (a *Announcer) checkFleet(conn *connector.Conn, version int64) {
 	if a.config.OnFleetVersion == nil || a.config.FleetVersion == nil || version <= a.config.FleetVersion() {
 		return
 	}
-	a.mu.Lock()
-	busy := a.fetching
-	a.fetching = true
-	a.mu.Unlock()
-	if busy {
-		return
+	select {
+	case a.fleets <- fleetNews{conn: conn, version: version}:
+	default: // the next heartbeat tells of it again
 	}
-	go func() {
-		a.config.OnFleetVersion(version, func(ctx context.Context) (messenger.FleetReply, error) {
-			var reply messenger.FleetReply
-			err := conn.Call(ctx, messenger.MethodFleet, messenger.FleetRequest{Above: a.config.FleetVersion()}, &reply)
-			return reply, err
-		})
-		a.mu.Lock()
-		a.fetching = false
-		a.mu.Unlock()
-	}()
+}
+
+func (a *Announcer) fetchFleet(n fleetNews) {
+	a.config.OnFleetVersion(n.version, func(ctx context.Context) (messenger.FleetReply, error) {
+		var reply messenger.FleetReply
+		err := n.conn.Call(ctx, messenger.MethodFleet, messenger.FleetRequest{Above: a.config.FleetVersion()}, &reply)
+		return reply, err
+	})
 }
 
 // CallOwner calls the owner of a cell, as far as it is known, over the session
