--- a/internal/agent/gatekeeper/exchange.go
+++ b/internal/agent/gatekeeper/exchange.go
@@ -35,15 +35,8 @@
 		reply.Reason = err.Error()
 		return reply
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), minTime(deadline, time.Now().Add(c.DialTimeout)))
-	defer cancel()
-	conn, err := t.pool.get(ctx, c.Now())
+	conn, err := t.connect(c, deadline)
 	if err != nil {
-		reply.Reason = fmt.Sprintf("connect to the upstream: %v", err)
-		return reply
-	}
-	if err := conn.SetDeadline(deadline.Add(c.LateLimit)); err != nil {
-		t.pool.drop(conn)
 		reply.Reason = err.Error()
 		return reply
 	}
@@ -79,6 +72,21 @@
 	return reply
 }
 
+// connect returns a connection that ends at the request's last moment.
+func (t *gate) connect(c Config, deadline time.Time) (*upstreamConn, error) {
+	ctx, cancel := context.WithDeadline(context.Background(), minTime(deadline, time.Now().Add(c.DialTimeout)))
+	defer cancel()
+	conn, err := t.pool.get(ctx, c.Now())
+	if err != nil {
+		return nil, fmt.Errorf("connect to the upstream: %w", err)
+	}
+	if err := conn.SetDeadline(deadline.Add(c.LateLimit)); err != nil {
+		t.pool.drop(conn)
+		return nil, fmt.Errorf("set deadline: %w", err)
+	}
+	return conn, nil
+}
+
 func newRequest(r messenger.RunRequest, address string) (*http.Request, error) {
 	target, err := url.ParseRequestURI(r.Path)
 	if err != nil {
--- a/tests/integration/request_leaving_test.go
+++ b/tests/integration/request_leaving_test.go
@@ -128,13 +128,13 @@
 	return before, last
 }
 
-// TestLeavingUpstreamGetsNoNewWork: an upstream that is told to go finishes and
-// ends; work sent to it after that is lost. Three upstreams leave, each in its
-// way, while callers go on and entries or agents stand still for longer than the
-// limit: waking, they have old knowledge, and requests wait in their sockets.
-// Nothing may reach a leaving upstream later than 3 s.
-func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
-	b := newRequestBed(t, "--service-time", "5ms")
+// leavingCase is what stands still while upstreams leave.
+type leavingCase struct {
+	name       string
+	begin, end []func()
+}
+
+func (b *requestBed) leavingCases() []leavingCase {
 	hold := func(f proxy.Faults) func() {
 		return func() {
 			for vm := range b.VMs {
@@ -144,50 +144,42 @@
 	}
 	agents := func(f func(vm *harness.VM)) func() {
 		return func() {
-			for _, vm := range b.VMs[:3] {
+			for _, vm := range b.VMs[:len(leavingWays)] {
 				f(vm)
 			}
 		}
 	}
 	pauseEntry := func() { b.Entries[0].Pause() }
 	pauseAgents := agents(func(vm *harness.VM) { vm.Agent.Pause() })
-	cases := []struct {
-		name       string
-		begin, end []func()
-	}{
+	killAgents := agents(func(vm *harness.VM) { vm.Agent.Restart() })
+	heal, resume := []func(){hold(proxy.Faults{})}, []func(){b.resumeAll}
+	return []leavingCase{
 		{"nothing else", nil, nil},
-		{"entry paused", []func(){pauseEntry}, []func(){b.resumeAll}},
-		{"agents paused", []func(){pauseAgents}, []func(){b.resumeAll}},
-		{"requests held in the link", []func(){hold(proxy.Faults{Hold: proxy.ToClient})}, []func(){hold(proxy.Faults{})}},
-		{"heartbeats cut", []func(){hold(proxy.Faults{Cut: proxy.ToServer})}, []func(){hold(proxy.Faults{})}},
-		{"entry paused, agents killed", []func(){pauseEntry, agents(func(vm *harness.VM) { vm.Agent.Restart() })}, []func(){b.resumeAll}},
-		{"entry and agents paused", []func(){pauseEntry, pauseAgents}, []func(){b.resumeAll}},
+		{"entry paused", []func(){pauseEntry}, resume},
+		{"agents paused", []func(){pauseAgents}, resume},
+		{"requests held in the link", []func(){hold(proxy.Faults{Hold: proxy.ToClient})}, heal},
+		{"heartbeats cut", []func(){hold(proxy.Faults{Cut: proxy.ToServer})}, heal},
+		{"entry paused, agents killed", []func(){pauseEntry, killAgents}, resume},
+		{"entry and agents paused", []func(){pauseEntry, pauseAgents}, resume},
 	}
-	ways := []string{"says so", "renews as leaving", "falls silent"}
-	for i, c := range cases {
+}
+
+var leavingWays = []string{"says so", "renews as leaving", "falls silent"}
+
+// TestLeavingUpstreamGetsNoNewWork: an upstream that is told to go finishes and
+// ends; work sent to it after that is lost. Three upstreams leave, each in its
+// way, while callers go on and entries or agents stand still for longer than the
+// limit: waking, they have old knowledge, and requests wait in their sockets.
+// Nothing may reach a leaving upstream later than 3 s.
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	b := newRequestBed(t, "--service-time", "5ms")
+	for _, c := range b.leavingCases() {
 		t.Run(c.name, func(t *testing.T) {
 			var leavers []*leaver
-			for j, way := range ways {
-				leavers = append(leavers, newLeaver(t, b.VMs[j], fmt.Sprintf("leaver-%d-%d", i, j), way))
-			}
-			stop := b.load(16, func(_ *rand.Rand, n int) sent {
-				return sent{method: http.MethodPost, path: fmt.Sprint("/print/", n), body: fmt.Sprint("lot ", n), timeout: 6 * time.Second}
-			})
-			time.Sleep(time.Second)
-			for _, f := range c.begin {
-				f()
-			}
-			var group sync.WaitGroup
-			for _, u := range leavers {
-				group.Go(u.leave)
+			for i, way := range leavingWays {
+				leavers = append(leavers, newLeaver(t, b.VMs[i], fmt.Sprintf("leaver-%d", b.number.Add(1)), way))
 			}
-			time.Sleep(leavingPause)
-			for _, f := range c.end {
-				f()
-			}
-			time.Sleep(800 * time.Millisecond)
-			t.Log(summarise(stop()))
-			group.Wait()
+			b.leaveDuring(t, c, leavers)
 			for _, u := range leavers {
 				before, last := u.check()
 				t.Logf("%s: %d requests before, the last %s after leaving began", u.way, before, last.Round(time.Millisecond))
@@ -202,3 +194,26 @@
 		b.recover()
 	}
 }
+
+// leaveDuring has the upstreams leave under load while the case's processes stand
+// still, and goes on until these have worked off what they found when they woke.
+func (b *requestBed) leaveDuring(t *testing.T, c leavingCase, leavers []*leaver) {
+	stop := b.load(16, func(_ *rand.Rand, n int) sent {
+		return sent{method: http.MethodPost, path: fmt.Sprint("/print/", n), body: fmt.Sprint("lot ", n), timeout: 6 * time.Second}
+	})
+	time.Sleep(time.Second)
+	for _, f := range c.begin {
+		f()
+	}
+	var group sync.WaitGroup
+	for _, u := range leavers {
+		group.Go(u.leave)
+	}
+	time.Sleep(leavingPause)
+	for _, f := range c.end {
+		f()
+	}
+	time.Sleep(800 * time.Millisecond)
+	t.Log(summarise(stop()))
+	group.Wait()
+}
