Tell an idle service from a silent one; keep held tasks out of the pace

Cause: reports don't name a service without requests, so that its VM was treated as unknown for good and took one or two batch tasks (seen on the real agent: a measurement with 9 tasks never had them running).

Change: a service that fresh reports don't name is idle. Held tasks don't count as demand. TestSharesConverge passed with the fair order removed, as its queue ran dry; it is replaced by a stricter one. New tests for starts that reports don't show yet, repeats, and refusals of young tasks; each seen to fail with its safeguard removed.

--- a/internal/control/learner/history.go
+++ b/internal/control/learner/history.go
@@ -15,6 +15,7 @@
 type history struct {
 	seen     []window // latest last
 	services map[string]*pressure
+	latest   window    // of the newest report
 	arrived  time.Time // of the latest report
 }
 
@@ -66,6 +67,9 @@
 	for at > 0 && h.seen[at-1].to.After(to) {
 		at--
 	}
+	if to.After(h.latest.to) {
+		h.latest = window{from, to}
+	}
 	h.seen = append(h.seen, window{})
 	copy(h.seen[at+1:], h.seen[at:])
 	h.seen[at] = window{from, to}
@@ -99,19 +103,26 @@
 }
 
 // Recent returns the latest measurements of a service on a VM, newest first, and
-// none when reports stopped coming. Callers must not change the result.
+// none when reports stopped coming. A service without requests is not named in
+// reports: that it is missing from fresh ones means idle, with a ratio of zero,
+// and not unknown; otherwise batch work would never fill a VM whose service has
+// no callers. Callers must not change the result.
 func (l *Learner) Recent(vm, service string) []placer.Window {
 	h := l.vms[vm]
-	if h == nil {
+	if h == nil || l.config.Now().Sub(h.arrived) > l.config.StaleAfter {
 		return nil
 	}
 	p := h.services[service]
 	if p == nil || l.config.Now().Sub(p.arrived) > l.config.StaleAfter {
-		return nil
+		return []placer.Window{{From: h.latest.from, To: h.latest.to}}
 	}
 	return p.windows
 }
 
+// idlePressure is the pressure of a service without requests: not zero, which
+// means unknown.
+const idlePressure = 0.01
+
 // Pressure returns the measured latency of a service on a VM divided by its
 // objective, smoothed over the last two reports; 0 when no report is recent,
 // which means unknown and not idle.
@@ -122,7 +133,7 @@
 	case 0:
 		return 0
 	case 1:
-		return w[0].Ratio
+		return max(idlePressure, w[0].Ratio)
 	}
 	return newest*w[0].Ratio + (1-newest)*w[1].Ratio
 }
--- a/internal/control/learner/learner_test.go
+++ b/internal/control/learner/learner_test.go
@@ -178,6 +178,21 @@
 	})
 }
 
+func TestRepeatTeachesNothing(t *testing.T) {
+	b := newBed(4, Config{})
+	b.base["depth"], b.effects["depth/x"] = 20000, 0.3
+	placed := b.random("x", "y", "z")
+	u := b.usage("depth", placed)
+	b.learner.Observe("vm", u, placed)
+	before, sure := b.learner.Interference("depth", "x")
+	for range 5 {
+		b.learner.Observe("vm", u, placed)
+	}
+	if after, surer := b.learner.Interference("depth", "x"); after != before || surer != sure {
+		t.Errorf("repeats moved the estimate from %v (%v) to %v (%v)", before, sure, after, surer)
+	}
+}
+
 func TestSilenceIsUnknown(t *testing.T) {
 	b := newBed(1, Config{})
 	b.base["depth"] = 40000
@@ -185,6 +200,9 @@
 	if p := b.learner.Pressure("vm0", "depth"); p < 0.5 {
 		t.Errorf("pressure %.2f while reports come", p)
 	}
+	if p := b.learner.Pressure("vm0", "without requests"); p <= 0 || p > 0.1 {
+		t.Errorf("pressure %.2f of a service that fresh reports don't name", p)
+	}
 	b.now = b.now.Add(time.Minute)
 	if p := b.learner.Pressure("vm0", "depth"); p != 0 {
 		t.Errorf("pressure %.2f a minute after the last report", p)
--- a/internal/control/placer/ladder_test.go
+++ b/internal/control/placer/ladder_test.go
@@ -215,6 +215,41 @@
 	}
 }
 
+func TestStartsThatReportsDoNotShowCount(t *testing.T) {
+	// A VM was calm in its last report, and three disturbing tasks started
+	// after it. By the report alone it would draw the next one as well, and
+	// each VM in turn a herd of them.
+	w := pressedCell(0, 0.5)
+	w.s.VMs[1].Services = []string{"depth"}
+	for i := range 3 {
+		w.s.Placed = append(w.s.Placed, Task{ID: fmt.Sprint("new", i), Class: "noisy", Needs: cores(2), VM: "vm-00", Started: w.s.Now.Add(-time.Second)})
+	}
+	w.s.VMs[2].Quarantined = true
+	w.s.Queued = []Task{{ID: "next", Class: "noisy", Needs: cores(2), Submitted: w.s.Now}}
+	if got := startsOf(New(Config{}).Plan(w.s))["next"]; got != "vm-01" {
+		t.Errorf("started on %q, want vm-01", got)
+	}
+}
+
+func TestYoungRefusalDoesNotSpeakForOld(t *testing.T) {
+	// Two tenants queue the same kind of task; the one with the smaller share
+	// goes first and its young task may not disturb that much yet. The older
+	// task of the other tenant may.
+	w := pressedCell(0, 0.5)
+	w.s.Interference = func(string, string) (float64, float64) { return 0.5, 1 }
+	w.s.VMs = w.s.VMs[:1]
+	w.s.Queued = []Task{queued("old", "t1", cores(8)), queued("young", "t0", cores(8))}
+	w.s.Queued[1].Submitted = w.s.Now
+	for i := range 4 { // enough demand that the pace counts
+		w.s.Queued = append(w.s.Queued, Task{ID: fmt.Sprint("large", i), Tenant: "t2", Class: "x", Needs: cores(25), Submitted: w.s.Now})
+	}
+	w.s.Placed[0].Tenant, w.s.Placed[1].Tenant = "t1", "t1"
+	starts := startsOf(New(Config{}).Plan(w.s))
+	if _, ok := starts["old"]; !ok || starts["young"] != "" {
+		t.Errorf("started %v, want only the old task", starts)
+	}
+}
+
 func TestReplicasSpread(t *testing.T) {
 	s := Snapshot{Now: start, Fleet: describer.New(fleetOf()), VMs: vmsOf(8, "a", "b")}
 	for i := range 4 {
--- a/internal/control/placer/placer.go
+++ b/internal/control/placer/placer.go
@@ -192,6 +192,7 @@
 func (p *Placer) Plan(s Snapshot) Plan {
 	r := newRound(p.config, &s)
 	queue := r.holdImpossible()
+	r.demand = r.queuedDemand(queue)
 	r.drain()
 	r.climb()
 	queue = r.startAged(queue)
--- a/internal/control/placer/property_test.go
+++ b/internal/control/placer/property_test.go
@@ -160,7 +160,7 @@
 		}
 		p := New(Config{})
 		want := p.Plan(s)
-		huge := queued("huge", "t0", cores(1000))
+		huge := queued("huge", "t0", cores(100000))
 		huge.Submitted = start.Add(-time.Hour)
 		with := s
 		with.Queued = append([]Task{huge}, s.Queued...)
--- a/internal/control/placer/round.go
+++ b/internal/control/placer/round.go
@@ -83,13 +83,14 @@
 	for i := range r.vms {
 		r.measure(i)
 	}
-	r.demand = r.queuedDemand()
 	return r
 }
 
-func (r *round) queuedDemand() float64 {
+// queuedDemand leaves out what is held: a task that can never run must not
+// change the pace of the others.
+func (r *round) queuedDemand(queue []int) float64 {
 	var waiting, free int64
-	for i := range r.s.Queued {
+	for _, i := range queue {
 		if t := &r.s.Queued[i]; t.Service == "" {
 			waiting += t.Needs.Millicores
 		}
@@ -150,7 +151,7 @@
 		st := serviceState{name: name, log: math.Log(unknownPressure)}
 		w, ok := r.lastWindow(v.vm.Name, name)
 		if ok {
-			st.known, st.log = true, math.Log(max(w.Ratio, minPressure))
+			st.known, st.log = true, math.Log(max(w.Ratio, idlePressure))
 		}
 		for _, i := range r.tasks[at] {
 			t := &r.s.Placed[i]
--- a/internal/control/placer/score.go
+++ b/internal/control/placer/score.go
@@ -13,7 +13,7 @@
 	// unknownPressure stands for a service without a recent report: neither
 	// idle, which would draw tasks to a VM that may be drowning, nor overloaded.
 	unknownPressure = 0.8
-	minPressure     = 0.01
+	idlePressure    = 0.2   // floor: a service without requests may get some at any moment
 	comfortable     = 0.8   // pressure from which each further slowdown costs more
 	steepness       = 5     // how much more
 	negligible      = 0.005 // effect that is not worth a decision
--- a/internal/control/placer/share_test.go
+++ b/internal/control/placer/share_test.go
@@ -23,8 +23,8 @@
 			tenants = append(tenants, describer.Tenant{Name: fmt.Sprint("t", i), Weight: w})
 		}
 		w := world{s: Snapshot{Now: start, Fleet: describer.New(fleetOf(tenants...)), VMs: vmsOf(6, "a", "b")}}
-		for i := range 600 {
-			w.s.Queued = append(w.s.Queued, queued(fmt.Sprint(i), fmt.Sprint("t", i/200), cores(1)))
+		for i := range 1800 {
+			w.s.Queued = append(w.s.Queued, queued(fmt.Sprint(i), fmt.Sprint("t", i/600), cores(1)))
 		}
 		p := New(Config{})
 		for range 40 {
@@ -44,15 +44,8 @@
 	for _, task := range w.s.Placed {
 		used[task.Tenant[1]-'0']++
 	}
-	left := make(map[string]int)
-	for _, task := range w.s.Queued {
-		left[task.Tenant]++
-	}
 	least, most, slack := math.Inf(1), 0.0, 0.0
 	for i, n := range used {
-		if left[fmt.Sprint("t", i)] == 0 {
-			return // a tenant without work has no claim to a share
-		}
 		least, most = min(least, n/weights[i]), max(most, n/weights[i])
 		slack = max(slack, 1/weights[i])
 	}
--- a/tests/capacity/probe_test.go
+++ b/tests/capacity/probe_test.go
@@ -141,7 +141,7 @@
 
 func waitTasks(b *testing.B, count func() int, want int) {
 	b.Helper()
-	harness.WaitFor(b, 2*time.Minute, fmt.Sprintf("%d tasks running", want), func(context.Context) error {
+	harness.WaitFor(b, time.Minute, fmt.Sprintf("%d tasks running", want), func(context.Context) error {
 		if n := count(); n < want {
 			return fmt.Errorf("%d run", n)
 		}
--- a/tests/capacity/slopes_test.go
+++ b/tests/capacity/slopes_test.go
@@ -28,12 +28,15 @@
 				RunTimeMillis: runTime.Milliseconds(),
 			})
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
-		_, err := operator.Submit(ctx, specs)
-		cancel()
-		if err != nil {
-			b.Fatal(err)
-		}
+		harness.WaitFor(b, 30*time.Second, "tasks accepted", func(ctx context.Context) error {
+			reply, err := operator.Submit(ctx, specs)
+			for _, v := range reply.Verdicts { // at first the owner may not know the fleet
+				if !v.Accepted {
+					return fmt.Errorf("task %s: %s", v.ID, v.Reason)
+				}
+			}
+			return err
+		})
 	}
 }
 
@@ -148,8 +151,11 @@
 			waitTasks(b, func() int {
 				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 				defer cancel()
-				found, _ := k.Operator().FindTasks(ctx, messenger.FindTasksOptions{Cell: "main", State: messenger.TaskRunning})
-				return len(found.Tasks)
+				s, err := k.Operator().GetStatus(ctx)
+				if err != nil {
+					return -1
+				}
+				return s.Tasks[messenger.TaskRunning]
 			}, tasks)
 			probe{pid: k.VMs[0].Agent.PID(), links: []*proxy.Proxy{k.Entries[0].RPCLink}}.measure(b)
 		})
