--- a/internal/request/receiver/request.go
+++ b/internal/request/receiver/request.go
@@ -7,7 +7,9 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"bamboospread/internal/fleet/describer"
 	"bamboospread/internal/request/claimer"
@@ -30,6 +32,7 @@
 // Limits of a request.
 const (
 	MaxBodyBytes      = 8 << 20
+	maxBodiesBytes    = 256 << 20 // of all requests in flight
 	maxKeyBytes       = 256
 	maxTimeout        = 60 * time.Second
 	defaultTimeout    = 10 * time.Second
@@ -54,6 +57,7 @@
 	body       []byte
 	started    time.Time
 	deadline   time.Time
+	heldBytes  int64 // counted by holdBody
 }
 
 func randomID() string { return rand.Text() }
@@ -82,14 +86,17 @@
 	if c.idempotent, err = idempotent(req); err != nil {
 		return c, refuse(http.StatusBadRequest, err.Error())
 	}
-	if len(c.key) > maxKeyBytes {
-		return c, refuse(http.StatusBadRequest, fmt.Sprintf("%s is longer than %d bytes", KeyHeader, maxKeyBytes))
+	if len(c.key) > maxKeyBytes || !messenger.IsASCII(c.key) {
+		return c, refuse(http.StatusBadRequest, fmt.Sprintf("%s is longer than %d bytes or not ASCII", KeyHeader, maxKeyBytes))
 	}
 	timeout, err := timeoutOf(req, c.service)
 	if err != nil {
 		return c, refuse(http.StatusBadRequest, err.Error())
 	}
 	c.deadline = c.started.Add(timeout)
+	if !r.holdBody(c, req.ContentLength) {
+		return c, refuseFor(http.StatusServiceUnavailable, "the entry holds as many bodies as it can", defaultRetryAfter)
+	}
 	// A caller that stops in the middle of its body must not hold the request
 	// past its deadline.
 	control := http.NewResponseController(w)
@@ -106,6 +113,21 @@
 	return c, nil
 }
 
+// holdBody counts the memory of a body that is to be read. Without a bound, many
+// large bodies at once end the whole process for want of memory, and with it
+// every other request in flight.
+func (r *Receiver) holdBody(c *call, length int64) bool {
+	if length < 0 || length > MaxBodyBytes {
+		length = MaxBodyBytes // the length is not told, or will be refused on reading
+	}
+	if r.bodyBytes.Add(length) > maxBodiesBytes {
+		r.bodyBytes.Add(-length)
+		return false
+	}
+	c.heldBytes = length
+	return true
+}
+
 // identify finds the service and the tenant.
 func (r *Receiver) identify(c *call, req *http.Request) *answer {
 	fleet := r.config.Fleet()
@@ -130,24 +152,34 @@
 
 // upstreamPath returns the path below the service as the caller escaped it.
 func upstreamPath(req *http.Request) string {
-	escaped := req.URL.EscapedPath()
-	slashes := 0
-	for i := range len(escaped) {
-		if escaped[i] != '/' {
-			continue
-		}
-		slashes++
-		if slashes == 4 { // /v1/services/{service}/
-			escaped = escaped[i:]
-			break
-		}
+	const before = 4 // parts: the empty one, v1, services and the service
+	escaped := "/"
+	if parts := strings.SplitN(req.URL.EscapedPath(), "/", before+1); len(parts) > before {
+		escaped += parts[before]
 	}
 	if req.URL.RawQuery != "" {
-		escaped += "?" + req.URL.RawQuery
+		escaped += "?" + escapeBytes(req.URL.RawQuery)
 	}
 	return escaped
 }
 
+// escapeBytes escapes bytes above ASCII, which some callers send in a query as
+// they are and which JSON would not carry unchanged.
+func escapeBytes(query string) string {
+	if messenger.IsASCII(query) {
+		return query
+	}
+	var b strings.Builder
+	for i := range len(query) {
+		if query[i] < utf8.RuneSelf {
+			b.WriteByte(query[i])
+			continue
+		}
+		fmt.Fprintf(&b, "%%%02X", query[i])
+	}
+	return b.String()
+}
+
 func idempotent(req *http.Request) (bool, error) {
 	switch v := req.Header.Get(IdempotentHeader); v {
 	case "true", "false":
--- a/internal/request/receiver/route.go
+++ b/internal/request/receiver/route.go
@@ -17,9 +17,19 @@
 
 const (
 	maxCandidates  = 32 // kept on the stack; more upstreams cost an allocation
-	pauseWhenFull  = 5 * time.Millisecond
+	pauseWhenFull  = 2 * time.Millisecond
 	pauseWhenNone  = 20 * time.Millisecond
 	minAttemptTime = 20 * time.Millisecond
+	// usualTimesAllowed is how often its usual time an attempt may take before
+	// another upstream is asked.
+	usualTimesAllowed = 4
+	// slotWait is how long after its arrival an admitted request goes on asking
+	// for a slot. Entries admit without knowing of each other's latest grants,
+	// so under load an admitted request finds upstreams full several times in a
+	// row although slots come free all the time; refused after a few quick
+	// tries, tenants within their share were refused too. Callers are refused
+	// within 50 ms, so the wait ends a little before.
+	slotWait = 45 * time.Millisecond
 )
 
 // journey is the state of a request over its attempts.
@@ -28,6 +38,7 @@
 	moves   int
 	tries   int
 	tried   map[string]bool
+	usual   time.Duration // mean time of the other upstreams; 0: not known
 	reason  string
 	late    bool // the last unknown outcome came by the deadline
 	after   time.Duration
@@ -46,7 +57,9 @@
 		} else {
 			reply := r.try(ctx, c, j, u)
 			if reply.Outcome == messenger.OutcomeRun {
-				return &answer{status: reply.Status, outcome: reply.Outcome, header: reply.Header, body: reply.Body}
+				return &answer{
+					status: reply.Status, outcome: reply.Outcome, header: messenger.UnpackHeader(reply.Header), body: reply.Body,
+				}
 			}
 			outcome = reply.Outcome
 			r.note(ctx, j, u, reply)
@@ -58,7 +71,7 @@
 		}
 		again := ctx.Err() == nil && r.retrier.MaySend(retrier.Attempted{
 			Service: c.service.Name, Outcome: outcome, Idempotent: c.idempotent,
-			Moves: j.moves, Tries: j.tries, Left: c.deadline.Sub(r.config.Now()),
+			Moves: r.countedMoves(c, j), Tries: j.tries, Left: c.deadline.Sub(r.config.Now()),
 		})
 		if !again {
 			return j.giveUp(ctx)
@@ -66,6 +79,15 @@
 	}
 }
 
+// countedMoves returns how many moves count against their limit: none while the
+// request only waits for a slot.
+func (r *Receiver) countedMoves(c *call, j *journey) int {
+	if j.reason == messenger.ReasonFull && r.config.Now().Sub(c.started) < slotWait {
+		return 0
+	}
+	return j.moves
+}
+
 // giveUp is the final answer of a request that no upstream answered. It says
 // not-run only if every attempt surely did not run.
 func (j *journey) giveUp(ctx context.Context) *answer {
@@ -85,12 +107,13 @@
 	var ready [maxCandidates]*tracker.Upstream
 	candidates, upstreams := buffer[:0], ready[:0]
 	fresh := false
+	fleet := r.config.Fleet()
 	for _, u := range r.config.Tracker.Snapshot().Upstreams(c.service.Name) {
 		if !u.Ready(now) {
 			continue
 		}
 		candidate := u.Candidate(now)
-		candidate.Excluded = j.tried[u.ID()]
+		candidate.Excluded, candidate.Avoid = j.tried[u.ID()], fleet.ZoneIsOut(u.Zone())
 		fresh = fresh || !candidate.Excluded
 		candidates, upstreams = append(candidates, candidate), append(upstreams, u)
 	}
@@ -105,6 +128,7 @@
 			return nil
 		}
 		u := upstreams[choice.Index]
+		j.usual = usualTime(candidates, choice.Index)
 		if candidates[choice.Index].Health != balancer.ProbeDue || u.Health().BeginProbe(now) {
 			return u
 		}
@@ -112,13 +136,29 @@
 	}
 }
 
+// usualTime returns the mean time of the candidates but the one chosen.
+func usualTime(candidates []balancer.Candidate, chosen int) time.Duration {
+	var sum time.Duration
+	n := 0
+	for i := range candidates {
+		if i != chosen && candidates[i].Latency > 0 {
+			sum += candidates[i].Latency
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / time.Duration(n)
+}
+
 // try makes one attempt and checks the reply.
 func (r *Receiver) try(ctx context.Context, c *call, j *journey, u *tracker.Upstream) messenger.RunReply {
 	j.attempt++
-	left := r.attemptTime(c)
+	left := r.attemptTime(c, j)
 	req := messenger.RunRequest{
 		RequestID: c.id, Attempt: j.attempt, Upstream: u.ID(), Service: c.service.Name, Tenant: c.tenant.Name,
-		Method: c.method, Path: c.path, Header: c.header, Body: c.body, TimeoutMillis: messenger.Millis(left),
+		Method: c.method, Path: c.path, Header: messenger.PackHeader(c.header), Body: c.body, TimeoutMillis: messenger.Millis(left),
 	}
 	if left <= 0 || ctx.Err() != nil {
 		return messenger.RunReply{Outcome: messenger.OutcomeNotRun, Reason: "the deadline passed before sending"}
@@ -146,15 +186,20 @@
 	return reply
 }
 
-// attemptTime is the time that one attempt may take. An idempotent request keeps
-// half of what is left for another upstream, so that a frozen one does not cost
-// it the whole deadline; another request has just this attempt.
-func (r *Receiver) attemptTime(c *call) time.Duration {
+// attemptTime is the time that one attempt may take. The first attempt of an
+// idempotent request leaves half of the time for another upstream, so that a
+// frozen one does not cost it the whole deadline; but only where that half is far
+// more than other upstreams take, else a slow service would never be answered.
+func (r *Receiver) attemptTime(c *call, j *journey) time.Duration {
 	left := c.deadline.Sub(r.config.Now())
-	if !c.idempotent || left < 2*minAttemptTime || !r.retrier.HasBudget(c.service.Name) {
+	half := left / 2
+	if !c.idempotent || j.attempt > 1 || j.usual == 0 || half < usualTimesAllowed*j.usual || half < minAttemptTime {
+		return left
+	}
+	if !r.retrier.HasBudget(c.service.Name) {
 		return left
 	}
-	return left / 2
+	return half
 }
 
 // unanswered is the result of an attempt whose call failed. Only an agent that
--- a/tests/harness/cluster.go
+++ b/tests/harness/cluster.go
@@ -108,10 +108,10 @@
 	WaitFor(k.t, readyLimit, url, func(ctx context.Context) error { return checkURL(ctx, url) })
 }
 
-// Link returns a proxy to target that ends with the test.
-func (k *Cluster) Link(target string) *proxy.Proxy {
+// Link returns a proxy that ends with the test.
+func (k *Cluster) Link(c proxy.Config) *proxy.Proxy {
 	k.t.Helper()
-	p, err := proxy.New(proxy.Config{Target: target, Classify: k.nameOfPeer})
+	p, err := proxy.New(c)
 	if err != nil {
 		k.t.Fatal(err)
 	}
@@ -122,14 +122,17 @@
 func (k *Cluster) startEntry(c Config, i int, storeAddress string) *Entry {
 	k.t.Helper()
 	name, rpc := fmt.Sprintf("entry-%d", i+1), FreeAddress(k.t)
-	e := &Entry{HTTP: FreeAddress(k.t), StoreLink: k.Link(storeAddress), RPCLink: k.Link(rpc)}
+	e := &Entry{HTTP: FreeAddress(k.t), StoreLink: k.Link(proxy.Config{Target: storeAddress})}
+	// Finding out the opener takes tens of ms, which only long-lived connections
+	// can bear.
+	e.RPCLink = k.Link(proxy.Config{Target: rpc, Classify: k.nameOfPeer})
 	var peers []string
 	for _, other := range k.Entries {
 		peers = append(peers, other.RPCLink.Address())
 	}
 	args := []string{
 		"entry", "--id", name, "--listen", e.HTTP, "--rpc-listen", rpc, "--advertise", e.RPCLink.Address(),
-		"--store-url", "http://" + e.StoreLink.Address(), "--zone", zoneName(0), "--peers", strings.Join(peers, ","),
+		"--store-url", "http://" + e.StoreLink.Address(), "--zone", zoneName(i % c.Zones), "--peers", strings.Join(peers, ","),
 	}
 	e.Process = k.startParty(name, append(args, c.EntryArgs...)...)
 	return e
@@ -232,8 +235,10 @@
 // accepted on the loopback. It finds the socket's inode by its port, and the
 // process that has it open; that one may be too new to be listed.
 func (k *Cluster) nameOfPeer(c net.Conn) string {
-	socket := "socket:[" + inodeOfPort(c.RemoteAddr().(*net.TCPAddr).Port) + "]"
 	for range 20 {
+		// Read anew each time: the kernel's list may miss a socket while others
+		// come and go.
+		socket := "socket:[" + inodeOfPort(c.RemoteAddr().(*net.TCPAddr).Port) + "]"
 		k.mu.Lock()
 		parties := slices.Clone(k.parties)
 		k.mu.Unlock()
