Match the load of services to the lagging window of the worker

Cause: the agent sent its own fresh measurement of services with the worker's report, which lags by 2 s and more; the owner matched the answers of now to the tasks of then, and VM.Acted was compared with a window that was older than the measurement. Change (agent/runner, small): the agent keeps its measurements for 30 s and sends the one whose window ended nearest to the worker's; without one the load is unknown.

--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -56,6 +56,7 @@
 	connected  bool
 	workerAway bool
 	tasks      []driver.Task
+	loads      []timedLoad                                    // of the local upstreams, oldest first
 	refused    map[messenger.TaskAttempt]messenger.TaskReport // until acknowledged
 
 	leaving  atomic.Bool
@@ -180,7 +181,8 @@
 	if now := r.config.Now(); now.Sub(r.usageAt) >= usageEvery {
 		r.usageAt = now
 		if usage, err := r.config.Driver.GetUsage(ctx); err == nil && usage.ToMillis > 0 {
-			usage.Services = r.serviceLoad()
+			r.keepLoad(now, r.serviceLoad())
+			usage.Services = r.loadAt(time.UnixMilli(usage.ToMillis))
 			p.Usage = &usage
 		}
 	}
