Hold tasks of a class that must not run twice when their VM is lost

Cause: a task that completes on a VM whose report never arrives runs again once the lease has run out; for label batches that is a double print. The owner can't tell a lost VM that completed it from one that did not. Weighed: never restarting anything (a dead VM stops its work for good); restarting always (double prints); a choice by class, since runs that are checkpointed do no harm twice but print orders do. Taken: hold-when-lost, off by default. Change: such a task is held with its reason when the VM is lost without a word; the VM's report completes it or queues it again from its checkpoint. A VM that never returns leaves the task held for an operator.

--- a/internal/control/bookkeeper/apply.go
+++ b/internal/control/bookkeeper/apply.go
@@ -50,7 +50,10 @@
 		})
 	case r.Queued != nil:
 		return b.change(r, r.Queued.Task, messenger.TaskHeld, func(t *Task) {
-			t.State, t.Reason, t.Impossible = messenger.TaskQueued, "", false
+			t.State, t.Reason, t.Impossible, t.Unheard = messenger.TaskQueued, "", false, false
+			if r.Queued.Checkpoint != "" {
+				t.Checkpoint = r.Queued.Checkpoint
+			}
 		})
 	case r.Cancelled != nil:
 		return b.cancel(r)
@@ -211,7 +214,7 @@
 	name := t.VM
 	err := b.attempt(r, e.Task, e.Attempt, func(t *Task) {
 		t.State, t.Reason, t.NotBefore = e.Next, e.Reason, e.NotBefore
-		t.VM, t.Stop, t.Percent = "", "", 0
+		t.VM, t.Stop, t.Percent, t.Unheard = "", "", 0, e.Unheard
 		if e.Checkpoint != "" {
 			t.Checkpoint = e.Checkpoint
 		}
--- a/internal/control/bookkeeper/bookkeeper.go
+++ b/internal/control/bookkeeper/bookkeeper.go
@@ -29,7 +29,8 @@
 	State      messenger.TaskState `json:"state"`
 	Reason     string              `json:"reason,omitempty"`
 	Impossible bool                `json:"impossible,omitempty"`
-	VM         string              `json:"vm,omitempty"` // where it holds resources
+	Unheard    bool                `json:"unheard,omitempty"` // held since it may have completed without a report
+	VM         string              `json:"vm,omitempty"`      // where it holds resources
 	Attempt    int64               `json:"attempt"`
 	Stop       StopKind            `json:"stop,omitempty"`
 	Percent    int                 `json:"percent,omitempty"`
--- a/internal/control/bookkeeper/record.go
+++ b/internal/control/bookkeeper/record.go
@@ -89,7 +89,8 @@
 
 // Queued returns a held task to the queue.
 type Queued struct {
-	Task string `json:"task"`
+	Task       string `json:"task"`
+	Checkpoint string `json:"checkpoint,omitempty"` // empty: the earlier one stays
 }
 
 // Cancelled ends a task that holds nothing.
@@ -137,6 +138,7 @@
 	Checkpoint string              `json:"checkpoint,omitempty"` // empty: the earlier one stays
 	Failed     bool                `json:"failed,omitempty"`     // counts against the task and the VM
 	Evicted    bool                `json:"evicted,omitempty"`
+	Unheard    bool                `json:"unheard,omitempty"` // held since it may have completed without a report
 	NotBefore  time.Time           `json:"not-before,omitzero"`
 }
 
--- a/internal/control/controller/cell_test.go
+++ b/internal/control/controller/cell_test.go
@@ -128,6 +128,9 @@
 		TaskClasses: []describer.TaskClass{{
 			Name: "labels", Needs: describer.Resources{Millicores: 1000, MemoryBytes: gib},
 			RunTime: 200 * time.Millisecond, Checkpoint: true, MaxAttempts: 3,
+		}, {
+			Name: "prints", Needs: describer.Resources{Millicores: 1000, MemoryBytes: gib},
+			RunTime: 200 * time.Millisecond, Checkpoint: true, MaxAttempts: 3, HoldWhenLost: true,
 		}},
 		Policy: describer.Policy{EvictionsPerMinute: 600},
 	}))
--- a/internal/control/controller/report.go
+++ b/internal/control/controller/report.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"time"
 
 	"bamboospread/internal/control/bookkeeper"
@@ -21,6 +22,7 @@
 	state      messenger.ReportState
 	reason     string
 	checkpoint string
+	unheard    bool // the VM did not tell how it ended
 }
 
 // takeReports takes what the agent says about attempts. A poll lists every
@@ -41,7 +43,7 @@
 	for _, t := range o.books.On(vm) {
 		at := messenger.TaskAttempt{TaskID: t.Spec.ID, Attempt: t.Attempt}
 		if t.State == messenger.TaskRunning && !reported[at] {
-			o.endAttempt(t, ending{state: messenger.ReportLost, reason: "not running on its VM any more"}, nil)
+			o.endAttempt(t, ending{state: messenger.ReportLost, reason: "not running on its VM any more", unheard: true}, nil)
 		}
 	}
 }
@@ -56,7 +58,7 @@
 				reporter.StartConfirmed, messenger.Decision{Task: at.TaskID, VM: vm, Reason: "agent reports it running"}, nil)
 		}
 	case current:
-		o.endAttempt(t, ending{r.State, r.Reason, r.Checkpoint}, func() { o.ack(s, at) })
+		o.endAttempt(t, ending{state: r.State, reason: r.Reason, checkpoint: r.Checkpoint}, func() { o.ack(s, at) })
 	case r.State == messenger.ReportRunning:
 		if !s.strays[at] {
 			s.strays[at] = true
@@ -65,6 +67,8 @@
 	case r.State == messenger.ReportCompleted && t != nil && !t.Final() && t.Stop != bookkeeper.StopDone &&
 		at.Attempt <= t.Attempt && t.Spec.Service == "":
 		o.doneBefore(s, vm, at)
+	case t != nil && t.State == messenger.TaskHeld && t.Unheard && at.Attempt == t.Attempt:
+		o.heardAfterAll(s, vm, at, r)
 	case o.commits.open[at.TaskID] == 0:
 		// The end is journalled already, or was decided without this report.
 		o.ack(s, at)
@@ -79,6 +83,13 @@
 		messenger.Decision{Task: at.TaskID, VM: vm, Reason: "an attempt given up as lost had completed it"}, func() { o.ack(s, at) })
 }
 
+// heardAfterAll queues a task again that was held because its VM was lost: the
+// VM is back and tells that the attempt ended before it completed.
+func (o *owner) heardAfterAll(s *session, vm string, at messenger.TaskAttempt, r messenger.TaskReport) {
+	o.decide(bookkeeper.Record{Queued: &bookkeeper.Queued{Task: at.TaskID, Checkpoint: r.Checkpoint}}, reporter.TaskRequeued,
+		messenger.Decision{Task: at.TaskID, VM: vm, Reason: "its VM is back and tells that it did not complete there"}, func() { o.ack(s, at) })
+}
+
 // ack acknowledges a final report in the next reply. The agent repeats a report
 // until then, so a report whose record was never journalled comes again.
 func (o *owner) ack(s *session, at messenger.TaskAttempt) {
@@ -132,6 +143,7 @@
 		ended.NotBefore = now.Add(refusedBackoff)
 		return reporter.StartRefused
 	case messenger.ReportLost:
+		o.judgeLost(t, e, ended)
 		return reporter.AttemptLost
 	}
 	ended.Failed = true
@@ -143,6 +155,19 @@
 	return reporter.AttemptFailed
 }
 
+// judgeLost holds a task whose class asks for it. A VM that is lost without a word
+// may have completed the task just before; run again, a label batch would be
+// printed twice, and nobody can tell here. It is queued again, or taken as
+// completed, when the VM comes back and tells.
+func (o *owner) judgeLost(t *bookkeeper.Task, e ending, ended *bookkeeper.Ended) {
+	class, _ := o.fleet.TaskClass(t.Spec.Class)
+	if !e.unheard || !class.HoldWhenLost {
+		return
+	}
+	ended.Next, ended.Unheard = messenger.TaskHeld, true
+	ended.Reason = fmt.Sprintf("VM %s was lost and did not tell whether it completed there; it runs again if the VM is back and denies it, else cancel it and submit it anew", t.VM)
+}
+
 func (o *owner) maxAttempts(t *bookkeeper.Task) int {
 	if c, ok := o.fleet.TaskClass(t.Spec.Class); ok && c.MaxAttempts > 0 {
 		return c.MaxAttempts
--- a/internal/control/controller/session.go
+++ b/internal/control/controller/session.go
@@ -232,7 +232,7 @@
 		o.config.Reporter.Report(reporter.VMLost, reporter.Fields{"cell": o.config.Cell, "vm": name, "tasks": len(tasks)})
 	}
 	for _, t := range tasks {
-		o.endAttempt(t, ending{state: messenger.ReportLost, reason: "lease of VM ran out"}, nil)
+		o.endAttempt(t, ending{state: messenger.ReportLost, reason: "lease of VM ran out", unheard: true}, nil)
 	}
 	if len(tasks) == 0 && now.Sub(s.lastPoll) > forgetVMAfter && now.Sub(o.tookOver) > forgetVMAfter {
 		o.decide(bookkeeper.Record{VMGone: &bookkeeper.VMGone{VM: name}}, reporter.VMGone,
--- a/internal/fleet/describer/describer.go
+++ b/internal/fleet/describer/describer.go
@@ -70,6 +70,9 @@
 	Urgent      bool          // starts before others within the quota of its tenant
 	Checkpoint  bool          // can be checkpointed and resumed
 	MaxAttempts int           // failed attempts before the task is held
+	// HoldWhenLost keeps a task from running again when its VM was lost without
+	// a word: it may have completed there.
+	HoldWhenLost bool
 }
 
 // Policy weighs the measures of the placement against one another.
--- a/internal/fleet/differ/differ.go
+++ b/internal/fleet/differ/differ.go
@@ -85,7 +85,8 @@
 			field{"run-time", t.RunTime.String()},
 			field{"urgent", strconv.FormatBool(t.Urgent)},
 			field{"checkpoint", strconv.FormatBool(t.Checkpoint)},
-			field{"max-attempts", strconv.Itoa(t.MaxAttempts)})})
+			field{"max-attempts", strconv.Itoa(t.MaxAttempts)},
+			field{"hold-when-lost", strconv.FormatBool(t.HoldWhenLost)})})
 	}
 	p := c.Policy
 	return append(items, item{"policy", "", []field{
--- a/internal/fleet/parser/fleet.go
+++ b/internal/fleet/parser/fleet.go
@@ -81,12 +81,13 @@
 	return func(n ast.Node, path string) {
 		c := describer.TaskClass{RunTime: DefaultRunTime, MaxAttempts: DefaultMaxAttempts}
 		d.object(n, path, map[string]field{
-			"name":         d.text(&c.Name),
-			"needs":        d.resources(&c.Needs),
-			"run-time":     d.duration(&c.RunTime),
-			"urgent":       d.flag(&c.Urgent),
-			"checkpoint":   d.flag(&c.Checkpoint),
-			"max-attempts": d.whole(&c.MaxAttempts),
+			"name":           d.text(&c.Name),
+			"needs":          d.resources(&c.Needs),
+			"run-time":       d.duration(&c.RunTime),
+			"urgent":         d.flag(&c.Urgent),
+			"checkpoint":     d.flag(&c.Checkpoint),
+			"max-attempts":   d.whole(&c.MaxAttempts),
+			"hold-when-lost": d.flag(&c.HoldWhenLost),
 		})
 		*out = append(*out, c)
 	}
