Rest 10 ms between the beginnings of appends

Cause: at a store that answers in half a millisecond group commit found no group: 221 keyed requests a second cost 368 store writes a second, which is all that the platform's service gives. Change: an append begins 10 ms after the one before at the earliest; a lone decision still goes at once. Ruled out: a bound on the group's size, which does not bound the writes. TestAppendsAreBoundedByTime failed without the rest: 54 writes, 4 allowed.

--- a/internal/control/controller/commit.go
+++ b/internal/control/controller/commit.go
@@ -14,7 +14,12 @@
 // Limits. An append slower than slowAppend refuses new work, so that its
 // submitter learns at once that nothing was done.
 const (
-	slowAppend    = time.Second
+	slowAppend = time.Second
+	// appendRest is the least time from the beginning of an append to the next.
+	// A store that answers in half a millisecond would else be sent an entry for
+	// nearly each decision, and its writes are counted; a lone decision still
+	// goes at once.
+	appendRest    = 10 * time.Millisecond
 	snapshotLimit = time.Minute
 )
 
@@ -33,6 +38,7 @@
 	waiting      group
 	bytes        int
 	appending    bool
+	resting      bool // the last append began less than appendRest ago
 	began        time.Time
 	settled      []func() // run when the append in flight is settled
 	snapshotting bool
@@ -76,13 +82,18 @@
 	return true
 }
 
-// flush starts an append of all that waits, unless one is in flight: whatever
-// is decided meanwhile goes into the next, so that writes grow with the time an
-// append takes and not with the number of decisions.
+// flush starts an append of all that waits, unless one is in flight or began
+// just now: whatever is decided meanwhile goes into the next, so that writes grow
+// with the time that passes and not with the number of decisions.
 func (o *owner) flush(ctx context.Context) {
-	if o.commits.appending || len(o.commits.waiting.records) == 0 {
+	c := &o.commits
+	if c.appending || c.resting || len(c.waiting.records) == 0 {
 		return
 	}
+	if o.config.GroupLimit != 1 { // a baseline without groups is not slowed down
+		c.resting = true
+		o.rest.Reset(appendRest)
+	}
 	g := o.commits.takeGroup(o.config.GroupLimit)
 	g.seq = o.commits.next
 	if len(o.commits.waiting.records) == 0 && !o.commits.snapshotting && o.journal.SnapshotDue() {
--- /dev/null
+++ b/internal/control/controller/commit_test.go
@@ -0,0 +1,42 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/wire/messenger"
+)
+
+// Keyed requests come one after the other, each waiting for its claim, and the
+// store answers in less than a millisecond. The owner must not spend a write on
+// each: the store's writes are counted, and tasks of other tenants need them.
+func TestAppendsAreBoundedByTime(t *testing.T) {
+	const askers, each = 8, 25
+	c := newCell(t, 1, 1)
+	c.eventually("owner", func() bool { return len(c.status().VMs) == 1 })
+	before, began := c.store.Calls().Calls[keeper.KindSwap], time.Now()
+	done := make(chan error, askers)
+	for a := range askers {
+		go func() {
+			for i := range each {
+				r := messenger.ClaimRequest{Cell: "c1", Tenant: "caroni", Service: "s", Key: fmt.Sprintf("%d-%d", a, i), RequestID: "r"}
+				if err := c.call(c.ctx, messenger.MethodClaim, r, &messenger.ClaimReply{}); err != nil {
+					done <- err
+					return
+				}
+			}
+			done <- nil
+		}()
+	}
+	for range askers {
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+	writes, limit := c.store.Calls().Calls[keeper.KindSwap]-before, int64(time.Since(began)/appendRest)+2
+	if writes > limit || writes < each {
+		t.Errorf("%d writes for %d claims, want %d at most", writes, askers*each, limit)
+	}
+}
--- a/internal/control/controller/owner.go
+++ b/internal/control/controller/owner.go
@@ -69,6 +69,7 @@
 	done      chan struct{}
 
 	commits  commits
+	rest     *time.Timer  // ends the rest after the beginning of an append
 	contact  contactEvent // the last that succeeded
 	asking   bool         // a contact is under way
 	asked    time.Time
@@ -164,6 +165,8 @@
 	defer o.end(cancel)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
+	o.rest = time.NewTimer(appendRest)
+	defer o.rest.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -181,6 +184,8 @@
 			o.takeContact(e)
 		case e := <-o.snapshots:
 			o.takeSnapshot(e)
+		case <-o.rest.C:
+			o.commits.resting = false
 		case <-tick.C:
 			o.tick()
 		}
