--- a/internal/control/learner/history.go
+++ b/internal/control/learner/history.go
@@ -99,7 +99,9 @@
 }
 
 // Recent returns the latest measurements of a service on a VM, newest first, and
-// none when reports stopped coming. Callers must not change the result.
+// none when reports stopped coming or no longer name the service: it may be
+// stuck. One that is idle is reported as such. Callers must not change the
+// result.
 func (l *Learner) Recent(vm, service string) []placer.Window {
 	h := l.vms[vm]
 	if h == nil {
@@ -112,6 +114,10 @@
 	return p.windows
 }
 
+// idlePressure is the pressure of a service without requests: not zero, which
+// means unknown.
+const idlePressure = 0.01
+
 // Pressure returns the measured latency of a service on a VM divided by its
 // objective, smoothed over the last two reports; 0 when no report is recent,
 // which means unknown and not idle.
@@ -122,7 +128,7 @@
 	case 0:
 		return 0
 	case 1:
-		return w[0].Ratio
+		return max(idlePressure, w[0].Ratio)
 	}
 	return newest*w[0].Ratio + (1-newest)*w[1].Ratio
 }
--- a/internal/control/placer/score.go
+++ b/internal/control/placer/score.go
@@ -13,7 +13,7 @@
 	// unknownPressure stands for a service without a recent report: neither
 	// idle, which would draw tasks to a VM that may be drowning, nor overloaded.
 	unknownPressure = 0.8
-	minPressure     = 0.01
+	idlePressure    = 0.2 // floor: a service without requests may get some at any moment
 	comfortable     = 0.8 // pressure from which each further slowdown costs more
 	steepness       = 5   // how much more
 	// How long predictions may keep a task waiting, see outlasts.
@@ -105,9 +105,9 @@
 
 // candidate is a VM with its score; less is better.
 type candidate struct {
-	at                   int
-	score                float64
-	harm, fragment, room float64
+	at             int
+	score          float64
+	harm, fragment float64
 }
 
 // best returns the best VM for a task. In a large cell it weighs a sample, and
