--- a/tests/integration/fleet_common_test.go
+++ b/tests/integration/fleet_common_test.go
@@ -15,6 +15,18 @@
 	"bamboospread/tests/harness"
 )
 
+// scenes bounds the clusters that run at once: more would compete for the
+// machine until leases lapse that no scenario touches.
+var scenes = make(chan struct{}, 5)
+
+// oneOfFew makes a scenario run beside others, a few at a time.
+func oneOfFew(t *testing.T) {
+	t.Helper()
+	t.Parallel()
+	scenes <- struct{}{}
+	t.Cleanup(func() { <-scenes })
+}
+
 // background runs work until the test or stop ends it.
 func background(t *testing.T, work func(ctx context.Context)) (stop func()) {
 	t.Helper()
--- a/tests/integration/fleet_config_test.go
+++ b/tests/integration/fleet_config_test.go
@@ -138,7 +138,7 @@
 func TestAcceptedConfigNeverReverts(t *testing.T) {
 	for _, s := range configScenarios {
 		t.Run(s.name, func(t *testing.T) {
-			t.Parallel()
+			oneOfFew(t)
 			seed := harness.Seed(t)
 			c := &configScene{Cluster: harness.New(t, harness.Config{Entries: 3, VMs: 2}), t: t, random: rand.New(rand.NewPCG(seed, seed))}
 			c.ApplyFleet(textOf(0))
--- a/tests/integration/fleet_zone_test.go
+++ b/tests/integration/fleet_zone_test.go
@@ -163,7 +163,7 @@
 func TestNoStartAfterZoneOut(t *testing.T) {
 	for _, s := range zoneScenarios {
 		t.Run(s.name, func(t *testing.T) {
-			t.Parallel()
+			oneOfFew(t)
 			z := newZoneScene(t, harness.Seed(t))
 			accepted := watchAcceptances(t, z.Cluster)
 			s.breaks(z)
