--- a/internal/control/placer/filter.go
+++ b/internal/control/placer/filter.go
@@ -53,7 +53,7 @@
 		return refusedRoom
 	case v.reserved != "" && v.reserved != t.ID:
 		return refusedReserved
-	case t.Avoid[v.vm.Name]:
+	case r.avoids(t, v.vm):
 		return refusedAvoid
 	case !r.refillAllows(t, v):
 		return refusedRefill
--- a/internal/control/placer/hold.go
+++ b/internal/control/placer/hold.go
@@ -38,15 +38,28 @@
 		fits = r.someVMCouldTake(t, false)
 		verdicts[t.Needs] = fits
 	}
-	switch {
-	case !fits:
+	if !fits {
 		return fmt.Sprintf("needs %s, beyond every VM of the cell", describe(t.Needs))
-	case len(t.Avoid) > 0 && !r.someVMCouldTake(t, true):
-		return fmt.Sprintf("failed on each VM that could take it, %d in all", len(t.Avoid))
 	}
 	return ""
 }
 
+// avoids tells whether a task keeps off a VM on which it failed. One that failed
+// on every VM that could take it may run on any: what ends its failures is the
+// limit of its attempts, and until then it must not wait for a VM that never
+// comes.
+func (r *round) avoids(t *Task, v *VM) bool {
+	if !t.Avoid[v.Name] {
+		return false
+	}
+	elsewhere, ok := r.elsewhere[t.ID]
+	if !ok {
+		elsewhere = r.someVMCouldTake(t, true)
+		r.elsewhere[t.ID] = elsewhere
+	}
+	return elsewhere
+}
+
 // someVMCouldTake tells whether a VM is large enough when empty. Zones that are
 // out count: they come back.
 func (r *round) someVMCouldTake(t *Task, heedAvoid bool) bool {
--- a/internal/control/placer/reserve.go
+++ b/internal/control/placer/reserve.go
@@ -64,7 +64,7 @@
 	best, least := -1, math.Inf(1)
 	for i := range r.vms {
 		v := &r.vms[i]
-		if v.blocked != "" || v.reserved != "" || !t.Needs.Fits(v.vm.Total) || t.Avoid[v.vm.Name] || t.Needs.Fits(v.free) {
+		if v.blocked != "" || v.reserved != "" || !t.Needs.Fits(v.vm.Total) || r.avoids(t, v.vm) || t.Needs.Fits(v.free) {
 			continue
 		}
 		if lack := dominantShare(t.Needs.Sub(v.free), v.vm.Total); lack < least {
--- a/internal/control/placer/round.go
+++ b/internal/control/placer/round.go
@@ -23,6 +23,7 @@
 	failed    map[failureKey]failure // what found no VM in this round, and why
 	evictions int                    // left of the budget
 	moving    map[string]bool        // tasks that this round evicts
+	elsewhere map[string]bool        // whether a task that failed somewhere could run where it did not
 	plan      Plan
 }
 
@@ -71,7 +72,7 @@
 		vms: make([]vmState, len(s.VMs)), byName: make(map[string]int, len(s.VMs)), tasks: make([][]int, len(s.VMs)),
 		tenants: make(map[string]*tenantState), spread: make(map[string]*spreadState),
 		effects: make(map[pair]float64), failed: make(map[failureKey]failure),
-		evictions: s.EvictionsLeft, moving: make(map[string]bool),
+		evictions: s.EvictionsLeft, moving: make(map[string]bool), elsewhere: make(map[string]bool),
 		plan: Plan{Waits: make(map[string]string, len(s.Queued))},
 	}
 	for i := range s.VMs {
--- a/tests/capacity/slopes_test.go
+++ b/tests/capacity/slopes_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/fleet/recorder"
 	"bamboospread/internal/wire/messenger"
 	"bamboospread/tests/harness"
 	"bamboospread/tests/proxy"
@@ -209,6 +211,33 @@
 	}
 }
 
+// BenchmarkFleetRecord reports the size of the record that every agent fetches
+// after a change, for teams with a service and a task class each.
+func BenchmarkFleetRecord(b *testing.B) {
+	for _, teams := range []int{32, 100, 320} {
+		b.Run(fmt.Sprint("teams=", teams), func(b *testing.B) {
+			var text strings.Builder
+			text.WriteString("fleet: large\navailability-zones:\n  - {name: zone-a, state: in}\ntenants:\n")
+			for i := range teams {
+				fmt.Fprintf(&text, "  - {name: team-%03d, weight: 2, quota: {processors: 260, memory: 1000GB}, requests-per-second: 400, burst: 200}\n", i)
+			}
+			text.WriteString("services:\n")
+			for i := range teams {
+				fmt.Fprintf(&text, "  - {name: service-%03d, tenant: team-%03d, needs: {processors: 8, memory: 16GiB}, slots: 8, connections: 64, latency-objective: 250ms}\n", i, i)
+			}
+			text.WriteString("task-classes:\n")
+			for i := range teams {
+				fmt.Fprintf(&text, "  - {name: class-%03d, needs: {processors: 4, memory: 12GiB}, run-time: 20m, checkpoint: true, max-attempts: 5}\n", i)
+			}
+			record, err := json.Marshal(recorder.Record{Version: 1000, ChangeID: "change", Text: text.String(), AppliedAt: time.Now()})
+			if err != nil {
+				b.Fatal(err)
+			}
+			size(b, messenger.FleetReply{Version: 1000, Record: record}, "B/reply")
+		})
+	}
+}
+
 func size(b *testing.B, v any, unit string) {
 	b.Helper()
 	data, err := json.Marshal(v)
