--- a/tests/capacity/slopes_test.go
+++ b/tests/capacity/slopes_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/fleet/recorder"
 	"bamboospread/internal/wire/messenger"
 	"bamboospread/tests/harness"
 	"bamboospread/tests/proxy"
@@ -48,6 +51,19 @@
 	return k
 }
 
+// link returns a proxy to the RPC address of an entry that does not look up who
+// connects: that is slow for the many connections of one test process.
+func link(b *testing.B, e *harness.Entry) *proxy.Proxy {
+	b.Helper()
+	at := slices.Index(e.Args, "--rpc-listen")
+	p, err := proxy.New(proxy.Config{Target: e.Args[at+1]})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(p.Close)
+	return p
+}
+
 var smallNeeds = describer.Resources{Millicores: 2000, MemoryBytes: 4 << 30}
 
 // BenchmarkOwnerByVMs measures an owner of VMs that each run the tasks of the
@@ -56,10 +72,11 @@
 	for _, vms := range []int{25, 100, 400} {
 		b.Run(fmt.Sprint("vms=", vms), func(b *testing.B) {
 			k := cluster(b, 1)
-			agents := startAgents(b, k.Entries[0].RPCLink.Address(), vms)
+			l := link(b, k.Entries[0])
+			agents := startAgents(b, l.Address(), vms)
 			submit(b, k, "task", vms*tasksOfVM, smallNeeds, time.Hour)
 			waitTasks(b, func() int { return running(agents) }, vms*tasksOfVM)
-			probe{pid: k.Entries[0].PID(), links: []*proxy.Proxy{k.Entries[0].RPCLink}, store: k.StoreURL}.measure(b)
+			probe{pid: k.Entries[0].PID(), links: []*proxy.Proxy{l}, store: k.StoreURL}.measure(b)
 			reportRound(b, k)
 		})
 	}
@@ -79,7 +96,7 @@
 	for _, rate := range []int{20, 60, 180} {
 		b.Run(fmt.Sprint("starts=", rate), func(b *testing.B) {
 			k := cluster(b, 1)
-			startAgents(b, k.Entries[0].RPCLink.Address(), 50)
+			startAgents(b, link(b, k.Entries[0]).Address(), 50)
 			stop := make(chan struct{})
 			ended := make(chan struct{})
 			go func() {
@@ -119,8 +136,9 @@
 	for _, agents := range []int{200, 600, 1800} {
 		b.Run(fmt.Sprint("agents=", agents), func(b *testing.B) {
 			k := cluster(b, 1)
-			startHeartbeats(b, k.Entries[0].RPCLink.Address(), agents)
-			probe{pid: k.Entries[0].PID(), links: []*proxy.Proxy{k.Entries[0].RPCLink}}.measure(b)
+			l := link(b, k.Entries[0])
+			startHeartbeats(b, l.Address(), agents)
+			probe{pid: k.Entries[0].PID(), links: []*proxy.Proxy{l}}.measure(b)
 		})
 	}
 }
@@ -209,6 +227,33 @@
 	}
 }
 
+// BenchmarkFleetRecord reports the size of the record that every agent fetches
+// after a change, for teams with a service and a task class each.
+func BenchmarkFleetRecord(b *testing.B) {
+	for _, teams := range []int{32, 100, 320} {
+		b.Run(fmt.Sprint("teams=", teams), func(b *testing.B) {
+			var text strings.Builder
+			text.WriteString("fleet: large\navailability-zones:\n  - {name: zone-a, state: in}\ntenants:\n")
+			for i := range teams {
+				fmt.Fprintf(&text, "  - {name: team-%03d, weight: 2, quota: {processors: 260, memory: 1000GB}, requests-per-second: 400, burst: 200}\n", i)
+			}
+			text.WriteString("services:\n")
+			for i := range teams {
+				fmt.Fprintf(&text, "  - {name: service-%03d, tenant: team-%03d, needs: {processors: 8, memory: 16GiB}, slots: 8, connections: 64, latency-objective: 250ms}\n", i, i)
+			}
+			text.WriteString("task-classes:\n")
+			for i := range teams {
+				fmt.Fprintf(&text, "  - {name: class-%03d, needs: {processors: 4, memory: 12GiB}, run-time: 20m, checkpoint: true, max-attempts: 5}\n", i)
+			}
+			record, err := json.Marshal(recorder.Record{Version: 1000, ChangeID: "change", Text: text.String(), AppliedAt: time.Now()})
+			if err != nil {
+				b.Fatal(err)
+			}
+			size(b, messenger.FleetReply{Version: 1000, Record: record}, "B/reply")
+		})
+	}
+}
+
 func size(b *testing.B, v any, unit string) {
 	b.Helper()
 	data, err := json.Marshal(v)
