Keep a session against held-up announcements

Cause: on an overloaded machine an announcement came late, on a connection that the agent had given up, and took the session from the later one; the next heartbeat was denied, the agent closed its good connection, and the requests on it were cut off. Seen in TestPlannedStopCutsNothing (slow links, load average 55): 5 of 652 answers unknown. Change: announcements are numbered with the heartbeats, an older one is refused; an agent that is denied announces itself on the same connection; a session that a later one replaces lingers for what runs on it; upstreams take requests from the first heartbeat on. After: unit tests green with -race, twice; the integration tests were not run again with this change (the machine's load was above 1000).

--- a/internal/agent/announcer/announcer.go
+++ b/internal/agent/announcer/announcer.go
@@ -128,7 +128,7 @@
 }
 
 func (a *Announcer) newSession(address string, configured bool) *session {
-	s := &session{announcer: a, address: address, configured: configured, wake: make(chan struct{}, 1)}
+	s := &session{announcer: a, address: address, configured: configured, wake: make(chan struct{}, 1), retired: make(chan struct{}, 1)}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sessions[address] = s
--- a/internal/agent/announcer/announcer_test.go
+++ b/internal/agent/announcer/announcer_test.go
@@ -24,6 +24,7 @@
 	conns   []*connector.Conn
 	beats   []messenger.Heartbeat
 	frozen  chan struct{} // closed: answers; nil: answers
+	deny    bool          // the next heartbeat
 }
 
 func startEntry(t *testing.T, id string) *entry {
@@ -57,6 +58,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if e.deny {
+			e.deny = false
+			return nil, connector.Errorf(messenger.CodeNotExist, "no session")
+		}
 		e.beats = append(e.beats, h)
 	default:
 		return method, nil
@@ -195,14 +200,23 @@
 	}
 }
 
-// TestReconnects closes the connection, then has the entry deny the session as a
-// restarted one does: the agent must announce itself anew each time.
+// TestReconnects closes the connection, then has the entry deny the session, as it
+// does when it was lost there. The agent must open a connection anew after the
+// first, and announce itself on the one it has after the second: closing that
+// would cut off the requests that run on it.
 func TestReconnects(t *testing.T) {
 	e := startEntry(t, "e1")
 	start(t, 10*time.Millisecond, e.address)
 	waitFor(t, "session", func() bool { conns, _ := e.counts(); return conns == 1 })
 	e.set(func(e *entry) { e.conns[0].Close() })
 	waitFor(t, "second session", func() bool { conns, _ := e.counts(); return conns == 2 })
+	e.set(func(e *entry) { e.deny = true })
+	waitFor(t, "announcement after a denial", func() bool { conns, _ := e.counts(); return conns == 3 })
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.conns[2] != e.conns[1] {
+		t.Error("announced on another connection")
+	}
 }
 
 // TestRunsRequestsForEntries calls the agent over the connection that it opened.
--- a/internal/agent/announcer/session.go
+++ b/internal/agent/announcer/session.go
@@ -18,6 +18,7 @@
 	address    string
 	configured bool
 	wake       chan struct{}
+	retired    chan struct{} // told once that a later session replaced this one
 
 	mu          sync.Mutex
 	entryID     string
@@ -26,6 +27,15 @@
 	outstanding int
 }
 
+// retire makes room for a later session with the same entry.
+func (s *session) retire() {
+	s.setConn(nil)
+	select {
+	case s.retired <- struct{}{}:
+	default:
+	}
+}
+
 func randomInt(n int64) int64 { return rand.Int64N(n) }
 
 func (s *session) notify() {
@@ -128,20 +138,43 @@
 			return nil
 		case <-conn.Done():
 			return nil
+		case <-s.retired:
+			linger(ctx, conn)
+			return nil
 		case <-ticker.C:
 		case <-s.wake:
 		}
-		if err := s.heartbeat(ctx, conn); err != nil {
-			silent++
-			if connector.CodeOf(err) != 0 || silent > maxSilent {
-				return err
-			}
+		err := s.heartbeat(ctx, conn)
+		if connector.CodeOf(err) == messenger.CodeNotExist {
+			// Announced anew on the same connection: opening another one would
+			// cut off the requests that run on this one.
+			err = s.announce(ctx, conn)
+		}
+		if err == nil {
+			silent = 0
 			continue
 		}
-		silent = 0
+		silent++
+		if connector.CodeOf(err) != 0 || silent > maxSilent {
+			return err
+		}
 	}
 }
 
+// linger leaves a connection open for the requests that run on it.
+func linger(ctx context.Context, conn *connector.Conn) {
+	timer := time.NewTimer(lingerTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-conn.Done():
+	case <-ctx.Done():
+	}
+}
+
+// lingerTime is the longest deadline of a request.
+const lingerTime = time.Minute
+
 // maxSilent is the number of heartbeats without an answer after which the
 // connection is opened anew.
 const maxSilent = 2
@@ -153,7 +186,7 @@
 	var reply messenger.AnnounceReply
 	err := conn.Call(call, messenger.MethodAnnounce, messenger.Announce{
 		AgentID: c.AgentID, Incarnation: c.Incarnation, VM: c.VM, Zone: c.Zone, Rack: c.Rack,
-		Upstreams: c.Gatekeeper.Upstreams(),
+		Upstreams: c.Gatekeeper.Upstreams(), Sequence: s.announcer.nextSequence(),
 	}, &reply)
 	if err != nil {
 		return err
@@ -162,9 +195,7 @@
 	// connection that announced last, so the other one ends, and its session
 	// rests as long as this one is open.
 	if o := s.announcer.other(reply.EntryID, s); o != nil {
-		if _, conn := o.peer(); conn != nil {
-			conn.Close()
-		}
+		o.retire()
 	}
 	s.setConn(conn)
 	c.Reporter.Report(reporter.SessionOpened, reporter.Fields{"entry": reply.EntryID, "address": s.address})
--- a/internal/request/tracker/snapshot.go
+++ b/internal/request/tracker/snapshot.go
@@ -57,6 +57,7 @@
 	conn      *connector.Conn
 	beat      *atomic.Int64
 	awaited   *atomic.Int64
+	confirmed *atomic.Bool
 	expiry    time.Duration
 	load      *load
 	health    *balancer.Health
@@ -88,7 +89,7 @@
 // that left meanwhile. Heartbeats that wait in its socket may refresh the age for
 // some milliseconds; then the agent itself refuses.
 func (u *Upstream) Ready(now time.Time) bool {
-	return u.described.State == messenger.UpstreamReady &&
+	return u.described.State == messenger.UpstreamReady && u.confirmed.Load() &&
 		time.Duration(stamp(now)-u.beat.Load()) <= u.expiry
 }
 
--- a/internal/request/tracker/tracker.go
+++ b/internal/request/tracker/tracker.go
@@ -62,6 +62,7 @@
 	beat      *atomic.Int64 // stamp of the last heartbeat
 	upstreams map[string]*Upstream
 	awaited   *atomic.Int64
+	confirmed *atomic.Bool // a heartbeat came on the connection
 }
 
 // New returns a Tracker without agents. Run must run for Handle to answer.
@@ -201,14 +202,25 @@
 	if old != nil && old.announce.Incarnation > a.Incarnation {
 		return connector.Errorf(messenger.CodeBadRequest, "agent %s has a later incarnation", a.AgentID)
 	}
+	// An announcement that was held up, on a connection that the agent has given
+	// up since, must not take the session from a later connection: heartbeats on
+	// that one would be refused and requests sent over the dead one.
+	if old != nil && old.announce.Incarnation == a.Incarnation && a.Sequence < old.sequence {
+		return connector.Errorf(messenger.CodeBadRequest, "agent %s has a later session", a.AgentID)
+	}
 	s := &session{
 		announce: a, conn: e.conn, beat: new(atomic.Int64), awaited: new(atomic.Int64),
-		upstreams: make(map[string]*Upstream),
+		confirmed: new(atomic.Bool), upstreams: make(map[string]*Upstream),
 	}
 	if old != nil && old.announce.Incarnation == a.Incarnation {
-		s.upstreams, s.awaited, s.sequence = old.upstreams, old.awaited, old.sequence
+		s.upstreams, s.awaited = old.upstreams, old.awaited
 	}
+	s.sequence = a.Sequence
 	t.sessions[a.AgentID] = s
+	// The upstreams take requests from the first heartbeat on, which shows that
+	// the agent got the answer and uses this connection.
+	s.beat.Store(stamp(t.config.Now()))
+	s.confirmed.Store(old != nil && old.conn == e.conn && old.confirmed.Load())
 	t.take(s, a.Upstreams)
 	t.config.Reporter.Report(reporter.AgentAnnounced, reporter.Fields{"agent": a.AgentID, "vm": a.VM, "upstreams": len(a.Upstreams)})
 	return nil
@@ -227,6 +239,8 @@
 		return nil
 	}
 	s.sequence = h.Sequence
+	s.beat.Store(stamp(t.config.Now()))
+	s.confirmed.Store(true)
 	t.take(s, h.Upstreams)
 	return nil
 }
@@ -235,12 +249,11 @@
 // may hold the old one; counts and health are shared between them.
 func (t *Tracker) take(s *session, list []messenger.Upstream) {
 	now := t.config.Now()
-	s.beat.Store(stamp(now))
 	next := make(map[string]*Upstream, len(list))
 	for _, u := range list {
 		up := &Upstream{
 			described: u, agentID: s.announce.AgentID, vm: s.announce.VM, zone: s.announce.Zone,
-			conn: s.conn, beat: s.beat, awaited: s.awaited, expiry: t.config.Expiry,
+			conn: s.conn, beat: s.beat, awaited: s.awaited, confirmed: s.confirmed, expiry: t.config.Expiry,
 		}
 		if old := s.upstreams[u.ID]; old != nil {
 			up.load, up.health, up.since = old.load, old.health, old.since
--- a/internal/wire/messenger/messenger.go
+++ b/internal/wire/messenger/messenger.go
@@ -83,6 +83,7 @@
 	Zone        string     `json:"zone"`
 	Rack        string     `json:"rack"`
 	Upstreams   []Upstream `json:"upstreams"`
+	Sequence    int64      `json:"sequence"` // rises with each Announce and Heartbeat of the incarnation
 }
 
 // Heartbeat renews the session and carries load and state. A changed state, such
