Take a submission that comes right after its tenant was added

Ruled out: refusing with 'try again' whenever the owner's fleet is old: every typo would then be retried for ever. Change: such a submission waits for a store contact that began after it came; if the store can't be asked it is answered 'not taken' at once.

--- a/internal/control/controller/lost_test.go
+++ b/internal/control/controller/lost_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"bamboospread/internal/fleet/describer"
 	"bamboospread/internal/standin/worker"
 	"bamboospread/internal/wire/messenger"
 )
@@ -57,3 +58,19 @@
 		}
 	}
 }
+
+// TestSubmitRightAfterApply submits a task whose tenant was added by a change that
+// the store has and the owner has not heard of. The submitter saw the change
+// accepted; a refusal, which is final, would be wrong. A tenant that the store does
+// not have either is refused.
+func TestSubmitRightAfterApply(t *testing.T) {
+	older := describer.New(describer.Config{Name: "test", Version: 1, Zones: []describer.Zone{{Name: "z0", State: describer.ZoneIn}}})
+	c := newCellWith(t, 1, 1, func(config *Config) { config.Fleet = func() *describer.Fleet { return older } })
+	if v := c.submit(messenger.TaskSpec{ID: "a", Tenant: "nobody", Class: "labels"})[0]; v.Accepted {
+		t.Error("a tenant that is nowhere was accepted")
+	}
+	c.setFleet(2, "")
+	if v := c.submit(messenger.TaskSpec{ID: "b", Tenant: "caroni", Class: "labels"})[0]; !v.Accepted {
+		t.Errorf("refused: %s", v.Reason)
+	}
+}
--- a/internal/control/controller/order.go
+++ b/internal/control/controller/order.go
@@ -59,17 +59,19 @@
 }
 
 func (o *owner) needContact() bool {
-	return o.books.CountQueued() > 0 || o.books.Count(messenger.TaskStarting) > 0
+	return len(o.doubtful) > 0 || o.books.CountQueued() > 0 || o.books.Count(messenger.TaskStarting) > 0
 }
 
 func (o *owner) takeContact(e contactEvent) {
 	o.asking = false
 	if e.err != nil || e.fleet == nil {
+		o.retryDoubtful(false)
 		return
 	}
 	o.contact, o.dirty = e, true
 	o.takeFleet(e.fleet)
 	o.withdrawStarts()
+	o.retryDoubtful(true)
 }
 
 // withdrawStarts takes back starts that are not confirmed and whose zone is out
--- a/internal/control/controller/owner.go
+++ b/internal/control/controller/owner.go
@@ -71,7 +71,8 @@
 	commits  commits
 	rest     *time.Timer  // ends the rest after the beginning of an append
 	contact  contactEvent // the last that succeeded
-	asking   bool         // a contact is under way
+	doubtful []doubtfulSubmit
+	asking   bool // a contact is under way
 	asked    time.Time
 	fleet    *describer.Fleet // newest known
 	returned map[string]time.Time
--- a/internal/control/controller/submission.go
+++ b/internal/control/controller/submission.go
@@ -26,6 +26,10 @@
 		call.fail(messenger.CodeUnavailable, "cell %s: the store does not take the journal now", o.config.Cell)
 		return
 	}
+	if o.contact.began.Before(call.received) && o.namesUnknown(r) {
+		o.doubtful = append(o.doubtful, doubtfulSubmit{call, r})
+		return
+	}
 	reply := messenger.SubmitReply{Verdicts: make([]messenger.SubmitVerdict, len(r.Tasks))}
 	wait := o.newWait(func() { call.succeed(reply) })
 	for i, spec := range r.Tasks {
@@ -34,6 +38,39 @@
 	wait.start()
 }
 
+// doubtfulSubmit is a submission that names a tenant or class which the owner's
+// fleet does not have. The owner may hold an older fleet than the one that the
+// submitter has just seen accepted, and a refusal is final; so the submission
+// waits for a store contact that began after it came.
+type doubtfulSubmit struct {
+	call    callEvent
+	request messenger.SubmitRequest
+}
+
+func (o *owner) namesUnknown(r messenger.SubmitRequest) bool {
+	for _, spec := range r.Tasks {
+		_, tenant := o.fleet.Tenant(spec.Tenant)
+		_, class := o.fleet.TaskClass(spec.Class)
+		if !tenant || !class {
+			return true
+		}
+	}
+	return false
+}
+
+// retryDoubtful takes the submissions again that waited for a store contact.
+func (o *owner) retryDoubtful(reached bool) {
+	waiting := o.doubtful
+	o.doubtful = nil
+	for _, d := range waiting {
+		if reached {
+			o.takeSubmit(d.call, d.request)
+		} else {
+			d.call.fail(messenger.CodeUnavailable, "cell %s: a task names a tenant or class that is not known here, and the store can't be asked now", o.config.Cell)
+		}
+	}
+}
+
 func (o *owner) submit(spec messenger.TaskSpec, wait *wait) messenger.SubmitVerdict {
 	v := messenger.SubmitVerdict{ID: spec.ID}
 	digest, err := digestOf(spec)
