--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/platform/driver"
 	"bamboospread/internal/wire/messenger"
@@ -83,7 +84,7 @@
 func (r *Runner) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if err := r.round(ctx); err != nil {
-			_ = pause(ctx, retryPause)
+			_ = pauser.Pause(ctx, retryPause)
 		}
 	}
 	return nil
@@ -283,14 +284,3 @@
 	}
 	return running > 0
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/control/controller/cell_test.go
+++ b/internal/control/controller/cell_test.go
@@ -12,6 +12,7 @@
 
 	"bamboospread/internal/agent/runner"
 	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/platform/driver"
 	"bamboospread/internal/platform/keeper"
 	"bamboospread/internal/standin/storer"
@@ -97,7 +98,7 @@
 		d := driver.New(driver.Config{URL: server.URL})
 		for ctx.Err() == nil {
 			_, _ = d.FindTasks(ctx)
-			_ = pause(ctx, 10*time.Millisecond)
+			_ = pauser.Pause(ctx, 10*time.Millisecond)
 		}
 		return nil
 	})
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -16,6 +16,7 @@
 	"bamboospread/internal/control/journaler"
 	"bamboospread/internal/control/placer"
 	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/platform/keeper"
 	"bamboospread/internal/wire/connector"
@@ -117,7 +118,7 @@
 		if err := c.own(ctx); err != nil && ctx.Err() == nil && !c.drained.Load() {
 			c.config.Reporter.Report(reporter.OwnershipLost, reporter.Fields{"cell": c.config.Cell, "error": err.Error()})
 		}
-		_ = pause(ctx, recoveryPause)
+		_ = pauser.Pause(ctx, recoveryPause)
 	}
 	return nil
 }
@@ -256,14 +257,3 @@
 	var n atomic.Int64
 	return func() string { return fmt.Sprintf("%s-%d-%d", entryID, start, n.Add(1)) }
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/platform/keeper"
 	"bamboospread/internal/wire/messenger"
 )
@@ -114,7 +115,7 @@
 			e.awaitVacancy(ctx)
 			continue
 		}
-		if err := pause(ctx, retryPause); err != nil {
+		if err := pauser.Pause(ctx, retryPause); err != nil {
 			return err
 		}
 	}
@@ -183,7 +184,7 @@
 func (e *Elector) awaitVacancy(ctx context.Context) {
 	record, err := e.config.GetRecord(ctx, e.key())
 	if err != nil {
-		_ = pause(ctx, retryPause)
+		_ = pauser.Pause(ctx, retryPause)
 		return
 	}
 	e.learn(record)
@@ -191,7 +192,7 @@
 	for ctx.Err() == nil {
 		seen, err := e.config.Watch(ctx, keeper.WatchOptions{Prefix: e.key(), After: after, Wait: watchWait})
 		if err != nil {
-			_ = pause(ctx, retryPause)
+			_ = pauser.Pause(ctx, retryPause)
 			return
 		}
 		after = max(after, seen.Revision)
@@ -224,7 +225,7 @@
 		if keeper.IsErrConflict(err) || keeper.IsErrLeaseNotExist(err) || !e.Held() {
 			return fmt.Errorf("publish owner of cell %s: %w", e.config.Cell, err)
 		}
-		if err := pause(ctx, retryPause); err != nil {
+		if err := pauser.Pause(ctx, retryPause); err != nil {
 			return err
 		}
 	}
@@ -235,7 +236,7 @@
 // Keep renews the lease until it has ended or ctx ends.
 func (e *Elector) Keep(ctx context.Context) error {
 	for {
-		if err := pause(ctx, e.config.Lease/renewShare); err != nil {
+		if err := pauser.Pause(ctx, e.config.Lease/renewShare); err != nil {
 			return err
 		}
 		sent := e.config.Now()
@@ -260,14 +261,3 @@
 	}
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/control/journaler/journaler.go
+++ b/internal/control/journaler/journaler.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"time"
 
+	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/platform/keeper"
 )
 
@@ -98,7 +99,7 @@
 		c.SnapshotEvery = defaultSnapshotAt
 	}
 	if c.Pause == nil {
-		c.Pause = pause
+		c.Pause = pauser.Pause
 	}
 	return &Journaler{config: c, tail: make(chan ref, 1<<16)}
 }
@@ -188,14 +189,3 @@
 	}
 	return j.config.GetRecord(ctx, c.Key)
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
