--- a/internal/control/bookkeeper/apply.go
+++ b/internal/control/bookkeeper/apply.go
@@ -153,6 +153,7 @@
 		return b.start(r)
 	case r.Confirmed != nil:
 		return b.attempt(r, r.Confirmed.Task, r.Confirmed.Attempt, func(t *Task) {
+			t.Confirmed = true
 			if t.State == messenger.TaskStarting {
 				t.State = messenger.TaskRunning
 			}
@@ -198,6 +199,7 @@
 		return ErrOvercommitted{r.Started.Task, r.Started.VM}
 	}
 	b.alter(r, t, func(t *Task) {
+		t.StartedOn, t.StartedBy, t.Confirmed = r.Started.VM, r.Started.Incarnation, false
 		t.State, t.VM, t.Attempt, t.Reason = messenger.TaskStarting, r.Started.VM, r.Started.Attempt, ""
 		t.Stop, t.Percent, t.NotBefore = "", 0, r.At
 	})
--- a/internal/control/bookkeeper/bookkeeper.go
+++ b/internal/control/bookkeeper/bookkeeper.go
@@ -29,8 +29,11 @@
 	State      messenger.TaskState `json:"state"`
 	Reason     string              `json:"reason,omitempty"`
 	Impossible bool                `json:"impossible,omitempty"`
-	Unheard    bool                `json:"unheard,omitempty"` // held since it may have completed without a report
-	VM         string              `json:"vm,omitempty"`      // where it holds resources
+	Unheard    bool                `json:"unheard,omitempty"`    // held since it may have completed without a report
+	VM         string              `json:"vm,omitempty"`         // where it holds resources
+	StartedOn  string              `json:"started-on,omitempty"` // VM of the latest attempt
+	StartedBy  int64               `json:"started-by,omitempty"` // incarnation of that VM's agent
+	Confirmed  bool                `json:"confirmed,omitempty"`  // the agent reported the latest attempt running
 	Attempt    int64               `json:"attempt"`
 	Stop       StopKind            `json:"stop,omitempty"`
 	Percent    int                 `json:"percent,omitempty"`
--- a/internal/control/bookkeeper/record.go
+++ b/internal/control/bookkeeper/record.go
@@ -103,6 +103,8 @@
 	Task    string `json:"task"`
 	VM      string `json:"vm"`
 	Attempt int64  `json:"attempt"`
+	// Incarnation is that of the VM's agent when the start was decided.
+	Incarnation int64 `json:"incarnation,omitempty"`
 }
 
 // Confirmed tells that the agent reported the attempt running.
--- a/internal/control/controller/planning.go
+++ b/internal/control/controller/planning.go
@@ -94,7 +94,7 @@
 		probed[s.VM] = true
 	}
 	d := messenger.Decision{Task: s.TaskID, VM: s.VM, Service: t.Spec.Service, Reason: s.Reason, Inputs: s.Inputs}
-	started := bookkeeper.Started{Task: s.TaskID, VM: s.VM, Attempt: t.Attempt + 1}
+	started := bookkeeper.Started{Task: s.TaskID, VM: s.VM, Attempt: t.Attempt + 1, Incarnation: o.session(s.VM).incarnation}
 	if o.decide(bookkeeper.Record{Started: &started}, reporter.StartDecided, d, nil) {
 		o.meters.starts.Inc()
 		o.session(s.VM).openHistory(t, o.config.Now())
--- a/internal/control/controller/report.go
+++ b/internal/control/controller/report.go
@@ -35,6 +35,7 @@
 		reported[at] = true
 		o.takeReport(s, vm, at, r)
 	}
+	s.listed = reported
 	for at := range s.strays {
 		if !reported[at] {
 			delete(s.strays, at)
@@ -90,6 +91,23 @@
 		messenger.Decision{Task: at.TaskID, VM: vm, Reason: "its VM is back and tells that it did not complete there"}, func() { o.ack(s, at) })
 }
 
+// checkUnheard queues a task again that was held because its VM was lost, if the
+// VM is back and does not know the attempt: its start never arrived. That can be
+// told only of an attempt that was never confirmed, by the agent that ran when
+// the start was decided; a VM that was started anew in between has forgotten what
+// it completed, so there the task stays held. An order that is still on its way
+// answers an earlier poll, which the agent has given up by then.
+func (o *owner) checkUnheard(t *bookkeeper.Task, now time.Time) {
+	s := o.session(t.StartedOn)
+	at := messenger.TaskAttempt{TaskID: t.Spec.ID, Attempt: t.Attempt}
+	known := t.Confirmed || s.incarnation != t.StartedBy || s.listed[at]
+	if known || !s.reachable(now) || !s.lastPoll.After(t.Changed) {
+		return
+	}
+	o.decide(bookkeeper.Record{Queued: &bookkeeper.Queued{Task: t.Spec.ID}}, reporter.TaskRequeued,
+		messenger.Decision{Task: t.Spec.ID, VM: t.StartedOn, Reason: "its VM is back and never got the start"}, nil)
+}
+
 // ack acknowledges a final report in the next reply. The agent repeats a report
 // until then, so a report whose record was never journalled comes again.
 func (o *owner) ack(s *session, at messenger.TaskAttempt) {
--- a/internal/control/controller/submission.go
+++ b/internal/control/controller/submission.go
@@ -181,12 +181,16 @@
 		messenger.Decision{Task: id, Reason: reason}, after)
 }
 
-// checkHeld queues tasks again that were held as impossible and now are not.
+// checkHeld queues tasks again whose reason to be held has gone.
 func (o *owner) checkHeld() {
 	if o.books.Count(messenger.TaskHeld) == 0 {
 		return
 	}
 	for _, t := range o.books.Tasks() {
+		if t.State == messenger.TaskHeld && t.Unheard {
+			o.checkUnheard(t, o.config.Now())
+			continue
+		}
 		if t.State == messenger.TaskHeld && t.Impossible && o.impossible(t.Spec) == "" {
 			o.decide(bookkeeper.Record{Queued: &bookkeeper.Queued{Task: t.Spec.ID}}, reporter.TaskRequeued,
 				messenger.Decision{Task: t.Spec.ID, Reason: "fleet or VMs changed"}, nil)
