--- a/tests/integration/control_exactly_test.go
+++ b/tests/integration/control_exactly_test.go
@@ -23,7 +23,8 @@
 		t.Fatal("the fleet text has no class label-batch to change")
 	}
 	for _, s := range []scenario{
-		alone(agentPaused), alone(vmCut), {name: "links cut one way", faults: []cellFault{vmSendsOnly, vmHearsOnly}},
+		alone(agentPaused), alone(vmCut),
+		{name: "links cut one way", faults: []cellFault{vmSendsOnly, vmHearsOnly}},
 		together(ownerKilled, agentKilled), together(ownerPaused, vmHeld), together(storeDown, vmCut),
 	} {
 		t.Run(s.name, func(t *testing.T) {
