Add histograms of waits and turnarounds for each tenant and class of tasks

Change: start wait and turnaround at the cell's owner; labels bounded by the fleet text. TestTasksCompleteOnce reads the page.

--- a/internal/control/controller/controller_test.go
+++ b/internal/control/controller/controller_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"sort"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"bamboospread/internal/fleet/describer"
 	"bamboospread/internal/standin/worker"
 	"bamboospread/internal/wire/messenger"
@@ -26,7 +29,8 @@
 // TestTasksCompleteOnce submits more tasks than fit at once, twice over with
 // the same ids: each must run and complete once.
 func TestTasksCompleteOnce(t *testing.T) {
-	c := newCell(t, 3, 1)
+	set := metrics.NewSet()
+	c := newCellWith(t, 3, 1, func(config *Config) { config.Metrics = set })
 	for range 2 {
 		for _, v := range c.submit(labels(40)...) {
 			if !v.Accepted {
@@ -36,6 +40,11 @@
 	}
 	c.eventually("all completed", func() bool { return c.counts()[messenger.TaskCompleted] == 40 })
 	c.checkWitness()
+	var page strings.Builder
+	set.WritePrometheus(&page)
+	if want := `bamboospread_task_turnaround_seconds_count{cell="c1",tenant="caroni",class="labels"} 40`; !strings.Contains(page.String(), want) {
+		t.Errorf("the metrics lack %s", want)
+	}
 }
 
 // TestOwnerDiesAndTasksGoOn kills the owner while tasks run: the successor
--- a/internal/control/controller/meters.go
+++ b/internal/control/controller/meters.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -37,6 +38,20 @@
 	}
 }
 
+// waited notes how long a batch task waited for its first start, and turned
+// round how long it took from its submission to its completion. Tenants and
+// classes are bounded by the fleet text, so the labels are too.
+func (m meters) waited(s messenger.TaskSpec, d time.Duration)      { m.task("start_wait", s, d) }
+func (m meters) turnedRound(s messenger.TaskSpec, d time.Duration) { m.task("turnaround", s, d) }
+
+func (m meters) task(metric string, s messenger.TaskSpec, d time.Duration) {
+	if s.Service != "" {
+		return
+	}
+	name := fmt.Sprintf("bamboospread_task_%s_seconds{cell=%q,tenant=%q,class=%q}", metric, m.cell, s.Tenant, s.Class)
+	m.set.GetOrCreateHistogram(name).Update(d.Seconds())
+}
+
 func (m meters) ended(next messenger.TaskState) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("bamboospread_cell_attempts_ended_total{cell=%q,next=%q}", m.cell, next)).Inc()
 }
--- a/internal/control/controller/report.go
+++ b/internal/control/controller/report.go
@@ -57,6 +57,9 @@
 		if t.State == messenger.TaskStarting {
 			o.decide(bookkeeper.Record{Confirmed: &bookkeeper.Confirmed{Task: at.TaskID, Attempt: at.Attempt}},
 				reporter.StartConfirmed, messenger.Decision{Task: at.TaskID, VM: vm, Reason: "agent reports it running"}, nil)
+			if t.Attempt == 1 {
+				o.meters.waited(t.Spec, o.config.Now().Sub(t.Submitted))
+			}
 		}
 	case current:
 		o.endAttempt(t, ending{state: r.State, reason: r.Reason, checkpoint: r.Checkpoint}, func() { o.ack(s, at) })
@@ -126,6 +129,9 @@
 	}
 	s.closeHistory(t.Spec.ID, o.config.Now())
 	o.meters.ended(ended.Next)
+	if ended.Next == messenger.TaskCompleted {
+		o.meters.turnedRound(t.Spec, o.config.Now().Sub(t.Submitted))
+	}
 	if ended.Failed {
 		o.suspect(vm)
 	}
