Move the clients of store and worker to rooms of their own; add transactions to the store

Cause: the platform's adapter gets the folder platform/, so internal/platform was a second thing of that name; and jobs change several records at once. Change: internal/store/keeper, internal/worker/driver; keeper.Transact, its stand-in, and keeper.Calls as the seam between what uses a store and the protocol that it speaks.

--- a/internal/agent/runner/order.go
+++ b/internal/agent/runner/order.go
@@ -8,8 +8,8 @@
 
 	"bamboospread/internal/fleet/describer"
 	"bamboospread/internal/kernel/reporter"
-	"bamboospread/internal/platform/driver"
 	"bamboospread/internal/wire/messenger"
+	"bamboospread/internal/worker/driver"
 )
 
 // take carries out a reply to the poll that was sent at the given time.
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -13,8 +13,8 @@
 	"bamboospread/internal/fleet/describer"
 	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/kernel/reporter"
-	"bamboospread/internal/platform/driver"
 	"bamboospread/internal/wire/messenger"
+	"bamboospread/internal/worker/driver"
 )
 
 // Lengths.
--- a/internal/agent/runner/runner_test.go
+++ b/internal/agent/runner/runner_test.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"bamboospread/internal/fleet/describer"
-	"bamboospread/internal/platform/driver"
 	"bamboospread/internal/standin/worker"
 	"bamboospread/internal/wire/messenger"
+	"bamboospread/internal/worker/driver"
 )
 
 // bed is a runner beside a stand-in worker; the test plays the owner.
--- a/internal/control/controller/bench_test.go
+++ b/internal/control/controller/bench_test.go
@@ -9,9 +9,9 @@
 
 	"bamboospread/internal/control/bookkeeper"
 	"bamboospread/internal/control/journaler"
-	"bamboospread/internal/platform/keeper"
 	"bamboospread/internal/standin/storer"
 	"bamboospread/internal/standin/worker"
+	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/wire/messenger"
 )
 
--- a/internal/control/controller/cell_test.go
+++ b/internal/control/controller/cell_test.go
@@ -13,12 +13,12 @@
 	"bamboospread/internal/agent/runner"
 	"bamboospread/internal/fleet/describer"
 	"bamboospread/internal/kernel/pauser"
-	"bamboospread/internal/platform/driver"
-	"bamboospread/internal/platform/keeper"
 	"bamboospread/internal/standin/storer"
 	"bamboospread/internal/standin/worker"
+	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/wire/connector"
 	"bamboospread/internal/wire/messenger"
+	"bamboospread/internal/worker/driver"
 )
 
 const (
--- a/internal/control/controller/commit_test.go
+++ b/internal/control/controller/commit_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/wire/messenger"
 )
 
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -18,7 +18,7 @@
 	"bamboospread/internal/fleet/describer"
 	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/kernel/reporter"
-	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/wire/connector"
 	"bamboospread/internal/wire/messenger"
 )
--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"bamboospread/internal/kernel/pauser"
-	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/wire/messenger"
 )
 
--- a/internal/control/journaler/journaler.go
+++ b/internal/control/journaler/journaler.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"bamboospread/internal/kernel/pauser"
-	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/store/keeper"
 )
 
 // Lengths and sizes.
--- a/internal/control/journaler/memory_test.go
+++ b/internal/control/journaler/memory_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/store/keeper"
 )
 
 // memory is a store in memory. Before each call it asks its seam, which may let
--- a/internal/control/journaler/recovery.go
+++ b/internal/control/journaler/recovery.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"fmt"
 
-	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/store/keeper"
 )
 
 // errMoved tells that the previous owner snapshotted and deleted entries while
--- a/internal/control/journaler/snapshot.go
+++ b/internal/control/journaler/snapshot.go
@@ -7,7 +7,7 @@
 	"errors"
 	"fmt"
 
-	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/store/keeper"
 )
 
 // head names the snapshot in force.
--- a/internal/fleet/changer/changer.go
+++ b/internal/fleet/changer/changer.go
@@ -15,7 +15,7 @@
 	"bamboospread/internal/fleet/recorder"
 	"bamboospread/internal/fleet/validator"
 	"bamboospread/internal/kernel/reporter"
-	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/store/keeper"
 )
 
 // DefaultTimeout bounds a change with its settling.
--- a/internal/fleet/changer/changer_test.go
+++ b/internal/fleet/changer/changer_test.go
@@ -20,8 +20,8 @@
 	"bamboospread/internal/fleet/describer"
 	"bamboospread/internal/fleet/finder"
 	"bamboospread/internal/fleet/recorder"
-	"bamboospread/internal/platform/keeper"
 	"bamboospread/internal/standin/storer"
+	"bamboospread/internal/store/keeper"
 )
 
 // fault is what happens to one swap on its way to the store.
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -14,7 +14,7 @@
 	"bamboospread/internal/fleet/describer"
 	"bamboospread/internal/fleet/recorder"
 	"bamboospread/internal/kernel/reporter"
-	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/wire/messenger"
 )
 
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -15,8 +15,8 @@
 
 	"bamboospread/internal/fleet/describer"
 	"bamboospread/internal/fleet/recorder"
-	"bamboospread/internal/platform/keeper"
 	"bamboospread/internal/standin/storer"
+	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/wire/messenger"
 )
 
--- a/internal/fleet/recorder/recorder.go
+++ b/internal/fleet/recorder/recorder.go
@@ -14,7 +14,7 @@
 
 	"bamboospread/internal/fleet/describer"
 	"bamboospread/internal/fleet/validator"
-	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/store/keeper"
 )
 
 // Key is the key of the record in the store.
--- a/internal/fleet/recorder/recorder_test.go
+++ b/internal/fleet/recorder/recorder_test.go
@@ -10,7 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bamboospread/internal/fleet/parser"
-	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/store/keeper"
 )
 
 const text = "fleet: f\navailability-zones: [{name: a}, {name: b, state: out}, {name: c}]\n"
--- a/internal/operator/requester/requester_test.go
+++ b/internal/operator/requester/requester_test.go
@@ -17,8 +17,8 @@
 	"bamboospread/internal/fleet/describer"
 	"bamboospread/internal/fleet/follower"
 	"bamboospread/internal/operator/handler"
-	"bamboospread/internal/platform/keeper"
 	"bamboospread/internal/standin/storer"
+	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/wire/connector"
 	"bamboospread/internal/wire/messenger"
 )
--- a/internal/service/agent/agent.go
+++ b/internal/service/agent/agent.go
@@ -21,8 +21,8 @@
 	"bamboospread/internal/fleet/follower"
 	"bamboospread/internal/kernel/registrar"
 	"bamboospread/internal/kernel/reporter"
-	"bamboospread/internal/platform/driver"
 	"bamboospread/internal/wire/messenger"
+	"bamboospread/internal/worker/driver"
 )
 
 const (
--- a/internal/service/enroller/enroller.go
+++ b/internal/service/enroller/enroller.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"bamboospread/internal/kernel/reporter"
-	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/wire/connector"
 	"bamboospread/internal/wire/messenger"
 )
--- a/internal/service/server/server.go
+++ b/internal/service/server/server.go
@@ -19,11 +19,11 @@
 	"bamboospread/internal/kernel/registrar"
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/operator/handler"
-	"bamboospread/internal/platform/keeper"
 	"bamboospread/internal/request/receiver"
 	"bamboospread/internal/request/tracker"
 	"bamboospread/internal/service/enroller"
 	"bamboospread/internal/service/forwarder"
+	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/wire/messenger"
 )
 
--- a/internal/standin/storer/calls.go
+++ b/internal/standin/storer/calls.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
-	"bamboospread/internal/platform/keeper"
 	"bamboospread/internal/standin/server"
+	"bamboospread/internal/store/keeper"
 )
 
 // Bodies of calls may be this large: a value in base64 and its frame.
@@ -20,6 +20,7 @@
 	handle(s, keeper.KindList, false, s.list)
 	handle(s, keeper.KindWatch, false, s.watch)
 	handle(s, keeper.KindSwap, true, s.swap)
+	handle(s, keeper.KindTransact, true, s.transact)
 	handle(s, keeper.KindDelete, true, s.remove)
 	handle(s, keeper.KindGrant, true, s.grant)
 	handle(s, keeper.KindKeepAlive, true, s.keepAlive)
@@ -92,6 +93,39 @@
 	return ok(keeper.RevisionAnswer{Revision: s.putLocked(keeper.Record{Key: c.Key, Value: c.Value, Lease: c.Lease})})
 }
 
+// transact checks every expectation and lease before it changes anything. All
+// changes of one transaction become visible together.
+func (s *Store) transact(_ context.Context, t keeper.Transaction) result {
+	if n := len(t.Expect) + len(t.Puts) + len(t.Removes); n > keeper.MaxTransactionEntries {
+		return result{http.StatusBadRequest, "too many entries"}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	for _, e := range t.Expect {
+		if old := s.recordLocked(e.Key); old.Revision != e.Revision {
+			return result{http.StatusConflict, keeper.RecordAnswer{Record: old}}
+		}
+	}
+	for _, p := range t.Puts {
+		if len(p.Value) > keeper.MaxValueBytes {
+			return result{http.StatusRequestEntityTooLarge, "value too large"}
+		}
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			return result{http.StatusGone, p.Lease}
+		}
+	}
+	for _, p := range t.Puts {
+		s.putLocked(keeper.Record{Key: p.Key, Value: p.Value, Lease: p.Lease})
+	}
+	for _, key := range t.Removes {
+		if s.recordLocked(key).Revision != 0 {
+			s.deleteLocked(key)
+		}
+	}
+	return ok(keeper.RevisionAnswer{Revision: s.revision})
+}
+
 func (s *Store) remove(_ context.Context, c keeper.DeleteCall) result {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/storer/faults.go
+++ b/internal/standin/storer/faults.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
-	"bamboospread/internal/platform/keeper"
 	"bamboospread/internal/standin/server"
+	"bamboospread/internal/store/keeper"
 )
 
 // Faults are the faults in force.
--- a/internal/standin/storer/storer.go
+++ b/internal/standin/storer/storer.go
@@ -13,8 +13,8 @@
 	"sync"
 	"time"
 
-	"bamboospread/internal/platform/keeper"
 	"bamboospread/internal/standin/server"
+	"bamboospread/internal/store/keeper"
 )
 
 // Limits of a list answer.
--- a/internal/standin/storer/storer_test.go
+++ b/internal/standin/storer/storer_test.go
@@ -11,8 +11,8 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"bamboospread/internal/platform/keeper"
 	"bamboospread/internal/standin/storer"
+	"bamboospread/internal/store/keeper"
 )
 
 func start(t *testing.T, c storer.Config) (*storer.Store, *keeper.Keeper) {
--- a/internal/standin/worker/calls.go
+++ b/internal/standin/worker/calls.go
@@ -5,9 +5,9 @@
 	"sort"
 	"time"
 
-	"bamboospread/internal/platform/driver"
 	"bamboospread/internal/standin/server"
 	"bamboospread/internal/wire/messenger"
+	"bamboospread/internal/worker/driver"
 )
 
 // Faults are the faults in force.
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -16,10 +16,10 @@
 	"time"
 
 	"bamboospread/internal/fleet/describer"
-	"bamboospread/internal/platform/driver"
 	"bamboospread/internal/standin/recorder"
 	"bamboospread/internal/standin/server"
 	"bamboospread/internal/wire/messenger"
+	"bamboospread/internal/worker/driver"
 )
 
 const (
--- a/internal/standin/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -11,10 +11,10 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bamboospread/internal/fleet/describer"
-	"bamboospread/internal/platform/driver"
 	"bamboospread/internal/standin/recorder"
 	"bamboospread/internal/standin/worker"
 	"bamboospread/internal/wire/messenger"
+	"bamboospread/internal/worker/driver"
 )
 
 // bench is a worker with a clock that the test moves.
--- a/internal/platform/keeper/protocol.go
+++ b/internal/store/keeper/protocol.go
@@ -9,6 +9,7 @@
 	KindGet       = "get"        // KeyCall, RecordAnswer
 	KindList      = "list"       // ListCall, ListAnswer
 	KindSwap      = "swap"       // SwapCall, RevisionAnswer
+	KindTransact  = "transact"   // Transaction, RevisionAnswer
 	KindDelete    = "delete"     // DeleteCall
 	KindGrant     = "grant"      // LeaseCall, LeaseCall
 	KindKeepAlive = "keep-alive" // LeaseCall
--- a/tests/integration/fleet_common_test.go
+++ b/tests/integration/fleet_common_test.go
@@ -11,7 +11,7 @@
 
 	"bamboospread/internal/fleet/recorder"
 	"bamboospread/internal/operator/requester"
-	"bamboospread/internal/platform/keeper"
+	"bamboospread/internal/store/keeper"
 	"bamboospread/tests/harness"
 )
 
