--- a/Makefile
+++ b/Makefile
@@ -17,11 +17,11 @@
 
 .PHONY: format
 format: ## format all sources
-	$(GO) tool gofumpt -w main.go internal tests
+	$(GO) tool gofumpt -w main.go internal platform tests
 
 .PHONY: lint
 lint: ## check the format and lint
-	@out=$$($(GO) tool gofumpt -l main.go internal tests); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	@out=$$($(GO) tool gofumpt -l main.go internal platform tests); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
 	$(GO) vet $(PACKAGES)
 	$(GO) tool revive -config revive.toml -set_exit_status $(PACKAGES)
 
--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -214,13 +214,15 @@
 		return err
 	}
 	for {
-		_, err := e.config.CompareAndSwap(ctx, keeper.SwapOptions{Key: e.key(), Value: value, ExpectRevision: e.rev, Lease: e.lease})
+		rev, err := e.config.CompareAndSwap(ctx, keeper.SwapOptions{Key: e.key(), Value: value, ExpectRevision: e.rev, Lease: e.lease})
 		if err == nil {
+			e.rev = rev
 			break
 		}
 		record, readErr := e.config.GetRecord(ctx, e.key())
 		if readErr == nil && record.Lease == e.lease && record.Revision != e.rev {
-			break // the answer was lost after the effect
+			e.rev = record.Revision // the answer was lost after the effect
+			break
 		}
 		if keeper.IsErrConflict(err) || keeper.IsErrLeaseNotExist(err) || !e.Held() {
 			return fmt.Errorf("publish owner of cell %s: %w", e.config.Cell, err)
@@ -253,6 +255,12 @@
 	}
 }
 
+// Fence returns what a transaction of this owner must expect, so that it fails
+// once the ownership has ended. It is valid after Publish.
+func (e *Elector) Fence() keeper.Expectation {
+	return keeper.Expectation{Key: e.key(), Revision: e.rev}
+}
+
 // Release gives the ownership up.
 func (e *Elector) Release(ctx context.Context) error {
 	e.renewed.Store(nil)
--- /dev/null
+++ b/internal/job/accountant/job.go
@@ -0,0 +1,217 @@
+package accountant
+
+import (
+	"sort"
+	"time"
+
+	"bamboospread/internal/job/specifier"
+)
+
+// AddJob takes an accepted job in. A job that is known already is left alone, so
+// a repeated submission stays one job. It tells whether the job is new.
+func (a *Accountant) AddJob(spec *specifier.Job, inherited bool, now time.Time) bool {
+	if a.Jobs[spec.ID] != nil {
+		return false
+	}
+	j := &Job{Spec: spec, State: JobQueued, StoredState: JobQueued, Inherited: inherited}
+	j.Queue, _ = a.policy.QueueByName(spec.Queue)
+	a.Jobs[spec.ID] = j
+	a.openDue(j, now)
+	return true
+}
+
+// OpenDue opens the occurrences that have become due.
+func (a *Accountant) OpenDue(now time.Time) {
+	for _, j := range a.Jobs {
+		a.openDue(j, now)
+	}
+}
+
+func (a *Accountant) openDue(j *Job, now time.Time) {
+	for !j.State.Final() && j.Next < j.Spec.Times() && (j.Spec.Occurrences == 0 || !j.Spec.Due(j.Next).After(now)) {
+		j.Occurrences = append(j.Occurrences, newOccurrence(j, j.Next, now))
+		j.Next++
+	}
+}
+
+func newOccurrence(j *Job, number int, now time.Time) *Occurrence {
+	o := &Occurrence{Job: j, Number: number, DueAt: j.Spec.Due(number)}
+	for i := range j.Spec.Steps {
+		s := &Step{Occurrence: o, Number: i, Spec: &j.Spec.Steps[i]}
+		for t := range s.Spec.Count {
+			s.Tasks = append(s.Tasks, &Task{Step: s, Index: t, WaitSince: now})
+		}
+		if len(s.Spec.After) == 0 {
+			s.ReadyAt = now
+		}
+		o.Steps = append(o.Steps, s)
+	}
+	return o
+}
+
+// Find returns a task of an open occurrence, or nil.
+func (a *Accountant) Find(id specifier.TaskID) *Task {
+	j := a.Jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	for _, o := range j.Occurrences {
+		if o.Number == id.Occurrence && id.Step < len(o.Steps) && id.Index < len(o.Steps[id.Step].Tasks) {
+			return o.Steps[id.Step].Tasks[id.Index]
+		}
+	}
+	return nil
+}
+
+// Cancel ends a job whose cancellation is stored. Runs of it are stopped by the
+// next call of Unwanted.
+func (a *Accountant) Cancel(id string, now time.Time) {
+	j := a.Jobs[id]
+	if j == nil || j.State.Final() {
+		return
+	}
+	a.finish(j, JobCancelled, now)
+}
+
+func (a *Accountant) finish(j *Job, state JobState, now time.Time) {
+	j.State, j.EndedAt, j.dirty = state, now, true
+}
+
+// taskDone marks a task as done and closes what ends with it.
+func (a *Accountant) taskDone(t *Task, now time.Time) {
+	s := t.Step
+	if t.Done {
+		return
+	}
+	done := []*Task{t}
+	if s.Spec.Gang {
+		done = s.Tasks // one end stands for all tasks of the gang
+	}
+	for _, d := range done {
+		if !d.Done {
+			d.Done = true
+			s.Done++
+		}
+	}
+	j := s.Occurrence.Job
+	j.dirty = true
+	if !s.Finished() {
+		return
+	}
+	for _, next := range s.Occurrence.Steps {
+		if next.ReadyAt.IsZero() && next.Ready() {
+			next.ReadyAt = now
+		}
+	}
+	if s.Occurrence.Finished() {
+		a.close(s.Occurrence, now)
+	}
+}
+
+func (a *Accountant) close(o *Occurrence, now time.Time) {
+	j := o.Job
+	for i, open := range j.Occurrences {
+		if open == o {
+			j.Occurrences = append(j.Occurrences[:i:i], j.Occurrences[i+1:]...)
+			break
+		}
+	}
+	j.Finished++
+	if j.Finished == j.Spec.Times() && !j.State.Final() {
+		a.finish(j, JobDone, now)
+	}
+}
+
+// taskFailed counts a run that ended failed. A task that lasts is restarted
+// however it ends.
+func (a *Accountant) taskFailed(t *Task, now time.Time) {
+	j := t.Step.Occurrence.Job
+	t.Failures++
+	j.dirty = true
+	t.NotBefore = now.Add(failurePause(t.Failures))
+	if t.Step.Spec.Lasting || j.State.Final() || j.Queue.MaxFailures <= 0 {
+		return
+	}
+	if t.Failures >= j.Queue.MaxFailures {
+		a.finish(j, JobFailed, now)
+	}
+}
+
+// Pauses before a task runs again after failures. The first restart is at once,
+// since most failures are the worker's and the next VM is another; later ones
+// wait, so that a task that fails within milliseconds does not fill the orders.
+const (
+	failurePauseStep = 100 * time.Millisecond
+	failurePauseMax  = time.Second
+)
+
+func failurePause(failures int) time.Duration {
+	return min(time.Duration(max(failures-1, 0))*failurePauseStep, failurePauseMax)
+}
+
+// WaitingSteps returns the steps that have tasks to start, in no set order.
+func (a *Accountant) WaitingSteps(now time.Time) []*Step {
+	var found []*Step
+	for _, id := range a.jobIDs() {
+		j := a.Jobs[id]
+		if !j.Startable() || j.Queue.Name == "" {
+			continue
+		}
+		for _, o := range j.Occurrences {
+			for _, s := range o.Steps {
+				if !s.Finished() && s.Ready() && s.waits(now) {
+					found = append(found, s)
+				}
+			}
+		}
+	}
+	return found
+}
+
+func (s *Step) waits(now time.Time) bool {
+	for _, t := range s.Tasks {
+		if t.Waits(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Waits tells whether the task may start now as far as its own state goes.
+func (t *Task) Waits(now time.Time) bool {
+	return !t.Done && len(t.Runs) == 0 && !t.NotBefore.After(now)
+}
+
+// jobIDs returns the jobs in an order that is the same in each run.
+func (a *Accountant) jobIDs() []string {
+	ids := make([]string, 0, len(a.Jobs))
+	for id := range a.Jobs {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// Pending counts the jobs of a queue of which no task has started.
+func (a *Accountant) Pending(queue string) int {
+	n := 0
+	for _, j := range a.Jobs {
+		if j.Spec.Queue == queue && !j.Started && !j.State.Final() {
+			n++
+		}
+	}
+	return n
+}
+
+// Forget drops jobs that ended before the given time and returns their ids.
+func (a *Accountant) Forget(before time.Time) []string {
+	var ids []string
+	for _, id := range a.jobIDs() {
+		j := a.Jobs[id]
+		if j.StoredState.Final() && !j.dirty && !j.flight && j.EndedAt.Before(before) {
+			delete(a.Jobs, id)
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/job/accountant/record.go
@@ -0,0 +1,213 @@
+package accountant
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"bamboospread/internal/job/specifier"
+)
+
+// Record is the progress of a job as the store keeps it. What runs is not in it:
+// the workers know that.
+type Record struct {
+	State    JobState           `json:"state"`
+	EndedAt  int64              `json:"ended-ms,omitempty"` // Unix ms
+	Finished int                `json:"finished,omitempty"` // occurrences
+	Next     int                `json:"next"`
+	Open     []OccurrenceRecord `json:"open,omitempty"`
+}
+
+// OccurrenceRecord is the progress of an occurrence that is not finished.
+type OccurrenceRecord struct {
+	Number int          `json:"number"`
+	Steps  []StepRecord `json:"steps"`
+}
+
+// StepRecord is the progress of a step.
+type StepRecord struct {
+	Done     string      `json:"done,omitempty"`     // hex of a bit for each task, lowest first
+	Failures map[int]int `json:"failures,omitempty"` // by task
+}
+
+// Encode returns the record of a job.
+func (j *Job) Encode() ([]byte, error) {
+	r := Record{State: j.State, Finished: j.Finished, Next: j.Next}
+	if j.State.Final() {
+		r.EndedAt = j.EndedAt.UnixMilli()
+	} else {
+		for _, o := range j.Occurrences {
+			r.Open = append(r.Open, o.record())
+		}
+	}
+	b, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode progress of job %s: %w", j.Spec.ID, err)
+	}
+	return b, nil
+}
+
+func (o *Occurrence) record() OccurrenceRecord {
+	r := OccurrenceRecord{Number: o.Number}
+	for _, s := range o.Steps {
+		var sr StepRecord
+		if s.Done > 0 {
+			bits := make([]byte, (len(s.Tasks)+7)/8)
+			for i, t := range s.Tasks {
+				if t.Done {
+					bits[i/8] |= 1 << (i % 8)
+				}
+			}
+			sr.Done = hex.EncodeToString(bits)
+		}
+		for i, t := range s.Tasks {
+			if t.Failures > 0 && !s.Spec.Lasting {
+				if sr.Failures == nil {
+					sr.Failures = make(map[int]int)
+				}
+				sr.Failures[i] = t.Failures
+			}
+		}
+		r.Steps = append(r.Steps, sr)
+	}
+	return r
+}
+
+// Restore gives a job, just added, the progress that the store has of it.
+func (a *Accountant) Restore(id string, value []byte, now time.Time) error {
+	j := a.Jobs[id]
+	if j == nil {
+		return fmt.Errorf("progress of job %s, which does not exist", id)
+	}
+	var r Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return fmt.Errorf("decode progress of job %s: %w", id, err)
+	}
+	j.State, j.StoredState, j.Finished, j.Next = r.State, r.State, r.Finished, r.Next
+	j.Started = r.State != JobQueued
+	j.EndedAt = time.UnixMilli(r.EndedAt)
+	j.Occurrences = nil
+	for _, or := range r.Open {
+		o := newOccurrence(j, or.Number, now)
+		if err := o.restore(or, now); err != nil {
+			return fmt.Errorf("progress of job %s: %w", id, err)
+		}
+		j.Occurrences = append(j.Occurrences, o)
+	}
+	a.openDue(j, now)
+	return nil
+}
+
+func (o *Occurrence) restore(r OccurrenceRecord, now time.Time) error {
+	if len(r.Steps) != len(o.Steps) {
+		return fmt.Errorf("occurrence %d has %d steps, its job %d", o.Number, len(r.Steps), len(o.Steps))
+	}
+	for i, sr := range r.Steps {
+		s := o.Steps[i]
+		bits, err := hex.DecodeString(sr.Done)
+		if err != nil {
+			return fmt.Errorf("done tasks of step %d: %w", i, err)
+		}
+		for n, t := range s.Tasks {
+			if n/8 < len(bits) && bits[n/8]&(1<<(n%8)) != 0 {
+				t.Done = true
+				s.Done++
+			}
+			t.Failures = sr.Failures[n]
+		}
+	}
+	for _, s := range o.Steps {
+		if s.Ready() {
+			s.ReadyAt = now
+		}
+	}
+	return nil
+}
+
+// Flush is what the store has to be told before ends are acknowledged.
+type Flush struct {
+	Jobs []*Job
+	ends []endMark
+}
+
+type endMark struct {
+	vm   *VM
+	life string
+	seq  int64
+}
+
+// Empty tells that there is nothing to write and nothing to acknowledge.
+func (f *Flush) Empty() bool { return len(f.Jobs) == 0 && len(f.ends) == 0 }
+
+// BeginFlush collects the jobs whose progress the store lacks, and the ends that
+// may be acknowledged once they are written.
+func (a *Accountant) BeginFlush() *Flush {
+	f := &Flush{}
+	for _, id := range a.jobIDs() {
+		if j := a.Jobs[id]; j.dirty {
+			j.dirty, j.flight = false, true
+			f.Jobs = append(f.Jobs, j)
+		}
+	}
+	for _, vm := range a.VMs {
+		if vm.EndSeen > vm.EndStored {
+			f.ends = append(f.ends, endMark{vm, vm.Life, vm.EndSeen})
+		}
+	}
+	return f
+}
+
+// EndFlush takes the outcome of a flush: states are the states written. After a
+// failure the jobs are written again.
+func (a *Accountant) EndFlush(f *Flush, states map[string]JobState, err error) {
+	for _, j := range f.Jobs {
+		j.flight = false
+		if err != nil {
+			j.dirty = true
+			continue
+		}
+		j.StoredState = states[j.Spec.ID]
+	}
+	if err != nil {
+		return
+	}
+	for _, e := range f.ends {
+		if e.vm.Life == e.life {
+			e.vm.EndStored = max(e.vm.EndStored, e.seq)
+		}
+	}
+}
+
+// Told returns the state that callers are told: a final one only once the store
+// has it, so that it can never be taken back.
+func (j *Job) Told() JobState {
+	if j.State.Final() && !j.StoredState.Final() {
+		if j.State == JobCancelled {
+			return JobCancelled // its cancellation was stored before it came here
+		}
+		return JobRunning
+	}
+	return j.State
+}
+
+// Settle tells that every VM has reported, or that whatever ran on those that
+// have not has lapsed.
+func (a *Accountant) Settle() {
+	for _, j := range a.Jobs {
+		j.Inherited = false
+	}
+}
+
+// Startable tells whether new runs of the job's tasks may begin. A task of an
+// inherited job may run on a VM that has not reported yet.
+func (j *Job) Startable() bool { return !j.State.Final() && !j.Inherited }
+
+// DecodeJob reads a job as the store has it.
+func DecodeJob(value []byte) (*specifier.Job, error) {
+	var j specifier.Job
+	if err := json.Unmarshal(value, &j); err != nil {
+		return nil, fmt.Errorf("decode job: %w", err)
+	}
+	return &j, nil
+}
--- /dev/null
+++ b/internal/job/accountant/report.go
@@ -0,0 +1,131 @@
+package accountant
+
+import (
+	"time"
+
+	"bamboospread/internal/job/specifier"
+)
+
+// Facts are what an agent says of its VM.
+type Facts struct {
+	Name, Zone, Rack, Service string
+	Labels                    []string
+	Capacity                  specifier.Resources
+}
+
+// Report is everything that an agent knows of its worker's runs.
+type Report struct {
+	Life       string // of the worker
+	Ready      bool
+	OrdersSeen int64 // orders of this session that the agent has
+	Runs       []ReportedRun
+	Ends       []ReportedEnd // not acknowledged yet, in the order of their numbers
+}
+
+// ReportedRun is a run that a worker has or may still get.
+type ReportedRun struct {
+	Key        RunKey
+	Confirmed  bool // the worker has it; else its start was not answered
+	Checkpoint string
+	Percent    int
+	Measure    int64
+	Needs      specifier.Resources // as ordered; zero if the agent does not know
+}
+
+// ReportedEnd is a run that ended.
+type ReportedEnd struct {
+	Seq        int64
+	Key        RunKey
+	How        End
+	Checkpoint string
+}
+
+// Changes are what a report changed.
+type Changes struct {
+	Ended   []ReportedEnd
+	Lost    []*Run // gone without a word
+	Adopted []*Run // not ordered by this owner
+}
+
+// Any tells whether anything changed that decisions depend on.
+func (c Changes) Any() bool { return len(c.Ended)+len(c.Lost)+len(c.Adopted) > 0 }
+
+// Attach opens a session of a VM's agent. Orders of an earlier session are void:
+// the agent refuses those that it has not seen.
+func (a *Accountant) Attach(f Facts, rep Report, now time.Time) (*VM, Changes) {
+	vm := a.VMs[f.Name]
+	if vm == nil {
+		vm = &VM{Name: f.Name, Runs: make(map[RunKey]*Run)}
+		a.VMs[f.Name] = vm
+	}
+	vm.Attached = true
+	vm.OrderSeq = 0
+	for _, r := range vm.Runs {
+		r.Order = 0
+	}
+	a.describe(vm, f)
+	rep.OrdersSeen = 0
+	return vm, a.Apply(vm, rep, now)
+}
+
+func (a *Accountant) describe(vm *VM, f Facts) {
+	vm.Zone, vm.Rack, vm.Service, vm.Capacity = f.Zone, f.Rack, f.Service, f.Capacity
+	vm.Labels = make(map[string]bool, len(f.Labels))
+	for _, l := range f.Labels {
+		vm.Labels[l] = true
+	}
+}
+
+// Detach ends a session. The runs stay booked until their leases have run out.
+func (a *Accountant) Detach(vm *VM) { vm.Attached = false }
+
+// Apply takes a whole report in. What the owner ordered and the agent has seen
+// but no longer lists is gone.
+func (a *Accountant) Apply(vm *VM, rep Report, now time.Time) Changes {
+	var c Changes
+	listed := make(map[RunKey]bool, len(rep.Runs))
+	for _, r := range rep.Runs {
+		listed[r.Key] = true
+	}
+	if vm.Life != rep.Life {
+		vm.Life, vm.EndSeen, vm.EndStored, vm.Health, vm.Harm = rep.Life, 0, 0, Health{}, Harm{}
+	}
+	vm.Ready, vm.GrantedAt = rep.Ready, now
+	for _, e := range rep.Ends {
+		if e.Seq > vm.EndSeen {
+			vm.EndSeen = e.Seq
+			a.EndRun(vm, e.Key, e.How, e.Checkpoint, now)
+			c.Ended = append(c.Ended, e)
+		}
+	}
+	for _, r := range rep.Runs {
+		if adopted := a.applyRun(vm, r, now); adopted != nil {
+			c.Adopted = append(c.Adopted, adopted)
+		}
+	}
+	for key, r := range vm.Runs {
+		if !listed[key] && r.Order <= rep.OrdersSeen {
+			a.loseRun(r, now)
+			c.Lost = append(c.Lost, r)
+		}
+	}
+	return c
+}
+
+func (a *Accountant) applyRun(vm *VM, rep ReportedRun, now time.Time) (adopted *Run) {
+	r := vm.Runs[rep.Key]
+	if r == nil {
+		r = a.adopt(vm, a.taskOrStray(rep.Key.Task, rep.Needs), rep.Key.Number, now)
+		adopted = r
+	}
+	if rep.Confirmed && r.State == Ordered {
+		r.State, r.StartedAt, r.MovedAt = Running, now, now
+	}
+	if rep.Checkpoint != "" && rep.Checkpoint != r.Checkpoint {
+		r.Checkpoint, r.MovedAt = rep.Checkpoint, now
+	}
+	if rep.Confirmed {
+		r.Percent, r.Measure = rep.Percent, rep.Measure
+	}
+	return adopted
+}
--- /dev/null
+++ b/internal/job/accountant/run.go
@@ -0,0 +1,197 @@
+package accountant
+
+import (
+	"time"
+
+	"bamboospread/internal/job/specifier"
+)
+
+// Place starts a run of a task on a VM: the room is taken from now on.
+func (a *Accountant) Place(t *Task, vm *VM, number int64, now time.Time) *Run {
+	vm.OrderSeq++
+	r := &Run{
+		Task: t, Number: number, VM: vm, State: Ordered, Order: vm.OrderSeq, OrderedAt: now,
+		Percent: fullPace, WantPct: fullPace, Checkpoint: t.Checkpoint, MovedAt: now,
+	}
+	a.book(r)
+	return r
+}
+
+const fullPace = 100 // percent
+
+func (a *Accountant) book(r *Run) {
+	t, spec := r.Task, r.Task.Step.Spec
+	t.LastNumber = max(t.LastNumber, r.Number)
+	t.Runs = append(t.Runs, r)
+	r.VM.Runs[r.Key()] = r
+	r.VM.Committed = r.VM.Committed.Add(spec.Committed())
+	if spec.Fills {
+		r.VM.FillCPU += spec.Needs.CPUMillis
+	}
+	if spec.Lasting {
+		r.VM.Lasting++
+	}
+	t.Step.Occurrence.Job.Started = true
+	if j := t.Step.Occurrence.Job; j.State == JobQueued {
+		j.State = JobRunning // told from memory: nothing is lost if it is forgotten
+	}
+}
+
+// NextNumber returns the number of the next run of a task.
+func (a *Accountant) NextNumber(t *Task) int64 { return max(t.LastNumber, a.floor) + 1 }
+
+// GangNumber returns the number of the next run of all tasks of a gang.
+func (a *Accountant) GangNumber(s *Step) int64 {
+	n := a.floor
+	for _, t := range s.Tasks {
+		n = max(n, t.LastNumber)
+	}
+	return n + 1
+}
+
+// unbook takes a run out of all counts; its room is free.
+func (a *Accountant) unbook(r *Run, now time.Time) {
+	t, spec := r.Task, r.Task.Step.Spec
+	delete(r.VM.Runs, r.Key())
+	r.VM.Committed = r.VM.Committed.Sub(spec.Committed())
+	if spec.Fills {
+		r.VM.FillCPU -= spec.Needs.CPUMillis
+	}
+	if spec.Lasting {
+		r.VM.Lasting--
+	}
+	for i, other := range t.Runs {
+		if other == r {
+			t.Runs = append(t.Runs[:i:i], t.Runs[i+1:]...)
+			break
+		}
+	}
+	t.WaitSince = now
+}
+
+// Stop marks a run as being stopped and returns the number of the order.
+func (a *Accountant) Stop(r *Run, cause string) int64 {
+	r.State, r.StopCause = Stopping, cause
+	r.VM.OrderSeq++
+	return r.VM.OrderSeq
+}
+
+// Unwanted returns the runs that should be stopped: their job has ended or their
+// task is done.
+func (a *Accountant) Unwanted() []*Run {
+	var found []*Run
+	for _, vm := range a.VMs {
+		for _, r := range vm.Runs {
+			if r.State != Stopping && r.unwanted() {
+				found = append(found, r)
+			}
+		}
+	}
+	return found
+}
+
+func (r *Run) unwanted() bool {
+	t := r.Task
+	if t.Done || t.Step.Occurrence.Job.State.Final() {
+		return true
+	}
+	// Two runs of one task are seen when a VM comes back with a run that was
+	// given up: the first one stays.
+	return !t.Step.Spec.Copies && len(t.Runs) > 1 && t.Runs[0] != r
+}
+
+// End is how a run ended.
+type End string
+
+// Ways in which a run ends.
+const (
+	EndDone    End = "done"
+	EndFailed  End = "failed"  // by its own fault or the worker's
+	EndStopped End = "stopped" // by an order
+	EndLapsed  End = "lapsed"  // its lease ran out
+	EndBroken  End = "broken"  // another member of its gang ended
+	EndAlone   End = "alone"   // the other members of its gang did not come
+	EndLost    End = "lost"    // the VM or the worker lost it without a word
+)
+
+// EndRun applies the end of a run that the accountant may or may not know.
+func (a *Accountant) EndRun(vm *VM, key RunKey, how End, checkpoint string, now time.Time) {
+	r := vm.Runs[key]
+	t := a.Find(key.Task)
+	if r != nil {
+		a.unbook(r, now)
+		t = r.Task
+	}
+	if t == nil {
+		return
+	}
+	t.LastNumber = max(t.LastNumber, key.Number)
+	if checkpoint != "" && t.Step.Spec.Checkpoints {
+		t.Checkpoint = checkpoint
+	}
+	switch how {
+	case EndDone:
+		delete(vm.Health.Failed, key.Task)
+		vm.noteGood()
+		a.taskDone(t, now)
+	case EndFailed:
+		vm.noteFailed(key.Task, now)
+		t.shun(vm.Name)
+		a.taskFailed(t, now)
+	case EndStopped, EndLapsed, EndBroken, EndAlone, EndLost:
+	}
+}
+
+func (t *Task) shun(vm string) {
+	if t.Shunned == nil {
+		t.Shunned = make(map[string]bool)
+	}
+	t.Shunned[vm] = true
+}
+
+// Lose gives up all runs of a VM: its worker has begun another life, or its
+// leases have surely run out. The tasks wait again, from their last checkpoint.
+func (a *Accountant) Lose(vm *VM, now time.Time) []*Run {
+	var lost []*Run
+	for _, r := range vm.Runs {
+		lost = append(lost, r)
+	}
+	for _, r := range lost {
+		a.loseRun(r, now)
+	}
+	return lost
+}
+
+func (a *Accountant) loseRun(r *Run, now time.Time) {
+	if r.Checkpoint != "" && r.Task.Step.Spec.Checkpoints {
+		r.Task.Checkpoint = r.Checkpoint
+	}
+	a.unbook(r, now)
+}
+
+// adopt books a run that a worker has and this owner did not order.
+func (a *Accountant) adopt(vm *VM, t *Task, number int64, now time.Time) *Run {
+	r := &Run{
+		Task: t, Number: number, VM: vm, State: Running, OrderedAt: now, StartedAt: now,
+		Percent: fullPace, WantPct: fullPace, MovedAt: now,
+	}
+	a.book(r)
+	return r
+}
+
+// taskOrStray returns the task of a run that a worker has. A run of a job that
+// has ended or is not known gets a task of its own, so that its room counts
+// until it is stopped.
+func (a *Accountant) taskOrStray(id specifier.TaskID, needs specifier.Resources) *Task {
+	if t := a.Find(id); t != nil {
+		return t
+	}
+	spec := specifier.Job{ID: id.Job, Steps: []specifier.Step{{Count: 1, Needs: needs}}}
+	j := &Job{Spec: &spec, State: JobCancelled, StoredState: JobCancelled}
+	o := &Occurrence{Job: j, Number: id.Occurrence}
+	s := &Step{Occurrence: o, Number: id.Step, Spec: &spec.Steps[0]}
+	t := &Task{Step: s, Index: id.Index}
+	s.Tasks = []*Task{t}
+	o.Steps = []*Step{s}
+	return t
+}
--- /dev/null
+++ b/internal/job/accountant/state.go
@@ -0,0 +1,223 @@
+// Package accountant keeps the state of a cell's jobs: which tasks wait, run and
+// are done, and what each VM has committed. It imports no clock, network or
+// store: events go in with their time, and decisions read the state. It is used
+// by one goroutine.
+package accountant
+
+import (
+	"time"
+
+	"bamboospread/internal/job/specifier"
+)
+
+// RunState is the state of a run as far as the owner knows.
+type RunState int
+
+// States of a run.
+const (
+	Ordered  RunState = iota // the agent was told to start it and has not confirmed
+	Running                  // the worker has it
+	Stopping                 // the agent was told to stop it; its room is still taken
+)
+
+func (s RunState) String() string { return [...]string{"ordered", "running", "stopping"}[s] }
+
+// Run is one start of a task on a VM.
+type Run struct {
+	Task       *Task
+	Number     int64 // rises with each start of the task
+	VM         *VM
+	State      RunState
+	Order      int64 // number of the order that started it, 0 for one that was adopted
+	OrderedAt  time.Time
+	StartedAt  time.Time // when it was first seen running
+	Percent    int       // of full speed, as last reported
+	WantPct    int       // of full speed, as last ordered
+	Measure    int64     // tail latency in ms for a lasting task with a target, else thousandths of a core in use
+	StopCause  string
+	Checkpoint string    // latest reported
+	MovedAt    time.Time // when the checkpoint last changed
+}
+
+// Key is the name of the run in reports.
+func (r *Run) Key() RunKey { return RunKey{r.Task.ID(), r.Number} }
+
+// Step returns the step that the run belongs to.
+func (r *Run) Step() *Step { return r.Task.Step }
+
+// RunKey names a run.
+type RunKey struct {
+	Task   specifier.TaskID
+	Number int64
+}
+
+// Task is one task of a step.
+type Task struct {
+	Step       *Step
+	Index      int
+	Done       bool
+	Failures   int    // runs that ended failed
+	LastNumber int64  // of its latest run
+	Checkpoint string // to resume from
+	Runs       []*Run // live ones; more than one only where copies are allowed
+	WaitSince  time.Time
+	NotBefore  time.Time       // after a failure
+	Shunned    map[string]bool // VMs on which a run of it failed or was refused
+}
+
+// ID returns the name of the task.
+func (t *Task) ID() specifier.TaskID {
+	return specifier.TaskID{Job: t.Step.Occurrence.Job.Spec.ID, Occurrence: t.Step.Occurrence.Number, Step: t.Step.Number, Index: t.Index}
+}
+
+// Step is a step of one occurrence of a job.
+type Step struct {
+	Occurrence *Occurrence
+	Number     int
+	Spec       *specifier.Step
+	Tasks      []*Task
+	Done       int // tasks that are done
+	ReadyAt    time.Time
+}
+
+// Finished tells whether all tasks are done.
+func (s *Step) Finished() bool { return s.Done == len(s.Tasks) }
+
+// Ready tells whether the steps before it are finished.
+func (s *Step) Ready() bool {
+	for _, a := range s.Spec.After {
+		if !s.Occurrence.Steps[a].Finished() {
+			return false
+		}
+	}
+	return true
+}
+
+// Occurrence is one time that a job's steps run.
+type Occurrence struct {
+	Job    *Job
+	Number int
+	DueAt  time.Time
+	Steps  []*Step
+}
+
+// Finished tells whether all steps are finished.
+func (o *Occurrence) Finished() bool {
+	for _, s := range o.Steps {
+		if !s.Finished() {
+			return false
+		}
+	}
+	return true
+}
+
+// JobState is what callers are told of a job.
+type JobState string
+
+// States of a job.
+const (
+	JobQueued    JobState = "queued" // no task has started
+	JobRunning   JobState = "running"
+	JobDone      JobState = "done"
+	JobFailed    JobState = "failed"
+	JobCancelled JobState = "cancelled"
+)
+
+// Final tells whether the state is the last one.
+func (s JobState) Final() bool { return s == JobDone || s == JobFailed || s == JobCancelled }
+
+// Job is an accepted job.
+type Job struct {
+	Spec        *specifier.Job
+	Queue       specifier.Queue // as of the newest policy that had it
+	Occurrences []*Occurrence   // the due ones that are not finished
+	Next        int             // next occurrence to become due
+	Finished    int             // occurrences that are finished
+	Started     bool            // a task of it has started
+	State       JobState
+	StoredState JobState // as the store has it; callers are told no later one
+	EndedAt     time.Time
+	Inherited   bool // accepted before this process owned the cell: an earlier owner may have started tasks of it
+	dirty       bool // the store has less than this state
+	flight      bool // a write of it is on its way
+}
+
+// VM is a VM with its worker.
+type VM struct {
+	Name      string
+	Zone      string
+	Rack      string
+	Labels    map[string]bool
+	Service   string
+	Capacity  specifier.Resources
+	Life      string // of the worker; another life knows nothing of before
+	Ready     bool   // takes new tasks, as its worker says
+	Attached  bool   // its agent has a session and has told what runs
+	OrderSeq  int64  // orders sent in this session
+	EndSeen   int64  // ends of this life that were applied
+	EndStored int64  // ends of this life that the store has
+	Committed specifier.Resources
+	FillCPU   int64 // thousandths of a core that filling tasks would use
+	Lasting   int   // lasting tasks on it
+	Runs      map[RunKey]*Run
+	// GrantedAt is when the last report was answered: the agent may keep its
+	// tasks running for a grant from then on.
+	GrantedAt time.Time
+	Harm      Harm
+	Health    Health
+}
+
+// Harm is how long lasting tasks of a VM have been over their targets.
+type Harm struct {
+	OverSince  time.Time // zero: none is over
+	UnderSince time.Time // zero: one is over
+	Percent    int       // pace of the filling tasks in force; 0 means stopped
+	ChangedAt  time.Time
+}
+
+// Health is the evidence on a VM's worker.
+type Health struct {
+	Failed       map[specifier.TaskID]time.Time // tasks that failed on it since it last did one well
+	QuarantineTo time.Time
+	Times        int // quarantines in a row
+}
+
+// Accountant is the state of a cell.
+type Accountant struct {
+	Jobs   map[string]*Job
+	VMs    map[string]*VM
+	policy *specifier.Policy
+	floor  int64 // run numbers of this owner are above it
+}
+
+// Config holds the settings of an Accountant.
+type Config struct {
+	// RunFloor is below every run number that this owner gives out, and not below
+	// any that an earlier owner gave out: numbers must rise over a task's life,
+	// while the last numbers of an earlier owner may be known to nobody.
+	RunFloor int64
+	Policy   *specifier.Policy
+}
+
+// New returns an empty Accountant.
+func New(c Config) *Accountant {
+	p := c.Policy
+	if p == nil {
+		p = &specifier.Policy{}
+	}
+	return &Accountant{Jobs: make(map[string]*Job), VMs: make(map[string]*VM), policy: p, floor: c.RunFloor}
+}
+
+// Policy returns the policy in force.
+func (a *Accountant) Policy() *specifier.Policy { return a.policy }
+
+// SetPolicy puts a newer policy in force. A job whose queue is gone keeps the
+// last settings of its queue.
+func (a *Accountant) SetPolicy(p *specifier.Policy) {
+	a.policy = p
+	for _, j := range a.Jobs {
+		if q, ok := p.QueueByName(j.Spec.Queue); ok {
+			j.Queue = q
+		}
+	}
+}
--- /dev/null
+++ b/internal/job/planner/planner.go
@@ -0,0 +1,188 @@
+// Package planner decides which task starts on which VM. It is pure: it reads
+// the accountant's state and the time passed in, and changes nothing.
+package planner
+
+import (
+	"sort"
+	"time"
+
+	"bamboospread/internal/job/accountant"
+	"bamboospread/internal/job/specifier"
+)
+
+// Limits of placement.
+const (
+	// fillShare is how many processors filling tasks may ask for, as a multiple of
+	// those that a VM has left. They use what is idle, and declared sizes are
+	// peaks, so some more than what is left keeps it busy.
+	fillShare = 2.0
+	// lateFactor is how many objectives after its acceptance a job is worth
+	// nothing more to its caller.
+	lateFactor = 3
+	// maxStarts bounds one round, so that a large burst does not hold up reports.
+	maxStarts = 64
+)
+
+// Start is a task to be started on a VM.
+type Start struct {
+	Task   *accountant.Task
+	VM     *accountant.VM
+	Number int64 // of the run
+}
+
+// Input is what a round of planning reads.
+type Input struct {
+	Now   time.Time
+	State *accountant.Accountant
+}
+
+// room is what a VM has left during a round.
+type room struct {
+	vm      *accountant.VM
+	free    specifier.Resources
+	fillCPU int64
+	lasting int
+	placed  int // in this round
+}
+
+type round struct {
+	now   time.Time
+	state *accountant.Accountant
+	rooms []*room
+}
+
+// Plan returns the starts of one round, most urgent first.
+func Plan(in Input) []Start {
+	r := &round{now: in.Now, state: in.State}
+	for _, vm := range in.State.VMs {
+		if usable(vm, in) {
+			r.rooms = append(r.rooms, &room{
+				vm: vm, free: vm.Capacity.Sub(vm.Committed), fillCPU: vm.FillCPU, lasting: vm.Lasting,
+			})
+		}
+	}
+	sort.Slice(r.rooms, func(i, j int) bool { return r.rooms[i].vm.Name < r.rooms[j].vm.Name })
+	var starts []Start
+	for _, s := range order(in.State.WaitingSteps(in.Now), in.Now) {
+		if len(starts) >= maxStarts {
+			break
+		}
+		starts = append(starts, r.placeStep(s)...)
+	}
+	return starts
+}
+
+// usable tells whether anything may start on a VM at all.
+func usable(vm *accountant.VM, in Input) bool {
+	return vm.Attached && vm.Ready && !vm.Quarantined(in.Now) && !in.State.Policy().ZonesOut[vm.Zone]
+}
+
+func (r *round) placeStep(s *accountant.Step) []Start {
+	if s.Spec.Gang {
+		return r.placeGang(s)
+	}
+	count := perVM(s)
+	var starts []Start
+	for _, t := range s.Tasks {
+		if !t.Waits(r.now) {
+			continue
+		}
+		best := r.choose(s, t, count)
+		if best == nil {
+			// Tasks of a step are equal, so the others fit nowhere either, but for
+			// a task that only avoids VMs where it failed.
+			if len(t.Shunned) == 0 {
+				break
+			}
+			continue
+		}
+		best.take(s.Spec)
+		count[best.vm]++
+		starts = append(starts, Start{Task: t, VM: best.vm, Number: r.state.NextNumber(t)})
+	}
+	return starts
+}
+
+// placeGang places all tasks of a gang or none: a part of it would only wait.
+func (r *round) placeGang(s *accountant.Step) []Start {
+	saved := make([]room, len(r.rooms))
+	for i, m := range r.rooms {
+		saved[i] = *m
+	}
+	number := r.state.GangNumber(s)
+	count := perVM(s)
+	var starts []Start
+	for _, t := range s.Tasks {
+		best := (*room)(nil)
+		if t.Waits(r.now) {
+			best = r.choose(s, t, count)
+		}
+		if best == nil { // no room, or a member of an earlier run is not gone yet
+			for i, m := range r.rooms {
+				*m = saved[i]
+			}
+			return nil
+		}
+		best.take(s.Spec)
+		count[best.vm]++
+		starts = append(starts, Start{Task: t, VM: best.vm, Number: number})
+	}
+	return starts
+}
+
+// perVM counts the live runs of a step on each VM.
+func perVM(s *accountant.Step) map[*accountant.VM]int {
+	count := make(map[*accountant.VM]int)
+	for _, t := range s.Tasks {
+		for _, run := range t.Runs {
+			count[run.VM]++
+		}
+	}
+	return count
+}
+
+func (m *room) take(s *specifier.Step) {
+	m.free = m.free.Sub(s.Committed())
+	if s.Fills {
+		m.fillCPU += s.Needs.CPUMillis
+	}
+	if s.Lasting {
+		m.lasting++
+	}
+	m.placed++
+}
+
+// choose returns the best VM for a task, or nil. VMs on which it failed come
+// last.
+func (r *round) choose(s *accountant.Step, t *accountant.Task, count map[*accountant.VM]int) *room {
+	var best *room
+	var bestScore score
+	for _, m := range r.rooms {
+		if !m.admits(s, count[m.vm]) {
+			continue
+		}
+		sc := rate(m, s, t, count[m.vm])
+		if best == nil || sc.above(bestScore) {
+			best, bestScore = m, sc
+		}
+	}
+	return best
+}
+
+func (m *room) admits(s *accountant.Step, running int) bool {
+	spec := s.Spec
+	switch {
+	case m.vm.Service != s.Occurrence.Job.Queue.Service,
+		spec.Label != "" && !m.vm.Labels[spec.Label],
+		spec.MaxPerVM > 0 && running >= spec.MaxPerVM,
+		!m.free.Fits(spec.Committed()):
+		return false
+	case m.vm.Health.Times > 0 && len(m.vm.Runs)+m.placed > 0:
+		return false // one task at a time shows whether the worker is sound again
+	}
+	if !spec.Fills {
+		return true
+	}
+	left := float64(m.free.CPUMillis) * fillShare
+	return m.fillCPU == 0 && left > 0 || float64(m.fillCPU+spec.Needs.CPUMillis) <= left
+}
--- /dev/null
+++ b/internal/job/receiver/receiver.go
@@ -0,0 +1,204 @@
+// Package receiver is the entry's side of jobs: it accepts submissions and
+// cancellations by storing them, and tells callers the state of their jobs.
+package receiver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"bamboospread/internal/job/accountant"
+	"bamboospread/internal/job/scheduler"
+	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/kernel/pauser"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/store/keeper"
+	"bamboospread/internal/wire/messenger"
+)
+
+// Lengths.
+const (
+	settlePause = 50 * time.Millisecond // between repeats of a write whose answer was lost
+	// retryAfter is told to callers while the store cannot be written: outages last
+	// seconds, and callers give up after three.
+	retryAfter = time.Second
+	// staleAfter is how old the last contact with the store may be before a write
+	// is not even tried. The policy is read once a second.
+	staleAfter = 2500 * time.Millisecond
+)
+
+// Outcome is what became of a caller's request.
+type Outcome int
+
+// Outcomes.
+const (
+	Accepted  Outcome = iota // stored, now or by an earlier submission
+	Refused                  // surely not stored, and never will be by this request
+	Unsettled                // not known; the caller may ask again with the same id
+	NotExist                 // there is no such job
+)
+
+// Result is the answer to a caller.
+type Result struct {
+	Outcome    Outcome
+	State      accountant.JobState // of a question
+	Reason     string              // of a refusal
+	RetryAfter time.Duration       // of a refusal
+}
+
+// Config holds the settings of a Receiver.
+type Config struct {
+	Store     keeper.Calls
+	StoreAge  func() time.Duration // since the last contact with the store
+	CallOwner func(ctx context.Context, method string, params, result any) error
+	Now       func() time.Time
+	Reporter  *reporter.Reporter
+}
+
+// Receiver answers callers. It is safe for concurrent use.
+type Receiver struct{ config Config }
+
+// New returns a Receiver.
+func New(c Config) *Receiver { return &Receiver{config: c} }
+
+// Submit stores a checked job. A repeat of a stored one is accepted.
+func (r *Receiver) Submit(ctx context.Context, j *specifier.Job) Result {
+	j.AcceptedMillis = r.config.Now().UnixMilli()
+	value, err := json.Marshal(j)
+	if err != nil {
+		return r.refuse(j.ID, fmt.Sprintf("encode job: %v", err))
+	}
+	res := r.store(ctx, scheduler.JobKey(j.ID), value)
+	switch res.Outcome {
+	case Accepted:
+		r.config.Reporter.Report(reporter.JobAccepted, reporter.Fields{"job": j.ID, "queue": j.Queue, "steps": len(j.Steps), "store-age": r.config.StoreAge().String()})
+	case Unsettled:
+		r.config.Reporter.Report(reporter.JobUnsettled, reporter.Fields{"job": j.ID, "reason": res.Reason})
+	case Refused, NotExist:
+		return r.refuse(j.ID, res.Reason)
+	}
+	return res
+}
+
+func (r *Receiver) refuse(id, reason string) Result {
+	r.config.Reporter.Report(reporter.JobRefused, reporter.Fields{"job": id, "reason": reason, "store-age": r.config.StoreAge().String()})
+	return Result{Outcome: Refused, Reason: reason, RetryAfter: retryAfter}
+}
+
+// store creates a record once. A write whose answer was lost is repeated under
+// the same condition: at most one of the repeats counts, and a conflict proves
+// that the record stands.
+func (r *Receiver) store(ctx context.Context, key string, value []byte) Result {
+	if r.config.StoreAge() > staleAfter {
+		return Result{Outcome: Refused, Reason: "store not reached"}
+	}
+	t := keeper.Transaction{Expect: []keeper.Expectation{{Key: key}}, Puts: []keeper.Put{{Key: key, Value: value}}}
+	doubt := false
+	for {
+		revision, err := r.config.Store.Transact(ctx, t)
+		switch {
+		case err == nil:
+			r.hint(ctx, key, value, revision)
+			return Result{Outcome: Accepted}
+		case keeper.IsErrConflict(err):
+			return Result{Outcome: Accepted, Reason: "known"}
+		case keeper.IsErrOutcomeUnknown(err):
+			doubt = true
+		case !doubt:
+			return Result{Outcome: Refused, Reason: err.Error()}
+		}
+		if pauser.Pause(ctx, settlePause) != nil {
+			return Result{Outcome: Unsettled, Reason: err.Error()}
+		}
+	}
+}
+
+// hint tells the owner of a new record. It does not hold the caller's answer up,
+// and the owner's watch makes up for a hint that is lost.
+func (r *Receiver) hint(ctx context.Context, key string, value []byte, revision int64) {
+	go func() {
+		h := messenger.WorkHint{Key: key, Value: value, Revision: revision}
+		if err := r.config.CallOwner(context.WithoutCancel(ctx), messenger.MethodWorkHint, h, nil); err != nil {
+			r.config.Reporter.Report(reporter.OwnerUnreachable, reporter.Fields{"key": key, "error": err.Error()})
+		}
+	}()
+}
+
+// State tells the state of a job.
+func (r *Receiver) State(ctx context.Context, id string) Result {
+	var a messenger.WorkStateReply
+	err := r.config.CallOwner(ctx, messenger.MethodWorkState, messenger.WorkStateRequest{Job: id}, &a)
+	if err == nil && a.Known {
+		return Result{Outcome: Accepted, State: accountant.JobState(a.State)}
+	}
+	res, storeErr := r.stored(ctx, id)
+	if storeErr != nil {
+		r.config.Reporter.Report(reporter.JobAnswerFailed, reporter.Fields{"job": id, "owner-error": fmt.Sprint(err), "store-error": storeErr.Error()})
+		return Result{Outcome: Refused, Reason: "state not known now", RetryAfter: retryAfter}
+	}
+	return res
+}
+
+// stored tells the state of a job as the store has it.
+func (r *Receiver) stored(ctx context.Context, id string) (Result, error) {
+	if _, err := r.config.Store.GetRecord(ctx, scheduler.JobKey(id)); err != nil {
+		if keeper.IsErrKeyNotExist(err) {
+			return Result{Outcome: NotExist}, nil
+		}
+		return Result{}, err
+	}
+	record, err := r.config.Store.GetRecord(ctx, scheduler.ProgressKey(id))
+	state := accountant.JobQueued
+	switch {
+	case keeper.IsErrKeyNotExist(err):
+	case err != nil:
+		return Result{}, err
+	default:
+		var p accountant.Record
+		if err := json.Unmarshal(record.Value, &p); err != nil {
+			return Result{}, fmt.Errorf("decode progress of job %s: %w", id, err)
+		}
+		state = p.State
+	}
+	if state.Final() {
+		return Result{Outcome: Accepted, State: state}, nil
+	}
+	switch _, err := r.config.Store.GetRecord(ctx, scheduler.CancelKey(id)); {
+	case err == nil:
+		state = accountant.JobCancelled
+	case !keeper.IsErrKeyNotExist(err):
+		return Result{}, err
+	}
+	return Result{Outcome: Accepted, State: state}, nil
+}
+
+// Cancel stores that a job is cancelled.
+func (r *Receiver) Cancel(ctx context.Context, id string) Result {
+	if _, err := r.config.Store.GetRecord(ctx, scheduler.JobKey(id)); err != nil {
+		if keeper.IsErrKeyNotExist(err) {
+			return Result{Outcome: NotExist}
+		}
+		return r.refuse(id, err.Error())
+	}
+	value, err := json.Marshal(r.config.Now().UnixMilli())
+	if err != nil {
+		return r.refuse(id, err.Error())
+	}
+	res := r.store(ctx, scheduler.CancelKey(id), value)
+	switch res.Outcome {
+	case Accepted:
+		r.config.Reporter.Report(reporter.JobCancelAccepted, reporter.Fields{"job": id})
+	case Refused, Unsettled, NotExist:
+		r.config.Reporter.Report(reporter.JobAnswerFailed, reporter.Fields{"job": id, "store-error": res.Reason})
+		res.RetryAfter = retryAfter
+	}
+	return res
+}
+
+// Pending counts the jobs of a queue that have not started.
+func (r *Receiver) Pending(ctx context.Context, queue string) (int, error) {
+	var a messenger.WorkPendingReply
+	err := r.config.CallOwner(ctx, messenger.MethodWorkPending, messenger.WorkPendingRequest{Queue: queue}, &a)
+	return a.Pending, err
+}
--- /dev/null
+++ b/internal/job/scheduler/flush.go
@@ -0,0 +1,140 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"bamboospread/internal/job/accountant"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/store/keeper"
+)
+
+// flushPuts is how many records go with one transaction; the fence takes one entry.
+const flushPuts = keeper.MaxTransactionEntries - 2
+
+// flush writes the progress of jobs that changed, one write at a time: what
+// changes meanwhile goes with the next, so writes grow with time and not with ends.
+func (o *owner) flush(ctx context.Context) {
+	if o.flushing {
+		return
+	}
+	f := o.state.BeginFlush()
+	if f.Empty() && len(o.removals) == 0 {
+		return
+	}
+	o.flushing = true
+	e := &flushed{flush: f, states: make(map[string]accountant.JobState)}
+	var t []keeper.Put
+	for _, j := range f.Jobs {
+		value, err := j.Encode()
+		if err != nil {
+			o.s.config.Reporter.Report(reporter.ProgressNotStored, reporter.Fields{"job": j.Spec.ID, "error": err.Error()})
+			continue
+		}
+		e.states[j.Spec.ID] = j.State
+		t = append(t, keeper.Put{Key: ProgressKey(j.Spec.ID), Value: value})
+	}
+	e.removals, o.removals = o.removals, nil
+	sentAt := o.s.config.Now()
+	go func() {
+		e.err = o.write(ctx, t, e.removals)
+		e.took = o.s.config.Now().Sub(sentAt)
+		// The loop has ended if it cannot be told; the next owner reads the store.
+		_ = o.send(context.WithoutCancel(ctx), e)
+	}()
+}
+
+// write makes one transaction for each so many records. All are under the fence, so
+// an owner that was replaced writes nothing.
+func (o *owner) write(ctx context.Context, puts []keeper.Put, removes []string) error {
+	for len(puts)+len(removes) > 0 {
+		t := keeper.Transaction{Expect: []keeper.Expectation{o.fence}}
+		n := min(len(puts), flushPuts)
+		t.Puts, puts = puts[:n], puts[n:]
+		n = min(len(removes), flushPuts-n)
+		t.Removes, removes = removes[:n], removes[n:]
+		if _, err := o.s.config.Store.Transact(ctx, t); err != nil {
+			return fmt.Errorf("store progress: %w", err)
+		}
+	}
+	return nil
+}
+
+type flushed struct {
+	flush    *accountant.Flush
+	states   map[string]accountant.JobState
+	removals []string
+	took     time.Duration
+	err      error
+}
+
+func (e *flushed) apply(o *owner, _ time.Time) {
+	o.flushing = false
+	o.state.EndFlush(e.flush, e.states, e.err)
+	if e.err != nil {
+		// Writing the same records again is harmless: nobody else writes them.
+		o.removals = append(o.removals, e.removals...)
+		o.s.config.Reporter.Report(reporter.ProgressNotStored, reporter.Fields{"jobs": len(e.flush.Jobs), "error": e.err.Error()})
+		return
+	}
+	o.s.config.Meters.flushed(e.took)
+	o.s.config.Reporter.Report(reporter.ProgressStored, reporter.Fields{"jobs": len(e.flush.Jobs), "took": e.took.String()})
+}
+
+// storeMembers adds the VMs that wait to join.
+func (o *owner) storeMembers(ctx context.Context) {
+	if o.storing || len(o.joining) == 0 {
+		return
+	}
+	o.storing = true
+	e := &membersStored{}
+	for n := range o.members {
+		if !o.unheard[n] || o.s.config.Now().Sub(o.started) < memberLife {
+			e.names = append(e.names, n)
+		}
+	}
+	for n := range o.joining {
+		e.names = append(e.names, n)
+	}
+	sort.Strings(e.names)
+	o.joining = make(map[string]bool)
+	go func() {
+		e.revision, e.err = o.writeMembers(ctx, e.names)
+		_ = o.send(context.WithoutCancel(ctx), e) // the loop has ended if it cannot be told
+	}()
+}
+
+func (o *owner) writeMembers(ctx context.Context, names []string) (int64, error) {
+	value, err := json.Marshal(names)
+	if err != nil {
+		return 0, fmt.Errorf("encode members: %w", err)
+	}
+	return o.s.config.Store.Transact(ctx, keeper.Transaction{
+		Expect: []keeper.Expectation{o.fence},
+		Puts:   []keeper.Put{{Key: o.s.membersKey(), Value: value}},
+	})
+}
+
+type membersStored struct {
+	names    []string
+	revision int64
+	err      error
+}
+
+func (e *membersStored) apply(o *owner, _ time.Time) {
+	o.storing = false
+	if e.err != nil {
+		// The agents ask to join again with their next reports.
+		o.s.config.Reporter.Report(reporter.ProgressNotStored, reporter.Fields{"members": len(e.names), "error": e.err.Error()})
+		return
+	}
+	o.members = make(map[string]bool, len(e.names))
+	for _, n := range e.names {
+		o.members[n] = true
+	}
+	o.membersRev = e.revision
+	o.dirty = true
+}
--- /dev/null
+++ b/internal/job/scheduler/meters.go
@@ -0,0 +1,45 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"bamboospread/internal/job/accountant"
+)
+
+// Meters count what an owner decides. A nil Meters counts nothing.
+type Meters struct{ set *metrics.Set }
+
+// NewMeters returns meters that write to set.
+func NewMeters(set *metrics.Set) *Meters { return &Meters{set: set} }
+
+func (m *Meters) runEnded(how accountant.End) {
+	if m != nil {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`bamboospread_job_runs_ended_total{how=%q}`, how)).Inc()
+	}
+}
+
+func (m *Meters) started(r *accountant.Run, now time.Time) {
+	if m == nil {
+		return
+	}
+	queue := r.Step().Occurrence.Job.Spec.Queue
+	m.set.GetOrCreateCounter(fmt.Sprintf(`bamboospread_job_starts_total{queue=%q}`, queue)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`bamboospread_job_wait_seconds{queue=%q}`, queue)).Update(now.Sub(r.Task.WaitSince).Seconds())
+}
+
+func (m *Meters) jobEnded(j *accountant.Job, now time.Time) {
+	if m == nil {
+		return
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`bamboospread_jobs_ended_total{queue=%q,state=%q}`, j.Spec.Queue, j.State)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`bamboospread_job_turnaround_seconds{queue=%q}`, j.Spec.Queue)).Update(now.Sub(j.Spec.Due(0)).Seconds())
+}
+
+func (m *Meters) flushed(took time.Duration) {
+	if m != nil {
+		m.set.GetOrCreateHistogram("bamboospread_job_progress_write_seconds").Update(took.Seconds())
+	}
+}
--- /dev/null
+++ b/internal/job/scheduler/owner.go
@@ -0,0 +1,296 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"bamboospread/internal/job/accountant"
+	"bamboospread/internal/job/planner"
+	"bamboospread/internal/kernel/pauser"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/store/keeper"
+)
+
+// Lengths of the owner's work.
+const (
+	// tick bounds how late the owner sees what no event tells it: times that have
+	// come, agents that went silent, lasting tasks over their targets.
+	tick = 150 * time.Millisecond
+	// silence is how long an agent may send no report before nothing more is given
+	// to it. Agents report twice a second.
+	silence = 1500 * time.Millisecond
+	// keepEnded is how long an ended job is known. Callers ask for two minutes;
+	// late repeats of a submission come within seconds.
+	keepEnded = 10 * time.Minute
+	// memberLife is how long a VM that is not heard is waited for after a change of
+	// owner; far above a grant, so that nothing can run there when it is dropped.
+	memberLife  = time.Minute
+	eventBuffer = 256
+)
+
+var errCellLost = errors.New("lease of the cell ran out")
+
+// event is something that the owner's loop takes in.
+type event interface{ apply(o *owner, now time.Time) }
+
+// owner is one ownership of the cell. Only its loop touches the fields below
+// events.
+type owner struct {
+	s       *Scheduler
+	epoch   int64
+	fence   keeper.Expectation
+	started time.Time
+	events  chan event
+	done    chan struct{} // closed when the loop has ended
+
+	state      *accountant.Accountant
+	sessions   map[string]*session // by VM
+	cancelled  map[string]bool     // cancellations that came before their job
+	members    map[string]bool     // VMs that the store has as members
+	joining    map[string]bool     // VMs to be stored as members
+	unheard    map[string]bool     // members that have not reported to this owner
+	membersRev int64
+	storing    bool // a write of the members is on its way
+	settled    bool
+	followFrom int64
+	flushing   bool
+	removals   []string // keys of forgotten jobs
+	dirty      bool     // something changed that placement depends on
+	forgetAt   time.Time
+}
+
+func newOwner(s *Scheduler, epoch int64, state *accountant.Accountant, now time.Time) *owner {
+	return &owner{
+		s: s, epoch: epoch, started: now, state: state, events: make(chan event, eventBuffer), done: make(chan struct{}),
+		sessions: make(map[string]*session), cancelled: make(map[string]bool), members: make(map[string]bool),
+		joining: make(map[string]bool), unheard: make(map[string]bool), dirty: true, forgetAt: now.Add(memberLife),
+	}
+}
+
+// send hands an event to the loop.
+func (o *owner) send(ctx context.Context, e event) error {
+	select {
+	case o.events <- e:
+		return nil
+	case <-o.done:
+		return errCellLost
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// run works until ctx or the ownership ends.
+func (o *owner) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	followed := make(chan struct{})
+	go func() {
+		defer close(followed)
+		o.follow(ctx)
+	}()
+	defer func() {
+		cancel()
+		close(o.done)
+		<-followed
+		o.closeSessions()
+	}()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case e := <-o.events:
+			now := o.s.config.Now()
+			e.apply(o, now)
+			o.drain(now)
+		case <-ticker.C:
+			o.dirty = true
+		}
+		if !o.s.elector.Held() {
+			return errCellLost
+		}
+		o.act(ctx, o.s.config.Now())
+	}
+}
+
+// drain applies the events that wait, so that one round of decisions serves all.
+func (o *owner) drain(now time.Time) {
+	for range eventBuffer {
+		select {
+		case e := <-o.events:
+			e.apply(o, now)
+		default:
+			return
+		}
+	}
+}
+
+// act decides and sends what follows from the state.
+func (o *owner) act(ctx context.Context, now time.Time) {
+	if o.dirty {
+		o.dirty = false
+		if p := o.s.config.Policy(); p != o.state.Policy() {
+			o.state.SetPolicy(p)
+		}
+		o.state.OpenDue(now)
+		o.watchVMs(now)
+		o.settle(now)
+		o.stopUnwanted()
+		o.startWaiting(now)
+		o.pace(now)
+		o.forget(now)
+	}
+	o.storeMembers(ctx)
+	o.flush(ctx)
+	o.sendOrders()
+}
+
+// watchVMs detaches VMs that are not heard and gives up what ran there once its
+// leases have surely run out.
+func (o *owner) watchVMs(now time.Time) {
+	for _, vm := range o.state.VMs {
+		quiet := now.Sub(vm.GrantedAt)
+		if vm.Attached && quiet > silence {
+			o.state.Detach(vm)
+			o.s.config.Reporter.Report(reporter.VMDetached, reporter.Fields{"vm": vm.Name, "quiet": quiet.String(), "runs": len(vm.Runs)})
+		}
+		if !vm.Attached && len(vm.Runs) > 0 && quiet > o.leaseOver() {
+			o.reportLost(vm, o.state.Lose(vm, now), "leases ran out")
+		}
+	}
+}
+
+// leaseOver is how long after an agent was last granted anything its runs have
+// surely ended.
+func (o *owner) leaseOver() time.Duration {
+	g := o.s.config.Grant
+	return g + g/50 + grantSlack
+}
+
+func (o *owner) reportLost(vm *accountant.VM, lost []*accountant.Run, cause string) {
+	for _, r := range lost {
+		o.s.config.Reporter.Report(reporter.JobRunLost, reporter.Fields{"task": r.Key().Task.String(), "run": r.Number, "vm": vm.Name, "state": r.State.String(), "cause": cause})
+	}
+}
+
+// settle ends the wait for VMs that may run tasks of earlier owners. An earlier
+// owner may have granted until its own lease ended, which may be after this
+// ownership began if the store dropped the lease early.
+func (o *owner) settle(now time.Time) {
+	if o.settled {
+		return
+	}
+	over := now.Sub(o.started) > o.s.config.Lease+o.leaseOver()
+	if len(o.unheard) > 0 && !over {
+		return
+	}
+	o.settled = true
+	o.state.Settle()
+	o.s.config.Reporter.Report(reporter.CellSettled, reporter.Fields{"epoch": o.epoch, "unheard": len(o.unheard), "after": now.Sub(o.started).String()})
+}
+
+func (o *owner) stopUnwanted() {
+	for _, r := range o.state.Unwanted() {
+		o.orderStop(r, "job ended")
+	}
+}
+
+func (o *owner) startWaiting(now time.Time) {
+	for _, s := range planner.Plan(planner.Input{Now: now, State: o.state}) {
+		if sess := o.sessions[s.VM.Name]; sess != nil && o.members[s.VM.Name] {
+			o.orderStart(sess, s, now)
+		}
+	}
+}
+
+func (o *owner) pace(now time.Time) {
+	for _, p := range planner.Paces(planner.Input{Now: now, State: o.state}) {
+		o.orderPace(p)
+	}
+}
+
+func (o *owner) forget(now time.Time) {
+	if now.Before(o.forgetAt) {
+		return
+	}
+	o.forgetAt = now.Add(memberLife)
+	for _, id := range o.state.Forget(now.Add(-keepEnded)) {
+		o.removals = append(o.removals, JobKey(id), CancelKey(id), ProgressKey(id))
+		delete(o.cancelled, id)
+	}
+}
+
+// recordSeen is a record below WorkPrefix, from the watch or from an entry.
+type recordSeen struct{ record keeper.Record }
+
+func (e recordSeen) apply(o *owner, now time.Time) {
+	o.dirty = true
+	if id, ok := strings.CutPrefix(e.record.Key, cancelPrefix); ok {
+		if !o.cancelled[id] {
+			o.cancelled[id] = true
+			o.state.Cancel(id, now)
+			o.reportJob(id)
+		}
+		return
+	}
+	// Whether an earlier owner that still believes in its ownership has started
+	// tasks of a job that came before the cell settled cannot be told.
+	if o.takeJob(e.record, !o.settled, now) {
+		id := strings.TrimPrefix(e.record.Key, jobPrefix)
+		if o.cancelled[id] {
+			o.state.Cancel(id, now)
+		}
+	}
+}
+
+func (o *owner) reportJob(id string) {
+	if j := o.state.Jobs[id]; j != nil {
+		o.s.config.Reporter.Report(reporter.JobEnded, reporter.Fields{"job": id, "state": string(j.State), "queue": j.Spec.Queue})
+	}
+}
+
+const (
+	followWait  = 10 * time.Second
+	followPause = 200 * time.Millisecond
+)
+
+// follow watches the records that entries write. Entries also tell the owner
+// themselves; the watch brings what they could not.
+func (o *owner) follow(ctx context.Context) {
+	after := o.followFrom
+	for ctx.Err() == nil {
+		seen, err := o.s.config.Store.Watch(ctx, keeper.WatchOptions{Prefix: WorkPrefix, After: after, Wait: followWait})
+		switch {
+		case err == nil:
+			after = max(after, seen.Revision)
+			for _, c := range seen.Changes {
+				if !c.Deleted && o.send(ctx, recordSeen{c.Record}) != nil {
+					return
+				}
+			}
+		case keeper.IsErrHistoryNotExist(err):
+			after = o.listAgain(ctx, after)
+		default:
+			_ = pauser.Pause(ctx, followPause)
+		}
+	}
+}
+
+// listAgain reads all records after a gap in the history.
+func (o *owner) listAgain(ctx context.Context, after int64) int64 {
+	all, revision, err := o.s.findAll(ctx, WorkPrefix)
+	if err != nil {
+		o.s.config.Reporter.Report(reporter.StoreLost, reporter.Fields{"error": fmt.Sprint(err), "reader": "jobs"})
+		_ = pauser.Pause(ctx, followPause)
+		return after
+	}
+	for _, r := range all {
+		if o.send(ctx, recordSeen{r}) != nil {
+			return after
+		}
+	}
+	return revision
+}
--- /dev/null
+++ b/internal/job/scheduler/session.go
@@ -0,0 +1,254 @@
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bamboospread/internal/job/accountant"
+	"bamboospread/internal/job/planner"
+	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/wire/connector"
+	"bamboospread/internal/wire/messenger"
+)
+
+// ordersLimit is how long an agent may take to take orders. After it the session
+// is over and the agent opens another.
+const ordersLimit = time.Second
+
+// session is an agent's session with this owner.
+type session struct {
+	vm     *accountant.VM
+	number int64
+	conn   *connector.Conn
+	epoch  int64
+
+	queued  []messenger.WorkOrder // for the loop only
+	toldEnd int64
+
+	mu      sync.Mutex
+	outbox  []messenger.WorkOrders
+	sending bool
+}
+
+// reportMade is a report that waits for its answer.
+type reportMade struct {
+	conn   *connector.Conn
+	report messenger.WorkReport
+	facts  accountant.Facts
+	read   accountant.Report
+	answer chan messenger.WorkReply
+}
+
+// report takes an agent's report and answers once it is applied.
+func (o *owner) report(ctx context.Context, c *connector.Conn, r messenger.WorkReport) (messenger.WorkReply, error) {
+	read, facts, err := readReport(r)
+	if err != nil {
+		o.s.config.Reporter.Report(reporter.MessageMalformed, reporter.Fields{"vm": r.VM, "error": err.Error()})
+		return messenger.WorkReply{}, connector.Errorf(messenger.CodeBadRequest, "report of %s: %v", r.VM, err)
+	}
+	e := reportMade{conn: c, report: r, facts: facts, read: read, answer: make(chan messenger.WorkReply, 1)}
+	if err := o.send(ctx, e); err != nil {
+		return messenger.WorkReply{}, connector.Errorf(messenger.CodeNotOwner, "%v", err)
+	}
+	select {
+	case a := <-e.answer:
+		if a.Epoch == 0 {
+			return a, connector.Errorf(messenger.CodeBadRequest, "a later session of %s is open", r.VM)
+		}
+		return a, nil
+	case <-o.done:
+		return messenger.WorkReply{}, connector.Errorf(messenger.CodeNotOwner, "%v", errCellLost)
+	case <-ctx.Done():
+		return messenger.WorkReply{}, ctx.Err()
+	}
+}
+
+func (e reportMade) apply(o *owner, now time.Time) {
+	s := o.sessions[e.report.VM]
+	if s != nil && e.report.Session < s.number {
+		e.answer <- messenger.WorkReply{} // overtaken by a later session
+		return
+	}
+	reply := messenger.WorkReply{Epoch: o.epoch, Entries: o.s.peers.list()}
+	var changes accountant.Changes
+	if s == nil || s.conn != e.conn {
+		var vm *accountant.VM
+		vm, changes = o.state.Attach(e.facts, e.read, now)
+		s = &session{vm: vm, number: e.report.Session, conn: e.conn, epoch: o.epoch}
+		o.sessions[vm.Name] = s
+		reply.Needs = needsOf(vm)
+		o.dirty = true
+		o.s.config.Reporter.Report(reporter.VMAttached, reporter.Fields{"vm": vm.Name, "life": vm.Life, "runs": len(vm.Runs), "ready": vm.Ready})
+	} else {
+		o.dirty = o.dirty || s.vm.Ready != e.read.Ready || !s.vm.Attached
+		s.vm.Attached = true
+		changes = o.state.Apply(s.vm, e.read, now)
+	}
+	delete(o.unheard, s.vm.Name)
+	o.note(s.vm, changes, now)
+	o.dirty = o.dirty || changes.Any()
+	// A VM is granted nothing before the store has it as a member: the next owner
+	// must know whom to wait for.
+	if o.members[s.vm.Name] {
+		reply.GrantMillis = o.s.config.Grant.Milliseconds()
+	} else {
+		o.joining[s.vm.Name] = true
+	}
+	reply.EndsStored, s.toldEnd = s.vm.EndStored, s.vm.EndStored
+	e.answer <- reply
+}
+
+// note writes down what a report changed.
+func (o *owner) note(vm *accountant.VM, c accountant.Changes, now time.Time) {
+	for _, e := range c.Ended {
+		o.s.config.Meters.runEnded(e.How)
+		o.s.config.Reporter.Report(reporter.JobRunEnded, reporter.Fields{"task": e.Key.Task.String(), "run": e.Key.Number, "vm": vm.Name, "how": string(e.How), "end": e.Seq})
+		if j := o.state.Jobs[e.Key.Task.Job]; j != nil && j.State.Final() && j.EndedAt.Equal(now) {
+			o.s.config.Meters.jobEnded(j, now)
+			o.reportJob(e.Key.Task.Job)
+		}
+	}
+	if vm.Health.Times > 0 && len(c.Ended) > 0 && vm.Quarantined(now) {
+		o.s.config.Reporter.Report(reporter.VMJudged, reporter.Fields{"vm": vm.Name, "failed": len(vm.Health.Failed), "until": vm.Health.QuarantineTo.Sub(now).String()})
+	}
+	o.reportLost(vm, c.Lost, "not at the worker any more")
+	for _, r := range c.Adopted {
+		o.s.config.Reporter.Report(reporter.JobRunAdopted, reporter.Fields{"task": r.Key().Task.String(), "run": r.Number, "vm": vm.Name})
+	}
+}
+
+func needsOf(vm *accountant.VM) []messenger.WorkRun {
+	var all []messenger.WorkRun
+	for key, r := range vm.Runs {
+		needs := r.Step().Spec.Committed()
+		all = append(all, messenger.WorkRun{Task: key.Task.String(), Run: key.Number, Needs: &needs})
+	}
+	return all
+}
+
+func readReport(r messenger.WorkReport) (accountant.Report, accountant.Facts, error) {
+	rep := accountant.Report{Life: r.Life, Ready: r.Ready, OrdersSeen: r.OrdersSeen}
+	for _, w := range r.Runs {
+		id, err := specifier.ParseTaskID(w.Task)
+		if err != nil {
+			return rep, accountant.Facts{}, err
+		}
+		run := accountant.ReportedRun{Key: accountant.RunKey{Task: id, Number: w.Run}, Confirmed: w.Confirmed, Checkpoint: w.Checkpoint, Percent: w.Percent, Measure: w.Measure}
+		if w.Needs != nil {
+			run.Needs = *w.Needs
+		}
+		rep.Runs = append(rep.Runs, run)
+	}
+	for _, w := range r.Ends {
+		id, err := specifier.ParseTaskID(w.Task)
+		if err != nil {
+			return rep, accountant.Facts{}, err
+		}
+		rep.Ends = append(rep.Ends, accountant.ReportedEnd{Seq: w.Seq, Key: accountant.RunKey{Task: id, Number: w.Run}, How: accountant.End(w.How), Checkpoint: w.Checkpoint})
+	}
+	facts := accountant.Facts{Name: r.VM}
+	if f := r.Facts; f != nil {
+		facts.Zone, facts.Rack, facts.Service, facts.Labels, facts.Capacity = f.Zone, f.Rack, f.Service, f.Labels, f.Capacity
+	}
+	return rep, facts, nil
+}
+
+func (o *owner) orderStart(s *session, start planner.Start, now time.Time) {
+	r := o.state.Place(start.Task, start.VM, start.Number, now)
+	spec := r.Step().Spec
+	s.queued = append(s.queued, messenger.WorkOrder{
+		Seq: r.Order, Kind: messenger.WorkStart, Task: r.Key().Task.String(), Run: r.Number,
+		Payload: r.Step().Occurrence.Job.Spec.Payload, Checkpoint: r.Checkpoint, Needs: spec.Committed(),
+	})
+	o.s.config.Meters.started(r, now)
+	o.s.config.Reporter.Report(reporter.JobStartDecided, reporter.Fields{
+		"task": r.Key().Task.String(), "run": r.Number, "vm": start.VM.Name, "waited": now.Sub(start.Task.WaitSince).String(),
+		"committed-cpu": start.VM.Committed.CPUMillis, "fill-cpu": start.VM.FillCPU, "lasting": start.VM.Lasting,
+		"policy": o.state.Policy().Version,
+	})
+}
+
+func (o *owner) orderStop(r *accountant.Run, cause string) {
+	s := o.sessions[r.VM.Name]
+	if s == nil || !r.VM.Attached {
+		return // seen again when its agent is back
+	}
+	seq := o.state.Stop(r, cause)
+	s.queued = append(s.queued, messenger.WorkOrder{Seq: seq, Kind: messenger.WorkStop, Task: r.Key().Task.String(), Run: r.Number})
+	o.s.config.Reporter.Report(reporter.JobStopDecided, reporter.Fields{"task": r.Key().Task.String(), "run": r.Number, "vm": r.VM.Name, "cause": cause})
+}
+
+func (o *owner) orderPace(p planner.Pace) {
+	s := o.sessions[p.Run.VM.Name]
+	if s == nil {
+		return
+	}
+	p.Run.WantPct = p.Percent
+	p.Run.VM.OrderSeq++
+	s.queued = append(s.queued, messenger.WorkOrder{Seq: p.Run.VM.OrderSeq, Kind: messenger.WorkPace, Task: p.Run.Key().Task.String(), Run: p.Run.Number, Percent: p.Percent})
+	o.s.config.Reporter.Report(reporter.JobPaceDecided, reporter.Fields{"task": p.Run.Key().Task.String(), "run": p.Run.Number, "vm": p.Run.VM.Name, "percent": p.Percent})
+}
+
+// sendOrders hands the queued orders and what the store has of ends to each agent.
+func (o *owner) sendOrders() {
+	for name, s := range o.sessions {
+		if s.vm.EndStored <= s.toldEnd && len(s.queued) == 0 {
+			continue
+		}
+		if o.state.VMs[name].Life == "" {
+			continue
+		}
+		m := messenger.WorkOrders{Epoch: o.epoch, Session: s.number, Life: s.vm.Life, EndsStored: s.vm.EndStored, Orders: s.queued}
+		s.toldEnd, s.queued = s.vm.EndStored, nil
+		s.post(m)
+	}
+}
+
+// post sends in order: one call at a time, since calls on a connection may
+// overtake each other.
+func (s *session) post(m messenger.WorkOrders) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outbox = append(s.outbox, m)
+	if s.sending {
+		return
+	}
+	s.sending = true
+	go s.deliver()
+}
+
+func (s *session) deliver() {
+	for {
+		s.mu.Lock()
+		if len(s.outbox) == 0 {
+			s.sending = false
+			s.mu.Unlock()
+			return
+		}
+		m := s.outbox[0]
+		for _, next := range s.outbox[1:] { // one call for all that waits
+			if next.Life != m.Life {
+				break
+			}
+			m.Orders, m.EndsStored = append(m.Orders, next.Orders...), next.EndsStored
+			s.outbox = s.outbox[1:]
+		}
+		s.outbox = s.outbox[1:]
+		s.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), ordersLimit)
+		err := s.conn.Call(ctx, messenger.MethodWorkOrders, m, nil)
+		cancel()
+		if err != nil {
+			s.conn.Close() // the agent opens another session, in which it tells what it has
+			return
+		}
+	}
+}
+
+func (o *owner) closeSessions() {
+	for _, s := range o.sessions {
+		s.conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/job/specifier/check.go
@@ -0,0 +1,68 @@
+package specifier
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Check returns every fault of a job, joined, or nil. A job that fails it could
+// never run as its caller meant.
+func Check(j *Job) error {
+	var errs []error
+	add := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
+	if !isID(j.ID) {
+		add("id %q: want 16 hexadecimal digits", j.ID)
+	}
+	if len(j.Payload) > MaxPayloadBytes {
+		add("payload: %d bytes, at most %d", len(j.Payload), MaxPayloadBytes)
+	}
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		add("steps: %d, want 1 to %d", len(j.Steps), MaxSteps)
+	}
+	if j.Occurrences < 0 || j.IntervalMillis < 0 || j.FirstMillis < 0 {
+		add("occurrences, their start and their interval must not be negative")
+	}
+	tasks := 0
+	for i, s := range j.Steps {
+		errs = append(errs, checkStep(i, s)...)
+		tasks += max(s.Count, 0)
+	}
+	if tasks > MaxTasks {
+		add("steps: %d tasks together, at most %d", tasks, MaxTasks)
+	}
+	return errors.Join(errs...)
+}
+
+func checkStep(i int, s Step) []error {
+	var errs []error
+	add := func(format string, args ...any) {
+		errs = append(errs, fmt.Errorf("step %d: %s", i, fmt.Sprintf(format, args...)))
+	}
+	if s.Count < 1 || s.Count > MaxTasks {
+		add("count %d, want 1 to %d", s.Count, MaxTasks)
+	}
+	if s.Needs.CPUMillis < 0 || s.Needs.MemoryMB < 0 || s.Needs.GPUs < 0 || s.EstimateMillis < 0 || s.MaxPerVM < 0 || s.MaxAway < 0 || s.TailMillis < 0 {
+		add("sizes, durations and bounds must not be negative")
+	}
+	// Only earlier steps may be named, so a job cannot wait for itself.
+	for _, a := range s.After {
+		if a < 0 || a >= i {
+			add("runs after step %d, which is not an earlier one", a)
+		}
+	}
+	return errs
+}
+
+const idDigits = 16
+
+func isID(id string) bool {
+	if len(id) != idDigits {
+		return false
+	}
+	for _, c := range id {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/kernel/reporter/catalogue_kernel.go
+++ b/internal/kernel/reporter/catalogue_kernel.go
@@ -9,6 +9,8 @@
 	ServiceFailed
 	StopBegan
 	StopTimedOut
+	ProcessStarted
+	ProcessStopped
 )
 
 var kernelDefinitions = []Definition{
@@ -17,4 +19,6 @@
 	{ServiceFailed, log.ErrorLevel, "service failed", "A named part ended with an error; the whole process stops in order."},
 	{StopBegan, log.InfoLevel, "stop began", "The process was asked to stop and drains."},
 	{StopTimedOut, log.ErrorLevel, "stop timed out", "A part did not end within the stop limit and was left."},
+	{ProcessStarted, log.InfoLevel, "process started", "The process has read its settings and begins to work."},
+	{ProcessStopped, log.InfoLevel, "process stopped", "The process has ended in order."},
 }
--- a/internal/kernel/reporter/catalogue_test.go
+++ b/internal/kernel/reporter/catalogue_test.go
@@ -17,7 +17,7 @@
 const eventsPage = "../../../docs/EVENTS.md"
 
 // areas are the hundreds of the codes.
-var areas = []string{"kernel", "platform", "fleet", "request", "control", "agent", "operator", "stand-in"}
+var areas = []string{"kernel", "platform", "fleet", "request", "control", "agent", "operator", "stand-in", "job"}
 
 // TestEventsPage compares docs/EVENTS.md with the catalogue. UPDATE_DOCS=1
 // writes the page anew.
--- a/internal/kernel/reporter/reporter.go
+++ b/internal/kernel/reporter/reporter.go
@@ -15,7 +15,7 @@
 )
 
 // Code is the number of an event. Hundreds tell the area: 1 kernel,
-// 2 platform, 3 fleet, 4 request, 5 control, 6 agent, 7 operator, 8 stand-in.
+// 2 platform, 3 fleet, 4 request, 5 control, 6 agent, 7 operator, 8 stand-in, 9 job.
 type Code int
 
 // Definition is one line of the catalogue.
@@ -110,7 +110,7 @@
 var definitions = index(
 	kernelDefinitions, platformDefinitions, fleetDefinitions,
 	requestDefinitions, controlDefinitions, agentDefinitions, agentRequestDefinitions,
-	runnerDefinitions, operatorDefinitions, standinDefinitions,
+	runnerDefinitions, operatorDefinitions, standinDefinitions, jobDefinitions,
 )
 
 func index(groups ...[]Definition) map[Code]Definition {
--- /dev/null
+++ b/internal/wire/messenger/work.go
@@ -0,0 +1,137 @@
+package messenger
+
+import "bamboospread/internal/job/specifier"
+
+// Methods for jobs. An agent has one session with the owner of its cell: it sends
+// reports, and the owner sends orders on the same connection.
+const (
+	MethodWorkReport  = "work/report"  // agent to owner: WorkReport, WorkReply
+	MethodWorkOrders  = "work/orders"  // owner to agent: WorkOrders, Empty
+	MethodWorkHint    = "work/hint"    // entry to owner: WorkHint, Empty
+	MethodWorkState   = "work/state"   // entry to owner: WorkStateRequest, WorkStateReply
+	MethodWorkPending = "work/pending" // entry to owner: WorkPendingRequest, WorkPendingReply
+	MethodWorkOwner   = "work/owner"   // agent to entry: Empty, WorkOwner
+	MethodWorkHello   = "work/hello"   // entry to owner: PeerAddress, WorkOwner
+)
+
+// WorkReport tells everything that an agent knows of its worker's runs.
+type WorkReport struct {
+	VM         string     `json:"vm"`
+	Session    int64      `json:"session"` // rises with each session of the agent
+	Facts      *WorkFacts `json:"facts"`
+	Life       string     `json:"life"` // of the worker
+	Ready      bool       `json:"ready"`
+	OrdersSeen int64      `json:"orders-seen"`
+	Runs       []WorkRun  `json:"runs,omitempty"`
+	Ends       []WorkEnd  `json:"ends,omitempty"`
+}
+
+// WorkFacts describe a VM.
+type WorkFacts struct {
+	Zone     string              `json:"zone"`
+	Rack     string              `json:"rack"`
+	Service  string              `json:"service"`
+	Labels   []string            `json:"labels,omitempty"`
+	Capacity specifier.Resources `json:"capacity"`
+}
+
+// WorkRun is a run that the worker has or may still get.
+type WorkRun struct {
+	Task       string               `json:"task"`
+	Run        int64                `json:"run"`
+	Confirmed  bool                 `json:"confirmed,omitempty"` // the worker has it
+	Checkpoint string               `json:"checkpoint,omitempty"`
+	Percent    int                  `json:"percent"`
+	Measure    int64                `json:"measure"`
+	Needs      *specifier.Resources `json:"needs,omitempty"`
+}
+
+// WorkEnd is a run that ended and whose end the owner has not stored yet.
+type WorkEnd struct {
+	Seq        int64  `json:"seq"`
+	Task       string `json:"task"`
+	Run        int64  `json:"run"`
+	How        string `json:"how"` // accountant.End
+	Checkpoint string `json:"checkpoint,omitempty"`
+}
+
+// WorkReply answers a report. The agent may let its runs go on for GrantMillis,
+// counted from when it sent the report.
+type WorkReply struct {
+	Epoch       int64 `json:"epoch"`
+	GrantMillis int64 `json:"grant-ms"`
+	EndsStored  int64 `json:"ends-stored"` // the worker may forget ends up to this number
+	// Needs of the runs listed, in the answer to the first report of a session: an
+	// agent that was restarted does not know them.
+	Needs   []WorkRun     `json:"needs,omitempty"`
+	Entries []PeerAddress `json:"entries,omitempty"` // to ask for the owner when this one is lost
+}
+
+// WorkOrderKind says what an order is.
+type WorkOrderKind string
+
+// Kinds of orders.
+const (
+	WorkStart WorkOrderKind = "start"
+	WorkStop  WorkOrderKind = "stop"
+	WorkPace  WorkOrderKind = "pace"
+)
+
+// WorkOrders are orders of one session, in the order of their numbers.
+type WorkOrders struct {
+	Epoch      int64       `json:"epoch"`
+	Session    int64       `json:"session"`
+	EndsStored int64       `json:"ends-stored"`
+	Life       string      `json:"life"` // of the worker that they are meant for
+	Orders     []WorkOrder `json:"orders,omitempty"`
+}
+
+// WorkOrder is one order.
+type WorkOrder struct {
+	Seq        int64               `json:"seq"`
+	Kind       WorkOrderKind       `json:"kind"`
+	Task       string              `json:"task"`
+	Run        int64               `json:"run"`
+	Payload    string              `json:"payload,omitempty"`
+	Checkpoint string              `json:"checkpoint,omitempty"`
+	Ticket     string              `json:"ticket,omitempty"`
+	Needs      specifier.Resources `json:"needs"` // what it takes of the VM's capacity
+	Percent    int                 `json:"percent,omitempty"`
+}
+
+// WorkHint tells the owner of a record that an entry has just stored, so that it
+// need not wait for its watch.
+type WorkHint struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision int64  `json:"revision"`
+}
+
+// WorkStateRequest asks for the state of a job.
+type WorkStateRequest struct {
+	Job string `json:"job"`
+}
+
+// WorkStateReply tells the state of a job; Known is false if the owner has no such
+// job, which is not proof that none was accepted.
+type WorkStateReply struct {
+	Known bool   `json:"known"`
+	State string `json:"state,omitempty"` // accountant.JobState
+}
+
+// WorkPendingRequest asks how many jobs of a queue have not started.
+type WorkPendingRequest struct {
+	Queue string `json:"queue"`
+}
+
+// WorkPendingReply tells it.
+type WorkPendingReply struct {
+	Pending int `json:"pending"`
+}
+
+// WorkOwner tells who owns the cell as far as an entry knows, and which entries
+// it knows.
+type WorkOwner struct {
+	Owner   CellOwner     `json:"owner"` // zero if unknown
+	Entries []PeerAddress `json:"entries,omitempty"`
+}
--- /dev/null
+++ b/internal/worker/attender/attender.go
@@ -0,0 +1,188 @@
+// Package attender keeps an agent's session with the owner of its cell: it finds
+// the owner, reports to it and hands its orders to the guardian.
+package attender
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"bamboospread/internal/kernel/pauser"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/store/keeper"
+	"bamboospread/internal/wire/connector"
+	"bamboospread/internal/wire/messenger"
+	"bamboospread/internal/worker/guardian"
+)
+
+// Lengths.
+const (
+	// reportEvery is the longest pause between reports. The owner gives up on an
+	// agent that is silent three times as long.
+	reportEvery = 400 * time.Millisecond
+	// reportGap is the shortest: ends that come together share a report.
+	reportGap   = 20 * time.Millisecond
+	reportLimit = time.Second // for an answer; a silent connection shows only by this
+	dialLimit   = 600 * time.Millisecond
+	findPause   = 200 * time.Millisecond
+	storeLimit  = time.Second
+)
+
+// Config holds the settings of an Attender.
+type Config struct {
+	Cell     string
+	Guardian *guardian.Guardian
+	// GetRecord reads the store, for the owner's address.
+	GetRecord func(ctx context.Context, key string) (keeper.Record, error)
+	Now       func() time.Time
+	Reporter  *reporter.Reporter
+}
+
+// Attender keeps the session. Run must be called once.
+type Attender struct {
+	config  Config
+	entries []messenger.PeerAddress // to ask when the store does not answer
+	lost    bool
+}
+
+// New returns an Attender.
+func New(c Config) *Attender { return &Attender{config: c} }
+
+// Run finds owners and keeps sessions with them until ctx ends.
+func (a *Attender) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := a.attend(ctx); err != nil && ctx.Err() == nil {
+			a.noteLost(err)
+			_ = pauser.Pause(ctx, findPause)
+		}
+	}
+	return ctx.Err()
+}
+
+// noteLost logs once when the owner is lost, not at each try.
+func (a *Attender) noteLost(err error) {
+	if !a.lost {
+		a.lost = true
+		a.config.Reporter.Report(reporter.OwnerLost, reporter.Fields{"error": err.Error()})
+	}
+}
+
+// attend keeps one session until it fails.
+func (a *Attender) attend(ctx context.Context) error {
+	owner, err := a.find(ctx)
+	if err != nil {
+		return err
+	}
+	dial, cancel := context.WithTimeout(ctx, dialLimit)
+	conn, err := connector.Dial(dial, owner.Address, a.handle)
+	cancel()
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	session := a.config.Guardian.BeginSession()
+	for {
+		if err := a.report(ctx, conn, session); err != nil {
+			return err
+		}
+		if err := a.wait(ctx, conn); err != nil {
+			return err
+		}
+	}
+}
+
+func (a *Attender) report(ctx context.Context, conn *connector.Conn, session int64) error {
+	rep, ok := a.config.Guardian.Report(session)
+	if !ok {
+		return nil // nothing is known of the worker yet
+	}
+	sentAt := a.config.Now()
+	limit, cancel := context.WithTimeout(ctx, reportLimit)
+	defer cancel()
+	var reply messenger.WorkReply
+	if err := conn.Call(limit, messenger.MethodWorkReport, rep, &reply); err != nil {
+		return err
+	}
+	if !a.config.Guardian.Granted(sentAt, rep.Life, reply) {
+		return fmt.Errorf("owner %s has epoch %d, which is over", conn.Remote(), reply.Epoch)
+	}
+	if len(reply.Entries) > 0 {
+		a.entries = reply.Entries
+	}
+	a.lost = false
+	return nil
+}
+
+// wait returns when the next report is due.
+func (a *Attender) wait(ctx context.Context, conn *connector.Conn) error {
+	timer := time.NewTimer(reportEvery)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-conn.Done():
+		return fmt.Errorf("connection to owner %s ended", conn.Remote())
+	case <-a.config.Guardian.Wake():
+		return pauser.Pause(ctx, reportGap)
+	case <-timer.C:
+		return nil
+	}
+}
+
+// handle answers the owner's calls.
+func (a *Attender) handle(_ context.Context, _ *connector.Conn, method string, params json.RawMessage) (any, error) {
+	if method != messenger.MethodWorkOrders {
+		return nil, connector.Errorf(messenger.CodeBadRequest, "unknown method %s", method)
+	}
+	o, err := connector.Decode[messenger.WorkOrders](params)
+	if err != nil {
+		a.config.Reporter.Report(reporter.MessageMalformed, reporter.Fields{"method": method, "error": err.Error()})
+		return nil, err
+	}
+	a.config.Guardian.Obey(o)
+	return messenger.Empty{}, nil
+}
+
+// find asks the store for the owner, then the entries that an owner has named.
+func (a *Attender) find(ctx context.Context) (messenger.CellOwner, error) {
+	limit, cancel := context.WithTimeout(ctx, storeLimit)
+	record, err := a.config.GetRecord(limit, fmt.Sprintf("cells/%s/owner", a.config.Cell))
+	cancel()
+	if err == nil {
+		var o messenger.CellOwner
+		if err := json.Unmarshal(record.Value, &o); err != nil {
+			return o, fmt.Errorf("decode owner: %w", err)
+		}
+		if o.Epoch > 0 {
+			return o, nil
+		}
+		return o, fmt.Errorf("entry %s is taking the cell over", o.EntryID)
+	}
+	if keeper.IsErrKeyNotExist(err) {
+		return messenger.CellOwner{}, err
+	}
+	for _, e := range a.entries {
+		if o, askErr := ask(ctx, e.Address); askErr == nil && o.Epoch > 0 {
+			return o, nil
+		}
+	}
+	return messenger.CellOwner{}, err
+}
+
+func ask(ctx context.Context, address string) (messenger.CellOwner, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	conn, err := connector.Dial(ctx, address, refuse)
+	if err != nil {
+		return messenger.CellOwner{}, err
+	}
+	defer conn.Close()
+	var w messenger.WorkOwner
+	err = conn.Call(ctx, messenger.MethodWorkOwner, messenger.Empty{}, &w)
+	return w.Owner, err
+}
+
+func refuse(_ context.Context, _ *connector.Conn, method string, _ json.RawMessage) (any, error) {
+	return nil, connector.Errorf(messenger.CodeBadRequest, "unknown method %s", method)
+}
--- /dev/null
+++ b/internal/worker/guardian/guardian.go
@@ -0,0 +1,231 @@
+// Package guardian is the agent's side of jobs: the one caller of a VM's worker
+// and so the last guard of its capacity and of what runs. It carries out the
+// orders of the cell's owner, keeps the leases of what runs alive while the owner
+// grants it, and reports.
+package guardian
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bamboospread/internal/job/accountant"
+	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/wire/messenger"
+)
+
+// Config holds the settings of a Guardian.
+type Config struct {
+	VM       string
+	Worker   Worker
+	LeaseMax time.Duration // longest lease that the worker gives
+	StopTime time.Duration // longest time that a stop takes
+	Reporter *reporter.Reporter
+	Now      func() time.Time // counts suspensions, does not jump
+}
+
+type runState int
+
+const (
+	starting runState = iota // the start was not answered yet
+	running                  // the worker has confirmed it
+	stopping                 // a stop was asked for
+)
+
+// run is a run that the worker has or may still get.
+type run struct {
+	state      runState
+	needs      specifier.Resources
+	known      bool      // needs are known
+	settledAt  time.Time // when its start or stop was answered; a look sent later shows the truth
+	stopped    bool      // its stop was answered
+	checkpoint string
+	percent    int
+	measure    int64
+	cancel     context.CancelFunc // of its start
+}
+
+// Guardian looks after one worker. It is safe for concurrent use.
+type Guardian struct {
+	config Config
+	wake   chan struct{} // something new to report
+
+	mu         sync.Mutex
+	facts      *messenger.WorkFacts
+	life       string // of the worker; empty until it was seen
+	leaving    bool
+	runs       map[accountant.RunKey]*run
+	ends       []SeenEnd
+	endsStored int64
+	epoch      int64
+	session    int64
+	ordersSeen int64
+	grantUntil time.Time // the owner lets runs go on until then
+	repliedAt  time.Time // sent time of the last report that was answered
+	clock      time.Duration
+	clockAt    time.Time // when clock was received; zero: not known in this life
+	silentFrom time.Time // since when looks fail; zero: they do not
+	leaseEnd   time.Time // when leases asked for have surely run out
+	context    context.Context
+}
+
+// New returns a Guardian without knowledge of its worker.
+func New(c Config) *Guardian {
+	return &Guardian{
+		config: c, wake: make(chan struct{}, 1), runs: make(map[accountant.RunKey]*run), context: context.Background(),
+		// Sessions rise also over restarts of this process.
+		session: c.Now().UnixMilli(),
+	}
+}
+
+// Wake is signalled when there is something new to report.
+func (g *Guardian) Wake() <-chan struct{} { return g.wake }
+
+func (g *Guardian) signal() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Announce takes what the worker said of itself.
+func (g *Guardian) Announce(a Announcement) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	changed := g.life != a.Life || g.leaving != a.Leaving || g.facts == nil
+	if g.life != a.Life {
+		g.beginLifeLocked(a.Life)
+	}
+	g.leaving = a.Leaving
+	g.facts = &messenger.WorkFacts{Zone: a.Zone, Rack: a.Rack, Service: a.Service, Labels: a.Labels, Capacity: a.Capacity}
+	if changed {
+		g.config.Reporter.Report(reporter.WorkerAnnounced, reporter.Fields{"life": a.Life, "leaving": a.Leaving, "cpu": a.Capacity.CPUMillis, "memory-mb": a.Capacity.MemoryMB})
+		g.signal()
+	}
+}
+
+// beginLifeLocked notes that the worker has forgotten everything. Starts that were
+// not answered may still come to the new life, so they are stopped there before
+// the owner hears that they are gone.
+func (g *Guardian) beginLifeLocked(life string) {
+	if g.life != "" {
+		g.config.Reporter.Report(reporter.WorkerReborn, reporter.Fields{"life": life, "before": g.life, "runs": len(g.runs)})
+	}
+	g.life, g.ends, g.endsStored, g.clockAt = life, nil, 0, time.Time{}
+	for key, r := range g.runs {
+		if r.state != starting {
+			delete(g.runs, key)
+			continue
+		}
+		g.stopLocked(key, r, "worker reborn")
+	}
+	g.signal()
+}
+
+// Run looks at the worker until ctx ends.
+func (g *Guardian) Run(ctx context.Context) error {
+	g.mu.Lock()
+	g.context = ctx
+	g.mu.Unlock()
+	for ctx.Err() == nil {
+		g.look(ctx)
+	}
+	return ctx.Err()
+}
+
+// committedLocked is what all runs take, those that are being stopped included.
+func (g *Guardian) committedLocked() specifier.Resources {
+	var sum specifier.Resources
+	for _, r := range g.runs {
+		sum = sum.Add(r.needs)
+	}
+	return sum
+}
+
+// Report returns a whole report for the session.
+func (g *Guardian) Report(session int64) (messenger.WorkReport, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.facts == nil || g.life == "" || g.clockAt.IsZero() && g.silentFrom.IsZero() {
+		return messenger.WorkReport{}, false // nothing is known of the worker yet
+	}
+	rep := messenger.WorkReport{
+		VM: g.config.VM, Session: session, Facts: g.facts, Life: g.life, OrdersSeen: g.ordersSeen,
+		Ready: !g.leaving && g.silentFrom.IsZero(),
+	}
+	for key, r := range g.runs {
+		w := messenger.WorkRun{Task: key.Task.String(), Run: key.Number, Confirmed: r.state != starting, Checkpoint: r.checkpoint, Percent: r.percent, Measure: r.measure}
+		if r.known && r.state == starting {
+			needs := r.needs
+			w.Needs = &needs
+		}
+		rep.Runs = append(rep.Runs, w)
+	}
+	for _, e := range g.ends {
+		if e.Seq > g.endsStored {
+			rep.Ends = append(rep.Ends, messenger.WorkEnd{Seq: e.Seq, Task: e.Task.String(), Run: e.Run, How: e.How, Checkpoint: e.Checkpoint})
+		}
+	}
+	return rep, true
+}
+
+// BeginSession makes orders of earlier sessions void.
+func (g *Guardian) BeginSession() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.session++
+	g.ordersSeen = 0
+	return g.session
+}
+
+// Granted takes the owner's answer to a report sent at sentAt. It returns false if
+// the answer is of an owner that was replaced.
+func (g *Guardian) Granted(sentAt time.Time, life string, reply messenger.WorkReply) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if reply.Epoch < g.epoch {
+		return false
+	}
+	if reply.Epoch > g.epoch {
+		g.config.Reporter.Report(reporter.OwnerFollowed, reporter.Fields{"epoch": reply.Epoch, "before": g.epoch})
+	}
+	g.epoch, g.repliedAt = reply.Epoch, sentAt
+	if until := sentAt.Add(time.Duration(reply.GrantMillis) * time.Millisecond); until.After(g.grantUntil) {
+		g.grantUntil = until
+	}
+	if life == g.life {
+		g.storedLocked(reply.EndsStored)
+	}
+	for _, n := range reply.Needs {
+		g.learnNeedsLocked(n)
+	}
+	return true
+}
+
+func (g *Guardian) storedLocked(seq int64) {
+	g.endsStored = max(g.endsStored, seq)
+	i := 0
+	for i < len(g.ends) && g.ends[i].Seq <= g.endsStored {
+		i++
+	}
+	g.ends = g.ends[i:]
+}
+
+func (g *Guardian) learnNeedsLocked(n messenger.WorkRun) {
+	id, err := specifier.ParseTaskID(n.Task)
+	if err != nil || n.Needs == nil {
+		g.config.Reporter.Report(reporter.OrderMalformed, reporter.Fields{"task": n.Task, "error": errText(err)})
+		return
+	}
+	if r := g.runs[accountant.RunKey{Task: id, Number: n.Run}]; r != nil {
+		r.needs, r.known = *n.Needs, true
+	}
+}
+
+func errText(err error) string {
+	if err == nil {
+		return "no needs"
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/worker/guardian/look.go
@@ -0,0 +1,171 @@
+package guardian
+
+import (
+	"context"
+	"time"
+
+	"bamboospread/internal/job/accountant"
+	"bamboospread/internal/kernel/pauser"
+	"bamboospread/internal/kernel/reporter"
+)
+
+// Lengths of looks.
+const (
+	// lookWait is how long a look may wait for an end. Reports of tails, which
+	// pacing follows, are as old as this at most.
+	lookWait = 300 * time.Millisecond
+	// lookIdle is the same while nothing runs: fewer wake-ups.
+	lookIdle = time.Second
+	// lookLimit is how long the worker may take beyond the wait. It answers in
+	// milliseconds; the rest is for this process on its share of a processor.
+	lookLimit = 700 * time.Millisecond
+	lookPause = 100 * time.Millisecond // after a look that failed
+	// clockError is by how much the worker's clock may be slow.
+	clockError = 0.02
+)
+
+// look makes one look at the worker, which also renews the leases.
+func (g *Guardian) look(ctx context.Context) {
+	call, sentAt := g.nextLook()
+	limit, cancel := context.WithTimeout(ctx, call.Wait+lookLimit)
+	seen, err := g.config.Worker.Look(limit, call)
+	cancel()
+	if err != nil {
+		g.lookFailed(err)
+		_ = pauser.Pause(ctx, lookPause)
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.silentFrom.IsZero() {
+		g.config.Reporter.Report(reporter.WorkerRegained, reporter.Fields{"silent": g.config.Now().Sub(g.silentFrom).String()})
+		g.silentFrom = time.Time{}
+		g.signal()
+	}
+	if g.life != seen.Life {
+		g.beginLifeLocked(seen.Life)
+	}
+	if g.clockAt.IsZero() {
+		g.signal()
+	}
+	g.clock, g.clockAt = seen.Clock, g.config.Now()
+	g.applyLocked(seen, sentAt)
+}
+
+func (g *Guardian) nextLook() (LookCall, time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.config.Now()
+	call := LookCall{Epoch: g.epoch, Seen: g.endsStored, Wait: lookWait, LeaseUntil: g.leaseLocked(now)}
+	if len(g.runs) == 0 {
+		call.Wait = lookIdle
+	}
+	if g.clockAt.IsZero() {
+		call.Wait = 0
+	}
+	return call, now
+}
+
+// leaseLocked returns until when leases may run, on the worker's clock, or 0. The
+// clock is taken to have stood still between the worker's answer and its arrival
+// here, so the lease is rather too short than too long.
+func (g *Guardian) leaseLocked(now time.Time) time.Duration {
+	left := min(g.grantUntil.Sub(now), g.config.LeaseMax)
+	if g.clockAt.IsZero() || left <= 0 {
+		return 0
+	}
+	end := now.Add(left + time.Duration(float64(left)*clockError))
+	if end.After(g.leaseEnd) {
+		g.leaseEnd = end
+	}
+	return g.clock + now.Sub(g.clockAt) + left
+}
+
+func (g *Guardian) lookFailed(err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.config.Now()
+	if g.silentFrom.IsZero() {
+		g.silentFrom = now
+		g.config.Reporter.Report(reporter.WorkerSilent, reporter.Fields{"error": err.Error(), "runs": len(g.runs)})
+		g.signal()
+	}
+	if len(g.runs) == 0 || !now.After(g.leaseEnd.Add(g.config.StopTime)) {
+		return
+	}
+	// Whatever ran has lapsed. Starts that were not answered may still come.
+	for key, r := range g.runs {
+		if r.state != starting {
+			delete(g.runs, key)
+		}
+	}
+	g.signal()
+}
+
+// applyLocked takes the lists of a look that was sent at sentAt.
+func (g *Guardian) applyLocked(seen Look, sentAt time.Time) {
+	at := make(map[accountant.RunKey]bool, len(seen.Runs))
+	for _, s := range seen.Runs {
+		key := accountant.RunKey{Task: s.Task, Number: s.Run}
+		at[key] = true
+		r := g.runs[key]
+		if r == nil {
+			// Started by an order of an earlier life of this process, or carried
+			// out late: the owner decides what becomes of it.
+			r = &run{state: running}
+			g.runs[key] = r
+			g.config.Reporter.Report(reporter.RunFound, reporter.Fields{"task": s.Task.String(), "run": s.Run})
+			g.signal()
+		}
+		if r.state == starting {
+			r.state = running
+			g.signal()
+		}
+		r.checkpoint, r.percent, r.measure = s.Checkpoint, s.Percent, s.Measure
+	}
+	g.takeEndsLocked(seen.Ends)
+	for key, r := range g.runs {
+		// A look that was sent after the start or the stop was answered shows
+		// whether the worker has the run.
+		if !at[key] && r.gone(sentAt) {
+			delete(g.runs, key)
+			g.signal()
+		}
+	}
+	if len(seen.Runs) > 0 {
+		g.signal()
+	}
+}
+
+func (r *run) gone(lookSentAt time.Time) bool {
+	switch r.state {
+	case starting:
+		return false
+	case stopping:
+		return r.stopped && lookSentAt.After(r.settledAt)
+	default:
+		return lookSentAt.After(r.settledAt)
+	}
+}
+
+func (g *Guardian) takeEndsLocked(ends []SeenEnd) {
+	last := g.endsStored
+	if n := len(g.ends); n > 0 {
+		last = g.ends[n-1].Seq
+	}
+	for _, e := range ends {
+		if e.Seq <= last {
+			continue
+		}
+		g.ends = append(g.ends, e)
+		key := accountant.RunKey{Task: e.Task, Number: e.Run}
+		if r := g.runs[key]; r != nil {
+			if r.cancel != nil {
+				r.cancel()
+			}
+			delete(g.runs, key)
+		}
+		g.config.Reporter.Report(reporter.RunEnded, reporter.Fields{"task": e.Task.String(), "run": e.Run, "how": e.How})
+		g.signal()
+	}
+}
--- /dev/null
+++ b/internal/worker/guardian/orders.go
@@ -0,0 +1,192 @@
+package guardian
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"bamboospread/internal/job/accountant"
+	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/kernel/pauser"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/wire/messenger"
+)
+
+// Lengths of calls to the worker.
+const (
+	// callLimit is how long an answer may take. The worker answers in
+	// milliseconds; the rest is for this process on its share of a processor.
+	callLimit   = 600 * time.Millisecond
+	callPause   = 50 * time.Millisecond // before a repeat
+	startTries  = 4                     // then the run is given up and stopped
+	orderMaxAge = 1500 * time.Millisecond
+)
+
+// Obey carries orders out. Orders of a session that is over, of an owner that was
+// replaced or for another life of the worker are void.
+func (g *Guardian) Obey(o messenger.WorkOrders) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if o.Session != g.session || o.Epoch != g.epoch || o.Life != g.life {
+		g.config.Reporter.Report(reporter.OrdersVoid, reporter.Fields{"session": o.Session, "epoch": o.Epoch, "orders": len(o.Orders)})
+		return
+	}
+	g.storedLocked(o.EndsStored)
+	for _, order := range o.Orders {
+		g.ordersSeen = max(g.ordersSeen, order.Seq)
+		id, err := specifier.ParseTaskID(order.Task)
+		if err != nil {
+			g.config.Reporter.Report(reporter.OrderMalformed, reporter.Fields{"task": order.Task, "error": err.Error()})
+			continue
+		}
+		g.obeyLocked(accountant.RunKey{Task: id, Number: order.Run}, order)
+	}
+}
+
+func (g *Guardian) obeyLocked(key accountant.RunKey, o messenger.WorkOrder) {
+	switch o.Kind {
+	case messenger.WorkStart:
+		if reason := g.objectionLocked(o); reason != "" {
+			g.config.Reporter.Report(reporter.StartRejected, reporter.Fields{"task": o.Task, "run": o.Run, "reason": reason})
+			g.signal()
+			return
+		}
+		ctx, cancel := context.WithCancel(g.context)
+		g.runs[key] = &run{state: starting, needs: o.Needs, known: true, checkpoint: o.Checkpoint, percent: 100, cancel: cancel}
+		go g.start(ctx, key, o)
+	case messenger.WorkStop:
+		if r := g.runs[key]; r != nil {
+			g.stopLocked(key, r, "ordered")
+		}
+	case messenger.WorkPace:
+		if r := g.runs[key]; r != nil && r.state == running {
+			go g.pace(g.context, key, o.Percent)
+		}
+	}
+}
+
+// objectionLocked returns why a start must not be carried out, or "".
+//
+// This is the last place before the worker, which starts whatever it is told to:
+// an owner that was paused or counts wrongly must not bring a VM over its
+// capacity, and a worker that leaves must get nothing new.
+func (g *Guardian) objectionLocked(o messenger.WorkOrder) string {
+	switch {
+	case g.leaving:
+		return "worker leaves"
+	case !g.silentFrom.IsZero():
+		return "worker silent"
+	case g.config.Now().Sub(g.repliedAt) > orderMaxAge:
+		return "owner not heard"
+	case g.facts == nil || !g.facts.Capacity.Fits(g.committedLocked().Add(o.Needs)):
+		return "no room"
+	}
+	return ""
+}
+
+// start asks the worker for a run until it answers. The same start may be repeated
+// freely: a worker that has the run confirms it. A start that is never answered
+// is stopped, since the worker may carry it out seconds later.
+func (g *Guardian) start(ctx context.Context, key accountant.RunKey, o messenger.WorkOrder) {
+	doubt := false // an earlier try was not answered
+	for range startTries {
+		call := StartCall{Task: key.Task, Run: key.Number, Payload: o.Payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket}
+		g.mu.Lock()
+		call.Epoch, call.LeaseUntil = g.epoch, g.leaseLocked(g.config.Now())
+		g.mu.Unlock()
+		limit, cancel := context.WithTimeout(ctx, callLimit)
+		err := g.config.Worker.Start(limit, call)
+		cancel()
+		if ctx.Err() != nil {
+			return // ended, stopped or reborn meanwhile
+		}
+		var refused ErrRefused
+		switch {
+		case err == nil:
+			g.settle(key, func(r *run) { r.state = running })
+			g.config.Reporter.Report(reporter.RunStarted, reporter.Fields{"task": o.Task, "run": o.Run, "epoch": call.Epoch})
+			return
+		case errors.As(err, &refused) && !doubt:
+			g.config.Reporter.Report(reporter.StartRejected, reporter.Fields{"task": o.Task, "run": o.Run, "reason": string(refused.Reason)})
+			g.settle(key, nil)
+			return
+		}
+		g.config.Reporter.Report(reporter.StartUnanswered, reporter.Fields{"task": o.Task, "run": o.Run, "error": err.Error()})
+		doubt = true
+		if pauser.Pause(ctx, callPause) != nil {
+			return
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r := g.runs[key]; r != nil && r.state == starting {
+		g.stopLocked(key, r, "start not answered")
+	}
+}
+
+// settle notes that a start was answered; a nil change drops the run.
+func (g *Guardian) settle(key accountant.RunKey, change func(*run)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.runs[key]
+	if r == nil {
+		return
+	}
+	r.settledAt = g.config.Now()
+	if change == nil {
+		delete(g.runs, key)
+	} else if r.state == starting {
+		change(r)
+	}
+	g.signal()
+}
+
+// stopLocked begins to stop a run, whether it has come to the worker or not.
+func (g *Guardian) stopLocked(key accountant.RunKey, r *run, cause string) {
+	if r.state == stopping {
+		return
+	}
+	if r.cancel != nil {
+		r.cancel()
+	}
+	r.state = stopping
+	g.config.Reporter.Report(reporter.RunStopped, reporter.Fields{"task": key.Task.String(), "run": key.Number, "cause": cause})
+	go g.stop(g.context, key)
+}
+
+// stop asks the worker to stop a run until it answers. From then on the worker
+// refuses the run, and a look shows whether it still takes room.
+func (g *Guardian) stop(ctx context.Context, key accountant.RunKey) {
+	for ctx.Err() == nil {
+		g.mu.Lock()
+		r, epoch := g.runs[key], g.epoch
+		g.mu.Unlock()
+		if r == nil {
+			return
+		}
+		limit, cancel := context.WithTimeout(ctx, callLimit)
+		err := g.config.Worker.Stop(limit, StopCall{Task: key.Task, Run: key.Number, Epoch: epoch})
+		cancel()
+		if err == nil {
+			g.mu.Lock()
+			r.stopped, r.settledAt = true, g.config.Now()
+			g.mu.Unlock()
+			return
+		}
+		g.config.Reporter.Report(reporter.StopUnanswered, reporter.Fields{"task": key.Task.String(), "run": key.Number, "error": err.Error()})
+		_ = pauser.Pause(ctx, callPause)
+	}
+}
+
+func (g *Guardian) pace(ctx context.Context, key accountant.RunKey, percent int) {
+	g.mu.Lock()
+	epoch := g.epoch
+	g.mu.Unlock()
+	limit, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	err := g.config.Worker.Pace(limit, PaceCall{Task: key.Task, Run: key.Number, Percent: percent, Epoch: epoch})
+	if err != nil {
+		// The owner sees from the reports that the pace did not change.
+		g.config.Reporter.Report(reporter.PaceFailed, reporter.Fields{"task": key.Task.String(), "run": key.Number, "percent": percent, "error": err.Error()})
+	}
+}
