Let an agent report only what it has seen under its owner's epoch

The agents were restarted because SIGHUP ended them. Ruled out: ends lost on the way to the store (the run was never listed).

--- a/internal/cli/commander/hosted.go
+++ b/internal/cli/commander/hosted.go
@@ -33,7 +33,8 @@
 		Long:  fmt.Sprintf("%s. The environment variable %s holds the path of the settings file.", short, platform.SettingsVariable),
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			settings, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+			path := os.Getenv(platform.SettingsVariable)
+			settings, err := platform.ReadSettings(path)
 			if err != nil {
 				return usage(err)
 			}
@@ -42,7 +43,7 @@
 				return usage(err)
 			}
 			r.Report(reporter.ProcessStarted, reporter.Fields{"zone": settings.Zone, "store": settings.StoreAddress})
-			if err := build(hoster.Config{Settings: settings, Reporter: r})(cmd.Context()); err != nil {
+			if err := build(hoster.Config{Settings: settings, SettingsPath: path, Reporter: r})(cmd.Context()); err != nil {
 				return ExitError{Code: ExitFailed, Err: err}
 			}
 			r.Report(reporter.ProcessStopped, nil)
--- a/internal/job/scheduler/flush.go
+++ b/internal/job/scheduler/flush.go
@@ -18,7 +18,7 @@
 // flush writes the progress of jobs that changed, one write at a time: what
 // changes meanwhile goes with the next, so writes grow with time and not with ends.
 func (o *owner) flush(ctx context.Context) {
-	if o.flushing {
+	if o.flushing || o.s.config.Now().Before(o.flushAfter) {
 		return
 	}
 	f := o.state.BeginFlush()
@@ -71,12 +71,13 @@
 	err      error
 }
 
-func (e *flushed) apply(o *owner, _ time.Time) {
+func (e *flushed) apply(o *owner, now time.Time) {
 	o.flushing = false
 	o.state.EndFlush(e.flush, e.states, e.err)
 	if e.err != nil {
 		// Writing the same records again is harmless: nobody else writes them.
 		o.removals = append(o.removals, e.removals...)
+		o.flushAfter = now.Add(flushPause)
 		o.s.config.Reporter.Report(reporter.ProgressNotStored, reporter.Fields{"jobs": len(e.flush.Jobs), "error": e.err.Error()})
 		return
 	}
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -29,6 +29,9 @@
 	// owner; far above a grant, so that nothing can run there when it is dropped.
 	memberLife  = time.Minute
 	eventBuffer = 256
+	// flushPause follows a write of progress that failed: a store that refuses at
+	// once would be asked a hundred times a second.
+	flushPause = 250 * time.Millisecond
 )
 
 var errCellLost = errors.New("lease of the cell ran out")
@@ -57,8 +60,9 @@
 	settled    bool
 	followFrom int64
 	flushing   bool
-	removals   []string // keys of forgotten jobs
-	dirty      bool     // something changed that placement depends on
+	flushAfter time.Time // not before this, after a write that failed
+	removals   []string  // keys of forgotten jobs
+	dirty      bool      // something changed that placement depends on
 	forgetAt   time.Time
 }
 
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -7,7 +7,6 @@
 	JobAccepted Code = 900 + iota
 	JobRefused
 	JobUnsettled
-	JobKnown
 	JobCancelAccepted
 	JobAnswerFailed
 	JobLoaded
@@ -53,7 +52,6 @@
 	OrderMalformed
 	OwnerFollowed
 	OwnerLost
-	OwnerNotFound
 	AnnouncementMalformed
 )
 
@@ -61,7 +59,6 @@
 	{JobAccepted, log.InfoLevel, "job accepted", "The job is stored; the caller was told so."},
 	{JobRefused, log.InfoLevel, "job refused", "The caller was told that the job was not accepted, with the reason; it never runs."},
 	{JobUnsettled, log.WarnLevel, "job unsettled", "The store's answer was lost: the caller was told that the outcome is unknown and asks again with the same id."},
-	{JobKnown, log.InfoLevel, "job known", "A submission was repeated; the job stays one."},
 	{JobCancelAccepted, log.InfoLevel, "cancellation accepted", "The cancellation is stored; what runs of the job is being stopped."},
 	{JobAnswerFailed, log.WarnLevel, "question about a job failed", "Neither the owner nor the store could tell; the caller was told to come back."},
 	{JobLoaded, log.InfoLevel, "job taken in", "The owner of the cell knows the job and will start its tasks."},
@@ -104,6 +101,5 @@
 	{OrderMalformed, log.ErrorLevel, "order malformed", "An order cannot be read; it was not carried out."},
 	{OwnerFollowed, log.InfoLevel, "owner followed", "This agent takes the orders of an owner with a higher epoch."},
 	{OwnerLost, log.WarnLevel, "owner lost", "The owner of the cell does not answer; what runs goes on until the grant ends."},
-	{OwnerNotFound, log.WarnLevel, "owner not found", "Neither the store nor an entry could name an owner of the cell."},
 	{AnnouncementMalformed, log.WarnLevel, "announcement malformed", "Something announced itself to this agent that is no worker; it was ignored."},
 }
--- a/internal/kernel/reporter/catalogue_kernel.go
+++ b/internal/kernel/reporter/catalogue_kernel.go
@@ -11,6 +11,8 @@
 	StopTimedOut
 	ProcessStarted
 	ProcessStopped
+	SettingsReloaded
+	SettingsRefused
 )
 
 var kernelDefinitions = []Definition{
@@ -21,4 +23,6 @@
 	{StopTimedOut, log.ErrorLevel, "stop timed out", "A part did not end within the stop limit and was left."},
 	{ProcessStarted, log.InfoLevel, "process started", "The process has read its settings and begins to work."},
 	{ProcessStopped, log.InfoLevel, "process stopped", "The process has ended in order."},
+	{SettingsReloaded, log.InfoLevel, "settings reloaded", "The settings file has changed; the keys say what, and whether it is in force without a restart."},
+	{SettingsRefused, log.ErrorLevel, "settings refused", "The settings file cannot be read or has faults; the settings before stay in force."},
 }
--- a/internal/service/hoster/agent.go
+++ b/internal/service/hoster/agent.go
@@ -21,6 +21,7 @@
 type Agent struct {
 	config   Config
 	metrics  *metrics.Set
+	store    *platform.Store
 	guardian *guardian.Guardian
 	attender *attender.Attender
 	announce *platform.Announcements
@@ -29,7 +30,7 @@
 // NewAgent builds an agent.
 func NewAgent(c Config) *Agent {
 	a := &Agent{config: c, metrics: metrics.NewSet()}
-	store := platform.NewStore(c.Settings.StoreAddress, func(call string) {
+	a.store = platform.NewStore(c.Settings.StoreAddress, func(call string) {
 		a.metrics.GetOrCreateCounter(fmt.Sprintf(`bamboospread_store_calls_total{call=%q}`, call)).Inc()
 	})
 	worker := platform.NewWorker(c.Settings.WorkerAddress)
@@ -37,7 +38,7 @@
 		VM: c.Settings.Name, Worker: worker.Calls(), LeaseMax: c.Settings.LeaseMax, StopTime: c.Settings.StopTime, Reporter: c.Reporter, Now: now,
 	})
 	a.attender = attender.New(attender.Config{
-		Cell: cell, Guardian: a.guardian, GetRecord: store.Calls().GetRecord, Now: now, Reporter: c.Reporter,
+		Cell: cell, Guardian: a.guardian, GetRecord: a.store.Calls().GetRecord, Now: now, Reporter: c.Reporter,
 	})
 	a.announce = &platform.Announcements{
 		Worker: worker, Announced: a.guardian.Announce,
@@ -51,6 +52,9 @@
 // Run guards the worker until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
 	return runParts(ctx, a.config.Reporter, []part{
+		{"settings", func(ctx context.Context) error {
+			return followSettings(ctx, a.config, func(n *platform.Settings) { a.store.SetAddress(n.StoreAddress) })
+		}},
 		{"guardian", a.guardian.Run},
 		{"attender", a.attender.Run},
 		{"http", func(ctx context.Context) error {
--- a/internal/service/hoster/entry.go
+++ b/internal/service/hoster/entry.go
@@ -94,6 +94,9 @@
 	}
 	return runParts(serving, e.config.Reporter, []part{
 		{"rpc", func(ctx context.Context) error { return connector.Serve(ctx, l, e.handle, nil) }},
+		{"settings", func(ctx context.Context) error {
+			return followSettings(ctx, e.config, func(n *platform.Settings) { e.store.SetAddress(n.StoreAddress) })
+		}},
 		{"policy", e.follower.Run},
 		{"scheduler", deciding(e.scheduler.Run)},
 		{"forwarder", e.forwarder.Run},
--- a/internal/service/hoster/hoster.go
+++ b/internal/service/hoster/hoster.go
@@ -36,8 +36,9 @@
 
 // Config holds the settings of a process.
 type Config struct {
-	Settings *platform.Settings
-	Reporter *reporter.Reporter
+	Settings     *platform.Settings
+	SettingsPath string
+	Reporter     *reporter.Reporter
 }
 
 func rpcAddress(s *platform.Settings) string {
--- a/internal/worker/attender/attender.go
+++ b/internal/worker/attender/attender.go
@@ -82,6 +82,7 @@
 	}
 	defer conn.Close()
 	session := a.config.Guardian.BeginSession()
+	a.config.Guardian.Follow(owner.Epoch)
 	for {
 		if err := a.report(ctx, conn, session); err != nil {
 			return err
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -64,9 +64,11 @@
 	grantUntil time.Time // the owner lets runs go on until then
 	repliedAt  time.Time // sent time of the last report that was answered
 	clock      time.Duration
-	clockAt    time.Time // when clock was received; zero: not known in this life
-	silentFrom time.Time // since when looks fail; zero: they do not
-	leaseEnd   time.Time // when leases asked for have surely run out
+	clockAt    time.Time          // when clock was received; zero: not known in this life
+	silentFrom time.Time          // since when looks fail; zero: they do not
+	leaseEnd   time.Time          // when leases asked for have surely run out
+	hurry      context.CancelFunc // ends the look that waits
+	looked     int64              // epoch of the last look that was answered in this life
 	context    context.Context
 }
 
@@ -112,7 +114,7 @@
 	if g.life != "" {
 		g.config.Reporter.Report(reporter.WorkerReborn, reporter.Fields{"life": life, "before": g.life, "runs": len(g.runs)})
 	}
-	g.life, g.ends, g.endsStored, g.clockAt = life, nil, 0, time.Time{}
+	g.life, g.ends, g.endsStored, g.clockAt, g.looked = life, nil, 0, time.Time{}, 0
 	for key, r := range g.runs {
 		if r.state != starting {
 			delete(g.runs, key)
@@ -143,12 +145,16 @@
 	return sum
 }
 
-// Report returns a whole report for the session.
+// Report returns a whole report for the session, or false if the worker has not
+// been seen well enough. What a report does not list, the owner starts elsewhere:
+// an agent that was just started must not report before it has looked, and after
+// a change of owner a look must have shown the new epoch to the worker, so that
+// no order of the old owner can add a run any more.
 func (g *Guardian) Report(session int64) (messenger.WorkReport, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.facts == nil || g.life == "" || g.clockAt.IsZero() && g.silentFrom.IsZero() {
-		return messenger.WorkReport{}, false // nothing is known of the worker yet
+	if g.facts == nil || g.clockAt.IsZero() || g.looked != g.epoch && g.silentFrom.IsZero() {
+		return messenger.WorkReport{}, false
 	}
 	rep := messenger.WorkReport{
 		VM: g.config.VM, Session: session, Facts: g.facts, Life: g.life, OrdersSeen: g.ordersSeen,
@@ -187,10 +193,8 @@
 	if reply.Epoch < g.epoch {
 		return false
 	}
-	if reply.Epoch > g.epoch {
-		g.config.Reporter.Report(reporter.OwnerFollowed, reporter.Fields{"epoch": reply.Epoch, "before": g.epoch})
-	}
-	g.epoch, g.repliedAt = reply.Epoch, sentAt
+	g.followLocked(reply.Epoch)
+	g.repliedAt = sentAt
 	if until := sentAt.Add(time.Duration(reply.GrantMillis) * time.Millisecond); until.After(g.grantUntil) {
 		g.grantUntil = until
 	}
@@ -203,6 +207,25 @@
 	return true
 }
 
+// Follow prepares for the orders of an owner: from now on the worker is asked
+// under its epoch.
+func (g *Guardian) Follow(epoch int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.followLocked(epoch)
+}
+
+func (g *Guardian) followLocked(epoch int64) {
+	if epoch <= g.epoch {
+		return
+	}
+	g.config.Reporter.Report(reporter.OwnerFollowed, reporter.Fields{"epoch": epoch, "before": g.epoch})
+	g.epoch = epoch
+	if g.hurry != nil {
+		g.hurry() // the look that waits has the old epoch
+	}
+}
+
 func (g *Guardian) storedLocked(seq int64) {
 	g.endsStored = max(g.endsStored, seq)
 	i := 0
--- a/internal/worker/guardian/look.go
+++ b/internal/worker/guardian/look.go
@@ -28,9 +28,17 @@
 func (g *Guardian) look(ctx context.Context) {
 	call, sentAt := g.nextLook()
 	limit, cancel := context.WithTimeout(ctx, call.Wait+lookLimit)
-	seen, err := g.config.Worker.Look(limit, call)
-	cancel()
+	defer cancel()
+	hurried, hurry := context.WithCancel(limit)
+	defer hurry()
+	g.mu.Lock()
+	g.hurry = hurry
+	g.mu.Unlock()
+	seen, err := g.config.Worker.Look(hurried, call)
 	if err != nil {
+		if hurried.Err() != nil && limit.Err() == nil {
+			return // a new epoch came meanwhile
+		}
 		g.lookFailed(err)
 		_ = pauser.Pause(ctx, lookPause)
 		return
@@ -48,6 +56,10 @@
 	if g.clockAt.IsZero() {
 		g.signal()
 	}
+	if g.looked != call.Epoch {
+		g.looked = call.Epoch
+		g.signal()
+	}
 	g.clock, g.clockAt = seen.Clock, g.config.Now()
 	g.applyLocked(seen, sentAt)
 }
