Give filling tasks the processors that lasting ones leave idle

Ruled out: a higher multiple of what is left by declaration, which fills the same three VMs further. Change: idle is what is not committed plus half of what lasting tasks declare; fills may ask for twice that, 0.8 of it beside lasting tasks.

--- a/internal/job/accountant/report.go
+++ b/internal/job/accountant/report.go
@@ -27,7 +27,7 @@
 	Key        RunKey
 	Confirmed  bool // the worker has it; else its start was not answered
 	Checkpoint string
-	Percent    int
+	Progress   int
 	Measure    int64
 	Needs      specifier.Resources // as ordered; zero if the agent does not know
 }
@@ -125,7 +125,7 @@
 		r.Checkpoint, r.MovedAt = rep.Checkpoint, now
 	}
 	if rep.Confirmed {
-		r.Percent, r.Measure = rep.Percent, rep.Measure
+		r.Progress, r.Measure = rep.Progress, rep.Measure
 	}
 	return adopted
 }
--- a/internal/job/accountant/run.go
+++ b/internal/job/accountant/run.go
@@ -11,7 +11,7 @@
 	vm.OrderSeq++
 	r := &Run{
 		Task: t, Number: number, VM: vm, State: Ordered, Order: vm.OrderSeq, OrderedAt: now,
-		Percent: fullPace, WantPct: fullPace, Checkpoint: t.Checkpoint, MovedAt: now,
+		Pace: fullPace, Checkpoint: t.Checkpoint, MovedAt: now,
 	}
 	a.book(r)
 	return r
@@ -30,6 +30,7 @@
 	}
 	if spec.Lasting {
 		r.VM.Lasting++
+		r.VM.LastCPU += spec.Needs.CPUMillis
 	}
 	t.Step.Occurrence.Job.Started = true
 	if j := t.Step.Occurrence.Job; j.State == JobQueued {
@@ -59,6 +60,7 @@
 	}
 	if spec.Lasting {
 		r.VM.Lasting--
+		r.VM.LastCPU -= spec.Needs.CPUMillis
 	}
 	for i, other := range t.Runs {
 		if other == r {
@@ -173,7 +175,7 @@
 func (a *Accountant) adopt(vm *VM, t *Task, number int64, now time.Time) *Run {
 	r := &Run{
 		Task: t, Number: number, VM: vm, State: Running, OrderedAt: now, StartedAt: now,
-		Percent: fullPace, WantPct: fullPace, MovedAt: now,
+		Pace: fullPace, MovedAt: now,
 	}
 	a.book(r)
 	return r
--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -31,8 +31,8 @@
 	Order      int64 // number of the order that started it, 0 for one that was adopted
 	OrderedAt  time.Time
 	StartedAt  time.Time // when it was first seen running
-	Percent    int       // of full speed, as last reported
-	WantPct    int       // of full speed, as last ordered
+	Progress   int       // percent of its work, as last reported; of a lasting task, 100 once it is at work
+	Pace       int       // percent of full speed, as last ordered
 	Measure    int64     // tail latency in ms for a lasting task with a target, else thousandths of a core in use
 	StopCause  string
 	Checkpoint string    // latest reported
@@ -159,6 +159,7 @@
 	Committed specifier.Resources
 	FillCPU   int64 // thousandths of a core that filling tasks would use
 	Lasting   int   // lasting tasks on it
+	LastCPU   int64 // thousandths of a core that they declare
 	Runs      map[RunKey]*Run
 	// GrantedAt is when the last report was answered: the agent may keep its
 	// tasks running for a grant from then on.
--- a/internal/job/planner/pace.go
+++ b/internal/job/planner/pace.go
@@ -35,7 +35,7 @@
 		}
 		h := observe(vm, in.Now)
 		for _, r := range vm.Runs {
-			if r.Step().Spec.Fills && r.State == accountant.Running && r.WantPct != h.Percent {
+			if r.Step().Spec.Fills && r.State == accountant.Running && r.Pace != h.Percent {
 				paces = append(paces, Pace{r, h.Percent})
 			}
 		}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -13,9 +13,13 @@
 // Limits of placement.
 const (
 	// fillShare is how many processors filling tasks may ask for, as a multiple of
-	// those that a VM has left. They use what is idle, and declared sizes are
+	// those that a VM has idle. They use what is idle, and declared sizes are
 	// peaks, so some more than what is left keeps it busy.
 	fillShare = 2.0
+	// fillShareBeside is the same on a VM with lasting tasks, which they disturb.
+	fillShareBeside = 0.8
+	// lastingUse is how much of what lasting tasks declare they use in the mean.
+	lastingUse = 0.5
 	// lateFactor is how many objectives after its acceptance a job is worth
 	// nothing more to its caller.
 	lateFactor = 3
@@ -42,6 +46,7 @@
 	free    specifier.Resources
 	fillCPU int64
 	lasting int
+	lastCPU int64
 	placed  int // in this round
 }
 
@@ -57,7 +62,7 @@
 	for _, vm := range in.State.VMs {
 		if usable(vm, in) {
 			r.rooms = append(r.rooms, &room{
-				vm: vm, free: vm.Capacity.Sub(vm.Committed), fillCPU: vm.FillCPU, lasting: vm.Lasting,
+				vm: vm, free: vm.Capacity.Sub(vm.Committed), fillCPU: vm.FillCPU, lasting: vm.Lasting, lastCPU: vm.LastCPU,
 			})
 		}
 	}
@@ -148,6 +153,7 @@
 	}
 	if s.Lasting {
 		m.lasting++
+		m.lastCPU += s.Needs.CPUMillis
 	}
 	m.placed++
 }
@@ -183,6 +189,16 @@
 	if !spec.Fills {
 		return true
 	}
-	left := float64(m.free.CPUMillis) * fillShare
-	return m.fillCPU == 0 && left > 0 || float64(m.fillCPU+spec.Needs.CPUMillis) <= left
+	left := m.fillRoom()
+	return m.fillCPU == 0 && left > 0 || float64(spec.Needs.CPUMillis) <= left
+}
+
+// fillRoom is how many thousandths of a core filling tasks may still ask for.
+func (m *room) fillRoom() float64 {
+	idle := float64(m.free.CPUMillis) + float64(m.lastCPU)*(1-lastingUse)
+	share := fillShare
+	if m.lasting > 0 {
+		share = fillShareBeside
+	}
+	return idle*share - float64(m.fillCPU)
 }
--- a/internal/job/planner/score.go
+++ b/internal/job/planner/score.go
@@ -35,8 +35,7 @@
 	free := float64(m.free.CPUMillis) / float64(max(m.vm.Capacity.CPUMillis, 1))
 	switch {
 	case spec.Fills:
-		sc[1] = -float64(m.lasting)
-		sc[2] = float64(m.free.CPUMillis)*fillShare - float64(m.fillCPU)
+		sc[1] = m.fillRoom() / float64(max(m.vm.Capacity.CPUMillis, 1))
 	case spec.Lasting:
 		sc[1] = float64(m.lasting)
 		sc[2] = -float64(m.fillCPU)
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -135,7 +135,7 @@
 		if err != nil {
 			return rep, accountant.Facts{}, err
 		}
-		run := accountant.ReportedRun{Key: accountant.RunKey{Task: id, Number: w.Run}, Confirmed: w.Confirmed, Checkpoint: w.Checkpoint, Percent: w.Percent, Measure: w.Measure}
+		run := accountant.ReportedRun{Key: accountant.RunKey{Task: id, Number: w.Run}, Confirmed: w.Confirmed, Checkpoint: w.Checkpoint, Progress: w.Progress, Measure: w.Measure}
 		if w.Needs != nil {
 			run.Needs = *w.Needs
 		}
@@ -185,7 +185,7 @@
 	if s == nil {
 		return
 	}
-	p.Run.WantPct = p.Percent
+	p.Run.Pace = p.Percent
 	p.Run.VM.OrderSeq++
 	s.queued = append(s.queued, messenger.WorkOrder{Seq: p.Run.VM.OrderSeq, Kind: messenger.WorkPace, Task: p.Run.Key().Task.String(), Run: p.Run.Number, Percent: p.Percent})
 	o.s.config.Reporter.Report(reporter.JobPaceDecided, reporter.Fields{"task": p.Run.Key().Task.String(), "run": p.Run.Number, "vm": p.Run.VM.Name, "percent": p.Percent})
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -41,7 +41,7 @@
 	Run        int64                `json:"run"`
 	Confirmed  bool                 `json:"confirmed,omitempty"` // the worker has it
 	Checkpoint string               `json:"checkpoint,omitempty"`
-	Percent    int                  `json:"percent"`
+	Progress   int                  `json:"progress"` // percent
 	Measure    int64                `json:"measure"`
 	Needs      *specifier.Resources `json:"needs,omitempty"`
 }
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -41,7 +41,7 @@
 	settledAt  time.Time // when its start or stop was answered; a look sent later shows the truth
 	stopped    bool      // its stop was answered
 	checkpoint string
-	percent    int
+	progress   int
 	measure    int64
 	cancel     context.CancelFunc // of its start
 }
@@ -161,7 +161,7 @@
 		Ready: !g.leaving && g.silentFrom.IsZero(),
 	}
 	for key, r := range g.runs {
-		w := messenger.WorkRun{Task: key.Task.String(), Run: key.Number, Confirmed: r.state != starting, Checkpoint: r.checkpoint, Percent: r.percent, Measure: r.measure}
+		w := messenger.WorkRun{Task: key.Task.String(), Run: key.Number, Confirmed: r.state != starting, Checkpoint: r.checkpoint, Progress: r.progress, Measure: r.measure}
 		if r.known && r.state == starting {
 			needs := r.needs
 			w.Needs = &needs
--- a/internal/worker/guardian/look.go
+++ b/internal/worker/guardian/look.go
@@ -133,7 +133,7 @@
 			r.state = running
 			g.signal()
 		}
-		r.checkpoint, r.percent, r.measure = s.Checkpoint, s.Percent, s.Measure
+		r.checkpoint, r.progress, r.measure = s.Checkpoint, s.Progress, s.Measure
 	}
 	g.takeEndsLocked(seen.Ends)
 	for key, r := range g.runs {
--- a/internal/worker/guardian/orders.go
+++ b/internal/worker/guardian/orders.go
@@ -52,7 +52,7 @@
 			return
 		}
 		ctx, cancel := context.WithCancel(g.context)
-		g.runs[key] = &run{state: starting, needs: o.Needs, known: true, checkpoint: o.Checkpoint, percent: 100, cancel: cancel}
+		g.runs[key] = &run{state: starting, needs: o.Needs, known: true, checkpoint: o.Checkpoint, cancel: cancel}
 		go g.start(ctx, key, o)
 	case messenger.WorkStop:
 		if r := g.runs[key]; r != nil {
--- a/internal/worker/guardian/worker.go
+++ b/internal/worker/guardian/worker.go
@@ -66,8 +66,8 @@
 	Task       specifier.TaskID
 	Run        int64
 	Checkpoint string
-	Percent    int
-	Measure    int64
+	Progress   int   // percent
+	Measure    int64 // tail latency in ms of a lasting task with a target, else thousandths of a core in use
 }
 
 // SeenEnd is an end that the worker has not been told to forget.
