--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bamboospread/internal/job/accountant"
+	"bamboospread/internal/job/learner"
 	"bamboospread/internal/job/specifier"
 )
 
@@ -36,8 +37,9 @@
 
 // Input is what a round of planning reads.
 type Input struct {
-	Now   time.Time
-	State *accountant.Accountant
+	Now     time.Time
+	State   *accountant.Accountant
+	Learner *learner.Learner // nil: nothing is known of disturbance
 }
 
 // room is what a VM has left during a round.
@@ -47,18 +49,20 @@
 	fillCPU int64
 	lasting int
 	lastCPU int64
-	placed  int // in this round
+	placed  int         // in this round
+	use     learner.Use // of the filling tasks; nil until it is needed
 }
 
 type round struct {
-	now   time.Time
-	state *accountant.Accountant
-	rooms []*room
+	now     time.Time
+	state   *accountant.Accountant
+	learner *learner.Learner
+	rooms   []*room
 }
 
 // Plan returns the starts of one round, most urgent first.
 func Plan(in Input) []Start {
-	r := &round{now: in.Now, state: in.State}
+	r := &round{now: in.Now, state: in.State, learner: in.Learner}
 	for _, vm := range in.State.VMs {
 		if usable(vm, in) {
 			r.rooms = append(r.rooms, &room{
@@ -150,6 +154,9 @@
 	m.free = m.free.Sub(s.Committed())
 	if s.Fills {
 		m.fillCPU += s.Needs.CPUMillis
+		if m.use != nil {
+			m.use[s.Image] += float64(s.Needs.CPUMillis) * useOfAsk / float64(max(m.vm.Capacity.CPUMillis, 1))
+		}
 	}
 	if s.Lasting {
 		m.lasting++
@@ -167,7 +174,13 @@
 		if !m.admits(s, count[m.vm]) {
 			continue
 		}
-		sc := rate(m, s, t, count[m.vm])
+		var tail float64
+		if s.Spec.Fills {
+			if tail = r.disturbance(m, s); tail > tailLimit {
+				continue
+			}
+		}
+		sc := rate(m, s, t, count[m.vm], tail)
 		if best == nil || sc.above(bestScore) {
 			best, bestScore = m, sc
 		}
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bamboospread/internal/job/accountant"
+	"bamboospread/internal/job/learner"
 	"bamboospread/internal/job/planner"
 	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/kernel/reporter"
@@ -50,6 +51,7 @@
 	done    chan struct{} // closed when the loop has ended
 
 	state      *accountant.Accountant
+	learner    *learner.Learner
 	sessions   map[string]*session // by VM
 	cancelled  map[string]bool     // cancellations that came before their job
 	members    map[string]bool     // VMs that the store has as members
@@ -68,7 +70,7 @@
 
 func newOwner(s *Scheduler, epoch int64, state *accountant.Accountant, now time.Time) *owner {
 	return &owner{
-		s: s, epoch: epoch, started: now, state: state, events: make(chan event, eventBuffer), done: make(chan struct{}),
+		s: s, epoch: epoch, started: now, state: state, learner: learner.New(), events: make(chan event, eventBuffer), done: make(chan struct{}),
 		sessions: make(map[string]*session), cancelled: make(map[string]bool), members: make(map[string]bool),
 		joining: make(map[string]bool), unheard: make(map[string]bool), dirty: true, forgetAt: now.Add(memberLife),
 	}
@@ -203,7 +205,7 @@
 }
 
 func (o *owner) startWaiting(now time.Time) {
-	for _, s := range planner.Plan(planner.Input{Now: now, State: o.state}) {
+	for _, s := range planner.Plan(planner.Input{Now: now, State: o.state, Learner: o.learner}) {
 		if sess := o.sessions[s.VM.Name]; sess != nil && o.members[s.VM.Name] {
 			o.orderStart(sess, s, now)
 		}
@@ -211,7 +213,7 @@
 }
 
 func (o *owner) pace(now time.Time) {
-	for _, p := range planner.Paces(planner.Input{Now: now, State: o.state}) {
+	for _, p := range planner.Paces(planner.Input{Now: now, State: o.state, Learner: o.learner}) {
 		o.orderPace(p)
 	}
 }
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -88,6 +88,7 @@
 	}
 	delete(o.unheard, s.vm.Name)
 	o.note(s.vm, changes, now)
+	planner.Learn(o.learner, s.vm, now)
 	o.dirty = o.dirty || changes.Any()
 	// A VM is granted nothing before the store has it as a member: the next owner
 	// must know whom to wait for.
