--- a/internal/cli/commander/agent.go
+++ b/internal/cli/commander/agent.go
@@ -41,6 +41,8 @@
 	f.StringVar(&c.Rack, "rack", "", "rack of this VM")
 	f.StringSliceVar(&c.Entries, "entries", []string{"127.0.0.1:8081"}, "RPC addresses of some entries; the rest is learned from them")
 	f.StringVar(&c.WorkerURL, "worker-url", "http://127.0.0.1:2500", "URL of the worker on this VM")
+	f.StringVar(&c.ExecutorURL, "executor-url", "", "URL of the executor on this VM: tasks of jobs run there, and none of classes on the worker")
+	f.StringVar(&c.Service, "service", "", "service whose VM this is, for queues that name one")
 	f.StringVar(&c.LocalListen, "local-listen", "127.0.0.1:8090", "address at which upstreams of this VM announce themselves")
 	f.StringVar(&c.Listen, "listen", "127.0.0.1:8091", "address for /metrics, /healthz and /readyz")
 	f.StringVar(&c.Cell, "cell", "main", "cell to which this VM belongs")
@@ -57,6 +59,9 @@
 	}
 	checkAddresses(findings, "entries", c.Entries)
 	checkURL(findings, "worker-url", c.WorkerURL)
+	if c.ExecutorURL != "" {
+		checkURL(findings, "executor-url", c.ExecutorURL)
+	}
 	checkAddress(findings, "local-listen", c.LocalListen)
 	checkAddress(findings, "listen", c.Listen)
 }
--- a/internal/cli/commander/explain.go
+++ b/internal/cli/commander/explain.go
@@ -16,18 +16,22 @@
 func newExplainCommand() *cobra.Command {
 	var flags operatorFlags
 	cmd := &cobra.Command{
-		Use:   "explain {task|vm|service} NAME",
+		Use:   "explain {task|vm|service|job} NAME",
 		Short: "Tell why something is as it is, from the decisions that led there",
 		Example: `  bamboospread explain task lot-4711
-  bamboospread explain vm worker-3`,
+  bamboospread explain vm worker-3
+  bamboospread explain job 00000000000004d2`,
 		Args: cobra.ExactArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			q, err := flags.requester()
 			if err != nil {
 				return err
 			}
+			if args[0] == "job" {
+				return flags.explainJob(cmd, q, args[1])
+			}
 			if !slices.Contains([]string{"task", "vm", "service"}, args[0]) {
-				return usageError(fmt.Errorf("kind %q: want task, vm or service", args[0]))
+				return usageError(fmt.Errorf("kind %q: want task, vm, service or job", args[0]))
 			}
 			a, err := q.Explain(cmd.Context(), args[0], args[1])
 			if err != nil {
--- a/internal/cli/commander/standin.go
+++ b/internal/cli/commander/standin.go
@@ -18,7 +18,7 @@
 		Long: "Run a stand-in of the platform in a process of its own, for demos and tests.\n" +
 			"Stand-ins keep everything in memory and have a control endpoint for faults.",
 	}
-	cmd.AddCommand(newStandinStoreCommand(), newStandinWorkerCommand(), newStandinUpstreamCommand())
+	cmd.AddCommand(newStandinStoreCommand(), newStandinWorkerCommand(), newStandinExecutorCommand(), newStandinUpstreamCommand())
 	return cmd
 }
 
--- a/internal/cli/commander/status.go
+++ b/internal/cli/commander/status.go
@@ -17,19 +17,28 @@
 	var options messenger.FindTasksOptions
 	var state string
 	var tasks bool
+	var job, queue string
 	cmd := &cobra.Command{
 		Use:   "status [TASK ...]",
 		Short: "Show the state of the cell, or of tasks",
 		Long: `Show the state of the cell: its owner, VMs, zones and counts of tasks. With ids,
---tasks or a filter, show tasks.`,
+--tasks or a filter, show tasks. With --job, show a job and its steps; with
+--queue, how many of its jobs have not started.`,
 		Example: `  bamboospread status
   bamboospread status lot-4711
+  bamboospread status --job 00000000000004d2
   bamboospread status --tenant packhouse --state queued`,
 		RunE: func(cmd *cobra.Command, args []string) error {
 			q, err := flags.requester()
 			if err != nil {
 				return err
 			}
+			if job != "" {
+				return flags.statusOfJob(cmd, q, job)
+			}
+			if queue != "" {
+				return flags.statusOfQueue(cmd, q, queue)
+			}
 			options.IDs, options.State = args, messenger.TaskState(state)
 			if !tasks && len(args) == 0 && options.Tenant+options.Class+options.VM+state == "" {
 				s, err := q.GetStatus(cmd.Context())
@@ -47,6 +56,8 @@
 	}
 	flags.register(cmd)
 	f := cmd.Flags()
+	f.StringVar(&job, "job", "", "show this job and its steps")
+	f.StringVar(&queue, "queue", "", "show how many jobs of this queue have not started")
 	f.BoolVar(&tasks, "tasks", false, "show tasks")
 	f.StringVar(&options.Tenant, "tenant", "", "show tasks of this tenant")
 	f.StringVar(&options.Class, "class", "", "show tasks of this class")
--- a/internal/cli/commander/submit.go
+++ b/internal/cli/commander/submit.go
@@ -27,6 +27,7 @@
 type submitFlags struct {
 	operatorFlags
 	tenant, class, id, idPrefix, payload string
+	queue, job                           string
 	count                                int
 	processors, memory                   string
 	accelerators                         int64
@@ -47,18 +48,25 @@
 	var flags submitFlags
 	cmd := &cobra.Command{
 		Use:   "submit",
-		Short: "Submit tasks",
+		Short: "Submit tasks, or a job of steps",
 		Long: `Submit one task or several of one class. A task is known by its id: submitting
 it again is harmless. After an unknown outcome run the same command with the
-same id or id prefix again.`,
+same id or id prefix again.
+
+With --job, submit a job of dependent steps to a queue of the fleet text; the file
+is YAML or JSON, examples/job.yaml explains it. Its id is 16 hexadecimal digits.`,
 		Example: `  bamboospread submit --tenant packhouse --class label-batch --id lot-4711 --payload "dasheen 4711"
-  bamboospread submit --tenant packhouse --class sorting-run --count 20 --id-prefix monday --wait`,
+  bamboospread submit --tenant packhouse --class sorting-run --count 20 --id-prefix monday --wait
+  bamboospread submit --queue sorting --job examples/job.yaml --id 00000000000004d2 --wait`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			q, err := flags.requester()
 			if err != nil {
 				return err
 			}
+			if flags.job != "" {
+				return flags.runJob(cmd, q)
+			}
 			specs, err := flags.specs()
 			if err != nil {
 				return usageError(err)
@@ -75,8 +83,10 @@
 	f := cmd.Flags()
 	f.StringVar(&s.tenant, "tenant", "", "tenant that owns the tasks")
 	f.StringVar(&s.class, "class", "", "task class")
+	f.StringVar(&s.job, "job", "", "file with a job of steps, instead of tasks of a class")
+	f.StringVar(&s.queue, "queue", "", "queue that takes the job")
 	f.IntVar(&s.count, "count", 1, "number of tasks")
-	f.StringVar(&s.id, "id", "", "id of a single task")
+	f.StringVar(&s.id, "id", "", "id of a single task or of the job")
 	f.StringVar(&s.idPrefix, "id-prefix", "", "ids are PREFIX-1, PREFIX-2, ... (default: a random prefix)")
 	f.StringVar(&s.payload, "payload", "", "passed to the worker as it is")
 	f.StringVar(&s.processors, "processors", "", "processors, instead of those of the class")
--- a/internal/demo/demonstrator/demonstrator.go
+++ b/internal/demo/demonstrator/demonstrator.go
@@ -19,6 +19,7 @@
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/service/agent"
 	"bamboospread/internal/service/server"
+	"bamboospread/internal/standin/executor"
 	"bamboospread/internal/standin/responder"
 	"bamboospread/internal/standin/storer"
 	"bamboospread/internal/standin/worker"
@@ -54,13 +55,14 @@
 
 // Demonstrator is one run of the demo.
 type Demonstrator struct {
-	config  Config
-	store   *storer.Store
-	workers []*worker.Worker
-	servers []*server.Server
-	entries []string // HTTP addresses
-	names   []string // of the parts, in the order of starting
-	begin   time.Time
+	config    Config
+	store     *storer.Store
+	workers   []*worker.Worker
+	executors []*executor.Executor
+	servers   []*server.Server
+	entries   []string // HTTP addresses
+	names     []string // of the parts, in the order of starting
+	begin     time.Time
 }
 
 // New returns a Demonstrator.
@@ -117,7 +119,10 @@
 	if err := d.addVMs(parts, rpc); err != nil {
 		return err
 	}
-	d.progress("%d VMs in %d availability zones, each with a worker, an agent and an upstream", vmCount, len(zoneNames))
+	if err := d.addJobVMs(parts, rpc); err != nil {
+		return err
+	}
+	d.progress("%d VMs in %d availability zones, each with a worker, an agent and an upstream; %d VMs for jobs", vmCount, len(zoneNames), jobVMCount)
 	return nil
 }
 
--- a/internal/demo/demonstrator/drive.go
+++ b/internal/demo/demonstrator/drive.go
@@ -24,6 +24,7 @@
 	refused   int
 	latencies []time.Duration
 	submitted map[string]bool // accepted task ids
+	jobState  string          // as its caller was told last
 	zoneOut   time.Time       // when the change was accepted
 	zoneIn    time.Time       // when the operator asked for the return
 }
@@ -38,6 +39,8 @@
 	defer stopLoad()
 	operator := make(chan error, 1)
 	tenant := make(chan error, 1)
+	job := make(chan error, 1)
+	go func() { job <- d.runJob(ctx, t) }()
 	go func() { operator <- d.operate(loadContext, t) }()
 	go func() { tenant <- d.submitTasks(loadContext, t) }()
 	d.sendRequests(loadContext, t)
@@ -47,6 +50,9 @@
 	if err := <-tenant; err != nil {
 		return Summary{}, err
 	}
+	if err := <-job; err != nil {
+		return Summary{}, err
+	}
 	d.progress("load ended; waiting for the last tasks")
 	d.waitForTasks(ctx, t)
 	return d.summarize(t), nil
--- a/internal/demo/demonstrator/fleet.go
+++ b/internal/demo/demonstrator/fleet.go
@@ -27,6 +27,8 @@
     needs: {processors: 2, memory: 2GiB}
     run-time: 2s
     checkpoint: true
+queues:
+  - {name: labels, slack: 2, target: 1s}
 policy:
   evictions-per-minute: 600
   outage-lease: 60s
--- /dev/null
+++ b/internal/demo/demonstrator/job.go
@@ -0,0 +1,145 @@
+package demonstrator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/kernel/registrar"
+	"bamboospread/internal/operator/handler"
+	"bamboospread/internal/service/agent"
+	"bamboospread/internal/standin/executor"
+)
+
+const (
+	jobVMCount = 2
+	jobID      = "00000000000004d2"
+	jobQueue   = "labels"
+	jobLimit   = 15 * time.Second // from its submission to its end
+	jobPayload = `{"run-ms":300}`
+)
+
+// jobSteps are the steps of the demo's job: the second one begins when the first
+// one is done.
+var jobSteps = []specifier.Step{
+	{Count: 4, Needs: specifier.Resources{CPUMillis: 500, MemoryMB: 256}, EstimateMillis: 300},
+	{Count: 6, Needs: specifier.Resources{CPUMillis: 2000, MemoryMB: 512}, EstimateMillis: 300, After: []int{0}},
+}
+
+// jobOutcome is what the executors saw of the job, and what its caller was told.
+type jobOutcome struct {
+	state string
+	done  int
+	twice int // tasks that were done twice, or ran twice at one time
+	early int // tasks of the second step that began before the first was done
+}
+
+// addJobVMs adds the VMs that run jobs.
+func (d *Demonstrator) addJobVMs(parts *registrar.Registrar, rpc []string) error {
+	var executors, agents []work
+	for i := range jobVMCount {
+		name := fmt.Sprintf("job-vm-%d", i+1)
+		e := executor.New(executor.Config{VM: name, Capacity: specifier.Resources{CPUMillis: 16_000, MemoryMB: 64_000}})
+		d.executors = append(d.executors, e)
+		run, url, err := listening(e.Run)
+		if err != nil {
+			return err
+		}
+		a, err := agent.New(agent.Config{
+			ID: "agent-" + name, VM: name, Zone: zoneNames[2*i], Rack: "rack-jobs", Entries: rpc, ExecutorURL: url,
+			LocalListen: "127.0.0.1:0", Listen: "127.0.0.1:0", Cell: "main", StopLimit: stopLimit, Reporter: d.config.Reporter,
+		})
+		if err != nil {
+			return err
+		}
+		executors, agents = append(executors, run), append(agents, a.Run)
+	}
+	d.add(parts, "executors", together(executors))
+	d.add(parts, "job-agents", together(agents))
+	return nil
+}
+
+// runJob submits the job, twice, and waits for its end.
+func (d *Demonstrator) runJob(ctx context.Context, t *tally) error {
+	ctx, cancel := context.WithTimeout(ctx, jobLimit)
+	defer cancel()
+	body, err := json.Marshal(specifier.Job{Payload: jobPayload, Steps: jobSteps})
+	if err != nil {
+		return fmt.Errorf("encode job: %w", err)
+	}
+	for _, entry := range d.entries { // a repeat through another entry stays one job
+		if err := d.call(ctx, http.MethodPut, entry+"/v1/queues/"+jobQueue+"/jobs/"+jobID, body, nil); err != nil {
+			return fmt.Errorf("submit job: %w", err)
+		}
+	}
+	d.progress("job of %d steps submitted", len(jobSteps))
+	var a handler.JobAnswer
+	for ctx.Err() == nil && a.State != "done" && a.State != "failed" {
+		pause(ctx, 100*time.Millisecond)
+		if err := d.call(ctx, http.MethodGet, d.entries[0]+"/v1/jobs/"+jobID, nil, &a); err != nil {
+			continue // asked again
+		}
+	}
+	t.mu.Lock()
+	t.jobState = a.State
+	t.mu.Unlock()
+	d.progress("job is %s", a.State)
+	return nil
+}
+
+// countJob reads the records of the executors.
+func (d *Demonstrator) countJob(state string) jobOutcome {
+	o := jobOutcome{state: state}
+	running, done := make(map[string]int), make(map[string]int)
+	var firstSecond, lastFirst time.Time
+	for _, e := range d.executors {
+		for _, v := range e.Events() {
+			id, err := specifier.ParseTaskID(v.Task)
+			if err != nil {
+				continue // not a task of a job
+			}
+			switch {
+			case v.Kind == "start":
+				running[v.Task]++
+				if running[v.Task] > 1 {
+					o.twice++
+				}
+				if id.Step == 1 && (firstSecond.IsZero() || v.At.Before(firstSecond)) {
+					firstSecond = v.At
+				}
+			case v.Kind == "end":
+				running[v.Task]--
+				if v.How == "done" {
+					done[v.Task]++
+					if id.Step == 0 && v.At.After(lastFirst) {
+						lastFirst = v.At
+					}
+				}
+			}
+		}
+	}
+	for _, n := range done {
+		o.done++
+		o.twice += n - 1
+	}
+	if !firstSecond.IsZero() && firstSecond.Before(lastFirst) {
+		o.early++
+	}
+	return o
+}
+
+func jobTasks() int {
+	n := 0
+	for _, s := range jobSteps {
+		n += s.Count
+	}
+	return n
+}
+
+// kept tells whether the promises about the job were kept.
+func (o jobOutcome) kept() bool {
+	return o.state == "done" && o.done == jobTasks() && o.twice == 0 && o.early == 0
+}
--- a/internal/demo/demonstrator/summary.go
+++ b/internal/demo/demonstrator/summary.go
@@ -22,6 +22,10 @@
 	Evictions         int     `json:"evictions"`
 	StartsInZoneOut   int     `json:"starts-in-zone-out"` // later than 3 s after the change
 	OverCommitted     int     `json:"vms-over-committed"`
+	JobState          string  `json:"job-state"`
+	JobTasksDone      int     `json:"job-tasks-done"`
+	JobTasksTwice     int     `json:"job-tasks-run-twice"`
+	JobTasksEarly     int     `json:"job-tasks-early"` // began before the step that they depend on was done
 	LatencyP50Millis  float64 `json:"latency-p50-ms"`
 	LatencyP99Millis  float64 `json:"latency-p99-ms"`
 	StoreCalls        int64   `json:"store-calls"`
@@ -95,11 +99,13 @@
 	w := d.countWork(t)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	job := d.countJob(t.jobState)
 	sortDurations(t.latencies)
 	s := Summary{
 		RequestsSent: t.sent, RequestsAnswered: t.answered, RequestsRefused: t.refused, RequestsWrong: t.wrong,
 		TasksSubmitted: len(t.submitted), TasksCompleted: w.completed, TasksRunTwice: w.twice,
 		Evictions: w.evictions, StartsInZoneOut: w.inZoneOut, OverCommitted: w.overCommitted,
+		JobState: job.state, JobTasksDone: job.done, JobTasksTwice: job.twice, JobTasksEarly: job.early,
 		LatencyP50Millis: millis(percentile(t.latencies, 0.5)), LatencyP99Millis: millis(percentile(t.latencies, 0.99)),
 		DurationMillis: time.Since(d.begin).Milliseconds(),
 	}
@@ -108,7 +114,7 @@
 	}
 	s.TasksNotCompleted = s.TasksSubmitted - s.TasksCompleted
 	s.PromisesKept = s.RequestsWrong == 0 && s.TasksRunTwice == 0 && s.StartsInZoneOut == 0 &&
-		s.OverCommitted == 0 && s.TasksNotCompleted == 0 &&
+		s.OverCommitted == 0 && job.kept() && s.TasksNotCompleted == 0 &&
 		s.RequestsAnswered+s.RequestsRefused == s.RequestsSent
 	return s
 }
@@ -123,6 +129,8 @@
 	fmt.Fprintf(table, "latency\tp50 %.1f ms, p99 %.1f ms\n", s.LatencyP50Millis, s.LatencyP99Millis)
 	fmt.Fprintf(table, "tasks\t%d submitted, %d completed, %d run twice, %d evictions\n",
 		s.TasksSubmitted, s.TasksCompleted, s.TasksRunTwice, s.Evictions)
+	fmt.Fprintf(table, "job\t%s, %d of %d tasks done, %d run twice, %d too early\n",
+		s.JobState, s.JobTasksDone, jobTasks(), s.JobTasksTwice, s.JobTasksEarly)
 	fmt.Fprintf(table, "zone out\t%d starts later than %s after it was taken out\n", s.StartsInZoneOut, zoneOutGrace)
 	fmt.Fprintf(table, "VMs\t%d times over-committed\n", s.OverCommitted)
 	fmt.Fprintf(table, "store\t%d calls\n", s.StoreCalls)
--- a/internal/fleet/describer/describer.go
+++ b/internal/fleet/describer/describer.go
@@ -75,6 +75,16 @@
 	HoldWhenLost bool
 }
 
+// Queue takes jobs of one kind.
+type Queue struct {
+	Name        string
+	Service     string        // tasks run on the VMs of this service's agents; empty: on any VM
+	Priority    int           // 0 comes first
+	MaxFailures int           // runs of a task that may fail before its job fails
+	Slack       float64       // factor on a job's longest chain of work, of its objective
+	Target      time.Duration // added to that
+}
+
 // Policy weighs the measures of the placement against one another.
 type Policy struct {
 	TailLatencyWeight  float64
@@ -92,6 +102,7 @@
 	Tenants     []Tenant
 	Services    []Service
 	TaskClasses []TaskClass
+	Queues      []Queue
 	Policy      Policy
 }
 
@@ -156,5 +167,8 @@
 // TaskClass returns the task class with the given name.
 func (f *Fleet) TaskClass(name string) (TaskClass, bool) { c, ok := f.classes[name]; return c, ok }
 
+// Queues returns the queues of jobs in the order of the text.
+func (f *Fleet) Queues() []Queue { return f.config.Queues }
+
 // Policy returns the weights and budgets of the placement.
 func (f *Fleet) Policy() Policy { return f.config.Policy }
--- a/internal/fleet/differ/differ.go
+++ b/internal/fleet/differ/differ.go
@@ -88,6 +88,15 @@
 			field{"max-attempts", strconv.Itoa(t.MaxAttempts)},
 			field{"hold-when-lost", strconv.FormatBool(t.HoldWhenLost)})})
 	}
+	for _, q := range c.Queues {
+		items = append(items, item{"queue", q.Name, []field{
+			{"service", orNone(q.Service)},
+			{"priority", strconv.Itoa(q.Priority)},
+			{"max-failures", strconv.Itoa(q.MaxFailures)},
+			{"slack", number(q.Slack)},
+			{"target", q.Target.String()},
+		}})
+	}
 	p := c.Policy
 	return append(items, item{"policy", "", []field{
 		{"tail-latency-weight", number(p.TailLatencyWeight)},
--- a/internal/fleet/parser/fleet.go
+++ b/internal/fleet/parser/fleet.go
@@ -18,6 +18,9 @@
 	DefaultRunTime            = time.Minute
 	DefaultOutageLease        = 180 * time.Second
 	DefaultEvictionsPerMinute = 30.0
+	DefaultMaxFailures        = 4
+	DefaultSlack              = 2.0
+	DefaultTarget             = time.Second
 )
 
 func (d *decoder) fleet(n ast.Node) describer.Config {
@@ -31,6 +34,7 @@
 		"tenants":            func(n ast.Node, p string) { d.list(n, p, d.tenant(&c.Tenants)) },
 		"services":           func(n ast.Node, p string) { d.list(n, p, d.service(&c.Services)) },
 		"task-classes":       func(n ast.Node, p string) { d.list(n, p, d.taskClass(&c.TaskClasses)) },
+		"queues":             func(n ast.Node, p string) { d.list(n, p, d.queue(&c.Queues)) },
 		"policy":             d.policy(&c.Policy),
 	})
 	return c
@@ -93,6 +97,21 @@
 	}
 }
 
+func (d *decoder) queue(out *[]describer.Queue) field {
+	return func(n ast.Node, path string) {
+		q := describer.Queue{MaxFailures: DefaultMaxFailures, Slack: DefaultSlack, Target: DefaultTarget}
+		d.object(n, path, map[string]field{
+			"name":         d.text(&q.Name),
+			"service":      d.text(&q.Service),
+			"priority":     d.whole(&q.Priority),
+			"max-failures": d.whole(&q.MaxFailures),
+			"slack":        d.number(&q.Slack),
+			"target":       d.duration(&q.Target),
+		})
+		*out = append(*out, q)
+	}
+}
+
 func (d *decoder) policy(out *describer.Policy) field {
 	return func(n ast.Node, path string) {
 		d.object(n, path, map[string]field{
--- a/internal/fleet/validator/validator.go
+++ b/internal/fleet/validator/validator.go
@@ -29,6 +29,9 @@
 	MinWeight       = 0.01
 	MaxWeight       = 1e6
 	MaxNameBytes    = 63
+	MaxPriority     = 9
+	MaxSlack        = 100
+	MaxTarget       = 24 * time.Hour
 )
 
 // Check reads and checks text. The error, if any, is a finder.Findings.
@@ -59,6 +62,7 @@
 	c.services(tenants)
 	c.dependencies()
 	c.taskClasses()
+	c.queues()
 	c.policy()
 }
 
--- a/internal/job/accountant/job.go
+++ b/internal/job/accountant/job.go
@@ -75,6 +75,14 @@
 
 func (a *Accountant) finish(j *Job, state JobState, now time.Time) {
 	j.State, j.EndedAt, j.dirty = state, now, true
+	a.ended = append(a.ended, j)
+}
+
+// TakeEnded returns the jobs that have ended since the last call.
+func (a *Accountant) TakeEnded() []*Job {
+	ended := a.ended
+	a.ended = nil
+	return ended
 }
 
 // taskDone marks a task as done and closes what ends with it.
--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -188,6 +188,7 @@
 	Jobs   map[string]*Job
 	VMs    map[string]*VM
 	policy *specifier.Policy
+	ended  []*Job
 	floor  int64 // run numbers of this owner are above it
 }
 
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -60,14 +60,20 @@
 	rooms   []*room
 }
 
+func newRound(in Input) *round {
+	return &round{now: in.Now, state: in.State, learner: in.Learner}
+}
+
+func newRoom(vm *accountant.VM) *room {
+	return &room{vm: vm, free: vm.Capacity.Sub(vm.Committed), fillCPU: vm.FillCPU, lasting: vm.Lasting, lastCPU: vm.LastCPU}
+}
+
 // Plan returns the starts of one round, most urgent first.
 func Plan(in Input) []Start {
-	r := &round{now: in.Now, state: in.State, learner: in.Learner}
+	r := newRound(in)
 	for _, vm := range in.State.VMs {
 		if usable(vm, in) {
-			r.rooms = append(r.rooms, &room{
-				vm: vm, free: vm.Capacity.Sub(vm.Committed), fillCPU: vm.FillCPU, lasting: vm.Lasting, lastCPU: vm.LastCPU,
-			})
+			r.rooms = append(r.rooms, newRoom(vm))
 		}
 	}
 	sort.Slice(r.rooms, func(i, j int) bool { return r.rooms[i].vm.Name < r.rooms[j].vm.Name })
@@ -191,7 +197,7 @@
 func (m *room) admits(s *accountant.Step, running int) bool {
 	spec := s.Spec
 	switch {
-	case m.vm.Service != s.Occurrence.Job.Queue.Service,
+	case !s.Occurrence.Job.Queue.RunsOn(m.vm.Service),
 		spec.Label != "" && !m.vm.Labels[spec.Label],
 		spec.MaxPerVM > 0 && running >= spec.MaxPerVM,
 		!m.free.Fits(spec.Committed()):
--- /dev/null
+++ b/internal/job/scheduler/explain.go
@@ -0,0 +1,48 @@
+package scheduler
+
+import (
+	"context"
+
+	"bamboospread/internal/job/accountant"
+	"bamboospread/internal/job/planner"
+	"bamboospread/internal/wire/messenger"
+)
+
+// explain tells the state of a job step by step, and why its tasks wait.
+func (o *owner) explain(ctx context.Context, r messenger.WorkStateRequest) (messenger.WorkExplainReply, error) {
+	return ask(ctx, o, func(o *owner) messenger.WorkExplainReply {
+		j := o.state.Jobs[r.Job]
+		if j == nil {
+			return messenger.WorkExplainReply{Job: r.Job, Epoch: o.epoch}
+		}
+		a := messenger.WorkExplainReply{
+			Known: true, Job: r.Job, Queue: j.Spec.Queue, State: string(j.Told()), Epoch: o.epoch,
+			Inherited: j.Inherited, Occurrences: j.Spec.Times(), Finished: j.Finished,
+		}
+		in := planner.Input{Now: o.s.config.Now(), State: o.state, Learner: o.learner}
+		for _, occurrence := range j.Occurrences {
+			for _, s := range occurrence.Steps {
+				a.Steps = append(a.Steps, stepStatus(in, s))
+			}
+		}
+		return a
+	})
+}
+
+func stepStatus(in planner.Input, s *accountant.Step) messenger.WorkStepStatus {
+	w := messenger.WorkStepStatus{Occurrence: s.Occurrence.Number, Step: s.Number, Tasks: len(s.Tasks), Done: s.Done}
+	for _, t := range s.Tasks {
+		w.Failures += t.Failures
+		for _, r := range t.Runs {
+			w.Running++
+			w.Runs = append(w.Runs, messenger.WorkRunStatus{Task: r.Key().Task.String(), Run: r.Number, VM: r.VM.Name, State: r.State.String()})
+		}
+		if !t.Done && len(t.Runs) == 0 {
+			w.Waiting++
+		}
+	}
+	if w.Waiting > 0 {
+		w.Reason = planner.Explain(in, s)
+	}
+	return w
+}
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -149,6 +149,7 @@
 		o.pace(now)
 		o.forget(now)
 	}
+	o.noteEnded(now)
 	o.storeMembers(ctx)
 	o.flush(ctx)
 	o.sendOrders()
@@ -238,7 +239,6 @@
 		if !o.cancelled[id] {
 			o.cancelled[id] = true
 			o.state.Cancel(id, now)
-			o.reportJob(id)
 		}
 		return
 	}
@@ -252,9 +252,11 @@
 	}
 }
 
-func (o *owner) reportJob(id string) {
-	if j := o.state.Jobs[id]; j != nil {
-		o.s.config.Reporter.Report(reporter.JobEnded, reporter.Fields{"job": id, "state": string(j.State), "queue": j.Spec.Queue})
+// noteEnded reports the jobs that have ended.
+func (o *owner) noteEnded(now time.Time) {
+	for _, j := range o.state.TakeEnded() {
+		o.s.config.Meters.jobEnded(j, now)
+		o.s.config.Reporter.Report(reporter.JobEnded, reporter.Fields{"job": j.Spec.ID, "state": string(j.State), "queue": j.Spec.Queue, "turnaround": now.Sub(j.Spec.Due(0)).String()})
 	}
 }
 
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -216,6 +216,8 @@
 		return answer(params, func(r messenger.WorkStateRequest) (messenger.WorkStateReply, error) { return o.jobState(ctx, r) })
 	case messenger.MethodWorkPending:
 		return answer(params, func(r messenger.WorkPendingRequest) (messenger.WorkPendingReply, error) { return o.pending(ctx, r) })
+	case messenger.MethodWorkExplain:
+		return answer(params, func(r messenger.WorkStateRequest) (messenger.WorkExplainReply, error) { return o.explain(ctx, r) })
 	case messenger.MethodWorkHello:
 		return answer(params, func(p messenger.PeerAddress) (messenger.WorkOwner, error) {
 			s.peers.add(p)
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -106,10 +106,6 @@
 	for _, e := range c.Ended {
 		o.s.config.Meters.runEnded(e.How)
 		o.s.config.Reporter.Report(reporter.JobRunEnded, reporter.Fields{"task": e.Key.Task.String(), "run": e.Key.Number, "vm": vm.Name, "how": string(e.How), "end": e.Seq})
-		if j := o.state.Jobs[e.Key.Task.Job]; j != nil && j.State.Final() && j.EndedAt.Equal(now) {
-			o.s.config.Meters.jobEnded(j, now)
-			o.reportJob(e.Key.Task.Job)
-		}
 	}
 	if vm.Health.Times > 0 && len(c.Ended) > 0 && vm.Quarantined(now) {
 		o.s.config.Reporter.Report(reporter.VMJudged, reporter.Fields{"vm": vm.Name, "failed": len(vm.Health.Failed), "until": vm.Health.QuarantineTo.Sub(now).String()})
--- a/internal/job/specifier/policy.go
+++ b/internal/job/specifier/policy.go
@@ -10,7 +10,7 @@
 	Name        string        `json:"name"`
 	Host        string        `json:"host"`
 	Prefix      string        `json:"prefix"`       // of the paths that belong to the queue
-	Service     string        `json:"service"`      // whose VMs run its tasks
+	Service     string        `json:"service"`      // whose VMs run its tasks; empty: any
 	Priority    int           `json:"priority"`     // 0 comes first
 	MaxFailures int           `json:"max-failures"` // runs of a task that may fail
 	Slack       float64       `json:"slack"`        // factor on a job's longest chain of work, of its objective
@@ -24,6 +24,9 @@
 	AdviceValid time.Duration `json:"advice-valid"`
 }
 
+// RunsOn tells whether tasks of the queue may run on the VMs of a service.
+func (q Queue) RunsOn(service string) bool { return q.Service == "" || q.Service == service }
+
 // Policy is what the operators want at one version. It is not changed after it
 // was published.
 type Policy struct {
--- a/internal/operator/handler/handler.go
+++ b/internal/operator/handler/handler.go
@@ -29,6 +29,7 @@
 	Follower *follower.Follower
 	// CallCell calls the owner of a cell.
 	CallCell func(ctx context.Context, cell, method string, params, result any) error
+	Jobs     Jobs
 	Reporter *reporter.Reporter
 }
 
@@ -53,6 +54,7 @@
 	h.mux.HandleFunc("GET /v1/tasks/{id}", h.getTask)
 	h.mux.HandleFunc("DELETE /v1/tasks/{id}", h.cancelTask)
 	h.mux.HandleFunc("POST /v1/tasks/cancel", h.cancelTasks)
+	h.routeJobs()
 	h.mux.HandleFunc("GET /v1/status", h.getStatus)
 	h.mux.HandleFunc("GET /v1/explain/{kind}/{name}", h.explain)
 	h.mux.HandleFunc("GET /v1/events", h.findEvents)
--- /dev/null
+++ b/internal/operator/handler/jobs.go
@@ -0,0 +1,122 @@
+package handler
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"bamboospread/internal/job/receiver"
+	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/wire/messenger"
+)
+
+// JobAnswer tells what became of a submission, a question or a cancellation.
+type JobAnswer struct {
+	ID      string  `json:"id"`
+	Outcome Outcome `json:"outcome"`
+	State   string  `json:"state,omitempty"` // accountant.JobState
+}
+
+// QueueAnswer tells how many jobs of a queue have not started.
+type QueueAnswer struct {
+	Queue   string `json:"queue"`
+	Pending int    `json:"pending"`
+}
+
+// Jobs is what the handler needs for jobs.
+type Jobs struct {
+	Receiver *receiver.Receiver
+	Policy   func() *specifier.Policy
+	// CallOwner calls the owner of the cell of jobs.
+	CallOwner func(ctx context.Context, method string, params, result any) error
+}
+
+func (h *Handler) routeJobs() {
+	h.mux.HandleFunc("PUT /v1/queues/{queue}/jobs/{id}", h.submitJob)
+	h.mux.HandleFunc("GET /v1/jobs/{id}", h.getJob)
+	h.mux.HandleFunc("DELETE /v1/jobs/{id}", h.cancelJob)
+	h.mux.HandleFunc("GET /v1/jobs/{id}/explain", h.explainJob)
+	h.mux.HandleFunc("GET /v1/queues/{queue}", h.countQueue)
+}
+
+// submitJob takes a job: its id and queue stand in the path, so a repeat of the
+// request is the same job.
+func (h *Handler) submitJob(w http.ResponseWriter, r *http.Request) {
+	var j specifier.Job
+	if !readJSON(w, r, &j) {
+		return
+	}
+	j.ID, j.Queue = r.PathValue("id"), r.PathValue("queue")
+	if !h.knowsQueue(w, j.Queue) {
+		return
+	}
+	if err := specifier.Check(&j); err != nil {
+		writeError(w, http.StatusBadRequest, ErrorAnswer{Error: err.Error(), Outcome: OutcomeRefused})
+		return
+	}
+	writeJobResult(w, j.ID, h.config.Jobs.Receiver.Submit(r.Context(), &j))
+}
+
+// knowsQueue tells whether the fleet text has a queue; if not, it has answered.
+func (h *Handler) knowsQueue(w http.ResponseWriter, name string) bool {
+	p := h.config.Jobs.Policy()
+	if p.Version == 0 {
+		writeError(w, http.StatusServiceUnavailable, ErrorAnswer{Error: "no fleet text is known here yet", Outcome: OutcomeUnavailable})
+		return false
+	}
+	if _, ok := p.QueueByName(name); !ok {
+		writeError(w, http.StatusNotFound, ErrorAnswer{Error: "queue " + strconv.Quote(name) + " does not exist", Outcome: OutcomeRefused})
+		return false
+	}
+	return true
+}
+
+func writeJobResult(w http.ResponseWriter, id string, res receiver.Result) {
+	switch res.Outcome {
+	case receiver.Accepted:
+		writeJSON(w, http.StatusOK, JobAnswer{ID: id, Outcome: OutcomeDone, State: string(res.State)})
+	case receiver.NotExist:
+		writeError(w, http.StatusNotFound, ErrorAnswer{Error: "job " + strconv.Quote(id) + " does not exist", Outcome: OutcomeRefused})
+	case receiver.Unsettled:
+		writeError(w, http.StatusGatewayTimeout, ErrorAnswer{Error: res.Reason, Outcome: OutcomeUnknown})
+	case receiver.Refused:
+		writeError(w, http.StatusServiceUnavailable, ErrorAnswer{Error: res.Reason, Outcome: OutcomeUnavailable})
+	}
+}
+
+func (h *Handler) getJob(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	writeJobResult(w, id, h.config.Jobs.Receiver.State(r.Context(), id))
+}
+
+func (h *Handler) cancelJob(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	writeJobResult(w, id, h.config.Jobs.Receiver.Cancel(r.Context(), id))
+}
+
+func (h *Handler) explainJob(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	var a messenger.WorkExplainReply
+	err := h.config.Jobs.CallOwner(r.Context(), messenger.MethodWorkExplain, messenger.WorkStateRequest{Job: id}, &a)
+	switch {
+	case err != nil:
+		writeCellError(w, err, true)
+	case !a.Known:
+		writeError(w, http.StatusNotFound, ErrorAnswer{Error: "job " + strconv.Quote(id) + " does not exist", Outcome: OutcomeRefused})
+	default:
+		writeJSON(w, http.StatusOK, a)
+	}
+}
+
+func (h *Handler) countQueue(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("queue")
+	if !h.knowsQueue(w, name) {
+		return
+	}
+	n, err := h.config.Jobs.Receiver.Pending(r.Context(), name)
+	if err != nil {
+		writeCellError(w, err, true)
+		return
+	}
+	writeJSON(w, http.StatusOK, QueueAnswer{Queue: name, Pending: n})
+}
--- a/internal/service/agent/agent.go
+++ b/internal/service/agent/agent.go
@@ -40,6 +40,8 @@
 	Rack        string
 	Entries     []string // RPC addresses of some entries; the rest is learned from them
 	WorkerURL   string
+	ExecutorURL string // empty: tasks of classes run on the worker; else tasks of jobs run on the executor instead
+	Service     string // whose VM this is, for queues that name one
 	LocalListen string // where upstreams on the VM announce themselves
 	Listen      string // /metrics, /healthz, /readyz
 	Cell        string
@@ -56,6 +58,7 @@
 	gatekeeper *gatekeeper.Gatekeeper
 	announcer  *announcer.Announcer
 	runner     *runner.Runner
+	jobs       *jobs // nil unless an executor is given
 	metrics    *metrics.Set
 	fetchLimit time.Duration // of the next fetch; fetches come one at a time
 }
@@ -90,6 +93,9 @@
 		Entries: c.Entries, Gatekeeper: a.gatekeeper, Reporter: c.Reporter,
 		FleetVersion: a.follower.Version, OnFleetVersion: a.takeFleet,
 	})
+	if c.ExecutorURL != "" {
+		a.jobs = newJobs(c)
+	}
 	a.runner = runner.New(runner.Config{
 		Cell: c.Cell, AgentID: c.ID, Incarnation: incarnation,
 		Driver: driver.New(driver.Config{URL: c.WorkerURL}),
@@ -147,8 +153,14 @@
 	r.Add(part("local-listener", a.local, a.serveLocal, nil))
 	r.Add(part("admin-listener", a.admin, a.serveAdmin, nil))
 	// Drained in reverse: the gate refuses new requests first.
-	r.Add(part("runner", a.runner, a.runner.Run, a.leave))
-	r.Add(part("announcer", a.announcer, a.announcer.Run, a.announcer.Drain, "local-listener", "runner"))
+	work := "runner"
+	if a.jobs != nil {
+		work = "jobs"
+		r.Add(part(work, a.jobs, a.jobs.run, nil))
+	} else {
+		r.Add(part(work, a.runner, a.runner.Run, a.leave))
+	}
+	r.Add(part("announcer", a.announcer, a.announcer.Run, a.announcer.Drain, "local-listener", work))
 	a.config.Reporter.Report(reporter.Listening, reporter.Fields{
 		"local": a.LocalAddress(), "admin": a.AdminAddress(),
 	})
--- /dev/null
+++ b/internal/service/server/jobs.go
@@ -0,0 +1,72 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/job/forwarder"
+	"bamboospread/internal/job/receiver"
+	"bamboospread/internal/job/scheduler"
+	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/kernel/timekeeper"
+	"bamboospread/internal/service/agent"
+	"bamboospread/internal/wire/connector"
+	"bamboospread/internal/wire/messenger"
+)
+
+// jobs is the entry's part for jobs of steps.
+type jobs struct {
+	scheduler *scheduler.Scheduler
+	forwarder *forwarder.Forwarder
+	receiver  *receiver.Receiver
+}
+
+// buildJobs builds the part for jobs on the entry's own store client and fleet text.
+func (s *Server) buildJobs() {
+	c := s.config
+	calls := s.keeper.Calls()
+	self := messenger.PeerAddress{EntryID: c.ID, Address: c.Advertise}
+	policy := policyOf(s.follower.Fleet)
+	s.jobs.scheduler = scheduler.New(scheduler.Config{
+		Cell: agent.JobsCell, EntryID: self.EntryID, Address: self.Address, Store: calls, Policy: policy,
+		Now: timekeeper.Now, Reporter: c.Reporter, Meters: scheduler.NewMeters(s.metrics),
+	})
+	s.jobs.forwarder = forwarder.New(forwarder.Config{
+		Self: self, Owner: s.jobs.scheduler.Owner, Reporter: c.Reporter,
+		Handle: func(ctx context.Context, conn *connector.Conn, method string, params json.RawMessage) (any, error) {
+			return s.jobs.scheduler.Handle(ctx, conn, method, params)
+		},
+	})
+	s.jobs.receiver = receiver.New(receiver.Config{
+		Store: calls, StoreAge: func() time.Duration { return 0 }, // each write is tried
+		CallOwner: s.jobs.forwarder.Call, Now: timekeeper.Now, Reporter: c.Reporter,
+	})
+}
+
+// policyOf reads queues and zones from the fleet text in force. The same policy is
+// returned until the text changes.
+func policyOf(fleet func() *describer.Fleet) func() *specifier.Policy {
+	var last atomic.Pointer[specifier.Policy]
+	last.Store(&specifier.Policy{})
+	return func() *specifier.Policy {
+		f := fleet()
+		p := last.Load()
+		if f.Version() == p.Version {
+			return p
+		}
+		p = &specifier.Policy{Version: f.Version(), ZonesOut: make(map[string]bool)}
+		for _, z := range f.Zones() {
+			p.ZonesOut[z.Name] = z.State == describer.ZoneOut
+		}
+		for _, q := range f.Queues() {
+			p.Queues = append(p.Queues, specifier.Queue{
+				Name: q.Name, Service: q.Service, Priority: q.Priority, MaxFailures: q.MaxFailures, Slack: q.Slack, Target: q.Target,
+			})
+		}
+		last.Store(p)
+		return p
+	}
+}
--- a/internal/service/server/serve.go
+++ b/internal/service/server/serve.go
@@ -96,6 +96,8 @@
 		return s.tracker.Handle(ctx, c, method, params)
 	case method == messenger.MethodPeers:
 		return s.enroller.Handle(ctx, c, method, params)
+	case strings.HasPrefix(method, "work/"):
+		return s.jobs.scheduler.Handle(ctx, c, method, params)
 	case method == messenger.MethodFleet:
 		return s.answerFleet(params)
 	case strings.HasPrefix(method, "cell/"):
--- a/internal/service/server/server.go
+++ b/internal/service/server/server.go
@@ -32,13 +32,15 @@
 
 // Names of the entry's services in its registrar.
 const (
-	serviceFollower   = "follower"
-	serviceEnroller   = "enroller"
-	serviceTracker    = "tracker"
-	serviceController = "controller"
-	serviceReceiver   = "receiver"
-	serviceRPC        = "rpc-listener"
-	serviceHTTP       = "http-listener"
+	serviceFollower      = "follower"
+	serviceEnroller      = "enroller"
+	serviceTracker       = "tracker"
+	serviceController    = "controller"
+	serviceJobs          = "jobs"
+	serviceJobsForwarder = "jobs-forwarder"
+	serviceReceiver      = "receiver"
+	serviceRPC           = "rpc-listener"
+	serviceHTTP          = "http-listener"
 )
 
 // Config holds the settings of an entry.
@@ -72,6 +74,7 @@
 	forwarder  *forwarder.Forwarder
 	receiver   *receiver.Receiver
 	operator   *handler.Handler
+	jobs       jobs
 	metrics    *metrics.Set
 	ready      atomic.Bool
 }
@@ -92,6 +95,7 @@
 	}
 	s.keeper = keeper.New(keeper.Config{URL: c.StoreURL, CountCall: s.countStoreCall})
 	s.buildControl()
+	s.buildJobs()
 	s.buildRequests()
 	return s, nil
 }
@@ -153,6 +157,7 @@
 	s.operator = handler.New(handler.Config{
 		Cell: c.Cell, Changer: changes, Follower: s.follower,
 		CallCell: s.forwarder.CallCell, Reporter: c.Reporter,
+		Jobs: handler.Jobs{Receiver: s.jobs.receiver, Policy: policyOf(s.follower.Fleet), CallOwner: s.jobs.forwarder.Call},
 	})
 }
 
@@ -190,7 +195,9 @@
 	r.Add(part(serviceTracker, s.tracker, s.tracker.Run, nil, serviceEnroller))
 	if s.config.MayOwn {
 		r.Add(part(serviceController, s.controller, s.controller.Run, s.handOver, serviceFollower))
+		r.Add(part(serviceJobs, s.jobs.scheduler, s.jobs.scheduler.Run, nil, serviceFollower))
 	}
+	r.Add(part(serviceJobsForwarder, s.jobs.forwarder, s.jobs.forwarder.Run, nil, serviceFollower))
 	r.Add(part(serviceReceiver, s.receiver, nil, s.drainRequests, serviceTracker))
 	r.Add(part(serviceRPC, s.rpc, s.serveRPC, nil, serviceTracker))
 	r.Add(part(serviceHTTP, s.http, s.serveHTTP, nil, serviceReceiver, serviceRPC))
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -10,6 +10,7 @@
 	MethodWorkHint    = "work/hint"    // entry to owner: WorkHint, Empty
 	MethodWorkState   = "work/state"   // entry to owner: WorkStateRequest, WorkStateReply
 	MethodWorkPending = "work/pending" // entry to owner: WorkPendingRequest, WorkPendingReply
+	MethodWorkExplain = "work/explain" // entry to owner: WorkStateRequest, WorkExplainReply
 	MethodWorkOwner   = "work/owner"   // agent to entry: Empty, WorkOwner
 	MethodWorkHello   = "work/hello"   // entry to owner: PeerAddress, WorkOwner
 )
@@ -129,6 +130,40 @@
 	Pending int `json:"pending"`
 }
 
+// WorkExplainReply tells everything that the owner knows of a job.
+type WorkExplainReply struct {
+	Known       bool             `json:"known"`
+	Job         string           `json:"job"`
+	Queue       string           `json:"queue"`
+	State       string           `json:"state"`
+	Epoch       int64            `json:"epoch"` // of the owner
+	Inherited   bool             `json:"inherited,omitempty"`
+	Occurrences int              `json:"occurrences"`
+	Finished    int              `json:"finished-occurrences"`
+	Steps       []WorkStepStatus `json:"steps,omitempty"` // of the open occurrences
+}
+
+// WorkStepStatus is the state of a step of an open occurrence.
+type WorkStepStatus struct {
+	Occurrence int             `json:"occurrence"`
+	Step       int             `json:"step"`
+	Tasks      int             `json:"tasks"`
+	Done       int             `json:"done"`
+	Running    int             `json:"running"`
+	Waiting    int             `json:"waiting"`
+	Failures   int             `json:"failures"`
+	Reason     string          `json:"reason,omitempty"` // why its tasks wait
+	Runs       []WorkRunStatus `json:"runs,omitempty"`
+}
+
+// WorkRunStatus is a live run.
+type WorkRunStatus struct {
+	Task  string `json:"task"`
+	Run   int64  `json:"run"`
+	VM    string `json:"vm"`
+	State string `json:"state"`
+}
+
 // WorkOwner tells who owns the cell as far as an entry knows, and which entries
 // it knows.
 type WorkOwner struct {
--- a/internal/worker/attender/attender.go
+++ b/internal/worker/attender/attender.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -33,8 +34,10 @@
 type Config struct {
 	Cell     string
 	Guardian *guardian.Guardian
-	// GetRecord reads the store, for the owner's address.
+	// GetRecord reads the store, for the owner's address; nil if agents do not
+	// reach the store.
 	GetRecord func(ctx context.Context, key string) (keeper.Record, error)
+	Entries   []string // addresses to ask for the owner first
 	Now       func() time.Time
 	Reporter  *reporter.Reporter
 }
@@ -47,7 +50,13 @@
 }
 
 // New returns an Attender.
-func New(c Config) *Attender { return &Attender{config: c} }
+func New(c Config) *Attender {
+	a := &Attender{config: c}
+	for _, address := range c.Entries {
+		a.entries = append(a.entries, messenger.PeerAddress{Address: address})
+	}
+	return a
+}
 
 // Run finds owners and keeps sessions with them until ctx ends.
 func (a *Attender) Run(ctx context.Context) error {
@@ -145,8 +154,14 @@
 	return messenger.Empty{}, nil
 }
 
-// find asks the store for the owner, then the entries that an owner has named.
+// errNoOwner is returned when no entry could name an owner.
+var errNoOwner = errors.New("no entry knows an owner")
+
+// find asks the store for the owner, then the entries that are known.
 func (a *Attender) find(ctx context.Context) (messenger.CellOwner, error) {
+	if a.config.GetRecord == nil {
+		return a.askEntries(ctx)
+	}
 	limit, cancel := context.WithTimeout(ctx, storeLimit)
 	record, err := a.config.GetRecord(limit, fmt.Sprintf("cells/%s/owner", a.config.Cell))
 	cancel()
@@ -163,10 +178,22 @@
 	if keeper.IsErrKeyNotExist(err) {
 		return messenger.CellOwner{}, err
 	}
+	if o, askErr := a.askEntries(ctx); askErr == nil {
+		return o, nil
+	}
+	return messenger.CellOwner{}, err
+}
+
+func (a *Attender) askEntries(ctx context.Context) (messenger.CellOwner, error) {
+	err := errNoOwner
 	for _, e := range a.entries {
-		if o, askErr := ask(ctx, e.Address); askErr == nil && o.Epoch > 0 {
+		o, askErr := ask(ctx, e.Address)
+		if askErr == nil && o.Epoch > 0 {
 			return o, nil
 		}
+		if askErr != nil {
+			err = askErr
+		}
 	}
 	return messenger.CellOwner{}, err
 }
--- /dev/null
+++ b/internal/worker/steerer/steerer.go
@@ -0,0 +1,151 @@
+package steerer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/kernel/pauser"
+	"bamboospread/internal/worker/guardian"
+)
+
+// Lengths of calls.
+const (
+	callLimit     = 3 * time.Second
+	describeEvery = time.Second
+)
+
+// Config holds the settings of a Steerer.
+type Config struct {
+	URL           string // of the executor, http://host:port
+	Zone          string
+	Rack          string
+	Service       string
+	Announced     func(guardian.Announcement)
+	Unreadable    func(error)
+	DescribeEvery time.Duration // default 1 s
+}
+
+// Steerer calls one executor. It is safe for concurrent use.
+type Steerer struct {
+	config Config
+	client *http.Client
+	mu     sync.Mutex
+	life   string
+}
+
+// New returns a Steerer.
+func New(c Config) *Steerer {
+	if c.DescribeEvery <= 0 {
+		c.DescribeEvery = describeEvery
+	}
+	return &Steerer{config: c, client: &http.Client{Timeout: callLimit}}
+}
+
+// Calls returns the calls for a guardian.
+func (s *Steerer) Calls() guardian.Worker {
+	return guardian.Worker{Start: s.start, Stop: s.stop, Pace: s.pace, Look: s.look}
+}
+
+// Run asks the executor for its description until ctx ends.
+func (s *Steerer) Run(ctx context.Context) error {
+	for {
+		if err := s.describe(ctx); err != nil && ctx.Err() == nil {
+			s.config.Unreadable(err)
+		}
+		if err := pauser.Pause(ctx, s.config.DescribeEvery); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *Steerer) describe(ctx context.Context) error {
+	var vm VM
+	if err := s.call(ctx, http.MethodGet, PathVM, nil, &vm); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.life = vm.Life
+	s.mu.Unlock()
+	s.config.Announced(guardian.Announcement{
+		Life: vm.Life, Zone: s.config.Zone, Rack: s.config.Rack, Service: s.config.Service,
+		Labels: vm.Labels, Capacity: vm.Capacity, Leaving: vm.Leaving,
+	})
+	return nil
+}
+
+func (s *Steerer) call(ctx context.Context, method, path string, body, answer any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", path, err)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, s.config.URL+path, bytes.NewReader(encoded))
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	r.Header.Set(HeaderLife, s.life)
+	s.mu.Unlock()
+	reply, err := s.client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer reply.Body.Close()
+	switch reply.StatusCode {
+	case http.StatusOK:
+		if answer == nil {
+			return nil
+		}
+		return json.NewDecoder(reply.Body).Decode(answer)
+	case http.StatusConflict:
+		var f Refusal
+		if err := json.NewDecoder(reply.Body).Decode(&f); err != nil {
+			return fmt.Errorf("decode refusal of %s: %w", path, err)
+		}
+		return guardian.ErrRefused{Reason: guardian.RefusalReason(f.Reason)}
+	}
+	return fmt.Errorf("executor answered %s with status %d", path, reply.StatusCode)
+}
+
+func (s *Steerer) start(ctx context.Context, c guardian.StartCall) error {
+	return s.call(ctx, http.MethodPost, PathStart, Start{
+		Task: c.Task.String(), Run: c.Run, Payload: c.Payload, Checkpoint: c.Checkpoint, Ticket: c.Ticket,
+		Epoch: c.Epoch, LeaseMillis: millis(c.LeaseUntil),
+	}, nil)
+}
+
+func (s *Steerer) stop(ctx context.Context, c guardian.StopCall) error {
+	return s.call(ctx, http.MethodPost, PathStop, Stop{Task: c.Task.String(), Run: c.Run, Epoch: c.Epoch}, nil)
+}
+
+func (s *Steerer) pace(ctx context.Context, c guardian.PaceCall) error {
+	return s.call(ctx, http.MethodPost, PathPace, Pace{Task: c.Task.String(), Run: c.Run, Percent: c.Percent, Epoch: c.Epoch}, nil)
+}
+
+func (s *Steerer) look(ctx context.Context, c guardian.LookCall) (guardian.Look, error) {
+	var a Seen
+	if err := s.call(ctx, http.MethodPost, PathLook, Look{Epoch: c.Epoch, Seen: c.Seen, LeaseMillis: millis(c.LeaseUntil), WaitMillis: millis(c.Wait)}, &a); err != nil {
+		return guardian.Look{}, err
+	}
+	l := guardian.Look{Life: a.Life, Clock: time.Duration(a.ClockMillis) * time.Millisecond}
+	for _, r := range a.Runs {
+		id, err := specifier.ParseTaskID(r.Task)
+		if err != nil {
+			return l, err
+		}
+		l.Runs = append(l.Runs, guardian.SeenRun{Task: id, Run: r.Run, Checkpoint: r.Checkpoint, Progress: r.Progress, Measure: r.Measure})
+	}
+	for _, e := range a.Ends {
+		id, err := specifier.ParseTaskID(e.Task)
+		if err != nil {
+			return l, err
+		}
+		l.Ends = append(l.Ends, guardian.SeenEnd{Seq: e.Seq, Task: id, Run: e.Run, How: e.How, Checkpoint: e.Checkpoint})
+	}
+	return l, nil
+}
