--- a/internal/cli/commander/submit.go
+++ b/internal/cli/commander/submit.go
@@ -54,10 +54,10 @@
 same id or id prefix again.
 
 With --job, submit a job of dependent steps to a queue of the fleet text; the file
-is YAML or JSON, examples/job.yaml explains it. Its id is 16 hexadecimal digits.`,
+is YAML or JSON, examples/jobs/labels.yaml explains it. Its id is 16 hexadecimal digits.`,
 		Example: `  bamboospread submit --tenant packhouse --class label-batch --id lot-4711 --payload "dasheen 4711"
   bamboospread submit --tenant packhouse --class sorting-run --count 20 --id-prefix monday --wait
-  bamboospread submit --queue sorting --job examples/job.yaml --id 00000000000004d2 --wait`,
+  bamboospread submit --queue sorting --job examples/jobs/labels.yaml --id 00000000000004d2 --wait`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			q, err := flags.requester()
--- /dev/null
+++ b/internal/fleet/validator/queues_test.go
@@ -0,0 +1,40 @@
+package validator
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestQueues(t *testing.T) {
+	const head = "fleet: f\navailability-zones: [{name: a}]\ntenants: [{name: t}]\nservices: [{name: s, tenant: t, needs: {processors: 1, memory: 1GB}}]\nqueues:\n"
+	tests := []struct {
+		name, queues, want string
+	}{
+		{"fine", "  - {name: q, service: s, priority: 2, max-failures: 3, slack: 1.5, target: 250ms}\n", ""},
+		{"twice", "  - {name: q}\n  - {name: q}\n", `the name "q" is given twice`},
+		{"no such service", "  - {name: q, service: x}\n", `there is no service "x"`},
+		{"priority", "  - {name: q, priority: 10}\n", "want 0 to 9, not 10"},
+		{"no failure allowed", "  - {name: q, max-failures: 0}\n", "max-failures: want 1 to 1000, not 0"},
+		{"slack below one", "  - {name: q, slack: 0.5}\n", "slack: want 1 to 100, not 0.5"},
+		{"target too long", "  - {name: q, target: 48h}\n", "target: want 0 to 24h0m0s"},
+		{"unknown key", "  - {name: q, colour: red}\n", "queues[0].colour: unknown key"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, err := Check([]byte(head + tt.queues))
+			if tt.want == "" {
+				if err != nil {
+					t.Fatal(err)
+				}
+				if q := c.Queues[0]; q.Service != "s" || q.Priority != 2 || q.MaxFailures != 3 || q.Slack != 1.5 || q.Target != 250*time.Millisecond {
+					t.Errorf("read %+v", q)
+				}
+				return
+			}
+			if err == nil || !strings.Contains(err.Error(), tt.want) {
+				t.Errorf("got %v, want %q", err, tt.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/job/accountant/accountant_test.go
@@ -0,0 +1,276 @@
+package accountant
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bamboospread/internal/job/specifier"
+)
+
+func TestStepsRunInOrderAndTheJobEnds(t *testing.T) {
+	a := newState(t, 2)
+	j := addJob(t, a, 1, specifier.Step{Count: 2, Needs: oneCore}, specifier.Step{Count: 1, Needs: oneCore, After: []int{0}})
+	vm := attach(a, "vm")
+	if got := a.WaitingSteps(begin); len(got) != 1 || got[0].Number != 0 {
+		t.Fatalf("waiting steps %v", got)
+	}
+	for i, task := range j.Occurrences[0].Steps[0].Tasks {
+		a.Place(task, vm, a.NextNumber(task), begin)
+		a.Apply(vm, Report{Life: "1", Ready: true, OrdersSeen: int64(i + 1), Ends: []ReportedEnd{{Seq: int64(i + 1), Key: key(1, 0, i, 1), How: EndDone}}}, at(10))
+	}
+	steps := a.WaitingSteps(at(10))
+	if len(steps) != 1 || steps[0].Number != 1 || j.State != JobRunning {
+		t.Fatalf("waiting steps %v, job %s", steps, j.State)
+	}
+	a.Place(steps[0].Tasks[0], vm, 1, at(10))
+	a.Apply(vm, Report{Life: "1", Ready: true, OrdersSeen: 3, Ends: []ReportedEnd{{Seq: 3, Key: key(1, 1, 0, 1), How: EndDone}}}, at(20))
+	if j.State != JobDone || vm.Committed != (specifier.Resources{}) || len(a.TakeEnded()) != 1 {
+		t.Errorf("job %s, committed %+v", j.State, vm.Committed)
+	}
+}
+
+// The caller sees a job called done whose tasks ran again. The owner told the end
+// before the store had it, died, and the next owner knew nothing of it. A final
+// state is therefore told, and an end acknowledged, only once it is written.
+func TestFinalStateIsToldOnceStored(t *testing.T) {
+	a := newState(t, 2)
+	j := addJob(t, a, 1, specifier.Step{Count: 1, Needs: oneCore})
+	vm := attach(a, "vm")
+	a.Place(j.Occurrences[0].Steps[0].Tasks[0], vm, 1, begin)
+	a.Apply(vm, Report{Life: "1", Ready: true, OrdersSeen: 1, Ends: []ReportedEnd{{Seq: 1, Key: key(1, 0, 0, 1), How: EndDone}}}, at(10))
+	if j.Told() != JobRunning || vm.EndStored != 0 {
+		t.Fatalf("told %s, end %d acknowledged before the write", j.Told(), vm.EndStored)
+	}
+	f := a.BeginFlush()
+	a.EndFlush(f, nil, errors.New("store away"))
+	if j.Told() != JobRunning || vm.EndStored != 0 {
+		t.Fatalf("told %s, end %d acknowledged after a failed write", j.Told(), vm.EndStored)
+	}
+	f = a.BeginFlush()
+	if len(f.Jobs) != 1 {
+		t.Fatalf("%d jobs are written again", len(f.Jobs))
+	}
+	a.EndFlush(f, map[string]JobState{j.Spec.ID: j.State}, nil)
+	if j.Told() != JobDone || vm.EndStored != 1 {
+		t.Errorf("told %s, end %d acknowledged", j.Told(), vm.EndStored)
+	}
+}
+
+// An end that comes while a write is on its way must wait for the next write.
+func TestEndDuringAWriteIsNotAcknowledgedByIt(t *testing.T) {
+	a := newState(t, 2)
+	j := addJob(t, a, 1, specifier.Step{Count: 2, Needs: oneCore})
+	vm := attach(a, "vm")
+	for _, task := range j.Occurrences[0].Steps[0].Tasks {
+		a.Place(task, vm, 1, begin)
+	}
+	end := func(seq int64, index int) {
+		a.Apply(vm, Report{Life: "1", Ready: true, Ends: []ReportedEnd{{Seq: seq, Key: key(1, 0, index, 1), How: EndDone}}}, at(10))
+	}
+	end(1, 0)
+	f := a.BeginFlush()
+	state := j.State
+	end(2, 1)
+	a.EndFlush(f, map[string]JobState{j.Spec.ID: state}, nil)
+	if vm.EndStored != 1 || j.Told() != JobRunning {
+		t.Errorf("end %d acknowledged, job told as %s", vm.EndStored, j.Told())
+	}
+	if f := a.BeginFlush(); len(f.Jobs) != 1 {
+		t.Errorf("%d jobs in the next write", len(f.Jobs))
+	}
+}
+
+func TestReports(t *testing.T) {
+	confirmed := func(k RunKey) ReportedRun { return ReportedRun{Key: k, Confirmed: true, Checkpoint: "c1"} }
+	tests := []struct {
+		name   string
+		report Report
+		state  string // of the run that was ordered; empty: gone
+		lost   int
+		adopt  int
+	}{
+		{"order not seen yet", Report{Life: "1", Ready: true}, "ordered", 0, 0},
+		{"order seen, start not answered", Report{Life: "1", Ready: true, OrdersSeen: 1, Runs: []ReportedRun{{Key: key(1, 0, 0, 1)}}}, "ordered", 0, 0},
+		{"confirmed", Report{Life: "1", Ready: true, OrdersSeen: 1, Runs: []ReportedRun{confirmed(key(1, 0, 0, 1))}}, "running", 0, 0},
+		{"refused", Report{Life: "1", Ready: true, OrdersSeen: 1}, "", 1, 0},
+		{"another life", Report{Life: "2", Ready: true, OrdersSeen: 1}, "", 1, 0},
+		{"a run of an earlier owner", Report{Life: "1", Ready: true, OrdersSeen: 1, Runs: []ReportedRun{confirmed(key(1, 0, 0, 1)), confirmed(key(1, 0, 1, 7))}}, "running", 0, 1},
+		{"a run of no job", Report{Life: "1", Ready: true, OrdersSeen: 1, Runs: []ReportedRun{confirmed(key(1, 0, 0, 1)), confirmed(key(9, 0, 0, 1))}}, "running", 0, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := newState(t, 2)
+			j := addJob(t, a, 1, specifier.Step{Count: 2, Needs: oneCore, Checkpoints: true})
+			vm := attach(a, "vm")
+			a.Place(j.Occurrences[0].Steps[0].Tasks[0], vm, 1, begin)
+			c := a.Apply(vm, tt.report, at(10))
+			state := ""
+			if r := vm.Runs[key(1, 0, 0, 1)]; r != nil {
+				state = r.State.String()
+			}
+			if diff := cmp.Diff([]any{tt.state, tt.lost, tt.adopt}, []any{state, len(c.Lost), len(c.Adopted)}); diff != "" {
+				t.Error(diff)
+			}
+			checkBooks(t, a)
+		})
+	}
+}
+
+// A run of a job that ended, of a task that is done, or a second run of one task
+// is stopped; one that a copy may accompany is not.
+func TestUnwantedRuns(t *testing.T) {
+	tests := []struct {
+		name   string
+		copies bool
+		change func(a *Accountant)
+		want   int
+	}{
+		{"two runs of one task", false, func(*Accountant) {}, 1},
+		{"a copy", true, func(*Accountant) {}, 0},
+		{"cancelled", true, func(a *Accountant) { a.Cancel(jobID(1), at(5)) }, 2},
+		{"done by the other run", true, func(a *Accountant) {
+			a.Apply(a.VMs["one"], Report{Life: "1", Ready: true, Ends: []ReportedEnd{{Seq: 1, Key: key(1, 0, 0, 1), How: EndDone}}}, at(5))
+		}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := newState(t, 2)
+			addJob(t, a, 1, specifier.Step{Count: 1, Needs: oneCore, Copies: tt.copies})
+			for i, name := range []string{"one", "two"} {
+				vm := attach(a, name)
+				a.Apply(vm, Report{Life: "1", Ready: true, Runs: []ReportedRun{{Key: key(1, 0, 0, int64(i+1)), Confirmed: true}}}, begin)
+			}
+			tt.change(a)
+			if got := len(a.Unwanted()); got != tt.want {
+				t.Errorf("%d runs are stopped, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestFailures(t *testing.T) {
+	a := newState(t, 2)
+	j := addJob(t, a, 1, specifier.Step{Count: 1, Needs: oneCore})
+	lasting := addJob(t, a, 2, specifier.Step{Count: 1, Needs: oneCore, Lasting: true})
+	vm := attach(a, "vm")
+	for run := range int64(3) {
+		a.EndRun(vm, key(1, 0, 0, run+1), EndFailed, "", at(10))
+		a.EndRun(vm, key(2, 0, 0, run+1), EndFailed, "", at(10))
+	}
+	if j.State != JobFailed {
+		t.Errorf("after its allowed failures the job is %s", j.State)
+	}
+	if lasting.State.Final() {
+		t.Errorf("a lasting job ended %s", lasting.State)
+	}
+}
+
+// Runs that end otherwise than failed cost no attempt: a lost VM or a lapsed lease
+// is not the task's fault.
+func TestOnlyFailedEndsCount(t *testing.T) {
+	a := newState(t, 1)
+	j := addJob(t, a, 1, specifier.Step{Count: 1, Needs: oneCore, Checkpoints: true})
+	vm := attach(a, "vm")
+	for run, how := range []End{EndStopped, EndLapsed, EndBroken, EndAlone, EndLost} {
+		a.EndRun(vm, key(1, 0, 0, int64(run+1)), how, "c", at(10))
+	}
+	task := j.Occurrences[0].Steps[0].Tasks[0]
+	if j.State.Final() || task.Failures != 0 || task.Checkpoint != "c" || a.NextNumber(task) != 6 {
+		t.Errorf("job %s, %d failures, checkpoint %q, next run %d", j.State, task.Failures, task.Checkpoint, a.NextNumber(task))
+	}
+}
+
+func TestRecordKeepsProgress(t *testing.T) {
+	a := newState(t, 3)
+	steps := []specifier.Step{{Count: 10, Needs: oneCore}, {Count: 1, Needs: oneCore, After: []int{0}}}
+	j := addJob(t, a, 1, steps...)
+	vm := attach(a, "vm")
+	for _, i := range []int{0, 3, 9} {
+		a.EndRun(vm, key(1, 0, i, 1), EndDone, "", at(10))
+	}
+	a.EndRun(vm, key(1, 0, 4, 1), EndFailed, "", at(10))
+	value, err := j.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := newState(t, 3)
+	restored := addJob(t, next, 1, steps...)
+	if err := next.Restore(jobID(1), value, at(20)); err != nil {
+		t.Fatal(err)
+	}
+	step := restored.Occurrences[0].Steps[0]
+	var done []int
+	for i, task := range step.Tasks {
+		if task.Done {
+			done = append(done, i)
+		}
+	}
+	if diff := cmp.Diff([]int{0, 3, 9}, done); diff != "" || step.Done != 3 || step.Tasks[4].Failures != 1 {
+		t.Errorf("restored %+v: %s", done, diff)
+	}
+}
+
+func TestRestoreRefusesWhatDoesNotFit(t *testing.T) {
+	for _, value := range []string{"", "{", `{"state":"running","open":[{"number":0,"steps":[]}]}`, `{"state":"running","open":[{"number":0,"steps":[{"done":"xy"}]}]}`} {
+		a := newState(t, 3)
+		addJob(t, a, 1, specifier.Step{Count: 1, Needs: oneCore})
+		if err := a.Restore(jobID(1), []byte(value), begin); err == nil {
+			t.Errorf("%q was taken", value)
+		}
+	}
+}
+
+// The worker refuses a run whose number is not above those it has seen. An owner
+// that takes over knows no numbers of runs that died with their VM, so its own
+// begin above all that earlier owners can have given out.
+func TestRunNumbersRiseOverOwners(t *testing.T) {
+	a := New(Config{RunFloor: 2000, Policy: &specifier.Policy{}})
+	spec := &specifier.Job{ID: jobID(1), Steps: []specifier.Step{{Count: 2, Needs: oneCore, Gang: true}}}
+	a.AddJob(spec, true, begin)
+	s := a.Jobs[spec.ID].Occurrences[0].Steps[0]
+	vm := attach(a, "vm")
+	a.Apply(vm, Report{Life: "1", Ready: true, Runs: []ReportedRun{{Key: key(1, 0, 0, 2005), Confirmed: true}}}, begin)
+	if got := a.NextNumber(s.Tasks[1]); got != 2001 {
+		t.Errorf("first run has number %d", got)
+	}
+	if got := a.GangNumber(s); got != 2006 {
+		t.Errorf("the gang's next run has number %d", got)
+	}
+}
+
+func TestOccurrences(t *testing.T) {
+	a := newState(t, 2)
+	spec := &specifier.Job{ID: jobID(1), Queue: "q", Occurrences: 3, FirstMillis: at(100).UnixMilli(), IntervalMillis: 100, Steps: []specifier.Step{{Count: 1, Needs: oneCore}}}
+	a.AddJob(spec, false, begin)
+	j := a.Jobs[spec.ID]
+	vm := attach(a, "vm")
+	for i, millis := range []int{50, 100, 250, 300} {
+		a.OpenDue(at(millis))
+		if want := []int{0, 1, 2, 3}[i]; j.Next != want {
+			t.Errorf("at %d ms %d occurrences were opened, want %d", millis, j.Next, want)
+		}
+	}
+	for k := range 3 {
+		id := specifier.TaskID{Job: spec.ID, Occurrence: k}
+		a.EndRun(vm, RunKey{id, 1}, EndDone, "", at(400))
+		if done := j.State == JobDone; done != (k == 2) {
+			t.Errorf("after %d occurrences the job is %s", k+1, j.State)
+		}
+	}
+}
+
+// checkBooks compares the counts of each VM with its runs.
+func checkBooks(t *testing.T, a *Accountant) {
+	t.Helper()
+	for _, vm := range a.VMs {
+		var committed specifier.Resources
+		for _, r := range vm.Runs {
+			committed = committed.Add(r.Step().Spec.Committed())
+		}
+		if vm.Committed != committed {
+			t.Errorf("%s has %+v committed, its runs take %+v", vm.Name, vm.Committed, committed)
+		}
+	}
+}
--- /dev/null
+++ b/internal/job/accountant/helpers_test.go
@@ -0,0 +1,49 @@
+package accountant
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bamboospread/internal/job/specifier"
+)
+
+var (
+	begin     = time.Unix(1_000_000, 0)
+	oneCore   = specifier.Resources{CPUMillis: 1000, MemoryMB: 100}
+	eightCore = specifier.Resources{CPUMillis: 8000, MemoryMB: 8000}
+)
+
+// at returns a moment so many milliseconds after the beginning.
+func at(millis int) time.Time { return begin.Add(time.Duration(millis) * time.Millisecond) }
+
+func jobID(n int) string { return fmt.Sprintf("%016x", n) }
+
+func newState(t *testing.T, maxFailures int) *Accountant {
+	t.Helper()
+	return New(Config{Policy: &specifier.Policy{Version: 1, Queues: []specifier.Queue{{Name: "q", MaxFailures: maxFailures, Slack: 2}}}})
+}
+
+func addJob(t *testing.T, a *Accountant, n int, steps ...specifier.Step) *Job {
+	t.Helper()
+	spec := &specifier.Job{ID: jobID(n), Queue: "q", Steps: steps, AcceptedMillis: begin.UnixMilli()}
+	if err := specifier.Check(spec); err != nil {
+		t.Fatal(err)
+	}
+	if !a.AddJob(spec, false, begin) {
+		t.Fatalf("job %d is not new", n)
+	}
+	return a.Jobs[spec.ID]
+}
+
+// attach opens a session of a VM that runs nothing.
+func attach(a *Accountant, name string) *VM {
+	vm, _ := a.Attach(Facts{Name: name, Zone: "z", Capacity: eightCore}, Report{Life: "1", Ready: true}, begin)
+	return vm
+}
+
+func task(n, step, index int) specifier.TaskID {
+	return specifier.TaskID{Job: jobID(n), Step: step, Index: index}
+}
+
+func key(n, step, index int, run int64) RunKey { return RunKey{task(n, step, index), run} }
