Test placement, order, pacing and what is learned of images

Cause: these decisions were written ahead of their tests. Ruled out: nothing. Change: tests of planner and learner, with a property: no VM over its capacity, no task started twice.

--- /dev/null
+++ b/internal/job/planner/planner_test.go
@@ -0,0 +1,275 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"bamboospread/internal/job/accountant"
+	"bamboospread/internal/job/learner"
+	"bamboospread/internal/job/specifier"
+)
+
+var begin = time.Unix(1_000_000, 0)
+
+func cores(n int64) specifier.Resources {
+	return specifier.Resources{CPUMillis: 1000 * n, MemoryMB: 1000 * n}
+}
+
+func jobID(n int) string { return fmt.Sprintf("%016x", n) }
+
+type bed struct {
+	state *accountant.Accountant
+	jobs  int
+}
+
+func newBed(queues ...specifier.Queue) *bed {
+	if len(queues) == 0 {
+		queues = []specifier.Queue{{Name: "q", Slack: 2, MaxFailures: 3}}
+	}
+	return &bed{state: accountant.New(accountant.Config{Policy: &specifier.Policy{Version: 1, Queues: queues, ZonesOut: map[string]bool{"out": true}}})}
+}
+
+func (b *bed) vm(name, zone, rack string, capacity specifier.Resources, labels ...string) *accountant.VM {
+	vm, _ := b.state.Attach(accountant.Facts{Name: name, Zone: zone, Rack: rack, Labels: labels, Capacity: capacity}, accountant.Report{Life: "1", Ready: true}, begin)
+	return vm
+}
+
+func (b *bed) job(queue string, steps ...specifier.Step) *accountant.Job {
+	b.jobs++
+	spec := &specifier.Job{ID: jobID(b.jobs), Queue: queue, Steps: steps, AcceptedMillis: begin.UnixMilli() + int64(b.jobs)}
+	b.state.AddJob(spec, false, begin)
+	return b.state.Jobs[spec.ID]
+}
+
+func (b *bed) plan(now time.Time) []Start { return Plan(Input{Now: now, State: b.state}) }
+
+// places returns the VMs of the starts by task.
+func places(starts []Start) map[string]string {
+	m := make(map[string]string)
+	for _, s := range starts {
+		m[s.Task.ID().String()] = s.VM.Name
+	}
+	return m
+}
+
+func TestWhereATaskMayRun(t *testing.T) {
+	step := func(change func(*specifier.Step)) specifier.Step {
+		s := specifier.Step{Count: 1, Needs: cores(2), EstimateMillis: 100}
+		change(&s)
+		return s
+	}
+	tests := []struct {
+		name string
+		step specifier.Step
+		want string // VM; empty: none
+	}{
+		{"anywhere with room", step(func(s *specifier.Step) { s.Needs = cores(6) }), "large"},
+		{"nowhere", step(func(s *specifier.Step) { s.Needs = cores(9) }), ""},
+		{"label", step(func(s *specifier.Step) { s.Label = "ssd" }), "small"},
+		{"label that no VM has", step(func(s *specifier.Step) { s.Label = "gold" }), ""},
+		{"where its data lies", step(func(s *specifier.Step) { s.DataRack = "r1" }), "small"},
+		{"elsewhere if there is no room at its data", step(func(s *specifier.Step) { s.DataRack = "r1"; s.Needs = cores(6) }), "large"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBed()
+			b.vm("small", "in", "r1", cores(4), "ssd")
+			b.vm("large", "in", "r2", cores(8))
+			b.vm("out", "out", "r3", cores(64), "ssd")
+			b.job("q", tt.step)
+			want := map[string]string{}
+			if tt.want != "" {
+				want[jobID(1)+".0.0.0"] = tt.want
+			}
+			if diff := cmp.Diff(want, places(b.plan(begin))); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestWhichVMsTakeNothing(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(b *bed, vm *accountant.VM)
+	}{
+		{"not reached", func(b *bed, vm *accountant.VM) { b.state.Detach(vm) }},
+		{"leaving", func(b *bed, vm *accountant.VM) { b.state.Apply(vm, accountant.Report{Life: "1"}, begin) }},
+		{"quarantined", func(_ *bed, vm *accountant.VM) { vm.Health.QuarantineTo = begin.Add(time.Second) }},
+		{"of another service", func(_ *bed, vm *accountant.VM) { vm.Service = "other" }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBed(specifier.Queue{Name: "q", Service: "s"})
+			vm := b.vm("vm", "in", "r1", cores(8))
+			vm.Service = "s"
+			b.job("q", specifier.Step{Count: 1, Needs: cores(1)})
+			if len(b.plan(begin)) != 1 {
+				t.Fatal("nothing starts on a sound VM")
+			}
+			tt.change(b, vm)
+			if got := b.plan(begin); len(got) != 0 {
+				t.Errorf("%d tasks start", len(got))
+			}
+			if why := Explain(Input{Now: begin, State: b.state}, b.state.Jobs[jobID(1)].Occurrences[0].Steps[0]); why != "1 VMs "+tt.name && why != "1 VMs leaving or silent" {
+				t.Errorf("explained as %q", why)
+			}
+		})
+	}
+}
+
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	b := newBed()
+	b.vm("one", "in", "r1", cores(4))
+	two := b.vm("two", "in", "r1", cores(3))
+	b.job("q", specifier.Step{Count: 4, Needs: cores(2), Gang: true})
+	if got := b.plan(begin); len(got) != 0 {
+		t.Fatalf("%d of 4 members start with room for 3", len(got))
+	}
+	two.Capacity = cores(4)
+	starts := b.plan(begin)
+	numbers := make(map[int64]bool)
+	for _, s := range starts {
+		numbers[s.Number] = true
+	}
+	if len(starts) != 4 || len(numbers) != 1 {
+		t.Errorf("%d members start, with the run numbers %v", len(starts), numbers)
+	}
+}
+
+func TestMaxPerVM(t *testing.T) {
+	b := newBed()
+	b.vm("one", "in", "r1", cores(8))
+	b.vm("two", "in", "r1", cores(8))
+	b.job("q", specifier.Step{Count: 6, Needs: cores(1), MaxPerVM: 2})
+	count := make(map[string]int)
+	for _, vm := range places(b.plan(begin)) {
+		count[vm]++
+	}
+	if diff := cmp.Diff(map[string]int{"one": 2, "two": 2}, count); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestOrder(t *testing.T) {
+	urgent := specifier.Queue{Name: "urgent", Priority: 0, Slack: 2}
+	batch := specifier.Queue{Name: "batch", Priority: 2, Slack: 2, Target: time.Second}
+	long := specifier.Step{Count: 1, Needs: cores(1), EstimateMillis: 10_000}
+	short := specifier.Step{Count: 1, Needs: cores(1), EstimateMillis: 1000}
+	tests := []struct {
+		name string
+		jobs func(b *bed)
+		now  time.Duration
+		want int // job whose task starts first
+	}{
+		{"priority", func(b *bed) { b.job("batch", short); b.job("urgent", long) }, 0, 2},
+		{"earlier deadline", func(b *bed) { b.job("batch", long); b.job("batch", short) }, 0, 2},
+		{"in time before late", func(b *bed) { b.job("batch", short); b.job("batch", long) }, 4 * time.Second, 2},
+		{"late before hopeless", func(b *bed) { b.job("batch", short); b.job("batch", long) }, 14 * time.Second, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBed(urgent, batch)
+			b.vm("vm", "in", "r1", cores(1))
+			tt.jobs(b)
+			starts := b.plan(begin.Add(tt.now))
+			if len(starts) != 1 || starts[0].Task.ID().Job != jobID(tt.want) {
+				t.Errorf("starts %v", places(starts))
+			}
+		})
+	}
+}
+
+// Lasting tasks serve users; tasks that fill disturb them. The two are kept apart
+// while there is room apart.
+func TestFillingTasksKeepAwayFromLastingOnes(t *testing.T) {
+	b := newBed()
+	one := b.vm("one", "in", "r1", cores(32))
+	b.vm("two", "in", "r1", cores(32))
+	lasting := b.job("q", specifier.Step{Count: 2, Needs: cores(8), Lasting: true, TailMillis: 20, Image: "l"})
+	for _, s := range b.plan(begin) {
+		b.state.Place(s.Task, s.VM, s.Number, begin)
+	}
+	if one.Lasting != 2 {
+		t.Fatalf("%d of 2 lasting tasks share a VM", one.Lasting)
+	}
+	b.job("q", specifier.Step{Count: 4, Needs: cores(4), Fills: true, Image: "f"})
+	for task, vm := range places(b.plan(begin)) {
+		if vm != "two" {
+			t.Errorf("%s fills beside the lasting tasks of %s", task, lasting.Spec.ID)
+		}
+	}
+}
+
+// A filling image that was seen to break a lasting image's target goes elsewhere,
+// and waits if there is no other place; another image may still come.
+func TestDisturbingImageIsKeptAway(t *testing.T) {
+	b := newBed()
+	vm := b.vm("one", "in", "r1", cores(32))
+	b.job("q", specifier.Step{Count: 1, Needs: cores(8), Lasting: true, TailMillis: 20, Image: "l"})
+	for _, s := range b.plan(begin) {
+		b.state.Place(s.Task, s.VM, s.Number, begin)
+	}
+	known := learner.New()
+	for range 20 {
+		known.Observe("l", 6, learner.Use{"loud": 0.3})
+		known.Observe("l", 0.5, learner.Use{"quiet": 0.3})
+	}
+	for _, image := range []string{"loud", "quiet"} {
+		b.job("q", specifier.Step{Count: 1, Needs: cores(4), Fills: true, Image: image})
+	}
+	starts := Plan(Input{Now: begin, State: b.state, Learner: known})
+	if len(starts) != 1 || starts[0].Task.Step.Spec.Image != "quiet" {
+		t.Errorf("starts %v beside the lasting task of %s", places(starts), vm.Name)
+	}
+}
+
+// A quarantined VM takes one task when its time is over, not the whole queue: if
+// the worker still fails everything, one run is lost and not dozens.
+func TestQuarantinedVMIsProbedByOneTask(t *testing.T) {
+	b := newBed()
+	vm := b.vm("vm", "in", "r1", cores(32))
+	vm.Health.Times = 1
+	b.job("q", specifier.Step{Count: 8, Needs: cores(1)})
+	if got := len(b.plan(begin)); got != 1 {
+		t.Errorf("%d tasks start", got)
+	}
+}
+
+// TestNeverOverCapacity: whatever is submitted, a round leaves no VM over its
+// capacity, and starts no task twice.
+func TestNeverOverCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBed()
+		for i := range rapid.IntRange(1, 4).Draw(t, "vms") {
+			b.vm(fmt.Sprint("vm-", i), "in", fmt.Sprint("r", i%2), cores(rapid.Int64Range(1, 16).Draw(t, "size")))
+		}
+		for range rapid.IntRange(1, 6).Draw(t, "jobs") {
+			b.job("q", specifier.Step{
+				Count: rapid.IntRange(1, 8).Draw(t, "count"), Needs: cores(rapid.Int64Range(1, 6).Draw(t, "needs")),
+				Gang: rapid.Bool().Draw(t, "gang"), Fills: rapid.Bool().Draw(t, "fills"), Lasting: rapid.Bool().Draw(t, "lasting"),
+				MaxPerVM: rapid.IntRange(0, 3).Draw(t, "max"), SameRack: rapid.Bool().Draw(t, "rack"),
+			})
+		}
+		seen := make(map[string]bool)
+		for round := range 3 {
+			for _, s := range b.plan(begin.Add(time.Duration(round) * time.Second)) {
+				if id := s.Task.ID().String(); seen[id] {
+					t.Fatalf("%s starts twice", id)
+				} else {
+					seen[id] = true
+				}
+				b.state.Place(s.Task, s.VM, s.Number, begin)
+			}
+		}
+		for _, vm := range b.state.VMs {
+			if !vm.Capacity.Fits(vm.Committed) {
+				t.Fatalf("%s has %+v of %+v", vm.Name, vm.Committed, vm.Capacity)
+			}
+		}
+	})
+}
