Test the guardian: no report before a look, the last guard, unanswered starts

Change: tests with a fake worker; the first one fails without the condition on the epoch of the last look.

--- /dev/null
+++ b/internal/worker/guardian/guardian_test.go
@@ -0,0 +1,380 @@
+package guardian
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"bamboospread/internal/job/accountant"
+	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/wire/messenger"
+)
+
+const (
+	testLimit = 5 * time.Second
+	jobID     = "00000000000004d2"
+)
+
+var oneCore = specifier.Resources{CPUMillis: 1000, MemoryMB: 100}
+
+func taskID(index int) specifier.TaskID { return specifier.TaskID{Job: jobID, Index: index} }
+
+// fakeWorker answers as told and notes what it was asked.
+type fakeWorker struct {
+	mu     sync.Mutex
+	life   string
+	epoch  int64
+	runs   map[accountant.RunKey]bool
+	ends   []SeenEnd
+	starts []StartCall
+	stops  []StopCall
+	leases []time.Duration
+	silent bool // calls get no answer
+	deaf   int  // so many starts get no answer
+	begin  time.Time
+}
+
+func newFakeWorker() *fakeWorker {
+	return &fakeWorker{life: "life-1", runs: make(map[accountant.RunKey]bool), begin: time.Now()}
+}
+
+var errNoAnswer = errors.New("no answer")
+
+func (f *fakeWorker) calls() Worker {
+	return Worker{Start: f.start, Stop: f.stop, Pace: func(context.Context, PaceCall) error { return nil }, Look: f.look}
+}
+
+func (f *fakeWorker) start(_ context.Context, c StartCall) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.starts = append(f.starts, c)
+	if f.silent || f.deaf > 0 {
+		f.deaf--
+		return errNoAnswer
+	}
+	if c.Epoch < f.epoch {
+		return ErrRefused{RefusedEpoch}
+	}
+	f.epoch = c.Epoch
+	f.runs[accountant.RunKey{Task: c.Task, Number: c.Run}] = true
+	return nil
+}
+
+func (f *fakeWorker) stop(_ context.Context, c StopCall) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stops = append(f.stops, c)
+	if f.silent {
+		return errNoAnswer
+	}
+	delete(f.runs, accountant.RunKey{Task: c.Task, Number: c.Run})
+	return nil
+}
+
+func (f *fakeWorker) look(ctx context.Context, c LookCall) (Look, error) {
+	select {
+	case <-ctx.Done():
+		return Look{}, ctx.Err()
+	case <-time.After(min(c.Wait, 20*time.Millisecond)):
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.silent {
+		return Look{}, errNoAnswer
+	}
+	if c.Epoch < f.epoch {
+		return Look{}, ErrRefused{RefusedEpoch}
+	}
+	f.epoch = c.Epoch
+	f.leases = append(f.leases, c.LeaseUntil)
+	l := Look{Life: f.life, Clock: time.Since(f.begin)}
+	for key := range f.runs {
+		l.Runs = append(l.Runs, SeenRun{Task: key.Task, Run: key.Number})
+	}
+	for _, e := range f.ends {
+		if e.Seq > c.Seen {
+			l.Ends = append(l.Ends, e)
+		}
+	}
+	return l, nil
+}
+
+func (f *fakeWorker) change(do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do()
+}
+
+// bed is a guardian over a fake worker, with the test as its owner.
+type bed struct {
+	t      *testing.T
+	worker *fakeWorker
+	g      *Guardian
+	seq    int64
+	sess   int64
+}
+
+func newBed(t *testing.T, worker *fakeWorker) *bed {
+	t.Helper()
+	b := &bed{t: t, worker: worker}
+	b.g = New(Config{
+		VM: "vm-1", Worker: worker.calls(), LeaseMax: time.Second, StopTime: 50 * time.Millisecond, Reporter: reporter.Discard(), Now: time.Now,
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- b.g.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	b.announce(false)
+	return b
+}
+
+func (b *bed) announce(leaving bool) {
+	b.g.Announce(Announcement{Life: b.worker.life, Zone: "z", Capacity: specifier.Resources{CPUMillis: 2000, MemoryMB: 1000}, Leaving: leaving})
+}
+
+// report waits for a report.
+func (b *bed) report() messenger.WorkReport {
+	b.t.Helper()
+	var rep messenger.WorkReport
+	b.until("a report", func() bool {
+		var ok bool
+		rep, ok = b.g.Report(b.sess)
+		return ok
+	})
+	return rep
+}
+
+// own makes the test the owner of an epoch, with a grant.
+func (b *bed) own(epoch int64) {
+	b.t.Helper()
+	b.g.Follow(epoch)
+	b.sess = b.g.BeginSession()
+	b.grant(epoch, time.Minute)
+}
+
+func (b *bed) grant(epoch int64, d time.Duration) {
+	b.t.Helper()
+	rep := b.report()
+	if !b.g.Granted(time.Now(), rep.Life, messenger.WorkReply{Epoch: epoch, GrantMillis: d.Milliseconds()}) {
+		b.t.Fatal("the grant was refused")
+	}
+}
+
+func (b *bed) order(epoch int64, kind messenger.WorkOrderKind, index int, run int64) {
+	b.seq++
+	b.g.Obey(messenger.WorkOrders{Epoch: epoch, Session: b.sess, Life: b.worker.life, Orders: []messenger.WorkOrder{{
+		Seq: b.seq, Kind: kind, Task: taskID(index).String(), Run: run, Needs: oneCore,
+	}}})
+}
+
+func (b *bed) until(what string, ok func() bool) {
+	b.t.Helper()
+	deadline := time.Now().Add(testLimit)
+	for !ok() {
+		if time.Now().After(deadline) {
+			b.t.Fatalf("no %s within %s", what, testLimit)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (b *bed) confirmed() int {
+	n := 0
+	for _, r := range b.report().Runs {
+		if r.Confirmed {
+			n++
+		}
+	}
+	return n
+}
+
+// Two runs of one task. An agent is restarted while its worker goes on; the new
+// process knows no epoch, its looks are refused, and it reports that nothing runs.
+// The owner believes it and starts the tasks elsewhere. So there is no report
+// before a look under the owner's epoch was answered.
+func TestNoReportBeforeALook(t *testing.T) {
+	worker := newFakeWorker()
+	worker.epoch = 3
+	worker.runs[accountant.RunKey{Task: taskID(0), Number: 2001}] = true
+	b := newBed(t, worker)
+	time.Sleep(300 * time.Millisecond)
+	if rep, ok := b.g.Report(0); ok {
+		t.Fatalf("reported %+v without a look", rep)
+	}
+	b.g.Follow(3)
+	if rep := b.report(); len(rep.Runs) != 1 || rep.Runs[0].Run != 2001 {
+		t.Errorf("reported %+v", rep.Runs)
+	}
+}
+
+// Two runs of one task. A new owner takes over while a start of the old one is on
+// its way to the worker; if the agent reported before the worker knew the new
+// epoch, the old start would still be taken after the report.
+func TestReportWaitsForTheNewEpochAtTheWorker(t *testing.T) {
+	worker := newFakeWorker()
+	b := newBed(t, worker)
+	b.own(1)
+	b.g.Follow(2)
+	rep := b.report()
+	worker.change(func() {
+		if worker.epoch != 2 {
+			t.Errorf("reported %+v while the worker knew epoch %d", rep, worker.epoch)
+		}
+	})
+}
+
+// TestLastGuardOfCapacity: the worker starts whatever it is told to. An owner that
+// counts wrongly must not bring a VM over its capacity; what is being stopped
+// still counts.
+func TestLastGuardOfCapacity(t *testing.T) {
+	worker := newFakeWorker()
+	b := newBed(t, worker)
+	b.own(1)
+	for i := range 3 {
+		b.order(1, messenger.WorkStart, i, 1)
+	}
+	b.until("two runs", func() bool { return b.confirmed() == 2 })
+	worker.change(func() { worker.silent = true })
+	b.order(1, messenger.WorkStop, 0, 1)
+	b.order(1, messenger.WorkStart, 3, 1)
+	worker.change(func() {
+		if len(worker.starts) != 2 {
+			t.Errorf("%d starts reached a worker with room for 2", len(worker.starts))
+		}
+	})
+}
+
+func TestStartsThatMustNotHappen(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(b *bed)
+	}{
+		{"of an earlier epoch", func(b *bed) { b.own(2); b.order(1, messenger.WorkStart, 0, 1) }},
+		{"of an earlier session", func(b *bed) {
+			b.own(1)
+			old := b.sess
+			b.own(1)
+			b.sess = old
+			b.order(1, messenger.WorkStart, 0, 1)
+		}},
+		{"on a worker that leaves", func(b *bed) { b.own(1); b.announce(true); b.order(1, messenger.WorkStart, 0, 1) }},
+		{"for another life", func(b *bed) {
+			b.own(1)
+			b.g.Obey(messenger.WorkOrders{Epoch: 1, Session: b.sess, Life: "other", Orders: []messenger.WorkOrder{{Seq: 1, Kind: messenger.WorkStart, Task: taskID(0).String(), Run: 1, Needs: oneCore}}})
+		}},
+		{"long after the owner was heard", func(b *bed) {
+			b.own(1)
+			b.g.mu.Lock()
+			b.g.repliedAt = time.Now().Add(-2 * orderMaxAge)
+			b.g.mu.Unlock()
+			b.order(1, messenger.WorkStart, 0, 1)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			worker := newFakeWorker()
+			b := newBed(t, worker)
+			tt.do(b)
+			time.Sleep(50 * time.Millisecond)
+			worker.change(func() {
+				if len(worker.starts) != 0 {
+					t.Errorf("the worker was asked for %+v", worker.starts)
+				}
+			})
+		})
+	}
+}
+
+// A task runs twice. A start gets no answer and is carried out seconds later, after
+// its task was started elsewhere. So it is listed as long as it may come, and
+// stopped, which makes the worker refuse it, before the owner hears that it is gone.
+func TestUnansweredStartIsStoppedBeforeItIsGone(t *testing.T) {
+	worker := newFakeWorker()
+	b := newBed(t, worker)
+	b.own(1)
+	worker.change(func() { worker.deaf = startTries })
+	b.order(1, messenger.WorkStart, 0, 1)
+	if got := b.report().Runs; len(got) != 1 || got[0].Confirmed {
+		t.Fatalf("reported %+v while the start may come", got)
+	}
+	b.until("an end of the doubt", func() bool { return len(b.report().Runs) == 0 })
+	worker.change(func() {
+		if len(worker.stops) == 0 || worker.stops[0].Run != 1 {
+			t.Errorf("gone without a stop: %+v", worker.stops)
+		}
+	})
+}
+
+// The worker begins another life. What it ran is lost, but a start that was not
+// answered may still come to the new life: it is stopped there first.
+func TestUnansweredStartIsStoppedInTheNextLife(t *testing.T) {
+	worker := newFakeWorker()
+	b := newBed(t, worker)
+	b.own(1)
+	b.order(1, messenger.WorkStart, 0, 1)
+	b.until("a run", func() bool { return b.confirmed() == 1 })
+	worker.change(func() { worker.deaf = 1000 })
+	b.order(1, messenger.WorkStart, 1, 1)
+	worker.change(func() {
+		worker.life, worker.runs, worker.epoch = "life-2", make(map[accountant.RunKey]bool), 0
+	})
+	b.until("reports of the new life without runs", func() bool {
+		rep := b.report()
+		return rep.Life == "life-2" && len(rep.Runs) == 0
+	})
+	worker.change(func() {
+		if len(worker.stops) != 1 || worker.stops[0].Task != taskID(1) {
+			t.Errorf("stopped %+v, want the start that was not answered", worker.stops)
+		}
+	})
+}
+
+// An end is listed until the owner has stored it; only then may the worker forget.
+func TestEndIsKeptUntilStored(t *testing.T) {
+	worker := newFakeWorker()
+	b := newBed(t, worker)
+	b.own(1)
+	b.order(1, messenger.WorkStart, 0, 1)
+	b.until("a run", func() bool { return b.confirmed() == 1 })
+	worker.change(func() {
+		worker.runs = make(map[accountant.RunKey]bool)
+		worker.ends = []SeenEnd{{Seq: 1, Task: taskID(0), Run: 1, How: "done"}}
+	})
+	b.until("an end", func() bool { return len(b.report().Ends) == 1 })
+	b.grant(1, time.Minute) // an answer that acknowledges nothing
+	if len(b.report().Ends) != 1 {
+		t.Fatal("the end is gone before it was stored")
+	}
+	b.g.Granted(time.Now(), "life-1", messenger.WorkReply{Epoch: 1, EndsStored: 1})
+	if len(b.report().Ends) != 0 {
+		t.Error("the end is listed after it was stored")
+	}
+}
+
+// Runs of an agent that hears no owner must end: the owner starts them elsewhere
+// when the grant is over. The lease asked for never outlives the grant.
+func TestLeaseEndsWithTheGrant(t *testing.T) {
+	worker := newFakeWorker()
+	b := newBed(t, worker)
+	b.g.Follow(1)
+	b.sess = b.g.BeginSession()
+	granted := time.Now()
+	b.grant(1, 400*time.Millisecond)
+	end := time.Since(worker.begin) + 400*time.Millisecond
+	time.Sleep(700 * time.Millisecond)
+	worker.change(func() {
+		longest := time.Duration(0)
+		for _, l := range worker.leases {
+			longest = max(longest, l)
+		}
+		if longest == 0 || longest > end+20*time.Millisecond {
+			t.Errorf("a lease until %s was asked for; the grant of %s ends at %s", longest, granted, end)
+		}
+		if last := worker.leases[len(worker.leases)-1]; last != 0 {
+			t.Errorf("a lease until %s was asked for after the grant", last)
+		}
+	})
+}
