Count a failure once over owners; let VMs that are gone not hold a takeover up

Change: failures are kept by run number; members not heard for two leases are dropped; jobs accepted after a change of owner wait only for the old owner's lease.

--- a/internal/job/accountant/accountant_test.go
+++ b/internal/job/accountant/accountant_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -177,8 +178,8 @@
 		a.EndRun(vm, key(1, 0, 0, int64(run+1)), how, "c", at(10))
 	}
 	task := j.Occurrences[0].Steps[0].Tasks[0]
-	if j.State.Final() || task.Failures != 0 || task.Checkpoint != "c" || a.NextNumber(task) != 6 {
-		t.Errorf("job %s, %d failures, checkpoint %q, next run %d", j.State, task.Failures, task.Checkpoint, a.NextNumber(task))
+	if j.State.Final() || len(task.Failed) != 0 || task.Checkpoint != "c" || a.NextNumber(task) != 6 {
+		t.Errorf("job %s, failed runs %v, checkpoint %q, next run %d", j.State, task.Failed, task.Checkpoint, a.NextNumber(task))
 	}
 }
 
@@ -207,7 +208,7 @@
 			done = append(done, i)
 		}
 	}
-	if diff := cmp.Diff([]int{0, 3, 9}, done); diff != "" || step.Done != 3 || step.Tasks[4].Failures != 1 {
+	if diff := cmp.Diff([]int{0, 3, 9}, done); diff != "" || step.Done != 3 || len(step.Tasks[4].Failed) != 1 {
 		t.Errorf("restored %+v: %s", done, diff)
 	}
 }
@@ -228,7 +229,7 @@
 func TestRunNumbersRiseOverOwners(t *testing.T) {
 	a := New(Config{RunFloor: 2000, Policy: &specifier.Policy{}})
 	spec := &specifier.Job{ID: jobID(1), Steps: []specifier.Step{{Count: 2, Needs: oneCore, Gang: true}}}
-	a.AddJob(spec, true, begin)
+	a.AddJob(spec, at(5000), begin)
 	s := a.Jobs[spec.ID].Occurrences[0].Steps[0]
 	vm := attach(a, "vm")
 	a.Apply(vm, Report{Life: "1", Ready: true, Runs: []ReportedRun{{Key: key(1, 0, 0, 2005), Confirmed: true}}}, begin)
@@ -243,7 +244,7 @@
 func TestOccurrences(t *testing.T) {
 	a := newState(t, 2)
 	spec := &specifier.Job{ID: jobID(1), Queue: "q", Occurrences: 3, FirstMillis: at(100).UnixMilli(), IntervalMillis: 100, Steps: []specifier.Step{{Count: 1, Needs: oneCore}}}
-	a.AddJob(spec, false, begin)
+	a.AddJob(spec, time.Time{}, begin)
 	j := a.Jobs[spec.ID]
 	vm := attach(a, "vm")
 	for i, millis := range []int{50, 100, 250, 300} {
@@ -274,3 +275,45 @@
 		}
 	}
 }
+
+// A job is shown as failed although no task failed as often as allowed. An end is
+// stored, the owner dies before it acknowledges it, and the worker lists it to the
+// next owner, which counts it a second time.
+func TestFailureListedAgainCountsOnce(t *testing.T) {
+	a := newState(t, 2)
+	j := addJob(t, a, 1, specifier.Step{Count: 1, Needs: oneCore})
+	a.EndRun(attach(a, "vm"), key(1, 0, 0, 1), EndFailed, "", at(10))
+	value, err := j.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := newState(t, 2)
+	inherited := addJob(t, next, 1, specifier.Step{Count: 1, Needs: oneCore})
+	if err := next.Restore(jobID(1), value, at(20)); err != nil {
+		t.Fatal(err)
+	}
+	next.Apply(attach(next, "vm"), Report{Life: "1", Ready: true, Ends: []ReportedEnd{{Seq: 1, Key: key(1, 0, 0, 1), How: EndFailed}}}, at(30))
+	if inherited.State.Final() {
+		t.Errorf("after one failure of two the job is %s", inherited.State)
+	}
+}
+
+// Jobs of before a change of owner wait until each VM has reported or its leases
+// have run out; those that came after wait only for the earlier owner's lease.
+func TestSettle(t *testing.T) {
+	a := newState(t, 2)
+	for i, settles := range []time.Time{at(7000), at(2000), {}} {
+		a.AddJob(&specifier.Job{ID: jobID(i), Queue: "q", Steps: []specifier.Step{{Count: 1, Needs: oneCore}}}, settles, begin)
+	}
+	for _, tt := range []struct{ millis, startable, waiting int }{{1999, 1, 2}, {2000, 2, 1}, {7000, 3, 0}} {
+		waiting := a.Settle(false, at(tt.millis))
+		if got := len(a.WaitingSteps(at(tt.millis))); got != tt.startable || waiting != tt.waiting {
+			t.Errorf("after %d ms %d jobs may start and %d wait", tt.millis, got, waiting)
+		}
+	}
+	b := newState(t, 2)
+	b.AddJob(&specifier.Job{ID: jobID(1), Queue: "q", Steps: []specifier.Step{{Count: 1, Needs: oneCore}}}, at(7000), begin)
+	if b.Settle(true, at(1)); len(b.WaitingSteps(at(1))) != 1 {
+		t.Error("the job waits though every VM has reported")
+	}
+}
--- a/internal/job/accountant/helpers_test.go
+++ b/internal/job/accountant/helpers_test.go
@@ -30,7 +30,7 @@
 	if err := specifier.Check(spec); err != nil {
 		t.Fatal(err)
 	}
-	if !a.AddJob(spec, false, begin) {
+	if !a.AddJob(spec, time.Time{}, begin) {
 		t.Fatalf("job %d is not new", n)
 	}
 	return a.Jobs[spec.ID]
--- a/internal/job/accountant/job.go
+++ b/internal/job/accountant/job.go
@@ -1,6 +1,7 @@
 package accountant
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -9,11 +10,11 @@
 
 // AddJob takes an accepted job in. A job that is known already is left alone, so
 // a repeated submission stays one job. It tells whether the job is new.
-func (a *Accountant) AddJob(spec *specifier.Job, inherited bool, now time.Time) bool {
+func (a *Accountant) AddJob(spec *specifier.Job, settlesAt, now time.Time) bool {
 	if a.Jobs[spec.ID] != nil {
 		return false
 	}
-	j := &Job{Spec: spec, State: JobQueued, StoredState: JobQueued, Inherited: inherited}
+	j := &Job{Spec: spec, State: JobQueued, StoredState: JobQueued, SettlesAt: settlesAt}
 	j.Queue, _ = a.policy.QueueByName(spec.Queue)
 	a.Jobs[spec.ID] = j
 	a.openDue(j, now)
@@ -130,17 +131,24 @@
 	}
 }
 
-// taskFailed counts a run that ended failed. A task that lasts is restarted
-// however it ends.
-func (a *Accountant) taskFailed(t *Task, now time.Time) {
+// taskFailed counts a run that ended failed, once: an end that was stored and not
+// yet acknowledged is listed to the next owner again, and counted twice it would
+// use up the task's attempts. A task that lasts is restarted however it ends.
+func (a *Accountant) taskFailed(t *Task, number int64, now time.Time) {
+	if slices.Contains(t.Failed, number) {
+		return
+	}
 	j := t.Step.Occurrence.Job
-	t.Failures++
+	t.NotBefore = now.Add(failurePause(len(t.Failed) + 1))
+	if t.Step.Spec.Lasting {
+		return
+	}
+	t.Failed = append(t.Failed, number)
 	j.dirty = true
-	t.NotBefore = now.Add(failurePause(t.Failures))
-	if t.Step.Spec.Lasting || j.State.Final() || j.Queue.MaxFailures <= 0 {
+	if j.State.Final() || j.Queue.MaxFailures <= 0 {
 		return
 	}
-	if t.Failures >= j.Queue.MaxFailures {
+	if len(t.Failed) >= j.Queue.MaxFailures {
 		a.finish(j, JobFailed, now)
 	}
 }
--- a/internal/job/accountant/record.go
+++ b/internal/job/accountant/record.go
@@ -27,8 +27,8 @@
 
 // StepRecord is the progress of a step.
 type StepRecord struct {
-	Done     string      `json:"done,omitempty"`     // hex of a bit for each task, lowest first
-	Failures map[int]int `json:"failures,omitempty"` // by task
+	Done   string          `json:"done,omitempty"`   // hex of a bit for each task, lowest first
+	Failed map[int][]int64 `json:"failed,omitempty"` // by task: numbers of the runs that ended failed
 }
 
 // Encode returns the record of a job.
@@ -62,11 +62,11 @@
 			sr.Done = hex.EncodeToString(bits)
 		}
 		for i, t := range s.Tasks {
-			if t.Failures > 0 && !s.Spec.Lasting {
-				if sr.Failures == nil {
-					sr.Failures = make(map[int]int)
+			if len(t.Failed) > 0 {
+				if sr.Failed == nil {
+					sr.Failed = make(map[int][]int64)
 				}
-				sr.Failures[i] = t.Failures
+				sr.Failed[i] = t.Failed
 			}
 		}
 		r.Steps = append(r.Steps, sr)
@@ -114,7 +114,7 @@
 				t.Done = true
 				s.Done++
 			}
-			t.Failures = sr.Failures[n]
+			t.Failed = sr.Failed[n]
 		}
 	}
 	for _, s := range o.Steps {
@@ -191,17 +191,24 @@
 	return j.State
 }
 
-// Settle tells that every VM has reported, or that whatever ran on those that
-// have not has lapsed.
-func (a *Accountant) Settle() {
+// Settle lets the jobs start whose time has come; all of them if every VM has
+// reported. It returns how many still wait.
+func (a *Accountant) Settle(allReported bool, now time.Time) int {
+	waiting := 0
 	for _, j := range a.Jobs {
-		j.Inherited = false
+		switch {
+		case j.SettlesAt.IsZero():
+		case allReported || !now.Before(j.SettlesAt):
+			j.SettlesAt = time.Time{}
+		default:
+			waiting++
+		}
 	}
+	return waiting
 }
 
-// Startable tells whether new runs of the job's tasks may begin. A task of an
-// inherited job may run on a VM that has not reported yet.
-func (j *Job) Startable() bool { return !j.State.Final() && !j.Inherited }
+// Startable tells whether new runs of the job's tasks may begin.
+func (j *Job) Startable() bool { return !j.State.Final() && j.SettlesAt.IsZero() }
 
 // DecodeJob reads a job as the store has it.
 func DecodeJob(value []byte) (*specifier.Job, error) {
--- a/internal/job/accountant/run.go
+++ b/internal/job/accountant/run.go
@@ -139,7 +139,7 @@
 	case EndFailed:
 		vm.noteFailed(key.Task, now)
 		t.shun(vm.Name)
-		a.taskFailed(t, now)
+		a.taskFailed(t, key.Number, now)
 	case EndStopped, EndLapsed, EndBroken, EndAlone, EndLost:
 	}
 }
--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -56,10 +56,10 @@
 	Step       *Step
 	Index      int
 	Done       bool
-	Failures   int    // runs that ended failed
-	LastNumber int64  // of its latest run
-	Checkpoint string // to resume from
-	Runs       []*Run // live ones; more than one only where copies are allowed
+	Failed     []int64 // numbers of the runs that ended failed
+	LastNumber int64   // of its latest run
+	Checkpoint string  // to resume from
+	Runs       []*Run  // live ones; more than one only where copies are allowed
 	WaitSince  time.Time
 	NotBefore  time.Time       // after a failure
 	Shunned    map[string]bool // VMs on which a run of it failed or was refused
@@ -137,9 +137,12 @@
 	State       JobState
 	StoredState JobState // as the store has it; callers are told no later one
 	EndedAt     time.Time
-	Inherited   bool // accepted before this process owned the cell: an earlier owner may have started tasks of it
-	dirty       bool // the store has less than this state
-	flight      bool // a write of it is on its way
+	// SettlesAt is when an earlier owner's runs of its tasks have surely ended; until
+	// then a task without a known run may run on a VM that has not reported. Zero:
+	// every run of it is known.
+	SettlesAt time.Time
+	dirty     bool // the store has less than this state
+	flight    bool // a write of it is on its way
 }
 
 // VM is a VM with its worker.
--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -16,7 +16,7 @@
 		return "the job has ended"
 	case !s.Ready():
 		return "earlier steps are not finished"
-	case j.Inherited:
+	case !j.SettlesAt.IsZero():
 		return "an earlier owner may have started it on a VM that has not reported yet"
 	case j.Queue.Name == "":
 		return "no fleet text has the queue " + j.Spec.Queue
--- a/internal/job/planner/planner_test.go
+++ b/internal/job/planner/planner_test.go
@@ -41,7 +41,7 @@
 func (b *bed) job(queue string, steps ...specifier.Step) *accountant.Job {
 	b.jobs++
 	spec := &specifier.Job{ID: jobID(b.jobs), Queue: queue, Steps: steps, AcceptedMillis: begin.UnixMilli() + int64(b.jobs)}
-	b.state.AddJob(spec, false, begin)
+	b.state.AddJob(spec, time.Time{}, begin)
 	return b.state.Jobs[spec.ID]
 }
 
--- a/internal/job/scheduler/explain.go
+++ b/internal/job/scheduler/explain.go
@@ -17,7 +17,7 @@
 		}
 		a := messenger.WorkExplainReply{
 			Known: true, Job: r.Job, Queue: j.Spec.Queue, State: string(j.Told()), Epoch: o.epoch,
-			Inherited: j.Inherited, Occurrences: j.Spec.Times(), Finished: j.Finished,
+			Unsettled: !j.SettlesAt.IsZero(), Occurrences: j.Spec.Times(), Finished: j.Finished,
 		}
 		in := planner.Input{Now: o.s.config.Now(), State: o.state, Learner: o.learner}
 		for _, occurrence := range j.Occurrences {
@@ -32,7 +32,7 @@
 func stepStatus(in planner.Input, s *accountant.Step) messenger.WorkStepStatus {
 	w := messenger.WorkStepStatus{Occurrence: s.Occurrence.Number, Step: s.Number, Tasks: len(s.Tasks), Done: s.Done}
 	for _, t := range s.Tasks {
-		w.Failures += t.Failures
+		w.Failures += len(t.Failed)
 		for _, r := range t.Runs {
 			w.Running++
 			w.Runs = append(w.Runs, messenger.WorkRunStatus{Task: r.Key().Task.String(), Run: r.Number, VM: r.VM.Name, State: r.State.String()})
--- a/internal/job/scheduler/flush.go
+++ b/internal/job/scheduler/flush.go
@@ -88,21 +88,23 @@
 
 // storeMembers adds the VMs that wait to join.
 func (o *owner) storeMembers(ctx context.Context) {
-	if o.storing || len(o.joining) == 0 {
+	if o.storing || len(o.joining)+len(o.leaving) == 0 {
 		return
 	}
 	o.storing = true
 	e := &membersStored{}
 	for n := range o.members {
-		if !o.unheard[n] || o.s.config.Now().Sub(o.started) < memberLife {
+		if !o.leaving[n] || o.joining[n] {
 			e.names = append(e.names, n)
 		}
 	}
 	for n := range o.joining {
-		e.names = append(e.names, n)
+		if !o.members[n] {
+			e.names = append(e.names, n)
+		}
 	}
 	sort.Strings(e.names)
-	o.joining = make(map[string]bool)
+	o.joining, o.leaving = make(map[string]bool), make(map[string]bool)
 	go func() {
 		e.revision, e.err = o.writeMembers(ctx, e.names)
 		_ = o.send(context.WithoutCancel(ctx), e) // the loop has ended if it cannot be told
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -25,10 +25,12 @@
 	silence = 1500 * time.Millisecond
 	// keepEnded is how long an ended job is known. Callers ask for two minutes;
 	// late repeats of a submission come within seconds.
-	keepEnded = 10 * time.Minute
-	// memberLife is how long a VM that is not heard is waited for after a change of
-	// owner; far above a grant, so that nothing can run there when it is dropped.
-	memberLife  = time.Minute
+	keepEnded   = 10 * time.Minute
+	forgetEvery = time.Minute
+	// memberLife is how many times the longest lease a VM is not heard before it is
+	// no member any more: nothing can run there. Each member that is gone for good
+	// makes the next change of owner wait for it.
+	memberLife  = 2
 	eventBuffer = 256
 	// flushGap is the shortest time between writes of progress. Ends come some 35 a
 	// second and the store answers in 4 ms, so without it nearly each end would be a
@@ -60,6 +62,7 @@
 	cancelled  map[string]bool     // cancellations that came before their job
 	members    map[string]bool     // VMs that the store has as members
 	joining    map[string]bool     // VMs to be stored as members
+	leaving    map[string]bool     // members that were not heard for long
 	unheard    map[string]bool     // members that have not reported to this owner
 	membersRev int64
 	storing    bool // a write of the members is on its way
@@ -76,7 +79,7 @@
 	return &owner{
 		s: s, epoch: epoch, started: now, state: state, learner: learner.New(), events: make(chan event, eventBuffer), done: make(chan struct{}),
 		sessions: make(map[string]*session), cancelled: make(map[string]bool), members: make(map[string]bool),
-		joining: make(map[string]bool), unheard: make(map[string]bool), dirty: true, forgetAt: now.Add(memberLife),
+		joining: make(map[string]bool), leaving: make(map[string]bool), unheard: make(map[string]bool), dirty: true, forgetAt: now.Add(forgetEvery),
 	}
 }
 
@@ -162,6 +165,11 @@
 // watchVMs detaches VMs that are not heard and gives up what ran there once its
 // leases have surely run out.
 func (o *owner) watchVMs(now time.Time) {
+	for name := range o.members {
+		if vm := o.state.VMs[name]; now.Sub(o.started) > memberLife*o.leaseOver() && (vm == nil || now.Sub(vm.GrantedAt) > memberLife*o.leaseOver()) {
+			o.leaving[name] = true
+		}
+	}
 	for _, vm := range o.state.VMs {
 		quiet := now.Sub(vm.GrantedAt)
 		if vm.Attached && quiet > silence {
@@ -189,17 +197,17 @@
 
 // settle ends the wait for VMs that may run tasks of earlier owners. An earlier
 // owner may have granted until its own lease ended, which may be after this
-// ownership began if the store dropped the lease early.
+// ownership began if the store dropped the lease early. Jobs that came to this
+// owner after its beginning wait only for that lease: no earlier owner can have
+// started them later.
 func (o *owner) settle(now time.Time) {
 	if o.settled {
 		return
 	}
-	over := now.Sub(o.started) > o.s.config.Lease+o.leaseOver()
-	if len(o.unheard) > 0 && !over {
+	if waiting := o.state.Settle(len(o.unheard) == 0, now); waiting > 0 || now.Sub(o.started) < o.s.config.Lease && len(o.unheard) > 0 {
 		return
 	}
 	o.settled = true
-	o.state.Settle()
 	o.s.config.Reporter.Report(reporter.CellSettled, reporter.Fields{"epoch": o.epoch, "unheard": len(o.unheard), "after": now.Sub(o.started).String()})
 }
 
@@ -227,7 +235,7 @@
 	if now.Before(o.forgetAt) {
 		return
 	}
-	o.forgetAt = now.Add(memberLife)
+	o.forgetAt = now.Add(forgetEvery)
 	for _, id := range o.state.Forget(now.Add(-keepEnded)) {
 		o.removals = append(o.removals, JobKey(id), CancelKey(id), ProgressKey(id))
 		delete(o.cancelled, id)
@@ -246,9 +254,11 @@
 		}
 		return
 	}
-	// Whether an earlier owner that still believes in its ownership has started
-	// tasks of a job that came before the cell settled cannot be told.
-	if o.takeJob(e.record, !o.settled, now) {
+	settlesAt := time.Time{}
+	if !o.settled {
+		settlesAt = o.started.Add(o.s.config.Lease)
+	}
+	if o.takeJob(e.record, settlesAt, now) {
 		id := strings.TrimPrefix(e.record.Key, jobPrefix)
 		if o.cancelled[id] {
 			o.state.Cancel(id, now)
--- a/internal/job/scheduler/takeover.go
+++ b/internal/job/scheduler/takeover.go
@@ -32,7 +32,7 @@
 	o.followFrom = revision
 	for _, r := range work {
 		if strings.HasPrefix(r.Key, jobPrefix) {
-			o.takeJob(r, true, now)
+			o.takeJob(r, now.Add(s.config.Lease+o.leaseOver()), now)
 		}
 	}
 	for _, r := range progress {
@@ -73,13 +73,13 @@
 }
 
 // takeJob takes an accepted job in and tells whether it is new.
-func (o *owner) takeJob(r keeper.Record, inherited bool, now time.Time) bool {
+func (o *owner) takeJob(r keeper.Record, settlesAt, now time.Time) bool {
 	spec, err := accountant.DecodeJob(r.Value)
 	if err != nil || JobKey(spec.ID) != r.Key {
 		o.s.config.Reporter.Report(reporter.JobRecordsUnreadable, reporter.Fields{"key": r.Key, "error": fmt.Sprint(err)})
 		return false
 	}
-	if !o.state.AddJob(spec, inherited, now) {
+	if !o.state.AddJob(spec, settlesAt, now) {
 		return false
 	}
 	o.s.config.Reporter.Report(reporter.JobLoaded, reporter.Fields{"job": spec.ID, "queue": spec.Queue, "steps": len(spec.Steps), "revision": r.Revision})
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -136,8 +136,8 @@
 	Job         string           `json:"job"`
 	Queue       string           `json:"queue"`
 	State       string           `json:"state"`
-	Epoch       int64            `json:"epoch"` // of the owner
-	Inherited   bool             `json:"inherited,omitempty"`
+	Epoch       int64            `json:"epoch"`               // of the owner
+	Unsettled   bool             `json:"unsettled,omitempty"` // waits for VMs that an earlier owner may have used
 	Occurrences int              `json:"occurrences"`
 	Finished    int              `json:"finished-occurrences"`
 	Steps       []WorkStepStatus `json:"steps,omitempty"` // of the open occurrences
