--- /dev/null
+++ b/internal/job/follower/follower_test.go
@@ -0,0 +1,142 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/store/keeper"
+)
+
+const testLimit = 5 * time.Second
+
+// fakeStore has one record whose value is a version.
+type fakeStore struct {
+	mu       sync.Mutex
+	value    string
+	revision int64
+	dropped  bool // the history is gone once
+	down     bool
+	stale    string // what lists show instead of the value
+}
+
+func (f *fakeStore) set(do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do()
+	f.revision++
+}
+
+func (f *fakeStore) find(context.Context, keeper.ListOptions) (keeper.ListResult, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return keeper.ListResult{}, keeper.ErrUnavailable{Cause: errors.New("down")}
+	}
+	value := f.value
+	if f.stale != "" {
+		value = f.stale
+	}
+	return keeper.ListResult{Revision: f.revision, Records: []keeper.Record{{Key: "op/config", Value: []byte(value)}}}, nil
+}
+
+func (f *fakeStore) watch(ctx context.Context, o keeper.WatchOptions) (keeper.WatchResult, error) {
+	for range 5 {
+		f.mu.Lock()
+		switch {
+		case f.down:
+			f.mu.Unlock()
+			return keeper.WatchResult{}, keeper.ErrUnavailable{Cause: errors.New("down")}
+		case f.dropped:
+			f.dropped = false
+			f.mu.Unlock()
+			return keeper.WatchResult{}, keeper.ErrHistoryNotExist{After: o.After}
+		case f.revision > o.After:
+			defer f.mu.Unlock()
+			return keeper.WatchResult{Revision: f.revision, Changes: []keeper.Change{{Record: keeper.Record{Key: "op/config", Value: []byte(f.value)}}}}, nil
+		}
+		f.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return keeper.WatchResult{}, ctx.Err()
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return keeper.WatchResult{Revision: f.revision}, nil
+}
+
+func decode(records map[string][]byte) (*specifier.Policy, error) {
+	v, err := strconv.ParseInt(string(records["op/config"]), 10, 64)
+	return &specifier.Policy{Version: v}, err
+}
+
+func startFollower(t *testing.T, f *fakeStore) *Follower {
+	t.Helper()
+	w := New(Config{Store: keeper.Calls{FindRecords: f.find, Watch: f.watch}, Prefix: "op/", Decode: decode, Now: time.Now, Reporter: reporter.Discard()})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- w.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return w
+}
+
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(testLimit); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("no %s within %s", what, testLimit)
+		}
+	}
+}
+
+func TestFollowsChanges(t *testing.T) {
+	f := &fakeStore{value: "1", revision: 1}
+	w := startFollower(t, f)
+	await(t, "version 1", func() bool { return w.Policy().Version == 1 })
+	f.set(func() { f.value = "2" })
+	await(t, "version 2", func() bool { return w.Policy().Version == 2 })
+	f.set(func() { f.value = "3"; f.dropped = true })
+	await(t, "version 3 after a gap in the history", func() bool { return w.Policy().Version == 3 })
+}
+
+// A list may be served by a part of the store that lags: what is in force must not
+// go back.
+func TestNeverGoesBack(t *testing.T) {
+	f := &fakeStore{value: "5", revision: 1}
+	w := startFollower(t, f)
+	await(t, "version 5", func() bool { return w.Policy().Version == 5 })
+	f.set(func() { f.dropped, f.stale = true, "4" })
+	time.Sleep(50 * time.Millisecond)
+	if v := w.Policy().Version; v != 5 {
+		t.Errorf("version %d after a list that lags", v)
+	}
+}
+
+func TestUnreadableTextLeavesTheOldOneInForce(t *testing.T) {
+	f := &fakeStore{value: "5", revision: 1}
+	w := startFollower(t, f)
+	await(t, "version 5", func() bool { return w.Policy().Version == 5 })
+	f.set(func() { f.value = "nonsense" })
+	time.Sleep(50 * time.Millisecond)
+	f.set(func() { f.value = "6" })
+	await(t, "version 6", func() bool { return w.Policy().Version == 6 })
+}
+
+// The age tells how old the knowledge may be: it grows while the store is away,
+// however long ago the last change was.
+func TestAge(t *testing.T) {
+	f := &fakeStore{value: "5", revision: 1}
+	w := startFollower(t, f)
+	await(t, "a fresh policy", func() bool { return w.Age() < 50*time.Millisecond })
+	f.set(func() { f.down = true })
+	await(t, "an old policy", func() bool { return w.Age() > 200*time.Millisecond })
+	f.set(func() { f.down = false })
+	await(t, "a fresh policy again", func() bool { return w.Age() < 50*time.Millisecond })
+}
--- /dev/null
+++ b/internal/job/receiver/receiver_test.go
@@ -0,0 +1,173 @@
+package receiver
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"bamboospread/internal/job/accountant"
+	"bamboospread/internal/job/scheduler"
+	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/store/keeper"
+	"bamboospread/internal/wire/messenger"
+)
+
+const id = "00000000000004d2"
+
+// fakeStore answers writes as told, one answer after the other; the last one stays.
+type fakeStore struct {
+	mu      sync.Mutex
+	answers []error
+	written map[string][]byte
+	calls   int
+}
+
+func (f *fakeStore) transact(_ context.Context, t keeper.Transaction) (int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	if len(f.answers) > 0 {
+		err := f.answers[0]
+		if len(f.answers) > 1 {
+			f.answers = f.answers[1:]
+		}
+		if err != nil {
+			return 0, err
+		}
+	}
+	for _, p := range t.Puts {
+		f.written[p.Key] = p.Value
+	}
+	return 7, nil
+}
+
+func (f *fakeStore) get(_ context.Context, key string) (keeper.Record, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if v, ok := f.written[key]; ok {
+		return keeper.Record{Key: key, Value: v, Revision: 1}, nil
+	}
+	return keeper.Record{}, keeper.ErrKeyNotExist{Key: key}
+}
+
+func newReceiver(f *fakeStore, age time.Duration, owner func(method string, result any) error) *Receiver {
+	if f.written == nil {
+		f.written = make(map[string][]byte)
+	}
+	if owner == nil {
+		owner = func(string, any) error { return errors.New("no owner") }
+	}
+	return New(Config{
+		Store:     keeper.Calls{Transact: f.transact, GetRecord: f.get},
+		StoreAge:  func() time.Duration { return age },
+		CallOwner: func(_ context.Context, method string, _, result any) error { return owner(method, result) },
+		Now:       time.Now, Reporter: reporter.Discard(),
+	})
+}
+
+// TestSubmit: "refused" promises that the job never runs, so it may be said only of
+// a write that surely had no effect and of which no copy is on its way.
+func TestSubmit(t *testing.T) {
+	lost := keeper.ErrOutcomeUnknown{Cause: errors.New("no answer")}
+	busy := keeper.ErrUnavailable{Cause: errors.New("busy")}
+	there := keeper.ErrConflict{Key: scheduler.JobKey(id)}
+	tests := []struct {
+		name    string
+		answers []error
+		age     time.Duration
+		want    Outcome
+		calls   int // 0: any number
+	}{
+		{"stored", nil, 0, Accepted, 1},
+		{"stored before", []error{there}, 0, Accepted, 1},
+		{"surely not stored", []error{busy}, 0, Refused, 1},
+		{"answer lost, then found stored", []error{lost, there}, 0, Accepted, 2},
+		{"answer lost, then stored", []error{lost, nil}, 0, Accepted, 2},
+		{"answer lost, then refused: the first may still come", []error{lost, busy}, 0, Unsettled, 0},
+		{"answers lost for good", []error{lost}, 0, Unsettled, 0},
+		{"store not reached for long", nil, time.Minute, Refused, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := &fakeStore{answers: tt.answers}
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			res := newReceiver(f, tt.age, nil).Submit(ctx, &specifier.Job{ID: id, Queue: "q", Steps: []specifier.Step{{Count: 1}}})
+			if res.Outcome != tt.want || tt.calls > 0 && f.calls != tt.calls {
+				t.Errorf("outcome %d (%s) after %d writes, want %d", res.Outcome, res.Reason, f.calls, tt.want)
+			}
+			if res.Outcome == Refused && res.RetryAfter <= 0 {
+				t.Error("refused without a time to come back")
+			}
+			if tt.age > 0 && f.calls > 0 {
+				t.Error("a write was tried at a store that is known to be away")
+			}
+		})
+	}
+}
+
+func TestState(t *testing.T) {
+	tests := []struct {
+		name    string
+		owner   string // state that the owner tells; empty: it has no answer
+		written map[string]string
+		want    Outcome
+		state   accountant.JobState
+	}{
+		{"from the owner", "running", nil, Accepted, accountant.JobRunning},
+		{"stored, owner away", "", map[string]string{scheduler.JobKey(id): "{}"}, Accepted, accountant.JobQueued},
+		{"progress", "", map[string]string{scheduler.JobKey(id): "{}", scheduler.ProgressKey(id): `{"state":"done"}`}, Accepted, accountant.JobDone},
+		{"cancelled", "", map[string]string{scheduler.JobKey(id): "{}", scheduler.ProgressKey(id): `{"state":"running"}`, scheduler.CancelKey(id): "1"}, Accepted, accountant.JobCancelled},
+		{"cancelled after its end", "", map[string]string{scheduler.JobKey(id): "{}", scheduler.ProgressKey(id): `{"state":"done"}`, scheduler.CancelKey(id): "1"}, Accepted, accountant.JobDone},
+		{"unknown", "", nil, NotExist, ""},
+		{"unreadable", "", map[string]string{scheduler.JobKey(id): "{}", scheduler.ProgressKey(id): `{`}, Refused, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := &fakeStore{written: make(map[string][]byte)}
+			for k, v := range tt.written {
+				f.written[k] = []byte(v)
+			}
+			r := newReceiver(f, 0, func(_ string, result any) error {
+				if tt.owner == "" {
+					return errors.New("away")
+				}
+				*result.(*messenger.WorkStateReply) = messenger.WorkStateReply{Known: true, State: tt.owner}
+				return nil
+			})
+			if res := r.State(t.Context(), id); res.Outcome != tt.want || res.State != tt.state {
+				t.Errorf("got %d %q (%s)", res.Outcome, res.State, res.Reason)
+			}
+		})
+	}
+}
+
+// TestOwnerThatKnowsNoJobIsNoProof: an owner that has just begun may not have seen
+// the job yet; only the store proves that there is none.
+func TestOwnerThatKnowsNoJobIsNoProof(t *testing.T) {
+	f := &fakeStore{written: map[string][]byte{scheduler.JobKey(id): []byte("{}")}}
+	r := newReceiver(f, 0, func(string, any) error { return nil })
+	if res := r.State(t.Context(), id); res.Outcome != Accepted || res.State != accountant.JobQueued {
+		t.Errorf("got %d %q", res.Outcome, res.State)
+	}
+}
+
+func TestCancel(t *testing.T) {
+	f := &fakeStore{}
+	r := newReceiver(f, 0, nil)
+	if res := r.Cancel(t.Context(), id); res.Outcome != NotExist {
+		t.Errorf("cancelling no job gives %d", res.Outcome)
+	}
+	f.written[scheduler.JobKey(id)] = []byte("{}")
+	for range 2 {
+		if res := r.Cancel(t.Context(), id); res.Outcome != Accepted {
+			t.Errorf("cancelling gives %d (%s)", res.Outcome, res.Reason)
+		}
+	}
+	if _, ok := f.written[scheduler.CancelKey(id)]; !ok {
+		t.Error("the cancellation is not stored")
+	}
+}
