Write logs to standard output without ever blocking; more integration tests at once

Cause: a log line was written by whoever decided, so a full pipe would have held decisions up; logs of entry and agent went to standard error. Ruled out: a library's asynchronous handler, which blocks when its buffer is full.

--- a/Makefile
+++ b/Makefile
@@ -31,12 +31,12 @@
 # The bench runs in one goroutine, so the race detector would only slow it down.
 .PHONY: test-unit
 test-unit: ## run the unit tests, with the race detector
-	$(GO) test -race -count=1 $$($(GO) list ./internal/... | grep -v /internal/bench/)
+	$(GO) test -race -count=1 $$($(GO) list ./internal/... ./platform/... | grep -v /internal/bench/)
 	$(GO) test -count=1 ./internal/bench/...
 
 .PHONY: test-integration
 test-integration: build ## run the integration tests with real processes
-	BAMBOOSPREAD_BINARY=$(CURDIR)/build/bamboospread $(GO) test -count=1 -parallel 4 -timeout 30m ./tests/...
+	BAMBOOSPREAD_BINARY=$(CURDIR)/build/bamboospread $(GO) test -count=1 -parallel 16 -timeout 30m ./tests/...
 
 .PHONY: bench
 bench: ## measure the placement under interference; CSV, SVG and tables under build/bench
--- a/internal/cli/commander/agent.go
+++ b/internal/cli/commander/agent.go
@@ -4,6 +4,7 @@
 	"github.com/spf13/cobra"
 
 	"bamboospread/internal/kernel/loader"
+	"bamboospread/internal/kernel/spooler"
 	"bamboospread/internal/service/agent"
 )
 
@@ -19,7 +20,9 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var findings loader.Findings
 			c.ID, c.StopLimit = p.id, p.stopLimit
-			c.Reporter = p.newReporter(cmd.ErrOrStderr(), "agent", &findings)
+			out := spooler.New(cmd.OutOrStdout())
+			defer out.Close()
+			c.Reporter = p.newReporter(out, "agent", &findings)
 			checkAgent(c, &findings)
 			if err := findings.Err(); err != nil {
 				return usage(err)
--- a/internal/cli/commander/entry.go
+++ b/internal/cli/commander/entry.go
@@ -6,6 +6,7 @@
 	"github.com/spf13/cobra"
 
 	"bamboospread/internal/kernel/loader"
+	"bamboospread/internal/kernel/spooler"
 	"bamboospread/internal/service/server"
 )
 
@@ -21,7 +22,9 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var findings loader.Findings
 			c.ID, c.StopLimit = p.id, p.stopLimit
-			c.Reporter = p.newReporter(cmd.ErrOrStderr(), "entry", &findings)
+			out := spooler.New(cmd.OutOrStdout())
+			defer out.Close()
+			c.Reporter = p.newReporter(out, "entry", &findings)
 			checkEntry(c, &findings)
 			if err := findings.Err(); err != nil {
 				return usage(err)
--- a/internal/cli/commander/hosted.go
+++ b/internal/cli/commander/hosted.go
@@ -7,7 +7,9 @@
 
 	"github.com/spf13/cobra"
 
+	"bamboospread/internal/kernel/loader"
 	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/kernel/spooler"
 	"bamboospread/internal/service/hoster"
 	"bamboospread/platform"
 )
@@ -20,27 +22,33 @@
 		Short: "Run a role on the users' platform, with the settings file that the platform writes",
 	}
 	cmd.AddCommand(
-		newHostedRole("entry", "Serve callers and own jobs if need be", func(c hoster.Config) func(context.Context) error { return hoster.NewEntry(c).Run }),
+		newHostedRole("entry", "Serve callers and own the cell of jobs if need be", func(c hoster.Config) func(context.Context) error { return hoster.NewEntry(c).Run }),
 		newHostedRole("agent", "Guard the worker of this VM", func(c hoster.Config) func(context.Context) error { return hoster.NewAgent(c).Run }),
 	)
 	return cmd
 }
 
 func newHostedRole(role, short string, build func(hoster.Config) func(context.Context) error) *cobra.Command {
-	return &cobra.Command{
-		Use:   role,
-		Short: short,
-		Long:  fmt.Sprintf("%s. The environment variable %s holds the path of the settings file.", short, platform.SettingsVariable),
-		Args:  cobra.NoArgs,
+	var logFormat, logLevel string
+	cmd := &cobra.Command{
+		Use:     role,
+		Short:   short,
+		Long:    fmt.Sprintf("%s. The environment variable %s holds the path of the settings file.", short, platform.SettingsVariable),
+		Example: fmt.Sprintf("  %s=/etc/bamboospread/settings.conf bamboospread hosted %s", platform.SettingsVariable, role),
+		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			out := spooler.New(cmd.OutOrStdout())
+			defer out.Close()
 			path := os.Getenv(platform.SettingsVariable)
 			settings, err := platform.ReadSettings(path)
 			if err != nil {
 				return usage(err)
 			}
-			r, err := reporter.New(reporter.Config{Writer: cmd.OutOrStdout(), Format: "text", Level: "info", Role: role, Name: settings.Name})
+			var findings loader.Findings
+			r, err := reporter.New(reporter.Config{Writer: out, Format: logFormat, Level: logLevel, Role: role, Name: settings.Name})
 			if err != nil {
-				return usage(err)
+				findings.Add("log-format", "%v", err)
+				return usage(findings.Err())
 			}
 			r.Report(reporter.ProcessStarted, reporter.Fields{"zone": settings.Zone, "store": settings.StoreAddress})
 			if err := build(hoster.Config{Settings: settings, SettingsPath: path, Reporter: r})(cmd.Context()); err != nil {
@@ -50,4 +58,7 @@
 			return nil
 		},
 	}
+	cmd.Flags().StringVar(&logFormat, "log-format", "text", "text or json")
+	cmd.Flags().StringVar(&logLevel, "log-level", "info", "debug, info, warn or error")
+	return cmd
 }
--- a/internal/cli/commander/settings_test.go
+++ b/internal/cli/commander/settings_test.go
@@ -123,7 +123,7 @@
 		{"no entry", []string{"status", nowhere, "--timeout", "100ms"}, ExitFailed, []string{"no entry can do this now"}},
 		{"no entry as json", []string{"zone", "out", "a", nowhere, "--timeout", "100ms", "--output", "json"}, ExitFailed, []string{`"outcome": "unavailable"`, `"exit-code": 1`}},
 		{"cancel nothing", []string{"cancel", nowhere}, ExitUsage, []string{"want ids"}},
-		{"explain what", []string{"explain", "zone", "a", nowhere}, ExitUsage, []string{"want task, vm or service"}},
+		{"explain what", []string{"explain", "zone", "a", nowhere}, ExitUsage, []string{"want task, vm, service or job"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/job/forwarder/forwarder.go
+++ b/internal/job/forwarder/forwarder.go
@@ -134,8 +134,11 @@
 func (f *Forwarder) note(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if lost := err != nil; lost != f.lost {
-		f.lost = lost
-		f.config.Reporter.Report(reporter.OwnerUnreachable, reporter.Fields{"lost": lost, "error": fmt.Sprint(err)})
+	switch {
+	case err != nil && !f.lost:
+		f.config.Reporter.Report(reporter.OwnerUnreachable, reporter.Fields{"error": err.Error()})
+	case err == nil && f.lost:
+		f.config.Reporter.Report(reporter.OwnerReached, reporter.Fields{"address": f.to})
 	}
+	f.lost = err != nil
 }
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -30,6 +30,7 @@
 	StoreLost
 	StoreRegained
 	OwnerUnreachable
+	OwnerReached
 	MessageMalformed
 	VMJudged
 )
@@ -82,6 +83,7 @@
 	{StoreLost, log.WarnLevel, "store lost", "The store does not answer this process. Jobs go on; new ones are refused."},
 	{StoreRegained, log.InfoLevel, "store regained", "The store answers again."},
 	{OwnerUnreachable, log.WarnLevel, "owner unreachable", "This entry cannot reach the owner of the cell; it answers from the store what it can."},
+	{OwnerReached, log.InfoLevel, "owner reached", "This entry reaches the owner of the cell again."},
 	{MessageMalformed, log.ErrorLevel, "message malformed", "A message of another process cannot be read; it was ignored."},
 	{VMJudged, log.WarnLevel, "VM quarantined for failures", "Different tasks failed on the VM with none done in between; for some seconds nothing starts there, then one task at a time."},
 
--- a/internal/service/hoster/entry.go
+++ b/internal/service/hoster/entry.go
@@ -113,7 +113,7 @@
 
 func (e *Entry) callers() http.Handler {
 	return &platform.Callers{
-		Receiver: e.receiver, Policy: e.follower.Policy, PolicyAge: e.follower.Age, Draining: e.draining.Load,
+		Receiver: e.receiver, Policy: e.follower.Policy, PolicyAge: e.follower.Age,
 		Refused: func(reason, host, path string) {
 			e.config.Reporter.Report(reporter.JobRefused, reporter.Fields{"reason": reason, "host": host, "path": path, "policy": e.follower.Policy().Version})
 		},
