Store by way of the owner where the store refuses this entry; bear one held-up look

Ruled out: leaving the rotation at once: the balancer needs two misses, and open connections stay. Change: a submission or cancellation that was surely not stored here goes to the owner; a lost answer of the owner is told as unknown. Two looks in a row make silence, a look may take 400 ms beyond its wait instead of 700.

--- a/internal/job/forwarder/forwarder.go
+++ b/internal/job/forwarder/forwarder.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -45,6 +46,20 @@
 
 func (ErrOwnerNotExist) Error() string { return "no owner of the cell is known" }
 
+// NotDone tells of an error of Call that the call surely had no effect.
+func NotDone(err error) bool {
+	var none ErrOwnerNotExist
+	var dial errDial
+	code := connector.CodeOf(err)
+	return errors.As(err, &none) || errors.As(err, &dial) || code == messenger.CodeNotOwner || code == messenger.CodeBadRequest
+}
+
+// errDial is returned when no connection came about: nothing was sent.
+type errDial struct{ cause error }
+
+func (e errDial) Error() string { return e.cause.Error() }
+func (e errDial) Unwrap() error { return e.cause }
+
 // New returns a Forwarder without a connection.
 func New(c Config) *Forwarder { return &Forwarder{config: c} }
 
@@ -103,7 +118,7 @@
 	}
 	conn, err := connector.Dial(ctx, address, f.config.Handle)
 	if err != nil {
-		return nil, err
+		return nil, errDial{err}
 	}
 	f.conn, f.to = conn, address
 	return conn, nil
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"bamboospread/internal/job/accountant"
@@ -52,8 +53,10 @@
 	Store     keeper.Calls
 	StoreAge  func() time.Duration // since the last contact with the store
 	CallOwner func(ctx context.Context, method string, params, result any) error
-	Now       func() time.Time
-	Reporter  *reporter.Reporter
+	// NotDone tells of an error of CallOwner that the call surely had no effect.
+	NotDone  func(error) bool
+	Now      func() time.Time
+	Reporter *reporter.Reporter
 }
 
 // Receiver answers callers. It is safe for concurrent use.
@@ -86,10 +89,49 @@
 	return Result{Outcome: Refused, Reason: reason, RetryAfter: retryAfter}
 }
 
-// store creates a record once. A write whose answer was lost is repeated under
+// store creates a record once, by way of the owner if this entry does not reach
+// the store: the store may refuse some VMs while it serves others.
+func (r *Receiver) store(ctx context.Context, key string, value []byte) Result {
+	res := r.storeHere(ctx, key, value)
+	if res.Outcome != Refused {
+		return res
+	}
+	var a messenger.WorkStoreReply
+	err := r.config.CallOwner(ctx, messenger.MethodWorkStore, messenger.WorkStoreRequest{Key: key, Value: value}, &a)
+	switch {
+	case err != nil && r.config.NotDone(err):
+		return res
+	case err != nil:
+		return Result{Outcome: Unsettled, Reason: err.Error()}
+	case a.Outcome == messenger.WorkStored:
+		return Result{Outcome: Accepted, Reason: "stored by the owner"}
+	case a.Outcome == messenger.WorkRefused:
+		return Result{Outcome: Refused, Reason: a.Reason}
+	}
+	return Result{Outcome: Unsettled, Reason: a.Reason}
+}
+
+// StoreFor stores a record for an entry that does not reach the store.
+func (r *Receiver) StoreFor(ctx context.Context, q messenger.WorkStoreRequest) messenger.WorkStoreReply {
+	if !strings.HasPrefix(q.Key, scheduler.WorkPrefix) {
+		return messenger.WorkStoreReply{Outcome: messenger.WorkRefused, Reason: "not a key of a job"}
+	}
+	res := r.storeHere(ctx, q.Key, q.Value)
+	outcome := messenger.WorkUnsettled
+	switch res.Outcome {
+	case Accepted:
+		outcome = messenger.WorkStored
+	case Refused:
+		outcome = messenger.WorkRefused
+	case Unsettled, NotExist:
+	}
+	return messenger.WorkStoreReply{Outcome: outcome, Reason: res.Reason}
+}
+
+// storeHere creates a record once. A write whose answer was lost is repeated under
 // the same condition: at most one of the repeats counts, and a conflict proves
 // that the record stands.
-func (r *Receiver) store(ctx context.Context, key string, value []byte) Result {
+func (r *Receiver) storeHere(ctx context.Context, key string, value []byte) Result {
 	if r.config.StoreAge() > staleAfter {
 		return Result{Outcome: Refused, Reason: "store not reached"}
 	}
@@ -175,11 +217,8 @@
 
 // Cancel stores that a job is cancelled.
 func (r *Receiver) Cancel(ctx context.Context, id string) Result {
-	if _, err := r.config.Store.GetRecord(ctx, scheduler.JobKey(id)); err != nil {
-		if keeper.IsErrKeyNotExist(err) {
-			return Result{Outcome: NotExist}
-		}
-		return r.refuse(id, err.Error())
+	if res := r.State(ctx, id); res.Outcome != Accepted {
+		return res
 	}
 	value, err := json.Marshal(r.config.Now().UnixMilli())
 	if err != nil {
--- a/internal/job/receiver/receiver_test.go
+++ b/internal/job/receiver/receiver_test.go
@@ -64,6 +64,7 @@
 		Store:     keeper.Calls{Transact: f.transact, GetRecord: f.get},
 		StoreAge:  func() time.Duration { return age },
 		CallOwner: func(_ context.Context, method string, _, result any) error { return owner(method, result) },
+		NotDone:   func(error) bool { return true },
 		Now:       time.Now, Reporter: reporter.Discard(),
 	})
 }
@@ -109,6 +110,39 @@
 	}
 }
 
+// The store refuses this entry and serves others. The owner stores for it; if the
+// owner's answer is lost, the job may run, and the caller must not hear "refused".
+func TestSubmitByWayOfTheOwner(t *testing.T) {
+	busy := keeper.ErrUnavailable{Cause: errors.New("busy")}
+	tests := []struct {
+		name    string
+		outcome messenger.WorkStoreOutcome
+		err     error
+		notDone bool
+		want    Outcome
+	}{
+		{"stored", messenger.WorkStored, nil, false, Accepted},
+		{"refused there too", messenger.WorkRefused, nil, false, Refused},
+		{"not known there", messenger.WorkUnsettled, nil, false, Unsettled},
+		{"owner not reached", "", errors.New("refused"), true, Refused},
+		{"owner's answer lost", "", errors.New("lost"), false, Unsettled},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newReceiver(&fakeStore{answers: []error{busy}}, 0, func(_ string, result any) error {
+				if tt.err == nil {
+					*result.(*messenger.WorkStoreReply) = messenger.WorkStoreReply{Outcome: tt.outcome}
+				}
+				return tt.err
+			})
+			r.config.NotDone = func(error) bool { return tt.notDone }
+			if res := r.Submit(t.Context(), &specifier.Job{ID: id, Queue: "q", Steps: []specifier.Step{{Count: 1}}}); res.Outcome != tt.want {
+				t.Errorf("outcome %d (%s), want %d", res.Outcome, res.Reason, tt.want)
+			}
+		})
+	}
+}
+
 func TestState(t *testing.T) {
 	tests := []struct {
 		name    string
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -54,13 +54,15 @@
 
 // Config holds the settings of a Scheduler.
 type Config struct {
-	Cell     string
-	EntryID  string
-	Address  string // JSON-RPC, told to others
-	Store    keeper.Calls
-	Lease    time.Duration // 0: DefaultLease
-	Grant    time.Duration // 0: DefaultGrant
-	Policy   func() *specifier.Policy
+	Cell    string
+	EntryID string
+	Address string // JSON-RPC, told to others
+	Store   keeper.Calls
+	Lease   time.Duration // 0: DefaultLease
+	Grant   time.Duration // 0: DefaultGrant
+	Policy  func() *specifier.Policy
+	// StoreFor stores a record for an entry that does not reach the store.
+	StoreFor func(ctx context.Context, q messenger.WorkStoreRequest) messenger.WorkStoreReply
 	Now      func() time.Time // counts suspensions, does not jump
 	Reporter *reporter.Reporter
 	Meters   *Meters
@@ -212,6 +214,10 @@
 		return answer(params, func(r messenger.WorkReport) (messenger.WorkReply, error) { return o.report(ctx, c, r) })
 	case messenger.MethodWorkHint:
 		return answer(params, func(h messenger.WorkHint) (messenger.Empty, error) { return messenger.Empty{}, o.hint(ctx, h) })
+	case messenger.MethodWorkStore:
+		return answer(params, func(q messenger.WorkStoreRequest) (messenger.WorkStoreReply, error) {
+			return s.config.StoreFor(ctx, q), nil
+		})
 	case messenger.MethodWorkState:
 		return answer(params, func(r messenger.WorkStateRequest) (messenger.WorkStateReply, error) { return o.jobState(ctx, r) })
 	case messenger.MethodWorkPending:
--- a/internal/service/hoster/entry.go
+++ b/internal/service/hoster/entry.go
@@ -58,12 +58,15 @@
 	self := messenger.PeerAddress{EntryID: c.Settings.Name, Address: rpcAddress(c.Settings)}
 	e.scheduler = scheduler.New(scheduler.Config{
 		Cell: cell, EntryID: self.EntryID, Address: self.Address, Store: calls, Policy: e.follower.Policy,
+		StoreFor: func(ctx context.Context, q messenger.WorkStoreRequest) messenger.WorkStoreReply {
+			return e.receiver.StoreFor(ctx, q)
+		},
 		Grant: min(scheduler.DefaultGrant, c.Settings.LeaseMax), Lease: max(scheduler.DefaultLease, c.Settings.StoreLeaseMin),
 		Now: now, Reporter: c.Reporter, Meters: scheduler.NewMeters(e.metrics),
 	})
 	e.forwarder = forwarder.New(forwarder.Config{Self: self, Owner: e.scheduler.Owner, Handle: e.scheduler.Handle, Reporter: c.Reporter})
 	e.receiver = receiver.New(receiver.Config{
-		Store: calls, StoreAge: e.follower.Age, CallOwner: e.forwarder.Call, Now: now, Reporter: c.Reporter,
+		Store: calls, StoreAge: e.follower.Age, CallOwner: e.forwarder.Call, NotDone: forwarder.NotDone, Now: now, Reporter: c.Reporter,
 	})
 	return e
 }
--- a/internal/service/server/jobs.go
+++ b/internal/service/server/jobs.go
@@ -32,6 +32,9 @@
 	policy := policyOf(s.follower.Fleet)
 	s.jobs.scheduler = scheduler.New(scheduler.Config{
 		Cell: agent.JobsCell, EntryID: self.EntryID, Address: self.Address, Store: calls, Policy: policy,
+		StoreFor: func(ctx context.Context, q messenger.WorkStoreRequest) messenger.WorkStoreReply {
+			return s.jobs.receiver.StoreFor(ctx, q)
+		},
 		Now: timekeeper.Now, Reporter: c.Reporter, Meters: scheduler.NewMeters(s.metrics),
 	})
 	s.jobs.forwarder = forwarder.New(forwarder.Config{
@@ -42,7 +45,7 @@
 	})
 	s.jobs.receiver = receiver.New(receiver.Config{
 		Store: calls, StoreAge: func() time.Duration { return 0 }, // each write is tried
-		CallOwner: s.jobs.forwarder.Call, Now: timekeeper.Now, Reporter: c.Reporter,
+		CallOwner: s.jobs.forwarder.Call, NotDone: forwarder.NotDone, Now: timekeeper.Now, Reporter: c.Reporter,
 	})
 }
 
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -12,6 +12,7 @@
 	MethodWorkPending = "work/pending" // entry to owner: WorkPendingRequest, WorkPendingReply
 	MethodWorkExplain = "work/explain" // entry to owner: WorkStateRequest, WorkExplainReply
 	MethodWorkOwner   = "work/owner"   // agent to entry: Empty, WorkOwner
+	MethodWorkStore   = "work/store"   // entry to owner: WorkStoreRequest, WorkStoreReply
 	MethodWorkHello   = "work/hello"   // entry to owner: PeerAddress, WorkOwner
 )
 
@@ -108,6 +109,29 @@
 	Revision int64  `json:"revision"`
 }
 
+// WorkStoreRequest asks the owner to create a record below its work prefix for an
+// entry that does not reach the store.
+type WorkStoreRequest struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+}
+
+// WorkStoreOutcome tells what became of a record.
+type WorkStoreOutcome string
+
+// Outcomes.
+const (
+	WorkStored    WorkStoreOutcome = "stored"    // now or before
+	WorkRefused   WorkStoreOutcome = "refused"   // surely not
+	WorkUnsettled WorkStoreOutcome = "unsettled" // not known
+)
+
+// WorkStoreReply tells the outcome.
+type WorkStoreReply struct {
+	Outcome WorkStoreOutcome `json:"outcome"`
+	Reason  string           `json:"reason,omitempty"`
+}
+
 // WorkStateRequest asks for the state of a job.
 type WorkStateRequest struct {
 	Job string `json:"job"`
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -51,25 +51,26 @@
 	config Config
 	wake   chan struct{} // something new to report
 
-	mu         sync.Mutex
-	facts      *messenger.WorkFacts
-	life       string // of the worker; empty until it was seen
-	leaving    bool
-	runs       map[accountant.RunKey]*run
-	ends       []SeenEnd
-	endsStored int64
-	epoch      int64
-	session    int64
-	ordersSeen int64
-	grantUntil time.Time // the owner lets runs go on until then
-	repliedAt  time.Time // sent time of the last report that was answered
-	clock      time.Duration
-	clockAt    time.Time          // when clock was received; zero: not known in this life
-	silentFrom time.Time          // since when looks fail; zero: they do not
-	leaseEnd   time.Time          // when leases asked for have surely run out
-	hurry      context.CancelFunc // ends the look that waits
-	looked     int64              // epoch of the last look that was answered in this life
-	context    context.Context
+	mu          sync.Mutex
+	facts       *messenger.WorkFacts
+	life        string // of the worker; empty until it was seen
+	leaving     bool
+	runs        map[accountant.RunKey]*run
+	ends        []SeenEnd
+	endsStored  int64
+	epoch       int64
+	session     int64
+	ordersSeen  int64
+	grantUntil  time.Time // the owner lets runs go on until then
+	repliedAt   time.Time // sent time of the last report that was answered
+	clock       time.Duration
+	clockAt     time.Time          // when clock was received; zero: not known in this life
+	looksFailed int                // in a row
+	silentFrom  time.Time          // since when looks fail; zero: they do not
+	leaseEnd    time.Time          // when leases asked for have surely run out
+	hurry       context.CancelFunc // ends the look that waits
+	looked      int64              // epoch of the last look that was answered in this life
+	context     context.Context
 }
 
 // New returns a Guardian without knowledge of its worker.
--- a/internal/worker/guardian/look.go
+++ b/internal/worker/guardian/look.go
@@ -18,8 +18,11 @@
 	lookIdle = time.Second
 	// lookLimit is how long the worker may take beyond the wait. It answers in
 	// milliseconds; the rest is for this process on its share of a processor.
-	lookLimit = 700 * time.Millisecond
-	lookPause = 100 * time.Millisecond // after a look that failed
+	lookLimit = 400 * time.Millisecond
+	lookPause = 50 * time.Millisecond // after a look that failed
+	// looksToSilence is how many looks in a row must fail before the worker counts as
+	// silent and takes nothing new. One may be held up by itself.
+	looksToSilence = 2
 	// clockError is by how much the worker's clock may be slow.
 	clockError = 0.02
 )
@@ -45,6 +48,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.looksFailed = 0
 	if !g.silentFrom.IsZero() {
 		g.config.Reporter.Report(reporter.WorkerRegained, reporter.Fields{"silent": g.config.Now().Sub(g.silentFrom).String()})
 		g.silentFrom = time.Time{}
@@ -97,7 +101,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
-	if g.silentFrom.IsZero() {
+	g.looksFailed++
+	if g.silentFrom.IsZero() && g.looksFailed >= looksToSilence {
 		g.silentFrom = now
 		g.config.Reporter.Report(reporter.WorkerSilent, reporter.Fields{"error": err.Error(), "runs": len(g.runs)})
 		g.signal()
