Judge workers on which tasks stand still, and slow ones

Ruled out: the processors in use as a sign (they are as declared). Change: progress that does not move, by the time of the look that told it, on half of a VM's tasks or more: they are stopped, the VM is quarantined. The speed of a VM is measured; slow ones take tasks last.

--- a/internal/job/accountant/report.go
+++ b/internal/job/accountant/report.go
@@ -17,7 +17,8 @@
 type Report struct {
 	Life       string // of the worker
 	Ready      bool
-	OrdersSeen int64 // orders of this session that the agent has
+	Age        time.Duration // of what is told of the runs
+	OrdersSeen int64         // orders of this session that the agent has
 	Runs       []ReportedRun
 	Ends       []ReportedEnd // not acknowledged yet, in the order of their numbers
 }
@@ -88,9 +89,9 @@
 		listed[r.Key] = true
 	}
 	if vm.Life != rep.Life {
-		vm.Life, vm.EndSeen, vm.EndStored, vm.Health, vm.Harm = rep.Life, 0, 0, Health{}, Harm{}
+		vm.Life, vm.EndSeen, vm.EndStored, vm.Health, vm.Harm, vm.Speed = rep.Life, 0, 0, Health{}, Harm{}, Speed{}
 	}
-	vm.Ready, vm.GrantedAt = rep.Ready, now
+	vm.Ready, vm.GrantedAt, vm.SeenAt = rep.Ready, now, now.Add(-rep.Age)
 	for _, e := range rep.Ends {
 		if e.Seq > vm.EndSeen {
 			vm.EndSeen = e.Seq
@@ -121,11 +122,12 @@
 	if rep.Confirmed && r.State == Ordered {
 		r.State, r.StartedAt, r.MovedAt = Running, now, now
 	}
-	if rep.Checkpoint != "" && rep.Checkpoint != r.Checkpoint {
-		r.Checkpoint, r.MovedAt = rep.Checkpoint, now
+	if rep.Checkpoint != "" {
+		r.Checkpoint = rep.Checkpoint
 	}
 	if rep.Confirmed {
-		r.Progress, r.Measure = rep.Progress, rep.Measure
+		r.Measure = rep.Measure
+		r.moved(rep.Progress)
 	}
 	return adopted
 }
--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -36,7 +36,7 @@
 	Measure    int64     // tail latency in ms for a lasting task with a target, else thousandths of a core in use
 	StopCause  string
 	Checkpoint string    // latest reported
-	MovedAt    time.Time // when the checkpoint last changed
+	MovedAt    time.Time // when the progress last changed
 }
 
 // Key is the name of the run in reports.
@@ -167,6 +167,8 @@
 	// GrantedAt is when the last report was answered: the agent may keep its
 	// tasks running for a grant from then on.
 	GrantedAt time.Time
+	SeenAt    time.Time // when the worker told what the latest report says
+	Speed     Speed
 	Harm      Harm
 	Health    Health
 }
@@ -179,11 +181,18 @@
 	ChangedAt  time.Time
 }
 
+// Speed is how fast a VM works on tasks, 1 as declared.
+type Speed struct {
+	Value   float64
+	Samples int
+}
+
 // Health is the evidence on a VM's worker.
 type Health struct {
 	Failed       map[specifier.TaskID]time.Time // tasks that failed on it since it last did one well
 	QuarantineTo time.Time
-	Times        int // quarantines in a row
+	Cause        string // of the quarantine
+	Times        int    // quarantines in a row
 }
 
 // Accountant is the state of a cell.
--- a/internal/job/planner/score.go
+++ b/internal/job/planner/score.go
@@ -26,6 +26,9 @@
 	if t.Shunned[m.vm.Name] {
 		sc[0]--
 	}
+	if m.vm.Slow() {
+		sc[0]--
+	}
 	if spec.DataRack != "" && m.vm.Rack == spec.DataRack {
 		sc[0] += 0.5
 	}
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -65,7 +65,8 @@
 	leaving    map[string]bool     // members that were not heard for long
 	unheard    map[string]bool     // members that have not reported to this owner
 	membersRev int64
-	storing    bool // a write of the members is on its way
+	storing    bool                 // a write of the members is on its way
+	judged     map[string]time.Time // end of the quarantine that was told, by VM
 	settled    bool
 	followFrom int64
 	flushing   bool
@@ -79,7 +80,7 @@
 	return &owner{
 		s: s, epoch: epoch, started: now, state: state, learner: learner.New(), events: make(chan event, eventBuffer), done: make(chan struct{}),
 		sessions: make(map[string]*session), cancelled: make(map[string]bool), members: make(map[string]bool),
-		joining: make(map[string]bool), leaving: make(map[string]bool), unheard: make(map[string]bool), dirty: true, forgetAt: now.Add(forgetEvery),
+		joining: make(map[string]bool), leaving: make(map[string]bool), unheard: make(map[string]bool), judged: make(map[string]time.Time), dirty: true, forgetAt: now.Add(forgetEvery),
 	}
 }
 
@@ -152,6 +153,7 @@
 		o.watchVMs(now)
 		o.settle(now)
 		o.stopUnwanted()
+		o.judge(now)
 		o.startWaiting(now)
 		o.pace(now)
 		o.forget(now)
@@ -217,6 +219,19 @@
 	}
 }
 
+// judge stops what stands still and tells which VMs were found at fault.
+func (o *owner) judge(now time.Time) {
+	for _, r := range o.state.Stalled(now) {
+		o.orderStop(r, "stands still")
+	}
+	for _, vm := range o.state.VMs {
+		if vm.Quarantined(now) && o.judged[vm.Name] != vm.Health.QuarantineTo {
+			o.judged[vm.Name] = vm.Health.QuarantineTo
+			o.s.config.Reporter.Report(reporter.VMJudged, reporter.Fields{"vm": vm.Name, "failed": len(vm.Health.Failed), "cause": vm.Health.Cause, "for": vm.Health.QuarantineTo.Sub(now).String()})
+		}
+	}
+}
+
 func (o *owner) startWaiting(now time.Time) {
 	for _, s := range planner.Plan(planner.Input{Now: now, State: o.state, Learner: o.learner}) {
 		if sess := o.sessions[s.VM.Name]; sess != nil && o.members[s.VM.Name] {
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -107,9 +107,6 @@
 		o.s.config.Meters.runEnded(e.How)
 		o.s.config.Reporter.Report(reporter.JobRunEnded, reporter.Fields{"task": e.Key.Task.String(), "run": e.Key.Number, "vm": vm.Name, "how": string(e.How), "end": e.Seq})
 	}
-	if vm.Health.Times > 0 && len(c.Ended) > 0 && vm.Quarantined(now) {
-		o.s.config.Reporter.Report(reporter.VMJudged, reporter.Fields{"vm": vm.Name, "failed": len(vm.Health.Failed), "until": vm.Health.QuarantineTo.Sub(now).String()})
-	}
 	o.reportLost(vm, c.Lost, "not at the worker any more")
 	for _, r := range c.Adopted {
 		o.s.config.Reporter.Report(reporter.JobRunAdopted, reporter.Fields{"task": r.Key().Task.String(), "run": r.Number, "vm": vm.Name})
@@ -126,7 +123,7 @@
 }
 
 func readReport(r messenger.WorkReport) (accountant.Report, accountant.Facts, error) {
-	rep := accountant.Report{Life: r.Life, Ready: r.Ready, OrdersSeen: r.OrdersSeen}
+	rep := accountant.Report{Life: r.Life, Ready: r.Ready, OrdersSeen: r.OrdersSeen, Age: time.Duration(r.AgeMillis) * time.Millisecond}
 	for _, w := range r.Runs {
 		id, err := specifier.ParseTaskID(w.Task)
 		if err != nil {
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -85,7 +85,7 @@
 	{OwnerUnreachable, log.WarnLevel, "owner unreachable", "This entry cannot reach the owner of the cell; it answers from the store what it can."},
 	{OwnerReached, log.InfoLevel, "owner reached", "This entry reaches the owner of the cell again."},
 	{MessageMalformed, log.ErrorLevel, "message malformed", "A message of another process cannot be read; it was ignored."},
-	{VMJudged, log.WarnLevel, "VM quarantined for failures", "Different tasks failed on the VM with none done in between; for some seconds nothing starts there, then one task at a time."},
+	{VMJudged, log.WarnLevel, "VM quarantined", "Different tasks failed on the VM with none done in between, or most stood still; for some seconds nothing starts there, then one task at a time."},
 
 	{WorkerAnnounced, log.InfoLevel, "worker announced itself", "The worker of this VM told its state."},
 	{WorkerReborn, log.WarnLevel, "worker reborn", "The worker began another life and has forgotten everything; its runs are lost."},
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -24,6 +24,7 @@
 	Life       string     `json:"life"` // of the worker
 	Ready      bool       `json:"ready"`
 	OrdersSeen int64      `json:"orders-seen"`
+	AgeMillis  int64      `json:"age-ms"` // of what is told of the runs
 	Runs       []WorkRun  `json:"runs,omitempty"`
 	Ends       []WorkEnd  `json:"ends,omitempty"`
 }
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -159,7 +159,8 @@
 	}
 	rep := messenger.WorkReport{
 		VM: g.config.VM, Session: session, Facts: g.facts, Life: g.life, OrdersSeen: g.ordersSeen,
-		Ready: !g.leaving && g.silentFrom.IsZero(),
+		AgeMillis: g.config.Now().Sub(g.clockAt).Milliseconds(),
+		Ready:     !g.leaving && g.silentFrom.IsZero(),
 	}
 	for key, r := range g.runs {
 		w := messenger.WorkRun{Task: key.Task.String(), Run: key.Number, Confirmed: r.state != starting, Checkpoint: r.checkpoint, Progress: r.progress, Measure: r.measure}
