--- a/internal/worker/attender/attender.go
+++ b/internal/worker/attender/attender.go
@@ -26,8 +26,13 @@
 	reportGap   = 20 * time.Millisecond
 	reportLimit = time.Second // for an answer; a silent connection shows only by this
 	dialLimit   = 600 * time.Millisecond
-	findPause   = 200 * time.Millisecond
 	storeLimit  = time.Second
+	// findPause is the pause after a failure, doubled with each in a row up to
+	// findPauseMax. An owner is replaced within 3 s; without growth, agents whose
+	// calls time out on an overloaded entry open connections faster than it can
+	// take them, and it never recovers.
+	findPause    = 150 * time.Millisecond
+	findPauseMax = 1200 * time.Millisecond
 )
 
 // Config holds the settings of an Attender.
@@ -47,6 +52,7 @@
 	config  Config
 	entries []messenger.PeerAddress // to ask when the store does not answer
 	lost    bool
+	pause   time.Duration // after the next failure
 }
 
 // New returns an Attender.
@@ -60,10 +66,12 @@
 
 // Run finds owners and keeps sessions with them until ctx ends.
 func (a *Attender) Run(ctx context.Context) error {
+	a.pause = findPause
 	for ctx.Err() == nil {
 		if err := a.attend(ctx); err != nil && ctx.Err() == nil {
 			a.noteLost(err)
-			_ = pauser.Pause(ctx, findPause)
+			_ = pauser.Pause(ctx, a.pause)
+			a.pause = min(2*a.pause, findPauseMax)
 		}
 	}
 	return ctx.Err()
@@ -120,7 +128,7 @@
 	if len(reply.Entries) > 0 {
 		a.entries = reply.Entries
 	}
-	a.lost = false
+	a.lost, a.pause = false, findPause
 	return nil
 }
 
