Let no late write take progress back

Cause: a write of progress whose answer was lost is carried out up to 6 s later, after newer ones, and takes the record back; the fence holds, since the owner is the same. Ruled out: ends dropped by the owner, progress that is read too early. Change: each write expects the revisions of its records; a conflict tells what a lost write left behind. Also for the members.

--- a/internal/job/scheduler/flush.go
+++ b/internal/job/scheduler/flush.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -12,8 +13,13 @@
 	"bamboospread/internal/store/keeper"
 )
 
-// flushPuts is how many records go with one transaction; the fence takes one entry.
-const flushPuts = keeper.MaxTransactionEntries - 2
+// flushPuts is how many records go with one transaction: each takes an expectation
+// and a put, the fence takes one entry.
+const flushPuts = (keeper.MaxTransactionEntries - 1) / 2
+
+// conflictTries bounds how often a write learns the revisions of its records anew
+// before it waits for the next one.
+const conflictTries = 4
 
 // flush writes the progress of jobs that changed, one write at a time: what
 // changes meanwhile goes with the next, so writes grow with time and not with ends.
@@ -48,19 +54,20 @@
 	}()
 }
 
-// write makes one transaction for each so many records. All are under the fence, so
-// an owner that was replaced writes nothing.
+// write makes one transaction for each so many records, and one for each so many
+// removals.
 func (o *owner) write(ctx context.Context, puts []keeper.Put, removes []string) error {
-	for len(puts)+len(removes) > 0 {
-		t := keeper.Transaction{Expect: []keeper.Expectation{o.fence}}
-		n := min(len(puts), flushPuts)
-		t.Puts, puts = puts[:n], puts[n:]
-		n = min(len(removes), flushPuts-n)
-		t.Removes, removes = removes[:n], removes[n:]
-		if _, err := o.s.config.Store.Transact(ctx, t); err != nil {
+	for chunk := range slices.Chunk(puts, flushPuts) {
+		if err := o.writer.put(ctx, chunk); err != nil {
 			return fmt.Errorf("store progress: %w", err)
 		}
 	}
+	for chunk := range slices.Chunk(removes, flushPuts) {
+		t := keeper.Transaction{Expect: []keeper.Expectation{o.writer.fence}, Removes: chunk}
+		if _, err := o.s.config.Store.Transact(ctx, t); err != nil {
+			return fmt.Errorf("remove forgotten jobs: %w", err)
+		}
+	}
 	return nil
 }
 
@@ -106,26 +113,22 @@
 	sort.Strings(e.names)
 	o.joining, o.leaving = make(map[string]bool), make(map[string]bool)
 	go func() {
-		e.revision, e.err = o.writeMembers(ctx, e.names)
+		e.err = o.writeMembers(ctx, e.names)
 		_ = o.send(context.WithoutCancel(ctx), e) // the loop has ended if it cannot be told
 	}()
 }
 
-func (o *owner) writeMembers(ctx context.Context, names []string) (int64, error) {
+func (o *owner) writeMembers(ctx context.Context, names []string) error {
 	value, err := json.Marshal(names)
 	if err != nil {
-		return 0, fmt.Errorf("encode members: %w", err)
+		return fmt.Errorf("encode members: %w", err)
 	}
-	return o.s.config.Store.Transact(ctx, keeper.Transaction{
-		Expect: []keeper.Expectation{o.fence},
-		Puts:   []keeper.Put{{Key: o.s.membersKey(), Value: value}},
-	})
+	return o.writer.put(ctx, []keeper.Put{{Key: o.s.membersKey(), Value: value}})
 }
 
 type membersStored struct {
-	names    []string
-	revision int64
-	err      error
+	names []string
+	err   error
 }
 
 func (e *membersStored) apply(o *owner, _ time.Time) {
@@ -139,6 +142,5 @@
 	for _, n := range e.names {
 		o.members[n] = true
 	}
-	o.membersRev = e.revision
 	o.dirty = true
 }
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -51,20 +51,19 @@
 type owner struct {
 	s       *Scheduler
 	epoch   int64
-	fence   keeper.Expectation
+	writer  *writer
 	started time.Time
 	events  chan event
 	done    chan struct{} // closed when the loop has ended
 
 	state      *accountant.Accountant
 	learner    *learner.Learner
-	sessions   map[string]*session // by VM
-	cancelled  map[string]bool     // cancellations that came before their job
-	members    map[string]bool     // VMs that the store has as members
-	joining    map[string]bool     // VMs to be stored as members
-	leaving    map[string]bool     // members that were not heard for long
-	unheard    map[string]bool     // members that have not reported to this owner
-	membersRev int64
+	sessions   map[string]*session  // by VM
+	cancelled  map[string]bool      // cancellations that came before their job
+	members    map[string]bool      // VMs that the store has as members
+	joining    map[string]bool      // VMs to be stored as members
+	leaving    map[string]bool      // members that were not heard for long
+	unheard    map[string]bool      // members that have not reported to this owner
 	storing    bool                 // a write of the members is on its way
 	judged     map[string]time.Time // end of the quarantine that was told, by VM
 	settled    bool
@@ -78,7 +77,7 @@
 
 func newOwner(s *Scheduler, epoch int64, state *accountant.Accountant, now time.Time) *owner {
 	return &owner{
-		s: s, epoch: epoch, started: now, state: state, learner: learner.New(), events: make(chan event, eventBuffer), done: make(chan struct{}),
+		s: s, epoch: epoch, started: now, state: state, learner: learner.New(), writer: newWriter(s.config.Store.Transact), events: make(chan event, eventBuffer), done: make(chan struct{}),
 		sessions: make(map[string]*session), cancelled: make(map[string]bool), members: make(map[string]bool),
 		joining: make(map[string]bool), leaving: make(map[string]bool), unheard: make(map[string]bool), judged: make(map[string]time.Time), dirty: true, forgetAt: now.Add(forgetEvery),
 	}
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -131,7 +131,7 @@
 	if err := s.elector.Publish(ctx, epoch); err != nil {
 		return err
 	}
-	o.fence = s.elector.Fence()
+	o.writer.fence = s.elector.Fence()
 	s.owner.Store(o)
 	s.config.Reporter.Report(reporter.CellTaken, reporter.Fields{"epoch": epoch, "jobs": len(o.state.Jobs)})
 	ran := make(chan error, 1)
--- a/internal/job/scheduler/takeover.go
+++ b/internal/job/scheduler/takeover.go
@@ -36,6 +36,7 @@
 		}
 	}
 	for _, r := range progress {
+		o.writer.saw(r.Key, r.Revision)
 		id := strings.TrimPrefix(r.Key, progressPrefix)
 		if err := state.Restore(id, r.Value, now); err != nil {
 			s.config.Reporter.Report(reporter.JobRecordsUnreadable, reporter.Fields{"key": r.Key, "error": err.Error()})
@@ -97,7 +98,7 @@
 	if err != nil {
 		return fmt.Errorf("read members: %w", err)
 	}
-	o.membersRev = record.Revision
+	o.writer.saw(record.Key, record.Revision)
 	var names []string
 	if err := json.Unmarshal(record.Value, &names); err != nil {
 		return fmt.Errorf("decode members: %w", err)
--- /dev/null
+++ b/internal/job/scheduler/writer_test.go
@@ -0,0 +1,103 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"bamboospread/internal/store/keeper"
+)
+
+// lateStore is a store that can lose the answer of a write and carry it out later.
+type lateStore struct {
+	revision int64
+	records  map[string]keeper.Record
+	lose     bool
+	late     []keeper.Transaction
+}
+
+func (s *lateStore) transact(_ context.Context, t keeper.Transaction) (int64, error) {
+	if s.lose {
+		s.late = append(s.late, t)
+		return 0, keeper.ErrOutcomeUnknown{Cause: errors.New("no answer")}
+	}
+	return s.apply(t)
+}
+
+func (s *lateStore) apply(t keeper.Transaction) (int64, error) {
+	for _, e := range t.Expect {
+		if r := s.records[e.Key]; r.Revision != e.Revision {
+			r.Key = e.Key
+			return 0, keeper.ErrConflict{Key: e.Key, Current: r}
+		}
+	}
+	s.revision++
+	for _, p := range t.Puts {
+		s.records[p.Key] = keeper.Record{Key: p.Key, Value: p.Value, Revision: s.revision}
+	}
+	return s.revision, nil
+}
+
+func (s *lateStore) carryOutLate() {
+	for _, t := range s.late {
+		_, _ = s.apply(t) // a condition that does not hold any more is what is hoped for
+	}
+	s.late = nil
+}
+
+func newLateStore() (*lateStore, *writer) {
+	s := &lateStore{records: map[string]keeper.Record{"owner": {Key: "owner", Revision: 1}}, revision: 1}
+	w := newWriter(s.transact)
+	w.fence = keeper.Expectation{Key: "owner", Revision: 1}
+	return s, w
+}
+
+func put(t *testing.T, w *writer, value string) error {
+	t.Helper()
+	return w.put(t.Context(), []keeper.Put{{Key: "progress/a", Value: []byte(value)}, {Key: "progress/b", Value: []byte(value)}})
+}
+
+// A task that was done and acknowledged runs again under the next owner. A write of
+// its job's progress gets no answer; a newer one is stored and the end
+// acknowledged; then the first is carried out and takes the record back.
+func TestLateWriteDoesNotTakeProgressBack(t *testing.T) {
+	tests := []struct {
+		name string
+		when func(s *lateStore, w *writer) // between the lost write and the newer one, and after
+	}{
+		{"carried out after the newer one", func(*lateStore, *writer) {}},
+		{"carried out before the newer one", func(s *lateStore, _ *writer) { s.carryOutLate() }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, w := newLateStore()
+			if err := put(t, w, "first"); err != nil {
+				t.Fatal(err)
+			}
+			s.lose = true
+			if err := put(t, w, "older"); !keeper.IsErrOutcomeUnknown(err) {
+				t.Fatalf("got %v", err)
+			}
+			s.lose = false
+			tt.when(s, w)
+			if err := put(t, w, "newer"); err != nil {
+				t.Fatal(err)
+			}
+			s.carryOutLate()
+			if got := string(s.records["progress/a"].Value); got != "newer" {
+				t.Errorf("the record holds %q", got)
+			}
+		})
+	}
+}
+
+func TestWriterStopsAtItsFence(t *testing.T) {
+	s, w := newLateStore()
+	s.records["owner"] = keeper.Record{Key: "owner", Revision: 9}
+	if err := put(t, w, "x"); !keeper.IsErrConflict(err) {
+		t.Errorf("got %v", err)
+	}
+	if len(s.records) != 1 {
+		t.Error("an owner that was replaced wrote")
+	}
+}
--- a/internal/store/keeper/keeper.go
+++ b/internal/store/keeper/keeper.go
@@ -33,6 +33,9 @@
 type ErrConflict struct {
 	Key     string
 	Current Record // Revision 0: the key does not exist
+	// Records are all records that were expected, as they are, where the service
+	// tells them.
+	Records []Record
 	// AfterLoss is set by SwapSettled when an earlier answer to the same write
 	// was lost: the write may have been in force before Current replaced it.
 	AfterLoss bool
