--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 
 .PHONY: test-integration
 test-integration: build ## run the integration tests with real processes
-	BAMBOOSPREAD_BINARY=$(CURDIR)/build/bamboospread $(GO) test -count=1 -parallel 8 -timeout 30m ./tests/...
+	BAMBOOSPREAD_BINARY=$(CURDIR)/build/bamboospread $(GO) test -count=1 -parallel 12 -timeout 30m ./tests/...
 
 .PHONY: bench
 bench: ## measure the placement under interference; CSV, SVG and tables under build/bench
--- a/tests/integration/fleet_config_test.go
+++ b/tests/integration/fleet_config_test.go
@@ -136,6 +136,7 @@
 // The store's own record tells what was accepted and when; each process is asked
 // for its version all the time.
 func TestAcceptedConfigNeverReverts(t *testing.T) {
+	t.Parallel()
 	for _, s := range configScenarios {
 		t.Run(s.name, func(t *testing.T) {
 			oneOfFew(t)
--- a/tests/integration/fleet_zone_test.go
+++ b/tests/integration/fleet_zone_test.go
@@ -161,6 +161,7 @@
 // records must show no start later than 3 s after the store had the change. The
 // zone then returns and takes work again.
 func TestNoStartAfterZoneOut(t *testing.T) {
+	t.Parallel()
 	for _, s := range zoneScenarios {
 		t.Run(s.name, func(t *testing.T) {
 			oneOfFew(t)
--- a/tests/integration/job_faults_test.go
+++ b/tests/integration/job_faults_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/standin/executor"
 	"bamboospread/internal/standin/storer"
 	"bamboospread/tests/harness"
@@ -141,3 +142,41 @@
 }
 
 func containsEvent(line, message string) bool { return strings.Contains(line, message) }
+
+// TestOneJobThroughTheLogs: an on-call engineer has a job's id and the logs. From
+// them it must be seen who took the job, where each task ran and how it ended.
+func TestOneJobThroughTheLogs(t *testing.T) {
+	t.Parallel()
+	r := newJobTrial(t, harness.Seed(t))
+	j := &specifier.Job{ID: "00000000000004d2", Queue: "labels", Payload: `{"run-ms":100}`, Steps: []specifier.Step{
+		{Count: 1, EstimateMillis: 100, Needs: specifier.Resources{CPUMillis: 500, MemoryMB: 100}},
+	}}
+	r.submit(j)
+	r.await()
+	var lines []string
+	for _, e := range r.Entries {
+		lines = append(lines, e.LogLines()...)
+	}
+	for _, vm := range r.JobVMs {
+		lines = append(lines, vm.Agent.LogLines()...)
+	}
+	for _, want := range []struct{ message, field string }{
+		{"job accepted", "job=" + j.ID},
+		{"job taken in", "job=" + j.ID},
+		{"start decided", "task=" + j.ID + ".0.0.0"},
+		{"run started", "task=" + j.ID + ".0.0.0"},
+		{"run ended", "task=" + j.ID + ".0.0.0"},
+		{"end of run noted", "task=" + j.ID + ".0.0.0"},
+		{"job ended", "job=" + j.ID},
+	} {
+		found := 0
+		for _, l := range lines {
+			if strings.Contains(l, `message="`+want.message+`"`) && strings.Contains(l, want.field) {
+				found++
+			}
+		}
+		if found != 1 {
+			t.Errorf("%d lines %q with %s, want 1", found, want.message, want.field)
+		}
+	}
+}
--- a/tests/integration/request_answers_test.go
+++ b/tests/integration/request_answers_test.go
@@ -29,6 +29,7 @@
 // off, late or not at all, while processes die and freeze and links break. The
 // caller checks each answer against what only its own request can bring.
 func TestCallerGetsWholeOwnAnswer(t *testing.T) {
+	t.Parallel()
 	b := newRequestBed(t, "--service-time", "10ms")
 	misbehave := []responder.Modes{
 		{Crossed: true, Share: 0.2},
@@ -66,6 +67,7 @@
 // there are slots, so that many are refused, while processes die and freeze and
 // links break. No request refused with not-run may stand in an upstream's record.
 func TestNotRunMeansNotRun(t *testing.T) {
+	t.Parallel()
 	b := newRequestBed(t, "--service-time", "60ms")
 	run := func() func() []got {
 		b.modes(responder.Modes{CutAfterEffect: true, Share: 0.03})
--- a/tests/integration/request_leaving_test.go
+++ b/tests/integration/request_leaving_test.go
@@ -172,6 +172,7 @@
 // limit: waking, they have old knowledge, and requests wait in their sockets.
 // Nothing may reach a leaving upstream later than 3 s.
 func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	t.Parallel()
 	b := newRequestBed(t, "--service-time", "5ms")
 	for _, c := range b.leavingCases() {
 		t.Run(c.name, func(t *testing.T) {
--- a/tests/integration/request_once_test.go
+++ b/tests/integration/request_once_test.go
@@ -96,6 +96,7 @@
 // stand twice in the upstreams' records. What cannot be proved is answered
 // unknown or refused; the share of keys that ended so is printed.
 func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
+	t.Parallel()
 	b := newRequestBed(t, "--service-time", "15ms")
 	run := func() func() []got {
 		b.modes(responder.Modes{CutAfterEffect: true, Share: 0.05})
--- a/tests/integration/request_stop_test.go
+++ b/tests/integration/request_stop_test.go
@@ -49,6 +49,7 @@
 // some in flight. As behind the platform's balancer, a caller goes to an entry that
 // is ready.
 func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Parallel()
 	b := newRequestBed(t, "--service-time", "30ms")
 	slow := proxy.Faults{Delay: 20 * time.Millisecond}
 	outage := func() { b.SetStore(storer.Faults{Down: true}) }
--- a/tests/integration/whole_path_test.go
+++ b/tests/integration/whole_path_test.go
@@ -56,6 +56,7 @@
 // no list. The worker's record shows that the batch ran once, the upstreams'
 // record that each request ran once.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	k := harness.New(t, harness.Config{})
 	file := filepath.Join(t.TempDir(), "fleet.yaml")
 	if err := os.WriteFile(file, []byte(harness.FleetText), 0o600); err != nil {
