Ask the advising service for tickets

Cause: tasks of an advised queue started without a ticket and were refused for good. Ruled out: asking for every step ahead of time: tickets run out, and the service takes one question at a time.

--- a/internal/job/accountant/report.go
+++ b/internal/job/accountant/report.go
@@ -9,6 +9,7 @@
 // Facts are what an agent says of its VM.
 type Facts struct {
 	Name, Zone, Rack, Service string
+	WorkerID                  string
 	Labels                    []string
 	Capacity                  specifier.Resources
 }
@@ -70,7 +71,7 @@
 }
 
 func (a *Accountant) describe(vm *VM, f Facts) {
-	vm.Zone, vm.Rack, vm.Service, vm.Capacity = f.Zone, f.Rack, f.Service, f.Capacity
+	vm.Zone, vm.Rack, vm.Service, vm.Capacity, vm.WorkerID = f.Zone, f.Rack, f.Service, f.Capacity, f.WorkerID
 	vm.Labels = make(map[string]bool, len(f.Labels))
 	for _, l := range f.Labels {
 		vm.Labels[l] = true
@@ -106,6 +107,7 @@
 	}
 	for key, r := range vm.Runs {
 		if !listed[key] && r.Order <= rep.OrdersSeen {
+			delete(r.Step().Tickets, vm.Name) // it may be what was refused
 			a.loseRun(r, now)
 			c.Lost = append(c.Lost, r)
 		}
--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -78,6 +78,21 @@
 	Tasks      []*Task
 	Done       int // tasks that are done
 	ReadyAt    time.Time
+	Tickets    map[string]Ticket // by VM, for a queue that asks for advice
+	AdviseAt   time.Time         // not asked again before
+}
+
+// Ticket lets tasks of a step start on a VM.
+type Ticket struct {
+	Text  string
+	Life  string // of the worker, for which alone it holds
+	Until time.Time
+}
+
+// TicketFor returns the ticket that holds for a VM now.
+func (s *Step) TicketFor(vm *VM, now time.Time) (string, bool) {
+	t, ok := s.Tickets[vm.Name]
+	return t.Text, ok && t.Life == vm.Life && now.Before(t.Until)
 }
 
 // Finished tells whether all tasks are done.
@@ -152,6 +167,7 @@
 	Rack      string
 	Labels    map[string]bool
 	Service   string
+	WorkerID  string // by which an advising service knows its worker
 	Capacity  specifier.Resources
 	Life      string // of the worker; another life knows nothing of before
 	Ready     bool   // takes new tasks, as its worker says
--- a/internal/job/follower/follower_test.go
+++ b/internal/job/follower/follower_test.go
@@ -67,9 +67,7 @@
 		case <-time.After(2 * time.Millisecond):
 		}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return keeper.WatchResult{Revision: f.revision}, nil
+	return keeper.WatchResult{Revision: o.After}, nil // a change since the last look is for the next watch
 }
 
 func decode(records map[string][]byte) (*specifier.Policy, error) {
--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -53,7 +53,10 @@
 	case s.Spec.Label != "" && !vm.Labels[s.Spec.Label]:
 		return "without the label " + s.Spec.Label
 	}
-	m := newRoom(vm)
+	if _, ok := s.TicketFor(vm, in.Now); s.Occurrence.Job.Queue.Advised && !ok {
+		return "without a ticket of the advising service"
+	}
+	m := newRoom(vm, in.Now)
 	switch {
 	case !m.free.Fits(s.Spec.Committed()):
 		return "without room"
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -33,6 +33,7 @@
 	Task   *accountant.Task
 	VM     *accountant.VM
 	Number int64 // of the run
+	Ticket string
 }
 
 // Input is what a round of planning reads.
@@ -45,6 +46,7 @@
 // room is what a VM has left during a round.
 type room struct {
 	vm      *accountant.VM
+	now     time.Time
 	free    specifier.Resources
 	fillCPU int64
 	lasting int
@@ -64,8 +66,8 @@
 	return &round{now: in.Now, state: in.State, learner: in.Learner}
 }
 
-func newRoom(vm *accountant.VM) *room {
-	return &room{vm: vm, free: vm.Capacity.Sub(vm.Committed), fillCPU: vm.FillCPU, lasting: vm.Lasting, lastCPU: vm.LastCPU}
+func newRoom(vm *accountant.VM, now time.Time) *room {
+	return &room{vm: vm, now: now, free: vm.Capacity.Sub(vm.Committed), fillCPU: vm.FillCPU, lasting: vm.Lasting, lastCPU: vm.LastCPU}
 }
 
 // Plan returns the starts of one round, most urgent first.
@@ -73,7 +75,7 @@
 	r := newRound(in)
 	for _, vm := range in.State.VMs {
 		if usable(vm, in) {
-			r.rooms = append(r.rooms, newRoom(vm))
+			r.rooms = append(r.rooms, newRoom(vm, in.Now))
 		}
 	}
 	sort.Slice(r.rooms, func(i, j int) bool { return r.rooms[i].vm.Name < r.rooms[j].vm.Name })
@@ -113,7 +115,7 @@
 		}
 		best.take(s.Spec)
 		count[best.vm]++
-		starts = append(starts, Start{Task: t, VM: best.vm, Number: r.state.NextNumber(t)})
+		starts = append(starts, r.start(t, best, r.state.NextNumber(t)))
 	}
 	return starts
 }
@@ -140,11 +142,21 @@
 		}
 		best.take(s.Spec)
 		count[best.vm]++
-		starts = append(starts, Start{Task: t, VM: best.vm, Number: number})
+		starts = append(starts, r.start(t, best, number))
 	}
 	return starts
 }
 
+func (r *round) start(t *accountant.Task, m *room, number int64) Start {
+	ticket, _ := t.Step.TicketFor(m.vm, r.now)
+	return Start{Task: t, VM: m.vm, Number: number, Ticket: ticket}
+}
+
+func (m *room) ticketed(s *accountant.Step) bool {
+	_, ok := s.TicketFor(m.vm, m.now)
+	return ok
+}
+
 // perVM counts the live runs of a step on each VM.
 func perVM(s *accountant.Step) map[*accountant.VM]int {
 	count := make(map[*accountant.VM]int)
@@ -202,6 +214,8 @@
 		spec.MaxPerVM > 0 && running >= spec.MaxPerVM,
 		!m.free.Fits(spec.Committed()):
 		return false
+	case s.Occurrence.Job.Queue.Advised && !m.ticketed(s):
+		return false
 	case m.vm.Health.Times > 0 && len(m.vm.Runs)+m.placed > 0:
 		return false // one task at a time shows whether the worker is sound again
 	}
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -68,6 +68,7 @@
 	judged     map[string]time.Time // end of the quarantine that was told, by VM
 	settled    bool
 	followFrom int64
+	asking     bool // a question is on its way to the advising service
 	flushing   bool
 	flushAfter time.Time // not before this, after a write that failed
 	removals   []string  // keys of forgotten jobs
@@ -153,6 +154,7 @@
 		o.settle(now)
 		o.stopUnwanted()
 		o.judge(now)
+		o.askAdvice(ctx, now)
 		o.startWaiting(now)
 		o.pace(now)
 		o.forget(now)
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -61,6 +61,9 @@
 	Lease   time.Duration // 0: DefaultLease
 	Grant   time.Duration // 0: DefaultGrant
 	Policy  func() *specifier.Policy
+	// Advise asks which workers may run a step and returns a ticket for each that
+	// may; nil if no service advises.
+	Advise func(ctx context.Context, step string, workers []string) (map[string]string, error)
 	// StoreFor stores a record for an entry that does not reach the store.
 	StoreFor func(ctx context.Context, q messenger.WorkStoreRequest) messenger.WorkStoreReply
 	Now      func() time.Time // counts suspensions, does not jump
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -145,6 +145,7 @@
 	facts := accountant.Facts{Name: r.VM}
 	if f := r.Facts; f != nil {
 		facts.Zone, facts.Rack, facts.Service, facts.Labels, facts.Capacity = f.Zone, f.Rack, f.Service, f.Labels, f.Capacity
+		facts.WorkerID = f.WorkerID
 	}
 	return rep, facts, nil
 }
@@ -154,7 +155,7 @@
 	spec := r.Step().Spec
 	s.queued = append(s.queued, messenger.WorkOrder{
 		Seq: r.Order, Kind: messenger.WorkStart, Task: r.Key().Task.String(), Run: r.Number,
-		Payload: r.Step().Occurrence.Job.Spec.Payload, Checkpoint: r.Checkpoint, Needs: spec.Committed(),
+		Payload: r.Step().Occurrence.Job.Spec.Payload, Checkpoint: r.Checkpoint, Ticket: start.Ticket, Needs: spec.Committed(),
 	})
 	o.s.config.Meters.started(r, now)
 	o.s.config.Reporter.Report(reporter.JobStartDecided, reporter.Fields{
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -33,6 +33,7 @@
 	OwnerReached
 	MessageMalformed
 	VMJudged
+	AdviceTaken
 )
 
 // Events of jobs at agents, numbered from 950.
@@ -86,6 +87,7 @@
 	{OwnerReached, log.InfoLevel, "owner reached", "This entry reaches the owner of the cell again."},
 	{MessageMalformed, log.ErrorLevel, "message malformed", "A message of another process cannot be read; it was ignored."},
 	{VMJudged, log.WarnLevel, "VM quarantined", "Different tasks failed on the VM with none done in between, or most stood still; for some seconds nothing starts there, then one task at a time."},
+	{AdviceTaken, log.InfoLevel, "advice taken", "The advising service told on which VMs a step may run."},
 
 	{WorkerAnnounced, log.InfoLevel, "worker announced itself", "The worker of this VM told its state."},
 	{WorkerReborn, log.WarnLevel, "worker reborn", "The worker began another life and has forgotten everything; its runs are lost."},
--- a/internal/service/hoster/entry.go
+++ b/internal/service/hoster/entry.go
@@ -56,8 +56,13 @@
 		Store: calls, Prefix: platform.OperatorPrefix, Decode: platform.DecodePolicy, Now: now, Reporter: c.Reporter,
 	})
 	self := messenger.PeerAddress{EntryID: c.Settings.Name, Address: rpcAddress(c.Settings)}
+	var advise func(context.Context, string, []string) (map[string]string, error)
+	if c.Settings.AdviceAddress != "" {
+		advise = platform.NewAdvisor(c.Settings.AdviceAddress).Advise
+	}
 	e.scheduler = scheduler.New(scheduler.Config{
 		Cell: cell, EntryID: self.EntryID, Address: self.Address, Store: calls, Policy: e.follower.Policy,
+		Advise: advise,
 		StoreFor: func(ctx context.Context, q messenger.WorkStoreRequest) messenger.WorkStoreReply {
 			return e.receiver.StoreFor(ctx, q)
 		},
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -31,6 +31,7 @@
 
 // WorkFacts describe a VM.
 type WorkFacts struct {
+	WorkerID string              `json:"worker-id,omitempty"`
 	Zone     string              `json:"zone"`
 	Rack     string              `json:"rack"`
 	Service  string              `json:"service"`
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -101,7 +101,7 @@
 		g.beginLifeLocked(a.Life)
 	}
 	g.leaving = a.Leaving
-	g.facts = &messenger.WorkFacts{Zone: a.Zone, Rack: a.Rack, Service: a.Service, Labels: a.Labels, Capacity: a.Capacity}
+	g.facts = &messenger.WorkFacts{WorkerID: a.ID, Zone: a.Zone, Rack: a.Rack, Service: a.Service, Labels: a.Labels, Capacity: a.Capacity}
 	if changed {
 		g.config.Reporter.Report(reporter.WorkerAnnounced, reporter.Fields{"life": a.Life, "leaving": a.Leaving, "cpu": a.Capacity.CPUMillis, "memory-mb": a.Capacity.MemoryMB})
 		g.signal()
--- a/internal/worker/guardian/worker.go
+++ b/internal/worker/guardian/worker.go
@@ -81,6 +81,7 @@
 
 // Announcement is what a worker says of itself unasked.
 type Announcement struct {
+	ID       string // by which an advising service knows the worker; empty if none does
 	Life     string
 	Zone     string
 	Rack     string
