End runs at once when their worker has ended; doubt unanswered starts over lives

Cause: when a worker ends (crash, release, scale-in), its agent waited up to 5 s for leases that nobody held, and lasting tasks were away that long; a start that was stopped while in doubt could still come to the next life, which has no mark of it. Ruled out: the announcement of leaving as the sign: a worker serves on after it. Change: four looks in a row that find no process end its runs; starts without an answer are stopped again in each life that begins within 15 s.

--- a/internal/job/specifier/policy.go
+++ b/internal/job/specifier/policy.go
@@ -32,7 +32,6 @@
 type Policy struct {
 	Version  int64
 	Queues   []Queue
-	Guarded  map[string]bool // services whose workers refuse what does not fit
 	ZonesOut map[string]bool // availability zones in which nothing may start
 	ReadAt   time.Time       // when the read that gave it was sent
 }
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -40,6 +40,7 @@
 	known      bool      // needs are known
 	settledAt  time.Time // when its start or stop was answered; a look sent later shows the truth
 	stopped    bool      // its stop was answered
+	doubt      bool      // its start was not answered, and may be carried out later
 	checkpoint string
 	progress   int
 	measure    int64
@@ -56,6 +57,7 @@
 	life        string // of the worker; empty until it was seen
 	leaving     bool
 	runs        map[accountant.RunKey]*run
+	doubts      map[accountant.RunKey]time.Time // starts without an answer, by when they were sent
 	ends        []SeenEnd
 	endsStored  int64
 	epoch       int64
@@ -66,6 +68,7 @@
 	clock       time.Duration
 	clockAt     time.Time          // when clock was received; zero: not known in this life
 	looksFailed int                // in a row
+	looksAbsent int                // in a row, that found no process
 	silentFrom  time.Time          // since when looks fail; zero: they do not
 	leaseEnd    time.Time          // when leases asked for have surely run out
 	hurry       context.CancelFunc // ends the look that waits
@@ -76,7 +79,7 @@
 // New returns a Guardian without knowledge of its worker.
 func New(c Config) *Guardian {
 	return &Guardian{
-		config: c, wake: make(chan struct{}, 1), runs: make(map[accountant.RunKey]*run), context: context.Background(),
+		config: c, wake: make(chan struct{}, 1), runs: make(map[accountant.RunKey]*run), doubts: make(map[accountant.RunKey]time.Time), context: context.Background(),
 		// Sessions rise also over restarts of this process.
 		session: c.Now().UnixMilli(),
 	}
@@ -117,15 +120,42 @@
 	}
 	g.life, g.ends, g.endsStored, g.clockAt, g.looked = life, nil, 0, time.Time{}, 0
 	for key, r := range g.runs {
-		if r.state != starting {
+		switch {
+		case !r.doubt:
 			delete(g.runs, key)
-			continue
+		case r.state != stopping:
+			g.stopLocked(key, r, "worker reborn")
+		case r.stopped:
+			r.stopped = false // by the life before
+			go g.stop(g.context, key)
+		}
+	}
+	for key, at := range g.doubts {
+		if g.runs[key] == nil && g.config.Now().Sub(at) < doubtLife {
+			r := &run{state: running, doubt: true}
+			g.runs[key] = r
+			g.stopLocked(key, r, "worker reborn")
 		}
-		g.stopLocked(key, r, "worker reborn")
 	}
 	g.signal()
 }
 
+// doubtLife is how long after it was sent a start without an answer may still be
+// carried out: 12 s were seen.
+const doubtLife = 15 * time.Second
+
+// noteDoubtLocked remembers a start that was not answered, also after it was
+// stopped: the next life of the worker knows nothing of the stop.
+func (g *Guardian) noteDoubtLocked(key accountant.RunKey) {
+	now := g.config.Now()
+	g.doubts[key] = now
+	for k, at := range g.doubts {
+		if now.Sub(at) >= doubtLife {
+			delete(g.doubts, k)
+		}
+	}
+}
+
 // Run looks at the worker until ctx ends.
 func (g *Guardian) Run(ctx context.Context) error {
 	g.mu.Lock()
--- a/internal/worker/guardian/guardian_test.go
+++ b/internal/worker/guardian/guardian_test.go
@@ -33,6 +33,7 @@
 	stops  []StopCall
 	leases []time.Duration
 	silent bool // calls get no answer
+	absent bool // looks find no process
 	deaf   int  // so many starts get no answer
 	begin  time.Time
 }
@@ -67,7 +68,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.stops = append(f.stops, c)
-	if f.silent {
+	if f.silent || f.absent {
 		return errNoAnswer
 	}
 	delete(f.runs, accountant.RunKey{Task: c.Task, Number: c.Run})
@@ -82,6 +83,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.absent {
+		return Look{}, ErrWorkerNotExist{errNoAnswer}
+	}
 	if f.silent {
 		return Look{}, errNoAnswer
 	}
@@ -378,3 +382,51 @@
 		}
 	})
 }
+
+// Tasks of a worker that has ended wait for leases that nobody holds any more. When
+// no process listens where it was, its runs have ended with it; a worker that only
+// gives no answer may still run them. A start that was not answered may come to
+// the next life.
+func TestRunsOfAWorkerThatEnded(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(f *fakeWorker)
+		left   int
+	}{
+		{"no process", func(f *fakeWorker) { f.absent = true }, 1},
+		{"no answer", func(f *fakeWorker) { f.silent = true }, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			worker := newFakeWorker()
+			b := newBed(t, worker)
+			b.own(1)
+			b.order(1, messenger.WorkStart, 0, 1)
+			b.until("a run", func() bool { return b.confirmed() == 1 })
+			worker.change(func() { worker.deaf = 1000 })
+			b.order(1, messenger.WorkStart, 1, 1)
+			worker.change(func() { tt.change(worker) })
+			time.Sleep((looksToEnd + 2) * lookPause)
+			if got := len(b.report().Runs); got != tt.left {
+				t.Errorf("%d runs are listed, want %d", got, tt.left)
+			}
+		})
+	}
+}
+
+// A start gets no answer, is stopped, and the worker begins another life, which
+// knows nothing of the stop; the start may still come. It is stopped there again.
+func TestStoppedStartIsStoppedAgainInTheNextLife(t *testing.T) {
+	worker := newFakeWorker()
+	b := newBed(t, worker)
+	b.own(1)
+	worker.change(func() { worker.deaf = startTries })
+	b.order(1, messenger.WorkStart, 0, 1)
+	b.until("an end of the doubt", func() bool { return len(b.report().Runs) == 0 })
+	worker.change(func() { worker.life, worker.epoch, worker.stops = "life-2", 0, nil })
+	b.until("a stop in the next life", func() bool {
+		stops := 0
+		worker.change(func() { stops = len(worker.stops) })
+		return stops == 1
+	})
+}
--- a/internal/worker/guardian/look.go
+++ b/internal/worker/guardian/look.go
@@ -23,6 +23,10 @@
 	// looksToSilence is how many looks in a row must fail before the worker counts as
 	// silent and takes nothing new. One may be held up by itself.
 	looksToSilence = 2
+	// looksToEnd is how many looks in a row must find no process where the worker
+	// was before its runs count as ended. Their leases, up to 5 s, need not be waited
+	// out then.
+	looksToEnd = 4
 	// clockError is by how much the worker's clock may be slow.
 	clockError = 0.02
 )
@@ -48,7 +52,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.looksFailed = 0
+	g.looksFailed, g.looksAbsent = 0, 0
 	if !g.silentFrom.IsZero() {
 		g.config.Reporter.Report(reporter.WorkerRegained, reporter.Fields{"silent": g.config.Now().Sub(g.silentFrom).String()})
 		g.silentFrom = time.Time{}
@@ -107,12 +111,17 @@
 		g.config.Reporter.Report(reporter.WorkerSilent, reporter.Fields{"error": err.Error(), "runs": len(g.runs)})
 		g.signal()
 	}
-	if len(g.runs) == 0 || !now.After(g.leaseEnd.Add(g.config.StopTime)) {
+	if IsErrWorkerNotExist(err) {
+		g.looksAbsent++
+	} else {
+		g.looksAbsent = 0
+	}
+	if len(g.runs) == 0 || g.looksAbsent < looksToEnd && !now.After(g.leaseEnd.Add(g.config.StopTime)) {
 		return
 	}
-	// Whatever ran has lapsed. Starts that were not answered may still come.
+	// Whatever ran has ended. Starts that were not answered may still come.
 	for key, r := range g.runs {
-		if r.state != starting {
+		if !r.doubt {
 			delete(g.runs, key)
 		}
 	}
@@ -134,6 +143,7 @@
 			g.config.Reporter.Report(reporter.RunFound, reporter.Fields{"task": s.Task.String(), "run": s.Run})
 			g.signal()
 		}
+		r.doubt = false
 		if r.state == starting {
 			r.state = running
 			g.signal()
--- a/internal/worker/guardian/orders.go
+++ b/internal/worker/guardian/orders.go
@@ -52,7 +52,7 @@
 			return
 		}
 		ctx, cancel := context.WithCancel(g.context)
-		g.runs[key] = &run{state: starting, needs: o.Needs, known: true, checkpoint: o.Checkpoint, cancel: cancel}
+		g.runs[key] = &run{state: starting, doubt: true, needs: o.Needs, known: true, checkpoint: o.Checkpoint, cancel: cancel}
 		go g.start(ctx, key, o)
 	case messenger.WorkStop:
 		if r := g.runs[key]; r != nil {
@@ -103,7 +103,7 @@
 		var refused ErrRefused
 		switch {
 		case err == nil:
-			g.settle(key, func(r *run) { r.state = running })
+			g.settle(key, func(r *run) { r.state, r.doubt = running, false })
 			g.config.Reporter.Report(reporter.RunStarted, reporter.Fields{"task": o.Task, "run": o.Run, "epoch": call.Epoch})
 			return
 		case errors.As(err, &refused) && !doubt:
@@ -113,6 +113,9 @@
 		}
 		g.config.Reporter.Report(reporter.StartUnanswered, reporter.Fields{"task": o.Task, "run": o.Run, "error": err.Error()})
 		doubt = true
+		g.mu.Lock()
+		g.noteDoubtLocked(key)
+		g.mu.Unlock()
 		if pauser.Pause(ctx, callPause) != nil {
 			return
 		}
--- a/internal/worker/guardian/worker.go
+++ b/internal/worker/guardian/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -106,6 +107,19 @@
 	RefusedMalformed RefusalReason = "malformed" // the worker cannot read it
 )
 
+// ErrWorkerNotExist is returned by a look when no process listens where the worker
+// was: it has ended, and everything that it ran with it.
+type ErrWorkerNotExist struct{ Cause error }
+
+func (e ErrWorkerNotExist) Error() string { return fmt.Sprintf("no worker: %v", e.Cause) }
+func (e ErrWorkerNotExist) Unwrap() error { return e.Cause }
+
+// IsErrWorkerNotExist tells whether err is, or wraps, an ErrWorkerNotExist.
+func IsErrWorkerNotExist(err error) bool {
+	var target ErrWorkerNotExist
+	return errors.As(err, &target)
+}
+
 // ErrRefused is returned for a call that surely had no effect.
 type ErrRefused struct{ Reason RefusalReason }
 
--- a/internal/worker/steerer/steerer.go
+++ b/internal/worker/steerer/steerer.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"bamboospread/internal/job/specifier"
@@ -92,6 +94,9 @@
 	r.Header.Set(HeaderLife, s.life)
 	s.mu.Unlock()
 	reply, err := s.client.Do(r)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return guardian.ErrWorkerNotExist{Cause: err}
+	}
 	if err != nil {
 		return err
 	}
--- a/tests/harness/cluster.go
+++ b/tests/harness/cluster.go
@@ -284,17 +284,37 @@
 // closedInode is what the kernel lists for a socket that its process has closed.
 const closedInode = "0"
 
+// socketTableAge is how old the list of sockets may be. All tests share it: read
+// for each connection by itself, the list, which holds thousands of closed sockets
+// while many tests run, took more time than the tests (11 GB and 4 processors).
+const socketTableAge = 10 * time.Millisecond
+
+var sockets struct {
+	sync.Mutex
+	readAt time.Time
+	inodes map[string]string // by local address as the kernel writes it
+}
+
 func inodeOfPort(port int) string {
+	sockets.Lock()
+	defer sockets.Unlock()
+	if time.Since(sockets.readAt) > socketTableAge {
+		sockets.inodes, sockets.readAt = readSockets(), time.Now()
+	}
+	return sockets.inodes[fmt.Sprintf("0100007F:%04X", port)]
+}
+
+func readSockets() map[string]string {
 	const localAddress, inode = 1, 9 // columns
 	data, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
-		return ""
+		return nil
 	}
+	inodes := make(map[string]string)
 	for line := range strings.Lines(string(data)) {
-		columns := strings.Fields(line)
-		if len(columns) > inode && columns[localAddress] == fmt.Sprintf("0100007F:%04X", port) {
-			return columns[inode]
+		if columns := strings.Fields(line); len(columns) > inode {
+			inodes[columns[localAddress]] = columns[inode]
 		}
 	}
-	return ""
+	return inodes
 }
