Let probation end beside lasting tasks; start nothing before the first grant

Change: only runs ordered since the quarantine are probes, and 1.5 s at work end it; orders wait for a grant that was told, and the agent refuses without one.

--- a/internal/job/accountant/health.go
+++ b/internal/job/accountant/health.go
@@ -20,6 +20,41 @@
 // Quarantined tells whether nothing should start on the VM.
 func (vm *VM) Quarantined(now time.Time) bool { return now.Before(vm.Health.QuarantineTo) }
 
+// probeTime is how long a run must be at work on a VM that was quarantined before
+// the VM counts as sound again. On workers at fault tasks fail or stall sooner.
+const probeTime = 1500 * time.Millisecond
+
+// OnProbation tells whether the VM was quarantined and has not shown yet that it is
+// sound.
+func (vm *VM) OnProbation() bool { return vm.Health.Times > 0 }
+
+// Probes counts the runs that were ordered since the quarantine. Those from before
+// tell nothing: lasting tasks stay for good, and a VM that waited for them to end
+// would take nothing any more.
+func (vm *VM) Probes() int {
+	n := 0
+	for _, r := range vm.Runs {
+		if !r.OrderedAt.Before(vm.Health.QuarantineTo) {
+			n++
+		}
+	}
+	return n
+}
+
+// endProbation clears a VM on which a run ordered since the quarantine works.
+func (vm *VM) endProbation(now time.Time) {
+	if !vm.OnProbation() || vm.Quarantined(now) {
+		return
+	}
+	for _, r := range vm.Runs {
+		atWork := r.Step().Spec.Lasting && r.Progress >= fullPace || vm.SeenAt.Sub(r.MovedAt) < stallBase
+		if r.State == Running && !r.OrderedAt.Before(vm.Health.QuarantineTo) && vm.SeenAt.Sub(r.StartedAt) >= probeTime && atWork {
+			vm.noteGood()
+			return
+		}
+	}
+}
+
 func (vm *VM) noteGood() { vm.Health = Health{} }
 
 // Limits of the judgement on tasks that stand still.
@@ -47,6 +82,7 @@
 		if !vm.Attached {
 			continue
 		}
+		vm.endProbation(now)
 		stalled, moving := vm.stalled()
 		switch {
 		case len(stalled) >= stallsToQuarantine && len(stalled) >= moving:
--- a/internal/job/accountant/health_test.go
+++ b/internal/job/accountant/health_test.go
@@ -119,3 +119,31 @@
 		t.Error("a task that was done does not clear the worker")
 	}
 }
+
+// A lasting task stays away though its VM has room. The VM was quarantined, and was
+// to take one task at a time until one is done; the lasting tasks that it had from
+// before counted as that one task, and never are done.
+func TestProbationEndsBesideLastingTasks(t *testing.T) {
+	a := newState(t, 3)
+	vm := attach(a, "vm")
+	lasting := specifier.Step{Count: 1, Needs: oneCore, Lasting: true}
+	runTasks(t, a, vm, 2, lasting)
+	progress(a, vm, 0, 100, 0)
+	vm.quarantine("tasks fail", begin)
+	after := int(quarantineFirst/time.Millisecond) + 1
+	if vm.Probes() != 0 {
+		t.Fatalf("%d runs from before count as probes", vm.Probes())
+	}
+	probe := addJob(t, a, 500, lasting)
+	a.Place(probe.Occurrences[0].Steps[0].Tasks[0], vm, 1, at(after))
+	for millis := after; millis <= after+2100; millis += 300 {
+		progress(a, vm, millis, 100, 0)
+		a.Stalled(at(millis))
+		if waited := millis - after; waited < 1200 && !vm.OnProbation() {
+			t.Fatalf("probation is over after %d ms", waited)
+		}
+	}
+	if vm.OnProbation() {
+		t.Error("a task is at work for 2 s, and the VM is still on probation")
+	}
+}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -216,7 +216,7 @@
 		return false
 	case s.Occurrence.Job.Queue.Advised && !m.ticketed(s):
 		return false
-	case m.vm.Health.Times > 0 && len(m.vm.Runs)+m.placed > 0:
+	case m.vm.OnProbation() && m.vm.Probes()+m.placed > 0:
 		return false // one task at a time shows whether the worker is sound again
 	}
 	if !spec.Fills {
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -23,6 +23,9 @@
 	number int64
 	conn   *connector.Conn
 	epoch  int64
+	// granted tells that the agent was told a grant: before that it has no lease to
+	// start anything under.
+	granted bool
 
 	queued  []messenger.WorkOrder // for the loop only
 	toldEnd int64
@@ -94,6 +97,8 @@
 	// must know whom to wait for.
 	if o.members[s.vm.Name] {
 		reply.GrantMillis = o.s.config.Grant.Milliseconds()
+		o.dirty = o.dirty || !s.granted
+		s.granted = true
 	} else {
 		o.joining[s.vm.Name] = true
 	}
--- a/internal/worker/guardian/orders.go
+++ b/internal/worker/guardian/orders.go
@@ -78,6 +78,8 @@
 		return "worker silent"
 	case g.config.Now().Sub(g.repliedAt) > orderMaxAge:
 		return "owner not heard"
+	case g.leaseLocked(g.config.Now()) <= 0:
+		return "no grant"
 	case g.facts == nil || !g.facts.Capacity.Fits(g.committedLocked().Add(o.Needs)):
 		return "no room"
 	}
