Renew no lease of a silent worker

Ruled out: probation (no VM was quarantined), no room. Change: after two failed looks in a row looks carry no lease until one is answered.

--- a/internal/worker/guardian/guardian_test.go
+++ b/internal/worker/guardian/guardian_test.go
@@ -430,3 +430,23 @@
 		return stops == 1
 	})
 }
+
+// Lasting tasks never run again. Their worker is gone without a word, its agent
+// lives on, and each look that gets no answer may have renewed their leases. So a
+// silent worker gets no renewal, and its runs end with the lease that it had.
+func TestRunsOfASilentWorkerEndWithTheirLease(t *testing.T) {
+	worker := newFakeWorker()
+	b := newBed(t, worker)
+	b.own(1)
+	b.order(1, messenger.WorkStart, 0, 1)
+	b.until("a run", func() bool { return b.confirmed() == 1 })
+	worker.change(func() { worker.silent = true })
+	begin := time.Now()
+	b.until("an end of the run", func() bool {
+		b.grant(1, time.Minute) // the owner is heard all the while
+		return len(b.report().Runs) == 0
+	})
+	if took := time.Since(begin); took < 900*time.Millisecond {
+		t.Errorf("the run counts as ended after %s, its lease was longer", took)
+	}
+}
--- a/internal/worker/guardian/look.go
+++ b/internal/worker/guardian/look.go
@@ -89,7 +89,13 @@
 // leaseLocked returns until when leases may run, on the worker's clock, or 0. The
 // clock is taken to have stood still between the worker's answer and its arrival
 // here, so the lease is rather too short than too long.
+//
+// A silent worker gets no renewal: it may hear what it does not answer, and its
+// tasks could never be given up as long as each look may have prolonged them.
 func (g *Guardian) leaseLocked(now time.Time) time.Duration {
+	if !g.silentFrom.IsZero() {
+		return 0
+	}
 	left := min(g.grantUntil.Sub(now), g.config.LeaseMax)
 	if g.clockAt.IsZero() || left <= 0 {
 		return 0
