--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -90,7 +90,7 @@
 		changes = o.state.Apply(s.vm, e.read, now)
 	}
 	delete(o.unheard, s.vm.Name)
-	o.note(s.vm, changes, now)
+	o.note(s.vm, changes)
 	planner.Learn(o.learner, s.vm, now)
 	o.dirty = o.dirty || changes.Any()
 	// A VM is granted nothing before the store has it as a member: the next owner
@@ -107,7 +107,7 @@
 }
 
 // note writes down what a report changed.
-func (o *owner) note(vm *accountant.VM, c accountant.Changes, now time.Time) {
+func (o *owner) note(vm *accountant.VM, c accountant.Changes) {
 	for _, e := range c.Ended {
 		o.s.config.Meters.runEnded(e.How)
 		o.s.config.Reporter.Report(reporter.JobRunEnded, reporter.Fields{"task": e.Key.Task.String(), "run": e.Key.Number, "vm": vm.Name, "how": string(e.How), "end": e.Seq})
