--- a/internal/job/accountant/record.go
+++ b/internal/job/accountant/record.go
@@ -125,7 +125,8 @@
 	return nil
 }
 
-// Flush is what the store has to be told before ends are acknowledged.
+// Flush is what the store has to be told before ends are acknowledged: the jobs
+// to write, and up to which end each VM may be acknowledged afterwards.
 type Flush struct {
 	Jobs []*Job
 	ends []endMark
--- a/internal/job/scheduler/takeover.go
+++ b/internal/job/scheduler/takeover.go
@@ -87,7 +87,8 @@
 	return true
 }
 
-// members are the VMs whose agents have had a grant of an owner of this cell.
+// membersKey is the key of the list of VMs whose agents may have had a grant of an
+// owner of this cell.
 func (s *Scheduler) membersKey() string { return fmt.Sprintf("cells/%s/vms", s.config.Cell) }
 
 func (o *owner) loadMembers(ctx context.Context) error {
