Cancel a job by command

Cause: a job could be cancelled over HTTP only. Ruled out: taking job ids among task ids: both are free text there.

--- a/internal/cli/commander/cancel.go
+++ b/internal/cli/commander/cancel.go
@@ -14,16 +14,24 @@
 func newCancelCommand() *cobra.Command {
 	var flags operatorFlags
 	var wanted messenger.CancelRequest
+	var job string
 	cmd := &cobra.Command{
 		Use:   "cancel [TASK ...]",
-		Short: "Cancel tasks by id, or all of a tenant and class",
+		Short: "Cancel tasks by id, all of a tenant and class, or a job of steps",
 		Example: `  bamboospread cancel lot-4711 lot-4712
-  bamboospread cancel --tenant packhouse --class label-batch`,
+  bamboospread cancel --tenant packhouse --class label-batch
+  bamboospread cancel --job 00000000000004d2`,
 		RunE: func(cmd *cobra.Command, args []string) error {
 			q, err := flags.requester()
 			if err != nil {
 				return err
 			}
+			if job != "" {
+				if len(args) > 0 || wanted.Tenant+wanted.Class != "" {
+					return usageError(errors.New("want --job alone"))
+				}
+				return flags.cancelJob(cmd, q, job)
+			}
 			wanted.IDs = args
 			switch {
 			case len(args) == 0 && wanted.Tenant == "":
@@ -45,6 +53,7 @@
 	}
 	flags.register(cmd)
 	cmd.Flags().StringVar(&wanted.Tenant, "tenant", "", "cancel all tasks of this tenant")
+	cmd.Flags().StringVar(&job, "job", "", "cancel this job of steps")
 	cmd.Flags().StringVar(&wanted.Class, "class", "", "with --tenant: only tasks of this class")
 	return cmd
 }
--- a/internal/cli/commander/status_job.go
+++ b/internal/cli/commander/status_job.go
@@ -27,6 +27,15 @@
 	return f.write(cmd.OutOrStdout(), a, func(w io.Writer) { fmt.Fprintf(w, "queue %s: %d jobs have not started\n", a.Queue, a.Pending) })
 }
 
+// cancelJob cancels a job; repeating it is harmless.
+func (f *operatorFlags) cancelJob(cmd *cobra.Command, q *requester.Requester, id string) error {
+	a, err := q.CancelJob(cmd.Context(), id)
+	if err != nil {
+		return f.fail(cmd, "", err)
+	}
+	return f.write(cmd.OutOrStdout(), a, func(w io.Writer) { fmt.Fprintf(w, "job %s is cancelled\n", a.ID) })
+}
+
 // explainJob shows a job with its steps, its runs and why tasks wait.
 func (f *operatorFlags) explainJob(cmd *cobra.Command, q *requester.Requester, id string) error {
 	a, err := q.ExplainJob(cmd.Context(), id)
--- a/tests/integration/job_faults_test.go
+++ b/tests/integration/job_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -180,3 +181,45 @@
 		}
 	}
 }
+
+// TestCancelledJobStops: a lasting job is cancelled by command; its tasks end, and
+// it stays cancelled, also when the same submission comes once more.
+func TestCancelledJobStops(t *testing.T) {
+	t.Parallel()
+	r := newJobTrial(t, harness.Seed(t))
+	j := &specifier.Job{ID: "00000000000004d3", Queue: "labels", Payload: `{"run-ms":-1}`, Steps: []specifier.Step{
+		{Count: 3, Needs: specifier.Resources{CPUMillis: 500, MemoryMB: 100}, Lasting: true},
+	}}
+	r.submit(j)
+	running := func() int {
+		n := 0
+		for _, runs := range spans(r.JobEvents()) {
+			for _, s := range runs {
+				if s.to.IsZero() {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	awaitRunning := func(want int) {
+		harness.WaitFor(t, jobSettle, "running tasks", func(context.Context) error {
+			if got := running(); got != want {
+				return fmt.Errorf("%d tasks run, want %d", got, want)
+			}
+			return nil
+		})
+	}
+	awaitRunning(3)
+	entries := "--entries=" + r.Entries[0].HTTP
+	if out, code := harness.Run(t, "cancel", entries, "--job", j.ID); code != 0 {
+		t.Fatalf("cancel ended with %d: %s", code, out)
+	}
+	awaitRunning(0)
+	r.submit(j)
+	if out, _ := harness.Run(t, "status", entries, "--job", j.ID); !strings.Contains(out, "is cancelled") {
+		t.Errorf("after a repeated submission: %s", out)
+	}
+	time.Sleep(time.Second)
+	awaitRunning(0)
+}
