Let upstreams that will leave have a request first

Ruled out: new work after leaving (none came to any of the three). Change: the test waits until each has had a request, for 10 s at most; the check stays, so the test is as strict.

--- a/tests/integration/request_leaving_test.go
+++ b/tests/integration/request_leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -113,6 +114,12 @@
 	}
 }
 
+func (u *leaver) requests() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.arrivals)
+}
+
 // check tells how many requests came before leaving and how late the last one
 // came after it began.
 func (u *leaver) check() (before int, last time.Duration) {
@@ -166,6 +173,9 @@
 
 var leavingWays = []string{"says so", "renews as leaving", "falls silent"}
 
+// firstRequestLimit is how long a new upstream may wait for its first request.
+const firstRequestLimit = 10 * time.Second
+
 // TestLeavingUpstreamGetsNoNewWork: an upstream that is told to go finishes and
 // ends; work sent to it after that is lost. Three upstreams leave, each in its
 // way, while callers go on and entries or agents stand still for longer than the
@@ -203,6 +213,16 @@
 		return sent{method: http.MethodPost, path: fmt.Sprint("/print/", n), body: fmt.Sprint("lot ", n), timeout: 6 * time.Second}
 	})
 	time.Sleep(time.Second)
+	// On a busy machine a new upstream may get its first request later; one that
+	// has had none would show nothing by leaving.
+	harness.WaitFor(t, firstRequestLimit, "a request at each upstream that will leave", func(context.Context) error {
+		for _, u := range leavers {
+			if u.requests() == 0 {
+				return fmt.Errorf("none at the one that %s", u.way)
+			}
+		}
+		return nil
+	})
 	for _, f := range c.begin {
 		f()
 	}
