Order starts only once the agent tells of its grant; know a live connection by both ports

(1) TestOneJobThroughTheLogs: the owner took a grant as given when it had sent the answer, its order overtook the answer, and the agent, which had no lease yet, refused the first start. Change: reports tell whether the agent holds a grant, at once when it gets its first; the list of sockets is keyed by both ports.

--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -23,8 +23,8 @@
 	number int64
 	conn   *connector.Conn
 	epoch  int64
-	// granted tells that the agent was told a grant: before that it has no lease to
-	// start anything under.
+	// granted is what the agent itself tells: an order may overtake the answer that
+	// grants, and without a grant the agent has no lease to start anything under.
 	granted bool
 
 	queued  []messenger.WorkOrder // for the loop only
@@ -89,6 +89,8 @@
 		s.vm.Attached = true
 		changes = o.state.Apply(s.vm, e.read, now)
 	}
+	o.dirty = o.dirty || s.granted != e.report.Granted
+	s.granted = e.report.Granted
 	delete(o.unheard, s.vm.Name)
 	o.note(s.vm, changes)
 	planner.Learn(o.learner, s.vm, now)
@@ -97,8 +99,6 @@
 	// must know whom to wait for.
 	if o.members[s.vm.Name] {
 		reply.GrantMillis = o.s.config.Grant.Milliseconds()
-		o.dirty = o.dirty || !s.granted
-		s.granted = true
 	} else {
 		o.joining[s.vm.Name] = true
 	}
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -23,6 +23,7 @@
 	Facts      *WorkFacts `json:"facts"`
 	Life       string     `json:"life"` // of the worker
 	Ready      bool       `json:"ready"`
+	Granted    bool       `json:"granted"` // the agent holds a grant; without one it starts nothing
 	OrdersSeen int64      `json:"orders-seen"`
 	AgeMillis  int64      `json:"age-ms"` // of what is told of the runs
 	Runs       []WorkRun  `json:"runs,omitempty"`
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -190,7 +190,7 @@
 	rep := messenger.WorkReport{
 		VM: g.config.VM, Session: session, Facts: g.facts, Life: g.life, OrdersSeen: g.ordersSeen,
 		AgeMillis: g.config.Now().Sub(g.clockAt).Milliseconds(),
-		Ready:     !g.leaving && g.silentFrom.IsZero(),
+		Ready:     !g.leaving && g.silentFrom.IsZero(), Granted: g.grantUntil.After(g.config.Now()),
 	}
 	for key, r := range g.runs {
 		w := messenger.WorkRun{Task: key.Task.String(), Run: key.Number, Confirmed: r.state != starting, Checkpoint: r.checkpoint, Progress: r.progress, Measure: r.measure}
@@ -228,6 +228,9 @@
 	g.followLocked(reply.Epoch)
 	g.repliedAt = sentAt
 	if until := sentAt.Add(time.Duration(reply.GrantMillis) * time.Millisecond); until.After(g.grantUntil) {
+		if !g.grantUntil.After(g.config.Now()) {
+			g.signal() // the owner orders nothing before it hears of the grant
+		}
 		g.grantUntil = until
 	}
 	if life == g.life {
--- a/tests/harness/cluster.go
+++ b/tests/harness/cluster.go
@@ -249,7 +249,7 @@
 	for range 20 {
 		// Read anew each time: the kernel's list may miss a socket while others
 		// come and go.
-		inode := inodeOfPort(c.RemoteAddr().(*net.TCPAddr).Port)
+		inode := inodeOf(c.RemoteAddr().(*net.TCPAddr).Port, c.LocalAddr().(*net.TCPAddr).Port)
 		if inode == closedInode {
 			return "" // its opener has closed it; searching on would only take time
 		}
@@ -292,20 +292,22 @@
 var sockets struct {
 	sync.Mutex
 	readAt time.Time
-	inodes map[string]string // by local address as the kernel writes it
+	inodes map[string]string // by local and remote address as the kernel writes them
 }
 
-func inodeOfPort(port int) string {
+// inodeOf returns the inode of the socket at the opener's end of a connection. Both
+// ports count: a closed connection from the same port to another one is listed too.
+func inodeOf(from, to int) string {
 	sockets.Lock()
 	defer sockets.Unlock()
 	if time.Since(sockets.readAt) > socketTableAge {
 		sockets.inodes, sockets.readAt = readSockets(), time.Now()
 	}
-	return sockets.inodes[fmt.Sprintf("0100007F:%04X", port)]
+	return sockets.inodes[fmt.Sprintf("0100007F:%04X 0100007F:%04X", from, to)]
 }
 
 func readSockets() map[string]string {
-	const localAddress, inode = 1, 9 // columns
+	const localAddress, remoteAddress, inode = 1, 2, 9 // columns
 	data, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return nil
@@ -313,7 +315,7 @@
 	inodes := make(map[string]string)
 	for line := range strings.Lines(string(data)) {
 		if columns := strings.Fields(line); len(columns) > inode {
-			inodes[columns[localAddress]] = columns[inode]
+			inodes[columns[localAddress]+" "+columns[remoteAddress]] = columns[inode]
 		}
 	}
 	return inodes
--- a/tests/harness/harness_test.go
+++ b/tests/harness/harness_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -51,3 +53,53 @@
 		t.Errorf("got %q", name)
 	}
 }
+
+// A connection whose port was used before, to another listener, and is closed there
+// must be known as the live one that it is: the fault meant for its opener would
+// otherwise not reach it, and a test would show nothing.
+func TestPeerIsKnownBesideAClosedConnectionOfItsPort(t *testing.T) {
+	listen := func() net.Listener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		return l
+	}
+	other, target := listen(), listen()
+	first, err := (&net.Dialer{Control: reuseAddress}).Dial("tcp", other.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	from := first.LocalAddr().(*net.TCPAddr)
+	first.Close() // the opener closes first, so its end stays listed
+	accepted, err := other.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted.Close()
+	second, err := (&net.Dialer{LocalAddr: from, Control: reuseAddress}).Dial("tcp", target.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	for range 100 { // the kernel's list may miss a new socket for a moment
+		switch got := inodeOf(from.Port, target.Addr().(*net.TCPAddr).Port); got {
+		case "":
+			time.Sleep(2 * socketTableAge)
+		case closedInode:
+			t.Fatal("the live connection is taken for the closed one")
+		default:
+			return
+		}
+	}
+	t.Error("the live connection is not found")
+}
+
+func reuseAddress(_, _ string, c syscall.RawConn) error {
+	var setErr error
+	err := c.Control(func(fd uintptr) {
+		setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	})
+	return errors.Join(err, setErr)
+}
