Stand-in store: leases that stand still, dropped history; read the fleet text anew after it

Cause: the stand-in store let leases only run out while it refused calls, and kept its whole history, so two of the platform's semantics were untested. With dropped history the follower of the fleet text failed for good: every watch from its revision is refused. Ruled out: elector and the owner of jobs, which read anew already. Change: faults pause-leases and drop-history; 410 to a watch is ErrHistoryNotExist in our own client too; the follower reads the record anew. Two more job faults in the integration tests (store away with leases standing still, history dropped eight times). Before: TestDroppedHistoryIsReadAnew failed (got nil, history does not exist). After: passes.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -214,6 +214,11 @@
 // watch takes the changes after a revision.
 func (f *Follower) watch(ctx context.Context, after int64, wait time.Duration) error {
 	result, err := f.config.Keeper.Watch(ctx, keeper.WatchOptions{Prefix: recorder.Key, After: after, Wait: wait})
+	if keeper.IsErrHistoryNotExist(err) {
+		// Every watch from this revision fails from now on, so the text held would
+		// stay in force for good; what the record holds is the newest.
+		return f.read(ctx)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -164,6 +164,25 @@
 	}
 }
 
+// TestDroppedHistoryIsReadAnew: callers are served by an old fleet text for good.
+// The store drops its history while a follower is not connected; each watch from
+// the revision it had is refused from then on, so it has to read the record anew.
+func TestDroppedHistoryIsReadAnew(t *testing.T) {
+	store, k := newStore(t)
+	f := New(Config{Keeper: k})
+	put(t, k, valueOf(t, 1))
+	if _, err := f.Refresh(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	put(t, k, valueOf(t, 2))
+	store.SetFaults(storer.Faults{DropHistory: true})
+	for range 2 {
+		if fleet, err := f.Refresh(context.Background()); err != nil || fleet.Version() != 2 {
+			t.Errorf("got %v, %v; want version 2", fleet, err)
+		}
+	}
+}
+
 // TestUnreadableRecordIsNotTaken stores a record that only a newer program can
 // read. What is held stays in force for requests, but Refresh must fail: the new
 // record may take a zone out, so nothing may be started on the old one.
--- a/internal/standin/storer/calls.go
+++ b/internal/standin/storer/calls.go
@@ -144,6 +144,7 @@
 func (s *Store) grant(_ context.Context, c keeper.LeaseCall) result {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.expireLocked()
 	s.lastID++
 	ttl := time.Duration(c.TTLMillis) * time.Millisecond
 	s.leases[s.lastID] = &lease{ttl: ttl, ends: s.config.Now().Add(ttl), keys: make(map[string]bool)}
@@ -179,8 +180,12 @@
 	for over := c.WaitMillis <= 0; ; {
 		s.mu.Lock()
 		s.expireLocked()
-		found, revision, changed := s.changesLocked(c.Prefix, c.After), s.revision, s.changed
+		found, kept := s.changesLocked(c.Prefix, c.After)
+		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
+		if !kept {
+			return result{http.StatusGone, c.After}
+		}
 		if len(found) > 0 || over || ctx.Err() != nil {
 			return ok(keeper.WatchAnswer{Changes: found, Revision: revision})
 		}
--- a/internal/standin/storer/faults.go
+++ b/internal/standin/storer/faults.go
@@ -12,6 +12,8 @@
 // Faults are the faults in force.
 type Faults struct {
 	Down        bool    `json:"down"`         // refuse every call with 503
+	PauseLeases bool    `json:"pause-leases"` // with Down: leases stand still meanwhile instead of running out
+	DropHistory bool    `json:"drop-history"` // once, at the call: watches from before now get 410
 	DelayMillis int64   `json:"delay-ms"`     // before the effect, which comes also if the caller has gone
 	LoseAnswers float64 `json:"lose-answers"` // probability of closing the connection after the effect
 }
@@ -25,11 +27,19 @@
 	Refused int64            `json:"refused"`
 }
 
-// SetFaults replaces the faults in force. Watches that wait stay.
+// SetFaults replaces the faults in force. Watches that wait stay, unless the history
+// is dropped.
 func (s *Store) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.expireLocked()
+	if f.DropHistory {
+		s.log = nil
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
 	s.faults = f
+	s.expireLocked() // from here on leases stand still, if they do
 }
 
 // Calls returns the calls counted so far.
--- a/internal/standin/storer/storer.go
+++ b/internal/standin/storer/storer.go
@@ -41,6 +41,7 @@
 	changes  map[string]keeper.Change // latest change of each key, also deletions
 	log      []string                 // key of each change, the last one at the current revision
 	leases   map[int64]*lease
+	lookedAt time.Time // when leases were last looked at
 	lastID   int64
 	changed  chan struct{} // closed and replaced at each change
 	faults   Faults
@@ -85,11 +86,17 @@
 	return server.Serve(ctx, l, s.mux)
 }
 
-// expireLocked ends the leases whose time is over. It goes by the clock alone,
-// so leases also run out while the service is down to its callers.
+// expireLocked ends the leases whose time is over. It goes by the clock alone, so
+// leases also run out while the service is down to its callers, unless a fault lets
+// them stand still.
 func (s *Store) expireLocked() {
 	now := s.config.Now()
+	stood := now.Sub(s.lookedAt)
+	s.lookedAt = now
 	for id, l := range s.leases {
+		if s.faults.Down && s.faults.PauseLeases {
+			l.ends = l.ends.Add(stood)
+		}
 		if now.After(l.ends) {
 			s.endLeaseLocked(id)
 		}
@@ -169,15 +176,19 @@
 }
 
 // changesLocked looks only at what changed after the given revision, so that
-// watches stay cheap however many records there are.
-func (s *Store) changesLocked(prefix string, after int64) []keeper.Change {
+// watches stay cheap however many records there are. It returns false if that
+// history was dropped.
+func (s *Store) changesLocked(prefix string, after int64) ([]keeper.Change, bool) {
 	var found []keeper.Change
 	first := s.revision - int64(len(s.log)) // revision before the first one in the log
+	if after < first {
+		return nil, false
+	}
 	for i := max(after-first, 0); i < int64(len(s.log)); i++ {
 		c := s.changes[s.log[i]]
 		if c.Record.Revision == first+i+1 && strings.HasPrefix(c.Record.Key, prefix) {
 			found = append(found, c)
 		}
 	}
-	return found
+	return found, true
 }
--- a/internal/standin/storer/storer_test.go
+++ b/internal/standin/storer/storer_test.go
@@ -93,6 +93,55 @@
 	}
 }
 
+// The service refuses every call for longer than a lease, and leases stand still
+// meanwhile. The owner finds its lease as it left it.
+func TestLeaseStandsStillWhileDown(t *testing.T) {
+	ctx := context.Background()
+	s, k := start(t, storer.Config{})
+	l, err := k.GrantLease(ctx, 200*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.SetFaults(storer.Faults{Down: true, PauseLeases: true})
+	time.Sleep(300 * time.Millisecond)
+	s.SetFaults(storer.Faults{})
+	if err := k.KeepAlive(ctx, l.ID); err != nil {
+		t.Fatalf("a lease ran out while leases stood still: %v", err)
+	}
+	time.Sleep(300 * time.Millisecond)
+	if err := k.KeepAlive(ctx, l.ID); !keeper.IsErrLeaseNotExist(err) {
+		t.Fatalf("after the outage: %v", err)
+	}
+}
+
+// The service drops its history. A watch from before is told so; one from the
+// newest revision goes on and sees what comes.
+func TestDroppedHistory(t *testing.T) {
+	ctx := context.Background()
+	s, k := start(t, storer.Config{})
+	first, err := k.CompareAndSwap(ctx, keeper.SwapOptions{Key: "a", Value: []byte("x")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := k.CompareAndSwap(ctx, keeper.SwapOptions{Key: "a", Value: []byte("y"), ExpectRevision: first})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.SetFaults(storer.Faults{DropHistory: true})
+	if _, err := k.Watch(ctx, keeper.WatchOptions{Prefix: "a", After: first}); !keeper.IsErrHistoryNotExist(err) {
+		t.Errorf("from before: %v", err)
+	}
+	if w, err := k.Watch(ctx, keeper.WatchOptions{Prefix: "a", After: second}); err != nil || len(w.Changes) != 0 {
+		t.Errorf("from the newest: %v, %v", w, err)
+	}
+	if _, err := k.CompareAndSwap(ctx, keeper.SwapOptions{Key: "b", Value: []byte("z")}); err != nil {
+		t.Fatal(err)
+	}
+	if w, err := k.Watch(ctx, keeper.WatchOptions{Prefix: "b", After: second}); err != nil || len(w.Changes) != 1 {
+		t.Errorf("what came after: %v, %v", w, err)
+	}
+}
+
 func TestOutcomeOfWrites(t *testing.T) {
 	ctx := context.Background()
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/store/keeper/call.go
+++ b/internal/store/keeper/call.go
@@ -24,6 +24,7 @@
 	body   any
 	answer any           // pointer, or nil
 	wait   time.Duration // how long the service may hold the answer
+	after  int64         // revision that a watch goes on from
 }
 
 // call makes one call. A write that may have left this process and has no
@@ -88,6 +89,9 @@
 	case http.StatusNotFound:
 		return ErrKeyNotExist{Key: o.key}
 	case http.StatusGone:
+		if o.kind == KindWatch {
+			return ErrHistoryNotExist{After: o.after}
+		}
 		return ErrLeaseNotExist{Lease: o.lease}
 	}
 	text, _ := io.ReadAll(io.LimitReader(reply.Body, maxErrorBytes))
--- a/internal/store/keeper/keeper.go
+++ b/internal/store/keeper/keeper.go
@@ -215,6 +215,6 @@
 func (k *Keeper) Watch(ctx context.Context, o WatchOptions) (WatchResult, error) {
 	var a WatchAnswer
 	body := WatchCall{Prefix: o.Prefix, After: o.After, WaitMillis: o.Wait.Milliseconds()}
-	err := k.call(ctx, callOptions{kind: KindWatch, body: body, answer: &a, wait: o.Wait})
+	err := k.call(ctx, callOptions{kind: KindWatch, body: body, answer: &a, wait: o.Wait, after: o.After})
 	return WatchResult(a), err
 }
--- a/tests/integration/job_faults_test.go
+++ b/tests/integration/job_faults_test.go
@@ -92,6 +92,17 @@
 		wait(ctx, 4*time.Second)
 		r.SetStore(storer.Faults{})
 	}},
+	{"store away, leases stand still", func(ctx context.Context, r *jobTrial) {
+		r.SetStore(storer.Faults{Down: true, PauseLeases: true})
+		wait(ctx, 4*time.Second)
+		r.SetStore(storer.Faults{})
+	}},
+	{"store drops its history", func(ctx context.Context, r *jobTrial) {
+		for range 8 {
+			r.SetStore(storer.Faults{DropHistory: true})
+			wait(ctx, 400*time.Millisecond)
+		}
+	}},
 	{"store loses answers", func(ctx context.Context, r *jobTrial) {
 		r.SetStore(storer.Faults{LoseAnswers: 0.3})
 		wait(ctx, 4*time.Second)
