Run second copies of tasks that straggle, where the job allows it

Cause: of a third of the small batches copies may run, and none did: a task on a slow worker or on a VM that is not heard held its job up for seconds (the lease, some 5 s). Ruled out: copies for filling tasks at a lowered pace (they are slow by our own order). Change: planner.placeCopies, after everything that waits and on what room is left: a run that is expected to take 1.8 times as declared and whose rest takes longer than a new run, or on a VM that is not heard, or being stopped. Two runs at most, never so many that a failure could be one too many.

--- a/internal/job/accountant/job.go
+++ b/internal/job/accountant/job.go
@@ -193,6 +193,36 @@
 	return false
 }
 
+// CopySteps returns the steps that are at work and of whose tasks copies may run, in
+// an order that is the same in each run.
+func (a *Accountant) CopySteps() []*Step {
+	var found []*Step
+	for _, id := range a.jobIDs() {
+		j := a.Jobs[id]
+		if !j.Startable() || j.Queue.Name == "" {
+			continue
+		}
+		for _, o := range j.Occurrences {
+			for _, s := range o.Steps {
+				if s.Spec.Copies && !s.Spec.Gang && !s.Spec.Lasting && !s.Finished() && s.Ready() {
+					found = append(found, s)
+				}
+			}
+		}
+	}
+	return found
+}
+
+// RunsOn tells whether a run of the task is on the VM.
+func (t *Task) RunsOn(vm *VM) bool {
+	for _, r := range t.Runs {
+		if r.VM == vm {
+			return true
+		}
+	}
+	return false
+}
+
 // Waits tells whether the task may start now as far as its own state goes.
 func (t *Task) Waits(now time.Time) bool {
 	return !t.Done && len(t.Runs) == 0 && !t.NotBefore.After(now)
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -34,6 +34,7 @@
 	VM     *accountant.VM
 	Number int64 // of the run
 	Ticket string
+	Copy   bool // another run of the task goes on
 }
 
 // Input is what a round of planning reads.
@@ -86,6 +87,9 @@
 		}
 		starts = append(starts, r.placeStep(s)...)
 	}
+	if len(starts) < maxStarts {
+		starts = append(starts, r.placeCopies()...)
+	}
 	return starts
 }
 
@@ -189,7 +193,7 @@
 	var best *room
 	var bestScore score
 	for _, m := range r.rooms {
-		if !m.admits(s, count[m.vm]) {
+		if !m.admits(s, count[m.vm]) || t.RunsOn(m.vm) {
 			continue
 		}
 		var tail float64
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -166,7 +166,7 @@
 	o.s.config.Reporter.Report(reporter.JobStartDecided, reporter.Fields{
 		"task": r.Key().Task.String(), "run": r.Number, "vm": start.VM.Name, "waited": now.Sub(start.Task.WaitSince).String(),
 		"committed-cpu": start.VM.Committed.CPUMillis, "fill-cpu": start.VM.FillCPU, "lasting": start.VM.Lasting,
-		"policy": o.state.Policy().Version,
+		"policy": o.state.Policy().Version, "copy": start.Copy,
 	})
 }
 
