Learn headroom instead of tails; slow down what disturbs, before a target is missed

Ruled out: effects that are multiples of the load (fits no better than sums). Change: learner of headroom (own headroom a step, effects a pair, each with its uncertainty); placement leaves every lasting task 1.1; runs are eased one by one, loudest first, before the target; the old ladder stays as the last resort. Filling tasks may ask for 1.3 of what is idle beside lasting ones (0.8 before).

--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -51,6 +51,14 @@
 	Number int64
 }
 
+// Less orders names of runs.
+func (k RunKey) Less(o RunKey) bool {
+	if k.Task != o.Task {
+		return k.Task.Less(o.Task)
+	}
+	return k.Number < o.Number
+}
+
 // Task is one task of a step.
 type Task struct {
 	Step       *Step
--- a/internal/job/planner/disturb.go
+++ b/internal/job/planner/disturb.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"fmt"
+	"math"
 	"time"
 
 	"bamboospread/internal/job/accountant"
@@ -8,79 +10,115 @@
 )
 
 const (
-	// tailLimit is the tail, in targets, up to which filling tasks are put beside a
-	// lasting one. Below 1, since its own load swings.
-	tailLimit = 0.85
+	// headroomLeast is the headroom that a lasting task must be left with for a filling
+	// task to start beside it. Above 1, the target, since reports are half a second old
+	// and a swing of its load takes some 0.6 in a second.
+	headroomLeast = 1.1
+	// lowWeight is how much the lowest headroom of a swing counts against the present
+	// one: filling tasks run for seconds, a good part of a swing.
+	lowWeight = 0.5
 	// warmUp is how long a task runs before its figures tell anything.
 	warmUp = 700 * time.Millisecond
 	// useOfAsk is how much of what a filling task declares it is taken to use
 	// before it is measured.
-	useOfAsk = 0.7
+	useOfAsk = 0.85
 )
 
 // Learn feeds what a VM's report says to the learner.
 func Learn(l *learner.Learner, vm *accountant.VM, now time.Time) {
 	var use learner.Use
 	for _, r := range vm.Runs {
-		s := r.Step().Spec
-		if !s.Lasting || s.TailMillis <= 0 || s.Image == "" || r.State != accountant.Running || r.Progress < paceFull || now.Sub(r.StartedAt) < warmUp {
+		if !served(r) || r.Step().Spec.Image == "" || now.Sub(r.StartedAt) < warmUp {
 			continue
 		}
 		if use == nil {
-			use = measuredUse(vm, now)
+			use = measuredUse(vm)
 		}
-		l.Observe(s.Image, float64(r.Measure)/float64(s.TailMillis), use)
+		l.Observe(learner.Observation{Group: groupOf(r), Image: r.Step().Spec.Image, Headroom: headroom(r), Use: use, At: now})
 	}
 }
 
+// served tells whether a run is a lasting task with a target that is at work.
+func served(r *accountant.Run) bool {
+	s := r.Step().Spec
+	return s.Lasting && s.TailMillis > 0 && r.State == accountant.Running && r.Progress >= paceFull
+}
+
+// headroom is the target of a lasting task over its tail.
+func headroom(r *accountant.Run) float64 {
+	return float64(r.Step().Spec.TailMillis) / math.Max(float64(r.Measure), 1)
+}
+
+// groupOf names the lasting tasks that share their users: those of one step.
+func groupOf(r *accountant.Run) string {
+	o := r.Step().Occurrence
+	return fmt.Sprintf("%s.%d.%d", o.Job.Spec.ID, o.Number, r.Step().Number)
+}
+
 // measuredUse is what the filling tasks of a VM use by their latest figures.
-func measuredUse(vm *accountant.VM, now time.Time) learner.Use {
+func measuredUse(vm *accountant.VM) learner.Use {
 	use := make(learner.Use)
 	for _, r := range vm.Runs {
-		if s := r.Step().Spec; s.Fills && r.State == accountant.Running && now.Sub(r.StartedAt) >= warmUp {
+		if s := r.Step().Spec; s.Fills && r.State != accountant.Ordered {
 			use[s.Image] += float64(r.Measure) / float64(max(vm.Capacity.CPUMillis, 1))
 		}
 	}
 	return use
 }
 
-// expectedUse is what the filling tasks of a VM will use, those just ordered
-// included.
+// fullUse is what a filling run uses at full pace, as a share of its VM.
+func fullUse(r *accountant.Run, now time.Time) float64 {
+	millis := float64(r.Step().Spec.Needs.CPUMillis) * useOfAsk
+	if r.State == accountant.Running && now.Sub(r.StartedAt) >= warmUp && r.Pace == paceFull && r.Measure > 0 {
+		millis = float64(r.Measure)
+	}
+	return millis / float64(max(r.VM.Capacity.CPUMillis, 1))
+}
+
+// expectedUse is what the filling tasks of a VM will use at full pace, those just
+// ordered included.
 func expectedUse(vm *accountant.VM, now time.Time) learner.Use {
 	use := make(learner.Use)
 	for _, r := range vm.Runs {
-		s := r.Step().Spec
-		if !s.Fills || r.State == accountant.Stopping {
-			continue
+		if s := r.Step().Spec; s.Fills && r.State != accountant.Stopping {
+			use[s.Image] += fullUse(r, now)
 		}
-		millis := float64(s.Needs.CPUMillis) * useOfAsk
-		if r.State == accountant.Running && now.Sub(r.StartedAt) >= warmUp && r.Pace == paceFull {
-			millis = float64(r.Measure)
-		}
-		use[s.Image] += millis / float64(max(vm.Capacity.CPUMillis, 1))
 	}
 	return use
 }
 
-// disturbance is the tail, in targets, of the worst-off lasting task of a VM once
-// a filling task of the step has joined.
-func (r *round) disturbance(m *room, s *accountant.Step) float64 {
+// disturbance is what a filling task would do to the lasting tasks of a VM.
+type disturbance struct {
+	least float64 // headroom left to the worst-off one
+	takes float64 // headroom taken from all of them together
+}
+
+// disturbance tells what a filling task of the step would do once it has joined.
+func (r *round) disturbance(m *room, s *accountant.Step) disturbance {
+	d := disturbance{least: math.Inf(1)}
 	if m.lasting == 0 || r.learner == nil {
-		return 0
+		return d
 	}
 	if m.use == nil {
 		m.use = expectedUse(m.vm, r.now)
 	}
 	image, add := s.Spec.Image, m.share(s)
 	m.use[image] += add
-	worst := 0.0
 	for _, run := range m.vm.Runs {
-		if l := run.Step().Spec; l.Lasting && l.TailMillis > 0 {
-			worst = max(worst, r.learner.Tail(l.Image, m.use))
+		l := run.Step().Spec
+		if !l.Lasting || l.TailMillis <= 0 {
+			continue
+		}
+		own, low := r.learner.Own(groupOf(run))
+		own += lowWeight * (low - own)
+		for i, u := range m.use {
+			own -= u * r.learner.CautiousEffect(l.Image, i)
 		}
+		d.least = math.Min(d.least, own)
+		d.takes += add * r.learner.CautiousEffect(l.Image, image)
 	}
 	m.use[image] -= add
-	return worst
+	return d
 }
 
 // share is what a filling task of the step is taken to use of a VM.
--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -62,7 +62,7 @@
 		return "without room"
 	case !m.admits(s, perVM(s)[vm]):
 		return "with enough tasks of the step or of filling tasks"
-	case s.Spec.Fills && r.disturbance(m, s) > tailLimit:
+	case s.Spec.Fills && r.disturbance(m, s).least < headroomLeast:
 		return "where it would disturb lasting tasks"
 	}
 	return "with room"
--- a/internal/job/planner/pace.go
+++ b/internal/job/planner/pace.go
@@ -6,7 +6,7 @@
 	"bamboospread/internal/job/accountant"
 )
 
-// Limits of pacing. A lasting task that is over its target for several seconds on
+// Limits of the last resort. A lasting task that is over its target for several seconds on
 // end because of what fills beside it breaks what its users were promised, so the
 // steps come well before: reports are half a second old, an order takes some
 // 100 ms to work.
@@ -34,9 +34,9 @@
 			continue
 		}
 		h := observe(vm, in.Now)
-		for _, r := range vm.Runs {
-			if r.Step().Spec.Fills && r.State == accountant.Running && r.Pace != h.Percent {
-				paces = append(paces, Pace{r, h.Percent})
+		for _, p := range easedPaces(in, vm) {
+			if p.Percent = min(p.Percent, h.Percent); p.Percent != p.Run.Pace {
+				paces = append(paces, p)
 			}
 		}
 	}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -18,7 +18,7 @@
 	// peaks, so some more than what is left keeps it busy.
 	fillShare = 2.0
 	// fillShareBeside is the same on a VM with lasting tasks, which they disturb.
-	fillShareBeside = 0.8
+	fillShareBeside = 1.3
 	// lastingUse is how much of what lasting tasks declare they use in the mean.
 	lastingUse = 0.5
 	// lateFactor is how many objectives after its acceptance a job is worth
@@ -196,13 +196,15 @@
 		if !m.admits(s, count[m.vm]) || t.RunsOn(m.vm) {
 			continue
 		}
-		var tail float64
+		var takes float64
 		if s.Spec.Fills {
-			if tail = r.disturbance(m, s); tail > tailLimit {
+			d := r.disturbance(m, s)
+			if d.least < headroomLeast {
 				continue
 			}
+			takes = d.takes
 		}
-		sc := rate(m, s, t, count[m.vm], tail)
+		sc := rate(m, s, t, count[m.vm], takes)
 		if best == nil || sc.above(bestScore) {
 			best, bestScore = m, sc
 		}
--- a/internal/job/planner/score.go
+++ b/internal/job/planner/score.go
@@ -20,7 +20,7 @@
 // kept apart: lasting tasks are packed on few VMs, tasks that fill go where the
 // fewest lasting ones are, and other tasks, which disturb nobody, go beside the
 // lasting ones and leave idle processors elsewhere to those that fill.
-func rate(m *room, s *accountant.Step, t *accountant.Task, running int, tail float64) score {
+func rate(m *room, s *accountant.Step, t *accountant.Task, running int, takes float64) score {
 	spec := s.Spec
 	var sc score
 	if t.Shunned[m.vm.Name] {
@@ -38,7 +38,7 @@
 	free := float64(m.free.CPUMillis) / float64(max(m.vm.Capacity.CPUMillis, 1))
 	switch {
 	case spec.Fills:
-		sc[1] = m.fillRoom()/float64(max(m.vm.Capacity.CPUMillis, 1)) - tail
+		sc[1] = m.fillRoom()/float64(max(m.vm.Capacity.CPUMillis, 1)) - takes
 	case spec.Lasting:
 		sc[1] = float64(m.lasting)
 		sc[2] = -float64(m.fillCPU)
--- a/internal/job/specifier/specifier.go
+++ b/internal/job/specifier/specifier.go
@@ -114,6 +114,19 @@
 	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
 }
 
+// Less orders names of tasks.
+func (t TaskID) Less(o TaskID) bool {
+	switch {
+	case t.Job != o.Job:
+		return t.Job < o.Job
+	case t.Occurrence != o.Occurrence:
+		return t.Occurrence < o.Occurrence
+	case t.Step != o.Step:
+		return t.Step < o.Step
+	}
+	return t.Index < o.Index
+}
+
 // ParseTaskID reads the text form of a TaskID.
 func ParseTaskID(text string) (TaskID, error) {
 	parts := strings.Split(text, ".")
