--- a/internal/job/planner/ease_test.go
+++ b/internal/job/planner/ease_test.go
@@ -88,7 +88,7 @@
 // an image that disturbs it fills beside it; slowing all that fills down after the
 // fact costs work and comes late. Once it is known which image disturbs, only that
 // one is slowed down, before the target is missed. Replayed for a minute, against
-// the pacing that knows nothing of images: over target 1.05 s against 17.1 s, and the
+// the pacing that knows nothing of images: over target 0.75 s against 17.1 s, and the
 // filling tasks had 841 processor seconds against 694.
 func TestOnlyWhatDisturbsIsSlowedDown(t *testing.T) {
 	before, workBefore := newSharedVM(false).play(time.Minute)
