Find and report to a new owner sooner

Ruled out: a shorter lease of the owner (a slow store would cost ownerships). Change: an entry replaces the record that its own earlier life left (same id and address; the epoch makes the earlier one harmless); the pause does not grow while the store says that nobody owns; dialling takes 300 ms at most; the first look under an epoch does not wait.

--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -31,7 +31,11 @@
 	EntryID string
 	Address string        // RPC address of this process
 	Lease   time.Duration // 0: DefaultLease
-	Now     func() time.Time
+	// ReplaceOwn lets this process replace a record that an earlier life of it left
+	// behind, without waiting for the lease. What an owner does must then be safe
+	// also while its lease stands, by the epoch alone.
+	ReplaceOwn bool
+	Now        func() time.Time
 	// The calls of keeper.Keeper that elections use.
 	GetRecord      func(ctx context.Context, key string) (keeper.Record, error)
 	CompareAndSwap func(ctx context.Context, o keeper.SwapOptions) (int64, error)
@@ -123,11 +127,15 @@
 
 // try makes one attempt; taken means that another process holds the ownership.
 func (e *Elector) try(ctx context.Context) (taken bool, err error) {
-	if record, err := e.config.GetRecord(ctx, e.key()); err == nil {
+	record, err := e.config.GetRecord(ctx, e.key())
+	switch {
+	case keeper.IsErrKeyNotExist(err):
+		record = keeper.Record{}
+	case err != nil:
+		return false, err
+	case !e.left(record):
 		e.learn(record)
 		return true, nil
-	} else if !keeper.IsErrKeyNotExist(err) {
-		return false, err
 	}
 	e.known.Store(nil)
 	sent := e.config.Now()
@@ -139,7 +147,7 @@
 	if err != nil {
 		return false, err
 	}
-	rev, err := e.config.CompareAndSwap(ctx, keeper.SwapOptions{Key: e.key(), Value: value, Lease: lease.ID})
+	rev, err := e.config.CompareAndSwap(ctx, keeper.SwapOptions{Key: e.key(), Value: value, ExpectRevision: record.Revision, Lease: lease.ID})
 	if keeper.IsErrOutcomeUnknown(err) { // settle a lost answer by reading back
 		record, readErr := e.config.GetRecord(ctx, e.key())
 		if readErr == nil && record.Lease == lease.ID {
@@ -156,6 +164,20 @@
 	return false, nil
 }
 
+// left tells whether a record was left behind by an earlier life of this process.
+//
+// All processes may be killed at once and be back within half a second; without this
+// nobody owns the cell until the dead owner's lease has run out, and callers' work
+// stands still for up to two seconds. There is one process of an entry at an address,
+// so the earlier one has ended.
+func (e *Elector) left(record keeper.Record) bool {
+	var o messenger.CellOwner
+	if !e.config.ReplaceOwn || json.Unmarshal(record.Value, &o) != nil {
+		return false
+	}
+	return o.EntryID == e.config.EntryID && o.Address == e.config.Address
+}
+
 func ignoreConflict(err error) error {
 	if keeper.IsErrConflict(err) {
 		return nil
--- /dev/null
+++ b/internal/control/elector/elector_test.go
@@ -0,0 +1,62 @@
+package elector
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"bamboospread/internal/standin/storer"
+	"bamboospread/internal/store/keeper"
+)
+
+// Callers wait two seconds longer than they need to. The owner of a cell is killed
+// and back at once; its record stands until its lease has run out, so it waits for
+// itself. It takes its own record over, another entry's it leaves alone.
+func TestRecordOfAnEarlierLife(t *testing.T) {
+	const lease = 2 * time.Second
+	tests := []struct {
+		name    string
+		id      string
+		address string
+		replace bool
+		want    bool // before the first one's lease has run out
+	}{
+		{"the same entry", "entry-1", "127.0.0.1:1", true, true},
+		{"the same entry, not allowed", "entry-1", "127.0.0.1:1", false, false},
+		{"another entry", "entry-2", "127.0.0.1:2", true, false},
+		{"the same name at another address", "entry-1", "127.0.0.1:3", true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			server := httptest.NewServer(storer.New(storer.Config{}).Handler())
+			t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+			k := keeper.New(keeper.Config{URL: server.URL, CallTimeout: time.Second})
+			first := New(FromKeeper(Config{Cell: "c", EntryID: "entry-1", Address: "127.0.0.1:1", Lease: lease}, k))
+			if err := first.Acquire(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if err := first.Publish(t.Context(), 1); err != nil {
+				t.Fatal(err)
+			}
+			second := New(FromKeeper(Config{Cell: "c", EntryID: tt.id, Address: tt.address, Lease: lease, ReplaceOwn: tt.replace}, k))
+			ctx, cancel := context.WithTimeout(t.Context(), lease/2)
+			defer cancel()
+			if got := second.Acquire(ctx) == nil; got != tt.want {
+				t.Fatalf("acquired at once: %t", got)
+			}
+			if !tt.want {
+				return
+			}
+			if err := second.Publish(t.Context(), 2); err != nil {
+				t.Fatal(err)
+			}
+			swap := keeper.SwapOptions{Key: "x", Value: []byte("late")}
+			fence := first.Fence()
+			if _, err := k.Transact(t.Context(), keeper.Transaction{Expect: []keeper.Expectation{fence}, Puts: []keeper.Put{{Key: swap.Key, Value: swap.Value}}}); !keeper.IsErrConflict(err) {
+				t.Errorf("the earlier life still writes: %v", err)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -88,7 +88,7 @@
 		c.Lease = DefaultLease
 	}
 	e := elector.New(elector.Config{
-		Cell: c.Cell, EntryID: c.EntryID, Address: c.Address, Lease: c.Lease, Now: c.Now,
+		Cell: c.Cell, EntryID: c.EntryID, Address: c.Address, Lease: c.Lease, Now: c.Now, ReplaceOwn: true,
 		GetRecord: c.Store.GetRecord, CompareAndSwap: c.Store.CompareAndSwap, GrantLease: c.Store.GrantLease,
 		KeepAlive: c.Store.KeepAlive, RevokeLease: c.Store.RevokeLease, Watch: c.Store.Watch,
 	})
--- a/internal/worker/attender/attender.go
+++ b/internal/worker/attender/attender.go
@@ -25,12 +25,16 @@
 	// reportGap is the shortest: ends that come together share a report.
 	reportGap   = 20 * time.Millisecond
 	reportLimit = time.Second // for an answer; a silent connection shows only by this
-	dialLimit   = 600 * time.Millisecond
-	storeLimit  = time.Second
+	// dialLimit covers a connection across zones with one packet lost. A VM without
+	// power does not even refuse, and agents must look for its successor meanwhile.
+	dialLimit  = 300 * time.Millisecond
+	storeLimit = time.Second
 	// findPause is the pause after a failure, doubled with each in a row up to
 	// findPauseMax. An owner is replaced within 3 s; without growth, agents whose
 	// calls time out on an overloaded entry open connections faster than it can
-	// take them, and it never recovers.
+	// take them, and it never recovers. While the store says that nobody owns the cell
+	// there is nobody to overload, and the pause does not grow: with growth, agents
+	// found the owner up to 1.3 s after it had taken over, and work waited for the last.
 	findPause    = 150 * time.Millisecond
 	findPauseMax = 1200 * time.Millisecond
 )
@@ -70,6 +74,9 @@
 	for ctx.Err() == nil {
 		if err := a.attend(ctx); err != nil && ctx.Err() == nil {
 			a.noteLost(err)
+			if vacant(err) {
+				a.pause = findPause
+			}
 			_ = pauser.Pause(ctx, a.pause)
 			a.pause = min(2*a.pause, findPauseMax)
 		}
@@ -162,6 +169,19 @@
 	return messenger.Empty{}, nil
 }
 
+// errTakingOver is returned while an entry prepares to own the cell.
+type errTakingOver struct{ entry string }
+
+func (e errTakingOver) Error() string {
+	return fmt.Sprintf("entry %s is taking the cell over", e.entry)
+}
+
+// vacant tells of an error that the store answered and has no owner.
+func vacant(err error) bool {
+	var takingOver errTakingOver
+	return keeper.IsErrKeyNotExist(err) || errors.As(err, &takingOver)
+}
+
 // errNoOwner is returned when no entry could name an owner.
 var errNoOwner = errors.New("no entry knows an owner")
 
@@ -181,7 +201,7 @@
 		if o.Epoch > 0 {
 			return o, nil
 		}
-		return o, fmt.Errorf("entry %s is taking the cell over", o.EntryID)
+		return o, errTakingOver{o.EntryID}
 	}
 	if keeper.IsErrKeyNotExist(err) {
 		return messenger.CellOwner{}, err
--- a/internal/worker/guardian/guardian_test.go
+++ b/internal/worker/guardian/guardian_test.go
@@ -35,6 +35,7 @@
 	silent bool // calls get no answer
 	absent bool // looks find no process
 	deaf   int  // so many starts get no answer
+	idle   bool // looks wait as long as they may, since nothing ends
 	begin  time.Time
 }
 
@@ -79,7 +80,7 @@
 	select {
 	case <-ctx.Done():
 		return Look{}, ctx.Err()
-	case <-time.After(min(c.Wait, 20*time.Millisecond)):
+	case <-time.After(f.waitFor(c)):
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -106,6 +107,15 @@
 	return l, nil
 }
 
+func (f *fakeWorker) waitFor(c LookCall) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.idle {
+		return c.Wait
+	}
+	return min(c.Wait, 20*time.Millisecond)
+}
+
 func (f *fakeWorker) change(do func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -230,6 +240,23 @@
 	})
 }
 
+// Callers' work stands still a second longer than it needs to after each change of
+// owner. An agent may report only once a look has shown the new epoch to its worker;
+// on a VM where nothing runs or ends such a look waited its whole time.
+func TestNewOwnerIsReportedToAtOnce(t *testing.T) {
+	worker := newFakeWorker()
+	worker.idle = true
+	b := newBed(t, worker)
+	b.own(1)
+	time.Sleep(50 * time.Millisecond) // a look under the old epoch waits
+	followed := time.Now()
+	b.g.Follow(2)
+	b.report()
+	if took := time.Since(followed); took > lookWait/2 {
+		t.Errorf("the first report to a new owner came after %s", took)
+	}
+}
+
 // TestLastGuardOfCapacity: the worker starts whatever it is told to. An owner that
 // counts wrongly must not bring a VM over its capacity; what is being stopped
 // still counts.
--- a/internal/worker/guardian/look.go
+++ b/internal/worker/guardian/look.go
@@ -80,7 +80,10 @@
 	if len(g.runs) == 0 {
 		call.Wait = lookIdle
 	}
-	if g.clockAt.IsZero() {
+	// Reports, and with them all starts, wait for the first look in a life of the
+	// worker and under an epoch. Where nothing ends it would be answered only after its
+	// whole wait, up to 1 s after each change of owner.
+	if g.clockAt.IsZero() || g.looked != g.epoch {
 		call.Wait = 0
 	}
 	return call, now
