Know sooner that the store is lost, and that it is back

Ruled out: ordering without a lease for longer (the policy would be too old to start by). Change: store/observer notes every call's end: lost after three failures in a row, back with the first answer; a submission is refused at once while lost; the policy's watch does not wait after a failure; agents look every 150 ms while no owner is known, and ask the entries at most every 600 ms.

--- a/internal/job/follower/follower.go
+++ b/internal/job/follower/follower.go
@@ -88,7 +88,13 @@
 	if f.after == 0 {
 		return true, f.list(ctx)
 	}
-	seen, err := f.config.Store.Watch(ctx, keeper.WatchOptions{Prefix: f.config.Prefix, After: f.after, Wait: watchWait})
+	wait := watchWait
+	if f.lost {
+		// The store would answer a waiting watch almost a second after its return, and
+		// callers would be refused meanwhile.
+		wait = 0
+	}
+	seen, err := f.config.Store.Watch(ctx, keeper.WatchOptions{Prefix: f.config.Prefix, After: f.after, Wait: wait})
 	if keeper.IsErrHistoryNotExist(err) {
 		f.after = 0
 		return false, nil
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -21,6 +21,9 @@
 // Lengths.
 const (
 	settlePause = 50 * time.Millisecond // between repeats of a write whose answer was lost
+	// lostPause is the same while the store counts as lost: it comes back after seconds,
+	// and each repeat is a call that others' are queued behind.
+	lostPause = 200 * time.Millisecond
 	// retryAfter is told to callers while the store cannot be written: outages last
 	// seconds, and callers give up after three.
 	retryAfter = time.Second
@@ -52,6 +55,7 @@
 type Config struct {
 	Store     keeper.Calls
 	StoreAge  func() time.Duration // since the last contact with the store
+	StoreLost func() bool          // the latest calls to it all failed
 	CallOwner func(ctx context.Context, method string, params, result any) error
 	// NotDone tells of an error of CallOwner that the call surely had no effect.
 	NotDone  func(error) bool
@@ -132,7 +136,9 @@
 // the same condition: at most one of the repeats counts, and a conflict proves
 // that the record stands.
 func (r *Receiver) storeHere(ctx context.Context, key string, value []byte) Result {
-	if r.config.StoreAge() > staleAfter {
+	// A write that is tried at a store that is away may count or not, so its caller can
+	// be told neither; one that was not tried is refused at once, and truly.
+	if r.config.StoreLost() || r.config.StoreAge() > staleAfter {
 		return Result{Outcome: Refused, Reason: "store not reached"}
 	}
 	t := keeper.Transaction{Expect: []keeper.Expectation{{Key: key}}, Puts: []keeper.Put{{Key: key, Value: value}}}
@@ -150,7 +156,11 @@
 		case !doubt:
 			return Result{Outcome: Refused, Reason: err.Error()}
 		}
-		if pauser.Pause(ctx, settlePause) != nil {
+		pause := settlePause
+		if r.config.StoreLost() {
+			pause = lostPause
+		}
+		if pauser.Pause(ctx, pause) != nil {
 			return Result{Outcome: Unsettled, Reason: err.Error()}
 		}
 	}
--- a/internal/job/receiver/receiver_test.go
+++ b/internal/job/receiver/receiver_test.go
@@ -23,6 +23,7 @@
 	answers []error
 	written map[string][]byte
 	calls   int
+	lost    bool // as the process knows
 }
 
 func (f *fakeStore) transact(_ context.Context, t keeper.Transaction) (int64, error) {
@@ -63,6 +64,7 @@
 	return New(Config{
 		Store:     keeper.Calls{Transact: f.transact, GetRecord: f.get},
 		StoreAge:  func() time.Duration { return age },
+		StoreLost: func() bool { return f.lost },
 		CallOwner: func(_ context.Context, method string, _, result any) error { return owner(method, result) },
 		NotDone:   func(error) bool { return true },
 		Now:       time.Now, Reporter: reporter.Discard(),
@@ -81,19 +83,21 @@
 		age     time.Duration
 		want    Outcome
 		calls   int // 0: any number
+		lost    bool
 	}{
-		{"stored", nil, 0, Accepted, 1},
-		{"stored before", []error{there}, 0, Accepted, 1},
-		{"surely not stored", []error{busy}, 0, Refused, 1},
-		{"answer lost, then found stored", []error{lost, there}, 0, Accepted, 2},
-		{"answer lost, then stored", []error{lost, nil}, 0, Accepted, 2},
-		{"answer lost, then refused: the first may still come", []error{lost, busy}, 0, Unsettled, 0},
-		{"answers lost for good", []error{lost}, 0, Unsettled, 0},
-		{"store not reached for long", nil, time.Minute, Refused, 0},
+		{"stored", nil, 0, Accepted, 1, false},
+		{"stored before", []error{there}, 0, Accepted, 1, false},
+		{"surely not stored", []error{busy}, 0, Refused, 1, false},
+		{"answer lost, then found stored", []error{lost, there}, 0, Accepted, 2, false},
+		{"answer lost, then stored", []error{lost, nil}, 0, Accepted, 2, false},
+		{"answer lost, then refused: the first may still come", []error{lost, busy}, 0, Unsettled, 0, false},
+		{"answers lost for good", []error{lost}, 0, Unsettled, 0, false},
+		{"store not reached for long", nil, time.Minute, Refused, 0, false},
+		{"store lost a moment ago", nil, 0, Refused, 0, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			f := &fakeStore{answers: tt.answers}
+			f := &fakeStore{answers: tt.answers, lost: tt.lost}
 			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 			defer cancel()
 			res := newReceiver(f, tt.age, nil).Submit(ctx, &specifier.Job{ID: id, Queue: "q", Steps: []specifier.Step{{Count: 1}}})
@@ -103,7 +107,7 @@
 			if res.Outcome == Refused && res.RetryAfter <= 0 {
 				t.Error("refused without a time to come back")
 			}
-			if tt.age > 0 && f.calls > 0 {
+			if (tt.age > 0 || tt.lost) && f.calls > 0 {
 				t.Error("a write was tried at a store that is known to be away")
 			}
 		})
--- a/internal/service/hoster/entry.go
+++ b/internal/service/hoster/entry.go
@@ -16,6 +16,7 @@
 	"bamboospread/internal/job/receiver"
 	"bamboospread/internal/job/scheduler"
 	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/store/observer"
 	"bamboospread/internal/wire/connector"
 	"bamboospread/internal/wire/messenger"
 	"bamboospread/platform"
@@ -51,7 +52,8 @@
 	e.store = platform.NewStore(c.Settings.StoreAddress, func(call string) {
 		e.metrics.GetOrCreateCounter(fmt.Sprintf(`bamboospread_store_calls_total{call=%q}`, call)).Inc()
 	})
-	calls := e.store.Calls()
+	observed := observer.New(now)
+	calls := observed.Observe(e.store.Calls())
 	e.follower = follower.New(follower.Config{
 		Store: calls, Prefix: platform.OperatorPrefix, Decode: platform.DecodePolicy, Now: now, Reporter: c.Reporter,
 	})
@@ -71,7 +73,7 @@
 	})
 	e.forwarder = forwarder.New(forwarder.Config{Self: self, Owner: e.scheduler.Owner, Handle: e.scheduler.Handle, Reporter: c.Reporter})
 	e.receiver = receiver.New(receiver.Config{
-		Store: calls, StoreAge: e.follower.Age, CallOwner: e.forwarder.Call, NotDone: forwarder.NotDone, Now: now, Reporter: c.Reporter,
+		Store: calls, StoreAge: observed.Age, StoreLost: observed.Lost, CallOwner: e.forwarder.Call, NotDone: forwarder.NotDone, Now: now, Reporter: c.Reporter,
 	})
 	return e
 }
--- a/internal/service/server/jobs.go
+++ b/internal/service/server/jobs.go
@@ -13,6 +13,7 @@
 	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/kernel/timekeeper"
 	"bamboospread/internal/service/agent"
+	"bamboospread/internal/store/observer"
 	"bamboospread/internal/wire/connector"
 	"bamboospread/internal/wire/messenger"
 )
@@ -27,7 +28,8 @@
 // buildJobs builds the part for jobs on the entry's own store client and fleet text.
 func (s *Server) buildJobs() {
 	c := s.config
-	calls := s.keeper.Calls()
+	observed := observer.New(timekeeper.Now)
+	calls := observed.Observe(s.keeper.Calls())
 	self := messenger.PeerAddress{EntryID: c.ID, Address: c.Advertise}
 	policy := policyOf(s.follower.Fleet)
 	s.jobs.scheduler = scheduler.New(scheduler.Config{
@@ -44,7 +46,8 @@
 		},
 	})
 	s.jobs.receiver = receiver.New(receiver.Config{
-		Store: calls, StoreAge: func() time.Duration { return 0 }, // each write is tried
+		Store: calls, StoreLost: observed.Lost,
+		StoreAge:  func() time.Duration { return 0 }, // waiting watches of seconds are all that is sure to be sent
 		CallOwner: s.jobs.forwarder.Call, NotDone: forwarder.NotDone, Now: timekeeper.Now, Reporter: c.Reporter,
 	})
 }
--- a/internal/worker/attender/attender.go
+++ b/internal/worker/attender/attender.go
@@ -32,11 +32,14 @@
 	// findPause is the pause after a failure, doubled with each in a row up to
 	// findPauseMax. An owner is replaced within 3 s; without growth, agents whose
 	// calls time out on an overloaded entry open connections faster than it can
-	// take them, and it never recovers. While the store says that nobody owns the cell
+	// take them, and it never recovers. While nobody is known to own the cell
 	// there is nobody to overload, and the pause does not grow: with growth, agents
 	// found the owner up to 1.3 s after it had taken over, and work waited for the last.
 	findPause    = 150 * time.Millisecond
 	findPauseMax = 1200 * time.Millisecond
+	// askEvery is how often at most the entries are asked while the store does not
+	// answer: each question is a connection, of every agent to every entry.
+	askEvery = 600 * time.Millisecond
 )
 
 // Config holds the settings of an Attender.
@@ -57,6 +60,7 @@
 	entries []messenger.PeerAddress // to ask when the store does not answer
 	lost    bool
 	pause   time.Duration // after the next failure
+	asked   time.Time     // when the entries were last asked
 }
 
 // New returns an Attender.
@@ -74,7 +78,8 @@
 	for ctx.Err() == nil {
 		if err := a.attend(ctx); err != nil && ctx.Err() == nil {
 			a.noteLost(err)
-			if vacant(err) {
+			var unknown errOwnerUnknown
+			if errors.As(err, &unknown) {
 				a.pause = findPause
 			}
 			_ = pauser.Pause(ctx, a.pause)
@@ -176,11 +181,12 @@
 	return fmt.Sprintf("entry %s is taking the cell over", e.entry)
 }
 
-// vacant tells of an error that the store answered and has no owner.
-func vacant(err error) bool {
-	var takingOver errTakingOver
-	return keeper.IsErrKeyNotExist(err) || errors.As(err, &takingOver)
-}
+// errOwnerUnknown is returned while nobody is known to own the cell: no connection to
+// an owner was tried.
+type errOwnerUnknown struct{ cause error }
+
+func (e errOwnerUnknown) Error() string { return fmt.Sprintf("owner not known: %v", e.cause) }
+func (e errOwnerUnknown) Unwrap() error { return e.cause }
 
 // errNoOwner is returned when no entry could name an owner.
 var errNoOwner = errors.New("no entry knows an owner")
@@ -190,26 +196,35 @@
 	if a.config.GetRecord == nil {
 		return a.askEntries(ctx)
 	}
-	limit, cancel := context.WithTimeout(ctx, storeLimit)
-	record, err := a.config.GetRecord(limit, fmt.Sprintf("cells/%s/owner", a.config.Cell))
-	cancel()
+	o, err := a.askStore(ctx)
 	if err == nil {
-		var o messenger.CellOwner
-		if err := json.Unmarshal(record.Value, &o); err != nil {
-			return o, fmt.Errorf("decode owner: %w", err)
-		}
-		if o.Epoch > 0 {
+		return o, nil
+	}
+	var takingOver errTakingOver
+	answered := keeper.IsErrKeyNotExist(err) || errors.As(err, &takingOver)
+	if now := a.config.Now(); !answered && now.Sub(a.asked) >= askEvery {
+		a.asked = now
+		if o, askErr := a.askEntries(ctx); askErr == nil {
 			return o, nil
 		}
-		return o, errTakingOver{o.EntryID}
 	}
-	if keeper.IsErrKeyNotExist(err) {
-		return messenger.CellOwner{}, err
+	return messenger.CellOwner{}, errOwnerUnknown{err}
+}
+
+func (a *Attender) askStore(ctx context.Context) (o messenger.CellOwner, err error) {
+	limit, cancel := context.WithTimeout(ctx, storeLimit)
+	defer cancel()
+	record, err := a.config.GetRecord(limit, fmt.Sprintf("cells/%s/owner", a.config.Cell))
+	if err != nil {
+		return o, err
 	}
-	if o, askErr := a.askEntries(ctx); askErr == nil {
-		return o, nil
+	if err := json.Unmarshal(record.Value, &o); err != nil {
+		return o, fmt.Errorf("decode owner: %w", err)
 	}
-	return messenger.CellOwner{}, err
+	if o.Epoch == 0 {
+		return o, errTakingOver{o.EntryID}
+	}
+	return o, nil
 }
 
 func (a *Attender) askEntries(ctx context.Context) (messenger.CellOwner, error) {
