Let runs outlive their agent's process

Ruled out: a report before the first look (it had looked, and found the runs). Change: a new guardian counts with the longest lease from its start. Before: TestRunsOutliveTheirAgentsProcess failed 21 ms after the last answer; after: passes.

--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -82,6 +82,11 @@
 		config: c, wake: make(chan struct{}, 1), runs: make(map[accountant.RunKey]*run), doubts: make(map[accountant.RunKey]time.Time), context: context.Background(),
 		// Sessions rise also over restarts of this process.
 		session: c.Now().UnixMilli(),
+		// An earlier process may have asked for the longest lease just before it ended.
+		// Without this, one look without an answer before the first lease of this
+		// process would end all that runs in the owner's books, and it would start all
+		// of it a second time.
+		leaseEnd: c.Now().Add(leaseOver(c.LeaseMax)),
 	}
 }
 
--- a/internal/worker/guardian/lives_test.go
+++ b/internal/worker/guardian/lives_test.go
@@ -119,3 +119,26 @@
 		t.Errorf("the run counts as ended after %s, its lease was longer", took)
 	}
 }
+
+// Two runs of one task, on two VMs. An agent is killed and back; its worker goes on
+// under the lease that the earlier process asked for. The new one looks once and finds
+// what runs, and the next look gets no answer before it has asked for a lease of its
+// own. It must not take the runs for ended: of the earlier lease it knows only how
+// long it can be at most.
+func TestRunsOutliveTheirAgentsProcess(t *testing.T) {
+	worker := newFakeWorker()
+	worker.epoch = 3
+	worker.runs[accountant.RunKey{Task: taskID(0), Number: 2001}] = true
+	b := newBed(t, worker)
+	b.g.Follow(3)
+	b.until("the run", func() bool { return len(b.report().Runs) == 1 })
+	worker.change(func() { worker.silent = true })
+	from := time.Now()
+	for time.Since(from) < 700*time.Millisecond {
+		if rep := b.report(); len(rep.Runs) != 1 {
+			t.Fatalf("%s after the last answer the run counts as ended; leases may be a second long", time.Since(from))
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	b.until("an end of the run", func() bool { return len(b.report().Runs) == 0 })
+}
--- a/internal/worker/guardian/look.go
+++ b/internal/worker/guardian/look.go
@@ -103,13 +103,17 @@
 	if g.clockAt.IsZero() || left <= 0 {
 		return 0
 	}
-	end := now.Add(left + time.Duration(float64(left)*clockError))
-	if end.After(g.leaseEnd) {
+	if end := now.Add(leaseOver(left)); end.After(g.leaseEnd) {
 		g.leaseEnd = end
 	}
 	return g.clock + now.Sub(g.clockAt) + left
 }
 
+// leaseOver is after how long a lease has run out, also on a slow clock.
+func leaseOver(lease time.Duration) time.Duration {
+	return lease + time.Duration(float64(lease)*clockError)
+}
+
 func (g *Guardian) lookFailed(err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
