Stop starts of an ended agent process before their tasks start again

Cause: the owner orders a start, the agent passes it on and is killed before the worker answers; the worker carries it out seconds later. Ruled out: fencing by the epoch, which is the same; a token of the agent's own, which would have to rise over restarts without a disk. Change: reports name the agent's process; runs ordered by way of an earlier one that nobody has seen at the worker stay booked and are stopped first; an agent carries out a stop of a run that it does not know, and lists it until the worker has answered.

--- a/internal/job/accountant/report.go
+++ b/internal/job/accountant/report.go
@@ -17,6 +17,7 @@
 // Report is everything that an agent knows of its worker's runs.
 type Report struct {
 	Life       string // of the worker
+	Process    int64  // of the agent
 	Ready      bool
 	Age        time.Duration // of what is told of the runs
 	OrdersSeen int64         // orders of this session that the agent has
@@ -52,6 +53,22 @@
 // Any tells whether anything changed that decisions depend on.
 func (c Changes) Any() bool { return len(c.Ended)+len(c.Lost)+len(c.Adopted) > 0 }
 
+// orderUnknown is above every order of a session: a run with it is not taken to be
+// gone because a report does not list it.
+const orderUnknown = 1 << 62
+
+// UncertainRuns returns the runs of a VM that have to be stopped before their tasks may
+// start again, since it is not known whether their starts are still on their way.
+func (vm *VM) UncertainRuns() []*Run {
+	var found []*Run
+	for _, r := range vm.Runs {
+		if r.Uncertain {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
 // Attach opens a session of a VM's agent. Orders of an earlier session are void:
 // the agent refuses those that it has not seen.
 func (a *Accountant) Attach(f Facts, rep Report, now time.Time) (*VM, Changes) {
@@ -60,10 +77,17 @@
 		vm = &VM{Name: f.Name, Runs: make(map[RunKey]*Run)}
 		a.VMs[f.Name] = vm
 	}
-	vm.Attached = true
+	restarted := vm.Process != 0 && vm.Process != rep.Process
+	vm.Attached, vm.Process = true, rep.Process
 	vm.OrderSeq = 0
 	for _, r := range vm.Runs {
 		r.Order = 0
+		// A start that the earlier process had sent and that nobody has seen at the
+		// worker may be carried out seconds later, and the new process knows nothing of
+		// it. So the run stays booked until its stop has surely come first.
+		if r.Uncertain = r.Uncertain || restarted && r.StartedAt.IsZero(); r.Uncertain {
+			r.Order = orderUnknown
+		}
 	}
 	a.describe(vm, f)
 	rep.OrdersSeen = 0
@@ -121,6 +145,7 @@
 		r = a.adopt(vm, a.taskOrStray(rep.Key.Task, rep.Needs), rep.Key.Number, now)
 		adopted = r
 	}
+	r.Uncertain = false // this process of the agent knows it
 	if rep.Confirmed && r.State == Ordered {
 		r.State, r.StartedAt, r.MovedAt = Running, now, now
 	}
--- a/internal/job/accountant/run.go
+++ b/internal/job/accountant/run.go
@@ -75,6 +75,9 @@
 func (a *Accountant) Stop(r *Run, cause string) int64 {
 	r.State, r.StopCause = Stopping, cause
 	r.VM.OrderSeq++
+	if r.Order == orderUnknown {
+		r.Order = r.VM.OrderSeq // an agent that has seen it lists the run until it is gone
+	}
 	return r.VM.OrderSeq
 }
 
--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -35,6 +35,7 @@
 	Pace       int       // percent of full speed, as last ordered
 	Measure    int64     // tail latency in ms for a lasting task with a target, else thousandths of a core in use
 	StopCause  string
+	Uncertain  bool      // ordered by way of a process of the agent that has ended, and seen by no later one
 	Checkpoint string    // latest reported
 	MovedAt    time.Time // when the progress last changed
 }
@@ -180,6 +181,7 @@
 	Life      string // of the worker; another life knows nothing of before
 	Ready     bool   // takes new tasks, as its worker says
 	Attached  bool   // its agent has a session and has told what runs
+	Process   int64  // of its agent
 	OrderSeq  int64  // orders sent in this session
 	EndSeen   int64  // ends of this life that were applied
 	EndStored int64  // ends of this life that the store has
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -81,6 +81,9 @@
 		vm, changes = o.state.Attach(e.facts, e.read, now)
 		s = &session{vm: vm, number: e.report.Session, conn: e.conn, epoch: o.epoch}
 		o.sessions[vm.Name] = s
+		for _, r := range vm.UncertainRuns() {
+			o.orderStop(r, "its start may still be on its way")
+		}
 		reply.Needs = needsOf(vm)
 		o.dirty = true
 		o.s.config.Reporter.Report(reporter.VMAttached, reporter.Fields{"vm": vm.Name, "life": vm.Life, "runs": len(vm.Runs), "ready": vm.Ready})
@@ -128,7 +131,7 @@
 }
 
 func readReport(r messenger.WorkReport) (accountant.Report, accountant.Facts, error) {
-	rep := accountant.Report{Life: r.Life, Ready: r.Ready, OrdersSeen: r.OrdersSeen, Age: time.Duration(r.AgeMillis) * time.Millisecond}
+	rep := accountant.Report{Life: r.Life, Process: r.Process, Ready: r.Ready, OrdersSeen: r.OrdersSeen, Age: time.Duration(r.AgeMillis) * time.Millisecond}
 	for _, w := range r.Runs {
 		id, err := specifier.ParseTaskID(w.Task)
 		if err != nil {
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -20,6 +20,7 @@
 type WorkReport struct {
 	VM         string     `json:"vm"`
 	Session    int64      `json:"session"` // rises with each session of the agent
+	Process    int64      `json:"process"` // names the agent's process; another one knows no order of before
 	Facts      *WorkFacts `json:"facts"`
 	Life       string     `json:"life"` // of the worker
 	Ready      bool       `json:"ready"`
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -62,6 +62,7 @@
 	endsStored  int64
 	epoch       int64
 	session     int64
+	process     int64 // names this process
 	ordersSeen  int64
 	grantUntil  time.Time // the owner lets runs go on until then
 	repliedAt   time.Time // sent time of the last report that was answered
@@ -78,15 +79,16 @@
 
 // New returns a Guardian without knowledge of its worker.
 func New(c Config) *Guardian {
+	now := c.Now()
 	return &Guardian{
 		config: c, wake: make(chan struct{}, 1), runs: make(map[accountant.RunKey]*run), doubts: make(map[accountant.RunKey]time.Time), context: context.Background(),
 		// Sessions rise also over restarts of this process.
-		session: c.Now().UnixMilli(),
+		session: now.UnixMilli(), process: now.UnixMilli(),
 		// An earlier process may have asked for the longest lease just before it ended.
 		// Without this, one look without an answer before the first lease of this
 		// process would end all that runs in the owner's books, and it would start all
 		// of it a second time.
-		leaseEnd: c.Now().Add(leaseOver(c.LeaseMax)),
+		leaseEnd: now.Add(leaseOver(c.LeaseMax)),
 	}
 }
 
@@ -193,7 +195,7 @@
 		return messenger.WorkReport{}, false
 	}
 	rep := messenger.WorkReport{
-		VM: g.config.VM, Session: session, Facts: g.facts, Life: g.life, OrdersSeen: g.ordersSeen,
+		VM: g.config.VM, Session: session, Process: g.process, Facts: g.facts, Life: g.life, OrdersSeen: g.ordersSeen,
 		AgeMillis: g.config.Now().Sub(g.clockAt).Milliseconds(),
 		Ready:     !g.leaving && g.silentFrom.IsZero(), Granted: g.grantUntil.After(g.config.Now()),
 	}
--- a/internal/worker/guardian/lives_test.go
+++ b/internal/worker/guardian/lives_test.go
@@ -142,3 +142,24 @@
 	}
 	b.until("an end of the run", func() bool { return len(b.report().Runs) == 0 })
 }
+
+// An agent is told to stop a run that its earlier process may have sent to the worker.
+// It lists the run until the worker has answered the stop, so that the task starts
+// nowhere else meanwhile.
+func TestStopOfARunThatIsNotKnown(t *testing.T) {
+	worker := newFakeWorker()
+	b := newBed(t, worker)
+	b.own(1)
+	worker.change(func() { worker.silent = true })
+	b.order(1, messenger.WorkStop, 0, 7)
+	if rep := b.report(); len(rep.Runs) != 1 || rep.Runs[0].Run != 7 {
+		t.Fatalf("the run is not listed while its stop is not answered: %+v", rep.Runs)
+	}
+	worker.change(func() { worker.silent = false })
+	b.until("an end of the run", func() bool { return len(b.report().Runs) == 0 })
+	worker.change(func() {
+		if n := len(worker.stops); n == 0 || worker.stops[n-1].Run != 7 {
+			t.Errorf("the worker was told to stop %+v", worker.stops)
+		}
+	})
+}
--- a/internal/worker/guardian/look.go
+++ b/internal/worker/guardian/look.go
@@ -132,9 +132,9 @@
 	if len(g.runs) == 0 || g.looksAbsent < looksToEnd && !now.After(g.leaseEnd.Add(g.config.StopTime)) {
 		return
 	}
-	// Whatever ran has ended. Starts that were not answered may still come.
+	// Whatever ran has ended. Starts that were not answered may still come for a while.
 	for key, r := range g.runs {
-		if !r.doubt {
+		if at, noted := g.doubts[key]; !r.doubt || noted && now.Sub(at) >= doubtLife {
 			delete(g.runs, key)
 		}
 	}
--- a/internal/worker/guardian/orders.go
+++ b/internal/worker/guardian/orders.go
@@ -55,9 +55,16 @@
 		g.runs[key] = &run{state: starting, doubt: true, needs: o.Needs, known: true, checkpoint: o.Checkpoint, cancel: cancel}
 		go g.start(ctx, key, o)
 	case messenger.WorkStop:
-		if r := g.runs[key]; r != nil {
-			g.stopLocked(key, r, "ordered")
+		r := g.runs[key]
+		if r == nil {
+			// A start that an earlier process of this agent sent may still be carried
+			// out: the stop makes the worker refuse it, and until that is sure the run
+			// is listed and the owner starts its task nowhere else.
+			r = &run{state: running, doubt: true}
+			g.runs[key] = r
+			g.noteDoubtLocked(key)
 		}
+		g.stopLocked(key, r, "ordered")
 	case messenger.WorkPace:
 		if r := g.runs[key]; r != nil && r.state == running {
 			go g.pace(g.context, key, o.Percent)
