Keep only the remains of ended jobs; let small VMs leave the ownership to others

Ruled out: the lease of the owner (kept all the while). Change: with a job's final state its record shrinks to id, queue and state, in the same transaction; pages of all jobs may take 4 s more; an entry with under 0.4 of a core or 100 Mbit/s leaves a vacant cell to others for 400 ms.

--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -35,6 +35,8 @@
 	// behind, without waiting for the lease. What an owner does must then be safe
 	// also while its lease stands, by the epoch alone.
 	ReplaceOwn bool
+	// Patience is how long this process leaves a vacant cell to others.
+	Patience time.Duration
 	Now        func() time.Time
 	// The calls of keeper.Keeper that elections use.
 	GetRecord      func(ctx context.Context, key string) (keeper.Record, error)
@@ -107,6 +109,9 @@
 // Acquire waits until this process holds the ownership. The owner's record
 // carries no epoch until Publish.
 func (e *Elector) Acquire(ctx context.Context) error {
+	if err := pauser.Pause(ctx, e.config.Patience); err != nil {
+		return err
+	}
 	for {
 		taken, err := e.try(ctx)
 		if ctx.Err() != nil {
@@ -117,6 +122,9 @@
 		}
 		if err == nil {
 			e.awaitVacancy(ctx)
+			if err := pauser.Pause(ctx, e.config.Patience); err != nil {
+				return err
+			}
 			continue
 		}
 		if err := pauser.Pause(ctx, retryPause); err != nil {
--- a/internal/control/elector/elector_test.go
+++ b/internal/control/elector/elector_test.go
@@ -60,3 +60,38 @@
 		})
 	}
 }
+
+// Everything is late on a large fleet: the smallest entry, whose processor and link are
+// busy with callers, happens to be the first at a vacant cell. It leaves the cell to
+// others for a moment, and takes it if none comes.
+func TestPatientEntryLeavesTheCellToOthers(t *testing.T) {
+	server := httptest.NewServer(storer.New(storer.Config{}).Handler())
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	k := keeper.New(keeper.Config{URL: server.URL, CallTimeout: time.Second})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	acquired := make(chan error, 1)
+	small := New(FromKeeper(Config{Cell: "c", EntryID: "small", Lease: time.Second, Patience: 300 * time.Millisecond}, k))
+	go func() { acquired <- small.Acquire(ctx) }()
+	time.Sleep(50 * time.Millisecond)
+	large := New(FromKeeper(Config{Cell: "c", EntryID: "large", Lease: time.Second}, k))
+	if err := large.Acquire(ctx); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-acquired:
+		t.Fatalf("the small entry took the cell as well: %v", err)
+	case <-time.After(500 * time.Millisecond):
+	}
+	if err := large.Release(ctx); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-acquired:
+		if err != nil {
+			t.Fatal(err)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("nobody takes the vacant cell")
+	}
+}
--- a/internal/job/accountant/job.go
+++ b/internal/job/accountant/job.go
@@ -17,6 +17,11 @@
 	j := &Job{Spec: spec, State: JobQueued, StoredState: JobQueued, SettlesAt: settlesAt}
 	j.Queue, _ = a.policy.QueueByName(spec.Queue)
 	a.Jobs[spec.ID] = j
+	if spec.Ended != "" {
+		j.State, j.StoredState, j.Started = JobState(spec.Ended), JobState(spec.Ended), true
+		j.EndedAt = time.UnixMilli(spec.EndedMillis)
+		return true
+	}
 	a.openDue(j, now)
 	return true
 }
--- a/internal/job/accountant/record.go
+++ b/internal/job/accountant/record.go
@@ -211,6 +211,15 @@
 // Startable tells whether new runs of the job's tasks may begin.
 func (j *Job) Startable() bool { return !j.State.Final() && j.SettlesAt.IsZero() }
 
+// EncodeRemains returns what the store keeps of a job that has ended.
+func (j *Job) EncodeRemains() ([]byte, error) {
+	b, err := json.Marshal(j.Spec.Remains(string(j.State), j.EndedAt))
+	if err != nil {
+		return nil, fmt.Errorf("encode remains of job %s: %w", j.Spec.ID, err)
+	}
+	return b, nil
+}
+
 // DecodeJob reads a job as the store has it.
 func DecodeJob(value []byte) (*specifier.Job, error) {
 	var j specifier.Job
--- a/internal/job/scheduler/flush.go
+++ b/internal/job/scheduler/flush.go
@@ -36,13 +36,13 @@
 	e := &flushed{flush: f, states: make(map[string]accountant.JobState)}
 	var t []keeper.Put
 	for _, j := range f.Jobs {
-		value, err := j.Encode()
+		puts, err := putsOf(j)
 		if err != nil {
 			o.s.config.Reporter.Report(reporter.ProgressNotStored, reporter.Fields{"job": j.Spec.ID, "error": err.Error()})
 			continue
 		}
 		e.states[j.Spec.ID] = j.State
-		t = append(t, keeper.Put{Key: ProgressKey(j.Spec.ID), Value: value})
+		t = append(t, puts...)
 	}
 	e.removals, o.removals = o.removals, nil
 	sentAt := o.s.config.Now()
@@ -54,6 +54,27 @@
 	}()
 }
 
+// putsOf returns the records of a job that changed.
+//
+// Of a job that has ended only its id and state are kept: a new owner lists all
+// records, and on a link of 10 Mbit/s the payloads and steps of a minute's jobs took
+// longer than the call may last, so that no owner got through its takeover.
+func putsOf(j *accountant.Job) ([]keeper.Put, error) {
+	value, err := j.Encode()
+	if err != nil {
+		return nil, err
+	}
+	puts := []keeper.Put{{Key: ProgressKey(j.Spec.ID), Value: value}}
+	if !j.State.Final() {
+		return puts, nil
+	}
+	remains, err := j.EncodeRemains()
+	if err != nil {
+		return nil, err
+	}
+	return append(puts, keeper.Put{Key: JobKey(j.Spec.ID), Value: remains}), nil
+}
+
 // write makes one transaction for each so many records, and one for each so many
 // removals.
 func (o *owner) write(ctx context.Context, puts []keeper.Put, removes []string) error {
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -60,6 +60,8 @@
 	Store   keeper.Calls
 	Lease   time.Duration // 0: DefaultLease
 	Grant   time.Duration // 0: DefaultGrant
+	// Patience is how long a vacant cell is left to other entries.
+	Patience time.Duration
 	Policy  func() *specifier.Policy
 	// Advise asks which workers may run a step and returns a ticket for each that
 	// may; nil if no service advises.
@@ -88,7 +90,7 @@
 		c.Lease = DefaultLease
 	}
 	e := elector.New(elector.Config{
-		Cell: c.Cell, EntryID: c.EntryID, Address: c.Address, Lease: c.Lease, Now: c.Now, ReplaceOwn: true,
+		Cell: c.Cell, EntryID: c.EntryID, Address: c.Address, Lease: c.Lease, Now: c.Now, ReplaceOwn: true, Patience: c.Patience,
 		GetRecord: c.Store.GetRecord, CompareAndSwap: c.Store.CompareAndSwap, GrantLease: c.Store.GrantLease,
 		KeepAlive: c.Store.KeepAlive, RevokeLease: c.Store.RevokeLease, Watch: c.Store.Watch,
 	})
--- a/internal/job/scheduler/takeover.go
+++ b/internal/job/scheduler/takeover.go
@@ -16,6 +16,10 @@
 // one that fails at once and for good waits a second between runs.
 const runsPerEpoch = 1000
 
+// listWait is what a page of all jobs may take beyond a usual call: a megabyte in base64
+// takes over a second on a link of 10 Mbit/s that others use too.
+const listWait = 4 * time.Second
+
 // takeOver reads everything that the store has about the cell.
 func (s *Scheduler) takeOver(ctx context.Context, epoch int64) (*owner, error) {
 	now := s.config.Now()
@@ -58,7 +62,7 @@
 func (s *Scheduler) findAll(ctx context.Context, prefix string) (all []keeper.Record, revision int64, err error) {
 	after := ""
 	for {
-		page, err := s.config.Store.FindRecords(ctx, keeper.ListOptions{Prefix: prefix, After: after})
+		page, err := s.config.Store.FindRecords(ctx, keeper.ListOptions{Prefix: prefix, After: after, Wait: listWait})
 		if err != nil {
 			return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
 		}
@@ -83,6 +87,7 @@
 	if !o.state.AddJob(spec, settlesAt, now) {
 		return false
 	}
+	o.writer.saw(r.Key, r.Revision)
 	o.s.config.Reporter.Report(reporter.JobLoaded, reporter.Fields{"job": spec.ID, "queue": spec.Queue, "steps": len(spec.Steps), "revision": r.Revision})
 	return true
 }
--- a/internal/job/specifier/specifier.go
+++ b/internal/job/specifier/specifier.go
@@ -81,6 +81,16 @@
 	FirstMillis    int64  `json:"first-ms,omitempty"`    // Unix ms when occurrence 0 is due
 	IntervalMillis int64  `json:"interval-ms,omitempty"` // between occurrences
 	AcceptedMillis int64  `json:"accepted-ms"`           // Unix ms at the entry that took it
+	// Ended is the final state of a job that has ended, whose payload and steps are
+	// dropped; empty for one that has not.
+	Ended       string `json:"ended,omitempty"`
+	EndedMillis int64  `json:"ended-ms,omitempty"` // Unix ms
+}
+
+// Remains is what is kept of a job once it has ended, so that a repeated submission
+// finds it.
+func (j *Job) Remains(state string, at time.Time) Job {
+	return Job{ID: j.ID, Queue: j.Queue, AcceptedMillis: j.AcceptedMillis, Ended: state, EndedMillis: at.UnixMilli()}
 }
 
 // Times is how often the steps run.
--- a/internal/service/hoster/entry.go
+++ b/internal/service/hoster/entry.go
@@ -69,7 +69,8 @@
 			return e.receiver.StoreFor(ctx, q)
 		},
 		Grant: min(scheduler.DefaultGrant, c.Settings.LeaseMax), Lease: max(scheduler.DefaultLease, c.Settings.StoreLeaseMin),
-		Now: now, Reporter: c.Reporter, Meters: scheduler.NewMeters(e.metrics),
+		Patience: patienceOf(c.Settings),
+		Now:      now, Reporter: c.Reporter, Meters: scheduler.NewMeters(e.metrics),
 	})
 	e.forwarder = forwarder.New(forwarder.Config{Self: self, Owner: e.scheduler.Owner, Handle: e.scheduler.Handle, Reporter: c.Reporter})
 	e.receiver = receiver.New(receiver.Config{
@@ -78,6 +79,25 @@
 	return e
 }
 
+// What an owner needs to itself. The owner of 70 VMs reads reports of some 300 KB a
+// second and uses up to a tenth of a core; on the smallest VMs of the users (0.192 of a
+// core, 10 Mbit/s) both would be held up behind callers.
+const (
+	ownerCores    = 0.4
+	ownerLinkMbps = 100
+	// ownerPatience is how long an entry on a smaller VM leaves a vacant cell to others:
+	// they see it within some milliseconds and take it with three calls.
+	ownerPatience = 400 * time.Millisecond
+)
+
+func patienceOf(s *platform.Settings) time.Duration {
+	small := s.Cores > 0 && s.Cores < ownerCores || s.LinkMbps > 0 && s.LinkMbps < ownerLinkMbps
+	if small {
+		return ownerPatience
+	}
+	return 0
+}
+
 // Run serves until ctx ends, then leaves in order: no new callers, the ownership
 // given up, requests in flight answered.
 func (e *Entry) Run(ctx context.Context) error {
--- a/internal/store/keeper/keeper.go
+++ b/internal/store/keeper/keeper.go
@@ -125,8 +125,9 @@
 // ListOptions selects records by prefix, in the order of their keys.
 type ListOptions struct {
 	Prefix string
-	After  string // only keys above this one
-	Limit  int    // 0: as many as the service gives at once
+	After  string        // only keys above this one
+	Limit  int           // 0: as many as the service gives at once
+	Wait   time.Duration // how long the answer may take beyond a usual call, for large pages
 }
 
 // ListResult holds the records found and the service's revision at that moment.
@@ -168,7 +169,7 @@
 // FindRecords lists records.
 func (k *Keeper) FindRecords(ctx context.Context, o ListOptions) (ListResult, error) {
 	var a ListAnswer
-	err := k.call(ctx, callOptions{kind: KindList, body: ListCall(o), answer: &a})
+	err := k.call(ctx, callOptions{kind: KindList, body: ListCall{Prefix: o.Prefix, After: o.After, Limit: o.Limit}, answer: &a, wait: o.Wait})
 	return ListResult(a), err
 }
 
