--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -37,7 +37,7 @@
 	ReplaceOwn bool
 	// Patience is how long this process leaves a vacant cell to others.
 	Patience time.Duration
-	Now        func() time.Time
+	Now      func() time.Time
 	// The calls of keeper.Keeper that elections use.
 	GetRecord      func(ctx context.Context, key string) (keeper.Record, error)
 	CompareAndSwap func(ctx context.Context, o keeper.SwapOptions) (int64, error)
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -62,7 +62,7 @@
 	Grant   time.Duration // 0: DefaultGrant
 	// Patience is how long a vacant cell is left to other entries.
 	Patience time.Duration
-	Policy  func() *specifier.Policy
+	Policy   func() *specifier.Policy
 	// Advise asks which workers may run a step and returns a ticket for each that
 	// may; nil if no service advises.
 	Advise func(ctx context.Context, step string, workers []string) (map[string]string, error)
