Let the upstreams of the receiver's tests announce themselves again and again

Ruled out: a large body that holds heartbeats up (the agent's own sessions stayed open). Change: the bed renews the announcement every 300 ms, as a real upstream does each second. No check is changed.

--- a/internal/request/receiver/bed_test.go
+++ b/internal/request/receiver/bed_test.go
@@ -20,6 +20,9 @@
 	"bamboospread/internal/wire/messenger"
 )
 
+// announceEvery is a third of a second, so that a busy machine misses none in a row.
+const announceEvery = 300 * time.Millisecond
+
 // bed is one entry, one agent and its upstreams in this process, over real
 // connections.
 type bed struct {
@@ -90,6 +93,7 @@
 	if err := b.gate.Renew(a); err != nil {
 		b.t.Fatal(err)
 	}
+	b.keepAnnounced(a)
 	waitFor(b.t, func() bool {
 		for _, u := range b.tracker.Snapshot().Upstreams("labels") {
 			if u.ID() == id && u.Ready(time.Now()) {
@@ -100,6 +104,26 @@
 	})
 }
 
+// keepAnnounced repeats an announcement until the test ends, as upstreams do each
+// second: the agent forgets one that falls silent, and a test on a busy machine may
+// take longer than that.
+func (b *bed) keepAnnounced(a gatekeeper.Announcement) {
+	run(b.t, func(ctx context.Context) error {
+		ticker := time.NewTicker(announceEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+				if err := b.gate.Renew(a); err != nil {
+					return err
+				}
+			}
+		}
+	})
+}
+
 func waitFor(t *testing.T, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
