Wait for no VM that left empty

Ruled out: the pause of agents (10 of 11 had reported at once). Change: a VM that takes nothing and runs nothing is dropped from the members at once; it joins again, and gets orders only then, when it takes tasks again. Test: TestIdleVMIsNoMember.

--- a/internal/job/accountant/report.go
+++ b/internal/job/accountant/report.go
@@ -57,6 +57,9 @@
 // gone because a report does not list it.
 const orderUnknown = 1 << 62
 
+// Idle tells that the VM takes nothing new and that nothing runs or may still run there.
+func (vm *VM) Idle() bool { return !vm.Ready && len(vm.Runs) == 0 }
+
 // UncertainRuns returns the runs of a VM that have to be stopped before their tasks may
 // start again, since it is not known whether their starts are still on their way.
 func (vm *VM) UncertainRuns() []*Run {
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -235,7 +235,7 @@
 
 func (o *owner) startWaiting(now time.Time) {
 	for _, s := range planner.Plan(planner.Input{Now: now, State: o.state, Learner: o.learner}) {
-		if sess := o.sessions[s.VM.Name]; sess != nil && sess.granted {
+		if sess := o.sessions[s.VM.Name]; sess != nil && sess.granted && o.members[s.VM.Name] {
 			o.orderStart(sess, s, now)
 		}
 	}
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -100,15 +100,29 @@
 	o.dirty = o.dirty || changes.Any()
 	// A VM is granted nothing before the store has it as a member: the next owner
 	// must know whom to wait for.
-	if o.members[s.vm.Name] {
+	switch {
+	case s.vm.Idle():
+		o.dropMember(s.vm.Name)
+	case o.members[s.vm.Name]:
 		reply.GrantMillis = o.s.config.Grant.Milliseconds()
-	} else {
+	default:
 		o.joining[s.vm.Name] = true
 	}
 	reply.EndsStored, s.toldEnd = s.vm.EndStored, s.vm.EndStored
 	e.answer <- reply
 }
 
+// dropMember takes a VM out of the members at once: one that takes nothing and runs
+// nothing is waited for by no later owner. Without this a VM that had left in order
+// held all inherited jobs up for as long as its leases could have lasted (7 s).
+func (o *owner) dropMember(vm string) {
+	if o.members[vm] {
+		delete(o.members, vm)
+		o.leaving[vm] = true
+	}
+	delete(o.joining, vm)
+}
+
 // note writes down what a report changed.
 func (o *owner) note(vm *accountant.VM, c accountant.Changes) {
 	for _, e := range c.Ended {
--- a/internal/job/scheduler/session_test.go
+++ b/internal/job/scheduler/session_test.go
@@ -1,12 +1,14 @@
 package scheduler
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"bamboospread/internal/job/accountant"
 	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/wire/messenger"
 )
 
@@ -45,3 +47,61 @@
 		}
 	}
 }
+
+// Callers' jobs stand still for seven seconds after a change of owner. A VM had left in
+// order before it; the next owner knows it as a member, hears nothing of it, and waits
+// until what might run there has surely ended. So a VM that takes nothing and runs
+// nothing is no member any more, and one that comes back gets no order before the store
+// has it as one again.
+func TestIdleVMIsNoMember(t *testing.T) {
+	now := time.Now()
+	policy := &specifier.Policy{Version: 1, Queues: []specifier.Queue{{Name: "q", MaxFailures: 1, Slack: 2}}}
+	stored := ""
+	transact := func(_ context.Context, tx keeper.Transaction) (int64, error) {
+		stored = string(tx.Puts[0].Value)
+		return 1, nil
+	}
+	s := New(Config{Cell: "jobs", Reporter: reporter.Discard(), Now: time.Now, Policy: func() *specifier.Policy { return policy }, Store: keeper.Calls{Transact: transact}})
+	state := accountant.New(accountant.Config{Policy: policy})
+	o := newOwner(s, 1, state, now)
+	state.AddJob(&specifier.Job{ID: "00000000000004d2", Queue: "q", Steps: []specifier.Step{{Count: 1, Needs: specifier.Resources{CPUMillis: 600}}}}, time.Time{}, now)
+	report := func(ready bool) int64 {
+		t.Helper()
+		read, facts, err := readReport(messenger.WorkReport{
+			VM: "vm-1", Session: 1, Life: "1", Ready: ready, Granted: true, Facts: &messenger.WorkFacts{Capacity: specifier.Resources{CPUMillis: 1000, MemoryMB: 1000}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := reportMade{report: messenger.WorkReport{VM: "vm-1", Session: 1, Granted: true}, read: read, facts: facts, answer: make(chan messenger.WorkReply, 1)}
+		e.apply(o, now)
+		o.startWaiting(now)
+		return (<-e.answer).GrantMillis
+	}
+	store := func() {
+		o.storeMembers(t.Context())
+		(<-o.events).apply(o, now)
+	}
+	if grant := report(false); grant != 0 || len(o.joining) != 0 {
+		t.Fatal("a VM that takes nothing joins")
+	}
+	if grant := report(true); grant != 0 || len(o.sessions["vm-1"].queued) != 0 {
+		t.Fatal("granted or ordered before it is a member")
+	}
+	store()
+	if stored != `["vm-1"]` {
+		t.Fatalf("members %s", stored)
+	}
+	report(false)
+	store()
+	if stored != "[]" && stored != "null" {
+		t.Errorf("members %s after it became idle", stored)
+	}
+	if report(true); len(o.sessions["vm-1"].queued) != 0 {
+		t.Error("ordered to start before it is a member again")
+	}
+	store()
+	if grant := report(true); grant == 0 || len(o.sessions["vm-1"].queued) != 1 {
+		t.Errorf("grant %d ms, %d orders once it is a member again", grant, len(o.sessions["vm-1"].queued))
+	}
+}
