--- a/internal/job/accountant/accountant_test.go
+++ b/internal/job/accountant/accountant_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"strings"
 	"testing"
 	"time"
 
@@ -318,93 +317,3 @@
 		t.Error("the job waits though every VM has reported")
 	}
 }
-
-// Two runs of one task. The owner orders a start, the agent passes it on and is killed
-// before the worker answers; the worker carries it out seconds later. The agent's next
-// process knows nothing of it and does not list the run, so the owner took it for gone
-// and started the task elsewhere. Now the run stays booked until its stop was seen.
-func TestStartsOfAnEndedAgentProcess(t *testing.T) {
-	tests := []struct {
-		name    string
-		process int64 // of the agent that attaches again; 1 ordered the start
-		seen    bool  // the run was seen at the worker before
-		keeps   bool
-	}{
-		{"the same process", 1, false, false},
-		{"another process", 2, false, true},
-		{"another process, the run was seen at work", 2, true, false},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			a := newState(t, 2)
-			j := addJob(t, a, 1, specifier.Step{Count: 1, Needs: oneCore})
-			report := Report{Life: "1", Process: 1, Ready: true}
-			vm, _ := a.Attach(Facts{Name: "vm", Capacity: oneCore}, report, begin)
-			task := j.Occurrences[0].Steps[0].Tasks[0]
-			a.Place(task, vm, 1, begin)
-			if tt.seen {
-				report.OrdersSeen, report.Runs = 1, []ReportedRun{{Key: key(1, 0, 0, 1), Confirmed: true}}
-				a.Apply(vm, report, at(5))
-				report.Runs = nil
-			}
-			report.Process = tt.process
-			for range 2 { // the connection breaks before the stop has come
-				a.Attach(Facts{Name: "vm", Capacity: oneCore}, report, at(10))
-			}
-			if got := len(task.Runs) == 1; got != tt.keeps {
-				t.Fatalf("the run is kept: %t, want %t", got, tt.keeps)
-			}
-			uncertain := vm.UncertainRuns()
-			if got := len(uncertain) == 1; got != tt.keeps {
-				t.Fatalf("%d runs are to be stopped", len(uncertain))
-			}
-			if !tt.keeps {
-				return
-			}
-			order := a.Stop(uncertain[0], "uncertain")
-			report.OrdersSeen = order - 1
-			if a.Apply(vm, report, at(20)); len(task.Runs) != 1 {
-				t.Fatal("given up before the agent has the stop")
-			}
-			report.OrdersSeen, report.Runs = order, []ReportedRun{{Key: key(1, 0, 0, 1), Confirmed: true}}
-			if a.Apply(vm, report, at(30)); len(task.Runs) != 1 || len(vm.UncertainRuns()) != 0 {
-				t.Fatal("given up, or still uncertain, while the agent stops it")
-			}
-			report.Runs = nil
-			if a.Apply(vm, report, at(40)); len(task.Runs) != 0 || !task.Waits(at(40)) {
-				t.Error("the task does not wait once the run was stopped")
-			}
-		})
-	}
-}
-
-// No owner gets through its takeover. A new owner lists all jobs; with payloads and
-// steps of all that have ended the list grows without bound, and on a small link it
-// takes longer than a call may. So only id and state remain of a job that has ended,
-// and a new owner reads from them alone that nothing of it may start again.
-func TestEndedJobsLeaveLittle(t *testing.T) {
-	a := newState(t, 2)
-	j := addJob(t, a, 1, specifier.Step{Count: 30, Needs: oneCore, Image: "image"})
-	j.Spec.Payload = strings.Repeat("x", specifier.MaxPayloadBytes)
-	a.Cancel(j.Spec.ID, at(10))
-	remains, err := j.EncodeRemains()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if len(remains) > 200 {
-		t.Errorf("%d bytes remain of an ended job", len(remains))
-	}
-	spec, err := DecodeJob(remains)
-	if err != nil {
-		t.Fatal(err)
-	}
-	next := newState(t, 2)
-	next.AddJob(spec, time.Time{}, at(20))
-	got := next.Jobs[j.Spec.ID]
-	if got == nil || got.Told() != JobCancelled || got.Startable() || len(next.WaitingSteps(at(20))) != 0 || next.Pending(j.Spec.Queue) != 0 {
-		t.Fatalf("the next owner has %+v", got)
-	}
-	if ids := next.Forget(at(30)); len(ids) != 1 {
-		t.Errorf("%d jobs are forgotten in time, want it", len(ids))
-	}
-}
--- a/internal/job/accountant/job.go
+++ b/internal/job/accountant/job.go
@@ -170,8 +170,20 @@
 	return min(time.Duration(max(failures-1, 0))*failurePauseStep, failurePauseMax)
 }
 
-// WaitingSteps returns the steps that have tasks to start, in no set order.
+// WaitingSteps returns the steps that have tasks to start, in an order that is the same
+// in each run.
 func (a *Accountant) WaitingSteps(now time.Time) []*Step {
+	return a.openSteps(func(s *Step) bool { return s.waits(now) })
+}
+
+// CopySteps returns the steps that are at work and of whose tasks copies may run, in
+// the same order.
+func (a *Accountant) CopySteps() []*Step {
+	return a.openSteps(func(s *Step) bool { return s.Spec.Copies && !s.Spec.Gang && !s.Spec.Lasting })
+}
+
+// openSteps returns the steps that match among those that are ready and not finished.
+func (a *Accountant) openSteps(match func(*Step) bool) []*Step {
 	var found []*Step
 	for _, id := range a.jobIDs() {
 		j := a.Jobs[id]
@@ -180,7 +192,7 @@
 		}
 		for _, o := range j.Occurrences {
 			for _, s := range o.Steps {
-				if !s.Finished() && s.Ready() && s.waits(now) {
+				if !s.Finished() && s.Ready() && match(s) {
 					found = append(found, s)
 				}
 			}
@@ -198,26 +210,6 @@
 	return false
 }
 
-// CopySteps returns the steps that are at work and of whose tasks copies may run, in
-// an order that is the same in each run.
-func (a *Accountant) CopySteps() []*Step {
-	var found []*Step
-	for _, id := range a.jobIDs() {
-		j := a.Jobs[id]
-		if !j.Startable() || j.Queue.Name == "" {
-			continue
-		}
-		for _, o := range j.Occurrences {
-			for _, s := range o.Steps {
-				if s.Spec.Copies && !s.Spec.Gang && !s.Spec.Lasting && !s.Finished() && s.Ready() {
-					found = append(found, s)
-				}
-			}
-		}
-	}
-	return found
-}
-
 // RunsOn tells whether a run of the task is on the VM.
 func (t *Task) RunsOn(vm *VM) bool {
 	for _, r := range t.Runs {
--- /dev/null
+++ b/internal/job/accountant/report_test.go
@@ -0,0 +1,62 @@
+package accountant
+
+import "testing"
+
+// Two runs of one task. The owner orders a start, the agent passes it on and is killed
+// before the worker answers; the worker carries it out seconds later. The agent's next
+// process knows nothing of it and does not list the run, so the owner took it for gone
+// and started the task elsewhere. Now the run stays booked until its stop was seen.
+func TestStartsOfAnEndedAgentProcess(t *testing.T) {
+	tests := []struct {
+		name    string
+		process int64 // of the agent that attaches again; 1 ordered the start
+		seen    bool  // the run was seen at the worker before
+		keeps   bool
+	}{
+		{"the same process", 1, false, false},
+		{"another process", 2, false, true},
+		{"another process, the run was seen at work", 2, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := newState(t, 2)
+			j := addJob(t, a, 1, specifier.Step{Count: 1, Needs: oneCore})
+			report := Report{Life: "1", Process: 1, Ready: true}
+			vm, _ := a.Attach(Facts{Name: "vm", Capacity: oneCore}, report, begin)
+			task := j.Occurrences[0].Steps[0].Tasks[0]
+			a.Place(task, vm, 1, begin)
+			if tt.seen {
+				report.OrdersSeen, report.Runs = 1, []ReportedRun{{Key: key(1, 0, 0, 1), Confirmed: true}}
+				a.Apply(vm, report, at(5))
+				report.Runs = nil
+			}
+			report.Process = tt.process
+			for range 2 { // the connection breaks before the stop has come
+				a.Attach(Facts{Name: "vm", Capacity: oneCore}, report, at(10))
+			}
+			if got := len(task.Runs) == 1; got != tt.keeps {
+				t.Fatalf("the run is kept: %t, want %t", got, tt.keeps)
+			}
+			uncertain := vm.UncertainRuns()
+			if got := len(uncertain) == 1; got != tt.keeps {
+				t.Fatalf("%d runs are to be stopped", len(uncertain))
+			}
+			if !tt.keeps {
+				return
+			}
+			order := a.Stop(uncertain[0], "uncertain")
+			report.OrdersSeen = order - 1
+			if a.Apply(vm, report, at(20)); len(task.Runs) != 1 {
+				t.Fatal("given up before the agent has the stop")
+			}
+			report.OrdersSeen, report.Runs = order, []ReportedRun{{Key: key(1, 0, 0, 1), Confirmed: true}}
+			if a.Apply(vm, report, at(30)); len(task.Runs) != 1 || len(vm.UncertainRuns()) != 0 {
+				t.Fatal("given up, or still uncertain, while the agent stops it")
+			}
+			report.Runs = nil
+			if a.Apply(vm, report, at(40)); len(task.Runs) != 0 || !task.Waits(at(40)) {
+				t.Error("the task does not wait once the run was stopped")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/job/scheduler/follow.go
@@ -0,0 +1,79 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"bamboospread/internal/kernel/pauser"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/store/keeper"
+)
+
+// recordSeen is a record below WorkPrefix, from the watch or from an entry.
+type recordSeen struct{ record keeper.Record }
+
+func (e recordSeen) apply(o *owner, now time.Time) {
+	o.dirty = true
+	if id, ok := strings.CutPrefix(e.record.Key, cancelPrefix); ok {
+		if !o.cancelled[id] {
+			o.cancelled[id] = true
+			o.state.Cancel(id, now)
+		}
+		return
+	}
+	settlesAt := time.Time{}
+	if !o.settled {
+		settlesAt = o.started.Add(o.s.config.Lease)
+	}
+	if o.takeJob(e.record, settlesAt, now) {
+		id := strings.TrimPrefix(e.record.Key, jobPrefix)
+		if o.cancelled[id] {
+			o.state.Cancel(id, now)
+		}
+	}
+}
+
+const (
+	followWait  = 10 * time.Second
+	followPause = 200 * time.Millisecond
+)
+
+// follow watches the records that entries write. Entries also tell the owner
+// themselves; the watch brings what they could not.
+func (o *owner) follow(ctx context.Context) {
+	after := o.followFrom
+	for ctx.Err() == nil {
+		seen, err := o.s.config.Store.Watch(ctx, keeper.WatchOptions{Prefix: WorkPrefix, After: after, Wait: followWait})
+		switch {
+		case err == nil:
+			after = max(after, seen.Revision)
+			for _, c := range seen.Changes {
+				if !c.Deleted && o.send(ctx, recordSeen{c.Record}) != nil {
+					return
+				}
+			}
+		case keeper.IsErrHistoryNotExist(err):
+			after = o.listAgain(ctx, after)
+		default:
+			_ = pauser.Pause(ctx, followPause)
+		}
+	}
+}
+
+// listAgain reads all records after a gap in the history.
+func (o *owner) listAgain(ctx context.Context, after int64) int64 {
+	all, revision, err := o.s.findAll(ctx, WorkPrefix)
+	if err != nil {
+		o.s.config.Reporter.Report(reporter.StoreLost, reporter.Fields{"error": fmt.Sprint(err), "reader": "jobs"})
+		_ = pauser.Pause(ctx, followPause)
+		return after
+	}
+	for _, r := range all {
+		if o.send(ctx, recordSeen{r}) != nil {
+			return after
+		}
+	}
+	return revision
+}
