--- a/internal/job/accountant/report_test.go
+++ b/internal/job/accountant/report_test.go
@@ -1,6 +1,10 @@
 package accountant
 
-import "testing"
+import (
+	"testing"
+
+	"bamboospread/internal/job/specifier"
+)
 
 // Two runs of one task. The owner orders a start, the agent passes it on and is killed
 // before the worker answers; the worker carries it out seconds later. The agent's next
