--- a/internal/job/planner/disturb.go
+++ b/internal/job/planner/disturb.go
@@ -13,7 +13,7 @@
 	// headroomLeast is the headroom that a lasting task must be left with for a filling
 	// task to start beside it. Above 1, the target, since reports are half a second old
 	// and a swing of its load takes some 0.6 in a second.
-	headroomLeast = 1.1
+	headroomLeast = 1.25
 	// lowWeight is how much the lowest headroom of a swing counts against the present
 	// one: filling tasks run for seconds, a good part of a swing.
 	lowWeight = 0.5
