Say truly what the limit of dialling covers

Cause: a lost packet of a dial is sent again only after a second, so the comment was wrong. Ruled out: a longer limit (agents then wait for dead VMs). Change: comment.

--- a/internal/worker/attender/attender.go
+++ b/internal/worker/attender/attender.go
@@ -25,7 +25,7 @@
 	// reportGap is the shortest: ends that come together share a report.
 	reportGap   = 20 * time.Millisecond
 	reportLimit = time.Second // for an answer; a silent connection shows only by this
-	// dialLimit covers a connection across zones with one packet lost. A VM without
+	// dialLimit is long against the farthest peer, some 30 ms away and back. A VM without
 	// power does not even refuse, and agents must look for its successor meanwhile.
 	dialLimit  = 300 * time.Millisecond
 	storeLimit = time.Second
