Order again what a broken session may have lost; obey orders that overtake the epoch

The owner takes them for given: a run that is being stopped is never stopped again, in this session or the next. Ruled out: a cancellation that was not stored (event 903 and 906 are there), a stop that the worker refused (none was sent). Change: an agent obeys orders of its own session under a higher epoch; void orders are answered with an error, so that the owner opens the session anew; a new session decides stops and paces again. An adopted filling run has no known pace, and an agent repeats a pace until the worker has the last one: both left runs crawling after a change of owner. Each new test failed on the code before or with its safeguard taken out.

--- a/internal/job/accountant/job.go
+++ b/internal/job/accountant/job.go
@@ -182,6 +182,22 @@
 	return a.openSteps(func(s *Step) bool { return s.Spec.Copies && !s.Spec.Gang && !s.Spec.Lasting })
 }
 
+// OpenSteps returns all steps that are ready and not finished, in the same order.
+func (a *Accountant) OpenSteps() []*Step {
+	return a.openSteps(func(*Step) bool { return true })
+}
+
+// Away counts the tasks of a lasting step that are not at work.
+func (s *Step) Away() int {
+	away := 0
+	for _, t := range s.Tasks {
+		if len(t.Runs) == 0 || t.Runs[0].State != Running || t.Runs[0].Progress < fullPace {
+			away++
+		}
+	}
+	return away
+}
+
 // openSteps returns the steps that match among those that are ready and not finished.
 func (a *Accountant) openSteps(match func(*Step) bool) []*Step {
 	var found []*Step
--- a/internal/job/accountant/report.go
+++ b/internal/job/accountant/report.go
@@ -85,6 +85,7 @@
 	vm.OrderSeq = 0
 	for _, r := range vm.Runs {
 		r.Order = 0
+		r.reopen()
 		// A start that the earlier process had sent and that nobody has seen at the
 		// worker may be carried out seconds later, and the new process knows nothing of
 		// it. So the run stays booked until its stop has surely come first.
@@ -97,6 +98,22 @@
 	return vm, a.Apply(vm, rep, now)
 }
 
+// reopen forgets which orders were given on a run: those on their way when the session
+// broke may have been lost, and would not be given again. A stop is repeated without
+// harm.
+func (r *Run) reopen() {
+	if r.Step().Spec.Fills {
+		r.Pace = PaceUnknown
+	}
+	if r.State != Stopping {
+		return
+	}
+	r.State, r.StopCause = Running, ""
+	if r.StartedAt.IsZero() {
+		r.State = Ordered
+	}
+}
+
 func (a *Accountant) describe(vm *VM, f Facts) {
 	vm.Zone, vm.Rack, vm.Service, vm.Capacity, vm.WorkerID = f.Zone, f.Rack, f.Service, f.Capacity, f.WorkerID
 	vm.Labels = make(map[string]bool, len(f.Labels))
--- a/internal/job/accountant/report_test.go
+++ b/internal/job/accountant/report_test.go
@@ -64,3 +64,47 @@
 		})
 	}
 }
+
+// A cancelled job runs on for ever. The connection breaks, or the agent's orders are void,
+// while a stop is on its way. The agent opens another session and still lists the run: the
+// stop must be decided again, since nobody else will.
+func TestStopsOfAnEarlierSessionAreOrderedAgain(t *testing.T) {
+	a := newState(t, 2)
+	j := addJob(t, a, 1, specifier.Step{Count: 1, Needs: oneCore, Lasting: true})
+	report := Report{Life: "1", Process: 1, Ready: true}
+	vm, _ := a.Attach(Facts{Name: "vm", Capacity: oneCore}, report, begin)
+	a.Place(j.Occurrences[0].Steps[0].Tasks[0], vm, 1, begin)
+	report.OrdersSeen, report.Runs = 1, []ReportedRun{{Key: key(1, 0, 0, 1), Confirmed: true}}
+	a.Apply(vm, report, at(5))
+	a.Cancel(jobID(1), at(10))
+	for _, r := range a.Unwanted() {
+		a.Stop(r, "job ended")
+	}
+	if got := len(a.Unwanted()); got != 0 {
+		t.Fatalf("%d stops are ordered twice in one session", got)
+	}
+	a.Attach(Facts{Name: "vm", Capacity: oneCore}, report, at(20))
+	if got := len(a.Unwanted()); got != 1 {
+		t.Errorf("%d runs are to be stopped in the new session, want 1", got)
+	}
+}
+
+// Filling tasks crawl for ever. An owner slows them down and is replaced; the next one
+// takes them for runs at full speed and sees nothing to change. It must not believe to
+// know the speed of a run that it did not start, nor that an order of a broken session
+// was carried out.
+func TestThePaceOfAnInheritedRunIsNotKnown(t *testing.T) {
+	a := newState(t, 2)
+	addJob(t, a, 1, specifier.Step{Count: 1, Needs: oneCore, Fills: true})
+	report := Report{Life: "1", Process: 1, Ready: true, Runs: []ReportedRun{{Key: key(1, 0, 0, 1), Confirmed: true}}}
+	vm, _ := a.Attach(Facts{Name: "vm", Capacity: oneCore}, report, begin)
+	run := vm.Runs[key(1, 0, 0, 1)]
+	if run.Pace != PaceUnknown {
+		t.Errorf("an adopted run has pace %d", run.Pace)
+	}
+	run.Pace = 15
+	a.Attach(Facts{Name: "vm", Capacity: oneCore}, report, at(10))
+	if run.Pace != PaceUnknown {
+		t.Errorf("in a new session the run has pace %d", run.Pace)
+	}
+}
--- a/internal/job/accountant/run.go
+++ b/internal/job/accountant/run.go
@@ -19,6 +19,9 @@
 
 const fullPace = 100 // percent
 
+// PaceUnknown is the pace of a run of which no order is known to be in force.
+const PaceUnknown = -1
+
 func (a *Accountant) book(r *Run) {
 	t, spec := r.Task, r.Task.Step.Spec
 	t.LastNumber = max(t.LastNumber, r.Number)
@@ -134,6 +137,9 @@
 	if checkpoint != "" && t.Step.Spec.Checkpoints {
 		t.Checkpoint = checkpoint
 	}
+	if how != EndStopped {
+		t.Moves = Moving{}
+	}
 	switch how {
 	case EndDone:
 		delete(vm.Health.Failed, key.Task)
@@ -180,6 +186,9 @@
 		Task: t, Number: number, VM: vm, State: Running, OrderedAt: now, StartedAt: now,
 		Pace: fullPace, MovedAt: now,
 	}
+	if t.Step.Spec.Fills {
+		r.Pace = PaceUnknown // an earlier owner may have slowed it down
+	}
 	a.book(r)
 	return r
 }
--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -32,7 +32,7 @@
 	OrderedAt  time.Time
 	StartedAt  time.Time // when it was first seen running
 	Progress   int       // percent of its work, as last reported; of a lasting task, 100 once it is at work
-	Pace       int       // percent of full speed, as last ordered
+	Pace       int       // percent of full speed, as last ordered; PaceUnknown if an order may have been lost
 	Measure    int64     // tail latency in ms for a lasting task with a target, else thousandths of a core in use
 	StopCause  string
 	Uncertain  bool      // ordered by way of a process of the agent that has ended, and seen by no later one
@@ -72,6 +72,18 @@
 	WaitSince  time.Time
 	NotBefore  time.Time       // after a failure
 	Shunned    map[string]bool // VMs on which a run of it failed or was refused
+	Moves      Moving          // zero: it does not move
+}
+
+// Moving tells where a lasting task was stopped to start anew.
+type Moving struct {
+	To    string    // VM
+	Until time.Time // it starts elsewhere only after this
+}
+
+// Waiting tells whether the task keeps off a VM for the sake of the one it moves to.
+func (t *Task) Waiting(vm string, now time.Time) bool {
+	return t.Moves.To != "" && t.Moves.To != vm && now.Before(t.Moves.Until)
 }
 
 // ID returns the name of the task.
--- a/internal/job/planner/ease.go
+++ b/internal/job/planner/ease.go
@@ -43,7 +43,11 @@
 	low, high := ease(in, fills, guarded, raiseHeadroom), ease(in, fills, guarded, easeHeadroom)
 	paces := make([]Pace, len(fills))
 	for i, f := range fills {
-		percent := min(max(f.run.Pace, easeLevels[low[i].level]), easeLevels[high[i].level])
+		pace := f.run.Pace
+		if pace == accountant.PaceUnknown {
+			pace = paceFull
+		}
+		percent := min(max(pace, easeLevels[low[i].level]), easeLevels[high[i].level])
 		paces[i] = Pace{f.run, percent}
 	}
 	return paces
--- a/internal/worker/attender/attender.go
+++ b/internal/worker/attender/attender.go
@@ -170,7 +170,9 @@
 		a.config.Reporter.Report(reporter.MessageMalformed, reporter.Fields{"method": method, "error": err.Error()})
 		return nil, err
 	}
-	a.config.Guardian.Obey(o)
+	if err := a.config.Guardian.Obey(o); err != nil {
+		return nil, connector.Errorf(messenger.CodeBadRequest, "%v", err)
+	}
 	return messenger.Empty{}, nil
 }
 
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -45,6 +45,8 @@
 	progress   int
 	measure    int64
 	cancel     context.CancelFunc // of its start
+	pace       int                // ordered last, in percent
+	pacing     bool               // the worker is being told
 }
 
 // Guardian looks after one worker. It is safe for concurrent use.
--- a/internal/worker/guardian/guardian_test.go
+++ b/internal/worker/guardian/guardian_test.go
@@ -24,19 +24,21 @@
 
 // fakeWorker answers as told and notes what it was asked.
 type fakeWorker struct {
-	mu     sync.Mutex
-	life   string
-	epoch  int64
-	runs   map[accountant.RunKey]bool
-	ends   []SeenEnd
-	starts []StartCall
-	stops  []StopCall
-	leases []time.Duration
-	silent bool // calls get no answer
-	absent bool // looks find no process
-	deaf   int  // so many starts get no answer
-	idle   bool // looks wait as long as they may, since nothing ends
-	begin  time.Time
+	mu          sync.Mutex
+	life        string
+	epoch       int64
+	runs        map[accountant.RunKey]bool
+	ends        []SeenEnd
+	starts      []StartCall
+	stops       []StopCall
+	leases      []time.Duration
+	silent      bool  // calls get no answer
+	absent      bool  // looks find no process
+	deaf        int   // so many starts get no answer
+	deafToPaces int   // so many paces get no answer
+	paces       []int // that were answered
+	idle        bool  // looks wait as long as they may, since nothing ends
+	begin       time.Time
 }
 
 func newFakeWorker() *fakeWorker {
@@ -46,7 +48,7 @@
 var errNoAnswer = errors.New("no answer")
 
 func (f *fakeWorker) calls() Worker {
-	return Worker{Start: f.start, Stop: f.stop, Pace: func(context.Context, PaceCall) error { return nil }, Look: f.look}
+	return Worker{Start: f.start, Stop: f.stop, Pace: f.pace, Look: f.look}
 }
 
 func (f *fakeWorker) start(_ context.Context, c StartCall) error {
@@ -65,6 +67,17 @@
 	return nil
 }
 
+func (f *fakeWorker) pace(_ context.Context, c PaceCall) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.deafToPaces > 0 {
+		f.deafToPaces--
+		return errNoAnswer
+	}
+	f.paces = append(f.paces, c.Percent)
+	return nil
+}
+
 func (f *fakeWorker) stop(_ context.Context, c StopCall) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -179,7 +192,7 @@
 
 func (b *bed) order(epoch int64, kind messenger.WorkOrderKind, index int, run int64) {
 	b.seq++
-	b.g.Obey(messenger.WorkOrders{Epoch: epoch, Session: b.sess, Life: b.worker.life, Orders: []messenger.WorkOrder{{
+	_ = b.g.Obey(messenger.WorkOrders{Epoch: epoch, Session: b.sess, Life: b.worker.life, Orders: []messenger.WorkOrder{{
 		Seq: b.seq, Kind: kind, Task: taskID(index).String(), Run: run, Needs: oneCore,
 	}}})
 }
--- a/internal/worker/guardian/orders.go
+++ b/internal/worker/guardian/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"bamboospread/internal/job/accountant"
@@ -22,14 +23,38 @@
 	orderMaxAge = 1500 * time.Millisecond
 )
 
+// ErrOrdersVoid is returned for orders that were not carried out.
+type ErrOrdersVoid struct {
+	Session, Epoch int64
+	Life           string // of the worker that they were meant for
+}
+
+func (e ErrOrdersVoid) Error() string {
+	return fmt.Sprintf("orders of session %d and epoch %d for life %s of the worker are void", e.Session, e.Epoch, e.Life)
+}
+
+// IsErrOrdersVoid tells whether orders were not carried out.
+func IsErrOrdersVoid(err error) bool {
+	var e ErrOrdersVoid
+	return errors.As(err, &e)
+}
+
 // Obey carries orders out. Orders of a session that is over, of an owner that was
-// replaced or for another life of the worker are void.
-func (g *Guardian) Obey(o messenger.WorkOrders) {
+// replaced or for another life of the worker are void, and the owner is told so: it
+// takes orders that were answered for given and never repeats them.
+//
+// Orders of a session may overtake the answer to its first report, which tells of the
+// epoch. They are obeyed: only the process that this agent opened the session with
+// knows its number.
+func (g *Guardian) Obey(o messenger.WorkOrders) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if o.Session == g.session && o.Life == g.life {
+		g.followLocked(o.Epoch)
+	}
 	if o.Session != g.session || o.Epoch != g.epoch || o.Life != g.life {
 		g.config.Reporter.Report(reporter.OrdersVoid, reporter.Fields{"session": o.Session, "epoch": o.Epoch, "orders": len(o.Orders)})
-		return
+		return ErrOrdersVoid{Session: o.Session, Epoch: o.Epoch, Life: o.Life}
 	}
 	g.storedLocked(o.EndsStored)
 	for _, order := range o.Orders {
@@ -41,6 +66,7 @@
 		}
 		g.obeyLocked(accountant.RunKey{Task: id, Number: order.Run}, order)
 	}
+	return nil
 }
 
 func (g *Guardian) obeyLocked(key accountant.RunKey, o messenger.WorkOrder) {
@@ -67,7 +93,7 @@
 		g.stopLocked(key, r, "ordered")
 	case messenger.WorkPace:
 		if r := g.runs[key]; r != nil && r.state == running {
-			go g.pace(g.context, key, o.Percent)
+			g.paceLocked(key, r, o.Percent)
 		}
 	}
 }
@@ -190,15 +216,48 @@
 	}
 }
 
-func (g *Guardian) pace(ctx context.Context, key accountant.RunKey, percent int) {
+// paceLocked has the worker told of a new pace. One goroutine of a run tells it, so
+// that the last pace ordered is the last to come.
+func (g *Guardian) paceLocked(key accountant.RunKey, r *run, percent int) {
+	r.pace = percent
+	if !r.pacing {
+		r.pacing = true
+		go g.keepPace(g.context, key, r)
+	}
+}
+
+// keepPace tells the worker the pace that was ordered last until it answers. Without
+// the repeats a run whose call was lost would stand still, or disturb, for as long as
+// the owner sees no reason for another pace.
+func (g *Guardian) keepPace(ctx context.Context, key accountant.RunKey, r *run) {
+	for ctx.Err() == nil {
+		g.mu.Lock()
+		percent, epoch, over := r.pace, g.epoch, g.runs[key] != r || r.state != running
+		g.mu.Unlock()
+		if over {
+			return
+		}
+		limit, cancel := context.WithTimeout(ctx, callLimit)
+		err := g.config.Worker.Pace(limit, PaceCall{Task: key.Task, Run: key.Number, Percent: percent, Epoch: epoch})
+		cancel()
+		if g.pacedOrRefused(r, percent, err) {
+			return
+		}
+		if err != nil {
+			g.config.Reporter.Report(reporter.PaceFailed, reporter.Fields{"task": key.Task.String(), "run": key.Number, "percent": percent, "error": err.Error()})
+			_ = pauser.Pause(ctx, callPause)
+		}
+	}
+}
+
+// pacedOrRefused ends the telling when the worker has the last pace or will not take it.
+func (g *Guardian) pacedOrRefused(r *run, percent int, err error) bool {
 	g.mu.Lock()
-	epoch := g.epoch
-	g.mu.Unlock()
-	limit, cancel := context.WithTimeout(ctx, callLimit)
-	defer cancel()
-	err := g.config.Worker.Pace(limit, PaceCall{Task: key.Task, Run: key.Number, Percent: percent, Epoch: epoch})
-	if err != nil {
-		// The owner sees from the reports that the pace did not change.
-		g.config.Reporter.Report(reporter.PaceFailed, reporter.Fields{"task": key.Task.String(), "run": key.Number, "percent": percent, "error": err.Error()})
+	defer g.mu.Unlock()
+	var refused ErrRefused
+	if (err == nil || errors.As(err, &refused)) && r.pace == percent {
+		r.pacing = false
+		return true
 	}
+	return false
 }
