Let lasting tasks change places for filling ones; let crawling tasks go on elsewhere

Change: planner.Moves exchanges groups of lasting tasks of one image between two VMs when filling tasks wait and each task that moves opens 2.5 processors or more of what is wanted; planner.Evictions stops filling runs that crawl if another VM has idle processors for them.

--- a/internal/job/accountant/run.go
+++ b/internal/job/accountant/run.go
@@ -41,6 +41,14 @@
 	}
 }
 
+// SetPace notes an order on the speed of a run.
+func (r *Run) SetPace(percent int, now time.Time) {
+	if r.Pace == fullPace || r.Pace == PaceUnknown || percent == fullPace {
+		r.PacedAt = now
+	}
+	r.Pace = percent
+}
+
 // NextNumber returns the number of the next run of a task.
 func (a *Accountant) NextNumber(t *Task) int64 { return max(t.LastNumber, a.floor) + 1 }
 
--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -33,6 +33,7 @@
 	StartedAt  time.Time // when it was first seen running
 	Progress   int       // percent of its work, as last reported; of a lasting task, 100 once it is at work
 	Pace       int       // percent of full speed, as last ordered; PaceUnknown if an order may have been lost
+	PacedAt    time.Time // when it was last ordered to leave full speed or to return to it
 	Measure    int64     // tail latency in ms for a lasting task with a target, else thousandths of a core in use
 	StopCause  string
 	Uncertain  bool      // ordered by way of a process of the agent that has ended, and seen by no later one
--- a/internal/job/learner/learner.go
+++ b/internal/job/learner/learner.go
@@ -15,6 +15,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 )
 
@@ -161,3 +162,23 @@
 	}
 	return l.prior(image) + caution*unknownSpread
 }
+
+// Known returns the effect of a pair and how much is known of it, from 0 to 1.
+func (l *Learner) Known(lasting, image string) (effect, trust float64) {
+	e := l.effects[lasting][image]
+	if e == nil {
+		return 0, 0
+	}
+	return e.mean, 1 - e.variance/(unknownSpread*unknownSpread)
+}
+
+// FillingImages returns the filling images of which there are reports, in the order of
+// their names.
+func (l *Learner) FillingImages() []string {
+	images := make([]string, 0, len(l.means))
+	for image := range l.means {
+		images = append(images, image)
+	}
+	sort.Strings(images)
+	return images
+}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -3,6 +3,7 @@
 package planner
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -54,32 +55,55 @@
 	lastCPU int64
 	placed  int         // in this round
 	use     learner.Use // of the filling tasks; nil until it is needed
+	images  company     // of the lasting tasks; nil until it is needed
+	open    []float64   // to each filling image; nil until it is needed
 }
 
 type round struct {
+	in      Input
 	now     time.Time
 	state   *accountant.Accountant
 	learner *learner.Learner
 	rooms   []*room
+	look    *outlook  // nil until it is needed
+	all     []float64 // open to each filling image on all VMs as the round began
+	base    float64   // what filling images get of it
 }
 
 func newRound(in Input) *round {
-	return &round{now: in.Now, state: in.State, learner: in.Learner}
+	return &round{in: in, now: in.Now, state: in.State, learner: in.Learner}
+}
+
+// openRooms takes in the VMs that may be used at all, in the order of their names.
+func (r *round) openRooms() {
+	for _, vm := range r.state.VMs {
+		if usable(vm, r.in) {
+			r.rooms = append(r.rooms, newRoom(vm, r.now))
+		}
+	}
+	sort.Slice(r.rooms, func(i, j int) bool { return r.rooms[i].vm.Name < r.rooms[j].vm.Name })
 }
 
 func newRoom(vm *accountant.VM, now time.Time) *room {
 	return &room{vm: vm, now: now, free: vm.Capacity.Sub(vm.Committed), fillCPU: vm.FillCPU, lasting: vm.Lasting, lastCPU: vm.LastCPU}
 }
 
+// outlook returns what the fleet offers to filling images.
+func (r *round) outlook() *outlook {
+	if r.look == nil {
+		idle := 0.0
+		for _, m := range r.rooms {
+			idle += m.idle()
+		}
+		r.look = newOutlook(r.in, idle)
+	}
+	return r.look
+}
+
 // Plan returns the starts of one round, most urgent first.
 func Plan(in Input) []Start {
 	r := newRound(in)
-	for _, vm := range in.State.VMs {
-		if usable(vm, in) {
-			r.rooms = append(r.rooms, newRoom(vm, in.Now))
-		}
-	}
-	sort.Slice(r.rooms, func(i, j int) bool { return r.rooms[i].vm.Name < r.rooms[j].vm.Name })
+	r.openRooms()
 	var starts []Start
 	for _, s := range order(in.State.WaitingSteps(in.Now), in.Now) {
 		if len(starts) >= maxStarts {
@@ -129,6 +153,7 @@
 	saved := make([]room, len(r.rooms))
 	for i, m := range r.rooms {
 		saved[i] = *m
+		saved[i].use = maps.Clone(m.use)
 	}
 	number := r.state.GangNumber(s)
 	count := perVM(s)
@@ -174,6 +199,9 @@
 
 func (m *room) take(s *specifier.Step) {
 	m.free = m.free.Sub(s.Committed())
+	if !s.Fills {
+		m.open = nil
+	}
 	if s.Fills {
 		m.fillCPU += s.Needs.CPUMillis
 		if m.use != nil {
@@ -181,6 +209,7 @@
 		}
 	}
 	if s.Lasting {
+		m.images = m.company().changed(s.Image, 1)
 		m.lasting++
 		m.lastCPU += s.Needs.CPUMillis
 	}
@@ -196,6 +225,9 @@
 		if !m.admits(s, count[m.vm]) || t.RunsOn(m.vm) {
 			continue
 		}
+		if t.Waiting(m.vm.Name, r.now) {
+			continue
+		}
 		var takes float64
 		if s.Spec.Fills {
 			d := r.disturbance(m, s)
@@ -203,6 +235,8 @@
 				continue
 			}
 			takes = d.takes
+		} else {
+			takes = r.takesOpen(m, s)
 		}
 		sc := rate(m, s, t, count[m.vm], takes)
 		if best == nil || sc.above(bestScore) {
@@ -234,10 +268,23 @@
 
 // fillRoom is how many thousandths of a core filling tasks may still ask for.
 func (m *room) fillRoom() float64 {
-	idle := float64(m.free.CPUMillis) + float64(m.lastCPU)*(1-lastingUse)
 	share := fillShare
 	if m.lasting > 0 {
 		share = fillShareBeside
 	}
-	return idle*share - float64(m.fillCPU)
+	return m.idle()*share - float64(m.fillCPU)
+}
+
+// idle is how many thousandths of a core the tasks that set processors aside are
+// expected to leave unused.
+func (m *room) idle() float64 {
+	return float64(m.free.CPUMillis) + float64(m.lastCPU)*(1-lastingUse)
+}
+
+// company returns the lasting images of the VM, those placed in this round included.
+func (m *room) company() company {
+	if m.images == nil {
+		m.images = companyOf(m.vm)
+	}
+	return m.images
 }
--- a/internal/job/planner/score.go
+++ b/internal/job/planner/score.go
@@ -29,6 +29,9 @@
 	if m.vm.Slow() {
 		sc[0]--
 	}
+	if t.Moves.To == m.vm.Name {
+		sc[0] += 0.75
+	}
 	if spec.DataRack != "" && m.vm.Rack == spec.DataRack {
 		sc[0] += 0.5
 	}
@@ -40,12 +43,12 @@
 	case spec.Fills:
 		sc[1] = m.fillRoom()/float64(max(m.vm.Capacity.CPUMillis, 1)) - takes
 	case spec.Lasting:
-		sc[1] = float64(m.lasting)
-		sc[2] = -float64(m.fillCPU)
+		sc[1] = -takes
+		sc[2] = float64(m.lasting)
 		sc[3] = -free
 	default:
-		sc[1] = float64(min(m.lasting, 1))
-		sc[2] = free
+		sc[1] = -takes
+		sc[2] = float64(min(m.lasting, 1)) + free
 	}
 	sc[3] -= float64(running)
 	return sc
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -152,7 +152,9 @@
 		o.judge(now)
 		o.askAdvice(ctx, now)
 		o.startWaiting(now)
+		o.move(now)
 		o.pace(now)
+		o.evict(now)
 		o.forget(now)
 	}
 	o.noteEnded(now)
@@ -237,6 +239,22 @@
 	}
 }
 
+// move stops lasting tasks that should start anew on other VMs.
+func (o *owner) move(now time.Time) {
+	for _, m := range planner.Moves(planner.Input{Now: now, State: o.state, Learner: o.learner}) {
+		o.s.config.Reporter.Report(reporter.JobMoveDecided, reporter.Fields{"task": m.Run.Key().Task.String(), "run": m.Run.Number, "vm": m.Run.VM.Name, "to": m.To.Name, "opens-cpu": int64(m.Gain)})
+		m.Run.Task.Moves = accountant.Moving{To: m.To.Name, Until: now.Add(planner.MoveHold)}
+		o.orderStop(m.Run, "moves for filling tasks")
+	}
+}
+
+// evict stops filling tasks that stand nearly still and can go on elsewhere.
+func (o *owner) evict(now time.Time) {
+	for _, r := range planner.Evictions(planner.Input{Now: now, State: o.state, Learner: o.learner}) {
+		o.orderStop(r, "can go on elsewhere")
+	}
+}
+
 func (o *owner) pace(now time.Time) {
 	for _, p := range planner.Paces(planner.Input{Now: now, State: o.state, Learner: o.learner}) {
 		o.orderPace(p)
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -202,7 +202,7 @@
 	if s == nil {
 		return
 	}
-	p.Run.Pace = p.Percent
+	p.Run.SetPace(p.Percent, o.s.config.Now())
 	p.Run.VM.OrderSeq++
 	s.queued = append(s.queued, messenger.WorkOrder{Seq: p.Run.VM.OrderSeq, Kind: messenger.WorkPace, Task: p.Run.Key().Task.String(), Run: p.Run.Number, Percent: p.Percent})
 	o.s.config.Reporter.Report(reporter.JobPaceDecided, reporter.Fields{"task": p.Run.Key().Task.String(), "run": p.Run.Number, "vm": p.Run.VM.Name, "percent": p.Percent})
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -34,6 +34,7 @@
 	MessageMalformed
 	VMJudged
 	AdviceTaken
+	JobMoveDecided
 )
 
 // Events of jobs at agents, numbered from 950.
@@ -88,6 +89,7 @@
 	{MessageMalformed, log.ErrorLevel, "message malformed", "A message of another process cannot be read; it was ignored."},
 	{VMJudged, log.WarnLevel, "VM quarantined", "Different tasks failed on the VM with none done in between, or most stood still; for some seconds nothing starts there, then one task at a time."},
 	{AdviceTaken, log.InfoLevel, "advice taken", "The advising service told on which VMs a step may run."},
+	{JobMoveDecided, log.InfoLevel, "move decided", "A lasting task is stopped to start anew on another VM, so that filling tasks that it keeps from its VM may run there."},
 
 	{WorkerAnnounced, log.InfoLevel, "worker announced itself", "The worker of this VM told its state."},
 	{WorkerReborn, log.WarnLevel, "worker reborn", "The worker began another life and has forgotten everything; its runs are lost."},
