Let lasting tasks yield to urgent ones; start urgent tasks first

Change: planner.Yields stops up to three lasting tasks a survey when urgent tasks found no room on any VM for 250 ms, those first whose job loses least for a processor, at most 8 % of what lasting tasks ask for, none whose users allow a bounded number away; they come back 1.5 s after no urgent task has waited so. Urgent tasks start before lasting ones of the same priority.

--- a/internal/job/accountant/run.go
+++ b/internal/job/accountant/run.go
@@ -26,6 +26,7 @@
 	t, spec := r.Task, r.Task.Step.Spec
 	t.LastNumber = max(t.LastNumber, r.Number)
 	t.Runs = append(t.Runs, r)
+	t.Yielded = false
 	r.VM.Runs[r.Key()] = r
 	r.VM.Committed = r.VM.Committed.Add(spec.Committed())
 	if spec.Fills {
--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -75,6 +75,7 @@
 	NotBefore  time.Time       // after a failure
 	Shunned    map[string]bool // VMs on which a run of it failed or was refused
 	Moves      Moving          // zero: it does not move
+	Yielded    bool            // a lasting task was stopped to make room for urgent ones
 }
 
 // Moving tells where a lasting task was stopped to start anew.
--- a/internal/job/planner/bench_test.go
+++ b/internal/job/planner/bench_test.go
@@ -42,6 +42,26 @@
 	return Input{Now: begin.Add(2 * time.Second), State: b.state, Learner: known}, b
 }
 
+// BenchmarkBacklog measures a round of placement while as many filling steps wait as
+// there are VMs, of images that are loud nearly everywhere, and some urgent ones start.
+func BenchmarkBacklog(b *testing.B) {
+	for _, vms := range []int{11, 52, 160, 300} {
+		in, fleet := busyFleet(vms)
+		for n := range vms {
+			fleet.job("q", specifier.Step{Count: 16, Needs: cores(6), EstimateMillis: 2200, Fills: true, Image: fmt.Sprint("f", n%4)})
+		}
+		for range 3 {
+			fleet.job("urgent", specifier.Step{Count: 10, Needs: cores(1), EstimateMillis: 800})
+		}
+		b.Run(fmt.Sprintf("vms-%d", vms), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Plan(in)
+			}
+		})
+	}
+}
+
 // BenchmarkRound measures what the owner decides in one round, at four sizes of fleet.
 func BenchmarkRound(b *testing.B) {
 	parts := []struct {
--- a/internal/job/planner/order.go
+++ b/internal/job/planner/order.go
@@ -23,8 +23,8 @@
 	deadline time.Time
 }
 
-// order sorts steps: by priority of the queue, then by what is still to be gained,
-// then by the time at which the job has to be ended. Under a backlog, deadlines
+// order sorts steps: by priority of the queue, then by what is still to be gained, those
+// that end before those that last, then by the time at which the job has to be ended. Under a backlog, deadlines
 // alone would keep starting jobs that are late already while those that could
 // still be in time become late behind them.
 func order(steps []*accountant.Step, now time.Time) []*accountant.Step {
@@ -39,6 +39,8 @@
 			return a.priority < b.priority
 		case a.urgency != b.urgency:
 			return a.urgency < b.urgency
+		case a.step.Spec.Lasting != b.step.Spec.Lasting:
+			return b.step.Spec.Lasting
 		default:
 			return a.deadline.Before(b.deadline)
 		}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -43,6 +43,8 @@
 	Now     time.Time
 	State   *accountant.Accountant
 	Learner *learner.Learner // nil: nothing is known of disturbance
+	// PressedAt is when an urgent task last had waited too long for room.
+	PressedAt time.Time
 }
 
 // room is what a VM has left during a round.
@@ -136,7 +138,7 @@
 	count := perVM(s)
 	var starts []Start
 	for _, t := range s.Tasks {
-		if !t.Waits(r.now) {
+		if !t.Waits(r.now) || t.Yielded && r.now.Sub(r.in.PressedAt) < yieldRest {
 			continue
 		}
 		best := r.choose(s, t, count)
--- /dev/null
+++ b/internal/job/planner/yield.go
@@ -0,0 +1,103 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bamboospread/internal/job/accountant"
+)
+
+// Limits of yields. They answer a load under which lasting tasks have set aside nearly
+// all processors before urgent work came: tasks that end within a second queue up behind
+// others that stay for a minute, and the queue grows until the traffic ends. One lasting
+// task makes room for a dozen of them in turn, and its users keep the others of its job.
+const (
+	// yieldAfter is how long an urgent task waits for room before a lasting one yields:
+	// tasks that end make room all the time.
+	yieldAfter = 250 * time.Millisecond
+	// yieldRest is how long after an urgent task last waited so the lasting ones that
+	// yielded stay away. Without it they would come back into the first gap and have to
+	// leave again.
+	yieldRest = 1500 * time.Millisecond
+	// yieldMost is how much of the processors set aside for lasting tasks may yield.
+	yieldMost = 0.08
+	// yieldsAtOnce bounds a round.
+	yieldsAtOnce = 3
+)
+
+// Yields returns the lasting runs that should be stopped to make room for urgent tasks,
+// and whether any urgent task has waited for room too long.
+func Yields(in Input) (runs []*accountant.Run, pressed bool) {
+	r := newRound(in)
+	r.openRooms()
+	need := r.urgentNeed()
+	if need == 0 {
+		return nil, false
+	}
+	lasting, away := int64(0), int64(0)
+	for _, s := range in.State.OpenSteps() {
+		if !s.Spec.Lasting {
+			continue
+		}
+		lasting += int64(len(s.Tasks)) * s.Spec.Needs.CPUMillis
+		for _, t := range s.Tasks {
+			if t.Yielded {
+				away += s.Spec.Needs.CPUMillis
+			}
+			if len(t.Runs) > 0 && t.Runs[0].State == accountant.Stopping {
+				need -= s.Spec.Needs.CPUMillis // on its way out
+			}
+		}
+	}
+	for _, run := range r.yieldable() {
+		cpu := run.Step().Spec.Needs.CPUMillis
+		if need <= 0 || len(runs) == yieldsAtOnce || float64(away+cpu) > yieldMost*float64(lasting) {
+			break
+		}
+		runs = append(runs, run)
+		need -= cpu
+		away += cpu
+	}
+	return runs, true
+}
+
+// urgentNeed is how many thousandths of a core the urgent tasks ask for that have waited
+// too long and find no room on any VM. Tasks that fill or come together are no part of it.
+func (r *round) urgentNeed() int64 {
+	need := int64(0)
+	for _, s := range r.in.State.WaitingSteps(r.now) {
+		if s.Spec.Fills || s.Spec.Lasting || s.Spec.Gang || s.Occurrence.Job.Queue.Priority > 0 {
+			continue
+		}
+		count := perVM(s)
+		if slices.ContainsFunc(r.rooms, func(m *room) bool { return m.admits(s, count[m.vm]) }) {
+			continue
+		}
+		for _, t := range s.Tasks {
+			if t.Waits(r.now) && r.now.Sub(t.WaitSince) >= yieldAfter && r.now.Sub(s.ReadyAt) >= yieldAfter {
+				need += s.Spec.Needs.CPUMillis
+			}
+		}
+	}
+	return need
+}
+
+// yieldable returns the lasting runs that may yield, those first whose users lose least
+// for each processor.
+func (r *round) yieldable() []*accountant.Run {
+	var runs []*accountant.Run
+	for _, m := range r.rooms {
+		for _, run := range lastingRuns(m.vm) {
+			if run.Step().Spec.MaxAway == 0 && len(run.Step().Tasks) > 1 && r.mayMove(run) {
+				runs = append(runs, run)
+			}
+		}
+	}
+	share := func(run *accountant.Run) float64 {
+		s := run.Step()
+		return 1 / (float64(len(s.Tasks)-s.Away()) * float64(s.Spec.Needs.CPUMillis))
+	}
+	slices.SortStableFunc(runs, func(a, b *accountant.Run) int { return cmp.Compare(share(a), share(b)) })
+	return runs
+}
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -82,6 +82,7 @@
 	placedAt   time.Time // when the last round of placement was
 	surveyedAt time.Time
 	movedAt    time.Time // when moves were last looked for
+	pressedAt  time.Time // when an urgent task last had waited too long for room
 	forgetAt   time.Time
 }
 
@@ -185,6 +186,7 @@
 	o.state.OpenDue(now)
 	o.watchVMs(now)
 	o.stopUnwanted()
+	o.yield(now)
 	o.judge(now)
 	o.askAdvice(ctx, now)
 	o.pace(now)
@@ -264,8 +266,13 @@
 	}
 }
 
+// input is what a round of decisions reads.
+func (o *owner) input(now time.Time) planner.Input {
+	return planner.Input{Now: now, State: o.state, Learner: o.learner, PressedAt: o.pressedAt}
+}
+
 func (o *owner) startWaiting(now time.Time) {
-	for _, s := range planner.Plan(planner.Input{Now: now, State: o.state, Learner: o.learner}) {
+	for _, s := range planner.Plan(o.input(now)) {
 		if sess := o.sessions[s.VM.Name]; sess != nil && sess.granted && o.members[s.VM.Name] {
 			o.orderStart(sess, s, now)
 		}
@@ -274,22 +281,34 @@
 
 // move stops lasting tasks that should start anew on other VMs.
 func (o *owner) move(now time.Time) {
-	for _, m := range planner.Moves(planner.Input{Now: now, State: o.state, Learner: o.learner}) {
+	for _, m := range planner.Moves(o.input(now)) {
 		o.s.config.Reporter.Report(reporter.JobMoveDecided, reporter.Fields{"task": m.Run.Key().Task.String(), "run": m.Run.Number, "vm": m.Run.VM.Name, "to": m.To.Name, "opens-cpu": int64(m.Gain)})
 		m.Run.Task.Moves = accountant.Moving{To: m.To.Name, Until: now.Add(planner.MoveHold)}
 		o.orderStop(m.Run, "moves for filling tasks")
 	}
 }
 
+// yield stops lasting tasks where urgent ones wait for room.
+func (o *owner) yield(now time.Time) {
+	runs, pressed := planner.Yields(o.input(now))
+	if pressed {
+		o.pressedAt = now
+	}
+	for _, r := range runs {
+		r.Task.Yielded = true
+		o.orderStop(r, "yields to urgent tasks")
+	}
+}
+
 // evict stops filling tasks that stand nearly still and can go on elsewhere.
 func (o *owner) evict(now time.Time) {
-	for _, r := range planner.Evictions(planner.Input{Now: now, State: o.state, Learner: o.learner}) {
+	for _, r := range planner.Evictions(o.input(now)) {
 		o.orderStop(r, "can go on elsewhere")
 	}
 }
 
 func (o *owner) pace(now time.Time) {
-	for _, p := range planner.Paces(planner.Input{Now: now, State: o.state, Learner: o.learner}) {
+	for _, p := range planner.Paces(o.input(now)) {
 		o.orderPace(p)
 	}
 }
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -122,14 +122,14 @@
 // waited seconds for a start that takes a millisecond to decide. A thousand a second of
 // all agents together is what the gap allows at most; most agents have less to tell.
 const (
-	gapPerVM = time.Millisecond
-	gapMin   = 20 * time.Millisecond
-	gapMax   = 250 * time.Millisecond
+	gapPerVM    = time.Millisecond
+	shortestGap = 20 * time.Millisecond
+	longestGap  = 250 * time.Millisecond
 )
 
 // reportGap is the time between reports that agents are asked for.
 func (o *owner) reportGap() time.Duration {
-	return min(max(time.Duration(len(o.sessions))*gapPerVM, gapMin), gapMax)
+	return min(max(time.Duration(len(o.sessions))*gapPerVM, shortestGap), longestGap)
 }
 
 // dropMember takes a VM out of the members at once: one that takes nothing and runs
