Tell callers to come back by how long the store has been away

Change: where the entry that owned the cell was reached and has lost it, or does not reach the store either, Retry-After is 0.6 to 1.0 of the outage so far, 1 to 8 s, with luck; an entry that alone does not reach the store still says a second, since the next try meets another one. The refusal's log line has the time.

--- a/internal/job/forwarder/forwarder.go
+++ b/internal/job/forwarder/forwarder.go
@@ -54,6 +54,10 @@
 	return errors.As(err, &none) || errors.As(err, &dial) || code == messenger.CodeNotOwner || code == messenger.CodeBadRequest
 }
 
+// NotOwner tells of an error of Call that the entry which owned the cell was reached and
+// owns it no more.
+func NotOwner(err error) bool { return connector.CodeOf(err) == messenger.CodeNotOwner }
+
 // errDial is returned when no connection came about: nothing was sent.
 type errDial struct{ cause error }
 
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -24,9 +25,6 @@
 	// lostPause is the same while the store counts as lost: it comes back after seconds,
 	// and each repeat is a call that others' are queued behind.
 	lostPause = 200 * time.Millisecond
-	// retryAfter is told to callers while the store cannot be written: outages last
-	// seconds, and callers give up after three.
-	retryAfter = time.Second
 	// staleAfter is how old the last contact with the store may be before a write
 	// is not even tried. The policy is read once a second.
 	staleAfter = 2500 * time.Millisecond
@@ -58,7 +56,10 @@
 	StoreLost func() bool          // the latest calls to it all failed
 	CallOwner func(ctx context.Context, method string, params, result any) error
 	// NotDone tells of an error of CallOwner that the call surely had no effect.
-	NotDone  func(error) bool
+	NotDone func(error) bool
+	// NotOwner tells of such an error that another entry was reached, which has lost the
+	// ownership: the store is away for more than this entry.
+	NotOwner func(error) bool
 	Now      func() time.Time
 	Reporter *reporter.Reporter
 }
@@ -74,7 +75,7 @@
 	j.AcceptedMillis = r.config.Now().UnixMilli()
 	value, err := json.Marshal(j)
 	if err != nil {
-		return r.refuse(j.ID, fmt.Sprintf("encode job: %v", err))
+		return r.refuse(j.ID, Result{Reason: fmt.Sprintf("encode job: %v", err)})
 	}
 	res := r.store(ctx, scheduler.JobKey(j.ID), value)
 	switch res.Outcome {
@@ -83,14 +84,21 @@
 	case Unsettled:
 		r.config.Reporter.Report(reporter.JobUnsettled, reporter.Fields{"job": j.ID, "reason": res.Reason})
 	case Refused, NotExist:
-		return r.refuse(j.ID, res.Reason)
+		return r.refuse(j.ID, res)
 	}
 	return res
 }
 
-func (r *Receiver) refuse(id, reason string) Result {
-	r.config.Reporter.Report(reporter.JobRefused, reporter.Fields{"job": id, "reason": reason, "store-age": r.config.StoreAge().String()})
-	return Result{Outcome: Refused, Reason: reason, RetryAfter: retryAfter}
+func (r *Receiver) refuse(id string, res Result) Result {
+	res.Outcome, res.RetryAfter = Refused, max(res.RetryAfter, retryShortest)
+	r.config.Reporter.Report(reporter.JobRefused, reporter.Fields{"job": id, "reason": res.Reason, "store-age": r.config.StoreAge().String(), "retry-after": res.RetryAfter.String()})
+	return res
+}
+
+// afterOutage is when a caller should come back while the store is away for other
+// entries too. Where only this one does not reach it, another try meets another entry.
+func (r *Receiver) afterOutage() time.Duration {
+	return retryAfter(r.config.StoreAge(), rand.Float64())
 }
 
 // store creates a record once, by way of the owner if this entry does not reach
@@ -103,6 +111,9 @@
 	var a messenger.WorkStoreReply
 	err := r.config.CallOwner(ctx, messenger.MethodWorkStore, messenger.WorkStoreRequest{Key: key, Value: value}, &a)
 	switch {
+	case err != nil && r.config.NotOwner(err):
+		res.RetryAfter = r.afterOutage()
+		return res
 	case err != nil && r.config.NotDone(err):
 		return res
 	case err != nil:
@@ -110,7 +121,7 @@
 	case a.Outcome == messenger.WorkStored:
 		return Result{Outcome: Accepted, Reason: "stored by the owner"}
 	case a.Outcome == messenger.WorkRefused:
-		return Result{Outcome: Refused, Reason: a.Reason}
+		return Result{Outcome: Refused, Reason: a.Reason, RetryAfter: r.afterOutage()}
 	}
 	return Result{Outcome: Unsettled, Reason: a.Reason}
 }
@@ -187,7 +198,7 @@
 	res, storeErr := r.stored(ctx, id)
 	if storeErr != nil {
 		r.config.Reporter.Report(reporter.JobAnswerFailed, reporter.Fields{"job": id, "owner-error": fmt.Sprint(err), "store-error": storeErr.Error()})
-		return Result{Outcome: Refused, Reason: "state not known now", RetryAfter: retryAfter}
+		return Result{Outcome: Refused, Reason: "state not known now", RetryAfter: retryShortest}
 	}
 	return res
 }
@@ -232,7 +243,7 @@
 	}
 	value, err := json.Marshal(r.config.Now().UnixMilli())
 	if err != nil {
-		return r.refuse(id, err.Error())
+		return r.refuse(id, Result{Reason: err.Error()})
 	}
 	res := r.store(ctx, scheduler.CancelKey(id), value)
 	switch res.Outcome {
@@ -240,7 +251,7 @@
 		r.config.Reporter.Report(reporter.JobCancelAccepted, reporter.Fields{"job": id})
 	case Refused, Unsettled, NotExist:
 		r.config.Reporter.Report(reporter.JobAnswerFailed, reporter.Fields{"job": id, "store-error": res.Reason})
-		res.RetryAfter = retryAfter
+		res.RetryAfter = max(res.RetryAfter, retryShortest)
 	}
 	return res
 }
--- a/internal/job/receiver/receiver_test.go
+++ b/internal/job/receiver/receiver_test.go
@@ -15,6 +15,8 @@
 	"bamboospread/internal/wire/messenger"
 )
 
+var errNotOwner = errors.New("owns the cell no more")
+
 const id = "00000000000004d2"
 
 // fakeStore answers writes as told, one answer after the other; the last one stays.
@@ -67,6 +69,7 @@
 		StoreLost: func() bool { return f.lost },
 		CallOwner: func(_ context.Context, method string, _, result any) error { return owner(method, result) },
 		NotDone:   func(error) bool { return true },
+		NotOwner:  func(err error) bool { return errors.Is(err, errNotOwner) },
 		Now:       time.Now, Reporter: reporter.Discard(),
 	})
 }
@@ -209,3 +212,30 @@
 		t.Error("the cancellation is not stored")
 	}
 }
+
+// Callers of an entry that alone does not reach the store are served by their next try,
+// which meets another entry: they must not be told to wait as long as those who ask while
+// the store is away for all.
+func TestWhenRefusedCallersComeBack(t *testing.T) {
+	tests := []struct {
+		name  string
+		owner func(method string, result any) error
+		long  bool
+	}{
+		{"the owner is not reached", func(string, any) error { return errors.New("no route") }, false},
+		{"nobody owns the cell any more", func(string, any) error { return errNotOwner }, true},
+		{"the owner does not reach it either", func(_ string, result any) error {
+			result.(*messenger.WorkStoreReply).Outcome = messenger.WorkRefused
+			return nil
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newReceiver(&fakeStore{lost: true}, 6*time.Second, tt.owner)
+			res := r.Submit(t.Context(), &specifier.Job{ID: id})
+			if res.Outcome != Refused || res.RetryAfter < retryShortest || (res.RetryAfter > retryShortest) != tt.long {
+				t.Errorf("answered %+v", res)
+			}
+		})
+	}
+}
--- a/internal/service/server/jobs.go
+++ b/internal/service/server/jobs.go
@@ -48,7 +48,7 @@
 	s.jobs.receiver = receiver.New(receiver.Config{
 		Store: calls, StoreLost: observed.Lost,
 		StoreAge:  func() time.Duration { return 0 }, // waiting watches of seconds are all that is sure to be sent
-		CallOwner: s.jobs.forwarder.Call, NotDone: forwarder.NotDone, Now: timekeeper.Now, Reporter: c.Reporter,
+		CallOwner: s.jobs.forwarder.Call, NotDone: forwarder.NotDone, NotOwner: forwarder.NotOwner, Now: timekeeper.Now, Reporter: c.Reporter,
 	})
 }
 
