Say why steps wait; add up the logs of a run by command

Cause: the first line of a job after "taken in" is "start decided": nothing told why its tasks waited, and each look for what binds was done by hand. Change: event 931 tells the three longest waits each half second with the VMs counted by what keeps them from taking a task, a step once in two seconds; bamboospread tally reads logs and prints for each queue what became of its jobs, first starts and turnaround, time waited and worked, and runs ended, stops, waits and refusals by cause.

--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -67,7 +67,7 @@
 			return nil
 		},
 	}
-	root.AddCommand(newEntryCommand(), newAgentCommand(), newDemoCommand(), newStandinCommand(), newLoadCommand(), newHostedCommand())
+	root.AddCommand(newEntryCommand(), newAgentCommand(), newDemoCommand(), newStandinCommand(), newLoadCommand(), newHostedCommand(), newTallyCommand())
 	root.AddCommand(operatorCommands()...)
 	return root
 }
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -81,8 +81,10 @@
 	dirty      bool      // something changed that placement depends on
 	placedAt   time.Time // when the last round of placement was
 	surveyedAt time.Time
-	movedAt    time.Time // when moves were last looked for
-	pressedAt  time.Time // when an urgent task last had waited too long for room
+	movedAt    time.Time            // when moves were last looked for
+	waitsAt    time.Time            // when waits were last told
+	waitTold   map[string]time.Time // by step
+	pressedAt  time.Time            // when an urgent task last had waited too long for room
 	forgetAt   time.Time
 }
 
@@ -90,7 +92,7 @@
 	return &owner{
 		s: s, epoch: epoch, started: now, state: state, learner: learner.New(), writer: newWriter(s.config.Store.Transact), events: make(chan event, eventBuffer), done: make(chan struct{}),
 		sessions: make(map[string]*session), cancelled: make(map[string]bool), members: make(map[string]bool),
-		joining: make(map[string]bool), leaving: make(map[string]bool), unheard: make(map[string]bool), judged: make(map[string]time.Time), dirty: true, forgetAt: now.Add(forgetEvery),
+		joining: make(map[string]bool), leaving: make(map[string]bool), unheard: make(map[string]bool), judged: make(map[string]time.Time), waitTold: make(map[string]time.Time), dirty: true, forgetAt: now.Add(forgetEvery),
 	}
 }
 
@@ -195,6 +197,7 @@
 		o.movedAt = now
 		o.move(now)
 	}
+	o.tellWaits(now)
 	o.forget(now)
 }
 
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -35,6 +35,7 @@
 	VMJudged
 	AdviceTaken
 	JobMoveDecided
+	JobStepWaits
 )
 
 // Events of jobs at agents, numbered from 950.
@@ -89,6 +90,7 @@
 	{MessageMalformed, log.ErrorLevel, "message malformed", "A message of another process cannot be read; it was ignored."},
 	{VMJudged, log.WarnLevel, "VM quarantined", "Different tasks failed on the VM with none done in between, or most stood still; for some seconds nothing starts there, then one task at a time."},
 	{AdviceTaken, log.InfoLevel, "advice taken", "The advising service told on which VMs a step may run."},
+	{JobStepWaits, log.InfoLevel, "step waits", "Tasks of a step have waited for a second or more; the cause counts the VMs by what keeps them from taking one. The longest waits are told, a bounded number a second."},
 	{JobMoveDecided, log.InfoLevel, "move decided", "A lasting task is stopped to start anew on another VM, so that filling tasks that it keeps from its VM may run there."},
 
 	{WorkerAnnounced, log.InfoLevel, "worker announced itself", "The worker of this VM told its state."},
--- /dev/null
+++ b/internal/operator/tallier/tallier_test.go
@@ -0,0 +1,60 @@
+package tallier
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const sample = `
+  0.1 entry-1 timestamp=2026-04-01T02:00:00Z level=info message="job accepted" event=900 job=00000000000004d2 queue=q
+  0.2 entry-1 timestamp=2026-04-01T02:00:01Z level=info message="start decided" event=907 task=00000000000004d2.0.0.0 run=1 vm=a waited=1s
+  timestamp=2026-04-01T02:00:02Z level=info message="step waits" event=931 job=00000000000004d2 step=0 cause="2 VMs without room"
+timestamp=2026-04-01T02:00:03Z level=info message="stop decided" event=908 task=00000000000004d2.0.0.0 run=1 cause="can go on elsewhere"
+timestamp=2026-04-01T02:00:03Z level=info message="end of run noted" event=910 task=00000000000004d2.0.0.0 run=1 how=stopped
+timestamp=2026-04-01T02:00:04Z level=warn message="ownership lost" event=916 name=entry-1
+timestamp=2026-04-01T02:00:06Z level=info message="ownership taken" event=915 name=entry-2
+timestamp=2026-04-01T02:00:06Z level=info message="start decided" event=907 task=00000000000004d2.0.0.0 run=2 vm=b waited=3s
+timestamp=2026-04-01T02:00:07Z level=info message="end of run noted" event=910 task=00000000000004d2.0.0.0 run=2 how=done
+timestamp=2026-04-01T02:00:07Z level=info message="job ended" event=906 job=00000000000004d2 queue=q state=done
+timestamp=2026-04-01T02:00:08Z level=info message="job accepted" event=900 job=00000000000004d3 queue=q
+timestamp=2026-04-01T02:00:09Z level=info message="job refused" event=901 reason="store not reached"
+timestamp=2026-04-01T02:00:09Z level=info message="cut off in the mid`
+
+func TestTally(t *testing.T) {
+	tallier := New()
+	if err := tallier.Read(strings.NewReader(sample)); err != nil {
+		t.Fatal(err)
+	}
+	want := Tally{
+		Queues: []Row{{
+			Queue: "q", Accepted: 2, Done: 1, Open: 1, NotStarted: 1,
+			First:   Spread{time.Second, time.Second, time.Second},
+			Whole:   Spread{7 * time.Second, 7 * time.Second, 7 * time.Second},
+			Waiting: 4 * time.Second, Working: 3 * time.Second, Redone: 1,
+		}},
+		Ends:       []Count{{"done", 1}, {"stopped", 1}},
+		Stops:      []Count{{"can go on elsewhere", 1}},
+		Waits:      []Count{{"2 VMs without room", 1}},
+		Refusals:   []Count{{"store not reached", 1}},
+		Ownerless:  2 * time.Second,
+		Unreadable: 2,
+	}
+	if diff := cmp.Diff(want, tallier.Tally()); diff != "" {
+		t.Error(diff)
+	}
+	var out strings.Builder
+	if err := tallier.Tally().Write(&out); err != nil || !strings.Contains(out.String(), "2 VMs without room") {
+		t.Errorf("%v: %s", err, out.String())
+	}
+}
+
+func TestALogWithoutEventsIsRefused(t *testing.T) {
+	for _, text := range []string{"", "hello\n", `{"json": "lines"}`} {
+		if err := New().Read(strings.NewReader(text)); err == nil {
+			t.Errorf("%q was taken for a log", text)
+		}
+	}
+}
