Count copies and waiting tasks of a step together within a round

Ruled out: orders carried out late, a session that broke, a move (the job doesn't last). Change: one count per step for a whole round, for copies, waiting tasks and evictions. Figures: TestCopiesAndWaitingTasksShareTheLimitOfAVM starts two tasks on vm-2 before, one after.

--- a/internal/job/planner/copies.go
+++ b/internal/job/planner/copies.go
@@ -29,7 +29,7 @@
 func (r *round) placeCopies() []Start {
 	var starts []Start
 	for _, s := range r.state.CopySteps() {
-		count := perVM(s)
+		count := r.countOf(s)
 		for _, t := range s.Tasks {
 			if !wantsCopy(t, r.now) {
 				continue
--- a/internal/job/planner/copies_test.go
+++ b/internal/job/planner/copies_test.go
@@ -124,3 +124,19 @@
 		t.Error("a copy was started")
 	}
 }
+
+// A worker runs more tasks of a step than its job allows on one VM. One task of the step
+// straggles while another waits, and one VM has room: in one and the same round the first
+// would get a copy there and the second would start there too.
+func TestCopiesAndWaitingTasksShareTheLimitOfAVM(t *testing.T) {
+	b, slow := copyBed(t, func(s *specifier.Step) { s.Count, s.MaxPerVM = 2, 1 })
+	waiting := slow.Step.Tasks[1]
+	if len(waiting.Runs) > 0 {
+		t.Fatal("both tasks run on one VM")
+	}
+	now := b.progress(20, 900*time.Millisecond)
+	starts := b.plan(now)
+	if len(starts) != 1 || starts[0].Task != waiting || starts[0].VM.Name != "vm-2" {
+		t.Errorf("starts %v, want the waiting task on vm-2 and nothing else", places(starts))
+	}
+}
--- a/internal/job/planner/evict.go
+++ b/internal/job/planner/evict.go
@@ -46,11 +46,13 @@
 			break
 		}
 		s := run.Step()
-		to := r.choose(s, run.Task, perVM(s))
+		count := r.countOf(s)
+		to := r.choose(s, run.Task, count)
 		if to == nil || to.vm.Slow() || !to.quick(s) {
 			continue
 		}
 		r.take(to, s.Spec)
+		count[to.vm]++
 		evicted = append(evicted, run)
 	}
 	return evicted
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -71,7 +71,8 @@
 	state   *accountant.Accountant
 	learner *learner.Learner
 	rooms   []*room
-	effects map[pair]float64             // cautious ones, looked up once
+	effects map[pair]float64 // cautious ones, looked up once
+	counts  map[*accountant.Step]map[*accountant.VM]int
 	blocked map[kind]specifier.Resources // the least of each kind that found no VM
 	look    *outlook                     // nil until it is needed
 	all     []float64                    // open to each filling image on all VMs as the round began
@@ -79,7 +80,7 @@
 }
 
 func newRound(in Input) *round {
-	return &round{in: in, now: in.Now, state: in.State, learner: in.Learner, effects: make(map[pair]float64), blocked: make(map[kind]specifier.Resources)}
+	return &round{in: in, now: in.Now, state: in.State, learner: in.Learner, effects: make(map[pair]float64), counts: make(map[*accountant.Step]map[*accountant.VM]int), blocked: make(map[kind]specifier.Resources)}
 }
 
 // openRooms takes in the VMs that may be used at all, in the order of their names.
@@ -127,7 +128,7 @@
 	if r.blockedFor(s) {
 		return nil
 	}
-	count := perVM(s)
+	count := r.countOf(s)
 	var starts []Start
 	for _, t := range s.Tasks {
 		if !t.Waits(r.now) || t.Yielded && r.now.Sub(r.in.PressedAt) < yieldRest {
@@ -185,7 +186,7 @@
 		saved[i].neighbours = slices.Clone(m.neighbours)
 	}
 	number := r.state.GangNumber(s)
-	count := perVM(s)
+	count := r.countOf(s)
 	var starts []Start
 	for _, t := range s.Tasks {
 		best := (*room)(nil)
@@ -196,6 +197,7 @@
 			for i, m := range r.rooms {
 				*m = saved[i]
 			}
+			delete(r.counts, s)
 			return nil
 		}
 		r.take(best, s.Spec)
@@ -215,6 +217,18 @@
 	return ok
 }
 
+// countOf counts the runs of a step on each VM, those placed in this round included:
+// waiting tasks and copies of others may belong to one step, and its limit for a VM
+// holds for both together.
+func (r *round) countOf(s *accountant.Step) map[*accountant.VM]int {
+	count := r.counts[s]
+	if count == nil {
+		count = perVM(s)
+		r.counts[s] = count
+	}
+	return count
+}
+
 // perVM counts the live runs of a step on each VM.
 func perVM(s *accountant.Step) map[*accountant.VM]int {
 	count := make(map[*accountant.VM]int)
