Let the test of copies beside waiting tasks fail without its safeguard

Cause: in the test as committed the first task's run had just been confirmed, so it did not straggle and the test passed without the mend. Change: the run is confirmed at first and the test checks that the task wants a copy.

--- a/internal/job/planner/copies_test.go
+++ b/internal/job/planner/copies_test.go
@@ -134,7 +134,11 @@
 	if len(waiting.Runs) > 0 {
 		t.Fatal("both tasks run on one VM")
 	}
+	b.progress(1, 0)
 	now := b.progress(20, 900*time.Millisecond)
+	if !wantsCopy(slow, now) {
+		t.Fatal("the first task does not straggle")
+	}
 	starts := b.plan(now)
 	if len(starts) != 1 || starts[0].Task != waiting || starts[0].VM.Name != "vm-2" {
 		t.Errorf("starts %v, want the waiting task on vm-2 and nothing else", places(starts))
