--- a/internal/job/learner/learner.go
+++ b/internal/job/learner/learner.go
@@ -61,7 +61,10 @@
 }
 
 // effect is what is known of a pair.
-type effect struct{ mean, variance float64 }
+type effect struct {
+	mean, variance float64
+	at             time.Time // of the last report
+}
 
 // imageMean is what a filling image takes over all lasting images.
 type imageMean struct{ value, reports float64 }
@@ -111,14 +114,20 @@
 		gain := e.variance * use / all
 		e.mean = math.Max(e.mean+gain*miss, 0)
 		e.variance = math.Min(e.variance*(1-gain*use)+drift*drift, unknownSpread*unknownSpread)
-		m := l.means[image]
-		if m == nil {
-			m = &imageMean{value: unknownEffect}
-			l.means[image] = m
-		}
-		m.reports++
-		m.value += (e.mean - m.value) / math.Min(m.reports, priorWeight)
+		e.at = o.At
+		l.noteMean(image, e.mean)
+	}
+}
+
+// noteMean counts a report on a filling image.
+func (l *Learner) noteMean(image string, effect float64) {
+	m := l.means[image]
+	if m == nil {
+		m = &imageMean{value: unknownEffect}
+		l.means[image] = m
 	}
+	m.reports++
+	m.value += (effect - m.value) / math.Min(m.reports, priorWeight)
 }
 
 // pair returns the effect of a pair, to be changed.
--- a/internal/job/scheduler/flush.go
+++ b/internal/job/scheduler/flush.go
@@ -44,6 +44,7 @@
 		e.states[j.Spec.ID] = j.State
 		t = append(t, puts...)
 	}
+	t = append(t, o.lessons(o.s.config.Now())...)
 	e.removals, o.removals = o.removals, nil
 	sentAt := o.s.config.Now()
 	go func() {
@@ -54,6 +55,43 @@
 	}()
 }
 
+// learnedEvery is how often what was learned is stored. It goes with a write of
+// progress, so it costs no call.
+const learnedEvery = 5 * time.Second
+
+// learnedKey is the key of what owners of this cell learned, a learner's record.
+func (s *Scheduler) learnedKey() string { return fmt.Sprintf("cells/%s/learned", s.config.Cell) }
+
+// lessons returns the record of what was learned if it is due.
+func (o *owner) lessons(now time.Time) []keeper.Put {
+	if now.Sub(o.learnedAt) < learnedEvery {
+		return nil
+	}
+	o.learnedAt = now
+	value, err := o.learner.Encode()
+	if err != nil {
+		o.s.config.Reporter.Report(reporter.ProgressNotStored, reporter.Fields{"record": "learned", "error": err.Error()})
+		return nil
+	}
+	return []keeper.Put{{Key: o.s.learnedKey(), Value: value}}
+}
+
+// loadLessons takes over what earlier owners learned. Nothing depends on it but how soon
+// this owner decides as well as they did, so it does not fail the takeover.
+func (o *owner) loadLessons(ctx context.Context) {
+	record, err := o.s.config.Store.GetRecord(ctx, o.s.learnedKey())
+	if keeper.IsErrKeyNotExist(err) {
+		return
+	}
+	if err == nil {
+		o.writer.saw(record.Key, record.Revision)
+		err = o.learner.Decode(record.Value)
+	}
+	if err != nil {
+		o.s.config.Reporter.Report(reporter.JobRecordsUnreadable, reporter.Fields{"key": o.s.learnedKey(), "error": err.Error()})
+	}
+}
+
 // putsOf returns the records of a job that changed.
 //
 // Of a job that has ended only its id and state are kept: a new owner lists all
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -84,6 +84,7 @@
 	asking     bool // a question is on its way to the advising service
 	flushing   bool
 	flushAfter time.Time // not before this, after a write that failed
+	learnedAt  time.Time // when what was learned was last stored
 	removals   []string  // keys of forgotten jobs
 	dirty      bool      // something changed that placement depends on
 	placedAt   time.Time // when the last round of placement was
@@ -97,7 +98,7 @@
 
 func newOwner(s *Scheduler, epoch int64, state *accountant.Accountant, now time.Time) *owner {
 	return &owner{
-		s: s, epoch: epoch, started: now, state: state, learner: learner.New(), memory: planner.NewMemory(), writer: newWriter(s.config.Store.Transact), events: make(chan event, eventBuffer), done: make(chan struct{}),
+		s: s, epoch: epoch, started: now, state: state, learner: learner.New(), learnedAt: now, memory: planner.NewMemory(), writer: newWriter(s.config.Store.Transact), events: make(chan event, eventBuffer), done: make(chan struct{}),
 		restorers: make(map[*connector.Conn]*abridger.Restorer),
 		sessions:  make(map[string]*session), cancelled: make(map[string]bool), members: make(map[string]bool),
 		joining: make(map[string]bool), leaving: make(map[string]bool), unheard: make(map[string]bool), judged: make(map[string]time.Time), waitTold: make(map[string]time.Time), dirty: true, forgetAt: now.Add(forgetEvery),
--- a/internal/job/scheduler/takeover.go
+++ b/internal/job/scheduler/takeover.go
@@ -54,6 +54,7 @@
 	if err := o.loadMembers(ctx); err != nil {
 		return nil, err
 	}
+	o.loadLessons(ctx)
 	return o, nil
 }
 
