Start nothing beside a run of unknown size

Ruled out: a run that was not listed (it was adopted at 34.789 s), a wrong capacity. Change: an adopted run whose job left no steps and whose agent tells no size marks its VM, and nothing starts there until it is gone; explain says so.

--- a/internal/job/accountant/report.go
+++ b/internal/job/accountant/report.go
@@ -163,7 +163,7 @@
 func (a *Accountant) applyRun(vm *VM, rep ReportedRun, now time.Time) (adopted *Run) {
 	r := vm.Runs[rep.Key]
 	if r == nil {
-		r = a.adopt(vm, a.taskOrStray(rep.Key.Task, rep.Needs), rep.Key.Number, now)
+		r = a.adopt(vm, rep, now)
 		adopted = r
 	}
 	r.Uncertain = false // this process of the agent knows it
--- a/internal/job/accountant/report_test.go
+++ b/internal/job/accountant/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"bamboospread/internal/job/specifier"
 )
@@ -108,3 +109,31 @@
 		t.Errorf("in a new session the run has pace %d", run.Pace)
 	}
 }
+
+// A worker is given more memory than it has. A job is cancelled, and before its run has
+// stopped all processes are killed: the next owner has only the job's remains, without its
+// steps, and the agent's next process doesn't know what the run takes. Until the run is
+// gone nothing may start beside it.
+func TestNothingStartsBesideARunOfUnknownSize(t *testing.T) {
+	a := newState(t, 2)
+	ended := specifier.Job{ID: jobID(1), Queue: "q", Ended: string(JobCancelled)}
+	a.AddJob(&ended, time.Time{}, begin)
+	report := Report{Life: "1", Process: 1, Ready: true, Runs: []ReportedRun{{Key: key(1, 0, 1, 2), Confirmed: true}}}
+	vm, _ := a.Attach(Facts{Name: "vm", Capacity: oneCore}, report, begin)
+	if vm.Sized() {
+		t.Error("the VM counts as one whose runs are all of known size")
+	}
+	if got := len(a.Unwanted()); got != 1 {
+		t.Errorf("%d runs are to be stopped", got)
+	}
+	report.Runs = nil
+	a.Apply(vm, report, at(10))
+	if !vm.Sized() {
+		t.Error("the VM takes nothing though the run is gone")
+	}
+	report.Runs = []ReportedRun{{Key: key(2, 0, 0, 1), Confirmed: true, Needs: oneCore}}
+	a.Apply(vm, report, at(20))
+	if !vm.Sized() || vm.Committed != oneCore {
+		t.Errorf("a run whose size the agent tells takes %+v", vm.Committed)
+	}
+}
--- a/internal/job/accountant/run.go
+++ b/internal/job/accountant/run.go
@@ -29,6 +29,9 @@
 	t.Yielded = false
 	r.VM.Runs[r.Key()] = r
 	r.VM.Version++
+	if r.Unsized {
+		r.VM.unsized++
+	}
 	r.VM.Committed = r.VM.Committed.Add(spec.Committed())
 	if spec.Fills {
 		r.VM.FillCPU += spec.Needs.CPUMillis
@@ -68,6 +71,9 @@
 	t, spec := r.Task, r.Task.Step.Spec
 	delete(r.VM.Runs, r.Key())
 	r.VM.Version++
+	if r.Unsized {
+		r.VM.unsized--
+	}
 	r.VM.Committed = r.VM.Committed.Sub(spec.Committed())
 	if spec.Fills {
 		r.VM.FillCPU -= spec.Needs.CPUMillis
@@ -192,11 +198,16 @@
 }
 
 // adopt books a run that a worker has and this owner did not order.
-func (a *Accountant) adopt(vm *VM, t *Task, number int64, now time.Time) *Run {
+func (a *Accountant) adopt(vm *VM, rep ReportedRun, now time.Time) *Run {
+	t := a.Find(rep.Key.Task)
 	r := &Run{
-		Task: t, Number: number, VM: vm, State: Running, OrderedAt: now, StartedAt: now,
+		Task: t, Number: rep.Key.Number, VM: vm, State: Running, OrderedAt: now, StartedAt: now,
 		Pace: fullPace, MovedAt: now,
 	}
+	if t == nil {
+		t = stray(rep.Key.Task, rep.Needs)
+		r.Task, r.Unsized = t, rep.Needs == specifier.Resources{}
+	}
 	if t.Step.Spec.Fills {
 		r.Pace = PaceUnknown // an earlier owner may have slowed it down
 	}
@@ -204,13 +215,9 @@
 	return r
 }
 
-// taskOrStray returns the task of a run that a worker has. A run of a job that
-// has ended or is not known gets a task of its own, so that its room counts
-// until it is stopped.
-func (a *Accountant) taskOrStray(id specifier.TaskID, needs specifier.Resources) *Task {
-	if t := a.Find(id); t != nil {
-		return t
-	}
+// stray returns a task of its own for a run that a worker has of a job that has ended or
+// is not known, so that its room counts until it is stopped.
+func stray(id specifier.TaskID, needs specifier.Resources) *Task {
 	spec := specifier.Job{ID: id.Job, Steps: []specifier.Step{{Count: 1, Needs: needs}}}
 	j := &Job{Spec: &spec, State: JobCancelled, StoredState: JobCancelled}
 	o := &Occurrence{Job: j, Number: id.Occurrence}
--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -37,6 +37,7 @@
 	PacedAt    time.Time // when it was last ordered to leave full speed or to return to it
 	Measure    int64     // tail latency in ms for a lasting task with a target, else thousandths of a core in use
 	StopCause  string
+	Unsized    bool      // what it takes of the VM is not known: its job has ended and left no steps
 	Uncertain  bool      // ordered by way of a process of the agent that has ended, and seen by no later one
 	Checkpoint string    // latest reported
 	MovedAt    time.Time // when the progress last changed
@@ -214,6 +215,7 @@
 	Lasting   int   // lasting tasks on it
 	LastCPU   int64 // thousandths of a core that they declare
 	Runs      map[RunKey]*Run
+	unsized   int   // runs of unknown size
 	Version   int64 // rises with each change of the runs or of what is reported of them
 	// GrantedAt is when the last report was answered: the agent may keep its
 	// tasks running for a grant from then on.
@@ -224,6 +226,9 @@
 	Health    Health
 }
 
+// Sized tells whether it is known what all runs on the VM take.
+func (vm *VM) Sized() bool { return vm.unsized == 0 }
+
 // Harm is how long lasting tasks of a VM have been over their targets.
 type Harm struct {
 	OverSince  time.Time // zero: none is over
--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -44,6 +44,8 @@
 		return "not reached"
 	case !vm.Ready:
 		return "leaving or silent"
+	case !vm.Sized():
+		return "with a run of unknown size"
 	case vm.Quarantined(in.Now):
 		return "quarantined"
 	case in.State.Policy().ZonesOut[vm.Zone]:
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -116,9 +116,10 @@
 	return starts
 }
 
-// usable tells whether anything may start on a VM at all.
+// usable tells whether anything may start on a VM at all. Beside a run of unknown size
+// nothing may: the VM would be given more than it has.
 func usable(vm *accountant.VM, in Input) bool {
-	return vm.Attached && vm.Ready && !vm.Quarantined(in.Now) && !in.State.Policy().ZonesOut[vm.Zone]
+	return vm.Attached && vm.Ready && vm.Sized() && !vm.Quarantined(in.Now) && !in.State.Policy().ZonesOut[vm.Zone]
 }
 
 func (r *round) placeStep(s *accountant.Step) []Start {
