--- a/internal/job/planner/company.go
+++ b/internal/job/planner/company.go
@@ -141,17 +141,14 @@
 	m.lastCPU -= s.Spec.Needs.CPUMillis
 }
 
-// takesOpen returns how many whole cores a task that sets processors aside takes from
-// what filling images get. Whole ones, so that where next to nothing is lost the other
+// takesOpen returns how many whole cores a lasting task takes from what filling images
+// get. Whole ones, so that where next to nothing is lost the other
 // reasons decide.
 func (r *round) takesOpen(m *room, s *accountant.Step) float64 {
 	o := r.outlook()
 	if len(o.fills) == 0 {
 		return 0
 	}
-	if !s.Spec.Lasting {
-		return math.Round(float64(s.Spec.Needs.CPUMillis) * r.worthOfCore(m) / coreMillis)
-	}
 	joined := *m
 	joined.join(s)
 	left := slices.Clone(r.all)
@@ -160,28 +157,6 @@
 	return math.Round((r.base - o.served(left)) / coreMillis)
 }
 
-// worthOfCore is how much less filling images get for each processor that is set aside
-// on a VM, from 0 to 1.
-func (r *round) worthOfCore(m *room) float64 {
-	if m.worth != nil {
-		return *m.worth
-	}
-	o, idle, worth := r.outlook(), m.idle(), 0.0
-	if idle > 0 {
-		for i, open := range o.open(m) {
-			if need := o.needs[i]; need+r.all[i] > 0 {
-				part := need / (need + r.all[i])
-				worth += open / idle * part * part
-			}
-		}
-	}
-	m.worth = &worth
-	if m.placed == 0 {
-		r.in.Memory.keepWorth(m.vm, r.now, m.worth)
-	}
-	return worth
-}
-
 const coreMillis = 1000
 
 func add(sum, values []float64, factor float64) {
--- a/internal/job/planner/memory.go
+++ b/internal/job/planner/memory.go
@@ -8,8 +8,8 @@
 )
 
 // Memory keeps from one round to the next what is costly to work out and changes little:
-// what the lasting tasks of a VM have left, and what idle processors are worth to filling
-// images. It answers fleets on which an owner of a fifth of a core placed 200 tasks a
+// what the lasting tasks of a VM have left, and what the fleet offers to filling images.
+// It answers fleets on which an owner of a fifth of a core placed 200 tasks a
 // second and worked it all out anew, for all VMs, in each of 70 rounds. A nil Memory
 // keeps nothing. It is used by one goroutine.
 type Memory struct {
@@ -31,8 +31,6 @@
 	version    int64
 	at         time.Time
 	neighbours []neighbour
-	met        bool
-	worth      *float64
 }
 
 // recall gives a room what is still true of its VM.
@@ -44,7 +42,7 @@
 	if !ok || r.version != m.vm.Version || m.now.Sub(r.at) >= memoryLife {
 		return
 	}
-	m.neighbours, m.met, m.worth = slices.Clone(r.neighbours), r.met, r.worth
+	m.neighbours, m.met = slices.Clone(r.neighbours), true
 }
 
 // keepNeighbours remembers what the lasting tasks of a VM have left before the round
@@ -53,26 +51,7 @@
 	if y == nil {
 		return
 	}
-	r := y.entry(vm, now)
-	r.neighbours, r.met = slices.Clone(all), true
-	y.vms[vm.Name] = r
-}
-
-func (y *Memory) keepWorth(vm *accountant.VM, now time.Time, worth *float64) {
-	if y == nil {
-		return
-	}
-	r := y.entry(vm, now)
-	r.worth = worth
-	y.vms[vm.Name] = r
-}
-
-func (y *Memory) entry(vm *accountant.VM, now time.Time) remembered {
-	r, ok := y.vms[vm.Name]
-	if !ok || r.version != vm.Version || now.Sub(r.at) >= memoryLife {
-		r = remembered{version: vm.Version, at: now}
-	}
-	return r
+	y.vms[vm.Name] = remembered{version: vm.Version, at: now, neighbours: slices.Clone(all)}
 }
 
 // outlook returns what the fleet offers to filling images and what they get of it, of
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -61,8 +61,7 @@
 	met     bool // the neighbours are known
 	// neighbours are the lasting tasks that filling ones would disturb.
 	neighbours []neighbour
-	images     company  // of the lasting tasks; nil until it is needed
-	worth      *float64 // of a core to filling images; nil until it is needed
+	images     company // of the lasting tasks; nil until it is needed
 }
 
 type round struct {
@@ -249,7 +248,7 @@
 		m.fillCPU += s.Needs.CPUMillis
 	}
 	if s.Lasting {
-		m.images, m.worth = m.company().changed(s.Image, 1), nil
+		m.images = m.company().changed(s.Image, 1)
 		m.lasting++
 		m.lastCPU += s.Needs.CPUMillis
 	}
@@ -275,7 +274,8 @@
 				continue
 			}
 			takes = d.takes
-		} else {
+		}
+		if s.Spec.Lasting {
 			takes = r.takesOpen(m, s)
 		}
 		sc := rate(m, s, t, count[m.vm], takes)
--- a/internal/job/planner/score.go
+++ b/internal/job/planner/score.go
@@ -47,8 +47,8 @@
 		sc[2] = float64(m.lasting)
 		sc[3] = -free
 	default:
-		sc[1] = -takes
-		sc[2] = float64(min(m.lasting, 1)) + free
+		sc[1] = float64(min(m.lasting, 1))
+		sc[2] = free
 	}
 	sc[3] -= float64(running)
 	return sc
