Name the mover's parts; keep measurements out of comments

Change: names, one source for what is open on the whole fleet, comments by purpose. No decision changes.

--- a/internal/job/learner/lesson.go
+++ b/internal/job/learner/lesson.go
@@ -10,7 +10,7 @@
 
 // Limits of what one owner leaves to the next. Without it each change of owner begins
 // with every pair unknown: loud images come to all VMs again, and what was open is closed
-// by caution for some twenty seconds.
+// by caution until it is learned anew.
 const (
 	// lessonsMost bounds a record, about 70 bytes a pair; the pairs seen last are kept.
 	lessonsMost = 300
--- a/internal/job/planner/company.go
+++ b/internal/job/planner/company.go
@@ -142,8 +142,7 @@
 }
 
 // takesOpen returns how many whole cores a lasting task takes from what filling images
-// get. Whole ones, so that where next to nothing is lost the other
-// reasons decide.
+// get. Whole ones, so that where next to nothing is lost the other reasons decide.
 func (r *round) takesOpen(m *room, s *accountant.Step) float64 {
 	o := r.outlook()
 	if len(o.fills) == 0 {
--- a/internal/job/planner/evict.go
+++ b/internal/job/planner/evict.go
@@ -9,8 +9,8 @@
 
 // Limits of evictions. They answer loads under which filling tasks stand nearly still
 // for the sake of lasting ones while another VM has room for them: lasting tasks came
-// to their VM, or the load of those beside them swung up. Held where they are, twenty of
-// them kept the memory of a VM for ten seconds and more.
+// to their VM, or the load of those beside them swung up. Held where they are, they keep its
+// memory from others too.
 const (
 	// crawlPace is the pace in percent at which a filling run counts as standing nearly
 	// still.
--- a/internal/job/planner/memory.go
+++ b/internal/job/planner/memory.go
@@ -9,9 +9,9 @@
 
 // Memory keeps from one round to the next what is costly to work out and changes little:
 // what the lasting tasks of a VM have left, and what the fleet offers to filling images.
-// It answers fleets on which an owner of a fifth of a core placed 200 tasks a
-// second and worked it all out anew, for all VMs, in each of 70 rounds. A nil Memory
-// keeps nothing. It is used by one goroutine.
+// It answers large fleets under an owner with little processor: worked out anew for all
+// VMs in each round, it delays the starts that a round is for. A nil Memory keeps nothing.
+// It is used by one goroutine.
 type Memory struct {
 	vms    map[string]remembered
 	look   *outlook
--- a/internal/job/planner/move.go
+++ b/internal/job/planner/move.go
@@ -51,12 +51,10 @@
 // mover looks for the change of places that gives filling tasks most.
 type mover struct {
 	*round
-	*outlook
-	open   map[*room][]float64
+	offer  *outlook
+	opened map[*room][]float64 // open to each filling image as things are
 	groups map[*room][]group
-	all    []float64
-	base   float64
-	moves  []Move
+	moves  []Move    // the best found so far
 	a, b   []float64 // open on the two VMs of an exchange that is weighed
 }
 
@@ -64,10 +62,11 @@
 // finds none, or all of one image from a VM to another, against all of one image from
 // there or against none.
 func Moves(in Input) []Move {
-	r := newRound(in)
 	if moving(in) {
 		return nil
 	}
+	in.Memory = nil // moves are few and must rest on what is true now
+	r := newRound(in)
 	r.openRooms()
 	if moves := r.roomForLasting(); len(moves) > 0 {
 		return moves
@@ -89,16 +88,12 @@
 }
 
 func newMover(r *round) *mover {
-	r.in.Memory = nil // moves are few and must rest on what is true now
-	m := &mover{round: r, outlook: r.outlook(), open: make(map[*room][]float64), groups: make(map[*room][]group)}
-	m.all = make([]float64, len(m.fills))
-	m.a, m.b = make([]float64, len(m.fills)), make([]float64, len(m.fills))
+	m := &mover{round: r, offer: r.outlook(), opened: make(map[*room][]float64), groups: make(map[*room][]group)}
+	m.a, m.b = make([]float64, len(m.offer.fills)), make([]float64, len(m.offer.fills))
 	for _, room := range r.rooms {
-		m.open[room] = m.outlook.open(room)
-		add(m.all, m.open[room], 1)
+		m.opened[room] = m.offer.open(room)
 		m.groups[room] = m.groupsOf(room)
 	}
-	m.base = m.served(m.all)
 	return m
 }
 
@@ -108,8 +103,8 @@
 	closed := make(map[*room]float64, len(m.rooms))
 	for _, room := range m.rooms {
 		idle := room.idle()
-		for i, open := range m.open[room] {
-			closed[room] += m.needs[i] * (idle - open)
+		for i, open := range m.opened[room] {
+			closed[room] += m.offer.needs[i] * (idle - open)
 		}
 	}
 	rooms := slices.Clone(m.rooms)
@@ -169,14 +164,10 @@
 func (m *mover) gain(g, h group) float64 {
 	m.openAfter(m.a, g, h)
 	m.openAfter(m.b, h, g)
-	sum := 0.0
-	for i, need := range m.needs {
-		open := m.all[i] + m.a[i] + m.b[i] - m.open[g.room][i] - m.open[h.room][i]
-		if need+open > 0 {
-			sum += need * open / (need + open)
-		}
+	for i := range m.a { // of the whole fleet, in place
+		m.a[i] += m.all[i] + m.b[i] - m.opened[g.room][i] - m.opened[h.room][i]
 	}
-	return sum - m.base
+	return m.offer.served(m.a) - m.base
 }
 
 // openAfter works out what is open on the VM of a group once it has left and another
@@ -188,7 +179,7 @@
 		open[i] = idle
 	}
 	multiply := func(image string) {
-		for i, share := range m.sharesBeside(image) {
+		for i, share := range m.offer.sharesBeside(image) {
 			open[i] *= share
 		}
 	}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -156,8 +156,8 @@
 type kind struct{ queue, image string }
 
 // blockedFor tells whether a step needs as much as one of its kind that found no VM in
-// this round. Under a backlog most of the waiting steps do, and each look at all VMs for
-// each of them took half of the owner's processor.
+// this round. Under a backlog most of the waiting steps do, and the owner would spend its
+// processor on looking at all VMs for each of them.
 func (r *round) blockedFor(s *accountant.Step) bool {
 	least, ok := r.blocked[kind{s.Occurrence.Job.Queue.Name, s.Spec.Image}]
 	return ok && plainFill(s) && s.Spec.Needs.Fits(least)
--- a/internal/job/planner/room.go
+++ b/internal/job/planner/room.go
@@ -8,8 +8,8 @@
 
 // roomForLasting returns the move of one lasting task that lets another start which finds
 // no room, though the fleet has enough: what is left is scattered over the VMs, or lies
-// where its job has as many tasks as may be on one VM. Without it a task waited for more
-// than half a minute while 200 processors were set aside for nobody.
+// where its job has as many tasks as may be on one VM. Without it the
+// task waits until a whole VM's worth of others has ended.
 func (r *round) roomForLasting() []Move {
 	for _, s := range order(r.in.State.WaitingSteps(r.now), r.now) {
 		if !s.Spec.Lasting || s.Spec.Gang || r.now.Sub(s.ReadyAt) < blockedFor {
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -20,8 +20,7 @@
 	// come, agents that went silent, lasting tasks over their targets.
 	tick = 150 * time.Millisecond
 	// roundGap is the shortest time between rounds of placement: reports that come
-	// together share one. On a fleet of 52 VMs some 500 came in a second, each with a
-	// round of its own, and the owner's share of a processor went into them.
+	// together share one, or the owner of a large fleet would do nothing else.
 	roundGap = 10 * time.Millisecond
 	// surveyGap is the same for what follows figures and silence: reports are a mean over
 	// half a second, so nothing is gained by looking at them more often.
@@ -41,9 +40,8 @@
 	// makes the next change of owner wait for it.
 	memberLife  = 2
 	eventBuffer = 256
-	// flushGap is the shortest time between writes of progress. Ends come some 35 a
-	// second and the store answers in 4 ms, so without it nearly each end would be a
-	// call of its own (2,466 calls on a calm day of 34 s, 1,178 with it).
+	// flushGap is the shortest time between writes of progress: without it nearly each
+	// end of a task would be a call of its own.
 	flushGap = 100 * time.Millisecond
 	// flushPause follows a write of progress that failed: a store that refuses at
 	// once would be asked a hundred times a second.
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -146,10 +146,10 @@
 	e.answer <- reply
 }
 
-// Limits of the gap between an agent's reports. An owner on the smallest entry VMs (0.192
-// of a core) reads some 600 reports a second and does nothing else; then urgent tasks
-// waited seconds for a start that takes a millisecond to decide. A thousand a second of
-// all agents together is what the gap allows at most; most agents have less to tell.
+// Limits of the gap between an agent's reports. An owner on a small entry VM that reads
+// each agent's news as it comes does nothing else, and urgent tasks wait for seconds for a
+// start that takes a millisecond to decide. The gap allows all agents together a thousand
+// reports a second at most; most agents have less to tell.
 const (
 	gapPerVM    = time.Millisecond
 	shortestGap = 20 * time.Millisecond
--- a/internal/service/hoster/hoster.go
+++ b/internal/service/hoster/hoster.go
@@ -21,9 +21,9 @@
 )
 
 // tuneCollector lets garbage grow to several times what is in use before it is collected,
-// within the memory of the process. An owner that is busy makes 50 MB of garbage a second
-// and has some 6 MB in use: collected at twice that, 18 times a second, it took a fifth of
-// the processor of the smallest entry VMs.
+// within the memory of the process. A busy owner has little in use and makes ten times as
+// much garbage a second: collected whenever it has doubled, that takes a good part of the
+// processor of a small entry VM.
 func tuneCollector(memoryMB float64) {
 	debug.SetGCPercent(collectAt)
 	if memoryMB > 0 {
--- a/internal/wire/abridger/abridger.go
+++ b/internal/wire/abridger/abridger.go
@@ -1,9 +1,8 @@
 // Package abridger leaves out of an agent's reports what its owner knows already.
 //
 // A report tells everything of a VM's runs, since what it does not list the owner starts
-// elsewhere. Nearly all of it is the same each time but for two figures a run. On a fleet
-// of 52 VMs an owner of a fifth of a core spent a third of its processor on reading it.
-// So a session's first report is whole, and those that follow name the runs by numbers
+// elsewhere. Nearly all of it is the same each time but for two figures a run, and an
+// owner of many VMs would spend its processor on reading it. So a session's first report is whole, and those that follow name the runs by numbers
 // and tell what has changed. The reports of a session come one after the other on one
 // connection, each once the one before was answered; a report that gets lost ends the
 // session, and the next one begins whole again.
--- a/internal/worker/guardian/look.go
+++ b/internal/worker/guardian/look.go
@@ -22,7 +22,7 @@
 	lookPause = 50 * time.Millisecond // after a look that failed
 	// lookAgain is the pause after a look that was answered at once without news: the
 	// worker does not wait while it lists ends that the store does not have yet. Without
-	// it an agent looked 150 times a second, and reported to the owner 50 times.
+	// it agent and owner would do nothing but look and report until the end is stored.
 	lookAgain = 50 * time.Millisecond
 	// figuresEvery is how old figures in the owner's hands may become before a look
 	// without other news is reported. Pacing follows them; a report is a mean over half
