--- a/internal/job/planner/yield.go
+++ b/internal/job/planner/yield.go
@@ -42,7 +42,7 @@
 		}
 		lasting += int64(len(s.Tasks)) * s.Spec.Needs.CPUMillis
 		for _, t := range s.Tasks {
-			if t.Yielded {
+			if t.Yielded && t.Away() {
 				away += s.Spec.Needs.CPUMillis
 			}
 			if len(t.Runs) > 0 && t.Runs[0].State == accountant.Stopping {
--- a/internal/job/planner/yield_test.go
+++ b/internal/job/planner/yield_test.go
@@ -52,6 +52,8 @@
 			b.urgent("urgent", 400)
 			for _, task := range lasting[0].Occurrences[0].Steps[0].Tasks[:3] {
 				task.Yielded = true
+				b.state.EndRun(task.Runs[0].VM, task.Runs[0].Key(), accountant.EndStopped, "", begin)
+				b.fill(task)
 			}
 		}, 0},
 		{"the users can't spare any", yieldAfter, func(b *bed, lasting []*accountant.Job) {
@@ -73,6 +75,16 @@
 	}
 }
 
+// fill takes the room that a lasting task has left.
+func (b *bed) fill(t *accountant.Task) {
+	for _, vm := range b.state.VMs {
+		if vm.Committed.CPUMillis < vm.Capacity.CPUMillis {
+			j := b.job("urgent", specifier.Step{Count: 1, Needs: t.Step.Spec.Needs, EstimateMillis: 800})
+			b.state.Place(j.Occurrences[0].Steps[0].Tasks[0], vm, 1, begin)
+		}
+	}
+}
+
 func (b *bed) urgent(queue string, count int) {
 	b.job(queue, specifier.Step{Count: count, Needs: cores(1), EstimateMillis: 800})
 }
