--- a/internal/job/accountant/accountant_test.go
+++ b/internal/job/accountant/accountant_test.go
@@ -317,3 +317,28 @@
 		t.Error("the job waits though every VM has reported")
 	}
 }
+
+// An owner that has worked for an hour decides ever more slowly, or ends: the list of open
+// jobs still has those that have ended, or were forgotten.
+func TestEndedJobsAreNotAmongTheOpenOnes(t *testing.T) {
+	a := newState(t, 2)
+	addJob(t, a, 1, specifier.Step{Count: 1, Needs: oneCore})
+	addJob(t, a, 2, specifier.Step{Count: 1, Needs: oneCore})
+	if got := len(a.openIDs()); got != 2 {
+		t.Fatalf("%d jobs are open", got)
+	}
+	a.Cancel(jobID(1), at(10))
+	if got := a.openIDs(); len(got) != 1 || got[0] != jobID(2) {
+		t.Errorf("open are %v", got)
+	}
+	if err := a.Restore(jobID(2), []byte(`{"state":"cancelled"}`), at(20)); err != nil {
+		t.Fatal(err)
+	}
+	if got := a.openIDs(); len(got) != 0 {
+		t.Errorf("open are %v after the record of an end", got)
+	}
+	a.Forget(at(60_000))
+	if got := len(a.WaitingSteps(at(60_000))); got != 0 {
+		t.Errorf("%d steps wait", got)
+	}
+}
--- a/internal/job/planner/memory_test.go
+++ b/internal/job/planner/memory_test.go
@@ -31,3 +31,28 @@
 		}
 	}
 }
+
+// A lasting task is disturbed by what was placed a moment ago: the memory still has what
+// it had left before. A VM that has changed is worked out anew, and so is one after a while.
+func TestAChangedVMIsNotRemembered(t *testing.T) {
+	f := newMixedFleet(2)
+	f.wait("x")
+	in := Input{Now: begin, State: f.state, Learner: f.learner, Memory: NewMemory()}
+	Plan(in)
+	vm := f.vms[0]
+	remembers := func(now time.Time) bool {
+		m := newRoom(vm, now)
+		in.Memory.recall(m)
+		return m.met
+	}
+	if !remembers(begin) {
+		t.Fatal("nothing is remembered of a VM that was looked at")
+	}
+	if remembers(begin.Add(memoryLife)) {
+		t.Error("it is remembered for too long")
+	}
+	f.work(f.wait("y").Occurrences[0].Steps[0].Tasks[0], vm)
+	if remembers(begin) {
+		t.Error("it is remembered as it was before a task came")
+	}
+}
--- a/internal/job/planner/move_test.go
+++ b/internal/job/planner/move_test.go
@@ -242,3 +242,34 @@
 		t.Errorf("starts %v, want the waiting task", places(got))
 	}
 }
+
+// Two tasks of a job whose users let one be away stand on one VM. They must not leave it
+// together, and those of two jobs may.
+func TestTasksThatMayLeaveTogether(t *testing.T) {
+	f := newMixedFleet(2)
+	a0, a1, b0 := runsOf(f.vms[0], "a")[0], runsOf(f.vms[1], "a")[0], runsOf(f.vms[0], "b")[0]
+	tests := []struct {
+		name string
+		away int
+		runs []*accountant.Run
+		want bool
+	}{
+		{"two of one job, no bound", 0, []*accountant.Run{a0, a1}, true},
+		{"two of one job, one may be away", 1, []*accountant.Run{a0, a1}, false},
+		{"two of one job, two may be away", 2, []*accountant.Run{a0, a1}, true},
+		{"one each of two jobs, one may be away", 1, []*accountant.Run{a0, b0}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for _, j := range f.jobs {
+				j.Spec.Steps[0].MaxAway = tt.away
+			}
+			if got := apart(tt.runs); got != tt.want {
+				t.Errorf("may leave together: %t", got)
+			}
+			if got := apart(tt.runs[:1], tt.runs[1:]); got != tt.want {
+				t.Errorf("may change places: %t", got)
+			}
+		})
+	}
+}
--- a/internal/job/planner/planner_test.go
+++ b/internal/job/planner/planner_test.go
@@ -101,6 +101,11 @@
 		{"leaving", func(b *bed, vm *accountant.VM) { b.state.Apply(vm, accountant.Report{Life: "1"}, begin) }},
 		{"quarantined", func(_ *bed, vm *accountant.VM) { vm.Health.QuarantineTo = begin.Add(time.Second) }},
 		{"of another service", func(_ *bed, vm *accountant.VM) { vm.Service = "other" }},
+		{"with a run of unknown size", func(b *bed, vm *accountant.VM) {
+			b.state.Apply(vm, accountant.Report{Life: "1", Ready: true, Runs: []accountant.ReportedRun{{
+				Key: accountant.RunKey{Task: specifier.TaskID{Job: "ended"}, Number: 1}, Confirmed: true,
+			}}}, begin)
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
