--- a/internal/job/accountant/job.go
+++ b/internal/job/accountant/job.go
@@ -71,13 +71,27 @@
 }
 
 // Cancel ends a job whose cancellation is stored. Runs of it are stopped by the
-// next call of Unwanted.
-func (a *Accountant) Cancel(id string, now time.Time) {
+// next call of Unwanted. It returns how many there are, and whether the job was open.
+func (a *Accountant) Cancel(id string, now time.Time) (runs int, open bool) {
 	j := a.Jobs[id]
 	if j == nil || j.State.Final() {
-		return
+		return 0, false
 	}
 	a.finish(j, JobCancelled, now)
+	return j.runs(), true
+}
+
+// runs counts the live runs of a job's tasks.
+func (j *Job) runs() int {
+	n := 0
+	for _, o := range j.Occurrences {
+		for _, s := range o.Steps {
+			for _, t := range s.Tasks {
+				n += len(t.Runs)
+			}
+		}
+	}
+	return n
 }
 
 func (a *Accountant) finish(j *Job, state JobState, now time.Time) {
--- a/internal/job/accountant/report.go
+++ b/internal/job/accountant/report.go
@@ -109,6 +109,9 @@
 		return
 	}
 	r.State, r.StopCause = Running, ""
+	if !r.unwanted() {
+		r.StoppedAt = time.Time{}
+	}
 	if r.StartedAt.IsZero() {
 		r.State = Ordered
 	}
--- a/internal/job/accountant/report_test.go
+++ b/internal/job/accountant/report_test.go
@@ -49,7 +49,7 @@
 			if !tt.keeps {
 				return
 			}
-			order := a.Stop(uncertain[0], "uncertain")
+			order := a.Stop(uncertain[0], "uncertain", at(10))
 			report.OrdersSeen = order - 1
 			if a.Apply(vm, report, at(20)); len(task.Runs) != 1 {
 				t.Fatal("given up before the agent has the stop")
@@ -79,7 +79,7 @@
 	a.Apply(vm, report, at(5))
 	a.Cancel(jobID(1), at(10))
 	for _, r := range a.Unwanted() {
-		a.Stop(r, "job ended")
+		a.Stop(r, "job ended", at(10))
 	}
 	if got := len(a.Unwanted()); got != 0 {
 		t.Fatalf("%d stops are ordered twice in one session", got)
--- a/internal/job/accountant/run.go
+++ b/internal/job/accountant/run.go
@@ -92,8 +92,11 @@
 }
 
 // Stop marks a run as being stopped and returns the number of the order.
-func (a *Accountant) Stop(r *Run, cause string) int64 {
+func (a *Accountant) Stop(r *Run, cause string, now time.Time) int64 {
 	r.State, r.StopCause = Stopping, cause
+	if r.StoppedAt.IsZero() {
+		r.StoppedAt = now
+	}
 	r.VM.OrderSeq++
 	if r.Order == orderUnknown {
 		r.Order = r.VM.OrderSeq // an agent that has seen it lists the run until it is gone
@@ -101,6 +104,19 @@
 	return r.VM.OrderSeq
 }
 
+// OverdueStops returns the runs whose stop was first ordered so long ago.
+func (a *Accountant) OverdueStops(after time.Duration, now time.Time) []*Run {
+	var found []*Run
+	for _, vm := range a.VMs {
+		for _, r := range vm.Runs {
+			if !r.StoppedAt.IsZero() && now.Sub(r.StoppedAt) >= after {
+				found = append(found, r)
+			}
+		}
+	}
+	return found
+}
+
 // Unwanted returns the runs that should be stopped: their job has ended or their
 // task is done.
 func (a *Accountant) Unwanted() []*Run {
--- a/internal/job/planner/yield_test.go
+++ b/internal/job/planner/yield_test.go
@@ -46,7 +46,7 @@
 		}, 0},
 		{"one is on its way out", yieldAfter, func(b *bed, lasting []*accountant.Job) {
 			b.urgent("urgent", 4)
-			b.state.Stop(lasting[0].Occurrences[0].Steps[0].Tasks[0].Runs[0], "moves")
+			b.state.Stop(lasting[0].Occurrences[0].Steps[0].Tasks[0].Runs[0], "moves", begin)
 		}, 0},
 		{"as many have yielded as may", yieldAfter, func(b *bed, lasting []*accountant.Job) {
 			b.urgent("urgent", 400)
--- a/internal/job/scheduler/follow.go
+++ b/internal/job/scheduler/follow.go
@@ -11,15 +11,26 @@
 	"bamboospread/internal/store/keeper"
 )
 
-// recordSeen is a record below WorkPrefix, from the watch or from an entry.
-type recordSeen struct{ record keeper.Record }
+// Ways in which the owner hears of a record below WorkPrefix.
+const (
+	seenByHint     = "hint" // of the entry that stored it
+	seenByWatch    = "watch"
+	seenByList     = "list" // after a gap in the history
+	seenByTakeover = "takeover"
+)
+
+// recordSeen is a record below WorkPrefix.
+type recordSeen struct {
+	record keeper.Record
+	by     string
+}
 
 func (e recordSeen) apply(o *owner, now time.Time) {
 	o.dirty = true
 	if id, ok := strings.CutPrefix(e.record.Key, cancelPrefix); ok {
 		if !o.cancelled[id] {
 			o.cancelled[id] = true
-			o.state.Cancel(id, now)
+			o.cancel(id, e.by, e.record.Revision, now)
 		}
 		return
 	}
@@ -30,11 +41,19 @@
 	if o.takeJob(e.record, settlesAt, now) {
 		id := strings.TrimPrefix(e.record.Key, jobPrefix)
 		if o.cancelled[id] {
-			o.state.Cancel(id, now)
+			o.cancel(id, e.by, e.record.Revision, now)
 		}
 	}
 }
 
+// cancel ends a job whose cancellation is stored; its runs are stopped by the next survey.
+func (o *owner) cancel(id, by string, revision int64, now time.Time) {
+	runs, open := o.state.Cancel(id, now)
+	if open {
+		o.s.config.Reporter.Report(reporter.JobCancelSeen, reporter.Fields{"job": id, "by": by, "revision": revision, "runs": runs})
+	}
+}
+
 const (
 	followWait  = 10 * time.Second
 	followPause = 200 * time.Millisecond
@@ -50,7 +69,7 @@
 		case err == nil:
 			after = max(after, seen.Revision)
 			for _, c := range seen.Changes {
-				if !c.Deleted && o.send(ctx, recordSeen{c.Record}) != nil {
+				if !c.Deleted && o.send(ctx, recordSeen{c.Record, seenByWatch}) != nil {
 					return
 				}
 			}
@@ -71,7 +90,7 @@
 		return after
 	}
 	for _, r := range all {
-		if o.send(ctx, recordSeen{r}) != nil {
+		if o.send(ctx, recordSeen{r, seenByList}) != nil {
 			return after
 		}
 	}
--- a/internal/job/scheduler/meters.go
+++ b/internal/job/scheduler/meters.go
@@ -38,6 +38,12 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`bamboospread_job_turnaround_seconds{queue=%q}`, j.Spec.Queue)).Update(now.Sub(j.Spec.Due(0)).Seconds())
 }
 
+func (m *Meters) stopsOverdue(runs int) {
+	if m != nil {
+		m.set.GetOrCreateGauge("bamboospread_job_stops_overdue", nil).Set(float64(runs))
+	}
+}
+
 func (m *Meters) flushed(took time.Duration) {
 	if m != nil {
 		m.set.GetOrCreateHistogram("bamboospread_job_progress_write_seconds").Update(took.Seconds())
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -128,6 +128,7 @@
 		close(o.done)
 		<-followed
 		o.closeSessions()
+		o.s.config.Meters.stopsOverdue(0)
 	}()
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
@@ -195,6 +196,7 @@
 	o.state.OpenDue(now)
 	o.watchVMs(now)
 	o.stopUnwanted()
+	o.tellOverdueStops(now)
 	o.yield(now)
 	o.judge(now)
 	o.askAdvice(ctx, now)
@@ -263,6 +265,21 @@
 	}
 }
 
+// stopOverdue is how long after its first order a stop is overdue: the order and the
+// report take some 100 ms each, the worker a second at most.
+const stopOverdue = 2 * time.Second
+
+func (o *owner) tellOverdueStops(now time.Time) {
+	overdue := o.state.OverdueStops(stopOverdue, now)
+	o.s.config.Meters.stopsOverdue(len(overdue))
+	for _, r := range overdue {
+		if !r.StopTold {
+			r.StopTold = true
+			o.s.config.Reporter.Report(reporter.JobStopOverdue, reporter.Fields{"task": r.Key().Task.String(), "run": r.Number, "vm": r.VM.Name, "state": r.State.String(), "cause": r.StopCause, "since": now.Sub(r.StoppedAt).String(), "attached": r.VM.Attached})
+		}
+	}
+}
+
 // judge stops what stands still and tells which VMs were found at fault.
 func (o *owner) judge(now time.Time) {
 	for _, r := range o.state.Stalled(now) {
--- a/internal/job/scheduler/query.go
+++ b/internal/job/scheduler/query.go
@@ -11,7 +11,7 @@
 
 // hint takes a record that an entry has stored.
 func (o *owner) hint(ctx context.Context, h messenger.WorkHint) error {
-	e := recordSeen{keeper.Record{Key: h.Key, Value: h.Value, Revision: h.Revision}}
+	e := recordSeen{keeper.Record{Key: h.Key, Value: h.Value, Revision: h.Revision}, seenByHint}
 	if err := o.send(ctx, e); err != nil {
 		return connector.Errorf(messenger.CodeNotOwner, "%v", err)
 	}
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -29,6 +29,8 @@
 	// grants, and without a grant the agent has no lease to start anything under.
 	granted bool
 
+	reporter *reporter.Reporter
+
 	queued      []messenger.WorkOrder // for the loop only
 	toldEnd     int64
 	toldEntries []messenger.PeerAddress
@@ -110,7 +112,7 @@
 	if s == nil || s.conn != e.conn {
 		var vm *accountant.VM
 		vm, changes = o.state.Attach(e.facts, e.read, now)
-		s = &session{vm: vm, number: e.report.Session, conn: e.conn, epoch: o.epoch}
+		s = &session{vm: vm, number: e.report.Session, conn: e.conn, epoch: o.epoch, reporter: o.s.config.Reporter}
 		o.sessions[vm.Name] = s
 		for _, r := range vm.UncertainRuns() {
 			o.orderStop(r, "its start may still be on its way")
@@ -241,7 +243,7 @@
 	if s == nil || !r.VM.Attached {
 		return // seen again when its agent is back
 	}
-	seq := o.state.Stop(r, cause)
+	seq := o.state.Stop(r, cause, o.s.config.Now())
 	s.queued = append(s.queued, messenger.WorkOrder{Seq: seq, Kind: messenger.WorkStop, Task: r.Key().Task.String(), Run: r.Number})
 	o.s.config.Reporter.Report(reporter.JobStopDecided, reporter.Fields{"task": r.Key().Task.String(), "run": r.Number, "vm": r.VM.Name, "cause": cause})
 }
@@ -307,6 +309,7 @@
 		err := s.conn.Call(ctx, messenger.MethodWorkOrders, m, nil)
 		cancel()
 		if err != nil {
+			s.reporter.Report(reporter.OrdersNotTaken, reporter.Fields{"vm": s.vm.Name, "session": s.number, "epoch": s.epoch, "orders": len(m.Orders), "error": err.Error()})
 			s.conn.Close() // the agent opens another session, in which it tells what it has
 			return
 		}
--- a/internal/job/scheduler/takeover.go
+++ b/internal/job/scheduler/takeover.go
@@ -48,7 +48,7 @@
 	}
 	for _, r := range work {
 		if strings.HasPrefix(r.Key, cancelPrefix) {
-			state.Cancel(strings.TrimPrefix(r.Key, cancelPrefix), now)
+			o.cancel(strings.TrimPrefix(r.Key, cancelPrefix), seenByTakeover, r.Revision, now)
 		}
 	}
 	if err := o.loadMembers(ctx); err != nil {
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -36,6 +36,9 @@
 	AdviceTaken
 	JobMoveDecided
 	JobStepWaits
+	JobCancelSeen
+	OrdersNotTaken
+	JobStopOverdue
 )
 
 // Events of jobs at agents, numbered from 950.
@@ -91,6 +94,9 @@
 	{VMJudged, log.WarnLevel, "VM quarantined", "Different tasks failed on the VM with none done in between, or most stood still; for some seconds nothing starts there, then one task at a time."},
 	{AdviceTaken, log.InfoLevel, "advice taken", "The advising service told on which VMs a step may run."},
 	{JobStepWaits, log.InfoLevel, "step waits", "Tasks of a step have waited for a second or more; the cause counts the VMs by what keeps them from taking one. The longest waits are told, a bounded number a second."},
+	{JobCancelSeen, log.InfoLevel, "cancellation taken in", "The owner of the cell knows that the job is cancelled; by tells how it heard of it (hint, watch, list or takeover)."},
+	{OrdersNotTaken, log.WarnLevel, "orders not taken", "An agent refused orders or did not answer them; its session ends, and in the next one they are decided anew."},
+	{JobStopOverdue, log.WarnLevel, "stop overdue", "A run was ordered to stop long ago and its agent still lists it."},
 	{JobMoveDecided, log.InfoLevel, "move decided", "A lasting task is stopped to start anew on another VM, so that filling tasks that it keeps from its VM may run there."},
 
 	{WorkerAnnounced, log.InfoLevel, "worker announced itself", "The worker of this VM told its state."},
