Follow what an agent does with a run rather than what it was ordered

Cause: whether a run is being stopped was decided by the owner alone and then believed. Within a session nothing at all corrects a stop that was ordered and has no effect.

Change: agents' reports tell which runs they are stopping. The owner takes the state of a run from that: stopping, whoever ordered it; and ordered again, if the agent has the order and does not list the run as being stopped. Abridged reports tell the change.

--- a/internal/job/accountant/report.go
+++ b/internal/job/accountant/report.go
@@ -29,6 +29,7 @@
 type ReportedRun struct {
 	Key        RunKey
 	Confirmed  bool // the worker has it; else its start was not answered
+	Stopping   bool // the agent is stopping it
 	Checkpoint string
 	Progress   int
 	Measure    int64
@@ -84,7 +85,7 @@
 	vm.Attached, vm.Process = true, rep.Process
 	vm.OrderSeq = 0
 	for _, r := range vm.Runs {
-		r.Order = 0
+		r.Order, r.StopOrder = 0, 0
 		r.reopen()
 		// A start that the earlier process had sent and that nobody has seen at the
 		// worker may be carried out seconds later, and the new process knows nothing of
@@ -105,16 +106,38 @@
 	if r.Step().Spec.Fills {
 		r.Pace = PaceUnknown
 	}
-	if r.State != Stopping {
-		return
+	if r.State == Stopping {
+		r.forgetStop()
 	}
+}
+
+// forgetStop takes a run for one that nobody is stopping.
+func (r *Run) forgetStop() {
 	r.State, r.StopCause = Running, ""
-	if !r.unwanted() {
-		r.StoppedAt = time.Time{}
-	}
 	if r.StartedAt.IsZero() {
 		r.State = Ordered
 	}
+	if !r.unwanted() {
+		r.StoppedAt, r.StopTold = time.Time{}, false
+	}
+}
+
+// stoppedByAgent is the cause of a stop that this owner did not order in this session.
+const stoppedByAgent = "its agent stops it"
+
+// applyStop follows what the agent does with a run rather than what it was ordered. An
+// agent that has the order of a stop and lists the run as one that stays is ordered again;
+// one that stops a run for an earlier owner is believed.
+func (r *Run) applyStop(stopping bool, ordersSeen int64, now time.Time) {
+	switch {
+	case stopping && r.State != Stopping:
+		r.State, r.StopCause = Stopping, stoppedByAgent
+		if r.StoppedAt.IsZero() {
+			r.StoppedAt = now
+		}
+	case !stopping && r.State == Stopping && r.StopOrder <= ordersSeen:
+		r.forgetStop()
+	}
 }
 
 func (a *Accountant) describe(vm *VM, f Facts) {
@@ -149,7 +172,7 @@
 		}
 	}
 	for _, r := range rep.Runs {
-		if adopted := a.applyRun(vm, r, now); adopted != nil {
+		if adopted := a.applyRun(vm, r, rep.OrdersSeen, now); adopted != nil {
 			c.Adopted = append(c.Adopted, adopted)
 		}
 	}
@@ -163,7 +186,7 @@
 	return c
 }
 
-func (a *Accountant) applyRun(vm *VM, rep ReportedRun, now time.Time) (adopted *Run) {
+func (a *Accountant) applyRun(vm *VM, rep ReportedRun, ordersSeen int64, now time.Time) (adopted *Run) {
 	r := vm.Runs[rep.Key]
 	if r == nil {
 		r = a.adopt(vm, rep, now)
@@ -173,6 +196,7 @@
 	if rep.Confirmed && r.State == Ordered {
 		r.State, r.StartedAt, r.MovedAt = Running, now, now
 	}
+	r.applyStop(rep.Stopping, ordersSeen, now)
 	if rep.Checkpoint != "" {
 		r.Checkpoint = rep.Checkpoint
 	}
--- a/internal/job/accountant/report_test.go
+++ b/internal/job/accountant/report_test.go
@@ -137,3 +137,54 @@
 		t.Errorf("a run whose size the agent tells takes %+v", vm.Committed)
 	}
 }
+
+// Guards against more lasting tasks away than their users can spare: after a broken session,
+// or a change of owner, a run that its agent is stopping counted as at work.
+func TestRunsThatTheAgentIsStoppingAreAway(t *testing.T) {
+	tests := []struct {
+		name    string
+		ordered bool // by this owner, in an earlier session
+	}{
+		{"ordered in an earlier session", true},
+		{"ordered by an earlier owner", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := newState(t, 2)
+			j := addJob(t, a, 1, specifier.Step{Count: 1, Needs: oneCore, Lasting: true})
+			task := j.Occurrences[0].Steps[0].Tasks[0]
+			report := Report{Life: "1", Process: 1, Ready: true, Runs: []ReportedRun{{Key: key(1, 0, 0, 1), Confirmed: true, Progress: 100}}}
+			if tt.ordered {
+				vm, _ := a.Attach(Facts{Name: "vm", Capacity: oneCore}, report, begin)
+				a.Stop(vm.Runs[key(1, 0, 0, 1)], "yields", at(5))
+			}
+			report.Runs[0].Stopping = true
+			a.Attach(Facts{Name: "vm", Capacity: oneCore}, report, at(10))
+			if got := task.Runs[0].State; got != Stopping || !task.Away() {
+				t.Errorf("the run is %s, away: %t", got, task.Away())
+			}
+		})
+	}
+}
+
+// Guards against a cancelled job that runs on since its stop, once ordered, is believed.
+func TestStopsThatTheAgentDoesNotCarryOutAreOrderedAgain(t *testing.T) {
+	a := newState(t, 2)
+	addJob(t, a, 1, specifier.Step{Count: 1, Needs: oneCore, Lasting: true})
+	report := Report{Life: "1", Process: 1, Ready: true, Runs: []ReportedRun{{Key: key(1, 0, 0, 1), Confirmed: true, Progress: 100}}}
+	vm, _ := a.Attach(Facts{Name: "vm", Capacity: oneCore}, report, begin)
+	a.Cancel(jobID(1), at(10))
+	order := a.Stop(a.Unwanted()[0], "job ended", at(10))
+	report.OrdersSeen = order - 1
+	if a.Apply(vm, report, at(20)); len(a.Unwanted()) != 0 {
+		t.Fatal("ordered again while the order is on its way")
+	}
+	report.OrdersSeen, report.Runs[0].Stopping = order, true
+	if a.Apply(vm, report, at(30)); len(a.Unwanted()) != 0 {
+		t.Fatal("ordered again while the agent carries it out")
+	}
+	report.Runs[0].Stopping = false
+	if a.Apply(vm, report, at(40)); len(a.Unwanted()) != 1 {
+		t.Error("not ordered again though the agent has the order and does not stop the run")
+	}
+}
--- a/internal/job/accountant/run.go
+++ b/internal/job/accountant/run.go
@@ -98,6 +98,7 @@
 		r.StoppedAt = now
 	}
 	r.VM.OrderSeq++
+	r.StopOrder = r.VM.OrderSeq
 	if r.Order == orderUnknown {
 		r.Order = r.VM.OrderSeq // an agent that has seen it lists the run until it is gone
 	}
--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -37,6 +37,7 @@
 	PacedAt    time.Time // when it was last ordered to leave full speed or to return to it
 	Measure    int64     // tail latency in ms for a lasting task with a target, else thousandths of a core in use
 	StopCause  string
+	StopOrder  int64     // number of the latest order to stop it, 0 if none was given in this session
 	StoppedAt  time.Time // when the stop that is wanted was first ordered; zero: none is
 	StopTold   bool      // that its stop is overdue
 	Unsized    bool      // what it takes of the VM is not known: its job has ended and left no steps
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -202,7 +202,7 @@
 		if err != nil {
 			return rep, accountant.Facts{}, err
 		}
-		run := accountant.ReportedRun{Key: accountant.RunKey{Task: id, Number: w.Run}, Confirmed: w.Confirmed, Checkpoint: w.Checkpoint, Progress: w.Progress, Measure: w.Measure}
+		run := accountant.ReportedRun{Key: accountant.RunKey{Task: id, Number: w.Run}, Confirmed: w.Confirmed, Stopping: w.Stopping, Checkpoint: w.Checkpoint, Progress: w.Progress, Measure: w.Measure}
 		if w.Needs != nil {
 			run.Needs = *w.Needs
 		}
--- a/internal/wire/abridger/abridger.go
+++ b/internal/wire/abridger/abridger.go
@@ -72,7 +72,7 @@
 	if (a.Needs == nil) != (b.Needs == nil) || a.Needs != nil && *a.Needs != *b.Needs {
 		return false
 	}
-	return a.Confirmed == b.Confirmed && a.Checkpoint == b.Checkpoint
+	return a.Confirmed == b.Confirmed && a.Stopping == b.Stopping && a.Checkpoint == b.Checkpoint
 }
 
 // ErrUnknownRun is returned for a report that names a run that was never told: one before
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -52,6 +52,7 @@
 	Task       string               `json:"task"`
 	Run        int64                `json:"run"`
 	Confirmed  bool                 `json:"confirmed,omitempty"` // the worker has it
+	Stopping   bool                 `json:"stopping,omitempty"`  // the agent is stopping it
 	Checkpoint string               `json:"checkpoint,omitempty"`
 	Progress   int                  `json:"progress"` // percent
 	Measure    int64                `json:"measure"`
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -209,7 +209,7 @@
 		rep.Facts = g.facts
 	}
 	for key, r := range g.runs {
-		w := messenger.WorkRun{Task: key.Task.String(), Run: key.Number, Confirmed: r.state != starting, Checkpoint: r.checkpoint, Progress: r.progress, Measure: r.measure}
+		w := messenger.WorkRun{Task: key.Task.String(), Run: key.Number, Confirmed: r.state != starting, Stopping: r.state == stopping, Checkpoint: r.checkpoint, Progress: r.progress, Measure: r.measure}
 		if r.known && r.state == starting {
 			needs := r.needs
 			w.Needs = &needs
