Test that cancelled tasks end though their stops are lost; one place that forgets stops

TestCancelledTasksEndThoughTheirStopsAreLost runs real processes: all are restarted as jobs are cancelled; agents end, or sessions break, with the stop not yet read.

--- a/internal/job/accountant/report.go
+++ b/internal/job/accountant/report.go
@@ -85,8 +85,7 @@
 	vm.Attached, vm.Process = true, rep.Process
 	vm.OrderSeq = 0
 	for _, r := range vm.Runs {
-		r.Order, r.StopOrder = 0, 0
-		r.reopen()
+		r.forgetOrders()
 		// A start that the earlier process had sent and that nobody has seen at the
 		// worker may be carried out seconds later, and the new process knows nothing of
 		// it. So the run stays booked until its stop has surely come first.
@@ -99,16 +98,14 @@
 	return vm, a.Apply(vm, rep, now)
 }
 
-// reopen forgets which orders were given on a run: those on their way when the session
-// broke may have been lost, and would not be given again. A stop is repeated without
-// harm.
-func (r *Run) reopen() {
+// forgetOrders forgets which orders were given on a run: those on their way when the
+// session broke may have been lost. The report that opens a session tells of a stop that
+// was not.
+func (r *Run) forgetOrders() {
+	r.Order, r.StopOrder = 0, 0
 	if r.Step().Spec.Fills {
 		r.Pace = PaceUnknown
 	}
-	if r.State == Stopping {
-		r.forgetStop()
-	}
 }
 
 // forgetStop takes a run for one that nobody is stopping.
--- a/tests/integration/job_faults_test.go
+++ b/tests/integration/job_faults_test.go
@@ -202,20 +202,9 @@
 		{Count: 3, Needs: specifier.Resources{CPUMillis: 500, MemoryMB: 100}, Lasting: true},
 	}}
 	r.submit(j)
-	running := func() int {
-		n := 0
-		for _, runs := range spans(r.JobEvents()) {
-			for _, s := range runs {
-				if s.to.IsZero() {
-					n++
-				}
-			}
-		}
-		return n
-	}
 	awaitRunning := func(want int) {
 		harness.WaitFor(t, jobSettle, "running tasks", func(context.Context) error {
-			if got := running(); got != want {
+			if got := r.running(); got != want {
 				return fmt.Errorf("%d tasks run, want %d", got, want)
 			}
 			return nil
