Take the sessions of an agent that was restarted whatever its clock says

What callers would see: the tasks of a VM lapse and run again elsewhere, and the VM takes nothing more until the owner changes.

Cause: the owner refused each report with a session number below that of the session it knows, for good. Numbers come from the time of day at the start of the agent's process and rise by one a session; where the time of day jumped back by 4 s between two processes of the agent, 4,000 sessions would have to be tried first, several a second.

Evidence: two cases of TestSessionsOfARestartedAgent fail on the code before: a process that begins below the one before is refused; and a late report of the process before is taken as soon as its number is higher.

Change: session numbers are compared within a process of the agent only; another process is taken, unless it was replaced by the present one.

--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -21,10 +21,12 @@
 
 // session is an agent's session with this owner.
 type session struct {
-	vm     *accountant.VM
-	number int64
-	conn   *connector.Conn
-	epoch  int64
+	vm      *accountant.VM
+	number  int64
+	process int64   // of the agent
+	ended   []int64 // the agent's processes before, the latest last
+	conn    *connector.Conn
+	epoch   int64
 	// granted is what the agent itself tells: an order may overtake the answer that
 	// grants, and without a grant the agent has no lease to start anything under.
 	granted bool
@@ -103,7 +105,7 @@
 
 func (e reportMade) apply(o *owner, now time.Time) {
 	s := o.sessions[e.report.VM]
-	if s != nil && e.report.Session < s.number {
+	if s != nil && s.follows(e.report) {
 		e.answer <- messenger.WorkReply{} // overtaken by a later session
 		return
 	}
@@ -112,7 +114,8 @@
 	if s == nil || s.conn != e.conn {
 		var vm *accountant.VM
 		vm, changes = o.state.Attach(e.facts, e.read, now)
-		s = &session{vm: vm, number: e.report.Session, conn: e.conn, epoch: o.epoch, reporter: o.s.config.Reporter}
+		s = s.next(vm, e)
+		s.epoch, s.reporter = o.epoch, o.s.config.Reporter
 		o.sessions[vm.Name] = s
 		for _, r := range vm.UncertainRuns() {
 			o.orderStop(r, "its start may still be on its way")
@@ -148,6 +151,35 @@
 	e.answer <- reply
 }
 
+// endedKept is how many processes of an agent before its present one are remembered.
+const endedKept = 8
+
+// follows tells whether a report is of a session before this one. Numbers of sessions rise
+// within a process of the agent only: it takes the first from its clock, and the time of
+// day may jump back before the next process begins.
+func (s *session) follows(r messenger.WorkReport) bool {
+	if r.Process == s.process {
+		return r.Session < s.number
+	}
+	return slices.Contains(s.ended, r.Process)
+}
+
+// next returns the session that a report opens after s, which may be nil.
+func (s *session) next(vm *accountant.VM, e reportMade) *session {
+	n := &session{vm: vm, number: e.report.Session, process: e.report.Process, conn: e.conn}
+	if s == nil {
+		return n
+	}
+	n.ended = s.ended
+	if s.process != n.process {
+		n.ended = append(n.ended, s.process)
+	}
+	if over := len(n.ended) - endedKept; over > 0 {
+		n.ended = n.ended[over:]
+	}
+	return n
+}
+
 // Limits of the gap between an agent's reports. An owner on a small entry VM that reads
 // each agent's news as it comes does nothing else, and urgent tasks wait for seconds for a
 // start that takes a millisecond to decide. The gap allows all agents together a thousand
--- a/internal/job/scheduler/session_test.go
+++ b/internal/job/scheduler/session_test.go
@@ -9,6 +9,7 @@
 	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/store/keeper"
+	"bamboospread/internal/wire/connector"
 	"bamboospread/internal/wire/messenger"
 )
 
@@ -105,3 +106,41 @@
 		t.Errorf("grant %d ms, %d orders once it is a member again", grant, len(o.sessions["vm-1"].queued))
 	}
 }
+
+// Guards against a VM that is lost until the owner changes: the time of day jumps back
+// between two lives of its agent's process, whose sessions then have lower numbers.
+func TestSessionsOfARestartedAgent(t *testing.T) {
+	type opened struct {
+		process, session int64
+		taken            bool
+	}
+	tests := []struct {
+		name string
+		open []opened
+	}{
+		{"one process, one session after the other", []opened{{1, 10, true}, {1, 11, true}}},
+		{"a report of the session before comes late", []opened{{1, 11, true}, {1, 10, false}}},
+		{"a process begins below the one before", []opened{{1, 5000, true}, {2, 1000, true}, {2, 1001, true}}},
+		{"a report of the process before comes late", []opened{{1, 1000, true}, {2, 5000, true}, {1, 1001, false}, {1, 6000, false}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Now()
+			policy := &specifier.Policy{Version: 1}
+			s := New(Config{Cell: "jobs", Reporter: reporter.Discard(), Now: time.Now, Policy: func() *specifier.Policy { return policy }})
+			o := newOwner(s, 1, accountant.New(accountant.Config{Policy: policy}), now)
+			for i, session := range tt.open {
+				r := messenger.WorkReport{VM: "vm-1", Process: session.process, Session: session.session, Life: "1", Ready: true, Facts: &messenger.WorkFacts{}}
+				read, facts, err := readReport(r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				e := reportMade{conn: new(connector.Conn), report: r, read: read, facts: facts, answer: make(chan messenger.WorkReply, 1)}
+				e.apply(o, now)
+				if got := (<-e.answer).Epoch != 0; got != session.taken {
+					t.Errorf("session %d is taken: %t, want %t", i, got, session.taken)
+				}
+			}
+		})
+	}
+}
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -87,7 +87,6 @@
 	now := c.Now()
 	return &Guardian{
 		config: c, wake: make(chan struct{}, 1), runs: make(map[accountant.RunKey]*run), doubts: make(map[accountant.RunKey]time.Time), context: context.Background(),
-		// Sessions rise also over restarts of this process.
 		session: now.UnixMilli(), process: now.UnixMilli(),
 		// An earlier process may have asked for the longest lease just before it ended.
 		// Without this, one look without an answer before the first lease of this
