Repeat a pace that the worker refuses for a moment

What callers would see: a filling task that stands still, or disturbs its lasting neighbours at full speed, for as long as the owner sees no reason for another pace.

Cause: any refusal of a pace ended the telling, also that of an unhealthy worker, or of one that has seen a higher epoch than the agent knows at the moment; the owner believes that what it ordered is in force.

Evidence: the cases unhealthy and epoch of TestPacesThatAreRefusedForAMomentAreRepeated fail on the code before (0 paces in force); those that the worker will never take still end.

--- a/internal/worker/guardian/guardian_test.go
+++ b/internal/worker/guardian/guardian_test.go
@@ -36,6 +36,8 @@
 	absent      bool  // looks find no process
 	deaf        int   // so many starts get no answer
 	deafToPaces int   // so many paces get no answer
+	refusePaces int   // so many paces are refused, for the reason that follows
+	refusal     RefusalReason
 	paces       []int // that were answered
 	eager       bool  // looks wait for nothing while ends are listed, as real workers do
 	idle        bool  // looks wait as long as they may, since nothing ends
@@ -75,6 +77,10 @@
 		f.deafToPaces--
 		return errNoAnswer
 	}
+	if f.refusePaces > 0 {
+		f.refusePaces--
+		return ErrRefused{f.refusal}
+	}
 	f.paces = append(f.paces, c.Percent)
 	return nil
 }
--- a/internal/worker/guardian/orders.go
+++ b/internal/worker/guardian/orders.go
@@ -253,12 +253,13 @@
 	}
 }
 
-// pacedOrRefused ends the telling when the worker has the last pace or will not take it.
+// pacedOrRefused ends the telling when the worker has the last pace or will never take it.
 func (g *Guardian) pacedOrRefused(r *run, percent int, err error) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var refused ErrRefused
-	if (err == nil || errors.As(err, &refused)) && r.pace == percent {
+	final := errors.As(err, &refused) && !refused.Reason.passes()
+	if (err == nil || final) && r.pace == percent {
 		r.pacing = false
 		return true
 	}
--- a/internal/worker/guardian/takeover_test.go
+++ b/internal/worker/guardian/takeover_test.go
@@ -81,3 +81,35 @@
 		Seq: b.seq, Kind: messenger.WorkPace, Task: taskID(0).String(), Run: 1, Percent: percent,
 	}}})
 }
+
+// Guards against a run that stands still, or disturbs, for good: the worker refuses a pace
+// for a moment, and the owner believes that it is in force.
+func TestPacesThatAreRefusedForAMomentAreRepeated(t *testing.T) {
+	tests := []struct {
+		refusal RefusalReason
+		repeats bool
+	}{
+		{RefusedUnhealthy, true},
+		{RefusedEpoch, true},
+		{RefusedRun, false},
+		{RefusedLife, false},
+		{RefusedMalformed, false},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.refusal), func(t *testing.T) {
+			worker := newFakeWorker()
+			b := newBed(t, worker)
+			b.own(1)
+			b.order(1, messenger.WorkStart, 0, 1)
+			b.until("a run", func() bool { return b.confirmed() == 1 })
+			worker.change(func() { worker.refusePaces, worker.refusal = 2, tt.refusal })
+			b.pace(50)
+			time.Sleep(6 * callPause)
+			worker.change(func() {
+				if got := len(worker.paces) == 1; got != tt.repeats {
+					t.Errorf("%d paces are in force, %d refusals left", len(worker.paces), worker.refusePaces)
+				}
+			})
+		})
+	}
+}
--- a/internal/worker/guardian/worker.go
+++ b/internal/worker/guardian/worker.go
@@ -107,6 +107,9 @@
 	RefusedMalformed RefusalReason = "malformed" // the worker cannot read it
 )
 
+// passes tells whether the same call may be taken a moment later.
+func (r RefusalReason) passes() bool { return r == RefusedUnhealthy || r == RefusedEpoch }
+
 // ErrWorkerNotExist is returned by a look when no process listens where the worker
 // was: it has ended, and everything that it ran with it.
 type ErrWorkerNotExist struct{ Cause error }
