Hear of a cancellation within a second though the watch went silent; keep inherited ones

What callers would see: tasks of a cancelled job start, or run on, up to 11 s after the acknowledgement; or the job runs although a cancellation is in the store.

Cause, of one kind: what the owner heard once, or did not hear, it believes. A watch waited for 10 s, and a connection that goes silent shows only after that; the entry's hint is sent once and may be lost with another connection at the same moment. At a takeover a cancellation whose job was not in the same list was forgotten, while one that comes by watch or hint is kept for the job.

Evidence: TestCancellationIsHeardThoughTheWatchWentSilent (nothing heard within 3 s) and TestInheritedCancellationWaitsForItsJob (state queued) fail on the code before.

Change: the owner's watch waits 0.9 s, as that of the policy does: one more reading call a second, of one owner; inherited cancellations take the way of all others.

--- a/internal/job/scheduler/follow.go
+++ b/internal/job/scheduler/follow.go
@@ -28,10 +28,7 @@
 func (e recordSeen) apply(o *owner, now time.Time) {
 	o.dirty = true
 	if id, ok := strings.CutPrefix(e.record.Key, cancelPrefix); ok {
-		if !o.cancelled[id] {
-			o.cancelled[id] = true
-			o.cancel(id, e.by, e.record.Revision, now)
-		}
+		o.takeCancellation(id, e, now)
 		return
 	}
 	settlesAt := time.Time{}
@@ -41,21 +38,31 @@
 	if o.takeJob(e.record, settlesAt, now) {
 		id := strings.TrimPrefix(e.record.Key, jobPrefix)
 		if o.cancelled[id] {
-			o.cancel(id, e.by, e.record.Revision, now)
+			o.cancel(id, e, now)
 		}
 	}
 }
 
+// takeCancellation ends a job, now or as soon as its record comes.
+func (o *owner) takeCancellation(id string, e recordSeen, now time.Time) {
+	if !o.cancelled[id] {
+		o.cancelled[id] = true
+		o.cancel(id, e, now)
+	}
+}
+
 // cancel ends a job whose cancellation is stored; its runs are stopped by the next survey.
-func (o *owner) cancel(id, by string, revision int64, now time.Time) {
+func (o *owner) cancel(id string, e recordSeen, now time.Time) {
 	runs, open := o.state.Cancel(id, now)
 	if open {
-		o.s.config.Reporter.Report(reporter.JobCancelSeen, reporter.Fields{"job": id, "by": by, "revision": revision, "runs": runs})
+		o.s.config.Reporter.Report(reporter.JobCancelSeen, reporter.Fields{"job": id, "by": e.by, "revision": e.record.Revision, "runs": runs})
 	}
 }
 
 const (
-	followWait  = 10 * time.Second
+	// followWait bounds how late the owner hears of a record if its watch goes silent and
+	// the entry's hint is lost.
+	followWait  = 900 * time.Millisecond
 	followPause = 200 * time.Millisecond
 )
 
--- /dev/null
+++ b/internal/job/scheduler/follow_test.go
@@ -0,0 +1,79 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"bamboospread/internal/job/accountant"
+	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/store/keeper"
+)
+
+var errSilent = errors.New("no answer")
+
+func followBed(calls keeper.Calls) *Scheduler {
+	policy := &specifier.Policy{Version: 1, Queues: []specifier.Queue{{Name: "q", MaxFailures: 1, Slack: 2}}}
+	return New(Config{Cell: "jobs", Reporter: reporter.Discard(), Now: time.Now, Policy: func() *specifier.Policy { return policy }, Store: calls})
+}
+
+// Guards against tasks of a cancelled job that run on for ten seconds: the connection of
+// the owner's watch goes silent, and the entry's hint was lost with another one.
+func TestCancellationIsHeardThoughTheWatchWentSilent(t *testing.T) {
+	const heardWithin = 3 * time.Second
+	silent := true
+	s := followBed(keeper.Calls{Watch: func(ctx context.Context, w keeper.WatchOptions) (keeper.WatchResult, error) {
+		if silent { // until the client gives it up
+			silent = false
+			select {
+			case <-ctx.Done():
+			case <-time.After(w.Wait):
+			}
+			return keeper.WatchResult{}, errSilent
+		}
+		if w.After >= 7 {
+			<-ctx.Done()
+			return keeper.WatchResult{}, ctx.Err()
+		}
+		return keeper.WatchResult{Revision: 7, Changes: []keeper.Change{{Record: keeper.Record{Key: CancelKey(stoppedJob), Revision: 7}}}}, nil
+	}})
+	o := newOwner(s, 1, accountant.New(accountant.Config{}), time.Now())
+	ctx, cancel := context.WithCancel(t.Context())
+	followed := make(chan struct{})
+	go func() { defer close(followed); o.follow(ctx) }()
+	defer func() { cancel(); <-followed }()
+	select {
+	case e := <-o.events:
+		e.apply(o, time.Now())
+		if !o.cancelled[stoppedJob] {
+			t.Errorf("heard of %+v", e)
+		}
+	case <-time.After(heardWithin):
+		t.Errorf("nothing heard within %s", heardWithin)
+	}
+}
+
+// Guards against a cancelled job that is started: at a takeover its cancellation is listed
+// and its record is not, which a watch or a hint brings later.
+func TestInheritedCancellationWaitsForItsJob(t *testing.T) {
+	job := keeper.Record{Key: JobKey(stoppedJob), Revision: 5, Value: []byte(`{"id":"` + stoppedJob + `","queue":"q","steps":[{"count":1}]}`)}
+	s := followBed(keeper.Calls{
+		FindRecords: func(_ context.Context, l keeper.ListOptions) (keeper.ListResult, error) {
+			if l.Prefix == WorkPrefix {
+				return keeper.ListResult{Records: []keeper.Record{{Key: CancelKey(stoppedJob), Revision: 7}}, Revision: 7}, nil
+			}
+			return keeper.ListResult{Revision: 7}, nil
+		},
+		GetRecord: func(context.Context, string) (keeper.Record, error) { return keeper.Record{}, keeper.ErrKeyNotExist{} },
+	})
+	o, err := s.takeOver(t.Context(), 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	recordSeen{job, seenByWatch}.apply(o, time.Now())
+	if got := o.state.Jobs[stoppedJob]; got == nil || got.State != accountant.JobCancelled {
+		t.Errorf("the job is %+v", got)
+	}
+}
--- a/internal/job/scheduler/takeover.go
+++ b/internal/job/scheduler/takeover.go
@@ -47,8 +47,8 @@
 		}
 	}
 	for _, r := range work {
-		if strings.HasPrefix(r.Key, cancelPrefix) {
-			o.cancel(strings.TrimPrefix(r.Key, cancelPrefix), seenByTakeover, r.Revision, now)
+		if id, ok := strings.CutPrefix(r.Key, cancelPrefix); ok {
+			o.takeCancellation(id, recordSeen{r, seenByTakeover}, now)
 		}
 	}
 	if err := o.loadMembers(ctx); err != nil {
