Repeat a stop that the worker answers and does not carry out

What callers would see: a task of a cancelled job that runs on, or a lasting task that never moves, on a worker that answers its stop and goes on.

Cause: the agent took the worker's answer for the stop itself and never asked again, though each look told it that the run was still there.

Evidence: TestStopsThatHaveNoEffectAreRepeated fails on the code before (no end of the run within 5 s).

--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -60,6 +60,7 @@
 	OwnerFollowed
 	OwnerLost
 	AnnouncementMalformed
+	StopWithoutEffect
 )
 
 var jobDefinitions = []Definition{
@@ -115,5 +116,6 @@
 	{OrderMalformed, log.ErrorLevel, "order malformed", "An order cannot be read; it was not carried out."},
 	{OwnerFollowed, log.InfoLevel, "owner followed", "This agent takes the orders of an owner with a higher epoch."},
 	{OwnerLost, log.WarnLevel, "owner lost", "The owner of the cell does not answer; what runs goes on until the grant ends."},
+	{StopWithoutEffect, log.WarnLevel, "stop without effect", "The worker answered a stop and still runs what it should have stopped; it is asked again."},
 	{AnnouncementMalformed, log.WarnLevel, "announcement malformed", "Something announced itself to this agent that is no worker; it was ignored."},
 }
--- a/internal/worker/guardian/guardian_test.go
+++ b/internal/worker/guardian/guardian_test.go
@@ -32,11 +32,12 @@
 	starts      []StartCall
 	stops       []StopCall
 	leases      []time.Duration
-	silent      bool  // calls get no answer
-	absent      bool  // looks find no process
-	deaf        int   // so many starts get no answer
-	deafToPaces int   // so many paces get no answer
-	refusePaces int   // so many paces are refused, for the reason that follows
+	silent      bool // calls get no answer
+	absent      bool // looks find no process
+	deaf        int  // so many starts get no answer
+	deafToPaces int  // so many paces get no answer
+	idleStops   int  // so many stops are answered and have no effect
+	refusePaces int  // so many paces are refused, for the reason that follows
 	refusal     RefusalReason
 	paces       []int // that were answered
 	eager       bool  // looks wait for nothing while ends are listed, as real workers do
@@ -92,6 +93,10 @@
 	if f.silent || f.absent {
 		return errNoAnswer
 	}
+	if f.idleStops > 0 {
+		f.idleStops--
+		return nil
+	}
 	delete(f.runs, accountant.RunKey{Task: c.Task, Number: c.Run})
 	return nil
 }
--- a/internal/worker/guardian/look.go
+++ b/internal/worker/guardian/look.go
@@ -175,6 +175,7 @@
 			news = true
 		}
 		r.doubt = false
+		g.stopAgainLocked(key, r, sentAt)
 		if r.state == starting {
 			r.state = running
 			news = true
@@ -196,6 +197,21 @@
 	return news
 }
 
+// stopSlack is how much longer than it may take a stop is given before it is repeated.
+const stopSlack = 300 * time.Millisecond
+
+// stopAgainLocked repeats a stop that the worker has answered if a look that was sent long
+// after it still lists the run.
+func (g *Guardian) stopAgainLocked(key accountant.RunKey, r *run, lookSentAt time.Time) {
+	late := lookSentAt.Sub(r.settledAt)
+	if r.state != stopping || !r.stopped || late <= g.config.StopTime+stopSlack {
+		return
+	}
+	g.config.Reporter.Report(reporter.StopWithoutEffect, reporter.Fields{"task": key.Task.String(), "run": key.Number, "answered": late.String()})
+	r.stopped = false
+	go g.stop(g.context, key)
+}
+
 func (r *run) gone(lookSentAt time.Time) bool {
 	switch r.state {
 	case starting:
--- a/internal/worker/guardian/takeover_test.go
+++ b/internal/worker/guardian/takeover_test.go
@@ -113,3 +113,21 @@
 		})
 	}
 }
+
+// Guards against a run that goes on for good: the worker answers its stop and does not
+// carry it out.
+func TestStopsThatHaveNoEffectAreRepeated(t *testing.T) {
+	worker := newFakeWorker()
+	b := newBed(t, worker)
+	b.own(1)
+	b.order(1, messenger.WorkStart, 0, 1)
+	b.until("a run", func() bool { return b.confirmed() == 1 })
+	worker.change(func() { worker.idleStops = 2 })
+	b.order(1, messenger.WorkStop, 0, 1)
+	b.until("an end of the run", func() bool { return len(b.report().Runs) == 0 })
+	worker.change(func() {
+		if got := len(worker.stops); got != 3 {
+			t.Errorf("the worker was asked %d times, want 3: once for each that had no effect", got)
+		}
+	})
+}
