Read the reports of a session only in order

What callers would see: tasks that run twice. An owner that has not read the reports of a session before takes one that tells only of changes for the whole, so runs that it leaves out count as gone and their tasks start elsewhere.

Cause: an abridged report did not say which of its session it is; a restorer without knowledge took any for the first. An ownership that ends and begins again in one process, while a report waits to be read on a connection of before, would do it; a lost report in between would too.

Evidence: both cases of TestReportsOfASessionAreReadInOrder fail on the code before (read without an error).

Change: abridged reports are numbered within their session; one out of order ends it, and the agent begins the next with a whole report. The property test draws runs that are being stopped too.

TestAMissedReportIsNoticed changes: a lost report is now noticed by its number, before the run that it names is looked up. It checks both, the second with the number set right, so that neither check can go unnoticed.

--- a/internal/wire/abridger/abridger.go
+++ b/internal/wire/abridger/abridger.go
@@ -26,6 +26,7 @@
 // concurrent use.
 type Abridger struct {
 	session int64
+	part    int64 // reports of the session so far
 	told    map[run]messenger.WorkRun
 	next    int64
 }
@@ -37,10 +38,11 @@
 // session must all be sent, in this order.
 func (a *Abridger) Abridge(whole messenger.WorkReport) messenger.WorkReport {
 	if a.told == nil || whole.Session != a.session {
-		a.session, a.told, a.next = whole.Session, make(map[run]messenger.WorkRun), 0
+		a.session, a.part, a.told, a.next = whole.Session, 0, make(map[run]messenger.WorkRun), 0
 	}
+	a.part++
 	short := whole
-	short.Abridged, short.Runs = true, nil
+	short.Abridged, short.Part, short.Runs = true, a.part, nil
 	listed := make(map[run]bool, len(whole.Runs))
 	for _, r := range whole.Runs {
 		key := run{r.Task, r.Run}
@@ -81,9 +83,18 @@
 
 func (e ErrUnknownRun) Error() string { return fmt.Sprintf("run %d was never told", e.ID) }
 
+// ErrReportMissing is returned for a report of a session that does not follow the last one
+// that was read: what it leaves out is not known, and the session has to begin anew.
+type ErrReportMissing struct{ Part, Want int64 }
+
+func (e ErrReportMissing) Error() string {
+	return fmt.Sprintf("report %d of the session came in place of %d", e.Part, e.Want)
+}
+
 // Restorer is the owner's side of a connection. It is not safe for concurrent use.
 type Restorer struct {
 	session int64
+	part    int64 // last one read
 	known   map[int64]messenger.WorkRun
 }
 
@@ -96,8 +107,12 @@
 		return short, nil
 	}
 	if r.known == nil || short.Session != r.session {
-		r.session, r.known = short.Session, make(map[int64]messenger.WorkRun)
+		r.session, r.part, r.known = short.Session, 0, make(map[int64]messenger.WorkRun)
+	}
+	if short.Part != r.part+1 {
+		return short, ErrReportMissing{Part: short.Part, Want: r.part + 1}
 	}
+	r.part = short.Part
 	for _, told := range short.Runs {
 		r.known[told.ID] = told
 	}
@@ -116,7 +131,7 @@
 		delete(r.known, id)
 	}
 	whole := short
-	whole.Abridged, whole.Figures, whole.Gone, whole.Runs = false, nil, nil, nil
+	whole.Abridged, whole.Part, whole.Figures, whole.Gone, whole.Runs = false, 0, nil, nil, nil
 	for _, known := range r.known {
 		whole.Runs = append(whole.Runs, known)
 	}
--- a/internal/wire/abridger/abridger_test.go
+++ b/internal/wire/abridger/abridger_test.go
@@ -43,7 +43,7 @@
 			for n := range 6 {
 				if rapid.Bool().Draw(t, "runs") {
 					w := messenger.WorkRun{
-						Task: fmt.Sprint("task-", n), Run: int64(rapid.IntRange(1, 2).Draw(t, "number")), Confirmed: rapid.Bool().Draw(t, "confirmed"),
+						Task: fmt.Sprint("task-", n), Run: int64(rapid.IntRange(1, 2).Draw(t, "number")), Confirmed: rapid.Bool().Draw(t, "confirmed"), Stopping: rapid.Bool().Draw(t, "stopping"),
 						Checkpoint: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "checkpoint"),
 						Progress:   rapid.IntRange(0, 3).Draw(t, "progress"), Measure: int64(rapid.IntRange(0, 2).Draw(t, "measure")),
 					}
@@ -66,6 +66,41 @@
 	})
 }
 
+// Guards against tasks that run twice: an owner that has not read all reports of a session
+// takes one that tells of changes for the whole, and starts what it does not list.
+func TestReportsOfASessionAreReadInOrder(t *testing.T) {
+	report := func(runs ...string) messenger.WorkReport {
+		r := messenger.WorkReport{Session: 1}
+		for _, task := range runs {
+			r.Runs = append(r.Runs, messenger.WorkRun{Task: task, Run: 1})
+		}
+		return r
+	}
+	tests := []struct {
+		name string
+		read []bool // by the owner, of three reports
+	}{
+		{"the owner took over after the first", []bool{false, true, true}},
+		{"one in between was lost", []bool{true, false, true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a, r := New(), NewRestorer()
+			var err error
+			for i, whole := range []messenger.WorkReport{report("a"), report("a", "b"), report("a", "b")} {
+				short := a.Abridge(whole)
+				if tt.read[i] && err == nil {
+					_, err = r.Restore(short)
+				}
+			}
+			var missing ErrReportMissing
+			if !errors.As(err, &missing) {
+				t.Errorf("read with %v", err)
+			}
+		})
+	}
+}
+
 // carried is a report as it comes off the wire.
 func carried(t *rapid.T, r messenger.WorkReport) messenger.WorkReport {
 	b, err := json.Marshal(r)
@@ -79,18 +114,33 @@
 	return back
 }
 
-// A report that rests on one that never came must not be guessed at.
+// A report that rests on one that never came must not be guessed at, nor one that names a
+// run that was never told, whatever its number says.
 func TestAMissedReportIsNoticed(t *testing.T) {
-	a, r := New(), NewRestorer()
 	run := messenger.WorkRun{Task: "task", Run: 1}
-	a.Abridge(messenger.WorkReport{Session: 1, Runs: []messenger.WorkRun{run}}) // lost
-	run.Progress = 5
-	var unknown ErrUnknownRun
-	if _, err := r.Restore(a.Abridge(messenger.WorkReport{Session: 1, Runs: []messenger.WorkRun{run}})); !errors.As(err, &unknown) {
-		t.Errorf("restored with %v", err)
+	tests := []struct {
+		name   string
+		number func(r *messenger.WorkReport)
+		want   func(err error) bool
+	}{
+		{"by its number", func(*messenger.WorkReport) {}, func(err error) bool { return errors.As(err, new(ErrReportMissing)) }},
+		{"by the run that it names", func(r *messenger.WorkReport) { r.Part = 1 }, func(err error) bool { return errors.As(err, new(ErrUnknownRun)) }},
 	}
-	a.Abridge(messenger.WorkReport{Session: 1, Runs: []messenger.WorkRun{run}})
-	if _, err := r.Restore(a.Abridge(messenger.WorkReport{Session: 1})); !errors.As(err, &unknown) {
-		t.Errorf("restored with %v", err)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := New()
+			run.Progress = 0
+			a.Abridge(messenger.WorkReport{Session: 1, Runs: []messenger.WorkRun{run}}) // lost
+			run.Progress = 5
+			changed := a.Abridge(messenger.WorkReport{Session: 1, Runs: []messenger.WorkRun{run}})
+			a.Abridge(messenger.WorkReport{Session: 1, Runs: []messenger.WorkRun{run}}) // lost
+			gone := a.Abridge(messenger.WorkReport{Session: 1})
+			for _, short := range []messenger.WorkReport{changed, gone} {
+				tt.number(&short)
+				if _, err := NewRestorer().Restore(short); !tt.want(err) {
+					t.Errorf("restored with %v", err)
+				}
+			}
+		})
 	}
 }
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -32,6 +32,7 @@
 	// An abridged report lists the runs that are new or have changed by more than their
 	// figures; wire/abridger restores the whole one.
 	Abridged bool       `json:"abridged,omitempty"`
+	Part     int64      `json:"part,omitempty"`    // number of an abridged report in its session, from 1
 	Figures  [][3]int64 `json:"figures,omitempty"` // id, progress and measure of other runs whose figures have changed
 	Gone     []int64    `json:"gone,omitempty"`    // ids of runs that are listed no more
 }
