Take zones out also while the operators' text can't be read

Seen by operators: a zone that they empty while op/config holds a text that can't be decoded, or one with a version below that in force (put back or deleted), goes on getting starts, until somebody mends the text.

Cause: the follower decodes all operators' records as one; an error, or an older version, left the whole policy in force, the zones with it. Nothing looked at the zones again until the next change.

Evidence: TestZonesDoNotWaitForTheText before the change, both cases: no zone out within 5s

Ruled out: taking the older text too; versions must not go back. A list that lags may still show a zone in that is out; that is another fault.

The decoder now returns the zones beside its error, and the follower keeps only the text's part of the old policy.

--- a/internal/job/follower/follower.go
+++ b/internal/job/follower/follower.go
@@ -26,8 +26,8 @@
 type Config struct {
 	Store  keeper.Calls
 	Prefix string // of the operators' records
-	// Decode reads all records below the prefix; an error leaves the policy that
-	// is in force.
+	// Decode reads all records below the prefix. With an error, for a text that it
+	// can't read, it still returns the zones that are out.
 	Decode   func(records map[string][]byte) (*specifier.Policy, error)
 	Now      func() time.Time
 	Reporter *reporter.Reporter
@@ -134,17 +134,18 @@
 	}
 }
 
-// publish puts a newer policy in force. A list that is served by a part of the
-// store that lags may show an older one, which is left alone.
+// publish puts a newer policy in force. A text that can't be read, or an older one, as
+// a list served by a part of the store that lags may show, leaves the one in force. The
+// zones are records of their own and don't wait for the text.
 func (f *Follower) publish(sentAt time.Time) {
 	p, err := f.config.Decode(f.records)
+	old := f.Policy()
+	if err == nil && p.Version < old.Version {
+		err = fmt.Errorf("version %d came after %d", p.Version, old.Version)
+	}
 	if err != nil {
 		f.config.Reporter.Report(reporter.PolicyUnreadable, reporter.Fields{"error": err.Error()})
-		return
-	}
-	if old := f.Policy(); p.Version < old.Version {
-		f.config.Reporter.Report(reporter.PolicyUnreadable, reporter.Fields{"error": fmt.Sprintf("version %d came after %d", p.Version, old.Version)})
-		return
+		p = &specifier.Policy{Version: old.Version, Queues: old.Queues, ZonesOut: p.ZonesOut}
 	}
 	p.ReadAt = sentAt
 	f.policy.Store(p)
--- a/internal/job/follower/follower_test.go
+++ b/internal/job/follower/follower_test.go
@@ -15,10 +15,13 @@
 
 const testLimit = 5 * time.Second
 
-// fakeStore has one record whose value is a version.
+const zoneKey = "op/evacuate/a"
+
+// fakeStore has a record whose value is a version, and one while a zone is out.
 type fakeStore struct {
 	mu       sync.Mutex
 	value    string
+	out      bool
 	revision int64
 	dropped  bool // the history is gone once
 	down     bool
@@ -42,7 +45,11 @@
 	if f.stale != "" {
 		value = f.stale
 	}
-	return keeper.ListResult{Revision: f.revision, Records: []keeper.Record{{Key: "op/config", Value: []byte(value)}}}, nil
+	records := []keeper.Record{{Key: "op/config", Value: []byte(value)}}
+	if f.out {
+		records = append(records, keeper.Record{Key: zoneKey})
+	}
+	return keeper.ListResult{Revision: f.revision, Records: records}, nil
 }
 
 func (f *fakeStore) watch(ctx context.Context, o keeper.WatchOptions) (keeper.WatchResult, error) {
@@ -58,7 +65,10 @@
 			return keeper.WatchResult{}, keeper.ErrHistoryNotExist{After: o.After}
 		case f.revision > o.After:
 			defer f.mu.Unlock()
-			return keeper.WatchResult{Revision: f.revision, Changes: []keeper.Change{{Record: keeper.Record{Key: "op/config", Value: []byte(f.value)}}}}, nil
+			return keeper.WatchResult{Revision: f.revision, Changes: []keeper.Change{
+				{Record: keeper.Record{Key: "op/config", Value: []byte(f.value)}},
+				{Record: keeper.Record{Key: zoneKey}, Deleted: !f.out},
+			}}, nil
 		}
 		f.mu.Unlock()
 		select {
@@ -71,8 +81,9 @@
 }
 
 func decode(records map[string][]byte) (*specifier.Policy, error) {
+	_, out := records[zoneKey]
 	v, err := strconv.ParseInt(string(records["op/config"]), 10, 64)
-	return &specifier.Policy{Version: v}, err
+	return &specifier.Policy{Version: v, ZonesOut: map[string]bool{"a": out}}, err
 }
 
 func startFollower(t *testing.T, f *fakeStore) *Follower {
@@ -138,3 +149,23 @@
 	f.set(func() { f.down = false })
 	await(t, "a fresh policy again", func() bool { return w.Age() < 50*time.Millisecond })
 }
+
+// A zone is taken out while the operators' text cannot be read, or is older than the
+// one in force: the zone does not wait for the text, else tasks go on starting in it.
+func TestZonesDoNotWaitForTheText(t *testing.T) {
+	for _, text := range []string{"nonsense", "4"} {
+		t.Run(text, func(t *testing.T) {
+			f := &fakeStore{value: "5", revision: 1}
+			w := startFollower(t, f)
+			await(t, "version 5", func() bool { return w.Policy().Version == 5 })
+			f.set(func() { f.value = text })
+			f.set(func() { f.out = true })
+			await(t, "zone out", func() bool { return w.Policy().ZonesOut["a"] })
+			if v := w.Policy().Version; v != 5 {
+				t.Errorf("version %d is in force", v)
+			}
+			f.set(func() { f.out = false })
+			await(t, "zone back", func() bool { return !w.Policy().ZonesOut["a"] })
+		})
+	}
+}
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -82,7 +82,7 @@
 	{ProgressNotStored, log.WarnLevel, "progress not stored", "Ends of runs could not be stored; they are not acknowledged and are written again."},
 	{ProgressStored, log.DebugLevel, "progress stored", "Ends of runs are stored and may be forgotten by the workers."},
 	{PolicyTaken, log.InfoLevel, "policy taken", "A newer version of queues and services, or a change of the availability zones that are out, is in force here."},
-	{PolicyUnreadable, log.ErrorLevel, "policy unreadable", "What the operators wrote cannot be read; the version before stays in force."},
+	{PolicyUnreadable, log.ErrorLevel, "policy unreadable", "What the operators wrote cannot be read; the version before stays in force. Zones go out and back all the same."},
 	{StoreLost, log.WarnLevel, "store lost", "The store does not answer this process. Jobs go on; new ones are refused."},
 	{StoreRegained, log.InfoLevel, "store regained", "The store answers again."},
 	{OwnerUnreachable, log.WarnLevel, "owner unreachable", "This entry cannot reach the owner of the cell; it answers from the store what it can."},
