Take no list of the operators' records that is behind what was seen

Would be seen: a zone that is out gets starts again for a moment, after the store dropped its history and a part of it that lags served the next list.

Cause: a list replaces all records that the follower holds. An older text in it was left alone by its version; the zones have no version and were taken.

Ruled out: keeping zones until a watch tells that they are back; a zone whose return fell into the gap would be out for good.

The follower keeps the highest revision seen and reads a list behind it again. One that stays behind for 5 s is taken: the store counts anew then.

--- a/internal/job/follower/follower.go
+++ b/internal/job/follower/follower.go
@@ -20,6 +20,9 @@
 	// proves that nothing changed. Operators count on a change within 2 s.
 	watchWait = 900 * time.Millisecond
 	pause     = 100 * time.Millisecond
+	// lagLimit is how long lists may be behind what was seen before it is taken that
+	// the store lost its state and counts anew.
+	lagLimit = 5 * time.Second
 )
 
 // Config holds the settings of a Follower.
@@ -39,7 +42,9 @@
 	policy  atomic.Pointer[specifier.Policy]
 	contact atomic.Pointer[time.Time] // sent time of the last read that was answered
 	records map[string][]byte
-	after   int64 // 0: list first
+	after   int64     // 0: list first
+	newest  int64     // highest revision seen
+	lagFrom time.Time // since when lists are behind it; zero: they are not
 	lost    bool
 }
 
@@ -103,6 +108,7 @@
 		return false, err
 	}
 	f.after = max(f.after, seen.Revision)
+	f.newest = max(f.newest, f.after)
 	for _, c := range seen.Changes {
 		if c.Deleted {
 			delete(f.records, c.Record.Key)
@@ -123,17 +129,33 @@
 		}
 		if after == "" {
 			first = page.Revision // what changes during the listing is seen again
+			if f.lags(first) {
+				return fmt.Errorf("list of revision %d after %d", first, f.newest)
+			}
 		}
 		for _, r := range page.Records {
 			records[r.Key], after = r.Value, r.Key
 		}
 		if !page.More || len(page.Records) == 0 {
-			f.records, f.after = records, first
+			f.records, f.after, f.newest = records, first, first
 			return nil
 		}
 	}
 }
 
+// lags tells of a list that is behind what was seen: it may lack a zone that is out.
+func (f *Follower) lags(revision int64) bool {
+	if revision >= f.newest {
+		f.lagFrom = time.Time{}
+		return false
+	}
+	now := f.config.Now()
+	if f.lagFrom.IsZero() {
+		f.lagFrom = now
+	}
+	return now.Sub(f.lagFrom) < lagLimit
+}
+
 // publish puts a newer policy in force. A text that can't be read, or an older one, as
 // a list served by a part of the store that lags may show, leaves the one in force. The
 // zones are records of their own and don't wait for the text.
--- a/internal/job/follower/follower_test.go
+++ b/internal/job/follower/follower_test.go
@@ -26,6 +26,7 @@
 	dropped  bool // the history is gone once
 	down     bool
 	stale    string // what lists show instead of the value
+	lag      int64  // how many revisions lists are behind; they show no zone out, and watches nothing
 }
 
 func (f *fakeStore) set(do func()) {
@@ -46,10 +47,10 @@
 		value = f.stale
 	}
 	records := []keeper.Record{{Key: "op/config", Value: []byte(value)}}
-	if f.out {
+	if f.out && f.lag == 0 {
 		records = append(records, keeper.Record{Key: zoneKey})
 	}
-	return keeper.ListResult{Revision: f.revision, Records: records}, nil
+	return keeper.ListResult{Revision: f.revision - f.lag, Records: records}, nil
 }
 
 func (f *fakeStore) watch(ctx context.Context, o keeper.WatchOptions) (keeper.WatchResult, error) {
@@ -63,7 +64,7 @@
 			f.dropped = false
 			f.mu.Unlock()
 			return keeper.WatchResult{}, keeper.ErrHistoryNotExist{After: o.After}
-		case f.revision > o.After:
+		case f.revision > o.After && f.lag == 0:
 			defer f.mu.Unlock()
 			return keeper.WatchResult{Revision: f.revision, Changes: []keeper.Change{
 				{Record: keeper.Record{Key: "op/config", Value: []byte(f.value)}},
@@ -169,3 +170,45 @@
 		})
 	}
 }
+
+// The history is dropped and a part of the store that lags serves the list: the zone
+// that it shows in is out, and must not come back until the store has caught up.
+func TestListThatLagsBringsNoZoneBack(t *testing.T) {
+	f := &fakeStore{value: "5", revision: 7, out: true}
+	w := startFollower(t, f)
+	await(t, "zone out", func() bool { return w.Policy().ZonesOut["a"] })
+	f.set(func() { f.dropped, f.lag = true, 3 })
+	for range 100 {
+		time.Sleep(2 * time.Millisecond)
+		if !w.Policy().ZonesOut["a"] {
+			t.Fatal("the zone is back")
+		}
+	}
+	f.set(func() { f.lag, f.value = 0, "6" })
+	await(t, "version 6", func() bool { return w.Policy().Version == 6 })
+}
+
+// A store that lost its state counts anew: lists that stay behind are taken in the end.
+func TestStoreThatCountsAnew(t *testing.T) {
+	f := &fakeStore{value: "5", revision: 7}
+	began, calls := time.Now(), 0
+	w := New(Config{Store: keeper.Calls{FindRecords: f.find, Watch: f.watch}, Decode: decode, Reporter: reporter.Discard()})
+	w.config.Now = func() time.Time {
+		calls++
+		return began.Add(time.Duration(calls) * lagLimit / 4)
+	}
+	w.newest = 9
+	refused := 0
+	for ; w.list(t.Context()) != nil; refused++ {
+		if refused > 10 {
+			t.Fatal("the list is never taken")
+		}
+	}
+	if refused == 0 {
+		t.Error("a list that lags was taken at once")
+	}
+	f.set(func() { f.value = "6" })
+	if changed, err := w.step(t.Context()); !changed || err != nil {
+		t.Errorf("change %t after the store counts anew, %v", changed, err)
+	}
+}
