Tell the owner of a stored job or cancellation until it has taken it

Would be seen: tasks start and run on for up to 10.8 s after the cancellation was accepted, or a job waits as long.

Cause: an entry told the owner once, within 700 ms, and not at all if the answer to its write was lost and the repeat met the record. The owner's watch makes up for it, but one whose connection went silent is given up only after 10 s and the limit of a call, and the same fault takes the hint.

Evidence, with one try and no hint after a conflict: TestHintIsRepeatedUntilTheOwnerTookIt: the owner was not told within 5s TestHintAfterALostAnswer: the owner was not told within 5s The silent watch itself was read from the code and not played.

Ruled out: a late repeat that runs a job again. Ended jobs are known for ten minutes, a hint is told for 15 s by a clock that counts suspensions; TestNoHintOfLongAgo fails without that limit.

--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -28,6 +29,13 @@
 	// staleAfter is how old the last contact with the store may be before a write
 	// is not even tried. The policy is read once a second.
 	staleAfter = 2500 * time.Millisecond
+	// hintPause is the first pause between tries to tell the owner of a record; it
+	// doubles up to hintPauseMax.
+	hintPause    = 100 * time.Millisecond
+	hintPauseMax = time.Second
+	// hintLimit is how long the owner is told of a record. A watch of the owner that went
+	// silent has ended by then, and no job is forgotten as soon.
+	hintLimit = 15 * time.Second
 )
 
 // Outcome is what became of a caller's request.
@@ -156,11 +164,15 @@
 	doubt := false
 	for {
 		revision, err := r.config.Store.Transact(ctx, t)
+		var conflict keeper.ErrConflict
 		switch {
 		case err == nil:
-			r.hint(ctx, key, value, revision)
+			r.hint(ctx, keeper.Record{Key: key, Value: value, Revision: revision})
 			return Result{Outcome: Accepted}
-		case keeper.IsErrConflict(err):
+		case errors.As(err, &conflict):
+			if stands := conflict.Current; len(stands.Value) > 0 {
+				r.hint(ctx, keeper.Record{Key: key, Value: stands.Value, Revision: stands.Revision})
+			}
 			return Result{Outcome: Accepted, Reason: "known"}
 		case keeper.IsErrOutcomeUnknown(err):
 			doubt = true
@@ -177,13 +189,25 @@
 	}
 }
 
-// hint tells the owner of a new record. It does not hold the caller's answer up,
-// and the owner's watch makes up for a hint that is lost.
-func (r *Receiver) hint(ctx context.Context, key string, value []byte, revision int64) {
+// hint tells the owner of a record until it has taken it. It does not hold the caller's
+// answer up. The owner's watch brings the record too, but one that went silent is
+// noticed late, and the hint may be lost by the same fault.
+func (r *Receiver) hint(ctx context.Context, record keeper.Record) {
+	ctx = context.WithoutCancel(ctx)
+	h := messenger.WorkHint{Key: record.Key, Value: record.Value, Revision: record.Revision}
+	began := r.config.Now()
 	go func() {
-		h := messenger.WorkHint{Key: key, Value: value, Revision: revision}
-		if err := r.config.CallOwner(context.WithoutCancel(ctx), messenger.MethodWorkHint, h, nil); err != nil {
-			r.config.Reporter.Report(reporter.OwnerUnreachable, reporter.Fields{"key": key, "error": err.Error()})
+		told := false
+		for pause := hintPause; r.config.Now().Sub(began) < hintLimit; pause = min(2*pause, hintPauseMax) {
+			err := r.config.CallOwner(ctx, messenger.MethodWorkHint, h, nil)
+			if err == nil {
+				return
+			}
+			if !told {
+				told = true
+				r.config.Reporter.Report(reporter.OwnerUnreachable, reporter.Fields{"key": record.Key, "error": err.Error()})
+			}
+			_ = pauser.Pause(ctx, pause)
 		}
 	}()
 }
