Order a throttle until the worker has it

Would be seen: a batch task runs on at the pace of a throttle that has ended, or at full speed beside a service that it slows down, until it ends or its agent's process or the cell's owner changes.

Cause: the owner handed a throttle out once in a session and then took it for in force. An agent gives a poll up when a task ends meanwhile and drops the reply with its orders; a call to the worker may fail; and a pace that was ordered before (50, 100, 50) counted as sent.

Ruled out: start, stop and checkpoint orders, which are repeated every 700 ms until a poll tells of them.

The worker lists the percent at which an attempt runs, the agent reports it, and the owner orders while it differs from the wanted one. A worker that does not tell it gets the order again every 700 ms; it changes nothing there.

--- a/internal/agent/runner/order.go
+++ b/internal/agent/runner/order.go
@@ -181,8 +181,8 @@
 		_, err := r.config.Driver.CheckpointTask(ctx, o.TaskID, o.Attempt)
 		return stopped(o, err)
 	case messenger.OrderThrottle:
-		// A throttle that fails is not repeated: the next round of the owner
-		// decides anew from measurements.
+		// Nothing is noted of one that fails: the next poll tells the percent that
+		// is in force, and the owner orders again.
 		_ = r.config.Driver.ThrottleTask(ctx, o.TaskID, o.Attempt, o.Percent)
 	}
 	return nil
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -173,7 +173,7 @@
 		delete(r.refused, messenger.TaskAttempt{TaskID: t.TaskID, Attempt: t.Attempt})
 		p.Tasks = append(p.Tasks, messenger.TaskReport{
 			TaskID: t.TaskID, Attempt: t.Attempt, State: t.State, Reason: t.Reason, Checkpoint: t.Checkpoint,
-			Needs: t.Needs, Class: t.Class, Tenant: t.Tenant, Service: t.Service,
+			Needs: t.Needs, Class: t.Class, Tenant: t.Tenant, Service: t.Service, Percent: t.Percent,
 		})
 	}
 	for _, report := range r.refused {
--- a/internal/control/controller/order.go
+++ b/internal/control/controller/order.go
@@ -198,11 +198,12 @@
 		}
 		return order, true
 	case messenger.TaskRunning:
-		if t.Percent > 0 {
+		// Ordered until the worker tells that it runs so: the order may be lost with a
+		// reply that the agent gave up, or fail at the worker.
+		at := messenger.TaskAttempt{TaskID: t.Spec.ID, Attempt: t.Attempt}
+		if t.Percent > 0 && s.listed[at].Percent != t.Percent {
 			order.Kind, order.Percent = messenger.OrderThrottle, t.Percent
-			at := messenger.TaskAttempt{TaskID: t.Spec.ID, Attempt: t.Attempt}
-			_, sent := s.sent[sentOrder{at, order.Kind, order.Percent}]
-			return order, !sent
+			return order, true
 		}
 	}
 	return order, false
--- a/internal/control/controller/report.go
+++ b/internal/control/controller/report.go
@@ -29,26 +29,31 @@
 // attempt on the VM, so one that is confirmed and missing runs no more.
 func (o *owner) takeReports(s *session, p messenger.Poll) {
 	vm := p.Capacity.VM
-	reported := make(map[messenger.TaskAttempt]bool, len(p.Tasks))
+	s.listed = make(map[messenger.TaskAttempt]messenger.TaskReport, len(p.Tasks))
 	for _, r := range p.Tasks {
 		at := messenger.TaskAttempt{TaskID: r.TaskID, Attempt: r.Attempt}
-		reported[at] = true
+		s.listed[at] = r
 		o.takeReport(s, vm, at, r)
 	}
-	s.listed = reported
 	for at := range s.strays {
-		if !reported[at] {
+		if !s.lists(at) {
 			delete(s.strays, at)
 		}
 	}
 	for _, t := range o.books.On(vm) {
 		at := messenger.TaskAttempt{TaskID: t.Spec.ID, Attempt: t.Attempt}
-		if t.State == messenger.TaskRunning && !reported[at] {
+		if t.State == messenger.TaskRunning && !s.lists(at) {
 			o.endAttempt(t, ending{state: messenger.ReportLost, reason: "not running on its VM any more", unheard: true}, nil)
 		}
 	}
 }
 
+// lists tells whether the latest poll listed an attempt.
+func (s *session) lists(at messenger.TaskAttempt) bool {
+	_, ok := s.listed[at]
+	return ok
+}
+
 func (o *owner) takeReport(s *session, vm string, at messenger.TaskAttempt, r messenger.TaskReport) {
 	t := o.books.Task(at.TaskID)
 	current := t != nil && t.Holds() && t.VM == vm && t.Attempt == at.Attempt
@@ -103,7 +108,7 @@
 func (o *owner) checkUnheard(t *bookkeeper.Task, now time.Time) {
 	s := o.session(t.StartedOn)
 	at := messenger.TaskAttempt{TaskID: t.Spec.ID, Attempt: t.Attempt}
-	known := t.Confirmed || s.incarnation != t.StartedBy || s.listed[at]
+	known := t.Confirmed || s.incarnation != t.StartedBy || s.lists(at)
 	if known || !s.reachable(now) || !s.lastPoll.After(t.Changed) {
 		return
 	}
--- a/internal/control/controller/session.go
+++ b/internal/control/controller/session.go
@@ -30,8 +30,8 @@
 	sequence    int64
 	epochSeen   bool // the agent has taken a reply of this epoch
 	lastPoll    time.Time
-	listed      map[messenger.TaskAttempt]bool // every attempt in the latest poll
-	leaseUntil  time.Time                      // by when every lease granted on the VM has surely run out
+	listed      map[messenger.TaskAttempt]messenger.TaskReport // every attempt in the latest poll
+	leaseUntil  time.Time                                      // by when every lease granted on the VM has surely run out
 	parked      *parkedPoll
 	answerNow   bool
 	acked       []messenger.TaskAttempt
--- a/internal/standin/worker/calls.go
+++ b/internal/standin/worker/calls.go
@@ -137,7 +137,7 @@
 	if c.Percent < 1 || c.Percent > 100 {
 		return http.StatusBadRequest, "percent must be from 1 to 100"
 	}
-	t.percent = c.Percent
+	t.info.Percent = c.Percent
 	return http.StatusOK, struct{}{}
 }
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -59,7 +59,6 @@
 	runTime  time.Duration // 0: no end of its own
 	progress time.Duration
 	leaseEnd time.Time
-	percent  int
 	window   time.Duration // progress within the current usage window
 }
 
@@ -148,7 +147,7 @@
 			w.endLocked(t, messenger.ReportLost, "lease ran out")
 			continue
 		}
-		done := elapsed * time.Duration(t.percent) / 100 * time.Duration(w.faults.speed()) / 100
+		done := elapsed * time.Duration(t.info.Percent) / 100 * time.Duration(w.faults.speed()) / 100
 		t.progress += done
 		t.window += done
 		switch {
@@ -165,9 +164,9 @@
 }
 
 func (w *Worker) startLocked(c driver.StartCall) error {
-	t := &task{percent: 100, leaseEnd: w.leaseEnd(c.LeaseUntil), info: driver.Task{
+	t := &task{leaseEnd: w.leaseEnd(c.LeaseUntil), info: driver.Task{
 		TaskID: c.TaskID, Attempt: c.Attempt, State: messenger.ReportRunning, Checkpoint: c.Checkpoint,
-		Needs: c.Needs, Class: c.Class, Tenant: c.Tenant, Service: c.Service,
+		Needs: c.Needs, Class: c.Class, Tenant: c.Tenant, Service: c.Service, Percent: 100,
 	}}
 	if strings.HasPrefix(c.Payload, "{") {
 		if err := json.Unmarshal([]byte(c.Payload), &t.payload); err != nil {
@@ -243,7 +242,7 @@
 		if t.payload.UseBytes > 0 {
 			use.MemoryBytes = t.payload.UseBytes
 		}
-		use.Millicores = use.Millicores * int64(t.percent) / 100
+		use.Millicores = use.Millicores * int64(t.info.Percent) / 100
 		u.MillicoresAll += use.Millicores
 		u.Tasks = append(u.Tasks, use)
 		t.window = 0
--- a/internal/wire/messenger/cell.go
+++ b/internal/wire/messenger/cell.go
@@ -89,6 +89,7 @@
 	Class      string              `json:"class,omitempty"`
 	Tenant     string              `json:"tenant,omitempty"`
 	Service    string              `json:"service,omitempty"`
+	Percent    int                 `json:"percent,omitempty"` // of the processors at which it runs; 0: the worker does not tell
 }
 
 // Usage is a measurement of the VM over a past window.
--- a/internal/worker/driver/protocol.go
+++ b/internal/worker/driver/protocol.go
@@ -69,4 +69,5 @@
 	Class      string                `json:"class,omitempty"`
 	Tenant     string                `json:"tenant,omitempty"`
 	Service    string                `json:"service,omitempty"`
+	Percent    int                   `json:"percent,omitempty"` // as last throttled, 100: not
 }
