Forget what a stop was for together with the stop

What callers would see: a lasting task that stays away though there is room, for up to as long as urgent tasks press, or that waits for a VM it was once to move to.

Cause: a move or a yield was noted on the task before its stop was ordered, also where no order could be sent, and stayed when the stop was lost with its session. When the run ended later by itself the task kept off other VMs, or waited, for a decision that was void.

Evidence: TestAMoveOrAYieldIsForgottenWithItsStop, the stop was lost, fails on the code before (yielded: true, moves to other).

Change: they are noted only with an order, and go with a stop that is forgotten.

--- a/internal/job/accountant/report.go
+++ b/internal/job/accountant/report.go
@@ -108,9 +108,10 @@
 	}
 }
 
-// forgetStop takes a run for one that nobody is stopping.
+// forgetStop takes a run for one that nobody is stopping, for whatever it was.
 func (r *Run) forgetStop() {
 	r.State, r.StopCause = Running, ""
+	r.Task.Moves, r.Task.Yielded = Moving{}, false
 	if r.StartedAt.IsZero() {
 		r.State = Ordered
 	}
--- a/internal/job/accountant/report_test.go
+++ b/internal/job/accountant/report_test.go
@@ -188,3 +188,31 @@
 		t.Error("not ordered again though the agent has the order and does not stop the run")
 	}
 }
+
+// Guards against a lasting task that stays away though there is room: its stop was lost, and
+// what it was stopped for, to move or to yield, is still believed when it ends later.
+func TestAMoveOrAYieldIsForgottenWithItsStop(t *testing.T) {
+	tests := []struct {
+		name     string
+		stopping bool // the agent has the stop
+	}{
+		{"the stop was lost", false},
+		{"the stop was not lost", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := newState(t, 2)
+			j := addJob(t, a, 1, specifier.Step{Count: 1, Needs: oneCore, Lasting: true})
+			task := j.Occurrences[0].Steps[0].Tasks[0]
+			report := Report{Life: "1", Process: 1, Ready: true, Runs: []ReportedRun{{Key: key(1, 0, 0, 1), Confirmed: true}}}
+			vm, _ := a.Attach(Facts{Name: "vm", Capacity: oneCore}, report, begin)
+			task.Yielded, task.Moves = true, Moving{To: "other", Until: at(1000)}
+			a.Stop(vm.Runs[key(1, 0, 0, 1)], "yields", at(5))
+			report.Runs[0].Stopping = tt.stopping
+			a.Attach(Facts{Name: "vm", Capacity: oneCore}, report, at(10))
+			if got := task.Yielded && task.Waiting("vm", at(20)); got != tt.stopping {
+				t.Errorf("yielded: %t, moves to %q", task.Yielded, task.Moves.To)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -310,8 +310,9 @@
 func (o *owner) move(now time.Time) {
 	for _, m := range planner.Moves(o.input(now)) {
 		o.s.config.Reporter.Report(reporter.JobMoveDecided, reporter.Fields{"task": m.Run.Key().Task.String(), "run": m.Run.Number, "vm": m.Run.VM.Name, "to": m.To.Name, "opens-cpu": int64(m.Gain)})
-		m.Run.Task.Moves = accountant.Moving{To: m.To.Name, Until: now.Add(planner.MoveHold)}
-		o.orderStop(m.Run, "moves for filling tasks")
+		if o.orderStop(m.Run, "moves for filling tasks") {
+			m.Run.Task.Moves = accountant.Moving{To: m.To.Name, Until: now.Add(planner.MoveHold)}
+		}
 	}
 }
 
@@ -322,8 +323,7 @@
 		o.pressedAt = now
 	}
 	for _, r := range runs {
-		r.Task.Yielded = true
-		o.orderStop(r, "yields to urgent tasks")
+		r.Task.Yielded = o.orderStop(r, "yields to urgent tasks")
 	}
 }
 
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -270,14 +270,17 @@
 	})
 }
 
-func (o *owner) orderStop(r *accountant.Run, cause string) {
+// orderStop tells whether the stop is ordered: a VM that is not attached gets no orders, and
+// its runs are seen again when its agent is back.
+func (o *owner) orderStop(r *accountant.Run, cause string) bool {
 	s := o.sessions[r.VM.Name]
 	if s == nil || !r.VM.Attached {
-		return // seen again when its agent is back
+		return false
 	}
 	seq := o.state.Stop(r, cause, o.s.config.Now())
 	s.queued = append(s.queued, messenger.WorkOrder{Seq: seq, Kind: messenger.WorkStop, Task: r.Key().Task.String(), Run: r.Number})
 	o.s.config.Reporter.Report(reporter.JobStopDecided, reporter.Fields{"task": r.Key().Task.String(), "run": r.Number, "vm": r.VM.Name, "cause": cause})
+	return true
 }
 
 func (o *owner) orderPace(p planner.Pace) {
