Test four safeguards of stops that no test missed

Found by a reviewer who took each safeguard out: the agent's telling of what it stops, the owner's reading of it, the end of a session whose orders were refused, and the time that a stop is given before it is repeated.

--- /dev/null
+++ b/internal/job/scheduler/orders_test.go
@@ -0,0 +1,62 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/wire/connector"
+	"bamboospread/internal/wire/messenger"
+)
+
+// Guards against an owner that floods an agent with the stop that it is carrying out.
+func TestAStopThatTheAgentTellsOfIsNotOrderedAgain(t *testing.T) {
+	b := newStopBed(t)
+	b.hear()
+	b.cancel(seenByHint)
+	orders := b.survey(0)
+	if len(orders) != 1 {
+		t.Fatalf("%d orders", len(orders))
+	}
+	b.report.OrdersSeen, b.report.Runs[0].Stopping = orders[0].Seq, true
+	for range 5 {
+		b.hear()
+		if again := b.survey(surveyGap); len(again) != 0 {
+			t.Fatalf("ordered again: %+v", again)
+		}
+	}
+}
+
+// Guards against orders that an agent refuses and its owner takes for given: the session
+// ends, and the agent tells in the next one what it has.
+func TestASessionEndsWhenItsOrdersAreRefused(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	refuse := func(context.Context, *connector.Conn, string, json.RawMessage) (any, error) {
+		return nil, connector.Errorf(messenger.CodeBadRequest, "void")
+	}
+	opened := make(chan *connector.Conn, 1)
+	go func() { _ = connector.Serve(ctx, l, refuse, func(c *connector.Conn) { opened <- c }) }()
+	agent, err := connector.Dial(ctx, l.Addr().String(), refuse)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer agent.Close()
+	b := newStopBed(t)
+	b.hear()
+	s := b.o.sessions["vm-1"]
+	s.conn, s.reporter = <-opened, reporter.Discard()
+	s.post(messenger.WorkOrders{Epoch: 2, Session: 1, Life: "1"})
+	select {
+	case <-agent.Done():
+	case <-time.After(3 * time.Second):
+		t.Error("the session goes on")
+	}
+}
--- a/internal/worker/guardian/guardian_test.go
+++ b/internal/worker/guardian/guardian_test.go
@@ -161,9 +161,17 @@
 
 func newBed(t *testing.T, worker *fakeWorker) *bed {
 	t.Helper()
+	return newBedWith(t, worker, func(*Worker) {})
+}
+
+// newBedWith is newBed with calls of the worker that are changed first.
+func newBedWith(t *testing.T, worker *fakeWorker, change func(w *Worker)) *bed {
+	t.Helper()
+	calls := worker.calls()
+	change(&calls)
 	b := &bed{t: t, worker: worker}
 	b.g = New(Config{
-		VM: "vm-1", Worker: worker.calls(), LeaseMax: time.Second, StopTime: 50 * time.Millisecond, Reporter: reporter.Discard(), Now: time.Now,
+		VM: "vm-1", Worker: calls, LeaseMax: time.Second, StopTime: 50 * time.Millisecond, Reporter: reporter.Discard(), Now: time.Now,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
