Hear the present process of an agent though a late report replaced it

What callers would see: the tasks of a VM lapse and run again elsewhere, and the VM takes nothing more until the owner changes or its agent is restarted.

Cause: remembers the processes that were replaced and refuses them for good. If the first report of a process that has ended is read after those of the next one (an owner that stood still reads both connections at once), the ended one is taken for the newest and the one that runs for replaced.

Change: a report whose connection has ended is not taken; a process that was replaced is heard again once the other was silent for as long as makes a VM count as detached.

Ruled out: going by higher numbers of the replaced process alone; a late report of it looks the same.

--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -45,6 +45,7 @@
 // reportMade is a report that waits for its answer.
 type reportMade struct {
 	conn   *connector.Conn
+	gone   <-chan struct{} // ends with the connection
 	report messenger.WorkReport
 	facts  accountant.Facts
 	read   accountant.Report
@@ -63,7 +64,7 @@
 		o.s.config.Reporter.Report(reporter.MessageMalformed, reporter.Fields{"vm": r.VM, "error": err.Error()})
 		return messenger.WorkReply{}, connector.Errorf(messenger.CodeBadRequest, "report of %s: %v", r.VM, err)
 	}
-	e := reportMade{conn: c, report: r, facts: facts, read: read, answer: make(chan messenger.WorkReply, 1)}
+	e := reportMade{conn: c, gone: ctx.Done(), report: r, facts: facts, read: read, answer: make(chan messenger.WorkReply, 1)}
 	if err := o.send(ctx, e); err != nil {
 		return messenger.WorkReply{}, connector.Errorf(messenger.CodeNotOwner, "%v", err)
 	}
@@ -105,7 +106,7 @@
 
 func (e reportMade) apply(o *owner, now time.Time) {
 	s := o.sessions[e.report.VM]
-	if s != nil && s.follows(e.report) {
+	if e.over() || s != nil && s.follows(e.report, now) {
 		e.answer <- messenger.WorkReply{} // overtaken by a later session
 		return
 	}
@@ -154,14 +155,26 @@
 // endedKept is how many processes of an agent before its present one are remembered.
 const endedKept = 8
 
+// over tells whether the connection has ended on which the report came. What the process
+// behind it told may be long past, and it hears no answer.
+func (e reportMade) over() bool {
+	select {
+	case <-e.gone:
+		return true
+	default:
+		return false
+	}
+}
+
 // follows tells whether a report is of a session before this one. Numbers of sessions rise
 // within a process of the agent only: it takes the first from its clock, and the time of
-// day may jump back before the next process begins.
-func (s *session) follows(r messenger.WorkReport) bool {
+// day may jump back before the next process begins. A process that was replaced is heard
+// again once nothing more comes of the other, which may itself be the one that has ended.
+func (s *session) follows(r messenger.WorkReport, now time.Time) bool {
 	if r.Process == s.process {
 		return r.Session < s.number
 	}
-	return slices.Contains(s.ended, r.Process)
+	return slices.Contains(s.ended, r.Process) && now.Sub(s.vm.GrantedAt) <= silence
 }
 
 // next returns the session that a report opens after s, which may be nil.
--- a/internal/job/scheduler/session_test.go
+++ b/internal/job/scheduler/session_test.go
@@ -144,3 +144,40 @@
 		})
 	}
 }
+
+// Guards against a VM that is lost until the owner changes: the first report of an agent's
+// process that has ended is read after those of the process that runs.
+func TestALateReportOfAnEndedProcessDoesNotShutOutThePresentOne(t *testing.T) {
+	ended := make(chan struct{})
+	close(ended)
+	open := make(chan struct{})
+	tests := []struct {
+		name     string
+		gone     chan struct{} // ends with the connection of the late report
+		late     bool          // the late report is taken
+		after    time.Duration // between it and the next session of the process that runs
+		accepted bool          // that session
+	}{
+		{"its connection has ended", ended, false, 0, true},
+		{"its connection looks open", open, true, 0, false},
+		{"its connection looks open and nothing more comes", open, true, silence + time.Millisecond, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newStopBed(t)
+			b.report.Process, b.report.Session = 2000, 2001
+			if !b.tell(new(connector.Conn), nil) {
+				t.Fatal("the process that runs is refused")
+			}
+			b.report.Process, b.report.Session = 1000, 1001
+			if got := b.tell(new(connector.Conn), tt.gone); got != tt.late {
+				t.Fatalf("the late report is taken: %t", got)
+			}
+			b.now = b.now.Add(tt.after)
+			b.report.Process, b.report.Session = 2000, 2002
+			if got := b.tell(new(connector.Conn), nil); got != tt.accepted {
+				t.Errorf("the process that runs is taken: %t, want %t", got, tt.accepted)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/stops_test.go
+++ b/internal/job/scheduler/stops_test.go
@@ -10,6 +10,7 @@
 	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/store/keeper"
+	"bamboospread/internal/wire/connector"
 	"bamboospread/internal/wire/messenger"
 )
 
@@ -47,14 +48,21 @@
 
 // hear applies the agent's report.
 func (b *stopBed) hear() {
+	b.t.Helper()
+	b.tell(nil, nil)
+}
+
+// tell applies the agent's report, read from a connection with which gone ends, and tells
+// whether it was taken.
+func (b *stopBed) tell(c *connector.Conn, gone chan struct{}) bool {
 	b.t.Helper()
 	read, facts, err := readReport(b.report)
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	e := reportMade{report: b.report, read: read, facts: facts, answer: make(chan messenger.WorkReply, 1)}
+	e := reportMade{conn: c, gone: gone, report: b.report, read: read, facts: facts, answer: make(chan messenger.WorkReply, 1)}
 	e.apply(b.o, b.now)
-	<-e.answer
+	return (<-e.answer).Epoch != 0
 }
 
 // survey lets so much time pass and returns the orders of a survey.
