Lose a run with its worker though a restarted agent had found it

What callers would see: a lasting task that runs nowhere, counts as at work and never starts again, until the agent's session ends; a task of any other kind that never ends.

Cause: a start that an agent's process had not confirmed when it ended is kept booked, whatever reports leave out. When the next process lists the run it is certain again, but it stayed one that no report can take away, and the worker's next life lists nothing.

Evidence: found by the reviewer; TestARunThatARestartedAgentFoundIsLostWithItsWorker fails on the code before (the run of the life before is still running).

--- a/internal/job/accountant/report.go
+++ b/internal/job/accountant/report.go
@@ -190,7 +190,9 @@
 		r = a.adopt(vm, rep, now)
 		adopted = r
 	}
-	r.Uncertain = false // this process of the agent knows it
+	if r.Uncertain { // this process of the agent knows it and lists it until it is gone
+		r.Uncertain, r.Order = false, 0
+	}
 	if rep.Confirmed && r.State == Ordered {
 		r.State, r.StartedAt, r.MovedAt = Running, now, now
 	}
--- a/internal/job/accountant/report_test.go
+++ b/internal/job/accountant/report_test.go
@@ -216,3 +216,23 @@
 		})
 	}
 }
+
+// Guards against a lasting task that runs nowhere and counts as at work: a restarted agent
+// finds the run at its worker, and the worker begins another life.
+func TestARunThatARestartedAgentFoundIsLostWithItsWorker(t *testing.T) {
+	a := newState(t, 2)
+	j := addJob(t, a, 1, specifier.Step{Count: 1, Needs: oneCore, Lasting: true})
+	task := j.Occurrences[0].Steps[0].Tasks[0]
+	report := Report{Life: "1", Process: 1, Ready: true}
+	vm, _ := a.Attach(Facts{Name: "vm", Capacity: oneCore}, report, begin)
+	a.Place(task, vm, 1, begin)
+	report.Process, report.Runs = 2, []ReportedRun{{Key: key(1, 0, 0, 1), Confirmed: true}}
+	a.Attach(Facts{Name: "vm", Capacity: oneCore}, report, at(10))
+	if len(task.Runs) != 1 || len(vm.UncertainRuns()) != 0 {
+		t.Fatal("the run that the agent lists is not taken for one that is known")
+	}
+	report.Life, report.Runs = "2", nil
+	if a.Apply(vm, report, at(1000)); len(task.Runs) != 0 {
+		t.Errorf("the run of the life before is still %s, and its task never starts again", task.Runs[0].State)
+	}
+}
