Keep the run that works where another of its task is being stopped

What callers would see: a lasting task that is at work is stopped and started again, or counts as away, so that others of its step may not be stopped.

Cause: of two runs of a task the one that was heard of first stays. After a change of owner that may be one which its agent is stopping, since its start was never answered, while the other works.

Evidence: found by the reviewer; TestARunThatIsBeingStoppedDoesNotOustOneThatWorks fails on the code before (run 2 on vm-a is to be stopped).

Change: now that reports tell what is being stopped, the first run that is not stays.

--- a/internal/job/accountant/job.go
+++ b/internal/job/accountant/job.go
@@ -216,7 +216,8 @@
 
 // Away tells whether a lasting task is not at work.
 func (t *Task) Away() bool {
-	return len(t.Runs) == 0 || t.Runs[0].State != Running || t.Runs[0].Progress < fullPace
+	r := t.Lead()
+	return r == nil || r.State != Running || r.Progress < fullPace
 }
 
 // openSteps returns the steps that match among those that are ready and not finished.
--- a/internal/job/accountant/report_test.go
+++ b/internal/job/accountant/report_test.go
@@ -236,3 +236,18 @@
 		t.Errorf("the run of the life before is still %s, and its task never starts again", task.Runs[0].State)
 	}
 }
+
+// Guards against the only run of a task that works being stopped: a VM lists a run of it that
+// is being stopped since its start may still come, and is heard before the one where it works.
+func TestARunThatIsBeingStoppedDoesNotOustOneThatWorks(t *testing.T) {
+	a := newState(t, 2)
+	j := addJob(t, a, 1, specifier.Step{Count: 1, Needs: oneCore, Lasting: true})
+	a.Attach(Facts{Name: "vm-b", Capacity: oneCore}, Report{Life: "1", Process: 1, Ready: true, Runs: []ReportedRun{{Key: key(1, 0, 0, 1), Stopping: true, Confirmed: true}}}, begin)
+	a.Attach(Facts{Name: "vm-a", Capacity: oneCore}, Report{Life: "1", Process: 1, Ready: true, Runs: []ReportedRun{{Key: key(1, 0, 0, 2), Confirmed: true, Progress: 100}}}, at(5))
+	for _, r := range a.Unwanted() {
+		t.Errorf("run %d on %s is to be stopped", r.Number, r.VM.Name)
+	}
+	if j.Occurrences[0].Steps[0].Tasks[0].Away() {
+		t.Error("the task counts as away though one of its runs is at work")
+	}
+}
--- a/internal/job/accountant/run.go
+++ b/internal/job/accountant/run.go
@@ -137,9 +137,22 @@
 	if t.Done || t.Step.Occurrence.Job.State.Final() {
 		return true
 	}
-	// Two runs of one task are seen when a VM comes back with a run that was
-	// given up: the first one stays.
-	return !t.Step.Spec.Copies && len(t.Runs) > 1 && t.Runs[0] != r
+	// Two runs of one task are seen when a VM comes back with a run that was given up.
+	return !t.Step.Spec.Copies && t.Lead() != r
+}
+
+// Lead returns the run of a task that stays if only one may: the first that is not being
+// stopped, else the first; nil if there is none.
+func (t *Task) Lead() *Run {
+	for _, r := range t.Runs {
+		if r.State != Stopping {
+			return r
+		}
+	}
+	if len(t.Runs) == 0 {
+		return nil
+	}
+	return t.Runs[0]
 }
 
 // End is how a run ended.
--- a/internal/job/planner/yield.go
+++ b/internal/job/planner/yield.go
@@ -45,7 +45,7 @@
 			if t.Yielded && t.Away() {
 				away += s.Spec.Needs.CPUMillis
 			}
-			if len(t.Runs) > 0 && t.Runs[0].State == accountant.Stopping {
+			if r := t.Lead(); r != nil && r.State == accountant.Stopping {
 				need -= s.Spec.Needs.CPUMillis // on its way out
 			}
 		}
