Grant nothing to a VM that is being taken out of the members; take it out until it is

What callers would see: two runs of a task after a change of owner, if a VM that was silent for long comes back while it is being taken out; or work that waits 7 s after a change of owner for a VM that had left in order.

Cause: the owner believed its list of members while a write of another was on its way, and believed a write that failed to have been done: the names to take out were forgotten before its answer.

Change: who may be granted leases is kept apart from whom the store may have listed; the first loses a name when the write without it begins, the second when it has counted.

--- a/internal/job/scheduler/flush.go
+++ b/internal/job/scheduler/flush.go
@@ -152,7 +152,8 @@
 	o.s.config.Reporter.Report(reporter.ProgressStored, reporter.Fields{"jobs": len(e.flush.Jobs), "took": e.took.String()})
 }
 
-// storeMembers adds the VMs that wait to join.
+// storeMembers adds the VMs that wait to join and takes out those that leave, which are
+// granted nothing from now on: the write may count before its answer comes.
 func (o *owner) storeMembers(ctx context.Context) {
 	if o.storing || len(o.joining)+len(o.leaving) == 0 {
 		return
@@ -160,8 +161,11 @@
 	o.storing = true
 	e := &membersStored{}
 	for n := range o.members {
-		if !o.leaving[n] || o.joining[n] {
+		switch {
+		case !o.leaving[n] || o.joining[n]:
 			e.names = append(e.names, n)
+		default:
+			delete(o.members, n)
 		}
 	}
 	for n := range o.joining {
@@ -169,6 +173,9 @@
 			e.names = append(e.names, n)
 		}
 	}
+	for _, n := range e.names {
+		o.listed[n] = true
+	}
 	sort.Strings(e.names)
 	o.joining, o.leaving = make(map[string]bool), make(map[string]bool)
 	go func() {
@@ -190,16 +197,17 @@
 	err   error
 }
 
-func (e *membersStored) apply(o *owner, _ time.Time) {
+func (e *membersStored) apply(o *owner, now time.Time) {
 	o.storing = false
 	if e.err != nil {
-		// The agents ask to join again with their next reports.
+		// The agents' next reports ask to join, or to be taken out, again.
+		o.dropAfter = now.Add(flushPause)
 		o.s.config.Reporter.Report(reporter.ProgressNotStored, reporter.Fields{"members": len(e.names), "error": e.err.Error()})
 		return
 	}
-	o.members = make(map[string]bool, len(e.names))
+	o.members, o.listed = make(map[string]bool, len(e.names)), make(map[string]bool, len(e.names))
 	for _, n := range e.names {
-		o.members[n] = true
+		o.members[n], o.listed[n] = true, true
 	}
 	o.dirty = true
 }
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -71,11 +71,13 @@
 	memory     *planner.Memory
 	sessions   map[string]*session  // by VM
 	cancelled  map[string]bool      // cancellations that came before their job
-	members    map[string]bool      // VMs that the store has as members
+	members    map[string]bool      // VMs that the store has as members, and that may be granted leases
+	listed     map[string]bool      // VMs that the store may have as members
 	joining    map[string]bool      // VMs to be stored as members
 	leaving    map[string]bool      // members that were not heard for long
 	unheard    map[string]bool      // members that have not reported to this owner
 	storing    bool                 // a write of the members is on its way
+	dropAfter  time.Time            // VMs that are not heard are taken out of the members only after this
 	judged     map[string]time.Time // end of the quarantine that was told, by VM
 	settled    bool
 	followFrom int64
@@ -98,7 +100,7 @@
 	return &owner{
 		s: s, epoch: epoch, started: now, state: state, learner: learner.New(), learnedAt: now, memory: planner.NewMemory(), writer: newWriter(s.config.Store.Transact), events: make(chan event, eventBuffer), done: make(chan struct{}),
 		restorers: make(map[*connector.Conn]*abridger.Restorer),
-		sessions:  make(map[string]*session), cancelled: make(map[string]bool), members: make(map[string]bool),
+		sessions:  make(map[string]*session), cancelled: make(map[string]bool), members: make(map[string]bool), listed: make(map[string]bool),
 		joining: make(map[string]bool), leaving: make(map[string]bool), unheard: make(map[string]bool), judged: make(map[string]time.Time), waitTold: make(map[string]time.Time), dirty: true, forgetAt: now.Add(forgetEvery),
 	}
 }
@@ -213,8 +215,8 @@
 // watchVMs detaches VMs that are not heard and gives up what ran there once its
 // leases have surely run out.
 func (o *owner) watchVMs(now time.Time) {
-	for name := range o.members {
-		if vm := o.state.VMs[name]; now.Sub(o.started) > memberLife*o.leaseOver() && (vm == nil || now.Sub(vm.GrantedAt) > memberLife*o.leaseOver()) {
+	for name := range o.listed {
+		if vm := o.state.VMs[name]; now.After(o.dropAfter) && now.Sub(o.started) > memberLife*o.leaseOver() && (vm == nil || now.Sub(vm.GrantedAt) > memberLife*o.leaseOver()) {
 			o.leaving[name] = true
 		}
 	}
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -212,10 +212,10 @@
 // nothing is waited for by no later owner. Without this a VM that had left in order
 // held all inherited jobs up for as long as its leases could have lasted (7 s).
 func (o *owner) dropMember(vm string) {
-	if o.members[vm] {
-		delete(o.members, vm)
+	if o.listed[vm] {
 		o.leaving[vm] = true
 	}
+	delete(o.members, vm)
 	delete(o.joining, vm)
 }
 
--- a/internal/job/scheduler/takeover.go
+++ b/internal/job/scheduler/takeover.go
@@ -111,7 +111,7 @@
 		return fmt.Errorf("decode members: %w", err)
 	}
 	for _, n := range names {
-		o.members[n] = true
+		o.members[n], o.listed[n] = true, true
 		o.unheard[n] = true
 	}
 	return nil
