Tell a start that nobody has answered as not confirmed while it is being stopped

What callers would see: two runs of one task. Neither a start nor its stop is answered and the agent's process ends; the owner takes the run for one that the worker had and that is gone, starts its task elsewhere, and the first start is carried out late.

Cause: a report called each run confirmed that was not starting any more.

Change: a run is confirmed once an answer or a look has shown it; until then its needs are told too.

--- /dev/null
+++ b/internal/worker/guardian/beliefs_test.go
@@ -0,0 +1,33 @@
+package guardian
+
+import (
+	"context"
+	"testing"
+
+	"bamboospread/internal/wire/messenger"
+)
+
+// Guards against two runs of one task: neither the start nor the stop of a run is answered,
+// the agent is restarted, and the owner takes the run for one that the worker had and that
+// is gone. A run that no look has shown is not confirmed, also while it is being stopped.
+func TestAStartWithoutAnAnswerIsNotConfirmedByItsStop(t *testing.T) {
+	worker := newFakeWorker()
+	worker.deaf = 1000
+	b := newBedWith(t, worker, func(w *Worker) {
+		w.Stop = func(context.Context, StopCall) error { return errNoAnswer }
+	})
+	b.own(1)
+	b.order(1, messenger.WorkStart, 0, 1)
+	var run messenger.WorkRun
+	b.until("stop of the start that was not answered", func() bool {
+		runs := b.report().Runs
+		if len(runs) != 1 {
+			return false
+		}
+		run = runs[0]
+		return run.Stopping
+	})
+	if run.Confirmed {
+		t.Errorf("told as confirmed: %+v", run)
+	}
+}
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -41,6 +41,7 @@
 	settledAt  time.Time // when its start or stop was answered; a look sent later shows the truth
 	stopped    bool      // its stop was answered
 	doubt      bool      // its start was not answered, and may be carried out later
+	confirmed  bool      // an answer or a look has shown that the worker has, or had, it
 	checkpoint string
 	progress   int
 	measure    int64
@@ -208,8 +209,8 @@
 		rep.Facts = g.facts
 	}
 	for key, r := range g.runs {
-		w := messenger.WorkRun{Task: key.Task.String(), Run: key.Number, Confirmed: r.state != starting, Stopping: r.state == stopping, Checkpoint: r.checkpoint, Progress: r.progress, Measure: r.measure}
-		if r.known && r.state == starting {
+		w := messenger.WorkRun{Task: key.Task.String(), Run: key.Number, Confirmed: r.confirmed, Stopping: r.state == stopping, Checkpoint: r.checkpoint, Progress: r.progress, Measure: r.measure}
+		if r.known && !r.confirmed {
 			needs := r.needs
 			w.Needs = &needs
 		}
--- a/internal/worker/guardian/look.go
+++ b/internal/worker/guardian/look.go
@@ -174,7 +174,7 @@
 			g.config.Reporter.Report(reporter.RunFound, reporter.Fields{"task": s.Task.String(), "run": s.Run})
 			news = true
 		}
-		r.doubt = false
+		r.doubt, r.confirmed = false, true
 		g.stopAgainLocked(key, r, sentAt)
 		if r.state == starting {
 			r.state = running
--- a/internal/worker/guardian/orders.go
+++ b/internal/worker/guardian/orders.go
@@ -138,7 +138,7 @@
 		var refused ErrRefused
 		switch {
 		case err == nil:
-			g.settle(key, func(r *run) { r.state, r.doubt = running, false })
+			g.settle(key, func(r *run) { r.state, r.doubt, r.confirmed = running, false, true })
 			g.config.Reporter.Report(reporter.RunStarted, reporter.Fields{"task": o.Task, "run": o.Run, "epoch": call.Epoch})
 			return
 		case errors.As(err, &refused) && !doubt:
