Repeat a stop that the worker's life before has answered

What callers would see: two runs of one task: a start without an answer is carried out in the worker's new life, which was told of no stop, while its task starts elsewhere.

Cause: the answer to a stop was noted whatever life had given it; read after the new life was noticed, it counted for the new one.

--- a/internal/worker/guardian/beliefs_test.go
+++ b/internal/worker/guardian/beliefs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"bamboospread/internal/wire/messenger"
 )
@@ -31,3 +32,30 @@
 		t.Errorf("told as confirmed: %+v", run)
 	}
 }
+
+// Guards against a late start that is carried out in a life of the worker that knows of no
+// stop: the stop was answered by the life before, and the answer is read after the change.
+func TestAStopThatTheLifeBeforeAnsweredIsRepeated(t *testing.T) {
+	worker := newFakeWorker()
+	worker.deaf = 1000
+	asked, answer := make(chan struct{}, 100), make(chan struct{})
+	b := newBedWith(t, worker, func(w *Worker) {
+		w.Stop = func(context.Context, StopCall) error {
+			asked <- struct{}{}
+			<-answer
+			return nil
+		}
+	})
+	b.own(1)
+	b.order(1, messenger.WorkStart, 0, 1)
+	<-asked
+	worker.change(func() { worker.life = "life-2" })
+	b.announce(false)
+	b.until("a report of the new life", func() bool { return b.report().Life == "life-2" })
+	close(answer)
+	select {
+	case <-asked:
+	case <-time.After(time.Second):
+		t.Errorf("the new life is told of no stop; reported runs: %+v", b.report().Runs)
+	}
+}
--- a/internal/worker/guardian/orders.go
+++ b/internal/worker/guardian/orders.go
@@ -200,7 +200,7 @@
 func (g *Guardian) stop(ctx context.Context, key accountant.RunKey) {
 	for ctx.Err() == nil {
 		g.mu.Lock()
-		r, epoch := g.runs[key], g.epoch
+		r, epoch, life := g.runs[key], g.epoch, g.life
 		g.mu.Unlock()
 		if r == nil {
 			return
@@ -208,17 +208,29 @@
 		limit, cancel := context.WithTimeout(ctx, callLimit)
 		err := g.config.Worker.Stop(limit, StopCall{Task: key.Task, Run: key.Number, Epoch: epoch})
 		cancel()
-		if err == nil {
-			g.mu.Lock()
-			r.stopped, r.settledAt = true, g.config.Now()
-			g.mu.Unlock()
+		if err == nil && g.stopAnswered(r, life) {
 			return
 		}
+		if err == nil {
+			continue
+		}
 		g.config.Reporter.Report(reporter.StopUnanswered, reporter.Fields{"task": key.Task.String(), "run": key.Number, "error": err.Error()})
 		_ = pauser.Pause(ctx, callPause)
 	}
 }
 
+// stopAnswered notes the answer to a stop, unless the worker that gave it has begun another
+// life meanwhile, which knows nothing of the stop.
+func (g *Guardian) stopAnswered(r *run, life string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.life != life {
+		return false
+	}
+	r.stopped, r.settledAt = true, g.config.Now()
+	return true
+}
+
 // paceLocked has the worker told of a new pace. One goroutine of a run tells it, so
 // that the last pace ordered is the last to come.
 func (g *Guardian) paceLocked(key accountant.RunKey, r *run, percent int) {
