Tell and take the facts of a worker's new life within a session

What callers would see: tasks that wait though there is room, or starts that are refused again and again: the owner plans with the room and labels, and asks for advice with the id, of a worker that has begun another life since.

Cause: an agent told its VM's facts once in a session, and the owner read them only when a session began.

Evidence: found by the reviewer; TestFactsOfAnotherLifeAreToldWithinASession and TestFactsOfAnotherLifeAreTakenWithinASession fail on the code before.

Change: facts that differ are told with the next report and taken with any.

--- a/internal/job/accountant/report.go
+++ b/internal/job/accountant/report.go
@@ -93,7 +93,7 @@
 			r.Order = orderUnknown
 		}
 	}
-	a.describe(vm, f)
+	a.Describe(vm, f)
 	rep.OrdersSeen = 0
 	return vm, a.Apply(vm, rep, now)
 }
@@ -138,7 +138,9 @@
 	}
 }
 
-func (a *Accountant) describe(vm *VM, f Facts) {
+// Describe takes what an agent says of its VM. Another life of the worker may have another
+// id, and another kind of VM behind it.
+func (a *Accountant) Describe(vm *VM, f Facts) {
 	vm.Zone, vm.Rack, vm.Service, vm.Capacity, vm.WorkerID = f.Zone, f.Rack, f.Service, f.Capacity, f.WorkerID
 	vm.Labels = make(map[string]bool, len(f.Labels))
 	for _, l := range f.Labels {
--- a/internal/job/scheduler/members_test.go
+++ b/internal/job/scheduler/members_test.go
@@ -96,3 +96,17 @@
 		t.Errorf("granted %d ms while the store has members %s", grant, stored)
 	}
 }
+
+// Guards against a VM whose owner plans with what its worker was in an earlier life: another
+// boot has another id and may have another capacity.
+func TestFactsOfAnotherLifeAreTakenWithinASession(t *testing.T) {
+	o := ownerOfNothing(nil)
+	c := new(connector.Conn)
+	report := messenger.WorkReport{VM: "vm-1", Process: 1, Session: 1, Life: "1", Ready: true, Facts: &messenger.WorkFacts{WorkerID: "id-1", Capacity: specifier.Resources{CPUMillis: 1000}}}
+	hearAs(t, o, c, report)
+	report.Life, report.Facts = "2", &messenger.WorkFacts{WorkerID: "id-2", Capacity: specifier.Resources{CPUMillis: 2000}}
+	hearAs(t, o, c, report)
+	if vm := o.state.VMs["vm-1"]; vm.WorkerID != "id-2" || vm.Capacity.CPUMillis != 2000 {
+		t.Errorf("life %s has id %s and %d thousandths of a core", vm.Life, vm.WorkerID, vm.Capacity.CPUMillis)
+	}
+}
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -127,6 +127,9 @@
 	} else {
 		o.dirty = o.dirty || s.vm.Ready != e.read.Ready || !s.vm.Attached
 		s.vm.Attached = true
+		if e.report.Facts != nil {
+			o.state.Describe(s.vm, e.facts)
+		}
 		changes = o.state.Apply(s.vm, e.read, now)
 	}
 	o.dirty = o.dirty || s.granted != e.report.Granted
--- a/internal/worker/guardian/beliefs_test.go
+++ b/internal/worker/guardian/beliefs_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/wire/messenger"
 )
 
@@ -59,3 +60,17 @@
 		t.Errorf("the new life is told of no stop; reported runs: %+v", b.report().Runs)
 	}
 }
+
+// Guards against an owner that asks for advice, and plans, with what the worker was in its
+// life before: another boot has another id and may be of another kind.
+func TestFactsOfAnotherLifeAreToldWithinASession(t *testing.T) {
+	worker := newFakeWorker()
+	b := newBed(t, worker)
+	b.own(1)
+	worker.change(func() { worker.life = "life-2" })
+	b.g.Announce(Announcement{ID: "id-2", Life: "life-2", Zone: "z", Capacity: specifier.Resources{CPUMillis: 4000, MemoryMB: 1000}})
+	b.until("a report of the new life", func() bool { return b.report().Life == "life-2" })
+	if f := b.report().Facts; f == nil || f.WorkerID != "id-2" || f.Capacity.CPUMillis != 4000 {
+		t.Errorf("told %+v", f)
+	}
+}
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"reflect"
 	"sync"
 	"time"
 
@@ -67,11 +68,12 @@
 	session     int64
 	process     int64 // names this process
 	ordersSeen  int64
-	grantUntil  time.Time     // the owner lets runs go on until then
-	factsTold   bool          // in this session
-	gap         time.Duration // that the owner wants between reports
-	reportedAt  time.Time     // when the last report was made
-	repliedAt   time.Time     // sent time of the last report that was answered
+	grantUntil  time.Time            // the owner lets runs go on until then
+	factsTold   *messenger.WorkFacts // in this session, by a report that was answered
+	factsSent   *messenger.WorkFacts // by the latest report
+	gap         time.Duration        // that the owner wants between reports
+	reportedAt  time.Time            // when the last report was made
+	repliedAt   time.Time            // sent time of the last report that was answered
 	clock       time.Duration
 	clockAt     time.Time          // when clock was received; zero: not known in this life
 	looksFailed int                // in a row
@@ -116,7 +118,10 @@
 		g.beginLifeLocked(a.Life)
 	}
 	g.leaving = a.Leaving
-	g.facts = &messenger.WorkFacts{WorkerID: a.ID, Zone: a.Zone, Rack: a.Rack, Service: a.Service, Labels: a.Labels, Capacity: a.Capacity}
+	facts := &messenger.WorkFacts{WorkerID: a.ID, Zone: a.Zone, Rack: a.Rack, Service: a.Service, Labels: a.Labels, Capacity: a.Capacity}
+	if g.facts == nil || !reflect.DeepEqual(*facts, *g.facts) {
+		g.facts, changed = facts, true // told again
+	}
 	if changed {
 		g.config.Reporter.Report(reporter.WorkerAnnounced, reporter.Fields{"life": a.Life, "leaving": a.Leaving, "cpu": a.Capacity.CPUMillis, "memory-mb": a.Capacity.MemoryMB})
 		g.signal()
@@ -205,9 +210,10 @@
 		AgeMillis: g.config.Now().Sub(g.clockAt).Milliseconds(),
 		Ready:     !g.leaving && g.silentFrom.IsZero(), Granted: g.grantUntil.After(g.config.Now()),
 	}
-	if !g.factsTold {
+	if g.factsTold != g.facts {
 		rep.Facts = g.facts
 	}
+	g.factsSent = g.facts
 	for key, r := range g.runs {
 		w := messenger.WorkRun{Task: key.Task.String(), Run: key.Number, Confirmed: r.confirmed, Stopping: r.state == stopping, Checkpoint: r.checkpoint, Progress: r.progress, Measure: r.measure}
 		if r.known && !r.confirmed {
@@ -229,7 +235,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.session++
-	g.ordersSeen, g.factsTold = 0, false
+	g.ordersSeen, g.factsTold, g.factsSent = 0, nil, nil
 	return g.session
 }
 
@@ -249,7 +255,7 @@
 		return false
 	}
 	g.followLocked(reply.Epoch)
-	g.repliedAt, g.factsTold = sentAt, true
+	g.repliedAt, g.factsTold = sentAt, g.factsSent
 	g.gap = time.Duration(reply.GapMillis) * time.Millisecond
 	if until := sentAt.Add(time.Duration(reply.GrantMillis) * time.Millisecond); until.After(g.grantUntil) {
 		if !g.grantUntil.After(g.config.Now()) {
