Repeat a pace for as long as an earlier one may come late

What callers would see: a filling task that disturbs its lasting neighbours, or stands still, until the owner sees a reason for another pace.

Cause: a pace that was not answered may be carried out seconds later, after the next one was answered; the next one was believed to be in force.

Evidence: found by the reviewer; TestAPaceThatIsCarriedOutLateDoesNotStay fails on the code before (not in force within 5 s).

Change: while a pace that was not answered may still come, the one in force is repeated once a second.

--- a/internal/worker/guardian/beliefs_test.go
+++ b/internal/worker/guardian/beliefs_test.go
@@ -74,3 +74,38 @@
 		t.Errorf("told %+v", f)
 	}
 }
+
+// Guards against a filling task that disturbs, or stands still, for good: a pace that was
+// not answered is carried out after the one that followed.
+func TestAPaceThatIsCarriedOutLateDoesNotStay(t *testing.T) {
+	const late = 200 * time.Millisecond
+	worker := newFakeWorker()
+	first := true
+	b := newBedWith(t, worker, func(w *Worker) {
+		w.Pace = func(ctx context.Context, c PaceCall) error {
+			held := false
+			worker.change(func() { held, first = first, false })
+			if held {
+				time.AfterFunc(late, func() { worker.change(func() { worker.paces = append(worker.paces, c.Percent) }) })
+				return errNoAnswer
+			}
+			return worker.pace(ctx, c)
+		}
+	})
+	b.own(1)
+	b.order(1, messenger.WorkStart, 0, 1)
+	b.until("a run", func() bool { return b.confirmed() == 1 })
+	b.pace(100)
+	b.until("a call for the first pace", func() bool {
+		called := false
+		worker.change(func() { called = !first })
+		return called
+	})
+	b.pace(0)
+	time.Sleep(2 * late)
+	b.until("the last pace ordered in force", func() bool {
+		ok := false
+		worker.change(func() { n := len(worker.paces); ok = n > 1 && worker.paces[n-1] == 0 })
+		return ok
+	})
+}
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -49,6 +49,8 @@
 	cancel     context.CancelFunc // of its start
 	pace       int                // ordered last, in percent
 	pacing     bool               // the worker is being told
+	paceDoubt  time.Time          // until then a pace that was not answered may be carried out
+	repacing   bool               // the pace is repeated until then
 }
 
 // Guardian looks after one worker. It is safe for concurrent use.
--- a/internal/worker/guardian/orders.go
+++ b/internal/worker/guardian/orders.go
@@ -256,6 +256,7 @@
 		err := g.config.Worker.Pace(limit, PaceCall{Task: key.Task, Run: key.Number, Percent: percent, Epoch: epoch})
 		cancel()
 		if g.pacedOrRefused(r, percent, err) {
+			g.repace(ctx, key, r)
 			return
 		}
 		if err != nil {
@@ -271,9 +272,44 @@
 	defer g.mu.Unlock()
 	var refused ErrRefused
 	final := errors.As(err, &refused) && !refused.Reason.passes()
+	if err != nil && !errors.As(err, &refused) {
+		r.paceDoubt = g.config.Now().Add(doubtLife)
+	}
 	if (err == nil || final) && r.pace == percent {
 		r.pacing = false
 		return true
 	}
 	return false
 }
+
+// paceAgain is the pause between repeats of a pace while an earlier one may come late.
+const paceAgain = time.Second
+
+// repace repeats the pace in force for as long as one that was not answered may still be
+// carried out after it.
+func (g *Guardian) repace(ctx context.Context, key accountant.RunKey, r *run) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.repacing || !g.config.Now().Before(r.paceDoubt) {
+		return
+	}
+	r.repacing = true
+	go g.keepRepacing(ctx, key, r)
+}
+
+func (g *Guardian) keepRepacing(ctx context.Context, key accountant.RunKey, r *run) {
+	for pauser.Pause(ctx, paceAgain) == nil {
+		g.mu.Lock()
+		over := g.runs[key] != r || r.state != running || g.config.Now().Sub(r.paceDoubt) >= paceAgain
+		if over {
+			r.repacing = false
+		} else if !r.pacing {
+			r.pacing = true
+			go g.keepPace(ctx, key, r)
+		}
+		g.mu.Unlock()
+		if over {
+			return
+		}
+	}
+}
