Grant no claim that its settlement has overtaken

Would be seen: a caller's request with an idempotency key is answered 503, not-run, and each repeat of the key then 409, unknown, for 24 hours, although nothing ever ran.

Cause: an entry that gives a claim up settles it as not run. The owner took a settlement of a claim that it does not have for done and forgot it; calls run on goroutines of their own and come over several connections, so the claim may arrive after it, and was granted to nobody. The same with a late copy of a claim whose request was granted, did not run and was settled.

Ruled out: a journalled tombstone.

The owner remembers for a minute the ids of requests that were settled as not run; they are random and never used again.

--- a/internal/control/controller/claim.go
+++ b/internal/control/controller/claim.go
@@ -13,8 +13,28 @@
 	claimsSwept    = 10 * time.Minute
 	maxClaims      = 100000
 	maxAnswerBytes = 16 << 10
+	// freedKept is how long at least it is known that a request has ended without running.
+	// No claim is on its way for as long: its asker gives each try up within a second.
+	freedKept = time.Minute
 )
 
+// freed remembers the requests that were settled as not run, in two generations. A claim
+// may be overtaken by the settlement that gives it up; granted after it, the claim would
+// be held by nobody.
+type freed struct {
+	current, previous map[string]bool // by request id
+	turned            time.Time
+}
+
+func (f *freed) add(requestID string, now time.Time) {
+	if f.current == nil || now.Sub(f.turned) > freedKept {
+		f.previous, f.current, f.turned = f.current, make(map[string]bool), now
+	}
+	f.current[requestID] = true
+}
+
+func (f *freed) has(requestID string) bool { return f.current[requestID] || f.previous[requestID] }
+
 // takeClaim gives a keyed request to one asker and no other. The claim is
 // journalled before it is granted, so that a successor knows it.
 func (o *owner) takeClaim(call callEvent, r messenger.ClaimRequest) {
@@ -30,6 +50,10 @@
 		o.onCommit(func() { call.succeed(reply) })
 		return
 	}
+	if o.freed.has(r.RequestID) {
+		call.fail(messenger.CodeBadRequest, "request %s has ended", r.RequestID)
+		return
+	}
 	if o.slow() || o.books.CountClaims() >= maxClaims {
 		call.fail(messenger.CodeUnavailable, "cell %s takes no claims now", o.config.Cell)
 		return
@@ -42,6 +66,9 @@
 
 // takeSettle notes how a claimed request ended.
 func (o *owner) takeSettle(call callEvent, r messenger.SettleRequest) {
+	if r.Outcome == messenger.OutcomeNotRun {
+		o.freed.add(r.RequestID, o.config.Now())
+	}
 	c := o.books.Claim(r.Tenant, r.Key)
 	if c == nil || c.RequestID != r.RequestID || c.State == messenger.ClaimSettled {
 		o.onCommit(func() { call.succeed(messenger.Empty{}) })
--- a/internal/control/controller/believe_test.go
+++ b/internal/control/controller/desk_test.go
@@ -37,6 +37,8 @@
 	}
 }
 
+func (d *desk) call() callEvent { return callEvent{received: d.now, answer: make(chan answer, 1)} }
+
 // run has a task run on the VM.
 func (d *desk) run(id string) {
 	d.apply(bookkeeper.Record{Submitted: &bookkeeper.Submitted{Spec: messenger.TaskSpec{ID: id}}},
@@ -49,7 +51,7 @@
 	d.now = d.now.Add(time.Second)
 	s := d.session("vm")
 	d.takeReports(s, messenger.Poll{Capacity: messenger.Capacity{VM: "vm"}, Tasks: reports})
-	s.parked = &parkedPoll{call: callEvent{received: d.now, answer: make(chan answer, 1)}}
+	s.parked = &parkedPoll{call: d.call()}
 	orders := d.ordersFor("vm", s, d.now)
 	for _, o := range orders {
 		s.sent[sentOrder{messenger.TaskAttempt{TaskID: o.TaskID, Attempt: o.Attempt}, o.Kind, o.Percent}] = d.now
--- a/internal/control/controller/owner.go
+++ b/internal/control/controller/owner.go
@@ -87,6 +87,7 @@
 	stopping bool
 	checked  time.Time
 	swept    time.Time
+	freed    freed
 	meters   meters
 }
 
