Take the polls of an agent whose clock jumped back before its restart

Would be seen: after a restart of an agent whose VM's time of day was set back meanwhile, by however little, all its polls are refused for up to ten minutes, or until the cell's owner changes. Its tasks are lost with their lease and run again elsewhere; nothing starts on the VM.

Cause: the owner tells processes of an agent apart by their start by the time of day and refuses a lower number for as long as it remembers the higher one.

Ruled out: entries, which refuse a lower number too, but drop the session with its connection, or after 30 s of silence. Taking any lower number at once: a poll of the earlier process that was held up lists what ran then, and what it lacks would be run again.

A process with a lower number is taken once the other has been silent for 2.5 s; processes that were replaced stay refused.

--- a/internal/control/controller/session.go
+++ b/internal/control/controller/session.go
@@ -27,6 +27,7 @@
 type session struct {
 	contacted   bool // in this epoch
 	incarnation int64
+	replaced    map[int64]bool // incarnations before it
 	sequence    int64
 	epochSeen   bool // the agent has taken a reply of this epoch
 	lastPoll    time.Time
@@ -82,7 +83,7 @@
 		return
 	}
 	s := o.session(p.Capacity.VM)
-	if p.Incarnation < s.incarnation || p.Incarnation == s.incarnation && p.Sequence <= s.sequence {
+	if s.outdated(p, o.config.Now()) {
 		call.fail(messenger.CodeBadRequest, "poll %d of incarnation %d is out of date", p.Sequence, p.Incarnation)
 		return
 	}
@@ -99,6 +100,16 @@
 	s.parked = &parkedPoll{call: call, until: call.received.Add(wait)}
 }
 
+// outdated tells of a poll that a later one has overtaken. The process with the lower
+// number may be the later one, if the time of day jumped back between the two: it is
+// taken once the other is silent.
+func (s *session) outdated(p messenger.Poll, now time.Time) bool {
+	if p.Incarnation == s.incarnation {
+		return p.Sequence <= s.sequence
+	}
+	return s.replaced[p.Incarnation] || p.Incarnation < s.incarnation && s.reachable(now)
+}
+
 func (o *owner) session(vm string) *session {
 	s := o.sessions[vm]
 	if s == nil {
@@ -114,6 +125,10 @@
 func (o *owner) admitPoll(s *session, p messenger.Poll) {
 	if p.Incarnation != s.incarnation {
 		clear(s.sent)
+		if s.replaced == nil {
+			s.replaced = make(map[int64]bool)
+		}
+		s.replaced[s.incarnation] = s.contacted
 	}
 	if !s.contacted {
 		o.dirty = true
--- a/internal/wire/messenger/messenger.go
+++ b/internal/wire/messenger/messenger.go
@@ -78,7 +78,7 @@
 // Announce opens a session of an agent with an entry.
 type Announce struct {
 	AgentID     string     `json:"agent-id"`
-	Incarnation int64      `json:"incarnation"` // start time in ns; a restarted agent has a higher one
+	Incarnation int64      `json:"incarnation"` // start time in ns; tells the processes of an agent apart
 	VM          string     `json:"vm"`
 	Zone        string     `json:"zone"`
 	Rack        string     `json:"rack"`
