End pauses that a clock which has jumped back would prolong

Would be seen: after the time of day was set back by an hour, or with a new owner whose clock is behind, tasks that failed wait an hour and not 30 s, and a VM stays in quarantine as long.

Cause: both ends are journalled by the time of day and believed.

Ruled out: a clock that jumps forward; it ends pauses early, which is harmless.

An end that is further away than the longest pause counts as past.

--- a/internal/control/controller/planning.go
+++ b/internal/control/controller/planning.go
@@ -154,8 +154,10 @@
 		}
 	}
 	for _, t := range o.books.Queued() {
-		if !t.NotBefore.After(now) {
-			s.Queued = append(s.Queued, o.describeTask(t, len(names)))
+		if !lasts(t.NotBefore, now, lastBackoff) {
+			p := o.describeTask(t, len(names))
+			p.NotBefore = time.Time{}
+			s.Queued = append(s.Queued, p)
 		}
 	}
 	return s
--- a/internal/control/controller/quarantine.go
+++ b/internal/control/controller/quarantine.go
@@ -36,10 +36,17 @@
 		}}, nil)
 }
 
+// lasts tells whether a pause until a time of day goes on. An end that is further away
+// than the longest pause was set by a clock that has jumped back since.
+func lasts(until, now time.Time, longest time.Duration) bool {
+	left := until.Sub(now)
+	return left > 0 && left <= longest
+}
+
 // checkQuarantines lets VMs be probed whose time is over.
 func (o *owner) checkQuarantines(now time.Time) {
 	for _, name := range o.books.VMs() {
-		if v := o.books.VM(name); v.Quarantined != "" && now.After(v.Until) {
+		if v := o.books.VM(name); v.Quarantined != "" && !lasts(v.Until, now, lastQuarantine) {
 			o.decide(bookkeeper.Record{Quarantine: &bookkeeper.Quarantine{VM: name}}, reporter.VMReleased,
 				messenger.Decision{VM: name, Reason: "one task at a time may probe the VM"}, nil)
 		}
