Let renewals of leases count after the clock jumped back

Would be seen: after the time of day of a VM was set back by more than the lease of a VM, all tasks there end with their lease, and each one that is started later too, until the clock has caught up.

Cause: a worker takes a renewal as void if it was issued before the latest one, by the agent's time of day, and answers as if it had counted; the agent believed the leases to be renewed.

Evidence: TestRenewalAfterTheClockJumpedBack before the change: restarted false: start: the later renewals did not count restarted true: start: the later renewals did not count

Ruled out: numbering by the boot clock. Beside a worker that has seen the time of day, an agent's next process would be void for good.

The worker answers with the number of the latest renewal, and the agent goes on above it; the numbers of one process rise whatever its clock does. The first renewal of a new process may be lost, the next comes within a second.

TestOvertakenRenewalIsVoid sent its late renewal with a clock set back, which now is a later one; it sends it through another client that issued it earlier.

--- a/internal/standin/worker/calls.go
+++ b/internal/standin/worker/calls.go
@@ -154,14 +154,14 @@
 // only the latest issued counts.
 func (w *Worker) renew(c driver.LeaseCall) (int, any) {
 	if c.Issued < w.issued {
-		return http.StatusOK, struct{}{}
+		return http.StatusOK, driver.LeaseAnswer{Issued: w.issued}
 	}
 	w.issued = c.Issued
 	end := w.leaseEnd(c.Until)
 	for _, t := range w.tasks {
 		t.leaseEnd = end
 	}
-	return http.StatusOK, struct{}{}
+	return http.StatusOK, driver.LeaseAnswer{Issued: w.issued}
 }
 
 func (w *Worker) list(struct{}) (int, any) {
--- a/internal/standin/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -20,8 +20,9 @@
 // bench is a worker with a clock that the test moves.
 type bench struct {
 	*driver.Driver
-	w  *worker.Worker
-	at time.Time
+	w   *worker.Worker
+	url string
+	at  time.Time
 }
 
 func start(t *testing.T) *bench {
@@ -38,6 +39,7 @@
 	})
 	h := httptest.NewServer(b.w.Handler())
 	t.Cleanup(h.Close)
+	b.url = h.URL
 	b.Driver = driver.New(driver.Config{URL: h.URL, Now: now, CallTimeout: 200 * time.Millisecond})
 	return b
 }
@@ -163,18 +165,48 @@
 	if err := b.RenewLeases(ctx, time.Second); err != nil {
 		t.Fatal(err)
 	}
-	later := b.at
-	b.at = sent
-	if err := b.RenewLeases(ctx, time.Hour); err != nil {
+	late := driver.New(driver.Config{URL: b.url, Now: func() time.Time { return sent }})
+	if err := late.RenewLeases(ctx, time.Hour); err != nil {
 		t.Fatal(err)
 	}
-	b.at = later
 	b.pass(t, 2*time.Second)
 	if b.kinds() != "start lost" {
 		t.Error(b.kinds())
 	}
 }
 
+// The time of day jumps back between two processes of an agent, or within one: renewals
+// go on to count, else leases run out on a VM that is well. The first one of the new
+// process may be lost.
+func TestRenewalAfterTheClockJumpedBack(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		ctx := context.Background()
+		b := start(t)
+		o := options(1)
+		o.RunTime = time.Minute
+		if err := b.StartTask(ctx, o); err != nil {
+			t.Fatal(err)
+		}
+		if err := b.RenewLeases(ctx, 10*time.Second); err != nil {
+			t.Fatal(err)
+		}
+		b.pass(t, 100*time.Millisecond)
+		b.at = b.at.Add(-5 * time.Second)
+		if restarted {
+			b.Driver = driver.New(driver.Config{URL: b.url, Now: func() time.Time { return b.at }})
+		}
+		for range 2 {
+			if err := b.RenewLeases(ctx, time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		b.pass(t, 2*time.Second)
+		if b.kinds() != "start lost" {
+			t.Errorf("restarted %t: %s: the later renewals did not count", restarted, b.kinds())
+		}
+	}
+}
+
 func TestFaultsAndWitness(t *testing.T) {
 	ctx := context.Background()
 	b := start(t)
--- a/internal/worker/driver/driver.go
+++ b/internal/worker/driver/driver.go
@@ -89,6 +89,7 @@
 type Driver struct {
 	config Config
 	client *http.Client
+	issued atomic.Int64 // of the latest renewal of leases, also of an earlier process
 }
 
 // New returns a client of the worker at c.URL.
@@ -183,8 +184,28 @@
 // RenewLeasesUntil sets the leases of all running tasks to end at a moment of
 // the VM's clock. A caller that is paused before the call gives nothing away.
 func (d *Driver) RenewLeasesUntil(ctx context.Context, until time.Time) error {
-	c := LeaseCall{Issued: d.config.Now().UnixNano(), Until: until.UnixNano()}
-	return d.post(ctx, PathLeases, TaskCall{}, c, nil)
+	c := LeaseCall{Issued: d.issue(d.config.Now().UnixNano()), Until: until.UnixNano()}
+	var a LeaseAnswer
+	if err := d.post(ctx, PathLeases, TaskCall{}, c, &a); err != nil {
+		return err
+	}
+	if a.Issued > c.Issued {
+		// An earlier process issued by a clock that has jumped back since. This call was
+		// void; the next ones count.
+		d.issue(a.Issued)
+	}
+	return nil
+}
+
+// issue returns a number above all that it has returned, and at least the given one.
+func (d *Driver) issue(least int64) int64 {
+	for {
+		last := d.issued.Load()
+		next := max(least, last+1)
+		if d.issued.CompareAndSwap(last, next) {
+			return next
+		}
+	}
 }
 
 // GetVM returns the size and place of the VM.
--- a/internal/worker/driver/protocol.go
+++ b/internal/worker/driver/protocol.go
@@ -48,6 +48,12 @@
 	Until  int64 `json:"until-ns"`
 }
 
+// LeaseAnswer tells when the latest renewal that the worker has seen was issued. Above
+// the call's own, the call was void.
+type LeaseAnswer struct {
+	Issued int64 `json:"issued-ns,omitempty"`
+}
+
 // EndAnswer tells from where an ended attempt can be resumed.
 type EndAnswer struct {
 	Checkpoint string `json:"checkpoint"`
