Take an upstream back after it left and the clock jumped back

Would be seen: an upstream leaves, the time of day is set back, and its next process under the same id announces itself in vain: it counts as leaving and gets no request until the clock has caught up.

Cause: that an upstream left is remembered by the time of day, and compared with that of later announcements.

Ruled out: forgetting it when a minute has passed; the memory is kept by the same clock.

The agent remembers it by its own clock. The time of day tells only the age of an announcement.

--- a/internal/agent/gatekeeper/gatekeeper.go
+++ b/internal/agent/gatekeeper/gatekeeper.go
@@ -41,6 +41,9 @@
 	// comes free stays idle until a refused entry asks again.
 	MaxWait time.Duration
 	Now     func() time.Time // nil: time.Now
+	// TimeOfDay is the clock that the VM's upstreams read too; nil: Now. It may jump,
+	// so only the age of an announcement is told by it.
+	TimeOfDay func() time.Time
 	// OnChange, if set, is called when an upstream came, left or went. It must
 	// not block.
 	OnChange func()
@@ -51,7 +54,7 @@
 	config   Config
 	mu       sync.Mutex
 	gates    map[string]*gate
-	left     map[string]int64 // time in ms at which an upstream said it leaves
+	left     map[string]time.Time // when an upstream said that it leaves
 	draining bool
 	inFlight int
 	idle     chan struct{} // closed when draining and nothing is in flight
@@ -80,8 +83,11 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.TimeOfDay == nil {
+		c.TimeOfDay = c.Now
+	}
 	return &Gatekeeper{
-		config: c, gates: make(map[string]*gate), left: make(map[string]int64),
+		config: c, gates: make(map[string]*gate), left: make(map[string]time.Time),
 		idle: make(chan struct{}), onChange: c.OnChange,
 		attempts: newAttemptMemory(), loads: make(map[string]*loadMeter),
 	}
--- a/internal/agent/gatekeeper/handler.go
+++ b/internal/agent/gatekeeper/handler.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/wire/messenger"
@@ -60,12 +61,12 @@
 	now := g.config.Now()
 	sent := now
 	if a.SentAtMillis > 0 {
-		if age := now.UnixMilli() - a.SentAtMillis; age > 0 {
+		if age := g.config.TimeOfDay().UnixMilli() - a.SentAtMillis; age > 0 {
 			sent = now.Add(-messenger.FromMillis(age))
 		}
 	}
 	g.mu.Lock()
-	changed := g.renew(a, sent.UnixMilli())
+	changed := g.renew(a, sent)
 	if t := g.gates[a.ID]; t != nil && sent.After(t.renewed) {
 		t.renewed = sent
 	}
@@ -79,11 +80,11 @@
 
 // renew updates the gate under the lock and tells whether entries should hear of
 // it at once.
-func (g *Gatekeeper) renew(a Announcement, sentMillis int64) bool {
+func (g *Gatekeeper) renew(a Announcement, sent time.Time) bool {
 	// A renewal that was sent before the upstream said that it leaves may be
 	// handled after it, each being a request of its own; it must not bring the
-	// upstream back.
-	if left, ok := g.left[a.ID]; ok && sentMillis <= left {
+	// upstream back. The time of sending is told in whole milliseconds.
+	if left, ok := g.left[a.ID]; ok && !sent.After(left.Add(time.Millisecond)) {
 		return false
 	}
 	t, ok := g.gates[a.ID]
@@ -117,7 +118,7 @@
 		t.leaving = true
 		t.refuseWaiters()
 	}
-	g.left[id] = now.UnixMilli()
+	g.left[id] = now
 	notify := g.onChange
 	g.mu.Unlock()
 	if !ok {
@@ -143,7 +144,7 @@
 		}
 	}
 	for id, left := range g.left {
-		if now.UnixMilli()-left > messenger.Millis(attemptMemoryTime) {
+		if now.Sub(left) > attemptMemoryTime {
 			delete(g.left, id)
 		}
 	}
