Believe in an unreadable fleet record only while it stands

Would be seen: nothing starts any more on any entry, and callers' requests are served by the fleet held, after a record with a version far ahead that can't be read was replaced by a good one with a lower version, until all entries are restarted.

Cause: the highest version that could not be read was kept, and each store contact refused while the fleet held was below it, whatever the store held.

Evidence: TestUnreadableRecordIsReplaced without clearing it: got <nil>, read fleet record of version 1000000: a newer record is stored that this program can't read

Ruled out: clearing it by any record that can be read; records come late and by several ways, so the store's revision decides which is the newer. TestStoreThatLostItsStateIsFollowedAgain now has a record that can't be read in the store that counts anew; it failed without the reset in read().

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -58,7 +58,8 @@
 	mu         sync.Mutex // guards what follows and writes of current
 	revision   int64      // of the store, up to which all changes were seen
 	known      bool       // the store was read at least once
-	unreadable int64      // highest version that could not be read
+	unreadable int64      // version of the record in the store, if it could not be read
+	judgedAt   int64      // the store's revision of the record by which that was told
 	texts      map[int64]string
 }
 
@@ -117,7 +118,7 @@
 	if len(r.Record) == 0 || r.Version <= f.Version() {
 		return nil
 	}
-	return f.take(r.Record, fromPeer)
+	return f.take(r.Record, fromPeer, 0)
 }
 
 // take makes value the record in force if its version is higher.
@@ -126,12 +127,15 @@
 // come late, and taking it would put a zone back in that operators have taken
 // out. Comparing versions under the lock keeps every process from going back,
 // and versions are given by compare-and-swap, so that each names one content.
-func (f *Follower) take(value []byte, source string) error {
+func (f *Follower) take(value []byte, source string, revision int64) error {
 	record, fleet, err := recorder.Decode(value)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if source == fromStore && revision > f.judgedAt {
+		f.judgedAt, f.unreadable = revision, 0
+	}
 	if err != nil {
-		return f.refuse(err, source)
+		return f.refuse(err, source, revision)
 	}
 	if held := f.Version(); record.Version <= held {
 		if source == fromStore && record.Version < held {
@@ -154,10 +158,10 @@
 
 // refuse notes a record that can't be read. It may be one that a newer program
 // wrote: the fleet held stays in force, but is known not to be the newest.
-func (f *Follower) refuse(err error, source string) error {
+func (f *Follower) refuse(err error, source string, revision int64) error {
 	var bad recorder.ErrUnreadable
-	if errors.As(err, &bad) && source == fromStore {
-		f.unreadable = max(f.unreadable, bad.Version, f.Version()+1)
+	if errors.As(err, &bad) && source == fromStore && revision >= f.judgedAt {
+		f.unreadable = max(bad.Version, f.Version()+1)
 	}
 	f.config.Reporter.Report(reporter.FleetUnreadable, reporter.Fields{"version": bad.Version, "source": source, "error": err.Error()})
 	return err
@@ -198,10 +202,15 @@
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
+	if found.Revision < f.revision { // the service counts anew
+		f.judgedAt = 0
+	}
+	f.mu.Unlock()
 	for _, r := range found.Records {
 		if r.Key == recorder.Key {
 			// A record that can't be read is noted by take; the revision moves on.
-			_ = f.take(r.Value, fromStore)
+			_ = f.take(r.Value, fromStore, r.Revision)
 		}
 	}
 	f.mu.Lock()
@@ -232,7 +241,7 @@
 		case c.Deleted:
 			f.config.Reporter.Report(reporter.FleetRecordDeleted, reporter.Fields{"held": f.Version()})
 		default:
-			_ = f.take(c.Record.Value, fromStore)
+			_ = f.take(c.Record.Value, fromStore, c.Record.Revision)
 		}
 	}
 	f.seen(result.Revision)
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -208,6 +208,41 @@
 	}
 }
 
+// TestUnreadableRecordIsReplaced stores a record with a version far ahead that can't be
+// read, then puts the one before back: nothing would start for good if the follower
+// went on waiting for the version that it read there. The unreadable one, seen again
+// late, does not count.
+func TestUnreadableRecordIsReplaced(t *testing.T) {
+	_, k := newStore(t)
+	f := New(Config{Keeper: k})
+	put(t, k, valueOf(t, 1))
+	unreadable := []byte(`{"version":1000000,"text":"fleet: f\nnew-key: 1"}`)
+	put(t, k, unreadable)
+	if _, err := f.Refresh(context.Background()); !errors.As(err, &recorder.ErrUnreadable{}) {
+		t.Fatalf("got %v, want ErrUnreadable", err)
+	}
+	late, err := k.GetRecord(context.Background(), recorder.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	put(t, k, valueOf(t, 1))
+	for range 2 {
+		if fleet, err := f.Refresh(context.Background()); err != nil || fleet.Version() != 1 {
+			t.Errorf("got %v, %v", fleet, err)
+		}
+		_ = f.take(late.Value, fromStore, late.Revision)
+	}
+	// The one that can be read came late: the one that can't is the newer.
+	put(t, k, unreadable)
+	if _, err := f.Refresh(context.Background()); !errors.As(err, &recorder.ErrUnreadable{}) {
+		t.Fatalf("got %v, want ErrUnreadable", err)
+	}
+	_ = f.take(valueOf(t, 1), fromStore, late.Revision)
+	if _, err := f.Refresh(context.Background()); !errors.As(err, &recorder.ErrUnreadable{}) {
+		t.Errorf("got %v, want ErrUnreadable", err)
+	}
+}
+
 // TestPeersHelpWhileTheStoreIsDown takes the store down right after a change was
 // accepted: a process that missed it learns it from a peer.
 func TestPeersHelpWhileTheStoreIsDown(t *testing.T) {
@@ -253,6 +288,10 @@
 	if fleet, err := f.Refresh(context.Background()); err != nil || fleet.Version() != 7 {
 		t.Errorf("got %v, %v", fleet, err)
 	}
+	put(t, empty, []byte(`{"version":8,"text":"fleet: f\nnew-key: 1"}`))
+	if _, err := f.Refresh(context.Background()); !errors.As(err, &recorder.ErrUnreadable{}) {
+		t.Errorf("got %v, want ErrUnreadable", err)
+	}
 }
 
 func TestEmptyFollower(t *testing.T) {
