Look at the cell's owner each second, whatever the watch tells

Would be seen: after the owner of a cell died, nobody takes the cell for up to 5.8 s, and never if the store counts its revisions anew. Entries go on to call the dead owner meanwhile.

Cause: an entry that does not own the cell read the owner's record once and then believed a watch, of 5 s each. A watch whose connection has gone silent looks like one that waits; one from a revision that the store will not reach for long answers with nothing each time.

Ruled out: other entries taking the cell; a fault of the store's VM silences all watches at once.

A watch waits for 0.9 s, as that of the operators' records does, and when it tells nothing the record is read again: two reads a second for each entry.

--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -20,9 +20,11 @@
 const (
 	DefaultLease = 3 * time.Second
 	retryPause   = 100 * time.Millisecond
-	watchWait    = 5 * time.Second
-	renewShare   = 6 // renewals in one lease
-	outageShare  = 3 // a third of the lease without a renewal counts as an outage
+	// watchWait bounds how long a watch that has gone silent, or is told nothing any
+	// more, leaves this process to believe in an owner that has gone.
+	watchWait   = 900 * time.Millisecond
+	renewShare  = 6 // renewals in one lease
+	outageShare = 3 // a third of the lease without a renewal counts as an outage
 )
 
 // Config holds the settings of an Elector.
@@ -212,24 +214,38 @@
 
 // awaitVacancy returns when the owner's record may be gone.
 func (e *Elector) awaitVacancy(ctx context.Context) {
-	record, err := e.config.GetRecord(ctx, e.key())
-	if err != nil {
-		_ = pauser.Pause(ctx, retryPause)
-		return
-	}
-	e.learn(record)
-	after := record.Revision
 	for ctx.Err() == nil {
-		seen, err := e.config.Watch(ctx, keeper.WatchOptions{Prefix: e.key(), After: after, Wait: watchWait})
+		record, err := e.config.GetRecord(ctx, e.key())
+		if keeper.IsErrKeyNotExist(err) {
+			e.known.Store(nil)
+			return
+		}
+		if err == nil {
+			e.learn(record)
+			err = e.follow(ctx, record.Revision)
+		}
 		if err != nil {
 			_ = pauser.Pause(ctx, retryPause)
 			return
 		}
+		if e.known.Load() == nil {
+			return
+		}
+	}
+}
+
+// follow watches the owner's record until it is gone or a watch tells nothing.
+func (e *Elector) follow(ctx context.Context, after int64) error {
+	for {
+		seen, err := e.config.Watch(ctx, keeper.WatchOptions{Prefix: e.key(), After: after, Wait: watchWait})
+		if err != nil || len(seen.Changes) == 0 {
+			return err
+		}
 		after = max(after, seen.Revision)
 		for _, c := range seen.Changes {
 			if c.Deleted {
 				e.known.Store(nil)
-				return
+				return nil
 			}
 			e.learn(c.Record)
 		}
--- a/internal/control/elector/elector_test.go
+++ b/internal/control/elector/elector_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net/http/httptest"
 	"testing"
 	"time"
 
+	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/standin/storer"
 	"bamboospread/internal/store/keeper"
 )
@@ -95,3 +97,57 @@
 		t.Error("nobody takes the vacant cell")
 	}
 }
+
+// The owner's record goes while the watch of another entry has gone silent, or is told
+// nothing any more, as by a store that counts its revisions anew: the entry must not
+// believe in the owner for longer than a lost owner may cost.
+func TestVacancyThatTheWatchDoesNotTell(t *testing.T) {
+	const limit = 2500 * time.Millisecond
+	watches := []struct {
+		name  string
+		watch func(ctx context.Context, o keeper.WatchOptions) (keeper.WatchResult, error)
+	}{
+		{"silent", func(ctx context.Context, o keeper.WatchOptions) (keeper.WatchResult, error) {
+			err := pauser.Pause(ctx, o.Wait+time.Second)
+			return keeper.WatchResult{}, errors.Join(err, keeper.ErrUnavailable{Cause: errors.New("no answer")})
+		}},
+		{"told nothing", func(ctx context.Context, o keeper.WatchOptions) (keeper.WatchResult, error) {
+			return keeper.WatchResult{Revision: o.After}, pauser.Pause(ctx, o.Wait)
+		}},
+	}
+	for _, tt := range watches {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			server := httptest.NewServer(storer.New(storer.Config{}).Handler())
+			t.Cleanup(server.Close)
+			k := keeper.New(keeper.Config{URL: server.URL, CallTimeout: time.Second})
+			first := New(FromKeeper(Config{Cell: "c", EntryID: "entry-1"}, k))
+			if err := first.Acquire(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			c := FromKeeper(Config{Cell: "c", EntryID: "entry-2"}, k)
+			waits := make(chan struct{}, 1)
+			c.Watch = func(ctx context.Context, o keeper.WatchOptions) (keeper.WatchResult, error) {
+				select {
+				case waits <- struct{}{}:
+				default:
+				}
+				return tt.watch(ctx, o)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			acquired := make(chan error, 1)
+			go func() { acquired <- New(c).Acquire(ctx) }()
+			<-waits
+			if err := first.Release(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			defer func() { cancel(); <-acquired }()
+			select {
+			case err := <-acquired:
+				acquired <- err
+			case <-time.After(limit):
+				t.Errorf("not acquired within %s", limit)
+			}
+		})
+	}
+}
