Forget news of a later session that came to an earlier connection

Would be seen: an entry sends nothing to an agent's upstreams for up to half a minute, though both run and are connected. Only where agents reach an entry at two addresses.

Cause: a session is told once that a later one with the same entry replaced it. If its connection had just ended, the news stayed in its channel, and the connection that it opened after the later one's end rested at once.

Evidence: TestNewsOfALaterSessionDoesNotOutliveTheConnection before the change: not within 10 s: heartbeats

Ruled out: the entry's side; it gives a connection without heartbeats up after 30 s.

Each connection begins without such news.

--- a/internal/agent/announcer/announcer_test.go
+++ b/internal/agent/announcer/announcer_test.go
@@ -242,3 +242,21 @@
 		t.Errorf("got %+v, %v", reply, err)
 	}
 }
+
+// A session is told that a later one replaced it when its own connection has just ended.
+// When the later one ends too, it opens again, and must not rest because of that news:
+// the entry would send the agent nothing until the connection is given up.
+func TestNewsOfALaterSessionDoesNotOutliveTheConnection(t *testing.T) {
+	e := startEntry(t, "e1")
+	a := New(Config{AgentID: "a1", Incarnation: 1, Gatekeeper: gatekeeper.New(gatekeeper.Config{}), Interval: 10 * time.Millisecond})
+	s := a.newSession(e.address, true)
+	s.retire()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.run(ctx)
+	}()
+	defer func() { cancel(); <-done }()
+	waitFor(t, "heartbeats", func() bool { _, beats := e.counts(); return beats > 20 })
+}
--- a/internal/agent/announcer/session.go
+++ b/internal/agent/announcer/session.go
@@ -126,6 +126,10 @@
 		return err
 	}
 	defer conn.Close()
+	select {
+	case <-s.retired: // an earlier connection
+	default:
+	}
 	if err := s.announce(ctx, conn); err != nil {
 		return err
 	}
