Test what corrects the beliefs of a cell's owner

Orders that come again, polls that correct the books, acknowledgements and the room of upstreams had only tests of whole cells, where a lost reply is rare.

--- a/internal/control/controller/desk_test.go
+++ b/internal/control/controller/desk_test.go
@@ -20,10 +20,10 @@
 
 func newDesk(t *testing.T) *desk {
 	d := &desk{t: t, now: time.Now()}
-	fleet := describer.New(describer.Config{})
+	fleet := describer.New(describer.Config{Zones: []describer.Zone{{Name: "z", State: describer.ZoneIn}}})
 	c := New(Config{Cell: "c1", EntryID: "e", Fleet: func() *describer.Fleet { return fleet }, Now: func() time.Time { return d.now }})
 	d.owner = c.newOwner(journaler.New(journaler.Config{}), bookkeeper.New(), d.now, 0)
-	d.apply(bookkeeper.Record{VMSeen: &bookkeeper.VMSeen{Capacity: messenger.Capacity{VM: "vm", Total: describer.Resources{Millicores: 1000}}}})
+	d.apply(bookkeeper.Record{VMSeen: &bookkeeper.VMSeen{Capacity: messenger.Capacity{VM: "vm", Zone: "z", Total: describer.Resources{Millicores: 1000}}}})
 	return d
 }
 
@@ -49,6 +49,7 @@
 // poll returns the orders that answer a poll a second later, as if they were handed out.
 func (d *desk) poll(reports ...messenger.TaskReport) []messenger.Order {
 	d.now = d.now.Add(time.Second)
+	d.contact = contactEvent{fleet: d.fleet, began: d.now}
 	s := d.session("vm")
 	d.takeReports(s, messenger.Poll{Capacity: messenger.Capacity{VM: "vm"}, Tasks: reports})
 	s.parked = &parkedPoll{call: d.call()}
