--- a/internal/request/tracker/tracker_test.go
+++ b/internal/request/tracker/tracker_test.go
@@ -172,6 +172,37 @@
 	}
 }
 
+// TestAgentRestartedAfterItsClockJumpedBack: the next process of an agent has a lower
+// number. It is taken as soon as the connection of the one before has ended, and also if
+// that one has only gone silent.
+func TestAgentRestartedAfterItsClockJumpedBack(t *testing.T) {
+	ends := map[string]func(b *bed){
+		"ended":  func(b *bed) { b.conn.Close() },
+		"silent": func(b *bed) { b.clock.add(forgetAfter*defaultExpiry + time.Second) },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			b.must(b.announce(b.conn, 9, 1))
+			b.must(b.beat(b.conn, 9, 2, messenger.UpstreamReady))
+			next := b.dial()
+			if err := b.announce(next, 7, 1); err == nil {
+				t.Fatal("taken beside the one before")
+			}
+			end(b)
+			for limit := time.Now().Add(5 * time.Second); b.announce(next, 7, 1) != nil; time.Sleep(time.Millisecond) {
+				if time.Now().After(limit) {
+					t.Fatal("refused for 5 s")
+				}
+			}
+			b.must(b.beat(next, 7, 2, messenger.UpstreamReady))
+			if !b.ready() {
+				t.Error("not ready after a heartbeat")
+			}
+		})
+	}
+}
+
 // TestCountsOthersRequests: what the agent counts beyond this entry's own is the
 // load of other entries.
 func TestCountsOthersRequests(t *testing.T) {
--- /dev/null
+++ b/internal/service/enroller/enroller_test.go
@@ -0,0 +1,69 @@
+package enroller
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"bamboospread/internal/standin/storer"
+	"bamboospread/internal/store/keeper"
+	"bamboospread/internal/wire/messenger"
+)
+
+// The record of an entry goes with a lease that lapsed, or is deleted by somebody, or is
+// that of an earlier process of the entry, whose lease ends soon: the entry writes it
+// again at its next look.
+func TestRegistrationIsWrittenAgain(t *testing.T) {
+	tests := []struct {
+		name string
+		lose func(t *testing.T, k *keeper.Keeper, e *Enroller, stands keeper.Record)
+	}{
+		{"its lease has lapsed", func(t *testing.T, k *keeper.Keeper, e *Enroller, _ keeper.Record) {
+			if err := k.RevokeLease(t.Context(), e.lease); err != nil {
+				t.Fatal(err)
+			}
+		}},
+		{"deleted", func(t *testing.T, k *keeper.Keeper, _ *Enroller, stands keeper.Record) {
+			if err := k.DeleteRecord(t.Context(), stands.Key, stands.Revision); err != nil {
+				t.Fatal(err)
+			}
+		}},
+		{"of an earlier process", func(t *testing.T, k *keeper.Keeper, _ *Enroller, stands keeper.Record) {
+			lease, err := k.GrantLease(t.Context(), time.Minute)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := k.CompareAndSwap(t.Context(), keeper.SwapOptions{Key: stands.Key, Value: stands.Value, ExpectRevision: stands.Revision, Lease: lease.ID}); err != nil {
+				t.Fatal(err)
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			server := httptest.NewServer(storer.New(storer.Config{}).Handler())
+			t.Cleanup(server.Close)
+			k := keeper.New(keeper.Config{URL: server.URL})
+			e := New(Config{Self: messenger.PeerAddress{EntryID: "e1", Address: "127.0.0.1:1"}, Keeper: k})
+			key := keyPrefix + "e1"
+			register := func() keeper.Record {
+				t.Helper()
+				if err := e.register(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				record, err := k.GetRecord(t.Context(), key)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return record
+			}
+			first := register()
+			if again := register(); again.Revision != first.Revision {
+				t.Error("a record that stands was written again")
+			}
+			tt.lose(t, k, e, first)
+			if record := register(); record.Lease != e.lease {
+				t.Errorf("the record is under lease %d, the entry renews %d", record.Lease, e.lease)
+			}
+		})
+	}
+}
