Replace a silent connection to an entry before the VM's lease runs out

Would be seen: the connection of an agent to the owner's entry goes silent without an end. The lease of the VM runs out and all its tasks are lost, though both processes are well and reach each other; tasks that are held when lost stay held until the agent is back.

Cause: the agent believed in a connection until three heartbeats of 2 s each had no answer. The lease of 6 s counts from the last poll that was answered, up to 2 s before the silence, and polls go over the same connection.

Ruled out: closing the connection that early. A frozen entry is silent too, and the requests that run on it would be cut off; it stays open for them for a minute, and only calls to the owner move to the next connection.

Two heartbeats of 1 s each without an answer count as silence.

--- a/internal/agent/announcer/announcer.go
+++ b/internal/agent/announcer/announcer.go
@@ -19,8 +19,15 @@
 	defaultInterval = time.Second
 	dialTimeout     = time.Second
 	callTimeout     = 2 * time.Second
-	firstBackoff    = 100 * time.Millisecond
-	longestBackoff  = 2 * time.Second
+	// beatTimeout and maxSilent bound how long a connection that has gone silent is
+	// believed in. Polls of a cell go over it, and the lease of a VM counts from the
+	// last one that was answered.
+	beatTimeout = time.Second
+	// maxSilent is the number of heartbeats in a row without an answer after which the
+	// connection is opened anew.
+	maxSilent      = 2
+	firstBackoff   = 100 * time.Millisecond
+	longestBackoff = 2 * time.Second
 	// peerForgetTime is how long a learned entry that cannot be reached is tried.
 	peerForgetTime = time.Minute
 	drainPoll      = 25 * time.Millisecond
@@ -248,7 +255,7 @@
 	}
 	for _, s := range a.list() {
 		if id, conn := s.peer(); conn != nil && id == owner.EntryID {
-			return conn.Call(ctx, method, params, result)
+			return s.call(ctx, method, params, result)
 		}
 	}
 	return connector.Errorf(messenger.CodeUnavailable, "no session with entry %s, which owns cell %s", owner.EntryID, cell)
--- a/internal/agent/announcer/announcer_test.go
+++ b/internal/agent/announcer/announcer_test.go
@@ -23,8 +23,9 @@
 	reply   messenger.AnnounceReply
 	conns   []*connector.Conn
 	beats   []messenger.Heartbeat
-	frozen  chan struct{} // closed: answers; nil: answers
-	deny    bool          // the next heartbeat
+	frozen  chan struct{}   // closed: answers; nil: answers
+	silent  *connector.Conn // the only one that is frozen; nil: all are
+	deny    bool            // the next heartbeat
 }
 
 func startEntry(t *testing.T, id string) *entry {
@@ -44,6 +45,9 @@
 func (e *entry) handle(_ context.Context, c *connector.Conn, method string, params json.RawMessage) (any, error) {
 	e.mu.Lock()
 	frozen := e.frozen
+	if e.silent != nil && e.silent != c {
+		frozen = nil
+	}
 	e.mu.Unlock()
 	if frozen != nil {
 		<-frozen
@@ -260,3 +264,30 @@
 	defer func() { cancel(); <-done }()
 	waitFor(t, "heartbeats", func() bool { _, beats := e.counts(); return beats > 20 })
 }
+
+// The connection to an entry that owns a cell goes silent without an end, just after a
+// poll was sent on it. A poll must come through before the lease of the VM runs out, and
+// all its tasks with it; it counts from a poll that was sent up to two seconds earlier.
+func TestSilentConnectionIsReplacedWithinTheLease(t *testing.T) {
+	const vmLease, lastPoll, pollLimit = 6 * time.Second, 2 * time.Second, 2500 * time.Millisecond
+	e := startEntry(t, "e1")
+	e.set(func(e *entry) { e.reply.Owners = []messenger.CellOwner{{Cell: "main", Epoch: 1, EntryID: "e1"}} })
+	a, _ := start(t, defaultInterval, e.address)
+	waitFor(t, "session", func() bool { _, beats := e.counts(); return beats > 0 })
+	silent := make(chan struct{})
+	defer close(silent)
+	e.set(func(e *entry) { e.silent, e.frozen = e.conns[0], silent })
+	began := time.Now()
+	for ; ; time.Sleep(100 * time.Millisecond) {
+		ctx, cancel := context.WithTimeout(t.Context(), pollLimit)
+		var got string
+		err := a.CallOwner(ctx, "main", "poll", messenger.Empty{}, &got)
+		cancel()
+		if err == nil {
+			break
+		}
+	}
+	if took := time.Since(began); took > vmLease-lastPoll {
+		t.Errorf("it took %s", took)
+	}
+}
--- a/internal/agent/announcer/session.go
+++ b/internal/agent/announcer/session.go
@@ -19,10 +19,13 @@
 	configured bool
 	wake       chan struct{}
 	retired    chan struct{} // told once that a later session replaced this one
+	lingers    sync.WaitGroup
 
 	mu          sync.Mutex
 	entryID     string
 	conn        *connector.Conn
+	giveUp      context.CancelFunc // ends the calls of owners on conn
+	inUse       context.Context    // until conn is given up
 	lastReply   time.Time
 	outstanding int
 }
@@ -78,6 +81,7 @@
 // run keeps the session until ctx ends, or until a learned entry has been away
 // for long.
 func (s *session) run(ctx context.Context) {
+	defer s.lingers.Wait()
 	backoff := firstBackoff
 	reached := time.Now()
 	for ctx.Err() == nil {
@@ -114,7 +118,28 @@
 func (s *session) setConn(c *connector.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conn, s.outstanding = c, 0
+	if s.giveUp != nil {
+		s.giveUp()
+	}
+	s.conn, s.outstanding, s.giveUp = c, 0, nil
+	if c != nil {
+		s.inUse, s.giveUp = context.WithCancel(context.Background())
+	}
+}
+
+// call makes a call that ends when the connection is given up: one that has gone silent
+// stays open for the requests that run on it.
+func (s *session) call(ctx context.Context, method string, params, result any) error {
+	s.mu.Lock()
+	conn, inUse := s.conn, s.inUse
+	s.mu.Unlock()
+	if conn == nil {
+		return connector.Errorf(messenger.CodeUnavailable, "the session with %s has ended", s.address)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(inUse, cancel)()
+	return conn.Call(ctx, method, params, result)
 }
 
 // once dials, announces and sends heartbeats until the connection ends.
@@ -125,7 +150,18 @@
 	if err != nil {
 		return err
 	}
-	defer conn.Close()
+	silent := 0
+	defer func() {
+		if silent < maxSilent {
+			conn.Close()
+			return
+		}
+		// Requests run on it; their answers may still come through.
+		s.lingers.Go(func() {
+			linger(ctx, conn)
+			conn.Close()
+		})
+	}()
 	select {
 	case <-s.retired: // an earlier connection
 	default:
@@ -135,7 +171,6 @@
 	}
 	ticker := time.NewTicker(s.announcer.config.Interval)
 	defer ticker.Stop()
-	silent := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -159,7 +194,7 @@
 			continue
 		}
 		silent++
-		if connector.CodeOf(err) != 0 || silent > maxSilent {
+		if connector.CodeOf(err) != 0 || silent == maxSilent {
 			return err
 		}
 	}
@@ -179,10 +214,6 @@
 // lingerTime is the longest deadline of a request.
 const lingerTime = time.Minute
 
-// maxSilent is the number of heartbeats without an answer after which the
-// connection is opened anew.
-const maxSilent = 2
-
 func (s *session) announce(ctx context.Context, conn *connector.Conn) error {
 	c := s.announcer.config
 	call, cancel := context.WithTimeout(ctx, callTimeout)
@@ -218,7 +249,7 @@
 	if c.FleetVersion != nil {
 		h.FleetVersion = c.FleetVersion()
 	}
-	call, cancel := context.WithTimeout(ctx, callTimeout)
+	call, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	var reply messenger.AnnounceReply
 	if err := conn.Call(call, messenger.MethodHeartbeat, h, &reply); err != nil {
