Believe in a silent watch of the fleet text for a second

Would be seen: where an entry has no peer that took the change, its text stays old for up to 11 s after its watch went silent. Jobs on the product's own interface start by that text, also in a zone that is out by then.

Cause: a watch waited for 10 s, and one that went silent looks the same.

Evidence: TestSilentWatchDelaysNoChangeForLong before the change: version 2 after 10s, want 3 now 1.1 s, with calls limited to 200 ms.

Ruled out: a contact before each start, as tasks of classes have; the jobs' owner would need it in its scheduler.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -20,7 +20,7 @@
 
 // Times of the watch loop.
 const (
-	watchWait    = 10 * time.Second
+	watchWait    = 900 * time.Millisecond // bounds how long a watch that went silent is believed in
 	firstPause   = 50 * time.Millisecond
 	longestPause = time.Second
 	peerInterval = 500 * time.Millisecond
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -303,3 +306,36 @@
 		t.Error("refreshed without a store")
 	}
 }
+
+// TestSilentWatchDelaysNoChangeForLong: the connection of a waiting watch goes silent
+// without an end, in a process without peers, and a zone is taken out. Jobs start by the
+// text in force, so the zone would get starts for as long as the watch is believed in.
+func TestSilentWatchDelaysNoChangeForLong(t *testing.T) {
+	const within = 2 * time.Second
+	var silent atomic.Bool
+	store := storer.New(storer.Config{}).Handler()
+	waits, stop := make(chan struct{}, 1), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, keeper.KindWatch) && silent.CompareAndSwap(true, false) {
+			waits <- struct{}{}
+			<-stop
+			return
+		}
+		store.ServeHTTP(w, r)
+	}))
+	t.Cleanup(func() { close(stop); server.CloseClientConnections(); server.Close() })
+	k := keeper.New(keeper.Config{URL: server.URL, CallTimeout: 200 * time.Millisecond})
+	f := New(Config{Keeper: k})
+	run(t, f)
+	put(t, k, valueOf(t, 1))
+	waitVersion(t, f, 1)
+	silent.Store(true)
+	put(t, k, valueOf(t, 2)) // ends the watch that waits
+	<-waits
+	changed := time.Now()
+	put(t, k, valueOf(t, 3))
+	waitVersion(t, f, 3)
+	if took := time.Since(changed); took > within {
+		t.Errorf("in force after %s", took)
+	}
+}
