--- a/internal/control/journaler/journaler_test.go
+++ b/internal/control/journaler/journaler_test.go
@@ -194,3 +194,52 @@
 		}
 	}
 }
+
+// TestSnapshotsThatFailLeaveNothing refuses one call of a snapshot after the other: what
+// it had written or not yet deleted must go with a later snapshot of this owner, or of
+// the next, else whole states pile up in the store.
+func TestSnapshotsThatFailLeaveNothing(t *testing.T) {
+	ctx := context.Background()
+	for _, by := range []string{"this owner", "the next"} {
+		for call := 0; ; call++ {
+			m := newMemory()
+			j := m.journaler("one")
+			mustOpen(t, j)
+			snapshot := func(s string) error {
+				if err := j.Append(ctx, text(s)); err != nil {
+					t.Fatal(err)
+				}
+				return j.Snapshot(ctx, j.Next()-1, []byte(`["`+s+`"]`))
+			}
+			if err := snapshot("first"); err != nil {
+				t.Fatal(err)
+			}
+			if err := j.Append(ctx, text("second")); err != nil {
+				t.Fatal(err)
+			}
+			calls := -1
+			m.seam = func(string) fault {
+				if calls++; calls == call {
+					return refused
+				}
+				return none
+			}
+			_ = j.Snapshot(ctx, j.Next()-1, []byte(`["second"]`))
+			if calls < call {
+				break
+			}
+			m.seam = func(string) fault { return none }
+			want := 3 // opening entry, head and chunk
+			if by == "the next" {
+				j, want = m.journaler("two"), 4
+				mustOpen(t, j)
+			}
+			if err := snapshot("third"); err != nil {
+				t.Fatal(err)
+			}
+			if n := len(m.records); n != want {
+				t.Errorf("call %d refused, cleaned up by %s: %d records left, want %d", call, by, n, want)
+			}
+		}
+	}
+}
--- a/internal/control/journaler/snapshot.go
+++ b/internal/control/journaler/snapshot.go
@@ -19,8 +19,10 @@
 
 func (j *Journaler) headKey() string { return fmt.Sprintf("cells/%s/snapshot-head", j.config.Cell) }
 
+func (j *Journaler) chunkPrefix() string { return fmt.Sprintf("cells/%s/snapshot/", j.config.Cell) }
+
 func (j *Journaler) chunkKey(seq int64, chunk int) string {
-	return fmt.Sprintf("cells/%s/snapshot/%020d/%04d", j.config.Cell, seq, chunk)
+	return fmt.Sprintf("%s%020d/%04d", j.chunkPrefix(), seq, chunk)
 }
 
 // SnapshotDue tells whether enough entries have been appended since the last
@@ -31,6 +33,14 @@
 // It may run beside Append, but not beside another Snapshot. The snapshot holds
 // exactly the entries up to seq, all of them journalled.
 func (j *Journaler) Snapshot(ctx context.Context, seq int64, state []byte) error {
+	err := j.snapshot(ctx, seq, state)
+	if err != nil {
+		j.listed = false // what is left over is looked for by the next one
+	}
+	return err
+}
+
+func (j *Journaler) snapshot(ctx context.Context, seq int64, state []byte) error {
 	var chunks int
 	for ; chunks == 0 || chunks*chunkBytes < len(state); chunks++ {
 		part := state[chunks*chunkBytes : min(len(state), (chunks+1)*chunkBytes)]
@@ -122,6 +132,9 @@
 }
 
 func (j *Journaler) deleteChunks(ctx context.Context, old head) error {
+	if !j.listed {
+		return j.listChunks(ctx)
+	}
 	for chunk := range old.Chunks {
 		key := j.chunkKey(old.Seq, chunk)
 		record, err := j.config.GetRecord(ctx, key)
@@ -138,6 +151,31 @@
 	return nil
 }
 
+// listChunks deletes the chunks of all earlier snapshots, also of ones that failed. Those
+// above the head are left: a successor may be writing them.
+func (j *Journaler) listChunks(ctx context.Context) error {
+	after, end := "", j.chunkKey(j.head.Seq, 0)
+	for {
+		page, err := j.config.FindRecords(ctx, keeper.ListOptions{Prefix: j.chunkPrefix(), After: after})
+		if err != nil {
+			return fmt.Errorf("list old snapshots: %w", err)
+		}
+		for _, record := range page.Records {
+			after = record.Key
+			if after >= end {
+				return nil
+			}
+			err := j.config.DeleteRecord(ctx, record.Key, record.Revision)
+			if err != nil && !keeper.IsErrKeyNotExist(err) && !keeper.IsErrConflict(err) {
+				return fmt.Errorf("delete snapshot chunk %s: %w", record.Key, err)
+			}
+		}
+		if !page.More {
+			return nil
+		}
+	}
+}
+
 // deleteEntries deletes the journal up to seq, but never an opening entry.
 //
 // A paused earlier owner holds as its next sequence number the one at which its
