--- a/internal/agent/runner/runner_test.go
+++ b/internal/agent/runner/runner_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -160,3 +162,28 @@
 		t.Error("a leaving agent started a task")
 	}
 }
+
+// TestSizeOfTheVMIsReadAgain: the VM is made smaller while the agent runs. The owner and
+// the agent's own second line must not go on to count with the size at its start.
+func TestSizeOfTheVMIsReadAgain(t *testing.T) {
+	b := newBed(t)
+	size := messenger.Capacity{VM: "vm", Total: describer.Resources{Millicores: 1000, MemoryBytes: 1000}}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != driver.PathVM {
+			b.worker.Handler().ServeHTTP(w, r)
+			return
+		}
+		if err := json.NewEncoder(w).Encode(size); err != nil {
+			t.Error(err)
+		}
+	}))
+	t.Cleanup(server.Close)
+	b.runner.config.Driver = driver.New(driver.Config{URL: server.URL})
+	b.round(messenger.PollReply{Epoch: 1, LeaseMillis: 60000}, 0)
+	size.Total.Millicores = 400
+	b.skew += capacityAge + time.Second
+	b.round(messenger.PollReply{Epoch: 1, LeaseMillis: 60000, Orders: []messenger.Order{start("t", 1, 1, 500)}}, 0)
+	if told := b.polls[len(b.polls)-1].Capacity.Total.Millicores; told != 400 || b.starts() != 0 {
+		t.Errorf("told %d millicores, %d starts", told, b.starts())
+	}
+}
