--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -208,6 +211,41 @@
 	}
 }
 
+// TestUnreadableRecordIsReplaced stores a record with a version far ahead that can't be
+// read, then puts the one before back: nothing would start for good if the follower
+// went on waiting for the version that it read there. The unreadable one, seen again
+// late, does not count.
+func TestUnreadableRecordIsReplaced(t *testing.T) {
+	_, k := newStore(t)
+	f := New(Config{Keeper: k})
+	put(t, k, valueOf(t, 1))
+	unreadable := []byte(`{"version":1000000,"text":"fleet: f\nnew-key: 1"}`)
+	put(t, k, unreadable)
+	if _, err := f.Refresh(context.Background()); !errors.As(err, &recorder.ErrUnreadable{}) {
+		t.Fatalf("got %v, want ErrUnreadable", err)
+	}
+	late, err := k.GetRecord(context.Background(), recorder.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	put(t, k, valueOf(t, 1))
+	for range 2 {
+		if fleet, err := f.Refresh(context.Background()); err != nil || fleet.Version() != 1 {
+			t.Errorf("got %v, %v", fleet, err)
+		}
+		_ = f.take(late.Value, fromStore, late.Revision)
+	}
+	// The one that can be read came late: the one that can't is the newer.
+	put(t, k, unreadable)
+	if _, err := f.Refresh(context.Background()); !errors.As(err, &recorder.ErrUnreadable{}) {
+		t.Fatalf("got %v, want ErrUnreadable", err)
+	}
+	_ = f.take(valueOf(t, 1), fromStore, late.Revision)
+	if _, err := f.Refresh(context.Background()); !errors.As(err, &recorder.ErrUnreadable{}) {
+		t.Errorf("got %v, want ErrUnreadable", err)
+	}
+}
+
 // TestPeersHelpWhileTheStoreIsDown takes the store down right after a change was
 // accepted: a process that missed it learns it from a peer.
 func TestPeersHelpWhileTheStoreIsDown(t *testing.T) {
@@ -253,6 +291,10 @@
 	if fleet, err := f.Refresh(context.Background()); err != nil || fleet.Version() != 7 {
 		t.Errorf("got %v, %v", fleet, err)
 	}
+	put(t, empty, []byte(`{"version":8,"text":"fleet: f\nnew-key: 1"}`))
+	if _, err := f.Refresh(context.Background()); !errors.As(err, &recorder.ErrUnreadable{}) {
+		t.Errorf("got %v, want ErrUnreadable", err)
+	}
 }
 
 func TestEmptyFollower(t *testing.T) {
@@ -264,3 +306,36 @@
 		t.Error("refreshed without a store")
 	}
 }
+
+// TestSilentWatchDelaysNoChangeForLong: the connection of a waiting watch goes silent
+// without an end, in a process without peers, and a zone is taken out. Jobs start by the
+// text in force, so the zone would get starts for as long as the watch is believed in.
+func TestSilentWatchDelaysNoChangeForLong(t *testing.T) {
+	const within = 2 * time.Second
+	var silent atomic.Bool
+	store := storer.New(storer.Config{}).Handler()
+	waits, stop := make(chan struct{}, 1), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, keeper.KindWatch) && silent.CompareAndSwap(true, false) {
+			waits <- struct{}{}
+			<-stop
+			return
+		}
+		store.ServeHTTP(w, r)
+	}))
+	t.Cleanup(func() { close(stop); server.CloseClientConnections(); server.Close() })
+	k := keeper.New(keeper.Config{URL: server.URL, CallTimeout: 200 * time.Millisecond})
+	f := New(Config{Keeper: k})
+	run(t, f)
+	put(t, k, valueOf(t, 1))
+	waitVersion(t, f, 1)
+	silent.Store(true)
+	put(t, k, valueOf(t, 2)) // ends the watch that waits
+	<-waits
+	changed := time.Now()
+	put(t, k, valueOf(t, 3))
+	waitVersion(t, f, 3)
+	if took := time.Since(changed); took > within {
+		t.Errorf("in force after %s", took)
+	}
+}
