Wait in Pause until all threads are stopped

Cause: Pause returned when SIGSTOP was sent. The signal only marks the process; one thread takes it when it is scheduled and tells the others, and until then they run or sleep as before and may answer. Change: Pause waits until two looks in a row find the same threads, all of them T, and fails the test with the threads that are not after 10 s, or when the process has ended (before, that passed silently). The check in TestProcessSignals is as it was.

--- a/tests/harness/process.go
+++ b/tests/harness/process.go
@@ -27,6 +27,7 @@
 	// connections, so that a restarted process finds its port free.
 	portMin, portMax = 12000, 30000
 	readyLimit       = 30 * time.Second
+	pauseLimit       = 10 * time.Second
 	shownLogLines    = 60
 )
 
@@ -163,15 +164,20 @@
 	return p
 }
 
-// Start starts the process again after it ended.
+// Start starts the process again after it ended. It returns once the process
+// runs, which may be before it listens.
 func (p *Process) Start() {
+	p.t.Helper()
+	p.run(exec.Command(Binary(p.t), p.Args...))
+}
+
+func (p *Process) run(cmd *exec.Cmd) {
 	p.t.Helper()
 	file, err := os.OpenFile(p.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		p.t.Fatal(err)
 	}
 	defer file.Close()
-	cmd := exec.Command(Binary(p.t), p.Args...)
 	cmd.Stdout, cmd.Stderr = file, file
 	if err := startChild(cmd); err != nil {
 		p.t.Fatalf("start %s: %v", p.Name, err)
@@ -206,10 +212,19 @@
 // Kill ends the process at once and waits for its end.
 func (p *Process) Kill() { <-p.signal(syscall.SIGKILL) }
 
-// Pause stops the process until Resume.
-func (p *Process) Pause() { p.signal(syscall.SIGSTOP) }
+// Pause stops the process until Resume and waits until all its threads are
+// stopped. The process must be running.
+func (p *Process) Pause() {
+	p.t.Helper()
+	pid := p.PID()
+	done := p.signal(syscall.SIGSTOP)
+	if err := waitStopped(pid, done, pauseLimit); err != nil {
+		p.t.Fatalf("pause %s: %v", p.Name, err)
+	}
+}
 
-// Resume lets a paused process go on.
+// Resume lets a paused process go on. The kernel wakes all its threads while it
+// sends the signal, so there is nothing to wait for.
 func (p *Process) Resume() { p.signal(syscall.SIGCONT) }
 
 // Terminate asks for a graceful stop and returns how the process ended.
