Let no byte pass the proxy under earlier faults

Cause: a chunk looked at the faults and was written later. Set, SetFor and Reset returned in between, so bytes passed a link after the call that cut it; the window was as long as a write without room or the wait for a low rate takes. Reset could also miss a connection that was losing its first bytes at that moment, and left it until its next ones (read, not tried). A wait for a low rate or a delay went on after the fault had ended. Change: a gate for each way of a connection is held from the look at the faults to the end of the write. A change of faults passes each gate before it returns and then resets what must be reset; it breaks off a write for which the peer has no room, whose rest is subject to the new faults. Waits end when the faults change. Bytes are counted as written. By fault: - Cut, Hold, Refuse, DropAnswers: mended as above. - Delay, BytesPerSec: begin and end at once now, also for bytes already in the proxy. - Refuse of open connections: the reset was sent before the return already; as before. - Bytes that the kernel has taken still reach their end: a proxy can't call them back.

--- a/tests/proxy/proxy.go
+++ b/tests/proxy/proxy.go
@@ -5,7 +5,11 @@
 package proxy
 
 import (
+	"errors"
+	"maps"
 	"net"
+	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +50,7 @@
 type Proxy struct {
 	config   Config
 	listener net.Listener
+	changing sync.Mutex // held by a change of the faults until it is in effect
 
 	mu      sync.Mutex
 	all     Faults
@@ -61,8 +66,13 @@
 	class          string
 	client, server net.Conn
 	torn           atomic.Bool // bytes were swallowed: it can't go on when the fault ends
+	// gates are held, one each way, from a look at the faults to the end of what
+	// they let pass.
+	gates [2]sync.Mutex
 }
 
+func (l *link) gate(way Way) *sync.Mutex { return &l.gates[way-ToServer] }
+
 // New returns a proxy to a target that listens on a port of its own.
 func New(c Config) (*Proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -81,33 +91,38 @@
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
 // Set replaces the faults in force for all but the classes that have their own.
-// Connections that lost bytes are reset once the link is whole again.
+// Connections that lost bytes are reset once the link is whole again. When it
+// returns, as with SetFor and Reset, no byte is forwarded under the earlier faults;
+// bytes that the kernel has taken already still reach their end.
 func (p *Proxy) Set(f Faults) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.all = f
-	p.applyLocked()
+	p.change(func() { p.all = f })
 }
 
 // SetFor replaces the faults in force for the connections of one class.
 func (p *Proxy) SetFor(class string, f Faults) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.byClass[class] = f
-	p.applyLocked()
+	p.change(func() { p.byClass[class] = f })
 }
 
 // Reset ends all faults.
 func (p *Proxy) Reset() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.all, p.byClass = Faults{}, make(map[string]Faults)
-	p.applyLocked()
+	p.change(func() { p.all, p.byClass = Faults{}, make(map[string]Faults) })
 }
 
-func (p *Proxy) applyLocked() {
+func (p *Proxy) change(set func()) {
+	p.changing.Lock()
+	defer p.changing.Unlock()
+	p.mu.Lock()
+	set()
 	close(p.changed)
 	p.changed = make(chan struct{})
+	links := slices.Collect(maps.Keys(p.links))
+	p.mu.Unlock()
+	for _, l := range links {
+		l.settle(ToServer, l.server)
+		l.settle(ToClient, l.client)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for l := range p.links {
 		if f := p.faultsLocked(l.class); f.Refuse || (f.Cut == 0 && l.torn.Load()) {
 			l.reset()
@@ -115,6 +130,18 @@
 	}
 }
 
+// settle waits until nothing passes one way that earlier faults allowed. A write
+// for which the peer has no room is broken off and goes on under the new faults.
+func (l *link) settle(way Way, to net.Conn) {
+	gate := l.gate(way)
+	if !gate.TryLock() {
+		_ = to.SetWriteDeadline(time.Now())
+		gate.Lock()
+		_ = to.SetWriteDeadline(time.Time{})
+	}
+	gate.Unlock()
+}
+
 func (p *Proxy) faultsLocked(class string) Faults {
 	if f, ok := p.byClass[class]; ok {
 		return f
@@ -133,10 +160,7 @@
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	p.listener.Close()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.all, p.byClass = Faults{Refuse: true}, nil
-	p.applyLocked()
+	p.change(func() { p.all, p.byClass = Faults{Refuse: true}, nil })
 }
 
 func (p *Proxy) accept() {
@@ -213,7 +237,9 @@
 			l.reset()
 		}
 	}
-	if p.release(l, way).Cut&way != 0 || l.torn.Load() {
+	f := p.enter(l, way, func(Faults) time.Time { return time.Time{} })
+	defer l.gate(way).Unlock()
+	if f.Cut&way != 0 || l.torn.Load() {
 		return // the other end must not learn over a cut link that this one closed
 	}
 	if t, ok := to.(*net.TCPConn); ok {
@@ -221,40 +247,74 @@
 	}
 }
 
-// release waits until nothing holds the way and returns the faults in force.
-func (p *Proxy) release(l *link, way Way) Faults {
+// enter waits until nothing holds the way and what is to pass is due, locks the
+// way's gate and returns the faults in force.
+func (p *Proxy) enter(l *link, way Way, due func(Faults) time.Time) Faults {
 	for {
+		l.gate(way).Lock()
 		f, changed := p.look(l.class)
-		if f.Hold&way == 0 {
+		wait := time.Until(due(f))
+		if f.Hold&way == 0 && wait <= 0 {
 			return f
 		}
-		<-changed
+		l.gate(way).Unlock()
+		if f.Hold&way != 0 {
+			<-changed
+			continue
+		}
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		}
 	}
 }
 
+// deliver forwards or swallows bytes as the faults in force tell, and returns
+// whether the connection may go on.
 func (p *Proxy) deliver(l *link, to net.Conn, way Way, c chunk) bool {
-	f := p.release(l, way)
-	time.Sleep(time.Until(c.arrived.Add(f.Delay)))
-	f = p.release(l, way) // it may have changed meanwhile
+	begun := time.Now()
+	for len(c.data) > 0 {
+		f := p.enter(l, way, func(f Faults) time.Time { return f.due(c, begun) })
+		n, ok := p.pass(l, to, way, f, c.data)
+		l.gate(way).Unlock()
+		if !ok {
+			return false
+		}
+		c.data = c.data[n:]
+	}
+	return true
+}
+
+// due returns when bytes that are the next to go since begun may pass.
+func (f Faults) due(c chunk, begun time.Time) time.Time {
+	if delayed := c.arrived.Add(f.Delay); delayed.After(begun) {
+		begun = delayed
+	}
 	if f.BytesPerSec > 0 {
-		time.Sleep(time.Duration(len(c.data)) * time.Second / time.Duration(f.BytesPerSec))
+		begun = begun.Add(time.Duration(len(c.data)) * time.Second / time.Duration(f.BytesPerSec))
 	}
+	return begun
+}
+
+// pass returns how many bytes are done with: fewer than given when the faults
+// change meanwhile. The way's gate is locked.
+func (p *Proxy) pass(l *link, to net.Conn, way Way, f Faults, data []byte) (n int, ok bool) {
 	switch {
 	case f.Refuse, f.DropAnswers && way == ToClient:
-		return false
+		return 0, false
 	case f.Cut&way != 0:
 		l.torn.Store(true)
-		return true
+		return len(data), true
 	case l.torn.Load():
-		return false
+		return 0, false
 	}
-	_, err := to.Write(c.data)
+	n, err := to.Write(data)
 	if way == ToServer {
-		p.toServer.Add(int64(len(c.data)))
+		p.toServer.Add(int64(n))
 	} else {
-		p.toClient.Add(int64(len(c.data)))
+		p.toClient.Add(int64(n))
 	}
-	return err == nil
+	return n, err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // CountBytes returns how many bytes were delivered so far, each way.
