Take a port of the test's own to use it twice

Cause: the test let the system pick the port of its first connection and bound the same one again. The system also picks ports of closed connections to other addresses, of which the machine is full: 7,000 to 11,000 sockets in TIME_WAIT when counted after the run. Bind refuses a port that a socket without SO_REUSEADDR has. Change: both connections come from a port of FreeAddress, below the range that the system picks from. Steps and check are as they were.

--- a/tests/harness/harness_test.go
+++ b/tests/harness/harness_test.go
@@ -67,11 +67,16 @@
 		return l
 	}
 	other, target := listen(), listen()
-	first, err := (&net.Dialer{Control: reuseAddress}).Dial("tcp", other.Addr().String())
+	// A port that the system picks may be shared with closed connections of other
+	// processes, and could not be bound again.
+	from, err := net.ResolveTCPAddr("tcp", FreeAddress(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, err := (&net.Dialer{LocalAddr: from, Control: reuseAddress}).Dial("tcp", other.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	from := first.LocalAddr().(*net.TCPAddr)
 	first.Close() // the opener closes first, so its end stays listed
 	accepted, err := other.Accept()
 	if err != nil {
