Cancel more jobs around the soak's faults, and repeat faults in series

What: series of one fault; cancellations at any time during a fault, up to four at once; more lasting jobs at a time.

--- a/tests/soak/callers_test.go
+++ b/tests/soak/callers_test.go
@@ -18,7 +18,7 @@
 const (
 	callEvery     = 300 * time.Millisecond // of each caller, on average
 	retryPause    = 100 * time.Millisecond
-	mostLasting   = 8 // lasting jobs at a time, so that they fit
+	mostLasting   = 14 // lasting jobs at a time, so that they fit
 	stateDone     = "done"
 	stateCanceled = "cancelled"
 )
@@ -141,7 +141,7 @@
 	j = &specifier.Job{ID: fmt.Sprintf("%08x%08x", 1+c.number, c.count), Queue: []string{"labels", "sorting"}[c.random.IntN(2)]}
 	if lasting < mostLasting && c.random.IntN(3) > 0 {
 		j.Payload = `{"run-ms":-1,"checkpointed":true}`
-		j.Steps = []specifier.Step{{Count: 1 + c.random.IntN(2), Lasting: true, Needs: specifier.Resources{CPUMillis: 250 * (1 + c.random.Int64N(3)), MemoryMB: 500}}}
+		j.Steps = []specifier.Step{{Count: 1 + c.random.IntN(2), Lasting: true, Needs: specifier.Resources{CPUMillis: 250 * (1 + c.random.Int64N(2)), MemoryMB: 500}}}
 	} else {
 		j.Payload = fmt.Sprintf(`{"run-ms":%d,"checkpointed":%v}`, 100+c.random.IntN(900), c.random.IntN(2) == 0)
 		for i := range 1 + c.random.IntN(3) {
--- a/tests/soak/faults_test.go
+++ b/tests/soak/faults_test.go
@@ -19,7 +19,10 @@
 	faultLongest  = 4 * time.Second
 	grantOver     = 7 * time.Second         // past every lease
 	ackLimit      = 1500 * time.Millisecond // that a fault waits for cancellations
-	mostFaults    = 9                       // of a burst
+	fewestStrikes = 4                       // of a burst
+	mostStrikes   = 10
+	mostCancelled = 4 // at a time
+	longestSeries = 4 // of one fault, time after time
 )
 
 // fault is something that begins and ends.
@@ -50,7 +53,7 @@
 	{4, func(b *bed, r *rand.Rand) fault { return linking(r, "entries and store", b.storeLinks) }},
 	{4, func(b *bed, r *rand.Rand) fault { return linking(r, "agents and executors", b.workerLinks) }},
 	{2, func(b *bed, r *rand.Rand) fault { return linking(r, "callers and entries", b.callerLinks) }},
-	{4, func(b *bed, r *rand.Rand) fault {
+	{6, func(b *bed, r *rand.Rand) fault {
 		f := storeFaults[r.IntN(len(storeFaults))]
 		return fault{fmt.Sprintf("store %+v", f), func() func() { return b.store.put(f) }}
 	}},
@@ -61,7 +64,7 @@
 }
 
 var storeFaults = []storer.Faults{
-	{Down: true}, {Down: true, PauseLeases: true}, {DropHistory: true}, {LoseAnswers: 0.3}, {LoseAnswers: 0.8}, {DelayMillis: 200}, {DelayMillis: 700},
+	{Down: true}, {Down: true}, {Down: true, PauseLeases: true}, {DropHistory: true}, {LoseAnswers: 0.3}, {LoseAnswers: 0.8}, {DelayMillis: 200}, {DelayMillis: 700},
 }
 
 var executorFaults = []executor.Faults{
@@ -170,12 +173,14 @@
 	}}
 }
 
-// strike is a fault with the cancellations around it.
+// strike is a fault, or a series of it, with the cancellations around each.
 type strike struct {
 	fault
+	times                  int
 	at, lasts              time.Duration
 	before, during, behind int           // how many jobs are cancelled
 	gap                    time.Duration // between a cancellation and what is next to it
+	into                   time.Duration // from the beginning to a cancellation during it
 }
 
 func drawStrike(b *bed, r *rand.Rand, burst time.Duration) strike {
@@ -195,16 +200,23 @@
 	if r.IntN(8) == 0 {
 		longest = grantOver
 	}
+	s.times = 1
+	if r.IntN(3) == 0 {
+		s.times, longest = 2+r.IntN(longestSeries-1), longest/longestSeries
+	}
 	s.lasts = 20*time.Millisecond + time.Duration(r.Int64N(int64(longest)))
 	if r.IntN(3) == 0 {
 		s.lasts /= 10
 	}
-	s.at = time.Duration(r.Int64N(int64(max(burst-s.lasts, time.Second))))
+	s.at = time.Duration(r.Int64N(int64(max(burst-s.lasts*time.Duration(s.times), time.Second))))
 	for _, n := range []*int{&s.before, &s.during, &s.behind} {
-		if r.IntN(3) == 0 {
-			*n = 1 + r.IntN(2)
+		if r.IntN(2) == 0 {
+			*n = 1 + r.IntN(mostCancelled)
 		}
 	}
+	if s.into = time.Duration(r.Int64N(int64(s.lasts))); r.IntN(2) == 0 {
+		s.into /= 10
+	}
 	if s.gap = time.Duration(r.Int64N(int64(500 * time.Millisecond))); r.IntN(2) == 0 {
 		s.gap /= 20
 	}
@@ -216,11 +228,13 @@
 func (b *bed) burst(ctx, limit context.Context, r *rand.Rand) {
 	lasts := burstShortest + time.Duration(r.Int64N(int64(burstLongest-burstShortest)))
 	var strikes sync.WaitGroup
-	for range 3 + r.IntN(mostFaults-2) {
+	for range fewestStrikes + r.IntN(mostStrikes-fewestStrikes+1) {
 		s, c := drawStrike(b, r, lasts), b.callers[r.IntN(len(b.callers))]
 		strikes.Go(func() {
 			wait(ctx, s.at)
-			b.strike(limit, s, c)
+			for range s.times {
+				b.strike(limit, s, c)
+			}
 		})
 	}
 	strikes.Wait()
@@ -238,7 +252,7 @@
 	b.note("begin %s for %s", s.name, s.lasts)
 	end := s.begin()
 	if s.during > 0 {
-		b.faulty.Go(func() { wait(limit, s.gap); c.cancelSome(limit, s.during) })
+		b.faulty.Go(func() { wait(limit, s.into); c.cancelSome(limit, s.during) })
 	}
 	wait(limit, s.lasts)
 	end()
