Let the soak replace agents while late starts are on their way to executors

What: one more kind of fault that puts late starts, new agents, slow looks and a frozen entry together.

--- a/tests/soak/faults_test.go
+++ b/tests/soak/faults_test.go
@@ -21,6 +21,8 @@
 	ackLimit      = 1500 * time.Millisecond // that a fault waits for cancellations
 	fewestStrikes = 4                       // of a burst
 	mostStrikes   = 10
+	slowLook      = 180 * time.Millisecond // each way, below the limit of a look
+	ownerReplaced = 3500 * time.Millisecond
 	mostCancelled = 4 // at a time
 	longestSeries = 4 // of one fault, time after time
 )
@@ -49,6 +51,7 @@
 	{3, func(b *bed, r *rand.Rand) fault { return freezing("entries", some(r, b.entries, 1+r.IntN(2))) }},
 	{3, func(b *bed, r *rand.Rand) fault { return freezing("agents", some(r, b.agents, 1+r.IntN(jobVMs))) }},
 	{1, func(b *bed, r *rand.Rand) fault { return freezing("executors", some(r, b.workers, 1+r.IntN(2))) }},
+	{4, takeover},
 	{6, func(b *bed, r *rand.Rand) fault { return linking(r, "entries and agents", b.agentLinks) }},
 	{4, func(b *bed, r *rand.Rand) fault { return linking(r, "entries and store", b.storeLinks) }},
 	{4, func(b *bed, r *rand.Rand) fault { return linking(r, "agents and executors", b.workerLinks) }},
@@ -150,6 +153,24 @@
 	}}
 }
 
+// takeover replaces the agents and freezes an entry while starts are on their way that
+// nobody knows of any more: they come to executors just as another entry takes over.
+func takeover(b *bed, r *rand.Rand) fault {
+	e, lead := b.entries[r.IntN(len(b.entries))], time.Duration(r.Int64N(int64(2*time.Second)))
+	late := executor.Faults{LateMillis: 1500 + r.Int64N(2000)}
+	slow := proxy.Faults{Delay: time.Duration(r.Int64N(int64(slowLook)))}
+	return fault{fmt.Sprintf("%s frozen and agents replaced %s after starts are late by %d ms, looks by %s", e.Name, lead, late.LateMillis, slow.Delay), func() func() {
+		lateEnd, slowEnd := putting("", b.machines, late).begin(), putting("", b.workerLinks, slow).begin()
+		wait(b.t.Context(), lead)
+		e.freeze()
+		each(b.agents, func(m *member) { m.end(false) })
+		lateEnd()
+		each(b.agents, (*member).begin)
+		frozen := time.After(ownerReplaced)
+		return func() { <-frozen; e.thaw(); slowEnd() }
+	}}
+}
+
 func linking(r *rand.Rand, name string, links []*stack[proxy.Faults]) fault {
 	f := linkFaults[r.IntN(len(linkFaults))]
 	n := 1 + r.IntN(len(links))
