Judge the soak by records of one moment, in fewer lines

Why: a check while callers went on read the executors' records before the callers', so a job shown as done in between would have looked as if its tasks were not. What: callers' records are copied first and later events left out; checks share a loop. Evidence: TestChecksFindWhatIsBroken and TestWaitingTellsWhatIsOpen pass; lint passes.

--- a/tests/soak/bed_test.go
+++ b/tests/soak/bed_test.go
@@ -144,8 +144,10 @@
 		frozen[vm.Name], deaths[vm.Name] = b.workers[i].times()
 	}
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	return newWitness(b.JobEvents(), frozen, deaths, slices.Clone(b.quiet), b.book.copy())
+	quiet := slices.Clone(b.quiet)
+	b.mu.Unlock()
+	jobs, at := b.book.copy(), time.Now() // what callers saw stands in the records that are read after it
+	return newWitness(b.JobEvents(), frozen, deaths, quiet, jobs, at)
 }
 
 // keep writes the logs of all processes and what was seen below a folder.
@@ -261,12 +263,3 @@
 		s.apply(now)
 	}
 }
-
-// clear ends all faults, also those that a process has been told and not heard.
-func (s *stack[F]) clear() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var none F
-	s.all = nil
-	s.apply(none)
-}
--- a/tests/soak/callers_test.go
+++ b/tests/soak/callers_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -68,11 +67,10 @@
 
 func (k *book) lines() []string {
 	var lines []string
-	all := k.copy()
-	for _, id := range slices.Sorted(maps.Keys(all)) {
-		r := all[id]
+	for id, r := range k.copy() {
 		lines = append(lines, fmt.Sprintf("%s accepted %s refused %v cancel acked %s done %s state %s payload %s steps %+v", id, clock(r.accepted), r.refused, clock(r.acked), clock(r.done), r.state, r.spec.Payload, r.spec.Steps))
 	}
+	slices.Sort(lines)
 	return lines
 }
 
@@ -190,7 +188,7 @@
 }
 
 // ask asks for the state of a job and notes what changes it should not.
-func (c *caller) ask(ctx context.Context, id string) error {
+func (c *caller) ask(ctx context.Context, id string) {
 	askedAt := time.Now()
 	a, err := c.client.GetJob(ctx, id)
 	var refused requester.ErrRefused
@@ -198,7 +196,7 @@
 		c.book.find("accepted: job %s was accepted and is not known at %s", id, clock(time.Now()))
 	}
 	if err != nil {
-		return err
+		return // asked again at the end
 	}
 	var reverted bool
 	c.book.update(id, func(r *record) {
@@ -210,12 +208,11 @@
 	if reverted {
 		c.book.find("accepted: job %s was shown as done and is shown as %s at %s", id, a.State, clock(time.Now()))
 	}
-	return nil
 }
 
 func (c *caller) askSome(ctx context.Context) {
 	for _, id := range c.pick(c.book.list(func(r *record) bool { return !r.accepted.IsZero() && r.done.IsZero() }), 3) {
-		_ = c.ask(ctx, id) // asked again at the end
+		c.ask(ctx, id)
 	}
 }
 
@@ -227,40 +224,25 @@
 	return ids[:min(n, len(ids))]
 }
 
-// cancelSome cancels n jobs, more of them lasting than not, and returns how many were
-// acknowledged.
-func (c *caller) cancelSome(ctx context.Context, n int) int {
+// cancelSome cancels n jobs, more of them lasting than not, until that is acknowledged.
+func (c *caller) cancelSome(ctx context.Context, n int) {
 	lasting := c.pick(c.book.list(func(r *record) bool { return r.pending() && r.spec.Lasts() }), n)
 	others := c.pick(c.book.list(func(r *record) bool { return r.pending() && !r.spec.Lasts() }), max(1, n-len(lasting)))
-	var calls sync.WaitGroup
-	acked := make(chan bool, n+1)
-	for _, id := range append(lasting, others...) {
-		calls.Go(func() { acked <- c.cancel(ctx, id) })
-	}
-	calls.Wait()
-	close(acked)
-	count := 0
-	for ok := range acked {
-		if ok {
-			count++
-		}
-	}
-	return count
+	each(append(lasting, others...), func(id string) { c.cancel(ctx, id) })
 }
 
 // cancel cancels a job until that is acknowledged.
-func (c *caller) cancel(ctx context.Context, id string) bool {
+func (c *caller) cancel(ctx context.Context, id string) {
 	c.book.update(id, func(r *record) { r.cancel = true })
 	for ; ctx.Err() == nil; wait(ctx, retryPause) {
 		_, err := c.client.CancelJob(ctx, id)
 		if err == nil {
 			c.book.update(id, func(r *record) { r.acked = time.Now() })
-			return true
+			return
 		}
 		var refused requester.ErrRefused
 		if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
 			c.book.find("accepted: job %s was accepted and its cancellation told that it is not known", id)
 		}
 	}
-	return false
 }
--- a/tests/soak/faults_test.go
+++ b/tests/soak/faults_test.go
@@ -38,14 +38,17 @@
 	weight int
 	draw   func(b *bed, r *rand.Rand) fault
 }{
-	{4, func(b *bed, r *rand.Rand) fault { return ending(b, r, "entries and agents", b.entries, b.agents) }},
-	{1, func(b *bed, r *rand.Rand) fault { return ending(b, r, "everything", b.entries, b.agents, b.workers) }},
-	{2, func(b *bed, r *rand.Rand) fault { return ending(b, r, "agents", b.agents) }},
-	{2, func(b *bed, r *rand.Rand) fault { return ending(b, r, "entries", b.entries) }},
-	{3, func(b *bed, r *rand.Rand) fault { return ending(b, r, "an entry", some(r, b.entries, 1)) }},
-	{3, func(b *bed, r *rand.Rand) fault { return ending(b, r, "an agent", some(r, b.agents, 1)) }},
-	{2, func(b *bed, r *rand.Rand) fault { return ending(b, r, "an executor", some(r, b.workers, 1)) }},
-	{2, func(b *bed, r *rand.Rand) fault { return ending(b, r, "a VM", at(r, b.agents, b.workers)) }},
+	{4, func(b *bed, r *rand.Rand) fault { return ending(r, "entries and agents", b.entries, b.agents) }},
+	{1, func(b *bed, r *rand.Rand) fault { return ending(r, "everything", b.entries, b.agents, b.workers) }},
+	{2, func(b *bed, r *rand.Rand) fault { return ending(r, "agents", b.agents) }},
+	{2, func(b *bed, r *rand.Rand) fault { return ending(r, "entries", b.entries) }},
+	{3, func(b *bed, r *rand.Rand) fault { return ending(r, "an entry", some(r, b.entries, 1)) }},
+	{3, func(b *bed, r *rand.Rand) fault { return ending(r, "an agent", some(r, b.agents, 1)) }},
+	{2, func(b *bed, r *rand.Rand) fault { return ending(r, "an executor", some(r, b.workers, 1)) }},
+	{2, func(b *bed, r *rand.Rand) fault {
+		i := r.IntN(jobVMs)
+		return ending(r, "a VM", b.agents[i:i+1], b.workers[i:i+1])
+	}},
 	{1, func(b *bed, r *rand.Rand) fault { return rolling(b, r, "entries", b.entries) }},
 	{1, func(b *bed, r *rand.Rand) fault { return rolling(b, r, "agents", b.agents) }},
 	{3, func(b *bed, r *rand.Rand) fault { return freezing("entries", some(r, b.entries, 1+r.IntN(2))) }},
@@ -71,28 +74,11 @@
 }
 
 var executorFaults = []executor.Faults{
-	{Refuse: true},
-	{Silent: true},
-	{LateMillis: 800},
-	{LateMillis: 3000},
-	{Leaving: true},
-	{SpeedPercent: 20},
-	{RebornNow: true},
-	{HoldProgress: true},
-	{RebornNow: true, LateMillis: 1500},
+	{Refuse: true}, {Silent: true}, {LateMillis: 800}, {LateMillis: 3000}, {Leaving: true}, {SpeedPercent: 20}, {RebornNow: true}, {HoldProgress: true}, {RebornNow: true, LateMillis: 1500},
 }
 
 var linkFaults = []proxy.Faults{
-	{Delay: 60 * time.Millisecond},
-	{Delay: 350 * time.Millisecond},
-	{Refuse: true},
-	{Cut: proxy.ToServer},
-	{Cut: proxy.ToClient},
-	{Cut: proxy.BothWays},
-	{Hold: proxy.ToServer},
-	{Hold: proxy.ToClient},
-	{Hold: proxy.BothWays},
-	{DropAnswers: true},
+	{Delay: 60 * time.Millisecond}, {Delay: 350 * time.Millisecond}, {Refuse: true}, {Cut: proxy.ToServer}, {Cut: proxy.ToClient}, {Cut: proxy.BothWays}, {Hold: proxy.ToServer}, {Hold: proxy.ToClient}, {Hold: proxy.BothWays}, {DropAnswers: true},
 }
 
 // some draws n of all.
@@ -102,17 +88,8 @@
 	return drawn[:min(n, len(drawn))]
 }
 
-// at draws an index and returns the members there.
-func at(r *rand.Rand, groups ...[]*member) (all []*member) {
-	i := r.IntN(len(groups[0]))
-	for _, g := range groups {
-		all = append(all, g[i])
-	}
-	return all
-}
-
 // ending ends processes at once and starts them again.
-func ending(_ *bed, r *rand.Rand, name string, groups ...[]*member) fault {
+func ending(r *rand.Rand, name string, groups ...[]*member) fault {
 	all, graceful := slices.Concat(groups...), r.IntN(4) == 0
 	return fault{fmt.Sprintf("%s ended, graceful %v", name, graceful), func() func() {
 		each(all, func(m *member) { m.end(graceful) })
@@ -261,8 +238,8 @@
 	strikes.Wait()
 	// Twice: what a process was told while it was frozen comes late.
 	for range 2 {
-		each(b.machines, (*stack[executor.Faults]).clear)
-		b.store.clear()
+		each(b.machines, func(s *stack[executor.Faults]) { s.put(executor.Faults{})() })
+		b.store.put(storer.Faults{})()
 		wait(limit, thawBound)
 	}
 }
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -120,13 +121,10 @@
 		b.faulty.Go(func() { c.cancel(limit, id) })
 	}
 	wait(limit, cancelBound+stopTime+time.Second)
-	w := b.witness()
-	for id, j := range w.jobs {
-		if j.cancel && j.acked.IsZero() {
-			open = append(open, fmt.Sprintf("settled: cancellation of job %s", id))
-		}
+	for _, id := range b.book.list(func(r *record) bool { return r.cancel && r.acked.IsZero() }) {
+		open = append(open, fmt.Sprintf("settled: cancellation of job %s", id))
 	}
-	return append(open, w.check()...)
+	return append(open, b.witness().check()...)
 }
 
 // await returns what has not come by the time it must.
@@ -136,7 +134,7 @@
 		for _, id := range b.book.list(func(r *record) bool {
 			return !r.accepted.IsZero() && r.done.IsZero() && r.state != stateCanceled && (r.cancel || !r.spec.Lasts())
 		}) {
-			_ = c.ask(limit, id)
+			c.ask(limit, id)
 		}
 		if open = b.witness().waiting(); len(open) == 0 {
 			return nil
@@ -148,37 +146,17 @@
 // report fails the test if anything was found, and keeps the logs.
 func (b *bed) report(findings []string) {
 	b.t.Helper()
-	counts := make(map[string]int)
-	for _, r := range b.book.copy() {
-		counts["submitted"]++
-		counts["accepted"] += count(!r.accepted.IsZero())
-		counts["refused"] += count(r.refused)
-		counts["done"] += count(!r.done.IsZero())
-		counts["cancelled"] += count(!r.acked.IsZero())
-		counts["lasting"] += count(r.spec.Lasts())
-	}
-	b.t.Logf("seed %d: %v, %d events of executors", b.seed, counts, len(b.JobEvents()))
+	count := func(want func(*record) bool) int { return len(b.book.list(want)) }
+	b.t.Logf("seed %d: %d jobs, %d refused, %d lasting, %d done, %d cancelled, %d events of executors", b.seed,
+		count(func(*record) bool { return true }), count(func(r *record) bool { return r.refused }), count(func(r *record) bool { return r.spec.Lasts() }),
+		count(func(r *record) bool { return !r.done.IsZero() }), count(func(r *record) bool { return !r.acked.IsZero() }), len(b.JobEvents()))
 	if len(findings) == 0 {
 		return
 	}
-	dir := filepath.Join(logDir(), fmt.Sprintf("seed-%d-%s", b.seed, time.Now().UTC().Format("150405")))
+	// SOAK_LOGS names another folder for the logs of failed seeds.
+	dir := filepath.Join(cmp.Or(os.Getenv("SOAK_LOGS"), filepath.Join(os.TempDir(), "bamboospread-soak")), fmt.Sprintf("seed-%d-%s", b.seed, time.Now().UTC().Format("150405")))
 	if err := b.keep(dir, findings); err != nil {
 		b.t.Error(err)
 	}
 	b.t.Errorf("seed %d: %d findings, logs in %s; make soak SEED=%d repeats it\n%s", b.seed, len(findings), dir, b.seed, strings.Join(findings[:min(len(findings), 20)], "\n"))
 }
-
-func count(is bool) int {
-	if is {
-		return 1
-	}
-	return 0
-}
-
-// logDir is where the logs of failed seeds are kept.
-func logDir() string {
-	if dir := os.Getenv("SOAK_LOGS"); dir != "" {
-		return dir
-	}
-	return filepath.Join(os.TempDir(), "bamboospread-soak")
-}
--- a/tests/soak/witness_checks_test.go
+++ b/tests/soak/witness_checks_test.go
@@ -55,7 +55,7 @@
 			if !tt.death.IsZero() {
 				deaths["a"] = []time.Time{tt.death}
 			}
-			w := newWitness(tt.events, map[string][]window{"a": {tt.frozen}}, deaths, []window{{from: second(0)}}, map[string]record{job: tt.record})
+			w := newWitness(tt.events, map[string][]window{"a": {tt.frozen}}, deaths, []window{{from: second(0)}}, map[string]record{job: tt.record}, time.Now())
 			found := w.check()
 			if tt.want == "" && len(found) > 0 || tt.want != "" && len(found) == 0 {
 				t.Fatalf("found %q, want %q", found, tt.want)
@@ -89,7 +89,7 @@
 		{"cancelled", record{spec: lasting, accepted: now, cancel: true, acked: now, state: stateCanceled}, 0},
 	}
 	for _, tt := range tests {
-		w := newWitness(nil, nil, nil, nil, map[string]record{lasting.ID: tt.record})
+		w := newWitness(nil, nil, nil, nil, map[string]record{lasting.ID: tt.record}, now)
 		if found := w.waiting(); len(found) != tt.want {
 			t.Errorf("%s: %q, want %d", tt.name, found, tt.want)
 		}
--- a/tests/soak/witness_test.go
+++ b/tests/soak/witness_test.go
@@ -26,10 +26,6 @@
 // window is a time; a zero end is not known yet.
 type window struct{ from, to time.Time }
 
-func (w window) holds(t time.Time) bool {
-	return !t.Before(w.from) && (w.to.IsZero() || t.Before(w.to))
-}
-
 // span is a run as its executor saw it.
 type span struct {
 	task     string
@@ -52,17 +48,19 @@
 
 // witness is what executors and callers saw.
 type witness struct {
-	jobs   map[string]record
-	tasks  map[string][]*span // in the order of their starts
-	events []executor.Event
-	deaths map[string][]time.Time // of executors, by VM
-	quiet  []window
+	jobs  map[string]record
+	tasks map[string][]*span // in the order of their starts
+	quiet []window
+	at    time.Time // what came later is not in it
 }
 
-func newWitness(events []executor.Event, frozen map[string][]window, deaths map[string][]time.Time, quiet []window, jobs map[string]record) *witness {
-	w := &witness{jobs: jobs, tasks: make(map[string][]*span), events: events, deaths: deaths, quiet: quiet}
+func newWitness(events []executor.Event, frozen map[string][]window, deaths map[string][]time.Time, quiet []window, jobs map[string]record, at time.Time) *witness {
+	w := &witness{jobs: jobs, tasks: make(map[string][]*span), quiet: quiet, at: at}
 	open := make(map[string]*span)
 	for _, e := range events {
+		if e.At.After(at) {
+			break
+		}
 		key := fmt.Sprint(e.VM, e.Life, e.Task, e.Run)
 		s := open[key]
 		switch {
@@ -104,43 +102,42 @@
 
 // check returns what broke a promise so far.
 func (w *witness) check() []string {
-	return slices.Concat(w.checkCancelled(), w.checkTwice(), w.checkOrder(), w.checkCapacity(), w.checkRefused(), w.checkEnded())
+	found := slices.Concat(w.checkCapacity(), w.checkEnded())
+	for task, runs := range w.tasks {
+		j, known := w.jobs[runs[0].id.Job]
+		if !known || j.refused && !j.open {
+			found = append(found, fmt.Sprintf("refused: %s started at %s, submitted %v", task, clock(runs[0].from), known))
+			continue
+		}
+		found = slices.Concat(found, w.checkStopped(j, runs), checkTwice(j, runs), w.checkOrder(j, runs[0]))
+	}
+	return found
 }
 
 // settledAt returns when everything that was known at t must have been carried out, or
 // false if there was no time without faults long enough.
-func (w *witness) settledAt(t time.Time, now time.Time) (time.Time, bool) {
+func (w *witness) settledAt(t time.Time) (time.Time, bool) {
 	for _, q := range w.quiet {
 		from := q.from.Add(regainBound)
 		if t.After(from) {
 			from = t
 		}
 		by := from.Add(cancelBound + stopTime)
-		if end := q.to; by.Before(now) && (end.IsZero() || by.Before(end)) {
+		if end := q.to; by.Before(w.at) && (end.IsZero() || by.Before(end)) {
 			return by, true
 		}
 	}
 	return time.Time{}, false
 }
 
-// checkCancelled: from some time on nothing of a cancelled job runs or starts, and
+// checkStopped: from some time on nothing of a cancelled job runs or starts, and
 // nothing of a job that was shown as done.
-func (w *witness) checkCancelled() (found []string) {
-	for task, runs := range w.tasks {
-		j, known := w.jobs[runs[0].id.Job]
-		if !known {
-			found = append(found, fmt.Sprintf("refused: %s ran and nobody submitted it", task))
-			continue
-		}
-		for what, at := range map[string]time.Time{"cancelled": j.acked, "done": j.done} {
-			by, settled := w.settledAt(at, time.Now())
-			if at.IsZero() || !settled {
-				continue
-			}
-			for _, s := range runs {
-				if s.runsAfter(by) {
-					found = append(found, fmt.Sprintf("cancelled: job told as %s at %s, settled by %s: %s", what, clock(at), clock(by), s))
-				}
+func (w *witness) checkStopped(j record, runs []*span) (found []string) {
+	for what, at := range map[string]time.Time{stateCanceled: j.acked, stateDone: j.done} {
+		by, settled := w.settledAt(at)
+		for _, s := range runs {
+			if !at.IsZero() && settled && s.runsAfter(by) {
+				found = append(found, fmt.Sprintf("%s: told at %s, settled by %s: %s", what, clock(at), clock(by), s))
 			}
 		}
 	}
@@ -148,20 +145,17 @@
 }
 
 // checkTwice: no task runs in two places, and none again after its end counted.
-func (w *witness) checkTwice() (found []string) {
-	for _, runs := range w.tasks {
-		j := w.jobs[runs[0].id.Job]
-		for i, a := range runs {
-			for _, b := range runs[i+1:] {
-				switch {
-				case j.spec == nil || j.spec.Steps[a.id.Step].Copies:
-				case a.to.IsZero() || b.from.Before(a.worked):
-					found = append(found, fmt.Sprintf("twice: %s and %s", a, b))
-				case a.how == stateDone && !a.noted.IsZero() && !a.lapsed:
-					found = append(found, fmt.Sprintf("twice: end noted at %s of %s and later %s", clock(a.noted), a, b))
-				case !j.done.IsZero() && b.from.After(j.done.Add(lateBound)):
-					found = append(found, fmt.Sprintf("twice: job shown as done at %s and later %s", clock(j.done), b))
-				}
+func checkTwice(j record, runs []*span) (found []string) {
+	for i, a := range runs {
+		for _, b := range runs[i+1:] {
+			switch {
+			case j.spec.Steps[a.id.Step].Copies:
+			case a.to.IsZero() || b.from.Before(a.worked):
+				found = append(found, fmt.Sprintf("twice: %s and %s", a, b))
+			case a.how == stateDone && !a.noted.IsZero() && !a.lapsed:
+				found = append(found, fmt.Sprintf("twice: end noted at %s of %s and later %s", clock(a.noted), a, b))
+			case !j.done.IsZero() && b.from.After(j.done.Add(lateBound)):
+				found = append(found, fmt.Sprintf("twice: job shown as done at %s and later %s", clock(j.done), b))
 			}
 		}
 	}
@@ -169,18 +163,12 @@
 }
 
 // checkOrder: no task starts before every task of the steps before it was done.
-func (w *witness) checkOrder() (found []string) {
-	for task, runs := range w.tasks {
-		j := w.jobs[runs[0].id.Job]
-		if j.spec == nil {
-			continue
-		}
-		for _, before := range j.spec.Steps[runs[0].id.Step].After {
-			for index := range j.spec.Steps[before].Count {
-				earlier := specifier.TaskID{Job: j.spec.ID, Step: before, Index: index}
-				if at := w.doneAt(earlier); at.IsZero() || at.After(runs[0].from) {
-					found = append(found, fmt.Sprintf("order: %s started at %s, %s was done at %s", task, clock(runs[0].from), earlier, clock(at)))
-				}
+func (w *witness) checkOrder(j record, first *span) (found []string) {
+	for _, before := range j.spec.Steps[first.id.Step].After {
+		for index := range j.spec.Steps[before].Count {
+			earlier := specifier.TaskID{Job: j.spec.ID, Step: before, Index: index}
+			if at := w.doneAt(earlier); at.IsZero() || at.After(first.from) {
+				found = append(found, fmt.Sprintf("order: %s, and %s was done at %s", first, earlier, clock(at)))
 			}
 		}
 	}
@@ -228,16 +216,6 @@
 	return found
 }
 
-// checkRefused: nothing starts of a job all of whose submissions were refused.
-func (w *witness) checkRefused() (found []string) {
-	for task, runs := range w.tasks {
-		if j := w.jobs[runs[0].id.Job]; j.refused && !j.open {
-			found = append(found, fmt.Sprintf("refused: all submissions of its job were, and %s started at %s", task, clock(runs[0].from)))
-		}
-	}
-	return found
-}
-
 // checkEnded: every task of a job that was shown as done is done.
 func (w *witness) checkEnded() (found []string) {
 	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
