Hold first looks up in the soak's takeover

Why: with slow looks the time in which a late start can come before the first look under a new epoch is at most 180 ms; held up, it lasts as long as the fault. What: the takeover holds the links from agents to executors instead of slowing them.

--- a/tests/soak/faults_test.go
+++ b/tests/soak/faults_test.go
@@ -21,7 +21,6 @@
 	ackLimit      = 1500 * time.Millisecond // that a fault waits for cancellations
 	fewestStrikes = 4                       // of a burst
 	mostStrikes   = 10
-	slowLook      = 180 * time.Millisecond // each way, below the limit of a look
 	ownerReplaced = 3500 * time.Millisecond
 	mostCancelled = 4 // at a time
 	longestSeries = 4 // of one fault, time after time
@@ -131,20 +130,24 @@
 }
 
 // takeover replaces the agents and freezes an entry while starts are on their way that
-// nobody knows of any more: they come to executors just as another entry takes over.
+// nobody knows of any more: they come to executors just as another entry takes over and
+// the first looks under its epoch are held up.
 func takeover(b *bed, r *rand.Rand) fault {
 	e, lead := b.entries[r.IntN(len(b.entries))], time.Duration(r.Int64N(int64(2*time.Second)))
-	late := executor.Faults{LateMillis: 1500 + r.Int64N(2000)}
-	slow := proxy.Faults{Delay: time.Duration(r.Int64N(int64(slowLook)))}
-	return fault{fmt.Sprintf("%s frozen and agents replaced %s after starts are late by %d ms, looks by %s", e.Name, lead, late.LateMillis, slow.Delay), func() func() {
-		lateEnd, slowEnd := putting("", b.machines, late).begin(), putting("", b.workerLinks, slow).begin()
+	late := executor.Faults{LateMillis: 1500 + r.Int64N(2500)}
+	heldAfter := ownerReplaced/3 + time.Duration(r.Int64N(int64(ownerReplaced/2)))
+	name := fmt.Sprintf("%s frozen and agents replaced %s after starts are late by %d ms, looks held %s later", e.Name, lead, late.LateMillis, heldAfter)
+	return fault{name, func() func() {
+		lateEnd := putting("", b.machines, late).begin()
 		wait(b.t.Context(), lead)
 		e.freeze()
+		frozen, held := time.After(ownerReplaced), time.After(heldAfter)
 		each(b.agents, func(m *member) { m.end(false) })
 		lateEnd()
 		each(b.agents, (*member).begin)
-		frozen := time.After(ownerReplaced)
-		return func() { <-frozen; e.thaw(); slowEnd() }
+		<-held
+		heldEnd := putting("", b.workerLinks, proxy.Faults{Hold: proxy.ToServer}).begin()
+		return func() { <-frozen; e.thaw(); heldEnd() }
 	}}
 }
 
