Freeze only processes that run in the soak

The harness's Pause now waits until all threads are stopped and fails the test where the process has ended; the soak's faults overlap, so another one may have ended it.

--- a/tests/soak/bed_test.go
+++ b/tests/soak/bed_test.go
@@ -213,7 +213,13 @@
 	}
 }
 
+// freeze stops the process where it stands, unless another fault has ended it.
 func (m *member) freeze() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.downs > 0 {
+		return
+	}
 	m.timeMu.Lock()
 	defer m.timeMu.Unlock()
 	m.frozen = append(m.frozen, window{from: time.Now()})
