--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -112,7 +112,7 @@
 	{StartUnanswered, log.WarnLevel, "start not answered", "The worker did not answer a start; it is repeated, then prevented."},
 	{StopUnanswered, log.WarnLevel, "stop not answered", "The worker did not answer a stop; it is repeated."},
 	{PaceFailed, log.WarnLevel, "pace not set", "The worker did not take a new speed of a run; the owner orders it again."},
-	{OrdersVoid, log.WarnLevel, "orders void", "Orders of a session that is over, of an earlier owner or for another life of the worker were not carried out."},
+	{OrdersVoid, log.WarnLevel, "orders void", "Orders of a session that is over, of an earlier owner or for another life of the worker were not carried out; the fields that differ from those here tell which."},
 	{OrderMalformed, log.ErrorLevel, "order malformed", "An order cannot be read; it was not carried out."},
 	{OwnerFollowed, log.InfoLevel, "owner followed", "This agent takes the orders of an owner with a higher epoch."},
 	{OwnerLost, log.WarnLevel, "owner lost", "The owner of the cell does not answer; what runs goes on until the grant ends."},
--- a/internal/worker/guardian/orders.go
+++ b/internal/worker/guardian/orders.go
@@ -53,7 +53,9 @@
 		g.followLocked(o.Epoch)
 	}
 	if o.Session != g.session || o.Epoch != g.epoch || o.Life != g.life {
-		g.config.Reporter.Report(reporter.OrdersVoid, reporter.Fields{"session": o.Session, "epoch": o.Epoch, "orders": len(o.Orders)})
+		g.config.Reporter.Report(reporter.OrdersVoid, reporter.Fields{
+			"session": o.Session, "session-here": g.session, "epoch": o.Epoch, "epoch-here": g.epoch, "life": o.Life, "life-here": g.life, "orders": len(o.Orders),
+		})
 		return ErrOrdersVoid{Session: o.Session, Epoch: o.Epoch, Life: o.Life}
 	}
 	g.storedLocked(o.EndsStored)
