--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -29,7 +29,7 @@
 }{
 	{3, "", false},
 	{4, "", false},
-	{14, "twice: starts in doubt are forgotten with their agent's process, and as confirmed if they were being stopped", true},
+	{14, "twice: starts in doubt are forgotten with their agent's process, and come to the worker's new life", true},
 }
 
 // TestSoak: callers submit jobs, ask for them and cancel them while processes end,
