Report a silent worker to a new owner only once nothing can run there

What callers would see: two runs of one task after a change of owner.

Cause: an agent reports to a new owner only after its worker has answered a look under the new epoch, since a start of the owner before may be carried out until then; but not where the worker was silent. The report of what was known was taken for all that runs.

Both new tests fail on the code before (reported without a look).

Change: a silent worker is reported once its leases have surely run out, or once no process is there.

Ruled out: reporting it as not ready without its runs; the owner takes what is not listed for gone.

--- a/internal/worker/guardian/beliefs_test.go
+++ b/internal/worker/guardian/beliefs_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"bamboospread/internal/job/accountant"
 	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/wire/messenger"
 )
@@ -109,3 +110,39 @@
 		return ok
 	})
 }
+
+// Guards against two runs of one task after a change of owner: a worker that answers no looks
+// still carries out a start of the owner before, which no report to the next one lists.
+func TestNoReportOfASilentWorkerToANewOwnerBeforeItsLeasesAreOver(t *testing.T) {
+	worker := newFakeWorker()
+	b := newBed(t, worker)
+	b.own(1)
+	b.order(1, messenger.WorkStart, 0, 1)
+	b.until("a run", func() bool { return b.confirmed() == 1 })
+	worker.change(func() { worker.silent = true })
+	b.until("a report of a silent worker", func() bool { return !b.report().Ready })
+	b.g.Follow(2)
+	if rep, ok := b.g.Report(b.sess); ok {
+		t.Fatalf("reported %+v", rep)
+	}
+	b.until("a report once the leases are over", func() bool {
+		rep, ok := b.g.Report(b.sess)
+		return ok && len(rep.Runs) == 0
+	})
+}
+
+func TestASilentWorkerIsReportedToANewOwnerOnceItAnswers(t *testing.T) {
+	worker := newFakeWorker()
+	b := newBed(t, worker)
+	b.own(1)
+	worker.change(func() { worker.silent = true })
+	b.until("a report of a silent worker", func() bool { return !b.report().Ready })
+	b.g.Follow(2)
+	worker.change(func() {
+		worker.silent = false
+		worker.runs[accountant.RunKey{Task: taskID(0), Number: 1}] = true // a late start
+	})
+	if rep := b.report(); len(rep.Runs) != 1 || !rep.Ready {
+		t.Errorf("reported %+v", rep)
+	}
+}
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -203,7 +203,7 @@
 func (g *Guardian) Report(session int64) (messenger.WorkReport, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.facts == nil || g.clockAt.IsZero() || g.looked != g.epoch && g.silentFrom.IsZero() {
+	if g.facts == nil || g.clockAt.IsZero() || !g.completeLocked() {
 		return messenger.WorkReport{}, false
 	}
 	g.reportedAt = g.config.Now()
@@ -232,6 +232,18 @@
 	return rep, true
 }
 
+// completeLocked tells whether the runs that are known are all that the worker may have: it
+// has answered a look under the owner's epoch, or it is silent and nothing runs there any
+// more. A silent worker may still carry out a start of the owner before.
+func (g *Guardian) completeLocked() bool {
+	return g.looked == g.epoch || !g.silentFrom.IsZero() && g.endedLocked()
+}
+
+// endedLocked tells whether all that ran at a silent worker has surely ended.
+func (g *Guardian) endedLocked() bool {
+	return g.looksAbsent >= looksToEnd || g.config.Now().After(g.leaseEnd.Add(g.config.StopTime))
+}
+
 // BeginSession makes orders of earlier sessions void.
 func (g *Guardian) BeginSession() int64 {
 	g.mu.Lock()
--- a/internal/worker/guardian/look.go
+++ b/internal/worker/guardian/look.go
@@ -146,7 +146,7 @@
 	} else {
 		g.looksAbsent = 0
 	}
-	if len(g.runs) == 0 || g.looksAbsent < looksToEnd && !now.After(g.leaseEnd.Add(g.config.StopTime)) {
+	if len(g.runs) == 0 || !g.endedLocked() {
 		return
 	}
 	// Whatever ran has ended. Starts that were not answered may still come for a while.
