Learn the revisions of all records of a write before giving it up

What callers would see: jobs that never end.

Cause: a write whose answer was lost has changed its records' revisions. The next write of them meets a conflict; the product's store tells one record at a time, and a write gave up after four. Its transactions also give each record a revision of its own, while the owner takes that of the last for all, so that a chunk that was written again met fourteen conflicts each time, and with the whole flush failing, each flush began anew.

Both new tests fail on the code before: 15 changed records; an owner that was replaced and tries four times, since the store's answer does not name the record that it looked at.

Change: a write may learn each of its records once; a replaced owner is known by the record in the conflict. The stand-in store names a missing record in a conflict.

--- a/internal/job/scheduler/flush.go
+++ b/internal/job/scheduler/flush.go
@@ -17,8 +17,8 @@
 // and a put, the fence takes one entry.
 const flushPuts = (keeper.MaxTransactionEntries - 1) / 2
 
-// conflictTries bounds how often a write learns the revisions of its records anew
-// before it waits for the next one.
+// conflictTries bounds, beyond one for each record, how often a write learns the revisions
+// of its records anew before it waits for the next one.
 const conflictTries = 4
 
 // flush writes the progress of jobs that changed, one write at a time: what
--- a/internal/job/scheduler/writer.go
+++ b/internal/job/scheduler/writer.go
@@ -37,7 +37,9 @@
 // put writes records together. What a lost write has left behind shows as a
 // conflict; the records are then written over what stands.
 func (w *writer) put(ctx context.Context, puts []keeper.Put) error {
-	for range conflictTries {
+	var conflict keeper.ErrConflict
+	tries := conflictTries + len(puts) // a store may tell one record of a conflict only
+	for range tries {
 		revision, err := w.transact(ctx, w.transaction(puts))
 		if err == nil {
 			for _, p := range puts {
@@ -45,16 +47,15 @@
 			}
 			return nil
 		}
-		var conflict keeper.ErrConflict
 		if !errors.As(err, &conflict) {
 			return err
 		}
-		if conflict.Key == w.fence.Key {
+		if w.fence.Key == conflict.Key || w.fence.Key == conflict.Current.Key {
 			return fmt.Errorf("ownership has ended: %w", err)
 		}
 		w.learn(conflict)
 	}
-	return fmt.Errorf("revisions of %d records changed %d times", len(puts), conflictTries)
+	return fmt.Errorf("revisions of %d records changed %d times, last that of %q to %d", len(puts), tries, conflict.Current.Key, conflict.Current.Revision)
 }
 
 func (w *writer) transaction(puts []keeper.Put) keeper.Transaction {
--- a/internal/job/scheduler/writer_test.go
+++ b/internal/job/scheduler/writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 
 	"bamboospread/internal/store/keeper"
@@ -101,3 +102,39 @@
 		t.Error("an owner that was replaced wrote")
 	}
 }
+
+// Guards against jobs that never end: each write of many records meets one conflict after
+// the other, where the store tells one at a time, and gives up before it has learned all.
+func TestWriteOfManyRecordsThatAllChanged(t *testing.T) {
+	s, w := newLateStore()
+	var puts []keeper.Put
+	for i := range flushPuts {
+		key := fmt.Sprintf("progress/%d", i)
+		puts = append(puts, keeper.Put{Key: key, Value: []byte("new")})
+		s.records[key] = keeper.Record{Key: key, Revision: int64(100 + i)}
+	}
+	if err := w.put(t.Context(), puts); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against an owner that was replaced and tries on, where the store tells only which
+// record is not as expected.
+func TestWriteOfAnOwnerThatWasReplaced(t *testing.T) {
+	s, w := newLateStore()
+	s.records["owner"] = keeper.Record{Key: "owner", Revision: 2}
+	tries := 0
+	w.transact = func(ctx context.Context, tx keeper.Transaction) (int64, error) {
+		tries++
+		_, err := s.transact(ctx, tx)
+		var conflict keeper.ErrConflict
+		if errors.As(err, &conflict) {
+			conflict.Key = tx.Puts[0].Key
+			return 0, conflict
+		}
+		return 0, err
+	}
+	if err := put(t, w, "late"); err == nil || tries != 1 {
+		t.Errorf("%d tries, %v", tries, err)
+	}
+}
--- a/internal/standin/storer/calls.go
+++ b/internal/standin/storer/calls.go
@@ -104,6 +104,7 @@
 	s.expireLocked()
 	for _, e := range t.Expect {
 		if old := s.recordLocked(e.Key); old.Revision != e.Revision {
+			old.Key = e.Key // also of a record that does not exist
 			return result{http.StatusConflict, keeper.RecordAnswer{Record: old}}
 		}
 	}
