--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -30,6 +30,8 @@
 	{3, "", false},
 	{4, "", false},
 	{14, "twice: starts in doubt are forgotten with their agent's process, and come to the worker's new life", true},
+	{110, "accepted: writes gave up before they had learned the revisions of all their records", false},
+	{113, "twice: a silent worker was reported to a new owner without a look under its epoch", false},
 }
 
 // TestSoak: callers submit jobs, ask for them and cancel them while processes end,
