Remember a start that its stop cut off as one that may come late

What callers would see: a task that runs again after its end was noted, on a worker that was reborn twice within seconds.

Cause: a start that got no answer is remembered, so that each life of the worker is told to refuse it. One whose call was cut off by the stop of its run was not: the stop was given to the life of that moment, and the next one knew nothing of it.

The agent's log of job-vm-3: start of run 3002 ordered at 17:05.712, worker reborn at 05.848 (the run is stopped), again at 06.558 and 06.933 without a stop of it; carried out at 07.217. TestAStartThatIsCutOffByItsStopStaysInDoubt fails on the code before (no stop in the new life).

--- a/internal/worker/guardian/beliefs_test.go
+++ b/internal/worker/guardian/beliefs_test.go
@@ -146,3 +146,29 @@
 		t.Errorf("reported %+v", rep)
 	}
 }
+
+// Guards against two runs of one task: a start is cut off by its stop before it is answered,
+// the worker forgets the stop with its life, and the start is carried out late.
+func TestAStartThatIsCutOffByItsStopStaysInDoubt(t *testing.T) {
+	worker := newFakeWorker()
+	called := make(chan struct{}, 1)
+	b := newBedWith(t, worker, func(w *Worker) {
+		w.Start = func(ctx context.Context, _ StartCall) error {
+			called <- struct{}{}
+			<-ctx.Done()
+			return ctx.Err()
+		}
+	})
+	b.own(1)
+	b.order(1, messenger.WorkStart, 0, 1)
+	<-called
+	b.order(1, messenger.WorkStop, 0, 1)
+	b.until("an end of the run", func() bool { return len(b.report().Runs) == 0 })
+	worker.change(func() { worker.life, worker.stops = "life-2", nil })
+	b.announce(false)
+	b.until("a stop in the new life", func() bool {
+		stopped := false
+		worker.change(func() { stopped = len(worker.stops) > 0 })
+		return stopped
+	})
+}
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -163,6 +163,12 @@
 // carried out: the users' platform names 12 s as the most.
 const doubtLife = 15 * time.Second
 
+func (g *Guardian) noteDoubt(key accountant.RunKey) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.noteDoubtLocked(key)
+}
+
 // noteDoubtLocked remembers a start that was not answered, also after it was
 // stopped: the next life of the worker knows nothing of the stop.
 func (g *Guardian) noteDoubtLocked(key accountant.RunKey) {
--- a/internal/worker/guardian/orders.go
+++ b/internal/worker/guardian/orders.go
@@ -134,8 +134,11 @@
 		limit, cancel := context.WithTimeout(ctx, callLimit)
 		err := g.config.Worker.Start(limit, call)
 		cancel()
-		if ctx.Err() != nil {
-			return // ended, stopped or reborn meanwhile
+		if ctx.Err() != nil { // ended, stopped or reborn meanwhile
+			if err != nil {
+				g.noteDoubt(key)
+			}
+			return
 		}
 		var refused ErrRefused
 		switch {
@@ -150,9 +153,7 @@
 		}
 		g.config.Reporter.Report(reporter.StartUnanswered, reporter.Fields{"task": o.Task, "run": o.Run, "error": err.Error()})
 		doubt = true
-		g.mu.Lock()
-		g.noteDoubtLocked(key)
-		g.mu.Unlock()
+		g.noteDoubt(key)
 		if pauser.Pause(ctx, callPause) != nil {
 			return
 		}
