Give lasting tasks their room back within six seconds under any backlog

Those were filling tasks of a lower priority, held nearly still by their pace: each gap of 6 GB that one of them left was taken by the next before the 13 GB of a lasting task were free together. Processors were taken in the same way by urgent tasks while these came.

Change: a lasting task that was at work and is away for 3 s goes ahead of all others, and holds room on the VM where it lacks least; filling tasks of a lower priority that hold the memory there are stopped, those first by whose stops least is lost. A task that moves has its room held on the VM that it moves to. One that has not run yet claims what filling tasks hold in the same way, but no processors. Stated bound: 6 s (returnBound), while the tasks that end leave enough on some VM.

TestRoomIsHeldOnlyWhereItHelps.

--- /dev/null
+++ b/internal/job/planner/claim.go
@@ -0,0 +1,171 @@
+package planner
+
+import (
+	"time"
+
+	"bamboospread/internal/job/accountant"
+	"bamboospread/internal/job/specifier"
+)
+
+// Claims on room. They answer a backlog under which lasting tasks lose their places, by
+// moves, yields or VMs that leave: urgent tasks take the processors and filling ones the
+// memory of each gap before it is wide enough for a lasting task, which stays away until
+// the backlog ends.
+
+const (
+	// returnAfter is how long a lasting task that was at work is away before it goes ahead
+	// of all other tasks, whatever their priority.
+	returnAfter = 3 * time.Second
+	// returnBound is how long such a task is away at most while the tasks that end leave
+	// enough room on some VM that may run it: the rest is what urgent tasks take to end,
+	// and others to stop.
+	returnBound = 6 * time.Second
+	// preemptionsAtOnce is for how many lasting tasks a round makes room.
+	preemptionsAtOnce = 4
+)
+
+// claims tells whether a lasting task has waited long enough for room to be held for it.
+func claims(t *accountant.Task, now time.Time) bool {
+	return t.Step.Spec.Lasting && !t.Step.Spec.Gang && t.Waits(now) && now.Sub(t.WaitSince) >= returnAfter
+}
+
+// overdue tells whether a lasting task that was at work has been away for too long.
+func overdue(t *accountant.Task, now time.Time) bool { return t.LastNumber > 0 && claims(t, now) }
+
+// placeOverdue starts the lasting tasks that are overdue, or holds room for them.
+func (r *round) placeOverdue(steps []*accountant.Step) (starts []Start) {
+	for _, s := range steps {
+		if !s.Spec.Lasting {
+			continue
+		}
+		for _, t := range s.Tasks {
+			if !overdue(t, r.now) {
+				continue
+			}
+			if best := r.choose(s, t, r.countOf(s)); best != nil {
+				starts = append(starts, r.place(t, best, r.state.NextNumber(t)))
+			} else {
+				r.claim(t)
+			}
+		}
+	}
+	return starts
+}
+
+// holdForMoves keeps the room that lasting tasks move to until they are there or their
+// hold is over. The room on the VM of an exchange may still be taken; what is free there is
+// then below nothing.
+func (r *round) holdForMoves() {
+	var rooms map[string]*room
+	for _, s := range r.state.OpenSteps() {
+		if !s.Spec.Lasting {
+			continue
+		}
+		for _, t := range s.Tasks {
+			if t.Moves.To == "" || !r.now.Before(t.Moves.Until) || t.RunsOn(r.state.VMs[t.Moves.To]) {
+				continue
+			}
+			if rooms == nil {
+				rooms = r.roomsByName()
+			}
+			if m := rooms[t.Moves.To]; m != nil {
+				m.hold(t)
+			}
+		}
+	}
+}
+
+func (r *round) roomsByName() map[string]*room {
+	rooms := make(map[string]*room, len(r.rooms))
+	for _, m := range r.rooms {
+		rooms[m.vm.Name] = m
+	}
+	return rooms
+}
+
+// hold keeps room for a task.
+func (m *room) hold(t *accountant.Task) {
+	if m.held == nil {
+		m.held = make(map[*accountant.Task]bool)
+	}
+	m.held[t] = true
+	m.free = m.free.Sub(t.Step.Spec.Committed())
+}
+
+// release gives up what is held for a task. It tells whether anything was.
+func (m *room) release(t *accountant.Task) bool {
+	if !m.held[t] {
+		return false
+	}
+	delete(m.held, t)
+	m.free = m.free.Add(t.Step.Spec.Committed())
+	return true
+}
+
+// claim holds room for a task that fits nowhere on the VM that will have enough first.
+func (r *round) claim(t *accountant.Task) {
+	if m := r.claimed(t); m != nil {
+		m.hold(t)
+	}
+}
+
+// claimed returns the VM on which a task lacks least of those that it may claim, or nil.
+func (r *round) claimed(t *accountant.Task) (best *room) {
+	least := 0.0
+	for _, m := range r.rooms {
+		if !r.mayClaim(t, m) {
+			continue
+		}
+		if lack := m.lack(t.Step.Spec); best == nil || lack < least {
+			best, least = m, lack
+		}
+	}
+	return best
+}
+
+// mayClaim tells whether the tasks that end would leave a VM enough for a task. One that has
+// not been at work yet waits only for what filling tasks hold: for processors it has no more
+// right than urgent ones.
+func (r *round) mayClaim(t *accountant.Task, m *room) bool {
+	s := t.Step
+	if m.vm.Slow() || t.RunsOn(m.vm) || t.Waiting(m.vm.Name, r.now) || !m.mayAdmit(s, r.countOf(s)[m.vm]) {
+		return false
+	}
+	if t.LastNumber == 0 && m.free.CPUMillis < s.Spec.Needs.CPUMillis {
+		return false
+	}
+	return m.freeOnceEnded().Fits(s.Spec.Committed())
+}
+
+// lack is the largest share of its capacity that a VM will lack for a task once the runs
+// that are being stopped are gone; below 0 it has room.
+func (m *room) lack(s *specifier.Step) float64 {
+	left := m.freeOnceStopped().Sub(s.Committed())
+	lack := share(-left.CPUMillis, m.vm.Capacity.CPUMillis)
+	lack = max(lack, share(-left.MemoryMB, m.vm.Capacity.MemoryMB))
+	return max(lack, share(-left.GPUs, m.vm.Capacity.GPUs))
+}
+
+func share(n, of int64) float64 { return float64(n) / float64(max(of, 1)) }
+
+// freeOnceStopped is what is free on a VM once the runs that are being stopped are gone.
+func (m *room) freeOnceStopped() specifier.Resources {
+	free := m.free
+	for _, run := range m.vm.Runs {
+		if run.State == accountant.Stopping {
+			free = free.Add(run.Step().Spec.Committed())
+		}
+	}
+	return free
+}
+
+// freeOnceEnded is what is free on a VM once all of its tasks have ended that do not last.
+func (m *room) freeOnceEnded() specifier.Resources {
+	free := m.free
+	for _, run := range m.vm.Runs {
+		if !run.Step().Spec.Lasting || run.State == accountant.Stopping {
+			free = free.Add(run.Step().Spec.Committed())
+		}
+	}
+	return free
+}
--- /dev/null
+++ b/internal/job/planner/claim_test.go
@@ -0,0 +1,192 @@
+package planner
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bamboospread/internal/job/accountant"
+	"bamboospread/internal/job/specifier"
+)
+
+const (
+	replayStep = 20 * time.Millisecond
+	stopTime   = 500 * time.Millisecond // that a stop takes
+)
+
+// rush replays a load of urgent tasks that is more than a fleet can carry: their backlog
+// takes all that becomes free.
+type rush struct {
+	*bed
+	now  time.Time
+	ends map[*accountant.Run]time.Time
+	rand *rand.Rand
+}
+
+func newRush(b *bed) *rush {
+	r := &rush{bed: b, now: begin, ends: make(map[*accountant.Run]time.Time), rand: rand.New(rand.NewPCG(1, 1))}
+	for range 30 {
+		r.comes()
+	}
+	return r
+}
+
+// comes takes an urgent job in: nine tasks of one to three cores that end within 1.6 s.
+func (r *rush) comes() {
+	j := r.job("urgent", specifier.Step{Count: 9, Needs: specifier.Resources{CPUMillis: 1000 * (1 + r.rand.Int64N(3)), MemoryMB: 100}, EstimateMillis: 300 + r.rand.Int64N(1300)})
+	j.Occurrences[0].DueAt, j.Occurrences[0].Steps[0].ReadyAt = r.now, r.now
+}
+
+// until replays the load until done, and returns how long that took.
+func (r *rush) until(limit time.Duration, done func() bool) (time.Duration, bool) {
+	from := r.now
+	for r.now.Sub(from) < limit {
+		if done() {
+			return r.now.Sub(from), true
+		}
+		r.now = r.now.Add(replayStep)
+		r.endDue()
+		r.comes()
+		in := Input{Now: r.now, State: r.state}
+		if _, pressed := Yields(in); pressed {
+			in.PressedAt = r.now
+		}
+		for _, run := range Preemptions(in) {
+			r.state.Stop(run, "makes room", r.now)
+			r.ends[run] = r.now.Add(stopTime)
+		}
+		for _, s := range Plan(in) {
+			run := r.state.Place(s.Task, s.VM, s.Number, r.now)
+			run.State, run.StartedAt, run.Progress = accountant.Running, r.now, 100
+			if spec := run.Step().Spec; !spec.Lasting && !spec.Fills {
+				r.ends[run] = r.now.Add(run.Step().Spec.Estimate())
+			}
+		}
+	}
+	return 0, false
+}
+
+func (r *rush) endDue() {
+	for run, at := range r.ends {
+		if r.now.Before(at) {
+			continue
+		}
+		delete(r.ends, run)
+		how := accountant.EndDone
+		if run.State == accountant.Stopping {
+			how = accountant.EndStopped
+		}
+		r.state.EndRun(run.VM, run.Key(), how, "", r.now)
+	}
+}
+
+// crawl lets filling tasks take all memory that is free, and stand still.
+func (r *rush) crawl() {
+	r.job("filling", specifier.Step{Count: 400, Needs: specifier.Resources{CPUMillis: 100, MemoryMB: 3000}, EstimateMillis: 2000, Fills: true, Image: "x"})
+}
+
+// halfFullFleet is 10 VMs with two lasting tasks of 8 of 32 cores each.
+func halfFullFleet() (*bed, *accountant.Job) {
+	b := newBed(specifier.Queue{Name: "lasting"}, specifier.Queue{Name: "urgent", Slack: 1.5}, specifier.Queue{Name: "filling", Priority: 2, Slack: 2})
+	j := b.job("lasting", specifier.Step{Count: 20, Needs: cores(8), Lasting: true})
+	for n := range 10 {
+		vm := b.vm(string(rune('a'+n)), "in", "r1", cores(32))
+		for _, t := range j.Occurrences[0].Steps[0].Tasks[2*n : 2*n+2] {
+			r := b.state.Place(t, vm, 1, begin.Add(-time.Minute))
+			r.State, r.StartedAt, r.Progress = accountant.Running, begin.Add(-time.Minute), 100
+		}
+	}
+	return b, j
+}
+
+// Guards against lasting tasks that the owner stopped, or that lost their VM, staying away
+// for as long as a backlog of urgent tasks takes every gap.
+func TestLastingTasksComeBackUnderABacklog(t *testing.T) {
+	yield := func(r *rush, task *accountant.Task) {
+		run := task.Runs[0]
+		task.Yielded = true
+		r.state.EndRun(run.VM, run.Key(), accountant.EndStopped, "", r.now)
+	}
+	tests := []struct {
+		name  string
+		crawl bool // filling tasks hold all memory
+		stop  func(r *rush, task *accountant.Task)
+		bound time.Duration
+	}{
+		{"moved", false, func(r *rush, task *accountant.Task) {
+			run := task.Runs[0]
+			task.Moves = accountant.Moving{To: "j", Until: r.now.Add(MoveHold)}
+			r.state.EndRun(run.VM, run.Key(), accountant.EndStopped, "", r.now)
+		}, MoveHold},
+		{"moved to a VM that has left", false, func(r *rush, task *accountant.Task) {
+			run := task.Runs[0]
+			task.Moves = accountant.Moving{To: "gone", Until: r.now.Add(MoveHold)}
+			r.state.EndRun(run.VM, run.Key(), accountant.EndStopped, "", r.now)
+		}, returnBound},
+		{"yielded", false, yield, returnBound},
+		{"yielded while filling tasks hold all memory", true, yield, returnBound},
+		{"failed", false, func(r *rush, task *accountant.Task) {
+			run := task.Runs[0]
+			r.state.EndRun(run.VM, run.Key(), accountant.EndFailed, "", r.now)
+		}, returnBound},
+		{"lost with its VM", false, func(r *rush, task *accountant.Task) {
+			vm := task.Runs[0].VM
+			vm.Ready = false
+			r.state.Detach(vm)
+			r.state.Lose(vm, r.now)
+		}, returnBound},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b, lasting := halfFullFleet()
+			r := newRush(b)
+			if tt.crawl {
+				r.crawl()
+			}
+			r.until(2*time.Second, func() bool { return false })
+			step := lasting.Occurrences[0].Steps[0]
+			tt.stop(r, step.Tasks[0])
+			took, back := r.until(20*time.Second, func() bool { return step.Away() == 0 })
+			if !back || took > tt.bound {
+				t.Errorf("back %t after %s, want within %s; %d away", back, took, tt.bound, step.Away())
+			}
+			for _, vm := range r.state.VMs {
+				if !vm.Capacity.Fits(vm.Committed) {
+					t.Errorf("%s has %+v of %+v", vm.Name, vm.Committed, vm.Capacity)
+				}
+			}
+		})
+	}
+}
+
+// Guards against room held for nothing: what no VM could take even when all that ends has
+// ended, or has been away for a moment only, keeps urgent tasks from no VM.
+func TestRoomIsHeldOnlyWhereItHelps(t *testing.T) {
+	tests := []struct {
+		name string
+		away time.Duration
+		task int64 // cores
+		want int   // urgent tasks that start
+	}{
+		{"away for a moment", returnAfter - time.Millisecond, 20, 16},
+		{"overdue, and fits once others end", returnAfter, 20, 0},
+		{"overdue, and fits nowhere", returnAfter, 40, 16},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBed(specifier.Queue{Name: "lasting"}, specifier.Queue{Name: "urgent", Slack: 1.5})
+			vm := b.vm("vm", "in", "r1", cores(32))
+			b.urgent("urgent", 16)
+			for _, s := range b.plan(begin) {
+				b.state.Place(s.Task, vm, s.Number, begin)
+			}
+			j := b.job("lasting", specifier.Step{Count: 1, Needs: cores(tt.task), Lasting: true})
+			task := j.Occurrences[0].Steps[0].Tasks[0]
+			task.LastNumber, task.WaitSince = 1, begin.Add(-tt.away)
+			b.urgent("urgent", 32)
+			if got := len(b.plan(begin)); got != tt.want {
+				t.Errorf("%d tasks start, want %d", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -62,6 +62,8 @@
 	// neighbours are the lasting tasks that filling ones would disturb.
 	neighbours []neighbour
 	images     company // of the lasting tasks; nil until it is needed
+	// held are the tasks for which room is kept; what they need is no part of free.
+	held map[*accountant.Task]bool
 }
 
 type round struct {
@@ -76,10 +78,14 @@
 	look    *outlook                     // nil until it is needed
 	all     []float64                    // open to each filling image on all VMs as the round began
 	base    float64                      // what filling images get of it
+	// stopped are the runs that the round stops for lasting tasks, and preempted is for how
+	// many of these.
+	stopped   map[*accountant.Run]bool
+	preempted int
 }
 
 func newRound(in Input) *round {
-	return &round{in: in, now: in.Now, state: in.State, learner: in.Learner, effects: make(map[pair]float64), counts: make(map[*accountant.Step]map[*accountant.VM]int), blocked: make(map[kind]specifier.Resources)}
+	return &round{in: in, now: in.Now, state: in.State, learner: in.Learner, effects: make(map[pair]float64), counts: make(map[*accountant.Step]map[*accountant.VM]int), blocked: make(map[kind]specifier.Resources), stopped: make(map[*accountant.Run]bool)}
 }
 
 // openRooms takes in the VMs that may be used at all, in the order of their names.
@@ -92,6 +98,7 @@
 		}
 	}
 	sort.Slice(r.rooms, func(i, j int) bool { return r.rooms[i].vm.Name < r.rooms[j].vm.Name })
+	r.holdForMoves()
 }
 
 func newRoom(vm *accountant.VM, now time.Time) *room {
@@ -102,8 +109,9 @@
 func Plan(in Input) []Start {
 	r := newRound(in)
 	r.openRooms()
-	var starts []Start
-	for _, s := range order(in.State.WaitingSteps(in.Now), in.Now) {
+	steps := order(in.State.WaitingSteps(in.Now), in.Now)
+	starts := r.placeOverdue(steps)
+	for _, s := range steps {
 		if len(starts) >= maxStarts {
 			break
 		}
@@ -131,11 +139,14 @@
 	count := r.countOf(s)
 	var starts []Start
 	for _, t := range s.Tasks {
-		if !t.Waits(r.now) || t.Yielded && r.now.Sub(r.in.PressedAt) < yieldRest {
+		if !t.Waits(r.now) || overdue(t, r.now) || t.Yielded && r.now.Sub(r.in.PressedAt) < yieldRest {
 			continue
 		}
 		best := r.choose(s, t, count)
 		if best == nil {
+			if claims(t, r.now) {
+				r.claim(t)
+			}
 			r.noteBlocked(s)
 			// Tasks of a step are equal, so the others fit nowhere either, but for
 			// a task that only avoids VMs where it failed.
@@ -144,13 +155,19 @@
 			}
 			continue
 		}
-		r.take(best, s.Spec)
-		count[best.vm]++
-		starts = append(starts, r.start(t, best, r.state.NextNumber(t)))
+		starts = append(starts, r.place(t, best, r.state.NextNumber(t)))
 	}
 	return starts
 }
 
+// place books a task in a room.
+func (r *round) place(t *accountant.Task, m *room, number int64) Start {
+	m.release(t)
+	r.take(m, t.Step.Spec)
+	r.countOf(t.Step)[m.vm]++
+	return r.start(t, m, number)
+}
+
 // kind is filling tasks that any VM of their service may take, for which alone their
 // size decides.
 type kind struct{ queue, image string }
@@ -200,9 +217,7 @@
 			delete(r.counts, s)
 			return nil
 		}
-		r.take(best, s.Spec)
-		count[best.vm]++
-		starts = append(starts, r.start(t, best, number))
+		starts = append(starts, r.place(t, best, number))
 	}
 	return starts
 }
@@ -261,7 +276,7 @@
 	var best *room
 	var bestScore score
 	for _, m := range r.rooms {
-		if !m.admits(s, count[m.vm]) || t.RunsOn(m.vm) {
+		if !m.admitsTask(s, t, count[m.vm]) || t.RunsOn(m.vm) {
 			continue
 		}
 		if t.Waiting(m.vm.Name, r.now) {
@@ -286,24 +301,42 @@
 	return best
 }
 
+// admitsTask tells whether the VM admits a task of the step, on the room that is held for it
+// too.
+func (m *room) admitsTask(s *accountant.Step, t *accountant.Task, running int) bool {
+	if !m.release(t) {
+		return m.admits(s, running)
+	}
+	defer m.hold(t)
+	return m.admits(s, running)
+}
+
 func (m *room) admits(s *accountant.Step, running int) bool {
+	spec := s.Spec
+	if !m.free.Fits(spec.Committed()) || !m.mayAdmit(s, running) {
+		return false
+	}
+	if !spec.Fills {
+		return true
+	}
+	left := m.fillRoom()
+	return m.fillCPU == 0 && left > 0 || float64(spec.Needs.CPUMillis) <= left
+}
+
+// mayAdmit tells whether the VM would admit a task of the step if it had room.
+func (m *room) mayAdmit(s *accountant.Step, running int) bool {
 	spec := s.Spec
 	switch {
 	case !s.Occurrence.Job.Queue.RunsOn(m.vm.Service),
 		spec.Label != "" && !m.vm.Labels[spec.Label],
-		spec.MaxPerVM > 0 && running >= spec.MaxPerVM,
-		!m.free.Fits(spec.Committed()):
+		spec.MaxPerVM > 0 && running >= spec.MaxPerVM:
 		return false
 	case s.Occurrence.Job.Queue.Advised && !m.ticketed(s):
 		return false
 	case m.vm.OnProbation() && m.vm.Probes()+m.placed > 0:
 		return false // one task at a time shows whether the worker is sound again
 	}
-	if !spec.Fills {
-		return true
-	}
-	left := m.fillRoom()
-	return m.fillCPU == 0 && left > 0 || float64(spec.Needs.CPUMillis) <= left
+	return true
 }
 
 // fillRoom is how many thousandths of a core filling tasks may still ask for.
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -204,6 +204,7 @@
 	o.askAdvice(ctx, now)
 	o.pace(now)
 	o.evict(now)
+	o.preempt(now)
 	if now.Sub(o.movedAt) >= moveGap {
 		o.movedAt = now
 		o.move(now)
@@ -336,6 +337,13 @@
 	}
 }
 
+// preempt stops filling tasks that hold the memory that lasting ones wait for.
+func (o *owner) preempt(now time.Time) {
+	for _, r := range planner.Preemptions(o.input(now)) {
+		o.orderStop(r, "makes room for a lasting task")
+	}
+}
+
 func (o *owner) pace(now time.Time) {
 	for _, p := range planner.Paces(o.input(now)) {
 		o.orderPace(p)
