--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"bamboospread/internal/job/specifier"
@@ -88,9 +89,28 @@
 	Until time.Time // it starts elsewhere only after this
 }
 
+// SetMove notes where a task is stopped to start anew.
+func (a *Accountant) SetMove(t *Task, m Moving, now time.Time) {
+	t.Moves = m
+	a.moves = append(slices.DeleteFunc(a.moves, func(t *Task) bool { return !t.moving(now) }), t)
+}
+
+// MovingTasks returns the tasks for which room is held on the VM that they move to.
+func (a *Accountant) MovingTasks(now time.Time) []*Task {
+	var found []*Task
+	for _, t := range a.moves {
+		if t.moving(now) && t.Step.Occurrence.Job.Startable() && !t.RunsOn(a.VMs[t.Moves.To]) {
+			found = append(found, t)
+		}
+	}
+	return found
+}
+
+func (t *Task) moving(now time.Time) bool { return t.Moves.To != "" && now.Before(t.Moves.Until) }
+
 // Waiting tells whether the task keeps off a VM for the sake of the one it moves to.
 func (t *Task) Waiting(vm string, now time.Time) bool {
-	return t.Moves.To != "" && t.Moves.To != vm && now.Before(t.Moves.Until)
+	return t.moving(now) && t.Moves.To != vm
 }
 
 // ID returns the name of the task.
@@ -262,6 +282,7 @@
 	policy *specifier.Policy
 	ended  []*Job
 	open   []string // ids of the jobs that have not ended, sorted; nil once it has changed
+	moves  []*Task  // tasks that were told to move; some are there, or do not any more
 	floor  int64    // run numbers of this owner are above it
 }
 
--- a/internal/job/planner/claim.go
+++ b/internal/job/planner/claim.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"bamboospread/internal/job/accountant"
@@ -56,33 +57,14 @@
 // hold is over. The room on the VM of an exchange may still be taken; what is free there is
 // then below nothing.
 func (r *round) holdForMoves() {
-	var rooms map[string]*room
-	for _, s := range r.state.OpenSteps() {
-		if !s.Spec.Lasting {
-			continue
-		}
-		for _, t := range s.Tasks {
-			if t.Moves.To == "" || !r.now.Before(t.Moves.Until) || t.RunsOn(r.state.VMs[t.Moves.To]) {
-				continue
-			}
-			if rooms == nil {
-				rooms = r.roomsByName()
-			}
-			if m := rooms[t.Moves.To]; m != nil {
-				m.hold(t)
-			}
+	for _, t := range r.state.MovingTasks(r.now) {
+		i := slices.IndexFunc(r.rooms, func(m *room) bool { return m.vm.Name == t.Moves.To })
+		if i >= 0 {
+			r.rooms[i].hold(t)
 		}
 	}
 }
 
-func (r *round) roomsByName() map[string]*room {
-	rooms := make(map[string]*room, len(r.rooms))
-	for _, m := range r.rooms {
-		rooms[m.vm.Name] = m
-	}
-	return rooms
-}
-
 // hold keeps room for a task.
 func (m *room) hold(t *accountant.Task) {
 	if m.held == nil {
--- a/internal/job/planner/claim_test.go
+++ b/internal/job/planner/claim_test.go
@@ -115,12 +115,12 @@
 	}{
 		{"moved", false, func(r *rush, task *accountant.Task) {
 			run := task.Runs[0]
-			task.Moves = accountant.Moving{To: "j", Until: r.now.Add(MoveHold)}
+			r.state.SetMove(task, accountant.Moving{To: "j", Until: r.now.Add(MoveHold)}, r.now)
 			r.state.EndRun(run.VM, run.Key(), accountant.EndStopped, "", r.now)
 		}, MoveHold},
 		{"moved to a VM that has left", false, func(r *rush, task *accountant.Task) {
 			run := task.Runs[0]
-			task.Moves = accountant.Moving{To: "gone", Until: r.now.Add(MoveHold)}
+			r.state.SetMove(task, accountant.Moving{To: "gone", Until: r.now.Add(MoveHold)}, r.now)
 			r.state.EndRun(run.VM, run.Key(), accountant.EndStopped, "", r.now)
 		}, returnBound},
 		{"yielded", false, yield, returnBound},
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -314,7 +314,7 @@
 	for _, m := range planner.Moves(o.input(now)) {
 		o.s.config.Reporter.Report(reporter.JobMoveDecided, reporter.Fields{"task": m.Run.Key().Task.String(), "run": m.Run.Number, "vm": m.Run.VM.Name, "to": m.To.Name, "opens-cpu": int64(m.Gain)})
 		if o.orderStop(m.Run, "moves for filling tasks") {
-			m.Run.Task.Moves = accountant.Moving{To: m.To.Name, Until: now.Add(planner.MoveHold)}
+			o.state.SetMove(m.Run.Task, accountant.Moving{To: m.To.Name, Until: now.Add(planner.MoveHold)}, now)
 		}
 	}
 }
