Write log lines whole, and count those that are dropped

Cause: the logfmt handler writes a line field by field, and the spooler took each field for a line: where it had no room it dropped fields. And a full pipe that took a part of a batch returned an error; the spooler ignored it and the rest of up to 16 KiB was gone, uncounted.

Change: the reporter hands whole lines to its writer. The spooler writes what a full pipe refused for a moment again, for 2 s at most; what it drops then is counted in lines and told with the next batch or at its end, and a line that was written in part is ended.

--- a/internal/kernel/reporter/reporter.go
+++ b/internal/kernel/reporter/reporter.go
@@ -56,7 +56,7 @@
 	case "json":
 		handler = json.New(c.Writer)
 	case "text":
-		handler = logfmt.New(c.Writer)
+		handler = logfmt.New(&lineWriter{out: c.Writer})
 	default:
 		return nil, fmt.Errorf("log format %q: want text or json", c.Format)
 	}
@@ -68,6 +68,24 @@
 	return &Reporter{entry: entry, now: c.Now}, nil
 }
 
+// lineWriter hands whole lines on. The handler writes a line field by field, and what a
+// writer drops or others write in between would then tear lines apart. The handler's lock
+// is held over the fields of a line.
+type lineWriter struct {
+	out  io.Writer
+	line []byte
+}
+
+func (w *lineWriter) Write(p []byte) (int, error) {
+	w.line = append(w.line, p...)
+	if len(p) == 0 || p[len(p)-1] != '\n' {
+		return len(p), nil
+	}
+	_, err := w.out.Write(w.line)
+	w.line = w.line[:0]
+	return len(p), err
+}
+
 // Discard returns a Reporter that writes nothing, for tests and tools.
 func Discard() *Reporter {
 	logger := &log.Logger{Handler: log.HandlerFunc(func(*log.Entry) error { return nil }), Level: log.FatalLevel}
--- a/internal/kernel/spooler/spooler.go
+++ b/internal/kernel/spooler/spooler.go
@@ -3,9 +3,12 @@
 package spooler
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -16,6 +19,10 @@
 	// maxBatchBytes bounds one write, a pipe's worth at most.
 	maxBatchBytes = 16 << 10
 	closeLimit    = 500 * time.Millisecond
+	// writePause is between tries to write what a full pipe did not take, and writeTries is
+	// how many there are before the rest of a batch is dropped.
+	writePause = 10 * time.Millisecond
+	writeTries = 200
 )
 
 // Spooler is an io.Writer that never blocks. What does not fit is dropped and
@@ -24,8 +31,9 @@
 	out    io.Writer
 	lines  chan []byte
 	ended  chan struct{}
+	torn   bool // the last line written has no end
 	mu     sync.Mutex
-	lost   int64
+	lost   int64 // lines
 	closed bool
 }
 
@@ -43,10 +51,6 @@
 	if s.closed {
 		return len(line), nil
 	}
-	if s.lost > 0 && len(s.lines) < maxLines/2 {
-		s.lines <- []byte(fmt.Sprintf("level=warn message=\"log lines dropped\" lines=%d\n", s.lost))
-		s.lost = 0
-	}
 	kept := append([]byte(nil), line[:min(len(line), maxLineBytes)]...)
 	if len(line) > maxLineBytes {
 		kept[maxLineBytes-1] = '\n'
@@ -63,10 +67,58 @@
 	defer close(s.ended)
 	var batch []byte
 	for line := range s.lines {
+		s.tellLost()
 		batch = s.gather(append(batch[:0], line...))
-		// A reader that went away can't be told.
-		_, _ = s.out.Write(batch)
+		if rest := s.write(batch); len(rest) > 0 {
+			s.noteLost(int64(bytes.Count(rest, newline)))
+		}
+	}
+	s.tellLost()
+}
+
+var newline = []byte("\n")
+
+// write writes a batch and returns what it could not. A pipe that is full may take a part
+// of it and refuse the rest for a moment.
+func (s *Spooler) write(batch []byte) []byte {
+	if s.torn {
+		batch = append([]byte("\n"), batch...)
 	}
+	for range writeTries {
+		n, err := s.out.Write(batch)
+		if n > 0 {
+			s.torn = batch[n-1] != newline[0]
+			batch = batch[n:]
+		}
+		if len(batch) == 0 {
+			return nil
+		}
+		if err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, io.ErrShortWrite) {
+			return batch // a reader that went away can't be told
+		}
+		time.Sleep(writePause)
+	}
+	return batch
+}
+
+// tellLost writes how many lines were dropped since it was last told.
+func (s *Spooler) tellLost() {
+	s.mu.Lock()
+	lost := s.lost
+	s.lost = 0
+	s.mu.Unlock()
+	if lost == 0 {
+		return
+	}
+	if rest := s.write([]byte(fmt.Sprintf("level=warn message=\"log lines dropped\" lines=%d\n", lost))); len(rest) > 0 {
+		s.noteLost(lost)
+	}
+}
+
+func (s *Spooler) noteLost(lines int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost += lines
 }
 
 // gather adds the lines that wait to a batch: a write each is a system call each, which
--- a/internal/kernel/spooler/spooler_test.go
+++ b/internal/kernel/spooler/spooler_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
+	"fmt"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -50,6 +53,83 @@
 	}
 }
 
+// part takes so many bytes of each write and refuses the rest for a moment, until it is broken.
+type part struct {
+	most   int
+	broken int // writes from which on nothing is taken
+	mu     sync.Mutex
+	writes int
+	got    bytes.Buffer
+}
+
+func (p *part) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.writes++
+	if p.broken > 0 && p.writes >= p.broken && p.writes < p.broken+3 {
+		return 0, errGone
+	}
+	if len(b) <= p.most {
+		return p.got.Write(b)
+	}
+	n, _ := p.got.Write(b[:p.most])
+	return n, syscall.EAGAIN
+}
+
+var errGone = errors.New("gone")
+
+// Guards against lines that end in their middle: a full pipe takes a part of a batch, and the
+// rest was dropped without a count.
+func TestLinesAreWholeThoughWritesAreShort(t *testing.T) {
+	tests := []struct {
+		name  string
+		out   *part
+		whole int // lines, of 400
+	}{
+		{"a part is taken at a time", &part{most: 1000}, 400},
+		{"a part is lost with a reader that comes back", &part{most: 4000, broken: 3}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := New(tt.out)
+			line := strings.Repeat("x", 99) + "\n"
+			for n := range 400 {
+				_, _ = s.Write([]byte(line))
+				if n%40 == 0 {
+					time.Sleep(5 * time.Millisecond)
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+			_, _ = s.Write([]byte(line))
+			s.Close()
+			whole, torn, lost := 0, 0, 0
+			for _, l := range strings.SplitAfter(tt.out.got.String(), "\n") {
+				switch {
+				case l == line:
+					whole++
+				case strings.Contains(l, "log lines dropped"):
+					n := 0
+					if _, err := fmt.Sscanf(l[strings.Index(l, "lines="):], "lines=%d", &n); err != nil {
+						t.Fatal(err)
+					}
+					lost += n
+				case l != "":
+					torn++
+				}
+			}
+			if whole+lost != 401 {
+				t.Errorf("%d lines are whole and %d counted as dropped of 401", whole, lost)
+			}
+			if tt.whole > 0 && (torn > 0 || whole != 401) {
+				t.Errorf("%d lines are whole and %d torn", whole, torn)
+			}
+			if torn > 1 {
+				t.Errorf("%d lines are torn", torn)
+			}
+		})
+	}
+}
+
 func TestLongLinesAreCut(t *testing.T) {
 	var out bytes.Buffer
 	s := New(&out)
