Order jobs by what a core-second gains; press lasting tasks only for what can be in time

Cause: steps that could still be in time went by their deadline, judged by what tasks declare; under a backlog that begins every job a little and serves the oldest last moment, which is late by the time it ends. Urgent jobs that nobody waited for any more kept lasting tasks away too: they counted as pressing until the end of the log.

Change: among what can be in time, judged by how long runs of the queue took of late, that goes first which has least work left for what it counts for: 0.3 of the mean job and 0.7 of its own work, so jobs nearly done lead and large ones follow small ones closely. Only urgent tasks that can be in time make lasting ones yield, up to a fifth of those that were at work, whatever they are away for (0.08 before, counting yields only). While they press, a lasting task is away for 6 s before it goes ahead of them; it is 3 s else.

--- a/internal/job/accountant/run.go
+++ b/internal/job/accountant/run.go
@@ -11,7 +11,7 @@
 	vm.OrderSeq++
 	r := &Run{
 		Task: t, Number: number, VM: vm, State: Ordered, Order: vm.OrderSeq, OrderedAt: now,
-		Pace: fullPace, Checkpoint: t.Checkpoint, MovedAt: now,
+		Pace: fullPace, Checkpoint: t.Checkpoint, Resumed: t.Checkpoint != "", MovedAt: now,
 	}
 	a.book(r)
 	return r
@@ -174,6 +174,9 @@
 	r := vm.Runs[key]
 	t := a.Find(key.Task)
 	delete(vm.doubts, key)
+	if r != nil && how == EndDone {
+		a.noteStretch(r, now)
+	}
 	if r != nil {
 		a.unbook(r, now)
 		t = r.Task
@@ -233,7 +236,7 @@
 	t := a.Find(rep.Key.Task)
 	r := &Run{
 		Task: t, Number: rep.Key.Number, VM: vm, State: Running, OrderedAt: now, StartedAt: now,
-		Pace: fullPace, MovedAt: now,
+		Pace: fullPace, Resumed: true, MovedAt: now,
 	}
 	if t == nil {
 		t = stray(rep.Key.Task, rep.Needs)
--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -44,6 +44,7 @@
 	Unsized    bool      // what it takes of the VM is not known: its job has ended and left no steps
 	Uncertain  bool      // ordered by way of a process of the agent that has ended, and seen by no later one
 	Checkpoint string    // latest reported
+	Resumed    bool      // from a checkpoint of an earlier run, or begun under another owner
 	MovedAt    time.Time // when the progress last changed
 }
 
@@ -284,6 +285,8 @@
 	open   []string // ids of the jobs that have not ended, sorted; nil once it has changed
 	moves  []*Task  // tasks that were told to move; some are there, or do not any more
 	floor  int64    // run numbers of this owner are above it
+
+	measures map[string]*measures // by queue
 }
 
 // Config holds the settings of an Accountant.
@@ -301,7 +304,7 @@
 	if p == nil {
 		p = &specifier.Policy{}
 	}
-	return &Accountant{Jobs: make(map[string]*Job), VMs: make(map[string]*VM), policy: p, floor: c.RunFloor}
+	return &Accountant{Jobs: make(map[string]*Job), VMs: make(map[string]*VM), policy: p, floor: c.RunFloor, measures: make(map[string]*measures)}
 }
 
 // Policy returns the policy in force.
--- a/internal/job/planner/advise.go
+++ b/internal/job/planner/advise.go
@@ -27,7 +27,7 @@
 // step of which no usable VM with room has a ticket that holds. The VMs with most
 // room are asked about first; those that were asked in vain come last, by turns.
 func Ask(in Input) (Question, bool) {
-	for _, s := range order(in.State.WaitingSteps(in.Now), in.Now) {
+	for _, s := range order(in, in.State.WaitingSteps(in.Now)) {
 		if !s.Occurrence.Job.Queue.Advised || in.Now.Before(s.AdviseAt) {
 			continue
 		}
--- a/internal/job/planner/claim.go
+++ b/internal/job/planner/claim.go
@@ -17,21 +17,31 @@
 	// returnAfter is how long a lasting task that was at work is away before it goes ahead
 	// of all other tasks, whatever their priority.
 	returnAfter = 3 * time.Second
-	// returnBound is how long such a task is away at most while the tasks that end leave
-	// enough room on some VM that may run it: the rest is what urgent tasks take to end,
-	// and others to stop.
-	returnBound = 6 * time.Second
+	// pressedAway is the same while urgent tasks wait that can still be in time: others
+	// yield then in its place.
+	pressedAway = 6 * time.Second
+	// returnBound is how long such a task is away beyond that at most while the tasks that
+	// end leave enough room on some VM that may run it: what urgent tasks take to end and
+	// others to stop.
+	returnBound = 3 * time.Second
 	// preemptionsAtOnce is for how many lasting tasks a round makes room.
 	preemptionsAtOnce = 4
 )
 
 // claims tells whether a lasting task has waited long enough for room to be held for it.
-func claims(t *accountant.Task, now time.Time) bool {
-	return t.Step.Spec.Lasting && !t.Step.Spec.Gang && t.Waits(now) && now.Sub(t.WaitSince) >= returnAfter
+func (r *round) claims(t *accountant.Task) bool {
+	after := returnAfter
+	if r.pressed() {
+		after = pressedAway
+	}
+	return t.Step.Spec.Lasting && !t.Step.Spec.Gang && t.Waits(r.now) && r.now.Sub(t.WaitSince) >= after
 }
 
+// pressed tells whether urgent tasks have waited for room too long of late.
+func (r *round) pressed() bool { return r.now.Sub(r.in.PressedAt) < yieldRest }
+
 // overdue tells whether a lasting task that was at work has been away for too long.
-func overdue(t *accountant.Task, now time.Time) bool { return t.LastNumber > 0 && claims(t, now) }
+func (r *round) overdue(t *accountant.Task) bool { return t.LastNumber > 0 && r.claims(t) }
 
 // placeOverdue starts the lasting tasks that are overdue, or holds room for them.
 func (r *round) placeOverdue(steps []*accountant.Step) (starts []Start) {
@@ -40,7 +50,7 @@
 			continue
 		}
 		for _, t := range s.Tasks {
-			if !overdue(t, r.now) {
+			if !r.overdue(t) {
 				continue
 			}
 			if best := r.choose(s, t, r.countOf(s)); best != nil {
--- a/internal/job/planner/order.go
+++ b/internal/job/planner/order.go
@@ -20,17 +20,22 @@
 	step     *accountant.Step
 	priority int
 	urgency  urgency
+	cost     float64 // core-seconds left for each that the job counts for
 	deadline time.Time
 }
 
+// fixedShare is how much of what a job counts for does not depend on its work: callers wait
+// for small jobs too.
+const fixedShare = 0.3
+
 // order sorts steps: by priority of the queue, then by what is still to be gained, those
-// that end before those that last, then by the time at which the job has to be ended. Under a backlog, deadlines
-// alone would keep starting jobs that are late already while those that could
-// still be in time become late behind them.
-func order(steps []*accountant.Step, now time.Time) []*accountant.Step {
+// that end before those that last, then by what a core-second gains, jobs that are nearly
+// done first. Under a backlog, deadlines alone would start all jobs a little and end none
+// in time.
+func order(in Input, steps []*accountant.Step) []*accountant.Step {
 	list := make([]ranked, len(steps))
 	for i, s := range steps {
-		list[i] = rank(s, now)
+		list[i] = rank(in, s)
 	}
 	sort.SliceStable(list, func(i, j int) bool {
 		a, b := list[i], list[j]
@@ -41,6 +46,8 @@
 			return a.urgency < b.urgency
 		case a.step.Spec.Lasting != b.step.Spec.Lasting:
 			return b.step.Spec.Lasting
+		case a.cost != b.cost:
+			return a.cost < b.cost
 		default:
 			return a.deadline.Before(b.deadline)
 		}
@@ -51,24 +58,39 @@
 	return steps
 }
 
-func rank(s *accountant.Step, now time.Time) ranked {
+func rank(in Input, s *accountant.Step) ranked {
 	o := s.Occurrence
 	q := o.Job.Queue
 	chain := chainOf(o)
 	objective := time.Duration(float64(chain.total)*q.Slack) + q.Target
 	r := ranked{step: s, priority: q.Priority, deadline: o.DueAt.Add(objective)}
-	end := now.Add(chain.left)
-	switch {
-	case s.Spec.Lasting:
+	if s.Spec.Lasting {
 		r.deadline = s.ReadyAt // first come first served
+		return r
+	}
+	end := in.Now.Add(time.Duration(float64(chain.left) * in.State.Stretch(o.Job.Spec.Queue)))
+	switch {
 	case end.After(o.DueAt.Add(lateFactor * objective)):
 		r.urgency = hopeless
+		return r
 	case end.After(r.deadline):
 		r.urgency = late
 	}
+	r.cost = costOf(in, o)
 	return r
 }
 
+// costOf is how much work an occurrence has left for what it counts for. A large job counts
+// for more than a small one, though not for as much more as its work.
+func costOf(in Input, o *accountant.Occurrence) float64 {
+	all, left := o.Work()
+	counts := fixedShare*in.State.MeanWork(o.Job.Spec.Queue) + (1-fixedShare)*all
+	if counts <= 0 {
+		return 0
+	}
+	return left / counts
+}
+
 // chainLengths are the longest chains of declared work of an occurrence.
 type chainLengths struct {
 	total time.Duration
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -109,7 +109,7 @@
 func Plan(in Input) []Start {
 	r := newRound(in)
 	r.openRooms()
-	steps := order(in.State.WaitingSteps(in.Now), in.Now)
+	steps := order(in, in.State.WaitingSteps(in.Now))
 	starts := r.placeOverdue(steps)
 	for _, s := range steps {
 		if len(starts) >= maxStarts {
@@ -139,12 +139,12 @@
 	count := r.countOf(s)
 	var starts []Start
 	for _, t := range s.Tasks {
-		if !t.Waits(r.now) || overdue(t, r.now) || t.Yielded && r.now.Sub(r.in.PressedAt) < yieldRest {
+		if !t.Waits(r.now) || r.overdue(t) || t.Yielded && r.pressed() {
 			continue
 		}
 		best := r.choose(s, t, count)
 		if best == nil {
-			if claims(t, r.now) {
+			if r.claims(t) {
 				r.claim(t)
 			}
 			r.noteBlocked(s)
--- a/internal/job/planner/planner_test.go
+++ b/internal/job/planner/planner_test.go
@@ -280,3 +280,56 @@
 		}
 	})
 }
+
+// Guards against a backlog in which all jobs are begun and none ends in time: under four times
+// the load, of equal jobs, those nearly done go first, and large ones are not left behind for
+// small ones by much.
+func TestOrderUnderABacklog(t *testing.T) {
+	queue := specifier.Queue{Name: "batch", Slack: 4, Target: 10 * time.Second}
+	wide := specifier.Step{Count: 8, Needs: cores(1), EstimateMillis: 1000}
+	next := specifier.Step{Count: 8, Needs: cores(1), EstimateMillis: 1000, After: []int{0}}
+	small := specifier.Step{Count: 2, Needs: cores(1), EstimateMillis: 1000}
+	tests := []struct {
+		name    string
+		jobs    []specifier.Job // steps only
+		done    map[int]int     // tasks that are done, by job from 1
+		stretch float64         // what tasks take over what they declare
+		now     time.Duration
+		want    int // job whose task starts first
+	}{
+		{"of equal jobs the one nearly done", []specifier.Job{{Steps: []specifier.Step{wide, next}}, {Steps: []specifier.Step{wide, next}}}, map[int]int{2: 6}, 1, 0, 2},
+		{"small before large", []specifier.Job{{Steps: []specifier.Step{wide}}, {Steps: []specifier.Step{small}}}, nil, 1, 0, 2},
+		{"a large one half done before a small one", []specifier.Job{{Steps: []specifier.Step{wide}}, {Steps: []specifier.Step{small}}}, map[int]int{1: 6}, 1, 0, 1},
+		{"one that tasks as slow as they are would make late goes after one in time", []specifier.Job{{Steps: []specifier.Step{wide, next}}, {Steps: []specifier.Step{wide}}}, map[int]int{1: 7}, 8, 5 * time.Second, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBed(queue)
+			for _, j := range tt.jobs {
+				b.job("batch", j.Steps...)
+			}
+			vm := b.vm("vm", "in", "r1", cores(1))
+			for job, done := range tt.done {
+				for _, task := range b.state.Jobs[jobID(job)].Occurrences[0].Steps[0].Tasks[:done] {
+					r := b.state.Place(task, vm, 1, begin)
+					b.state.EndRun(vm, r.Key(), accountant.EndDone, "", begin)
+				}
+			}
+			b.stretch(vm, tt.stretch)
+			starts := b.plan(begin.Add(tt.now))
+			if len(starts) != 1 || starts[0].Task.ID().Job != jobID(tt.want) {
+				t.Errorf("starts %v, want of job %d", places(starts), tt.want)
+			}
+		})
+	}
+}
+
+// stretch lets runs of the queue have taken so many times what they declared.
+func (b *bed) stretch(vm *accountant.VM, factor float64) {
+	j := b.job("batch", specifier.Step{Count: 200, Needs: cores(1), EstimateMillis: 1000})
+	for _, t := range j.Occurrences[0].Steps[0].Tasks {
+		r := b.state.Place(t, vm, 1, begin)
+		r.StartedAt = begin
+		b.state.EndRun(vm, r.Key(), accountant.EndDone, "", begin.Add(time.Duration(factor*float64(time.Second))))
+	}
+}
--- a/internal/job/planner/preempt.go
+++ b/internal/job/planner/preempt.go
@@ -16,7 +16,7 @@
 			continue
 		}
 		for _, t := range s.Tasks {
-			if !claims(t, r.now) {
+			if !r.claims(t) {
 				continue
 			}
 			if r.rooms == nil {
--- a/internal/job/planner/room.go
+++ b/internal/job/planner/room.go
@@ -11,7 +11,7 @@
 // where its job has as many tasks as may be on one VM. Without it the
 // task waits until a whole VM's worth of others has ended.
 func (r *round) roomForLasting() []Move {
-	for _, s := range order(r.in.State.WaitingSteps(r.now), r.now) {
+	for _, s := range order(r.in, r.in.State.WaitingSteps(r.now)) {
 		if !s.Spec.Lasting || s.Spec.Gang || r.now.Sub(s.ReadyAt) < blockedFor {
 			continue
 		}
--- a/internal/job/planner/yield.go
+++ b/internal/job/planner/yield.go
@@ -20,8 +20,9 @@
 	// yielded stay away. Without it they would come back into the first gap and have to
 	// leave again.
 	yieldRest = 1500 * time.Millisecond
-	// yieldMost is how much of the processors set aside for lasting tasks may yield.
-	yieldMost = 0.08
+	// yieldMost is how much of the processors set aside for lasting tasks that were at work
+	// may be away, for whatever cause.
+	yieldMost = 0.2
 	// yieldsAtOnce bounds a round.
 	yieldsAtOnce = 3
 )
@@ -42,7 +43,7 @@
 		}
 		lasting += int64(len(s.Tasks)) * s.Spec.Needs.CPUMillis
 		for _, t := range s.Tasks {
-			if t.Yielded && t.Away() {
+			if t.LastNumber > 0 && t.Away() {
 				away += s.Spec.Needs.CPUMillis
 			}
 			if r := t.Lead(); r != nil && r.State == accountant.Stopping {
@@ -63,11 +64,12 @@
 }
 
 // urgentNeed is how many thousandths of a core the urgent tasks ask for that have waited
-// too long and find no room on any VM. Tasks that fill or come together are no part of it.
+// too long and find no room on any VM. Tasks that fill or come together are no part of it,
+// nor those that can't be in time any more: their callers gain less than others lose.
 func (r *round) urgentNeed() int64 {
 	need := int64(0)
 	for _, s := range r.in.State.WaitingSteps(r.now) {
-		if s.Spec.Fills || s.Spec.Lasting || s.Spec.Gang || s.Occurrence.Job.Queue.Priority > 0 {
+		if s.Spec.Fills || s.Spec.Lasting || s.Spec.Gang || s.Occurrence.Job.Queue.Priority > 0 || rank(r.in, s).urgency != inTime {
 			continue
 		}
 		count := perVM(s)
--- a/internal/job/specifier/specifier.go
+++ b/internal/job/specifier/specifier.go
@@ -71,6 +71,11 @@
 	return s.Needs
 }
 
+// CoreSeconds is the work that each task of the step declares.
+func (s Step) CoreSeconds() float64 {
+	return float64(s.Needs.CPUMillis) / 1000 * s.Estimate().Seconds()
+}
+
 // Job is a submission.
 type Job struct {
 	ID             string `json:"id"`
