Move lasting tasks beside each other on a large fleet

Cause: lasting tasks are placed before anything is known of their images, and arranged anew by moves, one at a time and one look in 0.6 s: 22 to 29 moves in 50 s for 750 lasting tasks on 160 VMs, what suits the 11 VMs of the small sites.

Change: where 3 % of the lasting tasks are more than the six of one move, so many may be away by moves beside each other, on other VMs; the looks come as much more often as the fleet is larger, every 0.1 s at most. Small fleets move as before. A move that makes room for a lasting task names it, so that one waits for one move only, and its cause is told by its own name.

Test: TestMovesOfALargeFleetGoOnBesideEachOther; on the code before one move was under way at a time.

--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -86,8 +86,9 @@
 
 // Moving tells where a lasting task was stopped to start anew.
 type Moving struct {
-	To    string    // VM
-	Until time.Time // it starts elsewhere only after this
+	From, To string    // VMs
+	For      *Step     // that gets the room that it leaves; nil: filling tasks do
+	Until    time.Time // it starts elsewhere only after this
 }
 
 // SetMove notes where a task is stopped to start anew.
--- a/internal/job/planner/move.go
+++ b/internal/job/planner/move.go
@@ -18,8 +18,12 @@
 	moveGain = 2500.0
 	// moveRest is how long a lasting task must have run before it moves.
 	moveRest = 6 * time.Second
-	// movesMost is how many lasting tasks may be away at once by moves.
-	movesMost = 6
+	// movesMost is how many lasting tasks may be away at once by one move. Where movesShare
+	// of all of them is more, so many may be away by moves beside each other: a large fleet
+	// would take minutes to arrange itself one move at a time, and its filling tasks wait
+	// meanwhile.
+	movesMost  = 6
+	movesShare = 0.03
 	// blockedFor is how long a filling step must wait before lasting tasks move for it:
 	// a shorter wait ends by itself.
 	blockedFor = time.Second
@@ -36,7 +40,13 @@
 type Move struct {
 	Run  *accountant.Run
 	To   *accountant.VM
-	Gain float64 // thousandths of a core given to filling tasks, for each run that moves now
+	For  *accountant.Step // that gets the room; nil: filling tasks do
+	Gain float64          // thousandths of a core given to filling tasks, for each run that moves now
+}
+
+// Moving returns what is noted of the task of a move.
+func (m Move) Moving(now time.Time) accountant.Moving {
+	return accountant.Moving{From: m.Run.VM.Name, To: m.To.Name, For: m.For, Until: now.Add(MoveHold)}
 }
 
 // group is the lasting runs of one image on a VM. They leave together: one that stays
@@ -55,6 +65,7 @@
 	opened map[*room][]float64 // open to each filling image as things are
 	groups map[*room][]group
 	moves  []Move    // the best found so far
+	most   int       // lasting tasks that may move
 	a, b   []float64 // open on the two VMs of an exchange that is weighed
 }
 
@@ -62,24 +73,26 @@
 // finds none, or all of one image from a VM to another, against all of one image from
 // there or against none.
 func Moves(in Input) []Move {
-	if moving(in) {
+	on := underway(in)
+	if on.away >= on.most || on.away > 0 && on.most == movesMost {
 		return nil
 	}
 	in.Memory = nil // moves are few and must rest on what is true now
 	r := newRound(in)
 	r.openRooms()
-	if moves := r.roomForLasting(); len(moves) > 0 {
+	if moves := r.roomForLasting(on); len(moves) > 0 {
 		return moves
 	}
 	if !r.fillsBlocked() {
 		return nil
 	}
 	m := newMover(r)
+	m.most = on.most - on.away
 	seen := make(map[*room]bool)
-	for _, a := range m.closedMost() {
+	for _, a := range m.closedMost(on) {
 		seen[a] = true
 		for _, b := range r.rooms {
-			if !seen[b] {
+			if !seen[b] && !on.vms[b.vm.Name] {
 				m.compare(a, b)
 			}
 		}
@@ -99,15 +112,19 @@
 
 // closedMost returns the VMs that keep most idle processors from the filling images that
 // want them, so that a round costs about the same on any fleet.
-func (m *mover) closedMost() []*room {
+func (m *mover) closedMost(on moves) []*room {
 	closed := make(map[*room]float64, len(m.rooms))
+	var rooms []*room
 	for _, room := range m.rooms {
+		if on.vms[room.vm.Name] {
+			continue
+		}
+		rooms = append(rooms, room)
 		idle := room.idle()
 		for i, open := range m.opened[room] {
 			closed[room] += m.offer.needs[i] * (idle - open)
 		}
 	}
-	rooms := slices.Clone(m.rooms)
 	slices.SortStableFunc(rooms, func(a, b *room) int { return cmp.Compare(closed[b], closed[a]) })
 	return rooms[:min(len(rooms), closedLooked)]
 }
@@ -141,7 +158,7 @@
 // exchange takes two groups changing places for the best found so far if it is better.
 func (m *mover) exchange(g, h group) {
 	count := len(g.runs) + len(h.runs)
-	if count == 0 || count > movesMost {
+	if count == 0 || count > min(movesMost, m.most) {
 		return
 	}
 	gain := m.gain(g, h) / float64(count)
@@ -153,10 +170,10 @@
 	}
 	m.moves = nil
 	for _, run := range g.runs {
-		m.moves = append(m.moves, Move{run, h.room.vm, gain})
+		m.moves = append(m.moves, Move{Run: run, To: h.room.vm, Gain: gain})
 	}
 	for _, run := range h.runs {
-		m.moves = append(m.moves, Move{run, g.room.vm, gain})
+		m.moves = append(m.moves, Move{Run: run, To: g.room.vm, Gain: gain})
 	}
 }
 
@@ -236,20 +253,36 @@
 	return false
 }
 
-// moving tells whether a lasting task that was told to move is not at work yet. One that
-// waits for room, as a job may for long, holds up no other.
-func moving(in Input) bool {
+// moves are the moves under way.
+type moves struct {
+	away, most int                       // lasting tasks that are away by moves, and that may be
+	vms        map[string]bool           // that take part
+	steps      map[*accountant.Step]bool // that get the room
+}
+
+// underway returns the moves whose tasks are not at work yet. One that waits for room for
+// long holds up no other.
+func underway(in Input) moves {
+	on := moves{vms: make(map[string]bool), steps: make(map[*accountant.Step]bool)}
+	all := 0
 	for _, s := range in.State.OpenSteps() {
 		if !s.Spec.Lasting {
 			continue
 		}
+		all += len(s.Tasks)
 		for _, t := range s.Tasks {
-			if t.Moves.To != "" && in.Now.Before(t.Moves.Until.Add(moveLimit)) && t.Away() {
-				return true
+			if t.Moves.To == "" || !in.Now.Before(t.Moves.Until.Add(moveLimit)) || !t.Away() {
+				continue
+			}
+			on.away++
+			on.vms[t.Moves.From], on.vms[t.Moves.To] = true, true
+			if t.Moves.For != nil {
+				on.steps[t.Moves.For] = true
 			}
 		}
 	}
-	return false
+	on.most = max(movesMost, int(movesShare*float64(all)))
+	return on
 }
 
 // runsOf returns the lasting runs of an image on a VM.
--- a/internal/job/planner/move_test.go
+++ b/internal/job/planner/move_test.go
@@ -273,3 +273,54 @@
 		})
 	}
 }
+
+// Guards against a large fleet that arranges itself one move at a time, while its filling tasks
+// wait for minutes: there moves go on beside each other, on other VMs, a share of the lasting
+// tasks at once.
+func TestMovesOfALargeFleetGoOnBesideEachOther(t *testing.T) {
+	tests := []struct {
+		name string
+		vms  int
+		most int // lasting tasks that are away at once
+	}{
+		{"small", 4, movesMost},
+		{"large", 160, 9},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newMixedFleet(tt.vms)
+			for range tt.vms {
+				f.wait("x")
+				f.wait("y")
+			}
+			rounds, away := 0, 0
+			taken := make(map[string]bool)
+			for {
+				moves := f.moves()
+				if len(moves) == 0 {
+					break
+				}
+				rounds++
+				from := make(map[string]bool)
+				for _, m := range moves {
+					if taken[m.Run.VM.Name] || taken[m.To.Name] {
+						t.Fatalf("%s takes part in two moves", m.Run.VM.Name)
+					}
+					from[m.Run.VM.Name], from[m.To.Name] = true, true
+					f.state.SetMove(m.Run.Task, m.Moving(begin), begin)
+					f.state.EndRun(m.Run.VM, m.Run.Key(), accountant.EndStopped, "", begin)
+					away++
+				}
+				for vm := range from {
+					taken[vm] = true
+				}
+			}
+			if away == 0 || away > tt.most {
+				t.Errorf("%d lasting tasks are away at once, want at most %d", away, tt.most)
+			}
+			if tt.vms > 100 && rounds < 3 {
+				t.Errorf("%d moves beside each other", rounds)
+			}
+		})
+	}
+}
--- a/internal/job/planner/room.go
+++ b/internal/job/planner/room.go
@@ -10,16 +10,16 @@
 // no room, though the fleet has enough: what is left is scattered over the VMs, or lies
 // where its job has as many tasks as may be on one VM. Without it the
 // task waits until a whole VM's worth of others has ended.
-func (r *round) roomForLasting() []Move {
+func (r *round) roomForLasting(on moves) []Move {
 	for _, s := range order(r.in, r.in.State.WaitingSteps(r.now)) {
-		if !s.Spec.Lasting || s.Spec.Gang || r.now.Sub(s.ReadyAt) < blockedFor {
+		if !s.Spec.Lasting || s.Spec.Gang || on.steps[s] || r.now.Sub(s.ReadyAt) < blockedFor {
 			continue
 		}
 		count := perVM(s)
 		if slices.ContainsFunc(r.rooms, func(m *room) bool { return m.admits(s, count[m.vm]) }) {
 			continue
 		}
-		if move, ok := r.makeRoom(s, count); ok {
+		if move, ok := r.makeRoom(s, count, on); ok {
 			return []Move{move}
 		}
 	}
@@ -28,8 +28,11 @@
 
 // makeRoom finds the smallest lasting run that can go elsewhere and in whose place a task
 // of the step fits.
-func (r *round) makeRoom(s *accountant.Step, count map[*accountant.VM]int) (best Move, ok bool) {
+func (r *round) makeRoom(s *accountant.Step, count map[*accountant.VM]int, on moves) (best Move, ok bool) {
 	for _, m := range r.rooms {
+		if on.vms[m.vm.Name] {
+			continue
+		}
 		for _, run := range lastingRuns(m.vm) {
 			if run.Step() == s || !r.mayMove(run) {
 				continue
@@ -43,7 +46,7 @@
 				continue
 			}
 			if to := r.placeFor(run, m); to != nil {
-				best, ok = Move{Run: run, To: to.vm}, true
+				best, ok = Move{Run: run, To: to.vm, For: s}, true
 			}
 		}
 	}
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -25,9 +25,11 @@
 	// surveyGap is the same for what follows figures and silence: reports are a mean over
 	// half a second, so nothing is gained by looking at them more often.
 	surveyGap = 60 * time.Millisecond
-	// moveGap is the shortest time between looks for lasting tasks that should move: a
-	// move takes some 2 s.
-	moveGap = 600 * time.Millisecond
+	// moveGap is the shortest time between looks for lasting tasks that should move, on a
+	// fleet of moveVMs; on a larger one it is less, moveGapLeast at least.
+	moveGap      = 600 * time.Millisecond
+	moveVMs      = 16
+	moveGapLeast = 100 * time.Millisecond
 	// silence is how long an agent may send no report before nothing more is given
 	// to it. Agents report twice a second.
 	silence = 1500 * time.Millisecond
@@ -205,7 +207,7 @@
 	o.pace(now)
 	o.evict(now)
 	o.preempt(now)
-	if now.Sub(o.movedAt) >= moveGap {
+	if now.Sub(o.movedAt) >= moveGapOf(len(o.state.VMs)) {
 		o.movedAt = now
 		o.move(now)
 	}
@@ -309,12 +311,21 @@
 	}
 }
 
+// moveGapOf is the time between looks for moves: those that a fleet needs grow with it.
+func moveGapOf(vms int) time.Duration {
+	return max(min(moveGap, moveGap*moveVMs/time.Duration(max(vms, 1))), moveGapLeast)
+}
+
 // move stops lasting tasks that should start anew on other VMs.
 func (o *owner) move(now time.Time) {
 	for _, m := range planner.Moves(o.input(now)) {
 		o.s.config.Reporter.Report(reporter.JobMoveDecided, reporter.Fields{"task": m.Run.Key().Task.String(), "run": m.Run.Number, "vm": m.Run.VM.Name, "to": m.To.Name, "opens-cpu": int64(m.Gain)})
-		if o.orderStop(m.Run, "moves for filling tasks") {
-			o.state.SetMove(m.Run.Task, accountant.Moving{To: m.To.Name, Until: now.Add(planner.MoveHold)}, now)
+		cause := "moves for filling tasks"
+		if m.For != nil {
+			cause = "moves for a lasting task"
+		}
+		if o.orderStop(m.Run, cause) {
+			o.state.SetMove(m.Run.Task, m.Moving(now), now)
 		}
 	}
 }
