Bound what claims and looks for room cost in a round of the owner

Cause: the owner's loop. In the owner's log starts and ends come in clusters 0.1 s apart where they came 10 ms apart, though VMs had room.

Change: a round looks for room for two steps, holds room for eight tasks or one for each eight VMs, asks once for the equal tasks of a step, and sums up what runs leave once for each VM; looks for moves are 0.2 s apart at least.

--- a/internal/job/planner/bench_test.go
+++ b/internal/job/planner/bench_test.go
@@ -94,3 +94,45 @@
 		}
 	}
 }
+
+// BenchmarkFullFleet measures the rarer decisions on a fleet on which lasting tasks have set
+// all processors aside, while others of them and urgent ones wait for room.
+func BenchmarkFullFleet(b *testing.B) {
+	parts := []struct {
+		name string
+		run  func(in Input)
+	}{
+		{"plan", func(in Input) { Plan(in) }},
+		{"moves", func(in Input) { Moves(in) }},
+		{"yields", func(in Input) { Yields(in) }},
+		{"preemptions", func(in Input) { Preemptions(in) }},
+		{"evictions", func(in Input) { Evictions(in) }},
+		{"paces", func(in Input) { Paces(in) }},
+	}
+	for _, vms := range []int{52, 160, 300} {
+		in, fleet := busyFleet(vms)
+		for n := range vms {
+			vm := in.State.VMs[fmt.Sprintf("vm-%03d", n)]
+			j := fleet.job("q", specifier.Step{Count: 1, Needs: specifier.Resources{CPUMillis: 7000, MemoryMB: 1000}, Lasting: true, TailMillis: 18, Image: fmt.Sprint("l", n%3)})
+			r := in.State.Place(j.Occurrences[0].Steps[0].Tasks[0], vm, 1, begin.Add(-time.Minute))
+			r.State, r.StartedAt, r.Progress = accountant.Running, begin.Add(-time.Minute), 100
+		}
+		for n := range 20 {
+			j := fleet.job("q", specifier.Step{Count: 24, Needs: cores(10), Lasting: true, TailMillis: 18, Image: fmt.Sprint("l", n%3)})
+			for _, t := range j.Occurrences[0].Steps[0].Tasks[:4] {
+				t.LastNumber, t.WaitSince = 1, begin.Add(-time.Minute)
+			}
+		}
+		for range 20 {
+			fleet.job("urgent", specifier.Step{Count: 9, Needs: cores(5), EstimateMillis: 800})
+		}
+		for _, p := range parts {
+			b.Run(fmt.Sprintf("%s/vms-%d", p.name, vms), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					p.run(in)
+				}
+			})
+		}
+	}
+}
--- a/internal/job/planner/claim.go
+++ b/internal/job/planner/claim.go
@@ -17,13 +17,16 @@
 	// returnAfter is how long a lasting task that was at work is away before it goes ahead
 	// of all other tasks, whatever their priority.
 	returnAfter = 3 * time.Second
-	// pressedAway is the same while urgent tasks wait that can still be in time: others
-	// yield then in its place.
+	// pressedAway is the same while urgent tasks wait: others yield then in its place.
 	pressedAway = 6 * time.Second
 	// returnBound is how long such a task is away beyond that at most while the tasks that
 	// end leave enough room on some VM that may run it: what urgent tasks take to end and
 	// others to stop.
 	returnBound = 3 * time.Second
+	// claimsAtOnce is how many tasks a round holds room for, and claimVMs the VMs for each of
+	// them on a larger fleet; those that waited longest come first.
+	claimsAtOnce = 8
+	claimVMs     = 8
 	// preemptionsAtOnce is for how many lasting tasks a round makes room.
 	preemptionsAtOnce = 4
 )
@@ -49,13 +52,19 @@
 		if !s.Spec.Lasting {
 			continue
 		}
+		full := false // the tasks of a step need the same
 		for _, t := range s.Tasks {
 			if !r.overdue(t) {
 				continue
 			}
-			if best := r.choose(s, t, r.countOf(s)); best != nil {
+			best := (*room)(nil)
+			if !full || t.Moves.To != "" {
+				best = r.choose(s, t, r.countOf(s))
+			}
+			if best != nil {
 				starts = append(starts, r.place(t, best, r.state.NextNumber(t)))
 			} else {
+				full = true
 				r.claim(t)
 			}
 		}
@@ -96,13 +105,16 @@
 
 // claim holds room for a task that fits nowhere on the VM that will have enough first.
 func (r *round) claim(t *accountant.Task) {
-	if m := r.claimed(t); m != nil {
+	if r.claimed++; r.claimed > max(claimsAtOnce, len(r.rooms)/claimVMs) {
+		return
+	}
+	if m := r.claimable(t); m != nil {
 		m.hold(t)
 	}
 }
 
-// claimed returns the VM on which a task lacks least of those that it may claim, or nil.
-func (r *round) claimed(t *accountant.Task) (best *room) {
+// claimable returns the VM on which a task lacks least of those that it may claim, or nil.
+func (r *round) claimable(t *accountant.Task) (best *room) {
 	least := 0.0
 	for _, m := range r.rooms {
 		if !r.mayClaim(t, m) {
@@ -142,22 +154,28 @@
 
 // freeOnceStopped is what is free on a VM once the runs that are being stopped are gone.
 func (m *room) freeOnceStopped() specifier.Resources {
-	free := m.free
-	for _, run := range m.vm.Runs {
-		if run.State == accountant.Stopping {
-			free = free.Add(run.Step().Spec.Committed())
-		}
-	}
-	return free
+	m.lookAhead()
+	return m.free.Add(m.stopping)
 }
 
 // freeOnceEnded is what is free on a VM once all of its tasks have ended that do not last.
 func (m *room) freeOnceEnded() specifier.Resources {
-	free := m.free
+	m.lookAhead()
+	return m.free.Add(m.stopping).Add(m.ending)
+}
+
+// lookAhead sums up what the runs of a VM will leave by themselves.
+func (m *room) lookAhead() {
+	if m.ahead {
+		return
+	}
+	m.ahead = true
 	for _, run := range m.vm.Runs {
-		if !run.Step().Spec.Lasting || run.State == accountant.Stopping {
-			free = free.Add(run.Step().Spec.Committed())
+		switch {
+		case run.State == accountant.Stopping:
+			m.stopping = m.stopping.Add(run.Step().Spec.Committed())
+		case !run.Step().Spec.Lasting:
+			m.ending = m.ending.Add(run.Step().Spec.Committed())
 		}
 	}
-	return free
 }
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -63,7 +63,9 @@
 	neighbours []neighbour
 	images     company // of the lasting tasks; nil until it is needed
 	// held are the tasks for which room is kept; what they need is no part of free.
-	held map[*accountant.Task]bool
+	held             map[*accountant.Task]bool
+	ahead            bool                // the following two are known
+	stopping, ending specifier.Resources // of runs that are being stopped, and of others that do not last
 }
 
 type round struct {
@@ -82,6 +84,7 @@
 	// many of these.
 	stopped   map[*accountant.Run]bool
 	preempted int
+	claimed   int // tasks for which room was asked to be held
 }
 
 func newRound(in Input) *round {
--- a/internal/job/planner/preempt.go
+++ b/internal/job/planner/preempt.go
@@ -22,6 +22,9 @@
 			if r.rooms == nil {
 				r.openRooms()
 			}
+			if r.claimed++; r.claimed > max(claimsAtOnce, len(r.rooms)/claimVMs) {
+				return runs
+			}
 			if best := r.choose(s, t, r.countOf(s)); best != nil {
 				r.place(t, best, 0) // the next round of placement starts it
 				continue
--- a/internal/job/planner/room.go
+++ b/internal/job/planner/room.go
@@ -6,11 +6,16 @@
 	"bamboospread/internal/job/accountant"
 )
 
+// roomTries is for how many steps a round looks for room: on a full fleet none is found for
+// any, and each look is at all pairs of VMs.
+const roomTries = 2
+
 // roomForLasting returns the move of one lasting task that lets another start which finds
 // no room, though the fleet has enough: what is left is scattered over the VMs, or lies
 // where its job has as many tasks as may be on one VM. Without it the
 // task waits until a whole VM's worth of others has ended.
 func (r *round) roomForLasting(on moves) []Move {
+	tries := 0
 	for _, s := range order(r.in, r.in.State.WaitingSteps(r.now)) {
 		if !s.Spec.Lasting || s.Spec.Gang || on.steps[s] || r.now.Sub(s.ReadyAt) < blockedFor {
 			continue
@@ -19,6 +24,9 @@
 		if slices.ContainsFunc(r.rooms, func(m *room) bool { return m.admits(s, count[m.vm]) }) {
 			continue
 		}
+		if tries++; tries > roomTries {
+			break
+		}
 		if move, ok := r.makeRoom(s, count, on); ok {
 			return []Move{move}
 		}
@@ -56,7 +64,7 @@
 // placeFor returns a VM with room for a lasting run other than its own, or nil.
 func (r *round) placeFor(run *accountant.Run, from *room) *room {
 	s := run.Step()
-	count := perVM(s)
+	count := r.countOf(s)
 	for _, m := range r.rooms {
 		if m != from && !m.vm.Slow() && !run.Task.Shunned[m.vm.Name] && m.admits(s, count[m.vm]) {
 			return m
--- a/internal/job/planner/yield.go
+++ b/internal/job/planner/yield.go
@@ -65,11 +65,11 @@
 
 // urgentNeed is how many thousandths of a core the urgent tasks ask for that have waited
 // too long and find no room on any VM. Tasks that fill or come together are no part of it,
-// nor those that can't be in time any more: their callers gain less than others lose.
+// nor those from which callers gain nothing any more.
 func (r *round) urgentNeed() int64 {
 	need := int64(0)
 	for _, s := range r.in.State.WaitingSteps(r.now) {
-		if s.Spec.Fills || s.Spec.Lasting || s.Spec.Gang || s.Occurrence.Job.Queue.Priority > 0 || rank(r.in, s).urgency != inTime {
+		if s.Spec.Fills || s.Spec.Lasting || s.Spec.Gang || s.Occurrence.Job.Queue.Priority > 0 || rank(r.in, s).urgency == hopeless {
 			continue
 		}
 		count := perVM(s)
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -29,7 +29,7 @@
 	// fleet of moveVMs; on a larger one it is less, moveGapLeast at least.
 	moveGap      = 600 * time.Millisecond
 	moveVMs      = 16
-	moveGapLeast = 100 * time.Millisecond
+	moveGapLeast = 200 * time.Millisecond
 	// silence is how long an agent may send no report before nothing more is given
 	// to it. Agents report twice a second.
 	silence = 1500 * time.Millisecond
