Look for moves in a bounded time on any fleet

Cause: a look for moves compares the twelve VMs that are closed most with all others, for each pair all exchanges of groups, for each exchange all filling images beside all lasting ones. The owner, on a core of which it has 0.8, stands still for it.

Change: what is open beside all images of a VM but one is worked out once for each group; a look compares 320 pairs of VMs in all, so fewer of the closed ones on a larger fleet, which is looked at more often.

--- a/internal/job/planner/bench_test.go
+++ b/internal/job/planner/bench_test.go
@@ -136,3 +136,39 @@
 		}
 	}
 }
+
+// BenchmarkMovesOfManyImages measures a look for moves where five tasks of 16 lasting images
+// are on each VM and steps of 30 filling ones wait, of which each is loud beside three.
+func BenchmarkMovesOfManyImages(b *testing.B) {
+	const lastingImages, fillingImages = 16, 30
+	loud, fills := make(map[string][]string), make([]string, fillingImages)
+	for n := range fills {
+		fills[n] = fmt.Sprint("f", n)
+		for k := range 3 {
+			image := fmt.Sprint("l", (n+5*k)%lastingImages)
+			loud[image] = append(loud[image], fills[n])
+		}
+	}
+	known := taught(loud, fills...)
+	for _, vms := range []int{11, 52, 160, 300} {
+		fleet := newBed(specifier.Queue{Name: "q", Slack: 2, MaxFailures: 3})
+		for n := range vms {
+			vm := fleet.vm(fmt.Sprintf("vm-%03d", n), "in", fmt.Sprint("r", n/6), cores(64))
+			for k := range 5 {
+				j := fleet.job("q", specifier.Step{Count: 1, Needs: cores(10), Lasting: true, TailMillis: 18, Image: fmt.Sprint("l", (n*7+k*3)%lastingImages)})
+				r := fleet.state.Place(j.Occurrences[0].Steps[0].Tasks[0], vm, 1, begin.Add(-time.Minute))
+				r.State, r.StartedAt, r.Progress, r.Measure = accountant.Running, begin.Add(-time.Minute), 100, 8
+			}
+		}
+		for n := range fills {
+			fleet.job("q", specifier.Step{Count: 2 * vms, Needs: cores(4), EstimateMillis: 2200, Fills: true, Image: fills[n]})
+		}
+		in := Input{Now: begin.Add(2 * time.Second), State: fleet.state, Learner: known}
+		b.Run(fmt.Sprintf("vms-%d", vms), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Moves(in)
+			}
+		})
+	}
+}
--- a/internal/job/planner/move.go
+++ b/internal/job/planner/move.go
@@ -27,8 +27,10 @@
 	// blockedFor is how long a filling step must wait before lasting tasks move for it:
 	// a shorter wait ends by itself.
 	blockedFor = time.Second
-	// closedLooked is how many VMs a round tries to open.
+	// closedLooked is how many VMs a round tries to open at most, and pairsLooked with how many
+	// others all together, so that a round costs about the same on any fleet.
 	closedLooked = 12
+	pairsLooked  = 320
 	// moveLimit is how long after its hold a task that moves is waited for before others
 	// may move.
 	moveLimit = 3 * time.Second
@@ -55,7 +57,8 @@
 	room  *room
 	image string // empty: no run
 	runs  []*accountant.Run
-	cpu   int64 // that the runs set aside, in thousandths of a core
+	cpu   int64     // that the runs set aside, in thousandths of a core
+	rest  []float64 // share of the VM's idle processors open to each filling image without it
 }
 
 // mover looks for the change of places that gives filling tasks most.
@@ -63,6 +66,7 @@
 	*round
 	offer  *outlook
 	opened map[*room][]float64 // open to each filling image as things are
+	idle   map[*room]float64   // thousandths of a core
 	groups map[*room][]group
 	moves  []Move    // the best found so far
 	most   int       // lasting tasks that may move
@@ -101,10 +105,10 @@
 }
 
 func newMover(r *round) *mover {
-	m := &mover{round: r, offer: r.outlook(), opened: make(map[*room][]float64), groups: make(map[*room][]group)}
+	m := &mover{round: r, offer: r.outlook(), opened: make(map[*room][]float64), idle: make(map[*room]float64), groups: make(map[*room][]group)}
 	m.a, m.b = make([]float64, len(m.offer.fills)), make([]float64, len(m.offer.fills))
 	for _, room := range r.rooms {
-		m.opened[room] = m.offer.open(room)
+		m.opened[room], m.idle[room] = m.offer.open(room), room.idle()
 		m.groups[room] = m.groupsOf(room)
 	}
 	return m
@@ -126,7 +130,8 @@
 		}
 	}
 	slices.SortStableFunc(rooms, func(a, b *room) int { return cmp.Compare(closed[b], closed[a]) })
-	return rooms[:min(len(rooms), closedLooked)]
+	most := min(closedLooked, max(pairsLooked/max(len(rooms), 1), 1))
+	return rooms[:min(len(rooms), most)]
 }
 
 // compare looks at all exchanges between two VMs.
@@ -142,9 +147,9 @@
 
 // groupsOf returns the groups of a VM that may move, and an empty one.
 func (m *mover) groupsOf(r *room) []group {
-	groups := []group{{room: r}}
+	groups := []group{{room: r, rest: m.restOf(r, "")}}
 	for _, image := range slices.Sorted(maps.Keys(r.company())) {
-		g := group{room: r, image: image, runs: runsOf(r.vm, image)}
+		g := group{room: r, image: image, runs: runsOf(r.vm, image), rest: m.restOf(r, image)}
 		for _, run := range g.runs {
 			g.cpu += run.Step().Spec.Needs.CPUMillis
 		}
@@ -187,26 +192,37 @@
 	return m.offer.served(m.a) - m.base
 }
 
-// openAfter works out what is open on the VM of a group once it has left and another
-// group has come.
-func (m *mover) openAfter(open []float64, leaves, comes group) {
-	r := leaves.room
-	idle := r.idle() + float64(leaves.cpu-comes.cpu)*lastingUse
-	for i := range open {
-		open[i] = idle
+// restOf returns what share of a VM's idle processors is open to each filling image beside
+// all lasting images on it but one.
+func (m *mover) restOf(r *room, without string) []float64 {
+	rest := make([]float64, len(m.offer.fills))
+	for i := range rest {
+		rest[i] = 1
 	}
-	multiply := func(image string) {
+	for image := range r.company() {
+		if image == without {
+			continue
+		}
 		for i, share := range m.offer.sharesBeside(image) {
-			open[i] *= share
+			rest[i] *= share
 		}
 	}
-	for image := range r.company() {
-		if image != leaves.image {
-			multiply(image)
+	return rest
+}
+
+// openAfter works out what is open on the VM of a group once it has left and another
+// group has come.
+func (m *mover) openAfter(open []float64, leaves, comes group) {
+	idle := m.idle[leaves.room] + float64(leaves.cpu-comes.cpu)*lastingUse
+	if comes.image == "" || leaves.room.company()[comes.image] > 0 {
+		for i, rest := range leaves.rest {
+			open[i] = idle * rest
 		}
+		return
 	}
-	if comes.image != "" && r.company()[comes.image] == 0 {
-		multiply(comes.image)
+	shares := m.offer.sharesBeside(comes.image)
+	for i, rest := range leaves.rest {
+		open[i] = idle * rest * shares[i]
 	}
 }
 
