--- a/internal/job/planner/yield.go
+++ b/internal/job/planner/yield.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		count := perVM(s)
-		if slices.ContainsFunc(r.rooms, func(m *room) bool { return m.admits(s, count[m.vm]) }) {
+		if slices.ContainsFunc(r.rooms, func(m *room) bool { return m.admits(s, count[m.vm]) }) || !r.wantsRoom(s, count) {
 			continue
 		}
 		for _, t := range s.Tasks {
@@ -85,6 +85,14 @@
 	return need
 }
 
+// wantsRoom tells whether room is all that a step lacks: some VM would take a task of it if
+// it were empty. What no VM may or can run would press lasting tasks for good.
+func (r *round) wantsRoom(s *accountant.Step, count map[*accountant.VM]int) bool {
+	return slices.ContainsFunc(r.rooms, func(m *room) bool {
+		return m.mayAdmit(s, count[m.vm]) && m.vm.Capacity.Fits(s.Spec.Committed())
+	})
+}
+
 // yieldable returns the lasting runs that may yield, those first whose users lose least
 // for each processor.
 func (r *round) yieldable() []*accountant.Run {
--- a/internal/job/planner/yield_test.go
+++ b/internal/job/planner/yield_test.go
@@ -64,6 +64,12 @@
 			}
 		}, 0},
 		{"their callers gain nothing any more", 5 * time.Second, func(b *bed, _ []*accountant.Job) { b.urgent("urgent", 400) }, 0},
+		{"no VM is large enough for them", yieldAfter, func(b *bed, _ []*accountant.Job) {
+			b.job("urgent", specifier.Step{Count: 4, Needs: cores(33), EstimateMillis: 800})
+		}, 0},
+		{"no VM has what they ask for", yieldAfter, func(b *bed, _ []*accountant.Job) {
+			b.job("urgent", specifier.Step{Count: 4, Needs: cores(1), Label: "gold", EstimateMillis: 800})
+		}, 0},
 		{"the users can't spare any", yieldAfter, func(b *bed, lasting []*accountant.Job) {
 			b.urgent("urgent", 4)
 			for _, j := range lasting {
