Read the soak's seeds whole or refuse them

make soak SEEDS=201,202,203,204 ran seed 201 alone and said PASS: the text was read by Sscanf, which leaves what follows unread. Lists of seeds and ranges are read now; what can't be read is refused with the forms that can.

Other shapes of the same fault that were looked for: a range whose end is before its beginning ran nothing of it and was refused already; one of all numbers was not.

--- a/Makefile
+++ b/Makefile
@@ -49,5 +49,5 @@
 	BAMBOOSPREAD_BINARY=$(CURDIR)/build/bamboospread $(GO) test -run '^$$' -bench . -benchtime 1x -timeout 30m ./tests/capacity
 
 .PHONY: soak
-soak: build ## draw faults on real processes: SEED=7, SEEDS=1..50 or SEEDS=kept
-	BAMBOOSPREAD_BINARY=$(CURDIR)/build/bamboospread SOAK_LOGS=$(CURDIR)/build/soak SOAK_SEEDS=$(or $(SEEDS),$(SEED)) $(GO) test -v -count=1 -parallel 3 -timeout 2h -run '^TestSoak$$' ./tests/soak
+soak: build ## draw faults on real processes: SEED=7, SEEDS=1..50, SEEDS=7,9,20..30 or SEEDS=kept
+	BAMBOOSPREAD_BINARY=$(CURDIR)/build/bamboospread SOAK_LOGS=$(CURDIR)/build/soak SOAK_SEEDS="$(or $(SEEDS),$(SEED))" $(GO) test -v -count=1 -parallel 3 -timeout 2h -run '^TestSoak$$' ./tests/soak
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -39,7 +40,7 @@
 // TestSoak: callers submit jobs, ask for them and cancel them while processes end,
 // freeze and lose their connections, several at a time. Whatever was acknowledged
 // holds in the end, and no promise is broken on the way. SOAK_SEEDS names other seeds,
-// as 7 or 1..50, or with "kept" all that have failed once.
+// as 7, 1..50 or 7,9,20..30, or with "kept" all that have failed once.
 func TestSoak(t *testing.T) {
 	for _, seed := range seedsToRun(t) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
@@ -63,16 +64,47 @@
 		}
 		return all
 	}
-	var first, last uint64
-	if n, _ := fmt.Sscanf(text, "%d..%d", &first, &last); n == 0 || n == 2 && first > last {
-		t.Fatalf("SOAK_SEEDS is %q, want a seed or a range such as 1..50", text)
-	}
-	for seed := first; seed <= max(first, last); seed++ {
-		all = append(all, seed)
+	all, err := readSeeds(text)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return all
 }
 
+// errSeeds is returned for seeds that can't be read.
+type errSeeds struct{ text string }
+
+func (e errSeeds) Error() string {
+	return fmt.Sprintf("SOAK_SEEDS is %q, want kept, a seed, a range or a list, such as 7, 1..50 or 7,9,20..30", e.text)
+}
+
+// seedsMost bounds what is run by mistake.
+const seedsMost = 10_000
+
+// readSeeds reads a list of seeds and ranges.
+func readSeeds(text string) (all []uint64, err error) {
+	for part := range strings.SplitSeq(text, ",") {
+		from, to, isRange := strings.Cut(strings.TrimSpace(part), "..")
+		first, err := strconv.ParseUint(from, 10, 64)
+		if err != nil {
+			return nil, errSeeds{text}
+		}
+		last := first
+		if isRange {
+			if last, err = strconv.ParseUint(to, 10, 64); err != nil {
+				return nil, errSeeds{text}
+			}
+		}
+		if first > last || last-first >= seedsMost || len(all) > seedsMost {
+			return nil, errSeeds{text}
+		}
+		for seed := first; seed <= last; seed++ {
+			all = append(all, seed)
+		}
+	}
+	return all, nil
+}
+
 func soak(t *testing.T, seed uint64) {
 	b := newBed(t, seed)
 	limit, cancel := context.WithTimeout(t.Context(), seedLimit)
