--- a/internal/job/planner/claim.go
+++ b/internal/job/planner/claim.go
@@ -19,10 +19,6 @@
 	returnAfter = 3 * time.Second
 	// pressedAway is the same while urgent tasks wait: others yield then in its place.
 	pressedAway = 6 * time.Second
-	// returnBound is how long such a task is away beyond that at most while the tasks that
-	// end leave enough room on some VM that may run it: what urgent tasks take to end and
-	// others to stop.
-	returnBound = 3 * time.Second
 	// claimsAtOnce is how many tasks a round holds room for, and claimVMs the VMs for each of
 	// them on a larger fleet; those that waited longest come first.
 	claimsAtOnce = 8
--- a/internal/job/planner/claim_test.go
+++ b/internal/job/planner/claim_test.go
@@ -12,6 +12,9 @@
 const (
 	replayStep = 20 * time.Millisecond
 	stopTime   = 500 * time.Millisecond // that a stop takes
+	// returnBound is how long an overdue task may still be away while the tasks that end
+	// leave enough room on some VM: what urgent tasks take to end and others to stop.
+	returnBound = 3 * time.Second
 )
 
 // rush replays a load of urgent tasks that is more than a fleet can carry: their backlog
