Bring back first the lasting tasks that have been away longest

Change: those that have been away longest come first, whatever their job. Room is held for one task for each four VMs. A task that may have had a run under an earlier owner counts as one that was at work.

Tests: TestTheTaskThatIsAwayLongestComesBackFirst and the case "one is away for long" of TestLastingTasksYieldToUrgentOnes fail without the change.

--- a/internal/job/accountant/record.go
+++ b/internal/job/accountant/record.go
@@ -115,7 +115,7 @@
 				t.Done = true
 				s.Done++
 			}
-			t.Failed = sr.Failed[n]
+			t.Failed, t.Ran = sr.Failed[n], o.Job.Started
 		}
 	}
 	for _, s := range o.Steps {
--- a/internal/job/accountant/run.go
+++ b/internal/job/accountant/run.go
@@ -26,7 +26,7 @@
 	t, spec := r.Task, r.Task.Step.Spec
 	t.LastNumber = max(t.LastNumber, r.Number)
 	t.Runs = append(t.Runs, r)
-	t.Yielded = false
+	t.Yielded, t.Ran = false, true
 	r.VM.Runs[r.Key()] = r
 	r.VM.Version++
 	if r.Unsized {
--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -74,7 +74,8 @@
 	Index      int
 	Done       bool
 	Failed     []int64 // numbers of the runs that ended failed
-	LastNumber int64   // of its latest run
+	LastNumber int64   // of its latest run, 0 if this owner knows of none
+	Ran        bool    // it has had a run, or may have had one under an earlier owner
 	Checkpoint string  // to resume from
 	Runs       []*Run  // live ones; more than one only where copies are allowed
 	WaitSince  time.Time
--- a/internal/job/planner/bench_test.go
+++ b/internal/job/planner/bench_test.go
@@ -120,7 +120,7 @@
 		for n := range 20 {
 			j := fleet.job("q", specifier.Step{Count: 24, Needs: cores(10), Lasting: true, TailMillis: 18, Image: fmt.Sprint("l", n%3)})
 			for _, t := range j.Occurrences[0].Steps[0].Tasks[:4] {
-				t.LastNumber, t.WaitSince = 1, begin.Add(-time.Minute)
+				t.Ran, t.WaitSince = true, begin.Add(-time.Minute)
 			}
 		}
 		for range 20 {
--- a/internal/job/planner/claim.go
+++ b/internal/job/planner/claim.go
@@ -22,7 +22,7 @@
 	// claimsAtOnce is how many tasks a round holds room for, and claimVMs the VMs for each of
 	// them on a larger fleet; those that waited longest come first.
 	claimsAtOnce = 8
-	claimVMs     = 8
+	claimVMs     = 4
 	// preemptionsAtOnce is for how many lasting tasks a round makes room.
 	preemptionsAtOnce = 4
 )
@@ -40,32 +40,43 @@
 func (r *round) pressed() bool { return r.now.Sub(r.in.PressedAt) < yieldRest }
 
 // overdue tells whether a lasting task that was at work has been away for too long.
-func (r *round) overdue(t *accountant.Task) bool { return t.LastNumber > 0 && r.claims(t) }
+func (r *round) overdue(t *accountant.Task) bool { return t.Ran && r.claims(t) }
 
 // placeOverdue starts the lasting tasks that are overdue, or holds room for them.
 func (r *round) placeOverdue(steps []*accountant.Step) (starts []Start) {
+	full := make(map[*accountant.Step]bool) // the tasks of a step need the same
+	for _, t := range r.overdueTasks(steps) {
+		s := t.Step
+		best := (*room)(nil)
+		if !full[s] || t.Moves.To != "" {
+			best = r.choose(s, t, r.countOf(s))
+		}
+		if best != nil {
+			starts = append(starts, r.place(t, best, r.state.NextNumber(t)))
+		} else {
+			full[s] = true
+			r.claim(t)
+		}
+	}
+	return starts
+}
+
+// overdueTasks returns the tasks that are overdue, those first that have been away longest:
+// by the age of their jobs, tasks of old jobs that yield again and again would keep the others
+// away.
+func (r *round) overdueTasks(steps []*accountant.Step) (found []*accountant.Task) {
 	for _, s := range steps {
 		if !s.Spec.Lasting {
 			continue
 		}
-		full := false // the tasks of a step need the same
 		for _, t := range s.Tasks {
-			if !r.overdue(t) {
-				continue
-			}
-			best := (*room)(nil)
-			if !full || t.Moves.To != "" {
-				best = r.choose(s, t, r.countOf(s))
-			}
-			if best != nil {
-				starts = append(starts, r.place(t, best, r.state.NextNumber(t)))
-			} else {
-				full = true
-				r.claim(t)
+			if r.overdue(t) {
+				found = append(found, t)
 			}
 		}
 	}
-	return starts
+	slices.SortStableFunc(found, func(a, b *accountant.Task) int { return a.WaitSince.Compare(b.WaitSince) })
+	return found
 }
 
 // holdForMoves keeps the room that lasting tasks move to until they are there or their
@@ -131,7 +142,7 @@
 	if m.vm.Slow() || t.RunsOn(m.vm) || t.Waiting(m.vm.Name, r.now) || !m.mayAdmit(s, r.countOf(s)[m.vm]) {
 		return false
 	}
-	if t.LastNumber == 0 && m.free.CPUMillis < s.Spec.Needs.CPUMillis {
+	if !t.Ran && m.free.CPUMillis < s.Spec.Needs.CPUMillis {
 		return false
 	}
 	return m.freeOnceEnded().Fits(s.Spec.Committed())
--- a/internal/job/planner/claim_test.go
+++ b/internal/job/planner/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,12 +52,16 @@
 		r.endDue()
 		r.comes()
 		in := Input{Now: r.now, State: r.state}
-		if _, pressed := Yields(in); pressed {
+		yields, pressed := Yields(in)
+		if pressed {
 			in.PressedAt = r.now
 		}
+		for _, run := range yields {
+			run.Task.Yielded = true
+			r.stop(run)
+		}
 		for _, run := range Preemptions(in) {
-			r.state.Stop(run, "makes room", r.now)
-			r.ends[run] = r.now.Add(stopTime)
+			r.stop(run)
 		}
 		for _, s := range Plan(in) {
 			run := r.state.Place(s.Task, s.VM, s.Number, r.now)
@@ -69,6 +74,11 @@
 	return 0, false
 }
 
+func (r *rush) stop(run *accountant.Run) {
+	r.state.Stop(run, "makes room", r.now)
+	r.ends[run] = r.now.Add(stopTime)
+}
+
 func (r *rush) endDue() {
 	for run, at := range r.ends {
 		if r.now.Before(at) {
@@ -88,20 +98,24 @@
 	r.job("filling", specifier.Step{Count: 400, Needs: specifier.Resources{CPUMillis: 100, MemoryMB: 3000}, EstimateMillis: 2000, Fills: true, Image: "x"})
 }
 
-// halfFullFleet is 10 VMs with two lasting tasks of 8 of 32 cores each.
-func halfFullFleet() (*bed, *accountant.Job) {
+// halfFullFleet is VMs with two lasting tasks of 8 of 32 cores each.
+func halfFullFleet(vms int) (*bed, *accountant.Job) {
 	b := newBed(specifier.Queue{Name: "lasting"}, specifier.Queue{Name: "urgent", Slack: 1.5}, specifier.Queue{Name: "filling", Priority: 2, Slack: 2})
-	j := b.job("lasting", specifier.Step{Count: 20, Needs: cores(8), Lasting: true})
-	for n := range 10 {
+	j := b.job("lasting", specifier.Step{Count: 2 * vms, Needs: cores(8), Lasting: true})
+	for n := range vms {
 		vm := b.vm(string(rune('a'+n)), "in", "r1", cores(32))
 		for _, t := range j.Occurrences[0].Steps[0].Tasks[2*n : 2*n+2] {
-			r := b.state.Place(t, vm, 1, begin.Add(-time.Minute))
-			r.State, r.StartedAt, r.Progress = accountant.Running, begin.Add(-time.Minute), 100
+			b.atWork(t, vm)
 		}
 	}
 	return b, j
 }
 
+func (b *bed) atWork(t *accountant.Task, vm *accountant.VM) {
+	r := b.state.Place(t, vm, 1, begin.Add(-time.Minute))
+	r.State, r.StartedAt, r.Progress = accountant.Running, begin.Add(-time.Minute), 100
+}
+
 // Guards against lasting tasks that the owner stopped, or that lost their VM, staying away
 // for as long as a backlog of urgent tasks takes every gap.
 func TestLastingTasksComeBackUnderABacklog(t *testing.T) {
@@ -141,17 +155,18 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			b, lasting := halfFullFleet()
+			b, lasting := halfFullFleet(10)
 			r := newRush(b)
 			if tt.crawl {
 				r.crawl()
 			}
 			r.until(2*time.Second, func() bool { return false })
-			step := lasting.Occurrences[0].Steps[0]
-			tt.stop(r, step.Tasks[0])
-			took, back := r.until(20*time.Second, func() bool { return step.Away() == 0 })
+			tasks := lasting.Occurrences[0].Steps[0].Tasks
+			task := tasks[slices.IndexFunc(tasks, func(t *accountant.Task) bool { return !t.Away() })]
+			tt.stop(r, task)
+			took, back := r.until(20*time.Second, func() bool { return !task.Away() })
 			if !back || took > tt.bound {
-				t.Errorf("back %t after %s, want within %s; %d away", back, took, tt.bound, step.Away())
+				t.Errorf("back %t after %s, want within %s", back, took, tt.bound)
 			}
 			for _, vm := range r.state.VMs {
 				if !vm.Capacity.Fits(vm.Committed) {
@@ -185,7 +200,7 @@
 			}
 			j := b.job("lasting", specifier.Step{Count: 1, Needs: cores(tt.task), Lasting: true})
 			task := j.Occurrences[0].Steps[0].Tasks[0]
-			task.LastNumber, task.WaitSince = 1, begin.Add(-tt.away)
+			task.Ran, task.WaitSince = true, begin.Add(-tt.away)
 			b.urgent("urgent", 32)
 			if got := len(b.plan(begin)); got != tt.want {
 				t.Errorf("%d tasks start, want %d", got, tt.want)
@@ -193,3 +208,52 @@
 		})
 	}
 }
+
+// Guards against tasks of young jobs that stay away: several VMs are lost at once under a
+// backlog, and tasks of older jobs yield, come back and yield again in front of them.
+func TestNoLastingTaskStaysAwayForLong(t *testing.T) {
+	const vms, lost = 40, 13
+	b, old := halfFullFleet(vms)
+	young := b.job("lasting", specifier.Step{Count: vms / 2, Needs: cores(8), Lasting: true})
+	for n, task := range young.Occurrences[0].Steps[0].Tasks {
+		b.atWork(task, b.state.VMs[string(rune('a'+n))])
+	}
+	r := newRush(b)
+	r.until(2*time.Second, func() bool { return false })
+	for n := range lost {
+		vm := r.state.VMs[string(rune('a'+n))]
+		vm.Ready = false
+		r.state.Detach(vm)
+		r.state.Lose(vm, r.now)
+	}
+	worst := time.Duration(0)
+	r.until(15*time.Second, func() bool {
+		for _, j := range []*accountant.Job{old, young} {
+			for _, task := range j.Occurrences[0].Steps[0].Tasks {
+				if len(task.Runs) == 0 {
+					worst = max(worst, r.now.Sub(task.WaitSince))
+				}
+			}
+		}
+		return false
+	})
+	if worst == 0 || worst > pressedAway+returnBound {
+		t.Errorf("a lasting task was away for %s, want at most %s", worst, pressedAway+returnBound)
+	}
+}
+
+// Guards against the same where room comes for one task at a time: the task that has been away
+// longest gets it, however young its job is.
+func TestTheTaskThatIsAwayLongestComesBackFirst(t *testing.T) {
+	b := newBed()
+	b.vm("vm", "in", "r1", cores(8))
+	for n, away := range []time.Duration{returnAfter + time.Second, returnAfter + 10*time.Second} {
+		j := b.job("q", specifier.Step{Count: 1, Needs: cores(8), Lasting: true})
+		s := j.Occurrences[0].Steps[0]
+		s.ReadyAt = begin.Add(time.Duration(n-2) * time.Minute)
+		s.Tasks[0].Ran, s.Tasks[0].WaitSince = true, begin.Add(-away)
+	}
+	if starts := b.plan(begin); len(starts) != 1 || starts[0].Task.ID().Job != jobID(2) {
+		t.Errorf("starts %v, want the task of job 2", places(starts))
+	}
+}
--- a/internal/job/planner/preempt.go
+++ b/internal/job/planner/preempt.go
@@ -11,39 +11,47 @@
 // memory for as long: their processors are nobody's, but what they hold is not.
 func Preemptions(in Input) (runs []*accountant.Run) {
 	r := newRound(in)
-	for _, s := range in.State.WaitingSteps(in.Now) {
-		if !s.Spec.Lasting {
+	for _, t := range r.claimants() {
+		if r.rooms == nil {
+			r.openRooms()
+		}
+		if r.claimed++; r.claimed > max(claimsAtOnce, len(r.rooms)/claimVMs) {
+			break
+		}
+		if best := r.choose(t.Step, t, r.countOf(t.Step)); best != nil {
+			r.place(t, best, 0) // the next round of placement starts it
 			continue
 		}
+		m, stops := r.preempt(t)
+		if m == nil {
+			continue
+		}
+		m.hold(t)
+		runs = append(runs, stops...)
+		if len(stops) > 0 {
+			r.preempted++
+		}
+		if r.preempted == preemptionsAtOnce {
+			break
+		}
+	}
+	return runs
+}
+
+// claimants returns the tasks for which room may be held, those before that were at work and
+// have been away longest.
+func (r *round) claimants() []*accountant.Task {
+	steps := r.state.WaitingSteps(r.now)
+	found := r.overdueTasks(steps)
+	for _, s := range steps {
 		for _, t := range s.Tasks {
-			if !r.claims(t) {
-				continue
-			}
-			if r.rooms == nil {
-				r.openRooms()
-			}
-			if r.claimed++; r.claimed > max(claimsAtOnce, len(r.rooms)/claimVMs) {
-				return runs
-			}
-			if best := r.choose(s, t, r.countOf(s)); best != nil {
-				r.place(t, best, 0) // the next round of placement starts it
-				continue
-			}
-			m, stops := r.preempt(t)
-			if m == nil {
+			if !t.Ran && r.claims(t) {
+				found = append(found, t)
 				break // the others of the step need as much
 			}
-			m.hold(t)
-			if len(stops) == 0 {
-				continue
-			}
-			runs = append(runs, stops...)
-			if r.preempted++; r.preempted == preemptionsAtOnce {
-				return runs
-			}
 		}
 	}
-	return runs
+	return found
 }
 
 // preempt returns the VM on which a claim is met with least work thrown away, and the runs
