Hold the room of a move from its end on, and what it leaves for whom it makes room

Change: the hold of a move counts from the end of its run, and goes on while the run is being stopped. The room that it leaves is held for the task that it makes room for. A look for room begins with the steps whose tasks are overdue.

TestRoomOfAMoveIsHeldFromItsEnd fails without the hold from the end.

--- a/internal/job/accountant/run.go
+++ b/internal/job/accountant/run.go
@@ -190,6 +190,8 @@
 	}
 	if how != EndStopped {
 		t.Moves = Moving{}
+	} else if t.Moves.Hold > 0 {
+		t.Moves.Until = now.Add(t.Moves.Hold)
 	}
 	switch how {
 	case EndDone:
--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -87,9 +87,10 @@
 
 // Moving tells where a lasting task was stopped to start anew.
 type Moving struct {
-	From, To string    // VMs
-	For      *Step     // that gets the room that it leaves; nil: filling tasks do
-	Until    time.Time // it starts elsewhere only after this
+	From, To string        // VMs
+	For      *Step         // that gets the room that it leaves; nil: filling tasks do
+	Hold     time.Duration // for which its room is held once its run has ended
+	Until    time.Time     // it starts elsewhere only after this
 }
 
 // SetMove notes where a task is stopped to start anew.
@@ -109,7 +110,13 @@
 	return found
 }
 
-func (t *Task) moving(now time.Time) bool { return t.Moves.To != "" && now.Before(t.Moves.Until) }
+func (t *Task) moving(now time.Time) bool {
+	if t.Moves.To == "" {
+		return false
+	}
+	r := t.Lead()
+	return now.Before(t.Moves.Until) || r != nil && r.State == Stopping
+}
 
 // Waiting tells whether the task keeps off a VM for the sake of the one it moves to.
 func (t *Task) Waiting(vm string, now time.Time) bool {
--- a/internal/job/planner/claim.go
+++ b/internal/job/planner/claim.go
@@ -80,15 +80,37 @@
 }
 
 // holdForMoves keeps the room that lasting tasks move to until they are there or their
-// hold is over. The room on the VM of an exchange may still be taken; what is free there is
-// then below nothing.
+// hold is over, and the room that they leave for the task that they make it for. The run that
+// leaves may still be there; what is free is then below nothing.
 func (r *round) holdForMoves() {
 	for _, t := range r.state.MovingTasks(r.now) {
-		i := slices.IndexFunc(r.rooms, func(m *room) bool { return m.vm.Name == t.Moves.To })
-		if i >= 0 {
-			r.rooms[i].hold(t)
+		if m := r.roomOf(t.Moves.To); m != nil {
+			m.hold(t)
 		}
+		if m := r.roomOf(t.Moves.From); m != nil && t.Moves.For != nil {
+			if next := longestAway(t.Moves.For, r.now); next != nil {
+				m.hold(next)
+			}
+		}
+	}
+}
+
+func (r *round) roomOf(vm string) *room {
+	i := slices.IndexFunc(r.rooms, func(m *room) bool { return m.vm.Name == vm })
+	if i < 0 {
+		return nil
 	}
+	return r.rooms[i]
+}
+
+// longestAway returns the task of a step that has waited longest, or nil.
+func longestAway(s *accountant.Step, now time.Time) (first *accountant.Task) {
+	for _, t := range s.Tasks {
+		if t.Waits(now) && (first == nil || t.WaitSince.Before(first.WaitSince)) {
+			first = t
+		}
+	}
+	return first
 }
 
 // hold keeps room for a task.
@@ -96,6 +118,9 @@
 	if m.held == nil {
 		m.held = make(map[*accountant.Task]bool)
 	}
+	if m.held[t] {
+		return
+	}
 	m.held[t] = true
 	m.free = m.free.Sub(t.Step.Spec.Committed())
 }
--- a/internal/job/planner/move.go
+++ b/internal/job/planner/move.go
@@ -34,7 +34,8 @@
 	// moveLimit is how long after its hold a task that moves is waited for before others
 	// may move.
 	moveLimit = 3 * time.Second
-	// MoveHold is how long a task that moves waits for room on the VM that it moves to.
+	// MoveHold is how long after its end a task that moves waits for room on the VM that it
+	// moves to.
 	MoveHold = 1500 * time.Millisecond
 )
 
@@ -48,7 +49,7 @@
 
 // Moving returns what is noted of the task of a move.
 func (m Move) Moving(now time.Time) accountant.Moving {
-	return accountant.Moving{From: m.Run.VM.Name, To: m.To.Name, For: m.For, Until: now.Add(MoveHold)}
+	return accountant.Moving{From: m.Run.VM.Name, To: m.To.Name, For: m.For, Hold: MoveHold, Until: now.Add(MoveHold)}
 }
 
 // group is the lasting runs of one image on a VM. They leave together: one that stays
--- a/internal/job/planner/move_test.go
+++ b/internal/job/planner/move_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"bamboospread/internal/job/accountant"
 	"bamboospread/internal/job/learner"
 	"bamboospread/internal/job/specifier"
@@ -324,3 +326,29 @@
 		})
 	}
 }
+
+// Guards against a lasting task that moves and finds no place: its stop takes longer than the
+// hold, and the room on both VMs is taken by others meanwhile. Room is held from the end of
+// its run on, and what it leaves is held for the task that it makes room for.
+func TestRoomOfAMoveIsHeldFromItsEnd(t *testing.T) {
+	b := newBed(specifier.Queue{Name: "q", Slack: 20})
+	from, to := b.vm("from", "in", "r1", cores(16)), b.vm("to", "in", "r1", cores(8))
+	small := b.job("q", specifier.Step{Count: 1, Needs: cores(8), Lasting: true})
+	large := b.job("q", specifier.Step{Count: 1, Needs: cores(16), Lasting: true})
+	mover, next := small.Occurrences[0].Steps[0].Tasks[0], large.Occurrences[0].Steps[0].Tasks[0]
+	b.atWork(mover, from)
+	run := mover.Runs[0]
+	move := Move{Run: run, To: to, For: next.Step}
+	b.state.Stop(run, "moves", begin)
+	b.state.SetMove(mover, move.Moving(begin), begin)
+	b.urgent("q", 24)
+	late := begin.Add(2 * MoveHold)
+	if got := b.plan(late); len(got) != 0 {
+		t.Fatalf("%d tasks start in the room of the move", len(got))
+	}
+	b.state.EndRun(from, run.Key(), accountant.EndStopped, "", late)
+	want := map[string]string{mover.ID().String(): "to", next.ID().String(): "from"}
+	if diff := cmp.Diff(want, places(b.plan(late))); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/job/planner/room.go
+++ b/internal/job/planner/room.go
@@ -16,7 +16,7 @@
 // task waits until a whole VM's worth of others has ended.
 func (r *round) roomForLasting(on moves) []Move {
 	tries := 0
-	for _, s := range order(r.in, r.in.State.WaitingSteps(r.now)) {
+	for _, s := range r.lastingFirstAway() {
 		if !s.Spec.Lasting || s.Spec.Gang || on.steps[s] || r.now.Sub(s.ReadyAt) < blockedFor {
 			continue
 		}
@@ -34,6 +34,19 @@
 	return nil
 }
 
+// lastingFirstAway returns the steps that wait, those first whose tasks are overdue.
+func (r *round) lastingFirstAway() (steps []*accountant.Step) {
+	waiting := order(r.in, r.in.State.WaitingSteps(r.now))
+	seen := make(map[*accountant.Step]bool)
+	for _, t := range r.overdueTasks(waiting) {
+		if !seen[t.Step] {
+			seen[t.Step] = true
+			steps = append(steps, t.Step)
+		}
+	}
+	return append(steps, slices.DeleteFunc(waiting, func(s *accountant.Step) bool { return seen[s] })...)
+}
+
 // makeRoom finds the smallest lasting run that can go elsewhere and in whose place a task
 // of the step fits.
 func (r *round) makeRoom(s *accountant.Step, count map[*accountant.VM]int, on moves) (best Move, ok bool) {
