Write no more at a time than a pipe takes whole

The spooler gathers up to 16 KiB for a write.

Change: a write is whole lines and 4,096 bytes at most, what POSIX lets a pipe take whole or not at all. TestWritesAreWholeLinesThatAPipeTakesWhole fails on the code before.

--- a/internal/kernel/spooler/spooler.go
+++ b/internal/kernel/spooler/spooler.go
@@ -16,8 +16,9 @@
 const (
 	maxLines     = 4096
 	maxLineBytes = 4096 // a longer line is cut
-	// maxBatchBytes bounds one write, a pipe's worth at most.
-	maxBatchBytes = 16 << 10
+	// maxBatchBytes bounds one write: a pipe takes so much whole or not at all, and of more
+	// the end may be lost with a reader that is behind.
+	maxBatchBytes = 4096
 	closeLimit    = 500 * time.Millisecond
 	// writePause is between tries to write what a full pipe did not take, and writeTries is
 	// how many there are before the rest of a batch is dropped.
@@ -65,12 +66,14 @@
 
 func (s *Spooler) run() {
 	defer close(s.ended)
-	var batch []byte
+	var batch, next []byte
 	for line := range s.lines {
-		s.tellLost()
-		batch = s.gather(append(batch[:0], line...))
-		if rest := s.write(batch); len(rest) > 0 {
-			s.noteLost(int64(bytes.Count(rest, newline)))
+		for next = line; next != nil; {
+			s.tellLost()
+			batch, next = s.gather(append(batch[:0], next...))
+			if rest := s.write(batch); len(rest) > 0 {
+				s.noteLost(int64(bytes.Count(rest, newline)))
+			}
 		}
 	}
 	s.tellLost()
@@ -122,20 +125,23 @@
 }
 
 // gather adds the lines that wait to a batch: a write each is a system call each, which
-// on a busy owner cost more than the lines themselves.
-func (s *Spooler) gather(batch []byte) []byte {
-	for len(batch) < maxBatchBytes {
+// on a busy owner cost more than the lines themselves. It returns the line that found no
+// room any more, or nil.
+func (s *Spooler) gather(batch []byte) (full, next []byte) {
+	for {
 		select {
 		case line, ok := <-s.lines:
 			if !ok {
-				return batch
+				return batch, nil
+			}
+			if len(batch)+len(line) > maxBatchBytes {
+				return batch, line
 			}
 			batch = append(batch, line...)
 		default:
-			return batch
+			return batch, nil
 		}
 	}
-	return batch
 }
 
 // Close writes what waits, for half a second at most.
--- a/internal/kernel/spooler/spooler_test.go
+++ b/internal/kernel/spooler/spooler_test.go
@@ -130,6 +130,46 @@
 	}
 }
 
+// sizes notes what is written at a time.
+type sizes struct {
+	gate chan struct{}
+	mu   sync.Mutex
+	all  []string
+}
+
+func (s *sizes) Write(b []byte) (int, error) {
+	<-s.gate
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all = append(s.all, string(b))
+	return len(b), nil
+}
+
+// Guards against lines that end in their middle where a reader takes no more than a part of a
+// large write: a write is whole lines and no more than a pipe takes whole.
+func TestWritesAreWholeLinesThatAPipeTakesWhole(t *testing.T) {
+	out := &sizes{gate: make(chan struct{})}
+	s := New(out)
+	want := 0
+	for n := range 500 {
+		line := strings.Repeat("x", 1+n*37%700) + "\n"
+		want += len(line)
+		_, _ = s.Write([]byte(line))
+	}
+	close(out.gate)
+	s.Close()
+	got := 0
+	for _, b := range out.all {
+		got += len(b)
+		if len(b) > 4096 || !strings.HasSuffix(b, "\n") {
+			t.Errorf("a write of %d bytes ends in %q", len(b), b[max(len(b)-10, 0):])
+		}
+	}
+	if got != want || len(out.all) > 100 {
+		t.Errorf("%d of %d bytes in %d writes", got, want, len(out.all))
+	}
+}
+
 func TestLongLinesAreCut(t *testing.T) {
 	var out bytes.Buffer
 	s := New(&out)
