Move nothing for filling tasks while a lasting one is overdue

Change: a look for moves first gives overdue tasks what they get or wait for, and looks for nothing for filling tasks while any is left. A step with a task for which room is held asks for no move.

TestNothingMovesForFillingTasksWhileALastingOneIsOverdue fails without the change.

--- a/internal/job/planner/claim.go
+++ b/internal/job/planner/claim.go
@@ -142,6 +142,7 @@
 	}
 	if m := r.claimable(t); m != nil {
 		m.hold(t)
+		r.promised[t.Step] = true
 	}
 }
 
--- a/internal/job/planner/move.go
+++ b/internal/job/planner/move.go
@@ -85,10 +85,11 @@
 	in.Memory = nil // moves are few and must rest on what is true now
 	r := newRound(in)
 	r.openRooms()
+	r.placeOverdue(in.State.WaitingSteps(in.Now)) // what they get or wait for is no room to move to
 	if moves := r.roomForLasting(on); len(moves) > 0 {
 		return moves
 	}
-	if !r.fillsBlocked() {
+	if r.claimed > 0 || !r.fillsBlocked() {
 		return nil
 	}
 	m := newMover(r)
--- a/internal/job/planner/move_test.go
+++ b/internal/job/planner/move_test.go
@@ -352,3 +352,23 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against a lasting task that stays away while VMs have room by turns: others move to
+// each room as it becomes free, for the sake of filling tasks.
+func TestNothingMovesForFillingTasksWhileALastingOneIsOverdue(t *testing.T) {
+	for _, overdue := range []bool{false, true} {
+		f := newMixedFleet(4)
+		f.wait("x")
+		away := f.job("q", specifier.Step{Count: 1, Needs: cores(16), Lasting: true, Image: "a"})
+		task := away.Occurrences[0].Steps[0].Tasks[0]
+		task.Ran, task.WaitSince = true, begin.Add(2*time.Second)
+		if overdue {
+			task.WaitSince = begin.Add(-time.Minute)
+		}
+		for _, m := range f.moves() {
+			if overdue == (m.For == nil) {
+				t.Errorf("overdue %t: %s moves for filling tasks: %t", overdue, m.Run.Key().Task, m.For == nil)
+			}
+		}
+	}
+}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -84,11 +84,12 @@
 	// many of these.
 	stopped   map[*accountant.Run]bool
 	preempted int
-	claimed   int // tasks for which room was asked to be held
+	claimed   int                       // tasks for which room was asked to be held
+	promised  map[*accountant.Step]bool // room is held for a task of these
 }
 
 func newRound(in Input) *round {
-	return &round{in: in, now: in.Now, state: in.State, learner: in.Learner, effects: make(map[pair]float64), counts: make(map[*accountant.Step]map[*accountant.VM]int), blocked: make(map[kind]specifier.Resources), stopped: make(map[*accountant.Run]bool)}
+	return &round{in: in, now: in.Now, state: in.State, learner: in.Learner, effects: make(map[pair]float64), counts: make(map[*accountant.Step]map[*accountant.VM]int), blocked: make(map[kind]specifier.Resources), stopped: make(map[*accountant.Run]bool), promised: make(map[*accountant.Step]bool)}
 }
 
 // openRooms takes in the VMs that may be used at all, in the order of their names.
--- a/internal/job/planner/room.go
+++ b/internal/job/planner/room.go
@@ -17,7 +17,7 @@
 func (r *round) roomForLasting(on moves) []Move {
 	tries := 0
 	for _, s := range r.lastingFirstAway() {
-		if !s.Spec.Lasting || s.Spec.Gang || on.steps[s] || r.now.Sub(s.ReadyAt) < blockedFor {
+		if !s.Spec.Lasting || s.Spec.Gang || on.steps[s] || r.promised[s] || r.now.Sub(s.ReadyAt) < blockedFor {
 			continue
 		}
 		count := perVM(s)
