Order jobs by the share of their work that is left, whatever their size

Cause: what a job counts for rose less than its work, so that under a backlog large jobs went behind all small ones.

Change: the share that is left decides alone; of jobs not begun the earlier deadline does. The mean work of a queue is not kept any more.

--- a/internal/job/accountant/job.go
+++ b/internal/job/accountant/job.go
@@ -23,7 +23,6 @@
 		j.EndedAt = time.UnixMilli(spec.EndedMillis)
 		return true
 	}
-	a.noteWork(j)
 	a.openDue(j, now)
 	return true
 }
--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -295,7 +295,7 @@
 	moves  []*Task  // tasks that were told to move; some are there, or do not any more
 	floor  int64    // run numbers of this owner are above it
 
-	measures map[string]*measures // by queue
+	stretches map[string]float64 // by queue
 }
 
 // Config holds the settings of an Accountant.
@@ -313,7 +313,7 @@
 	if p == nil {
 		p = &specifier.Policy{}
 	}
-	return &Accountant{Jobs: make(map[string]*Job), VMs: make(map[string]*VM), policy: p, floor: c.RunFloor, measures: make(map[string]*measures)}
+	return &Accountant{Jobs: make(map[string]*Job), VMs: make(map[string]*VM), policy: p, floor: c.RunFloor, stretches: make(map[string]float64)}
 }
 
 // Policy returns the policy in force.
--- a/internal/job/planner/order.go
+++ b/internal/job/planner/order.go
@@ -20,18 +20,14 @@
 	step     *accountant.Step
 	priority int
 	urgency  urgency
-	cost     float64 // core-seconds left for each that the job counts for
+	left     float64 // share of its work that is not done
 	deadline time.Time
 }
 
-// fixedShare is how much of what a job counts for does not depend on its work: callers wait
-// for small jobs too.
-const fixedShare = 0.3
-
 // order sorts steps: by priority of the queue, then by what is still to be gained, those
-// that end before those that last, then by what a core-second gains, jobs that are nearly
-// done first. Under a backlog, deadlines alone would start all jobs a little and end none
-// in time.
+// that end before those that last, then by the share of their work that is left, jobs that
+// are nearly done first, whatever their size. Under a backlog, deadlines alone would start
+// all jobs a little and end none in time.
 func order(in Input, steps []*accountant.Step) []*accountant.Step {
 	list := make([]ranked, len(steps))
 	for i, s := range steps {
@@ -46,8 +42,8 @@
 			return a.urgency < b.urgency
 		case a.step.Spec.Lasting != b.step.Spec.Lasting:
 			return b.step.Spec.Lasting
-		case a.cost != b.cost:
-			return a.cost < b.cost
+		case a.left != b.left:
+			return a.left < b.left
 		default:
 			return a.deadline.Before(b.deadline)
 		}
@@ -76,21 +72,10 @@
 	case end.After(r.deadline):
 		r.urgency = late
 	}
-	r.cost = costOf(in, o)
+	r.left = o.Left()
 	return r
 }
 
-// costOf is how much work an occurrence has left for what it counts for. A large job counts
-// for more than a small one, though not for as much more as its work.
-func costOf(in Input, o *accountant.Occurrence) float64 {
-	all, left := o.Work()
-	counts := fixedShare*in.State.MeanWork(o.Job.Spec.Queue) + (1-fixedShare)*all
-	if counts <= 0 {
-		return 0
-	}
-	return left / counts
-}
-
 // chainLengths are the longest chains of declared work of an occurrence.
 type chainLengths struct {
 	total time.Duration
