Let lasting tasks take turns while urgent ones wait

Cause: after a quarter of the VMs has left, lasting and urgent tasks together want more than the fleet has. Overdue lasting tasks claimed room from urgent ones, which end soon and gain more for each core-second; and none yielded while any was overdue, which under that load is always.

Change: while urgent tasks wait, a lasting task that is overdue comes back in the place of one of another job, by whose stop its users lose least; that room is held for it.

--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -96,21 +96,22 @@
 // SetMove notes where a task is stopped to start anew.
 func (a *Accountant) SetMove(t *Task, m Moving, now time.Time) {
 	t.Moves = m
-	a.moves = append(slices.DeleteFunc(a.moves, func(t *Task) bool { return !t.moving(now) }), t)
+	a.moves = append(slices.DeleteFunc(a.moves, func(t *Task) bool { return !t.Moving(now) }), t)
 }
 
 // MovingTasks returns the tasks for which room is held on the VM that they move to.
 func (a *Accountant) MovingTasks(now time.Time) []*Task {
 	var found []*Task
 	for _, t := range a.moves {
-		if t.moving(now) && t.Step.Occurrence.Job.Startable() && !t.RunsOn(a.VMs[t.Moves.To]) {
+		if t.Moving(now) && t.Step.Occurrence.Job.Startable() && !t.RunsOn(a.VMs[t.Moves.To]) {
 			found = append(found, t)
 		}
 	}
 	return found
 }
 
-func (t *Task) moving(now time.Time) bool {
+// Moving tells whether room is held for the task on the VM that it moves to.
+func (t *Task) Moving(now time.Time) bool {
 	if t.Moves.To == "" {
 		return false
 	}
@@ -120,7 +121,7 @@
 
 // Waiting tells whether the task keeps off a VM for the sake of the one it moves to.
 func (t *Task) Waiting(vm string, now time.Time) bool {
-	return t.moving(now) && t.Moves.To != vm
+	return t.Moving(now) && t.Moves.To != vm
 }
 
 // ID returns the name of the task.
--- a/internal/job/planner/claim.go
+++ b/internal/job/planner/claim.go
@@ -17,7 +17,8 @@
 	// returnAfter is how long a lasting task that was at work is away before it goes ahead
 	// of all other tasks, whatever their priority.
 	returnAfter = 3 * time.Second
-	// pressedAway is the same while urgent tasks wait: others yield then in its place.
+	// pressedAway is the same while urgent tasks wait: another lasting task is away then in its
+	// place.
 	pressedAway = 6 * time.Second
 	// claimsAtOnce is how many tasks a round holds room for, and claimVMs the VMs for each of
 	// them on a larger fleet; those that waited longest come first.
@@ -55,7 +56,7 @@
 			starts = append(starts, r.place(t, best, r.state.NextNumber(t)))
 		} else {
 			full[s] = true
-			r.claim(t)
+			r.claimUnlessTurn(t)
 		}
 	}
 	return starts
@@ -135,6 +136,16 @@
 	return true
 }
 
+// claimUnlessTurn lets an overdue task claim room unless another lasting task is about to make
+// room for it.
+func (r *round) claimUnlessTurn(t *accountant.Task) {
+	if r.pressed() && r.now.Sub(t.WaitSince) < pressedAway+turnWait {
+		r.claimed++
+		return
+	}
+	r.claim(t)
+}
+
 // claim holds room for a task that fits nowhere on the VM that will have enough first.
 func (r *round) claim(t *accountant.Task) {
 	if r.claimed++; r.claimed > max(claimsAtOnce, len(r.rooms)/claimVMs) {
--- a/internal/job/planner/claim_test.go
+++ b/internal/job/planner/claim_test.go
@@ -60,6 +60,11 @@
 			run.Task.Yielded = true
 			r.stop(run)
 		}
+		for _, t := range Turns(in) {
+			r.state.SetMove(t.Task, t.Moving(r.now), r.now)
+			t.Run.Task.Yielded = true
+			r.stop(t.Run)
+		}
 		for _, run := range Preemptions(in) {
 			r.stop(run)
 		}
@@ -257,3 +262,49 @@
 		t.Errorf("starts %v, want the task of job 2", places(starts))
 	}
 }
+
+// Guards against urgent tasks that starve where a fleet is too small for them and the lasting
+// ones: these come back in the place of others of their kind, one for one.
+func TestLastingTasksTakeTurnsWhileUrgentOnesWait(t *testing.T) {
+	tests := []struct {
+		name    string
+		away    time.Duration
+		pressed bool
+		change  func(b *bed, lasting []*accountant.Job)
+		want    int
+	}{
+		{"one is overdue", pressedAway, true, func(*bed, []*accountant.Job) {}, 1},
+		{"away for a moment", pressedAway - time.Millisecond, true, func(*bed, []*accountant.Job) {}, 0},
+		{"no urgent task waits", time.Minute, false, func(*bed, []*accountant.Job) {}, 0},
+		{"one is about to make room for it", pressedAway, true, func(b *bed, lasting []*accountant.Job) {
+			task := lasting[0].Occurrences[0].Steps[0].Tasks[0]
+			b.state.SetMove(task, Turn{Run: lasting[1].Occurrences[0].Steps[0].Tasks[0].Runs[0]}.Moving(begin), begin)
+		}, 0},
+		{"the users of the others can't spare any", pressedAway, true, func(_ *bed, lasting []*accountant.Job) {
+			for _, j := range lasting[1:] {
+				j.Spec.Steps[0].MaxAway = 1
+			}
+		}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b, lasting := fullFleet()
+			task := lasting[0].Occurrences[0].Steps[0].Tasks[0]
+			b.state.EndRun(task.Runs[0].VM, task.Runs[0].Key(), accountant.EndStopped, "", begin)
+			b.fill(task)
+			task.WaitSince = begin.Add(-tt.away)
+			tt.change(b, lasting)
+			in := Input{Now: begin, State: b.state}
+			if tt.pressed {
+				in.PressedAt = begin
+			}
+			turns := Turns(in)
+			if len(turns) != tt.want {
+				t.Fatalf("%d turns, want %d", len(turns), tt.want)
+			}
+			if tt.want == 1 && (turns[0].Task != task || turns[0].Run.Step() == task.Step) {
+				t.Errorf("turn %+v", turns[0])
+			}
+		})
+	}
+}
--- a/internal/job/planner/yield.go
+++ b/internal/job/planner/yield.go
@@ -36,7 +36,7 @@
 	if need == 0 {
 		return nil, false
 	}
-	lasting, away, overdue := int64(0), int64(0), false
+	lasting, away := int64(0), int64(0)
 	for _, s := range in.State.OpenSteps() {
 		if !s.Spec.Lasting {
 			continue
@@ -46,15 +46,11 @@
 			if t.Ran && t.Away() {
 				away += s.Spec.Needs.CPUMillis
 			}
-			overdue = overdue || t.Ran && t.Waits(r.now) && r.now.Sub(t.WaitSince) >= pressedAway
 			if r := t.Lead(); r != nil && r.State == accountant.Stopping {
 				need -= s.Spec.Needs.CPUMillis // on its way out
 			}
 		}
 	}
-	if overdue {
-		return nil, true // it would come back in the place of one that yields
-	}
 	for _, run := range r.yieldable() {
 		cpu := run.Step().Spec.Needs.CPUMillis
 		if need <= 0 || len(runs) == yieldsAtOnce || float64(away+cpu) > yieldMost*float64(lasting) {
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -202,6 +202,7 @@
 	o.stopUnwanted()
 	o.tellOverdueStops(now)
 	o.yield(now)
+	o.takeTurns(now)
 	o.judge(now)
 	o.askAdvice(ctx, now)
 	o.pace(now)
@@ -341,6 +342,16 @@
 	}
 }
 
+// takeTurns stops lasting tasks in whose place others come back that have been away for long.
+func (o *owner) takeTurns(now time.Time) {
+	for _, t := range planner.Turns(o.input(now)) {
+		if o.orderStop(t.Run, "takes turns with a lasting task") {
+			t.Run.Task.Yielded = true
+			o.state.SetMove(t.Task, t.Moving(now), now)
+		}
+	}
+}
+
 // evict stops filling tasks that stand nearly still and can go on elsewhere.
 func (o *owner) evict(now time.Time) {
 	for _, r := range planner.Evictions(o.input(now)) {
