Let all jobs take their share of yields and turns

Cause: the runs that yield were those of the most work first, so the tasks of the largest jobs yielded for all others, again and again.

Change: those yield first of whose step the smallest share is away; the most work decides between equal ones. In a round one task of a step at most takes a turn.

--- a/internal/job/planner/turn.go
+++ b/internal/job/planner/turn.go
@@ -46,6 +46,7 @@
 	}
 	r.openRooms()
 	candidates := r.yieldable()
+	stops := make(map[*accountant.Step]bool) // one of a step in a round
 	for _, t := range overdue {
 		if len(turns) == max(turnsAtOnce, len(r.rooms)/turnVMs) {
 			break
@@ -53,10 +54,10 @@
 		if t.Moving(r.now) {
 			continue
 		}
-		for i, run := range candidates {
-			if run != nil && r.takesTurn(run, t) {
+		for _, run := range candidates {
+			if !stops[run.Step()] && r.takesTurn(run, t) {
 				turns = append(turns, Turn{run, t})
-				candidates[i] = nil
+				stops[run.Step()] = true
 				break
 			}
 		}
--- a/internal/job/planner/yield.go
+++ b/internal/job/planner/yield.go
@@ -93,21 +93,29 @@
 	})
 }
 
-// yieldable returns the lasting runs that may yield, those first whose users lose least
-// for each processor.
+// yieldable returns the lasting runs that may yield, those first of whose step the smallest
+// share is away, and of equal ones those of the most work: the tasks of one large job would
+// yield for all others else.
 func (r *round) yieldable() []*accountant.Run {
 	var runs []*accountant.Run
+	away := make(map[*accountant.Step]float64)
+	work := make(map[*accountant.Step]float64)
 	for _, m := range r.rooms {
 		for _, run := range lastingRuns(m.vm) {
-			if run.Step().Spec.MaxAway == 0 && len(run.Step().Tasks) > 1 && r.mayMove(run) {
-				runs = append(runs, run)
+			s := run.Step()
+			if s.Spec.MaxAway > 0 || len(s.Tasks) == 1 || !r.mayMove(run) {
+				continue
 			}
+			if _, known := away[s]; !known {
+				gone := float64(s.Away())
+				away[s] = gone / float64(len(s.Tasks))
+				work[s] = (float64(len(s.Tasks)) - gone) * float64(s.Spec.Needs.CPUMillis)
+			}
+			runs = append(runs, run)
 		}
 	}
-	share := func(run *accountant.Run) float64 {
-		s := run.Step()
-		return 1 / (float64(len(s.Tasks)-s.Away()) * float64(s.Spec.Needs.CPUMillis))
-	}
-	slices.SortStableFunc(runs, func(a, b *accountant.Run) int { return cmp.Compare(share(a), share(b)) })
+	slices.SortStableFunc(runs, func(a, b *accountant.Run) int {
+		return cmp.Or(cmp.Compare(away[a.Step()], away[b.Step()]), cmp.Compare(work[b.Step()], work[a.Step()]))
+	})
 	return runs
 }
--- a/internal/job/planner/yield_test.go
+++ b/internal/job/planner/yield_test.go
@@ -149,3 +149,34 @@
 		}
 	}
 }
+
+// Guards against the tasks of the largest job yielding for all others: those yield first of
+// whose job the smallest share is away.
+func TestJobsTakeTheirShareOfYields(t *testing.T) {
+	b := newBed(specifier.Queue{Name: "lasting"}, specifier.Queue{Name: "urgent", Slack: 1.5})
+	large := b.job("lasting", specifier.Step{Count: 20, Needs: cores(8), Lasting: true})
+	small := b.job("lasting", specifier.Step{Count: 4, Needs: cores(8), Lasting: true})
+	tasks := append(large.Occurrences[0].Steps[0].Tasks, small.Occurrences[0].Steps[0].Tasks...)
+	for n, task := range tasks {
+		name := string(rune('a' + n/4))
+		vm := b.state.VMs[name]
+		if vm == nil {
+			vm = b.vm(name, "in", "r1", cores(32))
+		}
+		b.atWork(task, vm)
+	}
+	b.urgent("urgent", 400)
+	yielded := make(map[*accountant.Step]int)
+	for range 4 {
+		runs, _ := Yields(Input{Now: begin.Add(yieldAfter), State: b.state})
+		for _, run := range runs[:min(1, len(runs))] {
+			yielded[run.Step()]++
+			run.Task.Yielded = true
+			b.state.EndRun(run.VM, run.Key(), accountant.EndStopped, "", begin)
+			b.fill(run.Task)
+		}
+	}
+	if l, s := yielded[large.Occurrences[0].Steps[0]], yielded[small.Occurrences[0].Steps[0]]; l != 3 || s != 1 {
+		t.Errorf("%d of 20 and %d of 4 tasks yield", l, s)
+	}
+}
