--- a/internal/job/accountant/job.go
+++ b/internal/job/accountant/job.go
@@ -239,6 +239,20 @@
 	return found
 }
 
+// Left is the share of an occurrence's declared work that is in tasks that are not done.
+func (o *Occurrence) Left() float64 {
+	all, left := 0.0, 0.0
+	for _, s := range o.Steps {
+		each := s.Spec.CoreSeconds()
+		all += float64(len(s.Tasks)) * each
+		left += float64(len(s.Tasks)-s.Done) * each
+	}
+	if all <= 0 {
+		return 1
+	}
+	return left / all
+}
+
 func (s *Step) waits(now time.Time) bool {
 	for _, t := range s.Tasks {
 		if t.Waits(now) {
--- a/internal/job/accountant/measure.go
+++ b/internal/job/accountant/stretch.go
@@ -25,17 +25,3 @@
 	sample := min(float64(now.Sub(r.StartedAt))/float64(s.Estimate()), stretchMost)
 	a.stretches[queue] = mean + stretchRate*(sample-mean)
 }
-
-// Left is the share of an occurrence's declared work that is in tasks that are not done.
-func (o *Occurrence) Left() float64 {
-	all, left := 0.0, 0.0
-	for _, s := range o.Steps {
-		each := s.Spec.CoreSeconds()
-		all += float64(len(s.Tasks)) * each
-		left += float64(len(s.Tasks)-s.Done) * each
-	}
-	if all <= 0 {
-		return 1
-	}
-	return left / all
-}
--- a/internal/job/planner/move.go
+++ b/internal/job/planner/move.go
@@ -118,7 +118,7 @@
 
 // closedMost returns the VMs that keep most idle processors from the filling images that
 // want them, so that a round costs about the same on any fleet.
-func (m *mover) closedMost(on moves) []*room {
+func (m *mover) closedMost(on motion) []*room {
 	closed := make(map[*room]float64, len(m.rooms))
 	var rooms []*room
 	for _, room := range m.rooms {
@@ -271,8 +271,8 @@
 	return false
 }
 
-// moves are the moves under way.
-type moves struct {
+// motion is the moves under way.
+type motion struct {
 	away, most int                       // lasting tasks that are away by moves, and that may be
 	vms        map[string]bool           // that take part
 	steps      map[*accountant.Step]bool // that get the room
@@ -280,8 +280,8 @@
 
 // underway returns the moves whose tasks are not at work yet. One that waits for room for
 // long holds up no other.
-func underway(in Input) moves {
-	on := moves{vms: make(map[string]bool), steps: make(map[*accountant.Step]bool)}
+func underway(in Input) motion {
+	on := motion{vms: make(map[string]bool), steps: make(map[*accountant.Step]bool)}
 	all := 0
 	for _, s := range in.State.OpenSteps() {
 		if !s.Spec.Lasting {
--- a/internal/job/planner/room.go
+++ b/internal/job/planner/room.go
@@ -14,7 +14,7 @@
 // no room, though the fleet has enough: what is left is scattered over the VMs, or lies
 // where its job has as many tasks as may be on one VM. Without it the
 // task waits until a whole VM's worth of others has ended.
-func (r *round) roomForLasting(on moves) []Move {
+func (r *round) roomForLasting(on motion) []Move {
 	tries := 0
 	for _, s := range r.lastingFirstAway() {
 		if !s.Spec.Lasting || s.Spec.Gang || on.steps[s] || r.promised[s] || r.now.Sub(s.ReadyAt) < blockedFor {
@@ -49,7 +49,7 @@
 
 // makeRoom finds the smallest lasting run that can go elsewhere and in whose place a task
 // of the step fits.
-func (r *round) makeRoom(s *accountant.Step, count map[*accountant.VM]int, on moves) (best Move, ok bool) {
+func (r *round) makeRoom(s *accountant.Step, count map[*accountant.VM]int, on motion) (best Move, ok bool) {
 	for _, m := range r.rooms {
 		if on.vms[m.vm.Name] {
 			continue
