Count a job as started once a run of it was seen

Cause: a job counted as started, and its state became running, as soon as a start of it was ordered, and also when a report listed a run in doubt. A run in doubt that a new owner was told of was booked as one that the worker has had; it would then not have been stopped after its agent was replaced. Ruled out: the age of the count (it is the owner's own, asked at once); jobs of other queues. Change: a job has started once the worker lists a run of it or its end; until then it is queued and waits. A run in doubt that is adopted stays ordered until it is seen.

--- a/internal/job/accountant/report.go
+++ b/internal/job/accountant/report.go
@@ -211,6 +211,7 @@
 		r.Checkpoint = rep.Checkpoint
 	}
 	if rep.Confirmed {
+		r.Step().Occurrence.Job.noteStarted()
 		r.Measure = rep.Measure
 		r.moved(rep.Progress)
 	}
--- a/internal/job/accountant/run.go
+++ b/internal/job/accountant/run.go
@@ -40,8 +40,13 @@
 		r.VM.Lasting++
 		r.VM.LastCPU += spec.Needs.CPUMillis
 	}
-	t.Step.Occurrence.Job.Started = true
-	if j := t.Step.Occurrence.Job; j.State == JobQueued {
+}
+
+// noteStarted counts a job as started: a run of it was seen. An order alone may never be
+// carried out.
+func (j *Job) noteStarted() {
+	j.Started = true
+	if j.State == JobQueued {
 		j.State = JobRunning // told from memory: nothing is lost if it is forgotten
 	}
 }
@@ -184,6 +189,7 @@
 	if t == nil {
 		return
 	}
+	t.Step.Occurrence.Job.noteStarted()
 	t.LastNumber = max(t.LastNumber, key.Number)
 	if checkpoint != "" && t.Step.Spec.Checkpoints {
 		t.Checkpoint = checkpoint
@@ -233,13 +239,16 @@
 	a.unbook(r, now)
 }
 
-// adopt books a run that a worker has and this owner did not order.
+// adopt books a run that a worker has, or may still get, and this owner did not order.
 func (a *Accountant) adopt(vm *VM, rep ReportedRun, now time.Time) *Run {
 	t := a.Find(rep.Key.Task)
 	r := &Run{
 		Task: t, Number: rep.Key.Number, VM: vm, State: Running, OrderedAt: now, StartedAt: now,
 		Pace: fullPace, Resumed: true, MovedAt: now,
 	}
+	if !rep.Confirmed {
+		r.State, r.StartedAt = Ordered, time.Time{}
+	}
 	if t == nil {
 		t = stray(rep.Key.Task, rep.Needs)
 		r.Task, r.Unsized = t, rep.Needs == specifier.Resources{}
