Bound each start, so that a doubt holds its task for a second

Cause: a start that nobody answered could be carried out at any time within 12 s, also after the agent's process was replaced. So its task was held until a stop was answered, in each life of the worker and by each process of the agent anew; and where the late copy came to a new life before the agent's first call there, nothing held it. Ruled out: a lease that withholds starts from a new life (the platform refuses a start by its own bound, not by the lease); clocks as a fence between lives (they begin anew at a random value). Change: a start names the life that it is meant for and is void 0.8 s after it was sent, on the worker's clock. It holds its task until a look sent after that does not list it, its stop is answered, or the worker's leases or life are over; what was on its way as the life changed is stopped in the new one first. What earlier processes had in doubt is stopped in each new life as before, but holds no task and is not reported as a run. A grant has the look that waits sent again, so that what starts has a lease from looks at once. The stand-in executor now refuses a late start as the platform does: when it names another life, or after its own bound. Its leases are renewed by looks as before. Looks follow at once where they settle a doubt; stops that get no answer pause for up to 0.4 s in place of 50 ms.

--- a/internal/job/accountant/doubt_test.go
+++ b/internal/job/accountant/doubt_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"bamboospread/internal/job/specifier"
 )
 
 // Guards against starts in doubt that are forgotten with the process of the agent that sent
@@ -53,3 +55,32 @@
 		})
 	}
 }
+
+// Guards against a task that waits for a start that was ordered for a life of the worker that
+// is over: the new life refuses it, and the agent's new process is told to see to that.
+func TestUncertainRunsEndWithTheLifeOfTheWorker(t *testing.T) {
+	tests := []struct {
+		name           string
+		life           string
+		booked, doubts int
+	}{
+		{"the same life", "1", 1, 0},
+		{"another life", "2", 0, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := newState(t, 3)
+			j := addJob(t, a, 1, specifier.Step{Count: 1, Needs: oneCore})
+			vm, _ := a.Attach(Facts{Name: "vm", Capacity: eightCore}, Report{Life: "1", Process: 1, Ready: true}, at(0))
+			waiting := a.Find(task(1, 0, 0))
+			a.Place(waiting, vm, 1, at(0))
+			a.Attach(Facts{Name: "vm", Capacity: eightCore}, Report{Life: tt.life, Process: 2, Ready: true}, at(10))
+			if got := len(vm.UncertainRuns()); got != tt.booked || j.runs() != tt.booked {
+				t.Errorf("%d runs are booked, %d of them uncertain, want %d", j.runs(), got, tt.booked)
+			}
+			if got := len(vm.Inherited(at(20))); got != tt.doubts {
+				t.Errorf("%d starts are told to the new process, want %d", got, tt.doubts)
+			}
+		})
+	}
+}
--- a/internal/job/accountant/report.go
+++ b/internal/job/accountant/report.go
@@ -167,6 +167,7 @@
 		listed[r.Key] = true
 	}
 	if vm.Life != rep.Life {
+		vm.releaseUncertain(now)
 		vm.Life, vm.EndSeen, vm.EndStored, vm.Health, vm.Harm, vm.Speed = rep.Life, 0, 0, Health{}, Harm{}, Speed{}
 	}
 	vm.Version++
--- a/internal/standin/executor/calls.go
+++ b/internal/standin/executor/calls.go
@@ -32,13 +32,20 @@
 
 // handle registers an order; do runs with the lock held and tasks up to date. With
 // the fault "late" an order that may be late gets no answer and is carried out
-// later, also by another life of the executor.
+// later. Another life of the executor than the one that it names refuses it then, too.
 func handle[C any](e *Executor, path string, mayBeLate bool, do func(C) (int, any)) {
 	e.mux.HandleFunc("POST "+path, func(rw http.ResponseWriter, r *http.Request) {
 		var c C
 		if !server.ReadJSON(rw, r, &c) {
 			return
 		}
+		carryOutLocked := func() (int, any) {
+			if want := r.Header.Get(steerer.HeaderLife); want != "" && want != e.lifeName() {
+				return refusal(guardian.RefusedLife)
+			}
+			e.advanceLocked()
+			return do(c)
+		}
 		e.mu.Lock()
 		late := time.Duration(e.faults.LateMillis) * time.Millisecond
 		if e.faults.Silent || mayBeLate && late > 0 {
@@ -48,21 +55,14 @@
 				time.AfterFunc(late, func() {
 					e.mu.Lock()
 					defer e.mu.Unlock()
-					e.advanceLocked()
-					do(c)
+					carryOutLocked()
 				})
 			}
 			<-r.Context().Done()
 			return
 		}
 		defer e.mu.Unlock()
-		if want := r.Header.Get(steerer.HeaderLife); want != "" && want != e.lifeName() {
-			status, body := refusal(guardian.RefusedLife)
-			server.WriteJSON(rw, status, body)
-			return
-		}
-		e.advanceLocked()
-		status, body := do(c)
+		status, body := carryOutLocked()
 		server.WriteJSON(rw, status, body)
 	})
 }
@@ -104,7 +104,7 @@
 		return http.StatusOK, struct{}{}
 	case c.Run <= e.marks[c.Task] || r != nil && c.Run < r.number:
 		return refusal(guardian.RefusedRun)
-	case e.clockLocked() > e.leaseEnd:
+	case e.clockLocked().Milliseconds() > c.LeaseMillis:
 		return refusal(guardian.RefusedLease)
 	case e.faults.Refuse:
 		return refusal(guardian.RefusedUnhealthy)
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -38,11 +38,13 @@
 type run struct {
 	state      runState
 	needs      specifier.Resources
-	known      bool      // needs are known
-	settledAt  time.Time // when its start or stop was answered; a look sent later shows the truth
-	stopped    bool      // its stop was answered
-	doubt      bool      // its start was not answered, and may be carried out later
-	confirmed  bool      // an answer or a look has shown that the worker has, or had, it
+	known      bool          // needs are known
+	settledAt  time.Time     // when its start or stop was answered; a look sent later shows the truth
+	stopped    bool          // its stop was answered
+	doubt      bool          // its start was not answered, and may be carried out later
+	confirmed  bool          // an answer or a look has shown that the worker has, or had, it
+	voidAfter  time.Duration // on the worker's clock: refused if it comes later; 0: not known yet
+	callEnd    time.Time     // when the call that starts it was answered or given up; zero: not yet
 	checkpoint string
 	progress   int
 	measure    int64
@@ -63,7 +65,7 @@
 	life        string // of the worker; empty until it was seen
 	leaving     bool
 	runs        map[accountant.RunKey]*run
-	doubts      map[accountant.RunKey]time.Time // starts without an answer, by when they were sent
+	doubts      map[accountant.RunKey]doubt // starts without an answer
 	ends        []SeenEnd
 	endsStored  int64
 	epoch       int64
@@ -84,6 +86,7 @@
 	leaseEnd    time.Time          // when leases asked for have surely run out
 	hurry       context.CancelFunc // ends the look that waits
 	looked      int64              // epoch of the last look that was answered in this life
+	aliveAt     time.Time          // when that look was sent; zero: none was answered in this life
 	context     context.Context
 }
 
@@ -91,7 +94,7 @@
 func New(c Config) *Guardian {
 	now := c.Now()
 	return &Guardian{
-		config: c, wake: make(chan struct{}, 1), runs: make(map[accountant.RunKey]*run), doubts: make(map[accountant.RunKey]time.Time), context: context.Background(),
+		config: c, wake: make(chan struct{}, 1), runs: make(map[accountant.RunKey]*run), doubts: make(map[accountant.RunKey]doubt), context: context.Background(),
 		session: now.UnixMilli(), process: now.UnixMilli(),
 		// An earlier process may have asked for the longest lease just before it ended.
 		// Without this, one look without an answer before the first lease of this
@@ -130,17 +133,20 @@
 	}
 }
 
-// beginLifeLocked notes that the worker has forgotten everything. Starts that were
-// not answered may still come to the new life, so they are stopped there before
-// the owner hears that they are gone.
+// beginLifeLocked notes that the worker has forgotten everything, orders that it had not
+// carried out yet included. A start that was still being sent after the life before last
+// answered may have come to the new life instead: it is stopped there before the owner
+// hears that it is gone.
 func (g *Guardian) beginLifeLocked(life string) {
 	if g.life != "" {
 		g.config.Reporter.Report(reporter.WorkerReborn, reporter.Fields{"life": life, "before": g.life, "runs": len(g.runs)})
 	}
-	g.life, g.ends, g.endsStored, g.clockAt, g.looked = life, nil, 0, time.Time{}, 0
+	aliveAt := g.aliveAt
+	g.life, g.ends, g.endsStored, g.clockAt, g.looked, g.aliveAt = life, nil, 0, time.Time{}, 0, time.Time{}
 	for key, r := range g.runs {
+		r.voidAfter = neverVoid // it was bounded on another clock
 		switch {
-		case !r.doubt:
+		case !r.doubt, !r.callEnd.IsZero() && r.callEnd.Before(aliveAt):
 			delete(g.runs, key)
 		case r.state != stopping:
 			g.stopLocked(key, r, "worker reborn")
@@ -149,9 +155,7 @@
 			go g.stop(g.context, key)
 		}
 	}
-	for key := range g.doubts {
-		g.stopDoubtLocked(key, "worker reborn")
-	}
+	g.fenceDoubtsLocked()
 	g.signal()
 }
 
@@ -254,7 +258,8 @@
 	g.gap = time.Duration(reply.GapMillis) * time.Millisecond
 	if until := sentAt.Add(time.Duration(reply.GrantMillis) * time.Millisecond); until.After(g.grantUntil) {
 		if !g.grantUntil.After(g.config.Now()) {
-			g.signal() // the owner orders nothing before it hears of the grant
+			g.signal()      // the owner orders nothing before it hears of the grant
+			g.hurryLocked() // the look that waits asks for no lease
 		}
 		g.grantUntil = until
 	}
@@ -267,6 +272,7 @@
 	for _, d := range reply.Doubts {
 		g.inheritLocked(d)
 	}
+	g.fenceDoubtsLocked()
 	return true
 }
 
@@ -284,8 +290,13 @@
 	}
 	g.config.Reporter.Report(reporter.OwnerFollowed, reporter.Fields{"epoch": epoch, "before": g.epoch})
 	g.epoch = epoch
+	g.hurryLocked() // the look that waits has the old epoch
+}
+
+// hurryLocked ends the look that waits, so that another one follows at once.
+func (g *Guardian) hurryLocked() {
 	if g.hurry != nil {
-		g.hurry() // the look that waits has the old epoch
+		g.hurry()
 	}
 }
 
--- a/internal/worker/guardian/look.go
+++ b/internal/worker/guardian/look.go
@@ -43,7 +43,7 @@
 
 // look makes one look at the worker, which also renews the leases.
 func (g *Guardian) look(ctx context.Context) {
-	call, sentAt := g.nextLook()
+	call, from := g.nextLook()
 	limit, cancel := context.WithTimeout(ctx, call.Wait+lookLimit)
 	defer cancel()
 	hurried, hurry := context.WithCancel(limit)
@@ -60,13 +60,13 @@
 		_ = pauser.Pause(ctx, lookPause)
 		return
 	}
-	if !g.take(seen, call, sentAt) && call.Wait > 0 && g.config.Now().Sub(sentAt) < lookAgain {
+	if !g.take(seen, call, from) && call.Wait > 0 && g.config.Now().Sub(from.sentAt) < lookAgain {
 		_ = pauser.Pause(ctx, lookAgain)
 	}
 }
 
 // take takes the answer of a look in and tells whether it has news besides figures.
-func (g *Guardian) take(seen Look, call LookCall, sentAt time.Time) bool {
+func (g *Guardian) take(seen Look, call LookCall, from lookStart) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.looksFailed, g.looksAbsent = 0, 0
@@ -85,11 +85,21 @@
 		g.looked = call.Epoch
 		g.signal()
 	}
-	g.clock, g.clockAt = seen.Clock, g.config.Now()
-	return g.applyLocked(seen, sentAt)
+	g.clock, g.clockAt, g.aliveAt = seen.Clock, g.config.Now(), from.sentAt
+	if from.life != seen.Life {
+		from.clock = 0
+	}
+	return g.applyLocked(seen, from)
+}
+
+// lookStart is what was known when a look was sent.
+type lookStart struct {
+	sentAt time.Time
+	life   string        // of the worker
+	clock  time.Duration // which the worker's clock has passed; 0: not known
 }
 
-func (g *Guardian) nextLook() (LookCall, time.Time) {
+func (g *Guardian) nextLook() (LookCall, lookStart) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
@@ -100,10 +110,35 @@
 	// Reports, and with them all starts, wait for the first look in a life of the
 	// worker and under an epoch. Where nothing ends it would be answered only after its
 	// whole wait, up to 1 s after each change of owner.
-	if g.clockAt.IsZero() || g.looked != g.epoch {
+	if g.clockAt.IsZero() || g.looked != g.epoch || g.settlesDoubtLocked() {
 		call.Wait = 0
 	}
-	return call, now
+	from := lookStart{sentAt: now, life: g.life}
+	if !g.clockAt.IsZero() {
+		from.clock = g.clock
+	}
+	return call, from
+}
+
+// settlesDoubtLocked tells whether the next look shows what became of a start that was not
+// answered. Its task waits for that.
+func (g *Guardian) settlesDoubtLocked() bool {
+	for _, r := range g.runs {
+		if r.doubt && (r.stopped || r.void(g.clock)) {
+			return true
+		}
+	}
+	return false
+}
+
+// startUntilLocked returns until when a start that is sent now may be carried out, on the
+// worker's clock. What has begun then goes on under the lease that looks renew.
+func (g *Guardian) startUntilLocked(now time.Time) time.Duration {
+	lease := g.leaseLocked(now)
+	if lease <= 0 {
+		return 0
+	}
+	return min(lease, g.clock+now.Sub(g.clockAt)+startLife)
 }
 
 // leaseLocked returns until when leases may run, on the worker's clock, or 0. The
@@ -149,18 +184,17 @@
 	if len(g.runs) == 0 || !g.endedLocked() {
 		return
 	}
-	// Whatever ran has ended. Starts that were not answered may still come for a while.
+	// Whatever ran has ended. A start that was not answered may still come for a while.
 	for key, r := range g.runs {
-		if at, noted := g.doubts[key]; !r.doubt || noted && now.Sub(at) >= accountant.DoubtLife {
+		if !r.doubt || !r.callEnd.IsZero() && now.Sub(r.callEnd) > leaseOver(startLife)+startSlack {
 			delete(g.runs, key)
 		}
 	}
 	g.signal()
 }
 
-// applyLocked takes the lists of a look that was sent at sentAt and tells whether they
-// have news besides figures.
-func (g *Guardian) applyLocked(seen Look, sentAt time.Time) (news bool) {
+// applyLocked takes the lists of a look and tells whether they have news besides figures.
+func (g *Guardian) applyLocked(seen Look, from lookStart) (news bool) {
 	at := make(map[accountant.RunKey]bool, len(seen.Runs))
 	for _, s := range seen.Runs {
 		key := accountant.RunKey{Task: s.Task, Number: s.Run}
@@ -176,7 +210,7 @@
 		}
 		r.doubt, r.confirmed = false, true
 		delete(g.doubts, key) // its one copy has come
-		g.stopAgainLocked(key, r, sentAt)
+		g.stopAgainLocked(key, r, from.sentAt)
 		if r.state == starting {
 			r.state = running
 			news = true
@@ -185,11 +219,15 @@
 	}
 	news = g.takeEndsLocked(seen.Ends) || news
 	for key, r := range g.runs {
-		// A look that was sent after the start or the stop was answered shows
-		// whether the worker has the run.
-		if !at[key] && r.gone(sentAt) {
+		// A look that was sent after the start or the stop was answered, or after the
+		// start has become void, shows whether the worker has the run.
+		if !at[key] && (r.gone(from.sentAt) || r.void(from.clock)) {
 			delete(g.runs, key)
 			news = true
+			continue
+		}
+		if r.doubt && r.voidAfter == 0 && r.state == stopping { // sent by an earlier process
+			r.voidAfter = seen.Clock + startLife + startSlack
 		}
 	}
 	if news || len(seen.Runs) > 0 && g.config.Now().Sub(g.reportedAt) >= max(figuresEvery, figuresGaps*g.gap) {
@@ -213,6 +251,12 @@
 	go g.stop(g.context, key)
 }
 
+// void tells whether a start that was not answered can't be carried out any more; clock is
+// what the worker's clock had passed when a look was sent that does not list the run.
+func (r *run) void(clock time.Duration) bool {
+	return r.doubt && r.state == stopping && r.voidAfter > 0 && clock > r.voidAfter
+}
+
 func (r *run) gone(lookSentAt time.Time) bool {
 	switch r.state {
 	case starting:
--- a/internal/worker/guardian/orders.go
+++ b/internal/worker/guardian/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"bamboospread/internal/job/accountant"
@@ -17,9 +18,18 @@
 const (
 	// callLimit is how long an answer may take. The worker answers in
 	// milliseconds; the rest is for this process on its share of a processor.
-	callLimit   = 600 * time.Millisecond
-	callPause   = 50 * time.Millisecond // before a repeat
-	startTries  = 4                     // of a start that no process listens for
+	callLimit    = 600 * time.Millisecond
+	callPause    = 50 * time.Millisecond  // before a repeat
+	callPauseMax = 400 * time.Millisecond // it doubles up to this
+	startTries   = 4                      // of a start that no process listens for
+	// startLife is how long after it was sent a start may be carried out. An answer that
+	// takes longer than callLimit changes nothing, and the worker refuses the start by its
+	// own clock: no longer than this is a task held for a start that nobody answers.
+	startLife = 800 * time.Millisecond
+	// startSlack is by how much the worker's clock may be behind what an agent takes it for.
+	startSlack = 100 * time.Millisecond
+	// neverVoid is the bound of a start that the worker may carry out at any time.
+	neverVoid   = time.Duration(math.MaxInt64)
 	orderMaxAge = 1500 * time.Millisecond
 )
 
@@ -81,14 +91,14 @@
 		}
 		ctx, cancel := context.WithCancel(g.context)
 		g.runs[key] = &run{state: starting, doubt: true, needs: o.Needs, known: true, checkpoint: o.Checkpoint, cancel: cancel}
-		go g.start(ctx, key, o)
+		go g.start(ctx, key, g.life, o)
 	case messenger.WorkStop:
 		r := g.runs[key]
 		if r == nil {
 			// A start that an earlier process of this agent sent may still be carried
 			// out: the stop makes the worker refuse it, and until that is sure the run
 			// is listed and the owner starts its task nowhere else.
-			r = &run{state: running, doubt: true}
+			r = &run{state: running, doubt: true, callEnd: g.config.Now()}
 			g.runs[key] = r
 			g.noteDoubtLocked(key)
 		}
@@ -125,8 +135,8 @@
 // carried out by itself, and a worker that has begun another life meanwhile knows nothing
 // of the copy that ran before. What the worker has is then shown by looks; a start that
 // none of them shows is stopped.
-func (g *Guardian) start(ctx context.Context, key accountant.RunKey, o messenger.WorkOrder) {
-	call, err := g.sendStart(ctx, key, o)
+func (g *Guardian) start(ctx context.Context, key accountant.RunKey, life string, o messenger.WorkOrder) {
+	call, err := g.sendStart(ctx, key, life, o)
 	if ctx.Err() != nil { // ended, stopped or reborn meanwhile
 		if err != nil {
 			g.noteDoubt(key)
@@ -155,11 +165,14 @@
 
 // sendStart makes the call of a start. It is repeated only while no process listens where
 // the worker was: nothing was sent then.
-func (g *Guardian) sendStart(ctx context.Context, key accountant.RunKey, o messenger.WorkOrder) (call StartCall, err error) {
+func (g *Guardian) sendStart(ctx context.Context, key accountant.RunKey, life string, o messenger.WorkOrder) (call StartCall, err error) {
 	for range startTries {
-		call = StartCall{Task: key.Task, Run: key.Number, Payload: o.Payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket}
+		call = StartCall{Task: key.Task, Run: key.Number, Payload: o.Payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Life: life}
 		g.mu.Lock()
-		call.Epoch, call.LeaseUntil = g.epoch, g.leaseLocked(g.config.Now())
+		call.Epoch, call.Until = g.epoch, g.startUntilLocked(g.config.Now())
+		if r := g.runs[key]; r != nil && r.state == starting {
+			r.voidAfter = call.Until
+		}
 		g.mu.Unlock()
 		limit, cancel := context.WithTimeout(ctx, callLimit)
 		err = g.config.Worker.Start(limit, call)
@@ -207,6 +220,7 @@
 // stop asks the worker to stop a run until it answers. From then on the worker
 // refuses the run, and a look shows whether it still takes room.
 func (g *Guardian) stop(ctx context.Context, key accountant.RunKey) {
+	pause := callPause
 	for ctx.Err() == nil {
 		g.mu.Lock()
 		r, epoch, life := g.runs[key], g.epoch, g.life
@@ -224,7 +238,8 @@
 			continue
 		}
 		g.config.Reporter.Report(reporter.StopUnanswered, reporter.Fields{"task": key.Task.String(), "run": key.Number, "error": err.Error()})
-		_ = pauser.Pause(ctx, callPause)
+		_ = pauser.Pause(ctx, pause)
+		pause = min(2*pause, callPauseMax)
 	}
 }
 
--- a/internal/worker/guardian/worker.go
+++ b/internal/worker/guardian/worker.go
@@ -19,7 +19,8 @@
 	Look  func(ctx context.Context, c LookCall) (Look, error)
 }
 
-// StartCall asks for a run. A run that the worker has already is confirmed.
+// StartCall asks for a run. A run that the worker has already is confirmed. A call that is
+// carried out late starts nothing once its time is over, nor in another life of the worker.
 type StartCall struct {
 	Task       specifier.TaskID
 	Run        int64
@@ -27,7 +28,8 @@
 	Checkpoint string
 	Ticket     string
 	Epoch      int64         // the worker refuses one below the highest it has seen
-	LeaseUntil time.Duration // on the worker's clock; of everything that runs there
+	Life       string        // of the worker; every other one refuses the call
+	Until      time.Duration // on the worker's clock, which refuses the call afterwards; all that runs there has a lease until then
 }
 
 // StopCall asks for the end of a run. Once it is answered, the worker refuses the
--- a/internal/worker/steerer/protocol.go
+++ b/internal/worker/steerer/protocol.go
@@ -17,7 +17,8 @@
 	PathLook  = "/v1/look"  // Look, Seen
 )
 
-// HeaderLife names the life of the executor that a call is meant for.
+// HeaderLife names the life of the executor that a call is meant for. Every other one refuses
+// it, whenever it is carried out.
 const HeaderLife = "Bamboospread-Executor-Life"
 
 // VM is what an executor says of itself.
@@ -36,7 +37,7 @@
 	Checkpoint  string `json:"checkpoint,omitempty"`
 	Ticket      string `json:"ticket,omitempty"`
 	Epoch       int64  `json:"epoch"`
-	LeaseMillis int64  `json:"lease-until-ms"`
+	LeaseMillis int64  `json:"lease-until-ms"` // all runs have a lease until then; refused afterwards
 }
 
 // Stop asks for the end of a run, or marks it so that it never starts.
--- a/internal/worker/steerer/steerer.go
+++ b/internal/worker/steerer/steerer.go
@@ -68,7 +68,7 @@
 
 func (s *Steerer) describe(ctx context.Context) error {
 	var vm VM
-	if err := s.call(ctx, http.MethodGet, PathVM, nil, &vm); err != nil {
+	if err := s.call(ctx, http.MethodGet, PathVM, s.lastLife(), nil, &vm); err != nil {
 		return err
 	}
 	s.mu.Lock()
@@ -81,7 +81,15 @@
 	return nil
 }
 
-func (s *Steerer) call(ctx context.Context, method, path string, body, answer any) error {
+// lastLife returns the life of the executor that last described itself.
+func (s *Steerer) lastLife() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.life
+}
+
+// call makes a call that is meant for one life of the executor.
+func (s *Steerer) call(ctx context.Context, method, path, life string, body, answer any) error {
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		return fmt.Errorf("encode %s: %w", path, err)
@@ -90,9 +98,7 @@
 	if err != nil {
 		return err
 	}
-	s.mu.Lock()
-	r.Header.Set(HeaderLife, s.life)
-	s.mu.Unlock()
+	r.Header.Set(HeaderLife, life)
 	reply, err := s.client.Do(r)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return guardian.ErrWorkerNotExist{Cause: err}
@@ -118,23 +124,23 @@
 }
 
 func (s *Steerer) start(ctx context.Context, c guardian.StartCall) error {
-	return s.call(ctx, http.MethodPost, PathStart, Start{
+	return s.call(ctx, http.MethodPost, PathStart, c.Life, Start{
 		Task: c.Task.String(), Run: c.Run, Payload: c.Payload, Checkpoint: c.Checkpoint, Ticket: c.Ticket,
-		Epoch: c.Epoch, LeaseMillis: millis(c.LeaseUntil),
+		Epoch: c.Epoch, LeaseMillis: millis(c.Until),
 	}, nil)
 }
 
 func (s *Steerer) stop(ctx context.Context, c guardian.StopCall) error {
-	return s.call(ctx, http.MethodPost, PathStop, Stop{Task: c.Task.String(), Run: c.Run, Epoch: c.Epoch}, nil)
+	return s.call(ctx, http.MethodPost, PathStop, s.lastLife(), Stop{Task: c.Task.String(), Run: c.Run, Epoch: c.Epoch}, nil)
 }
 
 func (s *Steerer) pace(ctx context.Context, c guardian.PaceCall) error {
-	return s.call(ctx, http.MethodPost, PathPace, Pace{Task: c.Task.String(), Run: c.Run, Percent: c.Percent, Epoch: c.Epoch}, nil)
+	return s.call(ctx, http.MethodPost, PathPace, s.lastLife(), Pace{Task: c.Task.String(), Run: c.Run, Percent: c.Percent, Epoch: c.Epoch}, nil)
 }
 
 func (s *Steerer) look(ctx context.Context, c guardian.LookCall) (guardian.Look, error) {
 	var a Seen
-	if err := s.call(ctx, http.MethodPost, PathLook, Look{Epoch: c.Epoch, Seen: c.Seen, LeaseMillis: millis(c.LeaseUntil), WaitMillis: millis(c.Wait)}, &a); err != nil {
+	if err := s.call(ctx, http.MethodPost, PathLook, s.lastLife(), Look{Epoch: c.Epoch, Seen: c.Seen, LeaseMillis: millis(c.LeaseUntil), WaitMillis: millis(c.Wait)}, &a); err != nil {
 		return guardian.Look{}, err
 	}
 	l := guardian.Look{Life: a.Life, Clock: time.Duration(a.ClockMillis) * time.Millisecond}
