Start nothing by a policy that was read too long ago

What callers would see: tasks start in an availability zone for as long as the store refuses only the reads of the operators' records, however long ago the zone was taken out, and in services that no queue names any more (docs/PROOFS.md, not proved: "not bounded"). Cause: the owner stops when it can't renew its ownership. A renewal is another call than a read, with another limit, so it can go on while reads are refused; the age of the policy was known and only the entries' answers looked at it. Evidence: read from the code, and the new test: with the check taken out an owner that has never read a policy, or whose policy is older than 3 s, orders a start. Ruled out: agents as a second guard (they know no zones); handing the ownership over (it is done by the lease when writes fail too). Change: nothing starts, moves, yields or is pre-empted while the policy was surely the newest more than 3 s ago; event 935 tells of it. Watches prove each second that it is. Where the product keeps its own fleet text the same holds for that, and for one that can't be read. Elsewhere: the cell of tasks asks the store before each start already (0.8 s).

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,7 @@
 	mu         sync.Mutex // guards what follows and writes of current
 	revision   int64      // of the store, up to which all changes were seen
 	known      bool       // the store was read at least once
+	readAt     time.Time  // when the last read of the store that was answered was sent
 	unreadable int64      // version of the record in the store, if it could not be read
 	judgedAt   int64      // the store's revision of the record by which that was told
 	texts      map[int64]string
@@ -167,6 +169,17 @@
 	return err
 }
 
+// Age is how long ago the fleet held was surely the newest. It is beyond all bounds while the
+// store has one that can't be read.
+func (f *Follower) Age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.readAt.IsZero() || f.unreadable > f.Version() {
+		return math.MaxInt64
+	}
+	return f.config.Now().Sub(f.readAt)
+}
+
 // Refresh makes one call to the store, and returns a fleet that was the newest
 // at some moment after the call of Refresh began.
 func (f *Follower) Refresh(ctx context.Context) (*describer.Fleet, error) {
@@ -198,6 +211,7 @@
 
 // read reads the record and the store's revision in one call.
 func (f *Follower) read(ctx context.Context) error {
+	sentAt := f.config.Now()
 	found, err := f.config.Keeper.FindRecords(ctx, keeper.ListOptions{Prefix: recorder.Key, Limit: 1})
 	if err != nil {
 		return err
@@ -216,12 +230,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	// Not the highest seen: after a loss of its state the service counts anew.
-	f.known, f.revision = true, found.Revision
+	f.known, f.revision, f.readAt = true, found.Revision, sentAt
 	return nil
 }
 
 // watch takes the changes after a revision.
 func (f *Follower) watch(ctx context.Context, after int64, wait time.Duration) error {
+	sentAt := f.config.Now()
 	result, err := f.config.Keeper.Watch(ctx, keeper.WatchOptions{Prefix: recorder.Key, After: after, Wait: wait})
 	if keeper.IsErrHistoryNotExist(err) {
 		// Every watch from this revision fails from now on, so the text held would
@@ -244,13 +259,13 @@
 			_ = f.take(c.Record.Value, fromStore, c.Record.Revision)
 		}
 	}
-	f.seen(result.Revision)
+	f.seen(result.Revision, sentAt)
 	return nil
 }
 
-// seen notes that all changes up to a revision were taken.
-func (f *Follower) seen(revision int64) {
+// seen notes that all changes up to a revision were taken, by a read sent at sentAt.
+func (f *Follower) seen(revision int64, sentAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision = max(f.revision, revision)
+	f.revision, f.readAt = max(f.revision, revision), sentAt
 }
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -33,6 +33,9 @@
 	// silence is how long an agent may send no report before nothing more is given
 	// to it. Agents report twice a second.
 	silence = 1500 * time.Millisecond
+	// policyTrust is how old the policy may be while tasks start by it. Watches prove each
+	// second that it is the newest; operators count on a zone that is out within 5 s.
+	policyTrust = 3 * time.Second
 	// keepEnded is how long an ended job is known. Callers ask for two minutes;
 	// late repeats of a submission come within seconds.
 	keepEnded   = 10 * time.Minute
@@ -82,6 +85,7 @@
 	dropAfter  time.Time            // VMs that are not heard are taken out of the members only after this
 	judged     map[string]time.Time // end of the quarantine that was told, by VM
 	settled    bool
+	stale      bool // the policy is too old to place by
 	followFrom int64
 	asking     bool // a question is on its way to the advising service
 	flushing   bool
@@ -201,19 +205,38 @@
 	o.watchVMs(now)
 	o.stopUnwanted()
 	o.tellOverdueStops(now)
-	o.yield(now)
-	o.takeTurns(now)
 	o.judge(now)
 	o.askAdvice(ctx, now)
 	o.pace(now)
+	o.rearrange(now)
+	o.tellWaits(now)
+	o.forget(now)
+}
+
+// rearrange stops what is to start elsewhere, or what others are to start in place of.
+func (o *owner) rearrange(now time.Time) {
+	if o.stalePolicy() {
+		return
+	}
+	o.yield(now)
+	o.takeTurns(now)
 	o.evict(now)
 	o.preempt(now)
 	if now.Sub(o.movedAt) >= moveGapOf(len(o.state.VMs)) {
 		o.movedAt = now
 		o.move(now)
 	}
-	o.tellWaits(now)
-	o.forget(now)
+}
+
+// stalePolicy tells whether the policy may lack a zone that operators have taken out: the
+// store may refuse its reads and still renew the ownership.
+func (o *owner) stalePolicy() bool {
+	age := o.s.config.PolicyAge()
+	if stale := age > policyTrust; stale != o.stale {
+		o.stale = stale
+		o.s.config.Reporter.Report(reporter.StartsHeld, reporter.Fields{"held": stale, "policy": o.state.Policy().Version, "policy-age": age.String()})
+	}
+	return o.stale
 }
 
 // watchVMs detaches VMs that are not heard and gives up what ran there once its
@@ -305,6 +328,9 @@
 }
 
 func (o *owner) startWaiting(now time.Time) {
+	if o.stalePolicy() {
+		return
+	}
 	for _, s := range planner.Plan(o.input(now)) {
 		if sess := o.sessions[s.VM.Name]; sess != nil && sess.granted && o.members[s.VM.Name] {
 			o.orderStart(sess, s, now)
--- /dev/null
+++ b/internal/job/scheduler/policy_test.go
@@ -0,0 +1,57 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"bamboospread/internal/job/accountant"
+	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/wire/messenger"
+)
+
+// Guards against starts in a zone that operators have taken out: the store refuses the reads of
+// the policy and still renews the ownership. What lasts is not stopped to start elsewhere then.
+func TestNothingStartsByAnOldPolicy(t *testing.T) {
+	tests := []struct {
+		name   string
+		age    time.Duration
+		starts int
+	}{
+		{"just read", time.Second, 1},
+		{"the longest", policyTrust, 1},
+		{"too old", policyTrust + time.Millisecond, 0},
+		{"never read", 1 << 62, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Now()
+			policy := &specifier.Policy{Version: 1, Queues: []specifier.Queue{{Name: "q", MaxFailures: 1, Slack: 2}}}
+			age := time.Duration(0)
+			s := New(Config{Cell: "jobs", Reporter: reporter.Discard(), Now: time.Now, Policy: func() *specifier.Policy { return policy }, PolicyAge: func() time.Duration { return age }})
+			state := accountant.New(accountant.Config{Policy: policy})
+			o := newOwner(s, 1, state, now)
+			o.members["vm-1"] = true
+			r := messenger.WorkReport{
+				VM: "vm-1", Session: 1, Life: "1", Ready: true, Granted: true,
+				Facts: &messenger.WorkFacts{Capacity: specifier.Resources{CPUMillis: 1000, MemoryMB: 1000}},
+			}
+			read, facts, err := readReport(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			e := reportMade{report: r, read: read, facts: facts, answer: make(chan messenger.WorkReply, 1)}
+			e.apply(o, now)
+			age = tt.age
+			state.AddJob(&specifier.Job{ID: "00000000000004d2", Queue: "q", Steps: []specifier.Step{{Count: 1, Needs: specifier.Resources{CPUMillis: 1}}}}, time.Time{}, now)
+			o.rearrange(now)
+			if got := !o.movedAt.IsZero(); got != (tt.starts > 0) {
+				t.Errorf("looked for moves: %t", got)
+			}
+			o.startWaiting(now)
+			if got := len(o.sessions["vm-1"].queued); got != tt.starts {
+				t.Errorf("%d starts ordered, want %d", got, tt.starts)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -63,6 +63,8 @@
 	// Patience is how long a vacant cell is left to other entries.
 	Patience time.Duration
 	Policy   func() *specifier.Policy
+	// PolicyAge is how long ago the policy was surely the newest; nil if it always is.
+	PolicyAge func() time.Duration
 	// Advise asks which workers may run a step and returns a ticket for each that
 	// may; nil if no service advises.
 	Advise func(ctx context.Context, step string, workers []string) (map[string]string, error)
@@ -89,6 +91,9 @@
 	if c.Lease <= 0 {
 		c.Lease = DefaultLease
 	}
+	if c.PolicyAge == nil {
+		c.PolicyAge = func() time.Duration { return 0 }
+	}
 	e := elector.New(elector.Config{
 		Cell: c.Cell, EntryID: c.EntryID, Address: c.Address, Lease: c.Lease, Now: c.Now, ReplaceOwn: true, Patience: c.Patience,
 		GetRecord: c.Store.GetRecord, CompareAndSwap: c.Store.CompareAndSwap, GrantLease: c.Store.GrantLease,
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -39,6 +39,7 @@
 	JobCancelSeen
 	OrdersNotTaken
 	JobStopOverdue
+	StartsHeld
 )
 
 // Events of jobs at agents, numbered from 950.
@@ -99,6 +100,7 @@
 	{OrdersNotTaken, log.WarnLevel, "orders not taken", "An agent refused orders or did not answer them; its session ends, and in the next one they are decided anew."},
 	{JobStopOverdue, log.WarnLevel, "stop overdue", "A run was ordered to stop long ago and its agent still lists it."},
 	{JobMoveDecided, log.InfoLevel, "move decided", "A lasting task is stopped to start anew on another VM, so that filling tasks that it keeps from its VM may run there."},
+	{StartsHeld, log.WarnLevel, "starts held", "The policy was read too long ago to start tasks by it: a zone may have been taken out since. With held=false they go on."},
 
 	{WorkerAnnounced, log.InfoLevel, "worker announced itself", "The worker of this VM told its state."},
 	{WorkerReborn, log.WarnLevel, "worker reborn", "The worker began another life and has forgotten everything; its runs are lost."},
@@ -109,7 +111,7 @@
 	{RunEnded, log.InfoLevel, "run ended", "The worker listed the end of the run."},
 	{RunStopped, log.InfoLevel, "run is being stopped", "A stop was ordered, or a start was not answered and is being prevented."},
 	{StartRejected, log.WarnLevel, "start rejected", "The run will not start here; the reason tells why."},
-	{StartUnanswered, log.WarnLevel, "start not answered", "The worker did not answer a start; it is repeated, then prevented."},
+	{StartUnanswered, log.WarnLevel, "start not answered", "The worker did not answer a start. Its task waits until a look shows the run or that the start can not come any more."},
 	{StopUnanswered, log.WarnLevel, "stop not answered", "The worker did not answer a stop; it is repeated."},
 	{PaceFailed, log.WarnLevel, "pace not set", "The worker did not take a new speed of a run; the owner orders it again."},
 	{OrdersVoid, log.WarnLevel, "orders void", "Orders of a session that is over, of an earlier owner or for another life of the worker were not carried out; the fields that differ from those here tell which."},
--- a/internal/service/hoster/entry.go
+++ b/internal/service/hoster/entry.go
@@ -63,7 +63,7 @@
 		advise = platform.NewAdvisor(c.Settings.AdviceAddress).Advise
 	}
 	e.scheduler = scheduler.New(scheduler.Config{
-		Cell: cell, EntryID: self.EntryID, Address: self.Address, Store: calls, Policy: e.follower.Policy,
+		Cell: cell, EntryID: self.EntryID, Address: self.Address, Store: calls, Policy: e.follower.Policy, PolicyAge: e.follower.Age,
 		Advise: advise,
 		StoreFor: func(ctx context.Context, q messenger.WorkStoreRequest) messenger.WorkStoreReply {
 			return e.receiver.StoreFor(ctx, q)
--- a/internal/service/server/jobs.go
+++ b/internal/service/server/jobs.go
@@ -33,7 +33,7 @@
 	self := messenger.PeerAddress{EntryID: c.ID, Address: c.Advertise}
 	policy := policyOf(s.follower.Fleet)
 	s.jobs.scheduler = scheduler.New(scheduler.Config{
-		Cell: agent.JobsCell, EntryID: self.EntryID, Address: self.Address, Store: calls, Policy: policy,
+		Cell: agent.JobsCell, EntryID: self.EntryID, Address: self.Address, Store: calls, Policy: policy, PolicyAge: s.follower.Age,
 		StoreFor: func(ctx context.Context, q messenger.WorkStoreRequest) messenger.WorkStoreReply {
 			return s.jobs.receiver.StoreFor(ctx, q)
 		},
