Watch the owner's record from the store's present revision

All entries asked the store several times as often as they meant to. Cause: an entry that waits for a vacant cell watched from the revision of the owner's record. The store keeps 20 s of history, so from 20 s of an ownership on each such watch failed at once, and the entry tried to take the cell, read and watched again, every 0.12 s. An entry on a small VM leaves a vacant cell to others for 0.4 s before it tries; since it tried all the time, one try in a few came just after a vacancy. Change: the record is listed, which tells the store's revision, and watched from there; only a vacancy ends the wait; an entry on a small VM waits from the vacancy on, six times as long as its last read took if that is longer, up to the lease.

--- a/internal/cli/commander/hosted.go
+++ b/internal/cli/commander/hosted.go
@@ -50,7 +50,7 @@
 				findings.Add("log-format", "%v", err)
 				return usage(findings.Err())
 			}
-			r.Report(reporter.ProcessStarted, reporter.Fields{"zone": settings.Zone, "store": settings.StoreAddress})
+			r.Report(reporter.ProcessStarted, reporter.Fields{"zone": settings.Zone, "store": settings.StoreAddress, "cores": settings.Cores, "link-mbps": settings.LinkMbps})
 			if err := build(hoster.Config{Settings: settings, SettingsPath: path, Reporter: r})(cmd.Context()); err != nil {
 				return ExitError{Code: ExitFailed, Err: err}
 			}
--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -25,6 +25,9 @@
 	watchWait   = 900 * time.Millisecond
 	renewShare  = 6 // renewals in one lease
 	outageShare = 3 // a third of the lease without a renewal counts as an outage
+	// patienceCalls is how many calls another process may need, as long as they take at
+	// present, to learn of a vacancy and to take the cell.
+	patienceCalls = 6
 )
 
 // Config holds the settings of an Elector.
@@ -37,10 +40,12 @@
 	// behind, without waiting for the lease. What an owner does must then be safe
 	// also while its lease stands, by the epoch alone.
 	ReplaceOwn bool
-	// Patience is how long this process leaves a vacant cell to others.
+	// Patience is how long this process leaves a vacant cell to others at least; longer
+	// while the store is slow, up to the lease.
 	Patience time.Duration
 	Now      func() time.Time
 	// The calls of keeper.Keeper that elections use.
+	FindRecords    func(ctx context.Context, o keeper.ListOptions) (keeper.ListResult, error)
 	GetRecord      func(ctx context.Context, key string) (keeper.Record, error)
 	CompareAndSwap func(ctx context.Context, o keeper.SwapOptions) (int64, error)
 	GrantLease     func(ctx context.Context, ttl time.Duration) (keeper.Lease, error)
@@ -51,7 +56,7 @@
 
 // FromKeeper sets the calls of c to those of k.
 func FromKeeper(c Config, k *keeper.Keeper) Config {
-	c.GetRecord, c.CompareAndSwap, c.Watch = k.GetRecord, k.CompareAndSwap, k.Watch
+	c.FindRecords, c.GetRecord, c.CompareAndSwap, c.Watch = k.FindRecords, k.GetRecord, k.CompareAndSwap, k.Watch
 	c.GrantLease, c.KeepAlive, c.RevokeLease = k.GrantLease, k.KeepAlive, k.RevokeLease
 	return c
 }
@@ -63,6 +68,7 @@
 	renewed atomic.Pointer[time.Time] // sent time of the last renewal that succeeded
 	known   atomic.Pointer[messenger.CellOwner]
 	rev     int64
+	took    time.Duration // by the last read of the owner's record that was answered
 }
 
 // New returns an Elector.
@@ -111,10 +117,13 @@
 // Acquire waits until this process holds the ownership. The owner's record
 // carries no epoch until Publish.
 func (e *Elector) Acquire(ctx context.Context) error {
-	if err := pauser.Pause(ctx, e.config.Patience); err != nil {
-		return err
-	}
-	for {
+	for wait := e.config.Patience > 0; ; {
+		if wait {
+			e.awaitVacancy(ctx)
+			if err := pauser.Pause(ctx, e.patience()); err != nil {
+				return err
+			}
+		}
 		taken, err := e.try(ctx)
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -122,19 +131,21 @@
 		if err == nil && !taken {
 			return nil
 		}
-		if err == nil {
-			e.awaitVacancy(ctx)
-			if err := pauser.Pause(ctx, e.config.Patience); err != nil {
-				return err
-			}
-			continue
-		}
-		if err := pauser.Pause(ctx, retryPause); err != nil {
-			return err
+		wait = taken || e.config.Patience > 0
+		if err != nil {
+			_ = pauser.Pause(ctx, retryPause)
 		}
 	}
 }
 
+// patience is how long this process leaves a vacant cell to others now.
+func (e *Elector) patience() time.Duration {
+	if e.config.Patience <= 0 {
+		return 0
+	}
+	return max(e.config.Patience, min(patienceCalls*e.took, e.config.Lease))
+}
+
 // try makes one attempt; taken means that another process holds the ownership.
 func (e *Elector) try(ctx context.Context) (taken bool, err error) {
 	record, err := e.config.GetRecord(ctx, e.key())
@@ -212,40 +223,58 @@
 	}
 }
 
-// awaitVacancy returns when the owner's record may be gone.
+// awaitVacancy returns when the owner's record is gone, or is one of an earlier life of this
+// process.
 func (e *Elector) awaitVacancy(ctx context.Context) {
 	for ctx.Err() == nil {
-		record, err := e.config.GetRecord(ctx, e.key())
-		if keeper.IsErrKeyNotExist(err) {
-			e.known.Store(nil)
-			return
-		}
+		sent := e.config.Now()
+		record, revision, err := e.find(ctx)
 		if err == nil {
+			e.took = e.config.Now().Sub(sent)
+			if record.Revision == 0 || e.left(record) {
+				e.known.Store(nil)
+				return
+			}
 			e.learn(record)
-			err = e.follow(ctx, record.Revision)
+			gone, watchErr := e.follow(ctx, revision)
+			if gone {
+				e.known.Store(nil)
+				return
+			}
+			err = watchErr
 		}
 		if err != nil {
 			_ = pauser.Pause(ctx, retryPause)
-			return
 		}
-		if e.known.Load() == nil {
-			return
+	}
+}
+
+// find reads the owner's record, of revision 0 if there is none, and the store's revision. A
+// watch has to begin there: the store forgets the one at which a long ownership began.
+func (e *Elector) find(ctx context.Context) (keeper.Record, int64, error) {
+	found, err := e.config.FindRecords(ctx, keeper.ListOptions{Prefix: e.key(), Limit: 1})
+	if err != nil {
+		return keeper.Record{}, 0, err
+	}
+	for _, r := range found.Records {
+		if r.Key == e.key() {
+			return r, found.Revision, nil
 		}
 	}
+	return keeper.Record{}, found.Revision, nil
 }
 
 // follow watches the owner's record until it is gone or a watch tells nothing.
-func (e *Elector) follow(ctx context.Context, after int64) error {
+func (e *Elector) follow(ctx context.Context, after int64) (gone bool, err error) {
 	for {
 		seen, err := e.config.Watch(ctx, keeper.WatchOptions{Prefix: e.key(), After: after, Wait: watchWait})
 		if err != nil || len(seen.Changes) == 0 {
-			return err
+			return false, err
 		}
 		after = max(after, seen.Revision)
 		for _, c := range seen.Changes {
 			if c.Deleted {
-				e.known.Store(nil)
-				return nil
+				return true, nil
 			}
 			e.learn(c.Record)
 		}
--- a/internal/control/elector/elector_test.go
+++ b/internal/control/elector/elector_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -151,3 +152,104 @@
 		})
 	}
 }
+
+// forgetful returns a store whose history up to its present revision is dropped, with a count of
+// the calls that entry-2 makes.
+func forgetful(t *testing.T, patience time.Duration) (first, second *Elector, calls *atomic.Int64) {
+	t.Helper()
+	server := httptest.NewServer(storer.New(storer.Config{}).Handler())
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	k := keeper.New(keeper.Config{URL: server.URL, CallTimeout: time.Second})
+	first = New(FromKeeper(Config{Cell: "c", EntryID: "entry-1"}, k))
+	if err := first.Acquire(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	dropped, err := k.CompareAndSwap(t.Context(), keeper.SwapOptions{Key: "another", Value: []byte("{}")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	calls = &atomic.Int64{}
+	c := FromKeeper(Config{Cell: "c", EntryID: "entry-2", Patience: patience}, k)
+	watch, find, get := c.Watch, c.FindRecords, c.GetRecord
+	c.Watch = func(ctx context.Context, o keeper.WatchOptions) (keeper.WatchResult, error) {
+		calls.Add(1)
+		if o.After < dropped {
+			return keeper.WatchResult{}, keeper.ErrHistoryNotExist{After: o.After}
+		}
+		return watch(ctx, o)
+	}
+	c.FindRecords = func(ctx context.Context, o keeper.ListOptions) (keeper.ListResult, error) {
+		calls.Add(1)
+		return find(ctx, o)
+	}
+	c.GetRecord = func(ctx context.Context, key string) (keeper.Record, error) {
+		calls.Add(1)
+		return get(ctx, key)
+	}
+	return first, New(c), calls
+}
+
+// Guards against entries that ask the store again and again, once it has forgotten the time at
+// which the owner took the cell.
+func TestALongOwnershipIsWatched(t *testing.T) {
+	first, second, calls := forgetful(t, 0)
+	acquired := make(chan error, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { acquired <- second.Acquire(ctx) }()
+	time.Sleep(watchWait + 500*time.Millisecond)
+	if n := calls.Load(); n > 6 {
+		t.Errorf("%d calls while nothing changed", n)
+	}
+	released := time.Now()
+	if err := first.Release(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-acquired; err != nil || time.Since(released) > watchWait/2 {
+		t.Errorf("acquired after %s, %v", time.Since(released), err)
+	}
+	cancel()
+}
+
+// Guards against an entry on a small VM that takes a cell the moment that it is vacant, since it
+// happened to look just then.
+func TestAPatientEntryWaitsFromTheVacancyOn(t *testing.T) {
+	const patience = 400 * time.Millisecond
+	tests := []struct {
+		name  string
+		watch func(ctx context.Context, o keeper.WatchOptions) (keeper.WatchResult, error)
+		slow  time.Duration // of each list
+		least time.Duration // from the vacancy to the cell
+	}{
+		{"watched", nil, 0, patience},
+		{"no watch is answered", func(context.Context, keeper.WatchOptions) (keeper.WatchResult, error) {
+			return keeper.WatchResult{}, keeper.ErrUnavailable{Cause: errors.New("refused")}
+		}, 0, patience},
+		{"the store is slow", nil, 150 * time.Millisecond, patienceCalls * 150 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			first, second, _ := forgetful(t, patience)
+			if tt.watch != nil {
+				second.config.Watch = tt.watch
+			}
+			find := second.config.FindRecords
+			second.config.FindRecords = func(ctx context.Context, o keeper.ListOptions) (keeper.ListResult, error) {
+				if err := pauser.Pause(ctx, tt.slow); err != nil {
+					return keeper.ListResult{}, err
+				}
+				return find(ctx, o)
+			}
+			acquired := make(chan error, 1)
+			go func() { acquired <- second.Acquire(t.Context()) }()
+			time.Sleep(1200 * time.Millisecond)
+			released := time.Now()
+			if err := first.Release(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if err := <-acquired; err != nil || time.Since(released) < tt.least {
+				t.Errorf("acquired after %s, %v, want %s at least", time.Since(released), err, tt.least)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -96,7 +96,7 @@
 	}
 	e := elector.New(elector.Config{
 		Cell: c.Cell, EntryID: c.EntryID, Address: c.Address, Lease: c.Lease, Now: c.Now, ReplaceOwn: true, Patience: c.Patience,
-		GetRecord: c.Store.GetRecord, CompareAndSwap: c.Store.CompareAndSwap, GrantLease: c.Store.GrantLease,
+		FindRecords: c.Store.FindRecords, GetRecord: c.Store.GetRecord, CompareAndSwap: c.Store.CompareAndSwap, GrantLease: c.Store.GrantLease,
 		KeepAlive: c.Store.KeepAlive, RevokeLease: c.Store.RevokeLease, Watch: c.Store.Watch,
 	})
 	return &Scheduler{config: c, elector: e, peers: newPeers(c.Now)}
