--- a/internal/worker/guardian/look.go
+++ b/internal/worker/guardian/look.go
@@ -218,22 +218,28 @@
 		r.checkpoint, r.progress, r.measure = s.Checkpoint, s.Progress, s.Measure
 	}
 	news = g.takeEndsLocked(seen.Ends) || news
+	news = g.dropGoneLocked(at, seen.Clock, from) || news
+	if news || len(seen.Runs) > 0 && g.config.Now().Sub(g.reportedAt) >= max(figuresEvery, figuresGaps*g.gap) {
+		g.signal()
+	}
+	return news
+}
+
+// dropGoneLocked drops the runs that the worker does not have and will not get, and tells
+// whether there were any. A look that was sent after the start or the stop was answered, or
+// after the start has become void, shows whether the worker has the run.
+func (g *Guardian) dropGoneLocked(listed map[accountant.RunKey]bool, clock time.Duration, from lookStart) (dropped bool) {
 	for key, r := range g.runs {
-		// A look that was sent after the start or the stop was answered, or after the
-		// start has become void, shows whether the worker has the run.
-		if !at[key] && (r.gone(from.sentAt) || r.void(from.clock)) {
+		if !listed[key] && (r.gone(from.sentAt) || r.void(from.clock)) {
 			delete(g.runs, key)
-			news = true
+			dropped = true
 			continue
 		}
 		if r.doubt && r.voidAfter == 0 && r.state == stopping { // sent by an earlier process
-			r.voidAfter = seen.Clock + startLife + startSlack
+			r.voidAfter = clock + startLife + startSlack
 		}
 	}
-	if news || len(seen.Runs) > 0 && g.config.Now().Sub(g.reportedAt) >= max(figuresEvery, figuresGaps*g.gap) {
-		g.signal()
-	}
-	return news
+	return dropped
 }
 
 // stopSlack is how much longer than it may take a stop is given before it is repeated.
