Bound what a job's occurrences take of the owner, and read its records with care

What callers would see: one job that is to run 99,999,999,999 times, all of them due, is accepted; the owner opens all occurrences at once and runs out of memory, and so does each owner after it, since the job is stored: nobody's work starts any more. A stored record with a step that waits for one that does not exist ends each owner as well. Cause: the check of a submission bounded the tasks of an occurrence and not the occurrences; the accountant opened all that were due; records of jobs were decoded and not checked. Change: at most 1,000,000 occurrences a year apart at most; 1,000 of a job are open at a time and 20,000 of their tasks, the rest of what is due waits for an end. A stored job is checked as a submitted one is; one whose progress can't be read starts nothing, since its tasks may be done.

--- /dev/null
+++ b/internal/job/accountant/fuzz_test.go
@@ -0,0 +1,40 @@
+package accountant
+
+import (
+	"testing"
+
+	"bamboospread/internal/job/specifier"
+)
+
+// Guards against an owner that ends, and each one after it, at a record of a job or of its
+// progress that is damaged or that another writer wrote.
+func FuzzRecordsOfAJob(f *testing.F) {
+	id := jobID(1)
+	f.Add(`{"id":"`+id+`","queue":"q","steps":[{"count":2,"needs":{"cpu-millis":1000}},{"count":1,"after":[0]}]}`, `{"state":"running","next":1,"open":[{"number":0,"steps":[{"done":"01","failed":{"1":[3]}},{}]}]}`)
+	f.Add(`{"id":"`+id+`","steps":[{"count":1,"after":[7]}]}`, `{"state":"running","finished":-3,"next":-1,"open":[{"number":0,"steps":[]}]}`)
+	f.Add(`{"id":"`+id+`","steps":[{"count":1}],"occurrences":1000000}`, `{"open":[{"number":0,"steps":[{"failed":{"-9":[1]}}]}]}`)
+	f.Add(`null`, `null`)
+	f.Fuzz(func(t *testing.T, job, progress string) {
+		spec, err := DecodeJob([]byte(job))
+		if err != nil {
+			return
+		}
+		a := newState(t, 3)
+		a.AddJob(spec, at(0), at(0))
+		if a.Jobs[spec.ID] == nil {
+			t.Fatal("a job that was decoded is not known")
+		}
+		_ = a.Restore(spec.ID, []byte(progress), at(10))
+		a.Settle(true, at(20))
+		a.OpenDue(at(20))
+		for _, s := range a.OpenSteps() {
+			_ = s.Name()
+		}
+		a.Unwanted()
+		a.Pending("q")
+		a.Find(specifier.TaskID{Job: spec.ID, Index: 1})
+		if _, err := a.Jobs[spec.ID].Encode(); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/job/accountant/job.go
+++ b/internal/job/accountant/job.go
@@ -35,12 +35,24 @@
 }
 
 func (a *Accountant) openDue(j *Job, now time.Time) {
-	for !j.State.Final() && j.Next < j.Spec.Times() && (j.Spec.Occurrences == 0 || !j.Spec.Due(j.Next).After(now)) {
+	if j.Unreadable {
+		return
+	}
+	for !j.State.Final() && j.Next < j.Spec.Times() && j.mayOpen() && (j.Spec.Occurrences == 0 || !j.Spec.Due(j.Next).After(now)) {
 		j.Occurrences = append(j.Occurrences, newOccurrence(j, j.Next, now))
 		j.Next++
 	}
 }
 
+// mayOpen bounds what a job takes of the owner's memory, however many occurrences are due.
+func (j *Job) mayOpen() bool {
+	open, tasks := len(j.Occurrences), 0
+	for i := range j.Spec.Steps {
+		tasks += j.Spec.Steps[i].Count
+	}
+	return open == 0 || open < specifier.MaxOpen && (open+1)*tasks <= specifier.MaxTasks
+}
+
 func newOccurrence(j *Job, number int, now time.Time) *Occurrence {
 	o := &Occurrence{Job: j, Number: number, DueAt: j.Spec.Due(number)}
 	for i := range j.Spec.Steps {
--- a/internal/job/accountant/record.go
+++ b/internal/job/accountant/record.go
@@ -80,23 +80,42 @@
 	if j == nil {
 		return fmt.Errorf("progress of job %s, which does not exist", id)
 	}
+	if err := j.restore(value, now); err != nil {
+		// Begun anew it would run tasks a second time that are done.
+		j.Unreadable, j.Occurrences = true, nil
+		return fmt.Errorf("progress of job %s: %w", id, err)
+	}
+	a.open = nil
+	a.openDue(j, now)
+	return nil
+}
+
+func (j *Job) restore(value []byte, now time.Time) error {
 	var r Record
 	if err := json.Unmarshal(value, &r); err != nil {
-		return fmt.Errorf("decode progress of job %s: %w", id, err)
+		return fmt.Errorf("decode: %w", err)
+	}
+	switch r.State {
+	case JobQueued, JobRunning, JobDone, JobFailed, JobCancelled:
+	default:
+		return fmt.Errorf("state %q", r.State)
+	}
+	known := j.Spec.Ended == "" // remains have no steps and no occurrences
+	if known && (r.Finished < 0 || r.Next < 0 || r.Next > j.Spec.Times() || r.Finished+len(r.Open) > r.Next) {
+		return fmt.Errorf("%d occurrences finished and %d open of %d that were due", r.Finished, len(r.Open), r.Next)
 	}
-	j.State, j.StoredState, j.Finished, j.Next = r.State, r.State, r.Finished, r.Next
-	a.open = nil
 	j.Started = r.State != JobQueued
-	j.EndedAt = time.UnixMilli(r.EndedAt)
-	j.Occurrences = nil
+	var open []*Occurrence
 	for _, or := range r.Open {
 		o := newOccurrence(j, or.Number, now)
 		if err := o.restore(or, now); err != nil {
-			return fmt.Errorf("progress of job %s: %w", id, err)
+			return err
 		}
-		j.Occurrences = append(j.Occurrences, o)
+		open = append(open, o)
 	}
-	a.openDue(j, now)
+	j.State, j.StoredState, j.Finished, j.Next = r.State, r.State, r.Finished, r.Next
+	j.EndedAt = time.UnixMilli(r.EndedAt)
+	j.Occurrences = open
 	return nil
 }
 
@@ -210,7 +229,9 @@
 }
 
 // Startable tells whether new runs of the job's tasks may begin.
-func (j *Job) Startable() bool { return !j.State.Final() && j.SettlesAt.IsZero() }
+func (j *Job) Startable() bool {
+	return !j.State.Final() && j.SettlesAt.IsZero() && !j.Unreadable
+}
 
 // EncodeRemains returns what the store keeps of a job that has ended.
 func (j *Job) EncodeRemains() ([]byte, error) {
@@ -227,5 +248,11 @@
 	if err := json.Unmarshal(value, &j); err != nil {
 		return nil, fmt.Errorf("decode job: %w", err)
 	}
+	if j.Ended != "" { // its remains have no steps
+		return &j, nil
+	}
+	if err := specifier.Check(&j); err != nil {
+		return nil, fmt.Errorf("job %s: %w", j.ID, err)
+	}
 	return &j, nil
 }
--- a/internal/job/accountant/state.go
+++ b/internal/job/accountant/state.go
@@ -223,9 +223,10 @@
 	// SettlesAt is when an earlier owner's runs of its tasks have surely ended; until
 	// then a task without a known run may run on a VM that has not reported. Zero:
 	// every run of it is known.
-	SettlesAt time.Time
-	dirty     bool // the store has less than this state
-	flight    bool // a write of it is on its way
+	SettlesAt  time.Time
+	Unreadable bool // its stored progress can't be read, so nothing of it may start
+	dirty      bool // the store has less than this state
+	flight     bool // a write of it is on its way
 }
 
 // VM is a VM with its worker.
--- a/internal/job/specifier/check.go
+++ b/internal/job/specifier/check.go
@@ -3,8 +3,14 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 )
 
+// Bounds of scheduled occurrences, far above any use: their times must not overflow.
+const maxInterval = 366 * 24 * time.Hour
+
+var lastStart = time.Date(2999, time.December, 31, 0, 0, 0, 0, time.UTC)
+
 // Check returns every fault of a job, joined, or nil. A job that fails it could
 // never run as its caller meant.
 func Check(j *Job) error {
@@ -22,6 +28,12 @@
 	if j.Occurrences < 0 || j.IntervalMillis < 0 || j.FirstMillis < 0 {
 		add("occurrences, their start and their interval must not be negative")
 	}
+	if j.Occurrences > MaxOccurrences {
+		add("occurrences: %d, at most %d", j.Occurrences, MaxOccurrences)
+	}
+	if j.IntervalMillis > maxInterval.Milliseconds() || j.FirstMillis > lastStart.UnixMilli() {
+		add("occurrences: an interval of %d ms from %d ms on, at most %s and from %s on", j.IntervalMillis, j.FirstMillis, maxInterval, lastStart)
+	}
 	tasks := 0
 	for i, s := range j.Steps {
 		errs = append(errs, checkStep(i, s)...)
--- a/internal/job/specifier/specifier.go
+++ b/internal/job/specifier/specifier.go
@@ -14,7 +14,9 @@
 const (
 	MaxPayloadBytes = 4000   // of Job.Payload, as the callers' contract says
 	MaxSteps        = 64     // far above the jobs seen (5), so that a record stays small
-	MaxTasks        = 20_000 // of one occurrence; a record of progress takes a bit each
+	MaxTasks        = 20_000 // of one occurrence, and of all that are open; a record of progress takes a bit each
+	MaxOccurrences  = 1_000_000
+	MaxOpen         = 1000 // occurrences at a time; later ones that are due wait for an end
 )
 
 // Resources is an amount of a VM.
