Reserve the addresses of tests for other test processes too

Cause: FreeAddress keeps an address from the other tests of its process only; test packages run in processes of their own, beside each other, and the port looks free until the process that it was given to listens. Which process had the port was not seen. Change: the address's UDP twin stays open until the test ends, which the kernel lets one process have.

--- a/tests/harness/harness_test.go
+++ b/tests/harness/harness_test.go
@@ -108,3 +108,15 @@
 	})
 	return errors.Join(err, setErr)
 }
+
+// Guards against two test processes that give the same address to a process of theirs.
+func TestAddressesAreReservedForOtherProcessesToo(t *testing.T) {
+	address := FreeAddress(t)
+	if other, err := net.ListenPacket("udp", address); err == nil {
+		other.Close()
+		t.Errorf("%s is free to another process", address)
+	}
+	if reserve(t, address) {
+		t.Errorf("%s is handed out twice", address)
+	}
+}
--- a/tests/harness/process.go
+++ b/tests/harness/process.go
@@ -101,18 +101,35 @@
 	t.Helper()
 	for range 1000 {
 		address := fmt.Sprintf("127.0.0.1:%d", portMin+rand.IntN(portMax-portMin))
-		if l, err := net.Listen("tcp", address); err == nil {
-			l.Close()
-			// Until its process listens a port looks free to other tests too.
-			if _, taken := handedOut.LoadOrStore(address, true); !taken {
-				return address
-			}
+		if reserve(t, address) {
+			return address
 		}
 	}
 	t.Fatal("no free port")
 	return ""
 }
 
+// reserve keeps an address from other tests: until its process listens a port looks free to
+// them. Tests of other packages run in processes of their own, so for them the port's UDP
+// twin, which nothing else uses, stays open until the test ends.
+func reserve(t testing.TB, address string) bool {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	l.Close()
+	twin, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	if _, taken := handedOut.LoadOrStore(address, true); taken {
+		twin.Close()
+		return false
+	}
+	t.Cleanup(func() { twin.Close() })
+	return true
+}
+
 // starter runs functions on one system thread that lives as long as the tests:
 // the kernel kills children with PDEATHSIG when the thread that started them
 // ends, which for an ordinary goroutine can be long before the process does.
