Give large writes to the store more time

On an overloaded machine or a slow link the cell of tasks would stand still as long. Cause: each call of the store has the same limit, 0.3 s in the test and 1 s in use. An append that takes longer is given up and made again as it was, so it never gets through. Change: a call may take a second longer for each 256 KiB that it sends. A store that is gone is noticed by small calls as before.

--- a/internal/store/keeper/call.go
+++ b/internal/store/keeper/call.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return fmt.Errorf("encode store call %s: %w", o.kind, err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, k.config.CallTimeout+o.wait)
+	ctx, cancel := context.WithTimeout(ctx, k.config.CallTimeout+o.wait+transferTime(len(body)))
 	defer cancel()
 	// A write counts as sent from the moment it was given a connection. Before
 	// that no byte of it can have reached the service, whatever failed.
@@ -61,6 +61,15 @@
 	return readAnswer(o, reply)
 }
 
+// slowestLink is the rate, in bytes a second, at which the service takes a call at least. A
+// large write that is given up too early is made again as it was, and never gets through.
+const slowestLink = 256 << 10
+
+// transferTime is what a call of so many bytes may take beyond a small one.
+func transferTime(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / slowestLink
+}
+
 // lost returns the error of a call without an answer.
 func lost(mayHaveEffect bool, cause error) error {
 	if mayHaveEffect {
--- a/internal/store/keeper/keeper.go
+++ b/internal/store/keeper/keeper.go
@@ -81,7 +81,7 @@
 // Config holds the settings of a Keeper.
 type Config struct {
 	URL         string        // of the service, http://host:port
-	CallTimeout time.Duration // of every call but a watch; default 1 s
+	CallTimeout time.Duration // of every call but a watch, and of a large write, which takes longer; default 1 s
 	HTTP        *http.Client  // nil: one of its own
 	// CountCall, if set, is told the kind of every call made: get, list, swap,
 	// delete, grant, keep-alive, revoke, watch.
