guardian: log which runs were on a worker when it crashed

After a worker's process ended, the agent logged "worker not responding" and the owner "run lost: no longer reported by the worker". The same two lines follow a start that was refused, a lease that lapsed and a worker that left, and none names the runs that were there.

Event 968, "worker crashed", is logged once per incarnation when its process is gone (four refused polls in a row, as before the runs are given up) or has been replaced, unless the worker had announced that it leaves. It names the runs with the time since each start, the latest first, eight at most. Runs that expired while the worker was silent are kept until it is known whether it crashed. No decision changes.

--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -62,6 +62,7 @@
 	OwnerLost
 	AnnouncementMalformed
 	StopWithoutEffect
+	WorkerCrashed
 )
 
 var jobDefinitions = []Definition{
@@ -119,5 +120,6 @@
 	{OwnerAccepted, log.InfoLevel, "new owner accepted", "This agent follows the orders of an owner with a higher epoch from now on."},
 	{OwnerLost, log.WarnLevel, "owner lost", "The owner of the cell does not answer; runs continue until the grant ends."},
 	{StopWithoutEffect, log.WarnLevel, "stop without effect", "The worker answered a stop but the run is still running; the stop is repeated."},
+	{WorkerCrashed, log.WarnLevel, "worker crashed", "The worker's process ended without having announced that it leaves. The field latest names the runs that it had, the latest starts first, with the time since each start."},
 	{AnnouncementMalformed, log.WarnLevel, "announcement malformed", "An announcement to this agent did not come from a worker and was ignored."},
 }
--- /dev/null
+++ b/internal/worker/guardian/crash_test.go
@@ -0,0 +1,142 @@
+package guardian
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/wire/messenger"
+)
+
+// logBuffer collects log lines of several goroutines.
+type logBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *logBuffer) count(text string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Count(b.buffer.String(), text)
+}
+
+// logTo makes the guardian write its log to b.
+func (e *testEnv) logTo(b *logBuffer) {
+	e.t.Helper()
+	r, err := reporter.New(reporter.Config{Writer: b, Format: "json", Level: "info", Role: "agent", Name: "agent-1"})
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	e.g.mu.Lock()
+	defer e.g.mu.Unlock()
+	e.g.config.Reporter = r
+}
+
+// endWorker ends the worker's process.
+func (e *testEnv) endWorker() {
+	e.worker.withLock(func() {
+		e.worker.notRunning = true
+		clear(e.worker.runs)
+	})
+}
+
+// restartWorker starts another process of the worker.
+func (e *testEnv) restartWorker(incarnation string) {
+	e.worker.withLock(func() {
+		e.worker.notRunning, e.worker.unresponsive, e.worker.incarnation, e.worker.epoch = false, false, incarnation, 0
+		clear(e.worker.runs)
+	})
+}
+
+// Guards against a crash that can't be told from other ends of a worker: "worker crashed" must
+// be logged once for each crash, and neither for a worker that leaves nor for one that was out
+// of reach.
+func TestOnlyCrashesAreLoggedAsCrashes(t *testing.T) {
+	tests := []struct {
+		name    string
+		end     func(e *testEnv)
+		crashes int
+	}{
+		{"process ends", func(e *testEnv) { e.endWorker() }, 1},
+		{"process ends and another starts at once", func(e *testEnv) { e.restartWorker("incarnation-2") }, 1},
+		{"process ends and another starts later", func(e *testEnv) {
+			e.endWorker()
+			e.until("no runs", func() bool { return len(e.report().Runs) == 0 })
+			e.restartWorker("incarnation-2")
+		}, 1},
+		{"silent, then another process", func(e *testEnv) {
+			e.worker.withLock(func() { e.worker.unresponsive = true })
+			e.until("no runs", func() bool { return len(e.report().Runs) == 0 })
+			e.restartWorker("incarnation-2")
+		}, 1},
+		{"out of reach", func(e *testEnv) {
+			e.worker.withLock(func() { e.worker.unresponsive = true })
+			e.until("no runs", func() bool { return len(e.report().Runs) == 0 })
+			e.worker.withLock(func() { e.worker.unresponsive = false })
+		}, 0},
+		{"leaves", func(e *testEnv) {
+			e.announce(true)
+			e.endWorker()
+			e.until("no runs", func() bool { return len(e.report().Runs) == 0 })
+			e.restartWorker("incarnation-2")
+		}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			var log logBuffer
+			e := newTestEnv(t, newFakeWorker())
+			e.logTo(&log)
+			e.own(1)
+			e.order(1, messenger.WorkStart, 0, 1)
+			e.until("a run", func() bool { return e.confirmed() == 1 })
+			tt.end(e)
+			e.until("the end of the case", func() bool { return log.count("worker crashed") >= tt.crashes })
+			time.Sleep(2 * pollWait)
+			if got := log.count("worker crashed"); got != tt.crashes {
+				t.Errorf("%d crashes logged, want %d", got, tt.crashes)
+			}
+			if got := log.count(taskID(0).String() + "/1 after "); got != tt.crashes {
+				t.Errorf("%d crashes name the run, want %d", got, tt.crashes)
+			}
+		})
+	}
+}
+
+// Guards against a start that is blamed for a crash that came before it.
+func TestStartsAfterTheCrashAreNotOnTheWorker(t *testing.T) {
+	worker := newFakeWorker()
+	var log logBuffer
+	e := newTestEnvWith(t, worker, func(w *Worker) {
+		start := w.Start
+		w.Start = func(ctx context.Context, c StartCall) error {
+			worker.mu.Lock()
+			ended := worker.notRunning
+			worker.mu.Unlock()
+			if ended {
+				return ErrWorkerNotExist{errNoAnswer}
+			}
+			return start(ctx, c)
+		}
+	})
+	e.logTo(&log)
+	e.own(1)
+	e.order(1, messenger.WorkStart, 0, 1)
+	e.until("a run", func() bool { return e.confirmed() == 1 })
+	e.endWorker()
+	e.order(1, messenger.WorkStart, 1, 1)
+	e.until("the crash", func() bool { return log.count("worker crashed") == 1 })
+	if log.count(taskID(0).String()+"/1 after ") != 1 || log.count(taskID(1).String()+"/1 after ") != 0 {
+		t.Error("the crash must name the run of task 0 only")
+	}
+}
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -44,6 +44,7 @@
 	startUnconfirmed bool          // its start was not answered and may be carried out later
 	confirmed        bool          // an answer or a poll has shown that the worker has or had the run
 	startExpiresAt   time.Duration // on the worker's clock, which refuses the start afterwards; 0: not known yet
+	sentAt           time.Time     // when its start was last sent, or when it was found; zero: nothing has been sent
 	startCallEndedAt time.Time     // when the start call was answered or given up; zero: not yet
 	checkpoint       string
 	progress         int
@@ -72,21 +73,24 @@
 	session                 int64
 	process                 int64 // identifies this agent process
 	ordersSeen              int64
-	grantUntil              time.Time             // the owner has granted lease time until then
-	vmInfoAcked             *messenger.WorkVMInfo // acknowledged in this session by the reply to a report
-	vmInfoSent              *messenger.WorkVMInfo // in the latest report
-	requestedReportInterval time.Duration         // minimum time between reports that the owner asks for
-	reportedAt              time.Time             // when the last report was made
-	repliedAt               time.Time             // when the last report that got a reply was sent
-	clock                   time.Duration         // the worker's clock in its latest answer to a poll
-	clockAt                 time.Time             // when clock was received; zero: not yet from this incarnation
-	failedPolls             int                   // in a row
-	absentPolls             int                   // in a row that found no process
-	unresponsiveSince       time.Time             // when polls began to fail; zero: they succeed
-	leaseEnd                time.Time             // when all requested leases have expired for certain
-	cancelPoll              context.CancelFunc    // cancels the poll in progress
-	polledEpoch             int64                 // epoch of the last poll that this incarnation answered
-	lastPollSentAt          time.Time             // when that poll was sent; zero: this incarnation has answered none
+	grantUntil              time.Time               // the owner has granted lease time until then
+	vmInfoAcked             *messenger.WorkVMInfo   // acknowledged in this session by the reply to a report
+	vmInfoSent              *messenger.WorkVMInfo   // in the latest report
+	requestedReportInterval time.Duration           // minimum time between reports that the owner asks for
+	reportedAt              time.Time               // when the last report was made
+	repliedAt               time.Time               // when the last report that got a reply was sent
+	clock                   time.Duration           // the worker's clock in its latest answer to a poll
+	clockAt                 time.Time               // when clock was received; zero: not yet from this incarnation
+	failedPolls             int                     // in a row
+	absentPolls             int                     // in a row that found no process
+	pollsFailSince          time.Time               // when the first of the failed polls in a row ended; zero: the last poll was answered
+	unresponsiveSince       time.Time               // when the worker began to count as unresponsive; zero: it responds
+	crashRecorded           bool                    // the crash of this incarnation is recorded
+	expiredRuns             map[tracker.RunKey]*run // runs whose leases expired while the worker was unresponsive
+	leaseEnd                time.Time               // when all requested leases have expired for certain
+	cancelPoll              context.CancelFunc      // cancels the poll in progress
+	polledEpoch             int64                   // epoch of the last poll that this incarnation answered
+	lastPollSentAt          time.Time               // when that poll was sent; zero: this incarnation has answered none
 	runCtx                  context.Context
 }
 
@@ -140,6 +144,12 @@
 	if g.incarnation != "" {
 		g.config.Reporter.Report(reporter.WorkerRestarted, reporter.Fields{"life": incarnation, "before": g.incarnation, "runs": len(g.runs)})
 	}
+	crashedAt := g.pollsFailSince
+	if crashedAt.IsZero() {
+		crashedAt = g.config.Now()
+	}
+	g.recordCrashLocked(crashedAt)
+	g.crashRecorded, g.expiredRuns = false, nil
 	lastPollSentAt := g.lastPollSentAt
 	g.incarnation, g.ends, g.endsStored, g.clockAt, g.polledEpoch, g.lastPollSentAt = incarnation, nil, 0, time.Time{}, 0, time.Time{}
 	for key, r := range g.runs {
--- a/internal/worker/guardian/orders.go
+++ b/internal/worker/guardian/orders.go
@@ -171,19 +171,32 @@
 		g.mu.Lock()
 		call.Epoch, call.Until = g.epoch, g.startUntilLocked(g.config.Now())
 		if r := g.runs[key]; r != nil && r.state == starting {
-			r.startExpiresAt = call.Until
+			r.startExpiresAt, r.sentAt = call.Until, g.config.Now()
 		}
 		g.mu.Unlock()
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err = g.config.Worker.Start(callCtx, call)
 		cancel()
-		if !IsErrWorkerNotExist(err) || pauser.Pause(ctx, callPause) != nil {
+		if !IsErrWorkerNotExist(err) {
+			break
+		}
+		g.recordNothingSent(key)
+		if pauser.Pause(ctx, callPause) != nil {
 			break
 		}
 	}
 	return call, err
 }
 
+// recordNothingSent records that a start found no process at the worker's address.
+func (g *Guardian) recordNothingSent(key tracker.RunKey) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r := g.runs[key]; r != nil {
+		r.sentAt = time.Time{}
+	}
+}
+
 // recordStartAnswer records that a start was answered. A nil change removes the run.
 func (g *Guardian) recordStartAnswer(key tracker.RunKey, change func(*run)) {
 	g.mu.Lock()
--- a/internal/worker/guardian/poll.go
+++ b/internal/worker/guardian/poll.go
@@ -80,6 +80,7 @@
 	if g.incarnation != status.Incarnation {
 		g.beginIncarnationLocked(status.Incarnation)
 	}
+	g.pollsFailSince, g.crashRecorded, g.expiredRuns = time.Time{}, false, nil
 	if g.clockAt.IsZero() {
 		g.signal()
 	}
@@ -173,6 +174,9 @@
 	defer g.mu.Unlock()
 	now := g.config.Now()
 	g.failedPolls++
+	if g.pollsFailSince.IsZero() {
+		g.pollsFailSince = now
+	}
 	if g.unresponsiveSince.IsZero() && g.failedPolls >= failedPollsToUnresponsive {
 		g.unresponsiveSince = now
 		g.config.Reporter.Report(reporter.WorkerNotResponding, reporter.Fields{"error": err.Error(), "runs": len(g.runs)})
@@ -183,6 +187,9 @@
 	} else {
 		g.absentPolls = 0
 	}
+	if g.absentPolls >= absentPollsToEnd {
+		g.recordCrashLocked(g.pollsFailSince)
+	}
 	if len(g.runs) == 0 || !g.allRunsEndedLocked() {
 		return
 	}
@@ -190,11 +197,24 @@
 	for key, r := range g.runs {
 		if !r.startUnconfirmed || !r.startCallEndedAt.IsZero() && now.Sub(r.startCallEndedAt) > maxLeaseTime(startValidity)+clockLagMax {
 			delete(g.runs, key)
+			g.expireRunLocked(key, r)
 		}
 	}
 	g.signal()
 }
 
+// expireRunLocked keeps a run of an unresponsive worker until it is known whether the worker
+// has crashed.
+func (g *Guardian) expireRunLocked(key tracker.RunKey, r *run) {
+	if g.crashRecorded {
+		return
+	}
+	if g.expiredRuns == nil {
+		g.expiredRuns = make(map[tracker.RunKey]*run)
+	}
+	g.expiredRuns[key] = r
+}
+
 // applyRunsAndEndsLocked applies the runs and ends of a poll and reports whether they contain
 // news other than measurements.
 func (g *Guardian) applyRunsAndEndsLocked(status Status, from pollStart) (news bool) {
@@ -206,7 +226,7 @@
 		if r == nil {
 			// Started by an order to an earlier agent process, or carried out late. The owner
 			// decides what happens to it.
-			r = &run{state: running}
+			r = &run{state: running, sentAt: from.sentAt}
 			g.runs[key] = r
 			g.config.Reporter.Report(reporter.RunFound, reporter.Fields{"task": s.Task.String(), "run": s.Run})
 			news = true
