tests: a task that crashes its workers must be given up (fails)

The bound is the users': fewer than three starts after three crashes; the jobs beside it must end as done.

The stand-in executor gets a task that crashes it (crash-index, crash-ms) and a crash on demand (crash-now): the listener and all connections close at once, and the next incarnation listens a second later.

--- a/internal/standin/executor/calls.go
+++ b/internal/standin/executor/calls.go
@@ -45,6 +45,9 @@
 				return refusal(guardian.RefusedIncarnation)
 			}
 			e.advanceLocked()
+			if e.down {
+				return refusal(guardian.RefusedIncarnation)
+			}
 			return do(c)
 		}
 		e.mu.Lock()
@@ -117,7 +120,7 @@
 	if r != nil {
 		e.recordLocked(Event{Kind: "end", Task: c.Task, Run: r.number, Outcome: string(tracker.EndLost)})
 	}
-	r = &run{task: c.Task, number: c.Run, payload: p, pace: 100}
+	r = &run{task: c.Task, number: c.Run, payload: p, pace: 100, startedAt: e.config.Now()}
 	if ms, ok := strings.CutPrefix(c.Checkpoint, checkpointPrefix); ok {
 		if done, err := strconv.ParseInt(ms, 10, 64); err == nil {
 			r.progress = time.Duration(done) * time.Millisecond
--- a/internal/standin/executor/executor.go
+++ b/internal/standin/executor/executor.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -19,6 +20,7 @@
 
 	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
+	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/standin/recorder"
 	"bamboospread/internal/standin/server"
 	"bamboospread/internal/worker/guardian"
@@ -32,6 +34,8 @@
 	maxAdvance       = 250 * time.Millisecond
 	failDelay        = 30 * time.Millisecond // run time of a task with the fault fail-all
 	maxPollWait      = 2 * time.Second
+	restartDelay     = time.Second           // from a crash to the next incarnation
+	listenRetryDelay = 50 * time.Millisecond // while another socket has the port
 	defaultRunTime   = 500 * time.Millisecond
 	checkpointPrefix = "progress-ms="
 )
@@ -54,7 +58,7 @@
 	At          time.Time `json:"at"`
 	VM          string    `json:"vm"`
 	Incarnation string    `json:"life"`
-	Kind        string    `json:"kind"` // start, end, acknowledged, or lapse (all leases expired)
+	Kind        string    `json:"kind"` // start, end, acknowledged, lapse (all leases expired), or crash
 	Task        string    `json:"task"`
 	Run         int64     `json:"run"`
 	Outcome     string    `json:"how,omitempty"`
@@ -64,19 +68,28 @@
 
 // payload controls the behaviour of a task.
 type payload struct {
-	RunMillis  int64 `json:"run-ms"`       // run time; 0: half a second; below 0: until it is stopped
-	Fail       bool  `json:"fail"`         // ends failed after the run time
-	TailMillis int64 `json:"tail-ms"`      // tail latency that a long-running task reports
-	Checkpoint bool  `json:"checkpointed"` // reports checkpoints
+	RunMillis   int64 `json:"run-ms"`       // run time; 0: half a second; below 0: until it is stopped
+	Fail        bool  `json:"fail"`         // ends failed after the run time
+	TailMillis  int64 `json:"tail-ms"`      // tail latency that a long-running task reports
+	Checkpoint  bool  `json:"checkpointed"` // reports checkpoints
+	CrashIndex  *int  `json:"crash-index"`  // the task of the first step with this index crashes its executor at CrashMillis
+	CrashMillis int64 `json:"crash-ms"`     // after its start
 }
 
 type run struct {
-	task     string
-	number   int64
-	payload  payload
-	progress time.Duration
-	pace     int
-	stopAt   time.Time // when a stop completes; zero: not being stopped
+	task      string
+	number    int64
+	payload   payload
+	progress  time.Duration
+	pace      int
+	stopAt    time.Time // when a stop completes; zero: not being stopped
+	startedAt time.Time
+}
+
+// crashes reports whether the run crashes its executor.
+func (r *run) crashes() bool {
+	id, err := specifier.ParseTaskID(r.task)
+	return err == nil && r.payload.CrashIndex != nil && id.Step == 0 && id.Index == *r.payload.CrashIndex
 }
 
 // Faults are the faults that the stand-in injects.
@@ -88,6 +101,7 @@
 	Leaving        bool  `json:"leaving"`        // report that the VM is leaving
 	SpeedPercent   int64 `json:"speed-percent"`  // of all tasks; 0: 100
 	NewIncarnation bool  `json:"reborn-now"`     // drop all state and start a new incarnation, once
+	Crash          bool  `json:"crash-now"`      // end the process and start another one after a second, once
 	HoldProgress   bool  `json:"stands-still"`   // tasks make no progress
 	ClockSlow      int64 `json:"clock-slow-pct"` // percentage by which the clock runs slow
 }
@@ -110,6 +124,8 @@
 	advancedAt   time.Time
 	faults       Faults
 	changed      chan struct{}
+	crash        chan struct{} // delivers once for each crash
+	down         bool          // crashed, and not started again
 	events       []Event
 }
 
@@ -124,16 +140,14 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
-	e := &Executor{config: c, mux: http.NewServeMux(), changed: make(chan struct{})}
+	e := &Executor{config: c, mux: http.NewServeMux(), changed: make(chan struct{}), crash: make(chan struct{}, 1)}
 	e.startIncarnationLocked()
 	e.routes()
 	return e
 }
 
 func (e *Executor) startIncarnationLocked() {
-	for _, key := range e.sortedTasksLocked() {
-		e.recordLocked(Event{Kind: "end", Task: key, Run: e.runs[key].number, Outcome: string(tracker.EndLost)})
-	}
+	e.dropRunsLocked()
 	e.incarnation++
 	e.startedAt, e.advancedAt = e.config.Now(), e.config.Now()
 	e.epoch, e.seq, e.leaseEnd, e.leaseExpired = 0, 0, 0, false
@@ -155,12 +169,55 @@
 		defer close(ended)
 		e.advanceLoop(ctx)
 	}()
-	err := server.Serve(ctx, l, e.mux)
+	err := server.ServeUntilCrash(ctx, l, e.mux, e.crash)
+	for errors.Is(err, server.ErrCrashed) {
+		if l, err = e.restart(ctx, l.Addr().String()); err == nil {
+			err = server.ServeUntilCrash(ctx, l, e.mux, e.crash)
+		}
+	}
 	cancel()
 	<-ended
 	return err
 }
 
+// restart listens again after a crash and starts the next incarnation.
+func (e *Executor) restart(ctx context.Context, address string) (net.Listener, error) {
+	delay := restartDelay
+	for {
+		if err := pauser.Pause(ctx, delay); err != nil {
+			return nil, err
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			delay = listenRetryDelay
+			continue
+		}
+		e.mu.Lock()
+		e.startIncarnationLocked()
+		e.down = false
+		e.mu.Unlock()
+		return l, nil
+	}
+}
+
+// crashLocked ends the process with everything that runs.
+func (e *Executor) crashLocked(task string, run int64) {
+	if e.down {
+		return
+	}
+	e.recordLocked(Event{Kind: "crash", Task: task, Run: run})
+	e.dropRunsLocked()
+	e.down = true
+	e.crash <- struct{}{}
+}
+
+func (e *Executor) dropRunsLocked() {
+	for _, key := range e.sortedTasksLocked() {
+		e.recordLocked(Event{Kind: "end", Task: key, Run: e.runs[key].number, Outcome: string(tracker.EndLost)})
+	}
+	e.runs = make(map[string]*run)
+}
+
 func (e *Executor) advanceLoop(ctx context.Context) {
 	ticker := time.NewTicker(advanceInterval)
 	defer ticker.Stop()
@@ -197,6 +254,9 @@
 		switch {
 		case leaseExpired:
 			e.endLocked(r, tracker.EndLapsed)
+		case r.crashes() && now.Sub(r.startedAt) >= time.Duration(r.payload.CrashMillis)*time.Millisecond:
+			e.crashLocked(r.task, r.number)
+			return
 		case !r.stopAt.IsZero():
 			if !now.Before(r.stopAt) {
 				e.endLocked(r, tracker.EndStopped)
@@ -282,6 +342,10 @@
 		e.startIncarnationLocked()
 		f.NewIncarnation = false
 	}
+	if f.Crash {
+		e.crashLocked("", 0)
+		f.Crash = false
+	}
 	e.faults = f
 }
 
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -17,12 +17,25 @@
 
 // Serve serves on l until ctx ends, then waits for the requests in flight.
 func Serve(ctx context.Context, l net.Listener, handler http.Handler) error {
+	return ServeUntilCrash(ctx, l, handler, nil)
+}
+
+// ErrCrashed is returned by ServeUntilCrash after a simulated crash.
+var ErrCrashed = errors.New("simulated crash")
+
+// ServeUntilCrash is Serve with a simulated crash of the process: when crash delivers, it closes
+// the listener and all connections at once and returns ErrCrashed.
+func ServeUntilCrash(ctx context.Context, l net.Listener, handler http.Handler, crash <-chan struct{}) error {
 	s := &http.Server{Handler: handler, ReadHeaderTimeout: stopTimeout}
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(l) }()
 	select {
 	case err := <-ended:
 		return fmt.Errorf("serve on %s: %w", l.Addr(), err)
+	case <-crash:
+		_ = s.Close()
+		<-ended
+		return ErrCrashed
 	case <-ctx.Done():
 	}
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
--- /dev/null
+++ b/tests/integration/job_crash_test.go
@@ -0,0 +1,102 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"bamboospread/internal/job/specifier"
+	"bamboospread/tests/harness"
+)
+
+// After maxCrashes workers have crashed under a task, it may start fewer than forbiddenStarts
+// times more.
+const (
+	maxCrashes      = 3
+	forbiddenStarts = 3
+)
+
+// crashesOf returns how many workers have crashed under a task, and how often it started after
+// maxCrashes of them.
+func (r *jobTestbed) crashesOf(task string) (crashes, startsAfter int) {
+	r.t.Helper()
+	for _, e := range r.JobEvents() {
+		switch {
+		case e.Task != task:
+		case e.Kind == "crash":
+			crashes++
+		case e.Kind == "start" && crashes >= maxCrashes:
+			startsAfter++
+		}
+	}
+	return crashes, startsAfter
+}
+
+func (r *jobTestbed) awaitCrash(task string) {
+	r.t.Helper()
+	harness.WaitFor(r.t, jobTimeout, "a crash", func(context.Context) error {
+		if crashes, _ := r.crashesOf(task); crashes == 0 {
+			return fmt.Errorf("no worker has crashed under %s", task)
+		}
+		return nil
+	})
+}
+
+// TestTaskThatCrashesItsWorkersIsGivenUp guards against a task that takes down one worker after
+// the other, with everything that runs there, because a run that ends with its worker counts for
+// nothing. Jobs whose tasks stood beside it must end as done.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		during func(ctx context.Context, r *jobTestbed, task string)
+	}{
+		{"no other fault", func(context.Context, *jobTestbed, string) {}},
+		{"owner replaced between the crashes", func(ctx context.Context, r *jobTestbed, task string) {
+			r.awaitCrash(task)
+			e := r.jobOwner()
+			e.Kill()
+			wait(ctx, time.Second)
+			e.Restart()
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			r := newJobTestbed(t, harness.Seed(t))
+			ctx, cancel := context.WithTimeout(t.Context(), jobLoadTime)
+			defer cancel()
+			submitted := make(chan struct{})
+			go func() { defer close(submitted); r.submitUntil(ctx) }()
+			wait(ctx, time.Second)
+			crashing := &specifier.Job{ID: "00000000000004d5", Queue: "labels", Payload: `{"run-ms":300,"crash-index":0,"crash-ms":10}`, Steps: []specifier.Step{
+				{Count: 3, EstimateMillis: 300, Needs: specifier.Resources{CPUMillis: 500, MemoryMB: 100}},
+			}}
+			if _, err := r.operator.SubmitJob(ctx, crashing); err != nil {
+				t.Fatal(err)
+			}
+			task := specifier.TaskID{Job: crashing.ID}.String()
+			tt.during(context.WithoutCancel(ctx), r, task)
+			harness.WaitFor(t, jobTimeout, "the end of the crashing job", func(ctx context.Context) error {
+				if _, startsAfter := r.crashesOf(task); startsAfter >= forbiddenStarts {
+					t.Fatalf("%s has started %d times since %d workers have crashed under it", task, startsAfter, maxCrashes)
+				}
+				a, err := r.operator.GetJob(ctx, crashing.ID)
+				if err != nil {
+					return err
+				}
+				if a.State != "failed" {
+					return fmt.Errorf("it is %s", a.State)
+				}
+				return nil
+			})
+			<-submitted
+			r.awaitJobs()
+			r.checkDuplicateRuns()
+			r.checkOrder()
+			r.checkCapacity()
+			if len(r.accepted) < 5 {
+				t.Errorf("only %d jobs were accepted", len(r.accepted))
+			}
+		})
+	}
+}
