--- a/internal/cli/commander/submit_job.go
+++ b/internal/cli/commander/submit_job.go
@@ -127,12 +127,20 @@
 		fmt.Fprintf(w, "job %s accepted\n", a.ID)
 		return
 	}
-	fmt.Fprintf(w, "job %s is %s\n", a.ID, a.State)
+	fmt.Fprintf(w, "job %s is %s%s\n", a.ID, a.State, formatReason(a.Reason))
+}
+
+// formatReason returns the reason of a failed job to append to its state.
+func formatReason(reason string) string {
+	if reason == "" {
+		return ""
+	}
+	return " (" + reason + ")"
 }
 
 // writeExplainedJob writes a job and its steps and, if runs is set, the runs with their VMs.
 func writeExplainedJob(w io.Writer, a messenger.WorkExplainReply, runs bool) {
-	fmt.Fprintf(w, "job %s of queue %s is %s: %d of %d occurrences finished (owner's epoch %d)\n", a.Job, a.Queue, a.State, a.Finished, a.Occurrences, a.Epoch)
+	fmt.Fprintf(w, "job %s of queue %s is %s%s: %d of %d occurrences finished (owner's epoch %d)\n", a.Job, a.Queue, a.State, formatReason(a.Reason), a.Finished, a.Occurrences, a.Epoch)
 	rows := [][]string{{"OCCURRENCE", "STEP", "TASKS", "DONE", "RUNNING", "WAITING", "FAILURES", "WAIT REASON"}}
 	for _, s := range a.Steps {
 		rows = append(rows, []string{
@@ -143,6 +151,11 @@
 	if len(a.Steps) > 0 {
 		writeTable(w, rows)
 	}
+	for _, s := range a.Steps {
+		for _, task := range s.Suspected {
+			fmt.Fprintf(w, "task %s is suspected of having crashed the worker of a VM\n", task)
+		}
+	}
 	if !runs {
 		return
 	}
--- a/internal/job/planner/copies.go
+++ b/internal/job/planner/copies.go
@@ -48,9 +48,10 @@
 	return starts
 }
 
-// needsCopy reports whether the first run of a task is a straggler and another run may start.
+// needsCopy reports whether the first run of a task is a straggler and another run may start. A
+// copy of a task that may crash its worker could crash a second one.
 func needsCopy(t *tracker.Task, now time.Time) bool {
-	if t.Done || len(t.Runs) == 0 || len(t.Runs) >= maxConcurrentRuns || t.NotBefore.After(now) {
+	if t.Done || len(t.Crashes) > 0 || len(t.Runs) == 0 || len(t.Runs) >= maxConcurrentRuns || t.NotBefore.After(now) {
 		return false
 	}
 	// The present run may still fail; with a copy the task could then exceed its allowed
--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -8,6 +8,9 @@
 	"bamboospread/internal/job/tracker"
 )
 
+// freeCapacity is the reason of a VM on which a task of the step may start.
+const freeCapacity = "with free capacity"
+
 // Explain returns why tasks of a step wait.
 func Explain(in Input, s *tracker.Step) string {
 	j := s.Occurrence.Job
@@ -23,8 +26,13 @@
 	}
 	counts := make(map[string]int)
 	r := newRound(in)
+	observed := in.State.ObservedVMs()
 	for _, vm := range in.State.VMs {
-		counts[r.rejectReason(in, vm, s)]++
+		reason := r.rejectReason(in, vm, s)
+		if t := observed[vm]; reason == freeCapacity && t != nil {
+			reason = fmt.Sprintf("kept free of other starts while %s is observed after a crash", t.ID())
+		}
+		counts[reason]++
 	}
 	if len(counts) == 0 {
 		return "no VM has reported"
@@ -67,5 +75,5 @@
 	case s.Spec.BestEffort && r.interference(m, s).leastHeadroom < minHeadroom:
 		return "where it would interfere with long-running tasks"
 	}
-	return "with free capacity"
+	return freeCapacity
 }
--- /dev/null
+++ b/internal/job/planner/observe_test.go
@@ -0,0 +1,258 @@
+package planner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/job/tracker"
+)
+
+const crashDelay = 10 * time.Millisecond // from the start of a crashing task to the crash
+
+// crashRun replays the crash of a VM's worker in which only this run was suspected.
+func (b *fixture) crashRun(r *tracker.Run, seq int64, now time.Time) {
+	b.state.Apply(r.VM, tracker.Report{Incarnation: r.VM.Incarnation, Ready: true, OrdersSeen: r.VM.OrderSeq, Crashes: []tracker.ReportedCrash{
+		{Seq: seq, Runs: []tracker.CrashedRun{{Key: r.Key(), Age: crashDelay}}},
+	}}, now)
+}
+
+// Guards against a crash that does not show its cause: tasks that start beside a suspected one are
+// suspected of the next crash too.
+func TestSuspectedTaskStartsApart(t *testing.T) {
+	step := specifier.Step{Count: 1, Needs: cores(1), EstimateMillis: 1000}
+	setUp := func(t *testing.T, vms int) (*fixture, *tracker.Task) {
+		t.Helper()
+		b := newFixture()
+		for i := range vms {
+			b.vm(fmt.Sprintf("vm-%d", i), "in", "r", cores(8))
+		}
+		suspected := b.job("q", step).Occurrences[0].Steps[0].Tasks[0]
+		b.apply(b.plan(begin), begin)
+		b.crashRun(suspected.Runs[0], 1, begin)
+		if !suspected.StartsObserved() || len(suspected.Runs) != 0 {
+			t.Fatalf("crashes %+v, runs %v", suspected.Crashes, suspected.Runs)
+		}
+		return b, suspected
+	}
+	now := begin.Add(quietBeforeObservation)
+
+	t.Run("nothing starts on its VM", func(t *testing.T) {
+		b, suspected := setUp(t, 1)
+		b.apply(b.plan(now), now)
+		if len(suspected.Runs) != 1 {
+			t.Fatal("the suspected task does not start on an idle VM")
+		}
+		b.job("q", step)
+		if starts := b.plan(now); len(starts) != 0 {
+			t.Errorf("%v starts beside it", vmsByTask(starts))
+		}
+	})
+	t.Run("not where something has just started", func(t *testing.T) {
+		b, suspected := setUp(t, 1)
+		other := b.state.VMs["vm-0"]
+		b.state.Place(b.job("q", step).Occurrences[0].Steps[0].Tasks[0], other, 1, now)
+		suspected.WaitSince = now
+		if starts := b.plan(now); len(starts) != 0 {
+			t.Errorf("%v starts beside a new run", vmsByTask(starts))
+		}
+		if later := now.Add(quietBeforeObservation); len(b.plan(later)) != 1 {
+			t.Error("it does not start once the VM was quiet")
+		}
+	})
+	t.Run("waits for a quiet VM for a bounded time", func(t *testing.T) {
+		b, suspected := setUp(t, 1)
+		suspected.WaitSince = now
+		later := now.Add(maxObservationWait)
+		b.state.Place(b.job("q", step).Occurrences[0].Steps[0].Tasks[0], b.state.VMs["vm-0"], 1, later)
+		if len(b.plan(later)) != 1 {
+			t.Error("it does not start")
+		}
+	})
+	t.Run("on few VMs at once", func(t *testing.T) {
+		b := newFixture()
+		for i := range 8 {
+			b.vm(fmt.Sprintf("vm-%d", i), "in", "r", cores(8))
+		}
+		j := b.job("q", specifier.Step{Count: 6, Needs: cores(1), EstimateMillis: 1000})
+		b.apply(b.plan(begin), begin)
+		for i, task := range j.Occurrences[0].Steps[0].Tasks {
+			b.crashRun(task.Runs[0], int64(i+1), begin)
+		}
+		used := make(map[string]bool)
+		for _, s := range b.plan(now) {
+			if used[s.VM.Name] {
+				t.Errorf("two suspected tasks start on %s", s.VM.Name)
+			}
+			used[s.VM.Name] = true
+		}
+		if want := 8 / vmsPerObservation; len(used) != want {
+			t.Errorf("%d VMs are kept free of other starts, want %d", len(used), want)
+		}
+	})
+	t.Run("a gang starts together", func(t *testing.T) {
+		b := newFixture()
+		for i := range 4 {
+			b.vm(fmt.Sprintf("vm-%d", i), "in", "r", cores(2))
+		}
+		j := b.job("q", specifier.Step{Count: 4, Needs: cores(2), EstimateMillis: 1000, Gang: true})
+		b.apply(b.plan(begin), begin)
+		for i, task := range j.Occurrences[0].Steps[0].Tasks {
+			for _, r := range task.Runs {
+				if i == 0 {
+					b.crashRun(r, 1, begin)
+				} else {
+					b.state.EndRun(r.VM, r.Key(), tracker.EndGangBroken, "", begin)
+				}
+			}
+		}
+		if starts := b.plan(now); len(starts) != 4 {
+			t.Errorf("%d of 4 members start", len(starts))
+		}
+	})
+	t.Run("without copies", func(t *testing.T) {
+		b := newFixture()
+		b.vm("vm-0", "in", "r", cores(8))
+		b.vm("vm-1", "in", "r", cores(8))
+		copied := step
+		copied.Copies = true
+		suspected := b.job("q", copied).Occurrences[0].Steps[0].Tasks[0]
+		b.apply(b.plan(begin), begin)
+		b.crashRun(suspected.Runs[0], 1, begin)
+		b.apply(b.plan(now), now)
+		b.state.Detach(suspected.Runs[0].VM) // a reason for a copy
+		if starts := b.plan(now.Add(time.Second)); len(starts) != 0 {
+			t.Errorf("a copy starts: %v", vmsByTask(starts))
+		}
+	})
+}
+
+// crashFleet simulates VMs whose workers crash under certain tasks.
+type crashFleet struct {
+	*fixture
+	now     time.Time
+	random  *rand.Rand
+	guilty  map[*tracker.Task]bool
+	vms     []*simulatedVM
+	seq     int64
+	crashes map[*tracker.Task]int // workers that have crashed under a guilty task
+	late    map[*tracker.Task]int // starts after three of them
+}
+
+type simulatedVM struct {
+	*tracker.VM
+	down    time.Time // the worker is back then
+	started map[tracker.RunKey]time.Time
+	life    int
+}
+
+const (
+	crashSimulationStep = 50 * time.Millisecond
+	downTime            = 3 * time.Second
+	taskTime            = 800 * time.Millisecond
+)
+
+// step advances the simulation: runs end, workers crash and come back, tasks start.
+func (f *crashFleet) step() {
+	f.now = f.now.Add(crashSimulationStep)
+	for _, vm := range f.vms {
+		f.reportVM(vm)
+	}
+	for _, s := range f.plan(f.now) {
+		if f.guilty[s.Task] && f.crashes[s.Task] >= 3 {
+			f.late[s.Task]++
+		}
+		r := f.state.Place(s.Task, s.VM, s.Number, f.now)
+		for _, vm := range f.vms {
+			if vm.VM == s.VM {
+				vm.started[r.Key()] = f.now
+			}
+		}
+	}
+}
+
+func (f *crashFleet) reportVM(vm *simulatedVM) {
+	rep := tracker.Report{Incarnation: fmt.Sprint(vm.life), Ready: true, OrdersSeen: vm.OrderSeq}
+	var cause *tracker.Task
+	for key := range vm.started {
+		if task := f.state.Find(key.Task); task != nil && f.guilty[task] {
+			cause = task
+		}
+	}
+	switch {
+	case cause != nil:
+		f.crashes[cause]++
+		f.seq++
+		c := tracker.ReportedCrash{Seq: f.seq}
+		for key, at := range vm.started {
+			age := f.now.Sub(at) - crashSimulationStep + crashDelay
+			c.Runs = append(c.Runs, tracker.CrashedRun{Key: key, Age: age})
+		}
+		rep.Crashes, rep.Ready = []tracker.ReportedCrash{c}, false
+		clear(vm.started)
+		vm.down = f.now.Add(downTime)
+		vm.life++
+	case f.now.Before(vm.down):
+		rep.Ready = false
+	}
+	for key, at := range vm.started {
+		if f.now.Sub(at) >= taskTime {
+			rep.Ends = append(rep.Ends, tracker.ReportedEnd{Seq: vm.EndSeen + int64(len(rep.Ends)) + 1, Key: key, Outcome: tracker.EndDone})
+			delete(vm.started, key)
+			continue
+		}
+		rep.Runs = append(rep.Runs, tracker.ReportedRun{Key: key, Confirmed: true})
+	}
+	f.state.Apply(vm.VM, rep, f.now)
+}
+
+// TestOnlyCrashingTasksAreGivenUp guards against jobs that fail because their tasks stood beside one
+// that crashes workers, and against tasks that start three times more after three crashes. Tasks
+// arrive in bursts on a fleet on which one to three of them crash each worker that starts them.
+func TestOnlyCrashingTasksAreGivenUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &crashFleet{
+			fixture: newFixture(), now: begin, guilty: make(map[*tracker.Task]bool), crashes: make(map[*tracker.Task]int), late: make(map[*tracker.Task]int),
+			random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+		}
+		for i := range rapid.IntRange(3, 12).Draw(t, "VMs") {
+			f.vms = append(f.vms, &simulatedVM{VM: f.vm(fmt.Sprintf("vm-%d", i), "in", "r", cores(8)), started: make(map[tracker.RunKey]time.Time), life: 1})
+		}
+		jobs := make(map[*tracker.Job]bool)
+		guilty := rapid.IntRange(1, 3).Draw(t, "crashing tasks")
+		for range 12 {
+			for range f.random.IntN(4) {
+				j := f.job("q", specifier.Step{Count: 1 + f.random.IntN(6), Needs: cores(1), EstimateMillis: taskTime.Milliseconds()})
+				tasks := j.Occurrences[0].Steps[0].Tasks
+				if jobs[j] = guilty > 0 && f.random.IntN(4) == 0; jobs[j] {
+					guilty--
+					f.guilty[tasks[f.random.IntN(len(tasks))]] = true
+				}
+			}
+			for range 6 {
+				f.step()
+			}
+		}
+		for range int(time.Minute / crashSimulationStep) {
+			f.step()
+		}
+		for j, crashes := range jobs {
+			want := tracker.JobDone
+			if crashes {
+				want = tracker.JobFailed
+			}
+			if j.State != want {
+				t.Errorf("job %s is %s, want %s; %s", j.Spec.ID, j.State, want, j.Reason)
+			}
+		}
+		for task, starts := range f.late {
+			if starts >= 3 {
+				t.Errorf("%s started %d times after three crashes", task.ID(), starts)
+			}
+		}
+	})
+}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -58,11 +58,12 @@
 	vm              *tracker.VM
 	now             time.Time
 	free            specifier.Resources
-	bestEffortCPU   int64 // thousandths of a core that best-effort tasks ask for
-	longRunning     int   // number of long-running tasks
-	longRunningCPU  int64 // thousandths of a core reserved for them
-	placed          int   // in this round
-	neighboursKnown bool  // whether neighbours is set
+	bestEffortCPU   int64         // thousandths of a core that best-effort tasks ask for
+	longRunning     int           // number of long-running tasks
+	longRunningCPU  int64         // thousandths of a core reserved for them
+	placed          int           // in this round
+	observed        *tracker.Task // a run of it is observed on the VM; nil: none is
+	neighboursKnown bool          // whether neighbours is set
 	// neighbours are the long-running tasks that best-effort tasks could interfere with.
 	neighbours []neighbour
 	images     imageCounts // of the long-running tasks; nil until it is needed
@@ -88,6 +89,7 @@
 	// number of these tasks.
 	stopped               map[*tracker.Run]bool
 	preempted             int
+	observations          int                    // VMs that are kept free of other starts
 	reservationsRequested int                    // tasks that reservations were requested for
 	reservedSteps         map[*tracker.Step]bool // steps with a reservation for one of their tasks
 }
@@ -106,6 +108,7 @@
 		}
 	}
 	sort.Slice(r.vmStates, func(i, j int) bool { return r.vmStates[i].vm.Name < r.vmStates[j].vm.Name })
+	r.loadObservations()
 	r.reserveForMoves()
 }
 
@@ -155,6 +158,9 @@
 			if r.needsReservation(t) {
 				r.reserveFor(t)
 			}
+			if t.StartsObserved() {
+				continue // the others may not wait for the same VM
+			}
 			r.noteUnplaceable(s)
 			// Tasks of a step have the same needs, so the others fit on no VM either, except
 			// for a task that only avoids VMs where it failed.
@@ -172,6 +178,7 @@
 func (r *round) place(t *tracker.Task, m *vmState, number int64) Start {
 	m.release(t)
 	r.assign(m, t.Step.Spec)
+	r.observe(m, t)
 	r.runCounts(t.Step)[m.vm]++
 	return r.start(t, m, number)
 }
@@ -210,6 +217,7 @@
 		saved[i] = *m
 		saved[i].neighbours = slices.Clone(m.neighbours)
 	}
+	observations := r.observations
 	number := r.state.GangNumber(s)
 	count := r.runCounts(s)
 	var starts []Start
@@ -223,6 +231,7 @@
 				*m = saved[i]
 			}
 			delete(r.counts, s)
+			r.observations = observations
 			return nil
 		}
 		starts = append(starts, r.place(t, best, number))
@@ -286,7 +295,7 @@
 		if !m.admitsTask(s, t, count[m.vm]) || t.RunsOn(m.vm) {
 			continue
 		}
-		if t.MovesElsewhere(m.vm.Name, r.now) {
+		if t.MovesElsewhere(m.vm.Name, r.now) || r.separates(m, t) {
 			continue
 		}
 		var cost float64
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -54,7 +54,7 @@
 type Result struct {
 	Outcome    Outcome
 	State      tracker.JobState // of a state request
-	Reason     string           // of a refused request
+	Reason     string           // of a refused request, or why the job failed
 	RetryAfter time.Duration    // of a refused request
 }
 
@@ -219,7 +219,7 @@
 	var a messenger.WorkStateReply
 	err := r.config.CallOwner(ctx, messenger.MethodWorkState, messenger.WorkStateRequest{Job: id}, &a)
 	if err == nil && a.Known {
-		return Result{Outcome: Accepted, State: tracker.JobState(a.State)}
+		return Result{Outcome: Accepted, State: tracker.JobState(a.State), Reason: a.Reason}
 	}
 	res, storeErr := r.storedState(ctx, id)
 	if storeErr != nil {
@@ -238,7 +238,7 @@
 		return Result{}, err
 	}
 	record, err := r.config.Store.GetRecord(ctx, scheduler.ProgressKey(id))
-	state := tracker.JobQueued
+	state, reason := tracker.JobQueued, ""
 	switch {
 	case keeper.IsErrKeyNotExist(err):
 	case err != nil:
@@ -248,10 +248,10 @@
 		if err := json.Unmarshal(record.Value, &p); err != nil {
 			return Result{}, fmt.Errorf("decode progress of job %s: %w", id, err)
 		}
-		state = p.State
+		state, reason = p.State, p.Reason
 	}
 	if state.Final() {
-		return Result{Outcome: Accepted, State: state}, nil
+		return Result{Outcome: Accepted, State: state, Reason: reason}, nil
 	}
 	switch _, err := r.config.Store.GetRecord(ctx, scheduler.CancelKey(id)); {
 	case err == nil:
--- a/internal/job/scheduler/explain.go
+++ b/internal/job/scheduler/explain.go
@@ -16,7 +16,7 @@
 			return messenger.WorkExplainReply{Job: r.Job, Epoch: o.epoch}
 		}
 		a := messenger.WorkExplainReply{
-			Known: true, Job: r.Job, Queue: j.Spec.Queue, State: string(j.ReportedState()), Epoch: o.epoch,
+			Known: true, Job: r.Job, Queue: j.Spec.Queue, State: string(j.ReportedState()), Reason: j.ReportedReason(), Epoch: o.epoch,
 			Unreconciled: !j.ReconcileAt.IsZero(), Occurrences: j.Spec.OccurrenceCount(), Finished: j.Finished,
 		}
 		in := planner.Input{Now: o.s.config.Now(), State: o.state, Learner: o.learner}
@@ -41,6 +41,9 @@
 			w.Waiting++
 		}
 	}
+	for _, id := range s.SuspectedTasks() {
+		w.Suspected = append(w.Suspected, id.String())
+	}
 	if w.Waiting > 0 {
 		w.Reason = planner.Explain(in, s)
 	}
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -343,6 +343,10 @@
 func (o *owner) reportEndedJobs(now time.Time) {
 	for _, j := range o.state.TakeEnded() {
 		o.s.config.Metrics.jobEnded(j, now)
-		o.s.config.Reporter.Report(reporter.JobEnded, reporter.Fields{"job": j.Spec.ID, "state": string(j.State), "queue": j.Spec.Queue, "turnaround": now.Sub(j.Spec.Due(0)).String()})
+		fields := reporter.Fields{"job": j.Spec.ID, "state": string(j.State), "queue": j.Spec.Queue, "turnaround": now.Sub(j.Spec.Due(0)).String()}
+		if j.Reason != "" {
+			fields["reason"] = j.Reason
+		}
+		o.s.config.Reporter.Report(reporter.JobEnded, fields)
 	}
 }
--- a/internal/job/scheduler/query.go
+++ b/internal/job/scheduler/query.go
@@ -49,7 +49,7 @@
 		if j == nil {
 			return messenger.WorkStateReply{}
 		}
-		return messenger.WorkStateReply{Known: true, State: string(j.ReportedState())}
+		return messenger.WorkStateReply{Known: true, State: string(j.ReportedState()), Reason: j.ReportedReason()}
 	})
 }
 
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -150,6 +150,7 @@
 	if entries := o.s.peers.list(); !slices.Equal(entries, s.sentEntries) {
 		reply.Entries, s.sentEntries = entries, entries
 	}
+	reply.CrashesStored = s.vm.CrashStored
 	reply.EndsStored, s.sentEndStored = s.vm.EndStored, s.vm.EndStored
 	e.answer <- reply
 }
@@ -228,6 +229,12 @@
 		o.s.config.Metrics.runEnded(e.Outcome)
 		o.s.config.Reporter.Report(reporter.JobRunEnded, reporter.Fields{"task": e.Key.Task.String(), "run": e.Key.Number, "vm": vm.Name, "how": string(e.Outcome), "end": e.Seq})
 	}
+	for _, p := range c.Suspicions {
+		o.s.config.Reporter.Report(reporter.JobTaskSuspected, reporter.Fields{"task": p.Task.ID().String(), "run": p.Crash.Run, "vm": vm.Name, "age": (time.Duration(p.Crash.AgeMillis) * time.Millisecond).String(), "suspects": p.Suspects, "sole": p.Crash.Sole, "crashes": len(p.Task.Crashes)})
+	}
+	for _, t := range c.Cleared {
+		o.s.config.Reporter.Report(reporter.JobTaskCleared, reporter.Fields{"task": t.ID().String(), "vm": vm.Name})
+	}
 	o.reportLost(vm, c.Lost, "no longer reported by the worker")
 	for _, r := range c.Adopted {
 		o.s.config.Reporter.Report(reporter.JobRunAdopted, reporter.Fields{"task": r.Key().Task.String(), "run": r.Number, "vm": vm.Name})
@@ -280,6 +287,17 @@
 		}
 		rep.UnconfirmedStarts = append(rep.UnconfirmedStarts, tracker.UnconfirmedStart{Key: tracker.RunKey{Task: id, Number: w.Run}, Age: time.Duration(w.AgeMillis) * time.Millisecond})
 	}
+	for _, w := range r.Crashes {
+		c := tracker.ReportedCrash{Seq: w.Seq}
+		for _, run := range w.Runs {
+			id, err := specifier.ParseTaskID(run.Task)
+			if err != nil {
+				return rep, tracker.VMInfo{}, err
+			}
+			c.Runs = append(c.Runs, tracker.CrashedRun{Key: tracker.RunKey{Task: id, Number: run.Run}, Age: time.Duration(run.AgeMillis) * time.Millisecond})
+		}
+		rep.Crashes = append(rep.Crashes, c)
+	}
 	info := tracker.VMInfo{Name: r.VM}
 	if v := r.VMInfo; v != nil {
 		info.Zone, info.Rack, info.Service, info.Labels, info.Capacity = v.Zone, v.Rack, v.Service, v.Labels, v.Capacity
--- /dev/null
+++ b/internal/job/tracker/crash_test.go
@@ -0,0 +1,296 @@
+package tracker
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"bamboospread/internal/job/specifier"
+)
+
+// crashFixture replays the reports of VMs whose workers crash.
+type crashFixture struct {
+	t   *testing.T
+	tr  *Tracker
+	now time.Time
+	seq map[string]int64
+}
+
+func newCrashFixture(t *testing.T) *crashFixture {
+	t.Helper()
+	return &crashFixture{t: t, tr: newState(t, 3), now: begin, seq: make(map[string]int64)}
+}
+
+// run lets a task run on a VM from now on.
+func (f *crashFixture) run(vm string, task *Task) *Run {
+	m := f.tr.VMs[vm]
+	if m == nil {
+		m = attach(f.tr, vm)
+	}
+	r := f.tr.Place(task, m, f.tr.NextNumber(task), f.now)
+	f.report(vm)
+	return r
+}
+
+// report replays a report that lists all runs of the VM as running.
+func (f *crashFixture) report(vm string) Changes {
+	m := f.tr.VMs[vm]
+	rep := Report{Incarnation: m.Incarnation, Process: m.Process, Ready: true, OrdersSeen: m.OrderSeq}
+	for key := range m.Runs {
+		rep.Runs = append(rep.Runs, ReportedRun{Key: key, Confirmed: true})
+	}
+	return f.tr.Apply(m, rep, f.now)
+}
+
+// crash replays the report of a crash with these runs on the VM, by their age.
+func (f *crashFixture) crash(vm string, ages map[*Run]time.Duration) Changes {
+	m := f.tr.VMs[vm]
+	f.seq[vm]++
+	c := ReportedCrash{Seq: f.seq[vm]}
+	for r, age := range ages {
+		c.Runs = append(c.Runs, CrashedRun{Key: r.Key(), Age: age})
+	}
+	return f.tr.Apply(m, Report{Incarnation: m.Incarnation, Process: m.Process, Ready: false, OrdersSeen: m.OrderSeq, Crashes: []ReportedCrash{c}}, f.now)
+}
+
+// crashOnce lets tasks run on a VM and its worker crash.
+func (f *crashFixture) crashOnce(vm string, ages map[*Task]time.Duration) Changes {
+	runs := make(map[*Run]time.Duration)
+	for task, age := range ages {
+		runs[f.run(vm, task)] = age
+	}
+	return f.crash(vm, runs)
+}
+
+func oneTask(count int) specifier.Step {
+	return specifier.Step{Count: count, Needs: oneCore, EstimateMillis: 1000}
+}
+
+// Guards against a task that is blamed for a crash because it stood beside the one that caused it,
+// and against one that causes crashes and is not.
+func TestWhichTasksAreSuspectedOfACrash(t *testing.T) {
+	const ms = time.Millisecond
+	gang, longRunning := oneTask(2), specifier.Step{Count: 1, Needs: oneCore, LongRunning: true}
+	gang.Gang = true
+	tests := []struct {
+		name      string
+		steps     []specifier.Step
+		ages      []time.Duration // of the runs, by step and index; -1: not on the worker
+		suspected []bool
+		sole      bool
+	}{
+		{"the only one that started just before", []specifier.Step{oneTask(3)}, []time.Duration{10 * ms, 900 * ms, 5000 * ms}, []bool{true, false, false}, true},
+		{"two started just before", []specifier.Step{oneTask(3)}, []time.Duration{10 * ms, 400 * ms, 5000 * ms}, []bool{true, true, false}, false},
+		{"none started just before", []specifier.Step{oneTask(2)}, []time.Duration{3000 * ms, 5000 * ms}, []bool{true, true}, false},
+		{"the only one on the worker", []specifier.Step{oneTask(2)}, []time.Duration{3000 * ms, -1}, []bool{true, false}, true},
+		{"a long-running task that has run for long", []specifier.Step{longRunning}, []time.Duration{3000 * ms}, []bool{false}, false},
+		{"a long-running task that started just before", []specifier.Step{longRunning, oneTask(1)}, []time.Duration{10 * ms, 3000 * ms}, []bool{true, false}, true},
+		{"members of one gang", []specifier.Step{gang, oneTask(1)}, []time.Duration{10 * ms, 20 * ms, 3000 * ms}, []bool{true, true, false}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newCrashFixture(t)
+			j := addJob(t, f.tr, 1, tt.steps...)
+			var tasks []*Task
+			for _, s := range j.Occurrences[0].Steps {
+				tasks = append(tasks, s.Tasks...)
+			}
+			ages := make(map[*Task]time.Duration)
+			for i, task := range tasks {
+				if tt.ages[i] >= 0 {
+					ages[task] = tt.ages[i]
+				}
+			}
+			f.crashOnce("vm", ages)
+			for i, task := range tasks {
+				if got := len(task.Crashes) > 0; got != tt.suspected[i] {
+					t.Errorf("task %d suspected: %t", i, got)
+				}
+				if len(task.Crashes) > 0 && task.Crashes[0].Sole != tt.sole {
+					t.Errorf("task %d: %+v, want sole=%t", i, task.Crashes[0], tt.sole)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a task that crashes its workers without limit, and against a job that fails
+// because of crashes that its tasks did not cause.
+func TestTaskIsGivenUpAfterCrashes(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name   string
+		starts []bool // of the task, each ends with a crash; true: another task started with it
+		failed bool
+	}{
+		{"one crash", []bool{false}, false},
+		{"one crash with another suspect, one alone", []bool{true, false}, false},
+		{"two crashes alone", []bool{false, false}, true},
+		{"one crash with another suspect, two alone", []bool{true, false, false}, true},
+		{"three crashes, each with another suspect", []bool{true, true, true}, false},
+		{"four crashes, each with another suspect", []bool{true, true, true, true}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newCrashFixture(t)
+			guilty := addJob(t, f.tr, 1, oneTask(1))
+			others := addJob(t, f.tr, 2, oneTask(len(tt.starts)))
+			for i, with := range tt.starts {
+				ages := map[*Task]time.Duration{guilty.Occurrences[0].Steps[0].Tasks[0]: 10 * ms}
+				if with {
+					ages[others.Occurrences[0].Steps[0].Tasks[i]] = 20 * ms
+				}
+				f.crashOnce("vm", ages)
+			}
+			if got := guilty.State == JobFailed; got != tt.failed {
+				t.Errorf("the job is %s", guilty.State)
+			}
+			if tt.failed && !strings.Contains(guilty.Reason, task(1, 0, 0).String()) {
+				t.Errorf("reason %q does not name the task", guilty.Reason)
+			}
+			if others.State.Final() {
+				t.Errorf("the other job is %s: %s", others.State, others.Reason)
+			}
+		})
+	}
+}
+
+// Guards against a gang that crashes workers without limit because another of its members is on
+// the crashed VM each time.
+func TestGangIsGivenUpAfterCrashes(t *testing.T) {
+	f := newCrashFixture(t)
+	gang := oneTask(2)
+	gang.Gang = true
+	j := addJob(t, f.tr, 1, gang)
+	tasks := j.Occurrences[0].Steps[0].Tasks
+	f.crashOnce("vm-1", map[*Task]time.Duration{tasks[0]: time.Millisecond})
+	if !tasks[1].StartsObserved() {
+		t.Error("the other member of the gang is not observed")
+	}
+	f.crashOnce("vm-2", map[*Task]time.Duration{tasks[1]: time.Millisecond})
+	if j.State != JobFailed {
+		t.Errorf("the job is %s", j.State)
+	}
+}
+
+// Guards against tasks that stay suspected after they were shown not to be the cause, and would
+// fail at the next crashes beside them.
+func TestRunThatOutlivesTheCrashClearsItsTask(t *testing.T) {
+	tests := []struct {
+		name    string
+		age     time.Duration // at the crash
+		ran     time.Duration // the next run
+		cleared bool
+	}{
+		{"shorter than the window", 10 * time.Millisecond, crashWindow - 10*time.Millisecond, false},
+		{"longer than the window", 10 * time.Millisecond, crashWindow + 10*time.Millisecond, true},
+		{"up to the same age", 3 * time.Second, 3 * time.Second, false},
+		{"well beyond the same age", 3 * time.Second, 7 * time.Second, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newCrashFixture(t)
+			j := addJob(t, f.tr, 1, oneTask(1))
+			suspected := j.Occurrences[0].Steps[0].Tasks[0]
+			f.crashOnce("vm-1", map[*Task]time.Duration{suspected: tt.age})
+			f.run("vm-2", suspected)
+			f.now = f.now.Add(tt.ran)
+			c := f.report("vm-2")
+			if got := len(suspected.Crashes) == 0; got != tt.cleared || len(c.Cleared) == 1 != tt.cleared {
+				t.Errorf("crashes %+v, cleared %v", suspected.Crashes, c.Cleared)
+			}
+			if observed := f.tr.ObservedVMs()[f.tr.VMs["vm-2"]]; tt.cleared && observed != nil {
+				t.Error("the VM is still observed")
+			}
+		})
+	}
+}
+
+// Guards against an owner that forgets what the last one saw: the task would start crashing workers
+// anew after each change of owner. A crash that was stored and not acknowledged is reported to the
+// next owner again and counts once.
+func TestNextOwnerKnowsCrashes(t *testing.T) {
+	f := newCrashFixture(t)
+	j := addJob(t, f.tr, 1, oneTask(1))
+	crashing := j.Occurrences[0].Steps[0].Tasks[0]
+	f.crashOnce("vm-1", map[*Task]time.Duration{crashing: time.Millisecond})
+	value, err := j.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := newCrashFixture(t)
+	next.tr.runFloor = 1000
+	restored := addJob(t, next.tr, 1, oneTask(1))
+	if err := next.tr.Restore(restored.Spec.ID, value, begin); err != nil {
+		t.Fatal(err)
+	}
+	again := restored.Occurrences[0].Steps[0].Tasks[0]
+	if len(again.Crashes) != 1 || again.Crashes[0] != crashing.Crashes[0] {
+		t.Fatalf("restored %+v, stored %+v", again.Crashes, crashing.Crashes)
+	}
+	repeated := Report{Incarnation: "1", Process: 7, Crashes: []ReportedCrash{{Seq: 1, Runs: []CrashedRun{{Key: key(1, 0, 0, 1), Age: time.Millisecond}}}}}
+	next.tr.Attach(VMInfo{Name: "vm-1", Capacity: eightCore}, repeated, begin)
+	if len(again.Crashes) != 1 || restored.State.Final() {
+		t.Fatalf("the crash counts twice: %+v, %s", again.Crashes, restored.State)
+	}
+	next.crashOnce("vm-2", map[*Task]time.Duration{again: time.Millisecond})
+	if restored.State != JobFailed {
+		t.Errorf("after a second crash under the next owner the job is %s", restored.State)
+	}
+	if value, err = restored.Encode(); err != nil {
+		t.Fatal(err)
+	}
+	last := newCrashFixture(t)
+	failed := addJob(t, last.tr, 1, oneTask(1))
+	if err := last.tr.Restore(failed.Spec.ID, value, begin); err != nil {
+		t.Fatal(err)
+	}
+	if failed.ReportedState() != JobFailed || failed.ReportedReason() != restored.Reason {
+		t.Errorf("restored as %s, reason %q", failed.ReportedState(), failed.ReportedReason())
+	}
+}
+
+// Guards against a crash that is acknowledged before it is stored: the next owner would not learn
+// of it.
+func TestCrashIsAcknowledgedOnceStored(t *testing.T) {
+	f := newCrashFixture(t)
+	j := addJob(t, f.tr, 1, oneTask(1))
+	vm := func() *VM { return f.tr.VMs["vm"] }
+	f.crashOnce("vm", map[*Task]time.Duration{j.Occurrences[0].Steps[0].Tasks[0]: time.Millisecond})
+	flush := f.tr.BeginFlush()
+	if len(flush.Jobs) != 1 || vm().CrashStored != 0 {
+		t.Fatalf("%d jobs to store, crash %d acknowledged", len(flush.Jobs), vm().CrashStored)
+	}
+	f.tr.EndFlush(flush, nil, errors.New("store unavailable"))
+	if vm().CrashStored != 0 {
+		t.Error("acknowledged after a failed write")
+	}
+	flush = f.tr.BeginFlush()
+	f.tr.EndFlush(flush, map[string]JobState{j.Spec.ID: j.State}, nil)
+	if vm().CrashStored != 1 {
+		t.Errorf("crash %d acknowledged after the write", vm().CrashStored)
+	}
+	if again := f.tr.BeginFlush(); !again.Empty() {
+		t.Error("an acknowledged crash is written again")
+	}
+	f.tr.Attach(VMInfo{Name: "vm", Capacity: eightCore}, Report{Incarnation: "2", Process: vm().Process + 1}, begin)
+	if vm().CrashSeen != 0 || vm().CrashStored != 0 {
+		t.Error("numbers of the earlier process of the agent are kept")
+	}
+}
+
+// Guards against a task that is blamed although it was done before its worker crashed.
+func TestDoneTaskIsNotSuspected(t *testing.T) {
+	f := newCrashFixture(t)
+	j := addJob(t, f.tr, 1, oneTask(2))
+	done := j.Occurrences[0].Steps[0].Tasks[0]
+	r := f.run("vm", done)
+	f.tr.Apply(r.VM, Report{
+		Incarnation: "1", Ends: []ReportedEnd{{Seq: 1, Key: r.Key(), Outcome: EndDone}},
+		Crashes: []ReportedCrash{{Seq: 1, Runs: []CrashedRun{{Key: r.Key(), Age: time.Millisecond}}}},
+	}, f.now)
+	if !done.Done || len(done.Crashes) != 0 {
+		t.Errorf("done %t, crashes %+v", done.Done, done.Crashes)
+	}
+}
--- a/internal/job/tracker/job.go
+++ b/internal/job/tracker/job.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"fmt"
 	"slices"
 	"sort"
 	"time"
@@ -184,10 +185,19 @@
 		return
 	}
 	if len(t.Failed) >= j.Queue.MaxFailures {
-		tr.finish(j, JobFailed, now)
+		tr.fail(j, fmt.Sprintf("task %s has failed %d times", t.ID(), len(t.Failed)), now)
 	}
 }
 
+// fail ends a job whose tasks cannot all be done.
+func (tr *Tracker) fail(j *Job, reason string, now time.Time) {
+	if j.State.Final() {
+		return
+	}
+	j.Reason = reason
+	tr.finish(j, JobFailed, now)
+}
+
 // Backoff before a failed task runs again. The first restart is immediate, since most
 // failures are caused by the worker and the task then runs on another VM. Later ones are
 // delayed, so that a task that fails within milliseconds does not flood the agents with orders.
--- a/internal/job/tracker/record.go
+++ b/internal/job/tracker/record.go
@@ -17,6 +17,7 @@
 	Finished int                `json:"finished,omitempty"` // occurrences
 	Next     int                `json:"next"`
 	Open     []OccurrenceRecord `json:"open,omitempty"`
+	Reason   string             `json:"reason,omitempty"` // why the job failed
 }
 
 // OccurrenceRecord is the progress of an unfinished occurrence.
@@ -27,13 +28,14 @@
 
 // StepRecord is the progress of a step.
 type StepRecord struct {
-	Done   string          `json:"done,omitempty"`   // hex-encoded bitmap with one bit per task, lowest bit first
-	Failed map[int][]int64 `json:"failed,omitempty"` // numbers of the failed runs by task index
+	Done    string          `json:"done,omitempty"`    // hex-encoded bitmap with one bit per task, lowest bit first
+	Failed  map[int][]int64 `json:"failed,omitempty"`  // numbers of the failed runs by task index
+	Crashes map[int][]Crash `json:"crashes,omitempty"` // of workers, that a task is suspected of, by task index
 }
 
 // Encode returns the record of a job.
 func (j *Job) Encode() ([]byte, error) {
-	r := Record{State: j.State, Finished: j.Finished, Next: j.Next}
+	r := Record{State: j.State, Reason: j.Reason, Finished: j.Finished, Next: j.Next}
 	if j.State.Final() {
 		r.EndedAt = j.EndedAt.UnixMilli()
 	} else {
@@ -69,6 +71,7 @@
 				sr.Failed[i] = t.Failed
 			}
 		}
+		sr.Crashes = crashesOf(s)
 		r.Steps = append(r.Steps, sr)
 	}
 	return r
@@ -85,6 +88,7 @@
 		j.Unreadable, j.Occurrences = true, nil
 		return fmt.Errorf("restore progress of job %s: %w", id, err)
 	}
+	tr.restoreSuspected(j)
 	tr.open = nil
 	tr.openDue(j, now)
 	return nil
@@ -114,7 +118,7 @@
 		open = append(open, o)
 	}
 	j.State, j.StoredState, j.Finished, j.Next = r.State, r.State, r.Finished, r.Next
-	j.EndedAt = time.UnixMilli(r.EndedAt)
+	j.EndedAt, j.Reason = time.UnixMilli(r.EndedAt), r.Reason
 	j.Occurrences = open
 	return nil
 }
@@ -134,7 +138,7 @@
 				t.Done = true
 				s.Done++
 			}
-			t.Failed, t.HasRun = sr.Failed[n], o.Job.Started
+			t.Failed, t.Crashes, t.HasRun = sr.Failed[n], sr.Crashes[n], o.Job.Started
 		}
 	}
 	for _, s := range o.Steps {
@@ -148,8 +152,9 @@
 // Flush is one write of progress to the store: the jobs to write, and the run ends that
 // may be acknowledged to each VM's agent once they are written.
 type Flush struct {
-	Jobs []*Job
-	acks []pendingAck
+	Jobs      []*Job
+	acks      []pendingAck
+	crashAcks []pendingCrashAck
 }
 
 type pendingAck struct {
@@ -158,8 +163,14 @@
 	seq         int64
 }
 
+type pendingCrashAck struct {
+	vm      *VM
+	process int64 // of the agent
+	seq     int64
+}
+
 // Empty reports whether there is nothing to write and nothing to acknowledge.
-func (f *Flush) Empty() bool { return len(f.Jobs) == 0 && len(f.acks) == 0 }
+func (f *Flush) Empty() bool { return len(f.Jobs)+len(f.acks)+len(f.crashAcks) == 0 }
 
 // BeginFlush collects the jobs with unstored progress, and the run ends that may be
 // acknowledged once they are written.
@@ -175,6 +186,9 @@
 		if vm.EndSeen > vm.EndStored {
 			f.acks = append(f.acks, pendingAck{vm, vm.Incarnation, vm.EndSeen})
 		}
+		if vm.CrashSeen > vm.CrashStored {
+			f.crashAcks = append(f.crashAcks, pendingCrashAck{vm, vm.Process, vm.CrashSeen})
+		}
 	}
 	return f
 }
@@ -198,6 +212,11 @@
 			e.vm.EndStored = max(e.vm.EndStored, e.seq)
 		}
 	}
+	for _, c := range f.crashAcks {
+		if c.vm.Process == c.process {
+			c.vm.CrashStored = max(c.vm.CrashStored, c.seq)
+		}
+	}
 }
 
 // ReportedState returns the state that is reported to callers. A final state is reported only
@@ -212,6 +231,14 @@
 	return j.State
 }
 
+// ReportedReason returns why the job failed, once callers are told that it did.
+func (j *Job) ReportedReason() string {
+	if j.ReportedState() != JobFailed {
+		return ""
+	}
+	return j.Reason
+}
+
 // Reconcile marks jobs as reconciled, so that they may start: all of them if every VM has
 // reported, otherwise those for which all runs under earlier owners have certainly ended.
 // It returns how many jobs are not reconciled yet.
--- a/internal/job/tracker/report.go
+++ b/internal/job/tracker/report.go
@@ -24,6 +24,7 @@
 	Runs              []ReportedRun
 	Ends              []ReportedEnd // not yet acknowledged, in ascending order of Seq
 	UnconfirmedStarts []UnconfirmedStart
+	Crashes           []ReportedCrash // not yet acknowledged, in ascending order of Seq
 }
 
 // UnconfirmedStart is a start call that was not answered and may still be carried out.
@@ -53,13 +54,17 @@
 
 // Changes lists the effects of a report.
 type Changes struct {
-	Ended   []ReportedEnd
-	Lost    []*Run // no longer listed, and no end was reported
-	Adopted []*Run // not ordered by this owner
+	Ended      []ReportedEnd
+	Lost       []*Run      // no longer listed, and no end was reported
+	Adopted    []*Run      // not ordered by this owner
+	Suspicions []Suspicion // crashes attributed to tasks
+	Cleared    []*Task     // no longer suspected of crashes
 }
 
 // Any reports whether anything changed that decisions depend on.
-func (c Changes) Any() bool { return len(c.Ended)+len(c.Lost)+len(c.Adopted) > 0 }
+func (c Changes) Any() bool {
+	return len(c.Ended)+len(c.Lost)+len(c.Adopted)+len(c.Suspicions)+len(c.Cleared) > 0
+}
 
 // orderUnknown is above every order number of a session: a run with it does not count
 // as lost when a report does not list it.
@@ -90,6 +95,9 @@
 		tr.VMs[info.Name] = vm
 	}
 	restarted := vm.Process != 0 && vm.Process != rep.Process
+	if vm.Process != rep.Process {
+		vm.CrashSeen, vm.CrashStored = 0, 0
+	}
 	vm.Attached, vm.Process = true, rep.Process
 	vm.OrderSeq = 0
 	for _, r := range vm.Runs {
@@ -183,10 +191,15 @@
 			c.Ended = append(c.Ended, e)
 		}
 	}
+	// Before the runs that crashed count as lost: their tasks may start again from then on.
+	c.Suspicions = tr.applyCrashes(vm, rep, now)
 	for _, r := range rep.Runs {
 		if adopted := tr.applyRun(vm, r, rep.OrdersSeen, now); adopted != nil {
 			c.Adopted = append(c.Adopted, adopted)
 		}
+		if run := vm.Runs[r.Key]; r.Confirmed && tr.clearCrashes(run.Task, vm.SeenAt.Sub(run.StartedAt)) {
+			c.Cleared = append(c.Cleared, run.Task)
+		}
 	}
 	for key, r := range vm.Runs {
 		if !listed[key] && r.Order <= rep.OrdersSeen {
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -74,6 +74,7 @@
 	Index      int
 	Done       bool
 	Failed     []int64 // numbers of the failed runs
+	Crashes    []Crash // of workers, that it is suspected of
 	LastNumber int64   // number of its latest run, 0 if this owner knows of none
 	HasRun     bool    // it has had a run, or may have had one under an earlier owner
 	Checkpoint string  // to resume from
@@ -219,6 +220,7 @@
 	Finished    int             // number of finished occurrences
 	Started     bool            // one of its tasks has started
 	State       JobState
+	Reason      string   // why it failed
 	StoredState JobState // as stored; callers get no final state before it is stored
 	EndedAt     time.Time
 	// ReconcileAt is when all runs of its tasks under earlier owners have certainly ended.
@@ -246,6 +248,8 @@
 	OrderSeq          int64  // number of orders sent in this session
 	EndSeen           int64  // highest applied end of this incarnation
 	EndStored         int64  // highest stored end of this incarnation
+	CrashSeen         int64  // highest applied crash that this process of the agent has reported
+	CrashStored       int64  // highest of them that is stored
 	Committed         specifier.Resources
 	BestEffortCPU     int64 // thousandths of a core that best-effort tasks would use
 	LongRunning       int   // number of its runs of long-running tasks
@@ -291,13 +295,14 @@
 
 // Tracker is the state of a cell.
 type Tracker struct {
-	Jobs     map[string]*Job
-	VMs      map[string]*VM
-	policy   *specifier.Policy
-	ended    []*Job
-	open     []string // sorted IDs of the jobs that have not ended; nil: to be rebuilt
-	moving   []*Task  // tasks with a relocation; may include some whose relocation has ended
-	runFloor int64    // run numbers of this owner are higher
+	Jobs      map[string]*Job
+	VMs       map[string]*VM
+	policy    *specifier.Policy
+	ended     []*Job
+	open      []string       // sorted IDs of the jobs that have not ended; nil: to be rebuilt
+	suspected map[*Task]bool // tasks with crashes; may include some that have ended
+	moving    []*Task        // tasks with a relocation; may include some whose relocation has ended
+	runFloor  int64          // run numbers of this owner are higher
 
 	runtimeRatios map[string]float64 // by queue
 }
@@ -317,7 +322,7 @@
 	if p == nil {
 		p = &specifier.Policy{}
 	}
-	return &Tracker{Jobs: make(map[string]*Job), VMs: make(map[string]*VM), policy: p, runFloor: c.RunFloor, runtimeRatios: make(map[string]float64)}
+	return &Tracker{Jobs: make(map[string]*Job), VMs: make(map[string]*VM), policy: p, runFloor: c.RunFloor, runtimeRatios: make(map[string]float64), suspected: make(map[*Task]bool)}
 }
 
 // Policy returns the policy in force.
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -40,6 +40,8 @@
 	OrdersNotAccepted
 	JobStopOverdue
 	StartsHeld
+	JobTaskSuspected
+	JobTaskCleared
 )
 
 // Events of jobs at agents, numbered from 950.
@@ -101,6 +103,8 @@
 	{OrdersNotAccepted, log.WarnLevel, "orders not accepted", "An agent refused orders or did not answer them; its session ends, and the orders are decided again in the next one."},
 	{JobStopOverdue, log.WarnLevel, "stop overdue", "A run was ordered to stop long ago and its agent still lists it."},
 	{JobMoveDecided, log.InfoLevel, "move decided", "A long-running task is stopped and restarted on another VM, so that best-effort tasks that it keeps off its VM may run there."},
+	{JobTaskSuspected, log.WarnLevel, "task suspected", "A worker crashed soon after a run of the task was started there. Later starts of the task are kept apart from others; with sole=true it was the only suspect, and its job fails when that happens again."},
+	{JobTaskCleared, log.InfoLevel, "task cleared", "A run of a suspected task has outlived the time after which a worker crashed; the crashes do not count any more."},
 	{StartsHeld, log.WarnLevel, "starts held", "The policy was read too long ago to start tasks by it: an availability zone may have been taken out since. With held=false, starts have resumed."},
 
 	{WorkerAnnounced, log.InfoLevel, "worker announced itself", "The worker of this VM reported its state."},
--- a/internal/operator/handler/jobs.go
+++ b/internal/operator/handler/jobs.go
@@ -7,6 +7,7 @@
 
 	"bamboospread/internal/job/receiver"
 	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/job/tracker"
 	"bamboospread/internal/wire/messenger"
 )
 
@@ -14,7 +15,8 @@
 type JobAnswer struct {
 	ID      string  `json:"id"`
 	Outcome Outcome `json:"outcome"`
-	State   string  `json:"state,omitempty"` // a tracker.JobState
+	State   string  `json:"state,omitempty"`  // a tracker.JobState
+	Reason  string  `json:"reason,omitempty"` // why the job failed
 }
 
 // QueueAnswer holds the number of jobs of a queue that have not started.
@@ -74,7 +76,11 @@
 func writeJobResult(w http.ResponseWriter, id string, res receiver.Result) {
 	switch res.Outcome {
 	case receiver.Accepted:
-		writeJSON(w, http.StatusOK, JobAnswer{ID: id, Outcome: OutcomeDone, State: string(res.State)})
+		a := JobAnswer{ID: id, Outcome: OutcomeDone, State: string(res.State)}
+		if res.State == tracker.JobFailed {
+			a.Reason = res.Reason
+		}
+		writeJSON(w, http.StatusOK, a)
 	case receiver.NotExist:
 		writeError(w, http.StatusNotFound, ErrorAnswer{Error: "job " + strconv.Quote(id) + " does not exist", Outcome: OutcomeRefused})
 	case receiver.OutcomeUnknown:
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -32,6 +32,7 @@
 	// Unconfirmed starts: they were not answered and no status poll has shown the run yet.
 	// The worker may still carry them out, even in another incarnation.
 	UnconfirmedStarts []WorkUnconfirmedStart `json:"doubts,omitempty"`
+	Crashes           []WorkCrash            `json:"crashes,omitempty"` // of the worker, that are not stored yet
 	// An abridged report lists only runs that are new or changed in more than progress and
 	// measure; wire/abridger restores the full report.
 	Abridged bool       `json:"abridged,omitempty"`
@@ -70,6 +71,19 @@
 	AgeMillis int64  `json:"age-ms"` // since it was sent
 }
 
+// WorkCrash is a crash of the worker.
+type WorkCrash struct {
+	Seq  int64            `json:"seq"` // in the agent's process, from 1
+	Runs []WorkCrashedRun `json:"runs"`
+}
+
+// WorkCrashedRun is a run that the worker had when it crashed.
+type WorkCrashedRun struct {
+	Task      string `json:"task"`
+	Run       int64  `json:"run"`
+	AgeMillis int64  `json:"age-ms"` // since its start
+}
+
 // WorkEnd is the end of a run that the owner has not stored yet.
 type WorkEnd struct {
 	Seq        int64  `json:"seq"`
@@ -82,10 +96,11 @@
 // WorkReply answers a report. The agent may keep its runs running for GrantMillis,
 // counted from when it sent the report.
 type WorkReply struct {
-	Epoch       int64 `json:"epoch"`
-	GrantMillis int64 `json:"grant-ms"`
-	EndsStored  int64 `json:"ends-stored"` // the worker may discard ends up to this number
-	GapMillis   int64 `json:"gap-ms"`      // minimum time between reports
+	Epoch         int64 `json:"epoch"`
+	GrantMillis   int64 `json:"grant-ms"`
+	EndsStored    int64 `json:"ends-stored"`              // the worker may discard ends up to this number
+	CrashesStored int64 `json:"crashes-stored,omitempty"` // the agent may discard crashes up to this number
+	GapMillis     int64 `json:"gap-ms"`                   // minimum time between reports
 	// Needs are the needs of the listed runs, in the answer to the first report of a
 	// session: a restarted agent does not have them.
 	Needs []WorkRun `json:"needs,omitempty"`
@@ -165,8 +180,9 @@
 // WorkStateReply contains the state of a job. Known is false if the owner has no such
 // job, which does not prove that it was never accepted.
 type WorkStateReply struct {
-	Known bool   `json:"known"`
-	State string `json:"state,omitempty"` // a tracker.JobState
+	Known  bool   `json:"known"`
+	State  string `json:"state,omitempty"`  // a tracker.JobState
+	Reason string `json:"reason,omitempty"` // why the job failed
 }
 
 // WorkPendingRequest asks how many jobs of a queue have not started.
@@ -185,6 +201,7 @@
 	Job          string           `json:"job"`
 	Queue        string           `json:"queue"`
 	State        string           `json:"state"`
+	Reason       string           `json:"reason,omitempty"`    // why it failed
 	Epoch        int64            `json:"epoch"`               // epoch of the owner
 	Unreconciled bool             `json:"unsettled,omitempty"` // the owner waits for VMs that an earlier owner may have used
 	Occurrences  int              `json:"occurrences"`
@@ -201,7 +218,8 @@
 	Running    int             `json:"running"`
 	Waiting    int             `json:"waiting"`
 	Failures   int             `json:"failures"`
-	Reason     string          `json:"reason,omitempty"` // why its tasks wait
+	Suspected  []string        `json:"suspected,omitempty"` // tasks that are suspected of having crashed workers
+	Reason     string          `json:"reason,omitempty"`    // why its tasks wait
 	Runs       []WorkRunStatus `json:"runs,omitempty"`
 }
 
--- a/internal/worker/guardian/crash.go
+++ b/internal/worker/guardian/crash.go
@@ -8,12 +8,23 @@
 
 	"bamboospread/internal/job/tracker"
 	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/wire/messenger"
 )
 
 // loggedCrashRuns is the number of runs that a log line on a crash names, the latest starts
 // first. It keeps the line below 1 KiB.
 const loggedCrashRuns = 8
 
+// maxCrashesKept is the number of crashes that are kept for the owner. More than one or two wait
+// only while the cell has no owner, and then nothing starts.
+const maxCrashesKept = 16
+
+// crash is a crash of the worker that the owner has not stored yet.
+type crash struct {
+	seq  int64
+	runs []crashedRun
+}
+
 // crashedRun is a run that was on a worker when it crashed.
 type crashedRun struct {
 	key tracker.RunKey
@@ -29,6 +40,31 @@
 	g.crashRecorded = true
 	runs := g.crashedRunsLocked(at)
 	g.config.Reporter.Report(reporter.WorkerCrashed, reporter.Fields{"life": g.incarnation, "runs": len(runs), "latest": describeCrashedRuns(runs)})
+	if len(runs) == 0 {
+		return
+	}
+	g.lastCrash++
+	g.crashes = append(g.crashes, crash{seq: g.lastCrash, runs: runs})
+	g.crashes = g.crashes[max(len(g.crashes)-maxCrashesKept, 0):]
+	g.signal()
+}
+
+// dropStoredCrashesLocked removes the crashes that the owner has stored.
+func (g *Guardian) dropStoredCrashesLocked(seq int64) {
+	g.crashes = slices.DeleteFunc(g.crashes, func(c crash) bool { return c.seq <= seq })
+}
+
+// crashesLocked lists the crashes that the owner has not stored yet.
+func (g *Guardian) crashesLocked() []messenger.WorkCrash {
+	var all []messenger.WorkCrash
+	for _, c := range g.crashes {
+		w := messenger.WorkCrash{Seq: c.seq}
+		for _, r := range c.runs {
+			w.Runs = append(w.Runs, messenger.WorkCrashedRun{Task: r.key.Task.String(), Run: r.key.Number, AgeMillis: r.age.Milliseconds()})
+		}
+		all = append(all, w)
+	}
+	return all
 }
 
 // crashedRunsLocked returns the runs that the worker had, or may have had, when it ended, the
--- a/internal/worker/guardian/crash_test.go
+++ b/internal/worker/guardian/crash_test.go
@@ -103,6 +103,9 @@
 			tt.end(e)
 			e.until("the end of the case", func() bool { return log.count("worker crashed") >= tt.crashes })
 			time.Sleep(2 * pollWait)
+			if got := len(e.report().Crashes); got != tt.crashes {
+				t.Errorf("%d crashes reported, want %d", got, tt.crashes)
+			}
 			if got := log.count("worker crashed"); got != tt.crashes {
 				t.Errorf("%d crashes logged, want %d", got, tt.crashes)
 			}
@@ -140,3 +143,45 @@
 		t.Error("the crash must name the run of task 0 only")
 	}
 }
+
+// Guards against a crash that the owner never learns of: the report with it was lost, or the owner
+// ended before it had stored the crash.
+func TestCrashIsReportedUntilStored(t *testing.T) {
+	e := newTestEnv(t, newFakeWorker())
+	e.own(1)
+	e.order(1, messenger.WorkStart, 0, 1)
+	e.until("a run", func() bool { return e.confirmed() == 1 })
+	e.endWorker()
+	e.until("the crash", func() bool { return len(e.report().Crashes) == 1 })
+	e.restartWorker("incarnation-2")
+	e.announce(false)
+	e.own(2) // another owner, which has stored nothing
+	rep := e.report()
+	if len(rep.Crashes) != 1 || len(rep.Crashes[0].Runs) != 1 || rep.Crashes[0].Runs[0].Task != taskID(0).String() {
+		t.Fatalf("the next owner gets %+v", rep.Crashes)
+	}
+	e.g.ApplyReply(time.Now(), rep.Incarnation, messenger.WorkReply{Epoch: 2, CrashesStored: rep.Crashes[0].Seq})
+	if rep = e.report(); len(rep.Crashes) != 0 {
+		t.Errorf("reported after it was stored: %+v", rep.Crashes)
+	}
+}
+
+// Guards against a crash under a start that was not answered: the worker may have crashed before it
+// could answer.
+func TestUnansweredStartIsOnTheCrashedWorker(t *testing.T) {
+	worker := newFakeWorker()
+	worker.lostStarts = 1
+	e := newTestEnv(t, worker)
+	e.own(1)
+	e.order(1, messenger.WorkStart, 0, 1)
+	e.until("the start", func() bool {
+		worker.mu.Lock()
+		defer worker.mu.Unlock()
+		return len(worker.starts) == 1
+	})
+	e.endWorker()
+	e.until("the crash", func() bool { return len(e.report().Crashes) == 1 })
+	if runs := e.report().Crashes[0].Runs; len(runs) != 1 || runs[0].Task != taskID(0).String() {
+		t.Errorf("the crash names %+v", runs)
+	}
+}
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -73,19 +73,21 @@
 	session                 int64
 	process                 int64 // identifies this agent process
 	ordersSeen              int64
-	grantUntil              time.Time               // the owner has granted lease time until then
-	vmInfoAcked             *messenger.WorkVMInfo   // acknowledged in this session by the reply to a report
-	vmInfoSent              *messenger.WorkVMInfo   // in the latest report
-	requestedReportInterval time.Duration           // minimum time between reports that the owner asks for
-	reportedAt              time.Time               // when the last report was made
-	repliedAt               time.Time               // when the last report that got a reply was sent
-	clock                   time.Duration           // the worker's clock in its latest answer to a poll
-	clockAt                 time.Time               // when clock was received; zero: not yet from this incarnation
-	failedPolls             int                     // in a row
-	absentPolls             int                     // in a row that found no process
-	pollsFailSince          time.Time               // when the first of the failed polls in a row ended; zero: the last poll was answered
-	unresponsiveSince       time.Time               // when the worker began to count as unresponsive; zero: it responds
-	crashRecorded           bool                    // the crash of this incarnation is recorded
+	grantUntil              time.Time             // the owner has granted lease time until then
+	vmInfoAcked             *messenger.WorkVMInfo // acknowledged in this session by the reply to a report
+	vmInfoSent              *messenger.WorkVMInfo // in the latest report
+	requestedReportInterval time.Duration         // minimum time between reports that the owner asks for
+	reportedAt              time.Time             // when the last report was made
+	repliedAt               time.Time             // when the last report that got a reply was sent
+	clock                   time.Duration         // the worker's clock in its latest answer to a poll
+	clockAt                 time.Time             // when clock was received; zero: not yet from this incarnation
+	failedPolls             int                   // in a row
+	absentPolls             int                   // in a row that found no process
+	pollsFailSince          time.Time             // when the first of the failed polls in a row ended; zero: the last poll was answered
+	unresponsiveSince       time.Time             // when the worker began to count as unresponsive; zero: it responds
+	crashRecorded           bool                  // the crash of this incarnation is recorded
+	crashes                 []crash
+	lastCrash               int64                   // number of the latest crash
 	expiredRuns             map[tracker.RunKey]*run // runs whose leases expired while the worker was unresponsive
 	leaseEnd                time.Time               // when all requested leases have expired for certain
 	cancelPoll              context.CancelFunc      // cancels the poll in progress
@@ -222,7 +224,7 @@
 			rep.Ends = append(rep.Ends, messenger.WorkEnd{Seq: e.Seq, Task: e.Task.String(), Run: e.Run, Outcome: e.Outcome, Checkpoint: e.Checkpoint})
 		}
 	}
-	rep.UnconfirmedStarts = g.unconfirmedStartsLocked()
+	rep.UnconfirmedStarts, rep.Crashes = g.unconfirmedStartsLocked(), g.crashesLocked()
 	return rep, true
 }
 
@@ -276,6 +278,7 @@
 	if incarnation == g.incarnation {
 		g.dropStoredEndsLocked(reply.EndsStored)
 	}
+	g.dropStoredCrashesLocked(reply.CrashesStored)
 	for _, n := range reply.Needs {
 		g.setNeedsLocked(n)
 	}
--- a/tests/integration/job_crash_test.go
+++ b/tests/integration/job_crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -43,6 +44,41 @@
 	})
 }
 
+// checkReasonShown checks that callers and operators learn from the job's id which task made it fail
+// and why.
+func (r *jobTestbed) checkReasonShown(job, task string) {
+	r.t.Helper()
+	want := "task " + task + " crashes its workers"
+	if a, err := r.operator.GetJob(r.t.Context(), job); err != nil || !strings.Contains(a.Reason, want) {
+		r.t.Errorf("the reason is %q, %v; want %q in it", a.Reason, err, want)
+	}
+	entries := "--entries=" + r.Entries[0].HTTP + "," + r.Entries[1].HTTP
+	for _, args := range [][]string{{"status", entries, "--job", job}, {"explain", entries, "job", job}} {
+		if out, _ := harness.Run(r.t, args...); !strings.Contains(out, want) {
+			r.t.Errorf("%s: %s; want %q in it", args[0], out, want)
+		}
+	}
+	for _, message := range []string{"worker crashed", "task suspected", "job ended"} {
+		found := false
+		for _, l := range r.jobLogLines() {
+			found = found || strings.Contains(l, `message="`+message+`"`) && strings.Contains(l, job)
+		}
+		if !found {
+			r.t.Errorf("no line %q with the job's id", message)
+		}
+	}
+}
+
+func (r *jobTestbed) jobLogLines() (lines []string) {
+	for _, e := range r.Entries {
+		lines = append(lines, e.LogLines()...)
+	}
+	for _, vm := range r.JobVMs {
+		lines = append(lines, vm.Agent.LogLines()...)
+	}
+	return lines
+}
+
 // TestTaskThatCrashesItsWorkersIsGivenUp guards against a task that takes down one worker after
 // the other, with everything that runs there, because a run that ends with its worker counts for
 // nothing. Jobs whose tasks stood beside it must end as done.
@@ -89,6 +125,7 @@
 				}
 				return nil
 			})
+			r.checkReasonShown(crashing.ID, task)
 			<-submitted
 			r.awaitJobs()
 			r.checkDuplicateRuns()
