job: observe tasks from their second crash on, and blame none for common crashes

The first form of giving up crashing tasks kept every task apart that had started just before a crash.

Now one crash costs a task nothing but a preference for VMs without other suspects. From the second on it starts apart, on a VM that is kept free for it: the one on which nothing has started for longest. It counts as the sole cause only if nothing else had started there within a second and no worker of another VM crashed within half a second; the job fails half a second later, so that such crashes are reported first. A job fails after three crashes if its task was the sole cause of the last, after four as a likely cause, after five in all, which leaves the two starts after the third that the users allow.

--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -26,11 +26,11 @@
 	}
 	counts := make(map[string]int)
 	r := newRound(in)
-	observed := in.State.ObservedVMs()
+	r.loadVMs()
 	for _, vm := range in.State.VMs {
 		reason := r.rejectReason(in, vm, s)
-		if t := observed[vm]; reason == freeCapacity && t != nil {
-			reason = fmt.Sprintf("kept free of other starts while %s is observed after a crash", t.ID())
+		if m := r.findVM(vm.Name); reason == freeCapacity && m != nil && m.observed != nil {
+			reason = fmt.Sprintf("kept free of other starts while %s is observed after crashes", m.observed.ID())
 		}
 		counts[reason]++
 	}
--- a/internal/job/planner/observe.go
+++ b/internal/job/planner/observe.go
@@ -1,64 +1,93 @@
 package planner
 
 import (
-	"slices"
 	"time"
 
 	"bamboospread/internal/job/tracker"
 )
 
-// Observed starts. A task that may have crashed a worker starts again on a VM on which nothing
-// else starts until the task is cleared, so that a second crash shows whether it is the cause.
+// Observed starts. A task under which workers have crashed starts again on a VM on which nothing
+// else has just started or starts until the task is cleared, so that another crash shows whether it
+// is the cause.
 const (
 	// vmsPerObservation is how many VMs there must be for each one that is kept free of other
 	// starts. At least one may be.
 	vmsPerObservation = 4
-	// quietBeforeObservation is how long nothing must have started on a VM before an observed
-	// start: what started just before would be suspected too.
-	quietBeforeObservation = 500 * time.Millisecond
-	// maxObservationWait is how long a task waits for such a VM.
-	maxObservationWait = time.Second
+	// maxQuietWait is how long a task waits until nothing has started on its VM for as long as a
+	// run is a likely cause of a crash.
+	maxQuietWait = 3 * time.Second
+	// besideSuspected lowers the score of a VM for a suspected task if others run there. Apart,
+	// they are not likely causes of the same crash.
+	besideSuspected = 0.25
 )
 
-// loadObservations sets which VMs are kept free of other starts.
-func (r *round) loadObservations() {
-	for vm, t := range r.state.ObservedVMs() {
-		if m := r.findVM(vm.Name); m != nil {
-			m.observed = t
-			r.observations++
+// loadSuspected sets which VMs have runs of suspected tasks, and which of them are kept free of
+// other starts: those with observed runs, then those that are to get one.
+func (r *round) loadSuspected() {
+	tasks := r.state.SuspectedTasks()
+	for _, t := range tasks {
+		for _, member := range t.Unit() {
+			for _, run := range member.Runs {
+				if m := r.findVM(run.VM.Name); m != nil {
+					r.addSuspected(m, t)
+				}
+			}
+		}
+	}
+	for _, t := range tasks {
+		if t.StartsObserved() && t.Waits(r.now) && !t.Step.Spec.Gang && r.observations < r.maxObservations() {
+			r.keepFree(t)
 		}
 	}
 }
 
-// observe keeps the VM free of other starts if the task that was placed on it is to be observed.
-func (r *round) observe(m *vmState, t *tracker.Task) {
+// addSuspected accounts for a run of a task on a VM if the task is suspected.
+func (r *round) addSuspected(m *vmState, t *tracker.Task) {
+	if !t.Suspected() {
+		return
+	}
+	m.suspected = true
 	if m.observed == nil && t.StartsObserved() {
 		m.observed = t
 		r.observations++
 	}
 }
 
+// keepFree chooses the VM on which a task is to be observed: the one on which nothing has started
+// for longest. It stays the same from one round to the next, since nothing starts there meanwhile.
+func (r *round) keepFree(t *tracker.Task) {
+	count := r.runCounts(t.Step)
+	var best *vmState
+	for _, m := range r.vmStates {
+		if m.observed != nil || !m.admitsTask(t.Step, t, count[m.vm]) || t.RunsOn(m.vm) {
+			continue
+		}
+		if best == nil || m.vm.LatestStart().Before(best.vm.LatestStart()) {
+			best = m
+		}
+	}
+	if best != nil {
+		best.observed = t
+		r.observations++
+	}
+}
+
 // separates reports whether a task must not start on a VM because of observed starts.
 func (r *round) separates(m *vmState, t *tracker.Task) bool {
-	if m.observed != nil {
+	if m.observed != nil && m.observed != t {
 		return !startTogether(m.observed, t)
 	}
 	if !t.StartsObserved() {
 		return false
 	}
-	if r.observations >= r.maxObservations() && !r.observesGangOf(t) {
-		return true
+	if m.observed == nil && !t.Step.Spec.Gang {
+		return true // it starts on the VM that is kept free for it
 	}
-	quiet := m.placed == 0 && r.now.Sub(m.vm.LatestStart()) >= quietBeforeObservation
-	return !quiet && (m.placed > 0 || r.now.Sub(t.WaitSince) < maxObservationWait)
+	quiet := m.placed == 0 && r.now.Sub(m.vm.LatestStart()) >= tracker.CrashWindow
+	return !quiet && r.now.Sub(t.WaitSince) < maxQuietWait
 }
 
 func (r *round) maxObservations() int { return max(len(r.vmStates)/vmsPerObservation, 1) }
 
-// observesGangOf reports whether another member of the task's gang is observed already.
-func (r *round) observesGangOf(t *tracker.Task) bool {
-	return slices.ContainsFunc(r.vmStates, func(m *vmState) bool { return m.observed != nil && startTogether(m.observed, t) })
-}
-
 // startTogether reports whether two tasks are members of one gang.
 func startTogether(a, b *tracker.Task) bool { return a.Step == b.Step && a.Step.Spec.Gang }
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -63,6 +63,7 @@
 	longRunningCPU  int64         // thousandths of a core reserved for them
 	placed          int           // in this round
 	observed        *tracker.Task // a run of it is observed on the VM; nil: none is
+	suspected       bool          // it has a run of a suspected task
 	neighboursKnown bool          // whether neighbours is set
 	// neighbours are the long-running tasks that best-effort tasks could interfere with.
 	neighbours []neighbour
@@ -108,7 +109,7 @@
 		}
 	}
 	sort.Slice(r.vmStates, func(i, j int) bool { return r.vmStates[i].vm.Name < r.vmStates[j].vm.Name })
-	r.loadObservations()
+	r.loadSuspected()
 	r.reserveForMoves()
 }
 
@@ -178,7 +179,7 @@
 func (r *round) place(t *tracker.Task, m *vmState, number int64) Start {
 	m.release(t)
 	r.assign(m, t.Step.Spec)
-	r.observe(m, t)
+	r.addSuspected(m, t)
 	r.runCounts(t.Step)[m.vm]++
 	return r.start(t, m, number)
 }
--- a/internal/job/planner/score.go
+++ b/internal/job/planner/score.go
@@ -29,6 +29,9 @@
 	if m.vm.Slow() {
 		sc[0]--
 	}
+	if m.suspected && t.Suspected() {
+		sc[0] -= besideSuspected
+	}
 	if t.Relocation.To == m.vm.Name {
 		sc[0] += 0.75
 	}
--- a/internal/job/scheduler/explain.go
+++ b/internal/job/scheduler/explain.go
@@ -41,7 +41,7 @@
 			w.Waiting++
 		}
 	}
-	for _, id := range s.SuspectedTasks() {
+	for _, id := range s.SuspectedTaskIDs() {
 		w.Suspected = append(w.Suspected, id.String())
 	}
 	if w.Waiting > 0 {
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -202,6 +202,7 @@
 // times, VMs that stopped reporting, tasks that stall or interfere with others.
 func (o *owner) runChecks(ctx context.Context, now time.Time) {
 	o.state.OpenDue(now)
+	o.state.GiveUpCrashingTasks(now)
 	o.checkVMContact(now)
 	o.stopUnneeded()
 	o.reportOverdueStops(now)
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -229,16 +229,24 @@
 		o.s.config.Metrics.runEnded(e.Outcome)
 		o.s.config.Reporter.Report(reporter.JobRunEnded, reporter.Fields{"task": e.Key.Task.String(), "run": e.Key.Number, "vm": vm.Name, "how": string(e.Outcome), "end": e.Seq})
 	}
+	o.reportSuspicions(vm, c)
+	o.reportLost(vm, c.Lost, "no longer reported by the worker")
+	for _, r := range c.Adopted {
+		o.s.config.Reporter.Report(reporter.JobRunAdopted, reporter.Fields{"task": r.Key().Task.String(), "run": r.Number, "vm": vm.Name})
+	}
+}
+
+// reportSuspicions logs which tasks are suspected of a crash of the VM's worker, and which are no
+// longer suspected.
+func (o *owner) reportSuspicions(vm *tracker.VM, c tracker.Changes) {
 	for _, p := range c.Suspicions {
-		o.s.config.Reporter.Report(reporter.JobTaskSuspected, reporter.Fields{"task": p.Task.ID().String(), "run": p.Crash.Run, "vm": vm.Name, "age": (time.Duration(p.Crash.AgeMillis) * time.Millisecond).String(), "suspects": p.Suspects, "sole": p.Crash.Sole, "crashes": len(p.Task.Crashes)})
+		o.s.config.Reporter.Report(reporter.JobTaskSuspected, reporter.Fields{
+			"task": p.Task.ID().String(), "run": p.Crash.Run, "vm": vm.Name, "age": p.Crash.Age().String(), "likely": p.Likely, "sole": p.Crash.Sole, "crashes": len(p.Task.Crashes),
+		})
 	}
 	for _, t := range c.Cleared {
 		o.s.config.Reporter.Report(reporter.JobTaskCleared, reporter.Fields{"task": t.ID().String(), "vm": vm.Name})
 	}
-	o.reportLost(vm, c.Lost, "no longer reported by the worker")
-	for _, r := range c.Adopted {
-		o.s.config.Reporter.Report(reporter.JobRunAdopted, reporter.Fields{"task": r.Key().Task.String(), "run": r.Number, "vm": vm.Name})
-	}
 }
 
 // runNeeds lists the committed resources of the VM's runs.
--- a/internal/job/tracker/crash.go
+++ b/internal/job/tracker/crash.go
@@ -11,19 +11,29 @@
 
 // Rules by which the crash of a worker is attributed to a task.
 const (
-	// crashWindow is how long after its start a run is expected to crash its worker, if it does.
-	// Of the runs on a crashed worker those within it are suspected, otherwise all of them.
-	crashWindow = 500 * time.Millisecond
+	// CrashWindow is how long after its start a run is a likely cause of a crash of its worker. The
+	// starts of a task that crashes workers later than that are not observed.
+	CrashWindow = time.Second
+	// minObservation is how long a run must run at least to clear its task.
+	minObservation = 500 * time.Millisecond
 	// crashRepeatFactor is how many times the age that a run had at a crash a later run of the
-	// same task may have at another crash to be suspected again. A run that outlives it clears
-	// its task.
+	// same task may have at another crash to be a likely cause again. A run that outlives it
+	// clears its task.
 	crashRepeatFactor = 2
-	// soleCrashesToGiveUp is how many workers must crash with the task as the only suspect
-	// before its job fails. One may be a coincidence.
-	soleCrashesToGiveUp = 2
-	// crashesToGiveUp is the same if others were suspected too. A task may start twice after
-	// three workers have crashed under it.
-	crashesToGiveUp = 4
+	// crashesToObserve is how many workers must crash under the task within CrashWindow before
+	// its starts are observed. Observing each task that stood beside one crash would delay many.
+	crashesToObserve = 2
+	// observedCrashesToGiveUp is how many workers must crash under the task before its job fails,
+	// if it was the only likely cause of the last crash. Its start was observed then.
+	observedCrashesToGiveUp = crashesToObserve + 1
+	// likelyCrashesToGiveUp is the number of crashes of which the task was a likely cause.
+	likelyCrashesToGiveUp = 4
+	// crashesTogether is the time within which crashes on several VMs are taken for one event, such
+	// as the loss of a rack, for which no task is the sole cause.
+	crashesTogether = 500 * time.Millisecond
+	// crashesToGiveUp is the number of crashes in all. A task may start twice after three workers
+	// have crashed under it.
+	crashesToGiveUp = 5
 )
 
 // ReportedCrash is the crash of a VM's worker.
@@ -42,28 +52,38 @@
 type Crash struct {
 	Run       int64  `json:"run"`
 	VM        string `json:"vm"`
-	AgeMillis int64  `json:"age-ms"`         // of the run
-	Sole      bool   `json:"sole,omitempty"` // no other task was suspected
+	AgeMillis int64  `json:"age-ms"`           // of the run
+	Likely    bool   `json:"likely,omitempty"` // it had just started, or repeated a crash
+	Sole      bool   `json:"sole,omitempty"`   // no other task was a likely cause
 }
 
 // observation is how long a later run of the task must run to clear it.
 func (c Crash) observation() time.Duration {
-	return max(crashWindow, crashRepeatFactor*c.age())
+	return max(minObservation, crashRepeatFactor*c.Age())
 }
 
-func (c Crash) age() time.Duration { return time.Duration(c.AgeMillis) * time.Millisecond }
+// Age is how long the run had run at the crash.
+func (c Crash) Age() time.Duration { return time.Duration(c.AgeMillis) * time.Millisecond }
 
 // Suspicion is the attribution of a crash to a task.
 type Suspicion struct {
-	Task     *Task
-	Crash    Crash
-	Suspects int // tasks that are suspected of this crash
+	Task   *Task
+	Crash  Crash
+	Likely int // tasks that are likely causes of this crash
 }
 
-// suspect is a run that is suspected of a crash.
+// suspect is a run that may have caused a crash.
 type suspect struct {
 	CrashedRun
-	task *Task // nil if its job is not known
+	task   *Task // nil if its job is not known
+	likely bool
+}
+
+// recentCrash is a crash that another may turn out to have come with.
+type recentCrash struct {
+	vm         *VM
+	at         time.Time
+	suspicions []Suspicion
 }
 
 // applyCrashes attributes the crashes that a report contains and that are new.
@@ -77,45 +97,89 @@
 	return found
 }
 
-// attributeCrash records a crash for the tasks that are suspected of it, and fails the jobs of
-// those that have crashed too many workers.
+// attributeCrash records a crash for the tasks that may have caused it, and fails the jobs of those
+// that have crashed too many workers.
 func (tr *Tracker) attributeCrash(vm *VM, c ReportedCrash, now time.Time) (found []Suspicion) {
 	suspects := tr.crashSuspects(c)
-	sole := areOneUnit(suspects)
+	likely := slices.DeleteFunc(slices.Clone(suspects), func(s suspect) bool { return !s.likely })
+	together := tr.comesWithOthers(vm, now)
+	sole := areOneUnit(likely) && !together
 	for _, s := range suspects {
 		t := s.task
 		if t == nil || t.Done || t.Step.Occurrence.Job.State.Final() || t.hasCrash(s.Key.Number) {
 			continue
 		}
-		crash := Crash{Run: s.Key.Number, VM: vm.Name, AgeMillis: s.Age.Milliseconds(), Sole: sole}
+		crash := Crash{Run: s.Key.Number, VM: vm.Name, AgeMillis: s.Age.Milliseconds(), Likely: s.likely, Sole: s.likely && sole}
 		t.Crashes = append(t.Crashes, crash)
 		t.Step.Occurrence.Job.dirty = true
 		tr.suspected[t] = true
-		found = append(found, Suspicion{Task: t, Crash: crash, Suspects: len(suspects)})
-		if t.crashedTooOften() {
+		found = append(found, Suspicion{Task: t, Crash: crash, Likely: len(likely)})
+	}
+	tr.recentCrashes = append(tr.recentCrashes, recentCrash{vm: vm, at: now, suspicions: found})
+	tr.GiveUpCrashingTasks(now)
+	return found
+}
+
+// comesWithOthers reports whether the worker of another VM has crashed just before. No task counts
+// as the sole cause of either crash then.
+func (tr *Tracker) comesWithOthers(vm *VM, now time.Time) (together bool) {
+	tr.recentCrashes = slices.DeleteFunc(tr.recentCrashes, func(c recentCrash) bool { return now.Sub(c.at) > crashesTogether })
+	for _, c := range tr.recentCrashes {
+		if c.vm == vm {
+			continue
+		}
+		together = true
+		for _, s := range c.suspicions {
+			s.Task.withdrawSole(s.Crash.Run)
+		}
+	}
+	return together
+}
+
+// withdrawSole records that the task was not the sole cause of a crash.
+func (t *Task) withdrawSole(run int64) {
+	for i := range t.Crashes {
+		if t.Crashes[i].Run == run && t.Crashes[i].Sole {
+			t.Crashes[i].Sole = false
+			t.Step.Occurrence.Job.dirty = true
+		}
+	}
+}
+
+// GiveUpCrashingTasks fails the jobs of the tasks under which too many workers have crashed. It
+// waits until crashes that came with the last one would have been reported.
+func (tr *Tracker) GiveUpCrashingTasks(now time.Time) {
+	for t := range tr.suspected {
+		switch {
+		case t.Done || t.Step.Occurrence.Job.State.Final() || !t.crashedTooOften():
+			t.GiveUpAt = time.Time{}
+		case t.GiveUpAt.IsZero():
+			t.GiveUpAt = now.Add(crashesTogether)
+			t.NotBefore = t.GiveUpAt
+		case !now.Before(t.GiveUpAt):
 			tr.fail(t.Step.Occurrence.Job, t.crashReason(), now)
 		}
 	}
-	return found
 }
 
-// crashSuspects returns the runs that are suspected of a crash. Long-running tasks are suspected
-// only soon after their start: they are there at every crash.
-func (tr *Tracker) crashSuspects(c ReportedCrash) []suspect {
-	var likely, others []suspect
+// crashSuspects returns the runs that may have caused a crash. The likely ones had started just
+// before, or repeat an earlier crash; if there is none, all are. Long-running tasks that had run for
+// long are not suspected: they are there at every crash.
+func (tr *Tracker) crashSuspects(c ReportedCrash) (suspects []suspect) {
+	anyLikely := false
 	for _, r := range c.Runs {
 		s := suspect{CrashedRun: r, task: tr.Find(r.Key.Task)}
-		switch {
-		case r.Age <= crashWindow, s.task != nil && s.task.repeatsCrash(r.Age):
-			likely = append(likely, s)
-		case s.task == nil || !s.task.Step.Spec.LongRunning:
-			others = append(others, s)
+		s.likely = r.Age <= CrashWindow || s.task != nil && s.task.repeatsCrash(r.Age)
+		if !s.likely && s.task != nil && s.task.Step.Spec.LongRunning {
+			continue
 		}
+		anyLikely = anyLikely || s.likely
+		suspects = append(suspects, s)
 	}
-	if len(likely) > 0 {
-		return likely
+	for i := range suspects {
+		suspects[i].likely = suspects[i].likely || !anyLikely
 	}
-	return others
+	return suspects
 }
 
 // repeatsCrash reports whether a run of this age may have crashed its worker as an earlier run of
@@ -142,9 +206,9 @@
 	return slices.ContainsFunc(t.Crashes, func(c Crash) bool { return c.Run == run })
 }
 
-// unit returns the tasks that are suspected together: the members of a gang start together, on
+// Unit returns the tasks that are suspected together: the members of a gang start together, on
 // VMs that differ from one time to the next, or else the task alone.
-func (t *Task) unit() []*Task {
+func (t *Task) Unit() []*Task {
 	if t.Step.Spec.Gang {
 		return t.Step.Tasks
 	}
@@ -156,7 +220,7 @@
 	if !t.Step.Spec.Gang {
 		return t.Crashes
 	}
-	for _, member := range t.unit() {
+	for _, member := range t.Unit() {
 		for _, c := range member.Crashes {
 			same := func(other Crash) bool { return other.Run == c.Run && other.VM == c.VM }
 			if !slices.ContainsFunc(crashes, same) {
@@ -168,13 +232,14 @@
 }
 
 func (t *Task) crashedTooOften() bool {
-	crashes, sole := t.unitCrashes(), 0
+	crashes, likely := t.unitCrashes(), 0
 	for _, c := range crashes {
-		if c.Sole {
-			sole++
+		if c.Likely {
+			likely++
 		}
 	}
-	return sole >= soleCrashesToGiveUp || len(crashes) >= crashesToGiveUp
+	lastSole := len(t.Crashes) > 0 && t.Crashes[len(t.Crashes)-1].Sole
+	return lastSole && len(crashes) >= observedCrashesToGiveUp || likely >= likelyCrashesToGiveUp || len(crashes) >= crashesToGiveUp
 }
 
 func (t *Task) crashReason() string {
@@ -197,34 +262,43 @@
 	return true
 }
 
-// StartsObserved reports whether the next run of the task may crash its worker soon after its
-// start. It is kept apart from other starts, so that a crash shows whether it is the cause.
-func (t *Task) StartsObserved() bool {
-	return slices.ContainsFunc(t.unitCrashes(), func(c Crash) bool { return c.age() <= crashWindow })
+// Suspected reports whether a worker crashed within CrashWindow of a start of the task.
+func (t *Task) Suspected() bool { return t.observableCrashes() > 0 }
+
+// StartsObserved reports whether the next run of the task is kept apart from other starts, so that a
+// crash shows whether it is the cause.
+func (t *Task) StartsObserved() bool { return t.observableCrashes() >= crashesToObserve }
+
+func (t *Task) observableCrashes() (count int) {
+	for _, c := range t.unitCrashes() {
+		if c.Age() <= CrashWindow {
+			count++
+		}
+	}
+	return count
 }
 
-// ObservedVMs returns the VMs that have a run that may crash its worker soon after its start, with
-// the task of that run.
-func (tr *Tracker) ObservedVMs() map[*VM]*Task {
-	var observed map[*VM]*Task
+// SuspectedTasks returns the tasks that Suspected reports, in a deterministic order, and drops those
+// that have ended.
+func (tr *Tracker) SuspectedTasks() (tasks []*Task) {
 	for t := range tr.suspected {
-		if t.Done || t.Step.Occurrence.Job.State.Final() {
+		switch {
+		case t.Done || len(t.Crashes) == 0 || t.Step.Occurrence.Job.State.Final():
 			delete(tr.suspected, t)
-			continue
-		}
-		if !t.StartsObserved() {
-			continue
-		}
-		if observed == nil {
-			observed = make(map[*VM]*Task)
-		}
-		for _, member := range t.unit() {
-			for _, r := range member.Runs {
-				observed[r.VM] = t
-			}
+		case t.Suspected():
+			tasks = append(tasks, t)
 		}
 	}
-	return observed
+	slices.SortFunc(tasks, func(a, b *Task) int {
+		switch {
+		case !a.WaitSince.Equal(b.WaitSince):
+			return a.WaitSince.Compare(b.WaitSince)
+		case a.ID().Less(b.ID()):
+			return -1
+		}
+		return 1
+	})
+	return tasks
 }
 
 // LatestStart returns when a start on the VM was last ordered, among the runs that have not ended.
@@ -264,8 +338,8 @@
 	return stored
 }
 
-// SuspectedTasks returns the tasks that are suspected of a crash.
-func (s *Step) SuspectedTasks() (ids []specifier.TaskID) {
+// SuspectedTaskIDs returns the IDs of the tasks that are suspected of a crash.
+func (s *Step) SuspectedTaskIDs() (ids []specifier.TaskID) {
 	for _, t := range s.Tasks {
 		if len(t.Crashes) > 0 {
 			ids = append(ids, t.ID())
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -81,6 +81,7 @@
 	Runs       []*Run  // runs that have not ended; more than one only if copies are allowed
 	WaitSince  time.Time
 	NotBefore  time.Time       // earliest restart after a failure
+	GiveUpAt   time.Time       // when its job fails, if too many workers have crashed under it; zero: not
 	AvoidedVMs map[string]bool // VMs on which a run of it failed
 	Relocation Relocation      // zero: it is not being moved
 	Yielded    bool            // long-running task that was stopped to free capacity for urgent ones
@@ -295,14 +296,15 @@
 
 // Tracker is the state of a cell.
 type Tracker struct {
-	Jobs      map[string]*Job
-	VMs       map[string]*VM
-	policy    *specifier.Policy
-	ended     []*Job
-	open      []string       // sorted IDs of the jobs that have not ended; nil: to be rebuilt
-	suspected map[*Task]bool // tasks with crashes; may include some that have ended
-	moving    []*Task        // tasks with a relocation; may include some whose relocation has ended
-	runFloor  int64          // run numbers of this owner are higher
+	Jobs          map[string]*Job
+	VMs           map[string]*VM
+	policy        *specifier.Policy
+	ended         []*Job
+	open          []string // sorted IDs of the jobs that have not ended; nil: to be rebuilt
+	recentCrashes []recentCrash
+	suspected     map[*Task]bool // tasks with crashes; may include some that have ended
+	moving        []*Task        // tasks with a relocation; may include some whose relocation has ended
+	runFloor      int64          // run numbers of this owner are higher
 
 	runtimeRatios map[string]float64 // by queue
 }
--- a/internal/worker/guardian/crash.go
+++ b/internal/worker/guardian/crash.go
@@ -40,9 +40,6 @@
 	g.crashRecorded = true
 	runs := g.crashedRunsLocked(at)
 	g.config.Reporter.Report(reporter.WorkerCrashed, reporter.Fields{"life": g.incarnation, "runs": len(runs), "latest": describeCrashedRuns(runs)})
-	if len(runs) == 0 {
-		return
-	}
 	g.lastCrash++
 	g.crashes = append(g.crashes, crash{seq: g.lastCrash, runs: runs})
 	g.crashes = g.crashes[max(len(g.crashes)-maxCrashesKept, 0):]
