job: bound the wait of a suspected task for a VM to itself

What callers saw (trials, workers crash every 3 s for no fault of any task): tasks that stood beside two crashes waited for their turn on one of two VMs that were kept free, one after the other, without a bound; a fifth of the fleet stood idle for them.

Cause: each observed start kept a VM free for up to 3 s, in the order in which tasks had come to wait, and nothing ended the wait.

Now a task waits 3 s at most and then starts on any VM that is not kept free; one VM in six is kept free instead of one in four; and the most likely causes, those with most crashes and the least ages, come first.

--- a/internal/job/planner/observe.go
+++ b/internal/job/planner/observe.go
@@ -12,10 +12,10 @@
 const (
 	// vmsPerObservation is how many VMs there must be for each one that is kept free of other
 	// starts. At least one may be.
-	vmsPerObservation = 4
-	// maxQuietWait is how long a task waits until nothing has started on its VM for as long as a
-	// run is a likely cause of a crash.
-	maxQuietWait = 3 * time.Second
+	vmsPerObservation = 6
+	// maxObservationWait is how long a task waits for a VM on which nothing else has just started.
+	// After it the task starts on any VM: after the loss of many workers at once, many tasks wait.
+	maxObservationWait = 3 * time.Second
 	// besideSuspected lowers the score of a VM for a suspected task if others run there. Apart,
 	// they are not likely causes of the same crash.
 	besideSuspected = 0.25
@@ -35,7 +35,7 @@
 		}
 	}
 	for _, t := range tasks {
-		if t.StartsObserved() && t.Waits(r.now) && !t.Step.Spec.Gang && r.observations < r.maxObservations() {
+		if r.waitsForObservation(t) && t.Waits(r.now) && !t.Step.Spec.Gang && r.observations < r.maxObservations() {
 			r.keepFree(t)
 		}
 	}
@@ -43,10 +43,7 @@
 
 // addSuspected accounts for a run of a task on a VM if the task is suspected.
 func (r *round) addSuspected(m *vmState, t *tracker.Task) {
-	if !t.Suspected() {
-		return
-	}
-	m.suspected = true
+	m.suspected = m.suspected || t.Suspected()
 	if m.observed == nil && t.StartsObserved() {
 		m.observed = t
 		r.observations++
@@ -77,14 +74,17 @@
 	if m.observed != nil && m.observed != t {
 		return !startTogether(m.observed, t)
 	}
-	if !t.StartsObserved() {
+	if !r.waitsForObservation(t) {
 		return false
 	}
 	if m.observed == nil && !t.Step.Spec.Gang {
 		return true // it starts on the VM that is kept free for it
 	}
-	quiet := m.placed == 0 && r.now.Sub(m.vm.LatestStart()) >= tracker.CrashWindow
-	return !quiet && r.now.Sub(t.WaitSince) < maxQuietWait
+	return m.placed > 0 || r.now.Sub(m.vm.LatestStart()) < tracker.CrashWindow
+}
+
+func (r *round) waitsForObservation(t *tracker.Task) bool {
+	return t.StartsObserved() && r.now.Sub(t.WaitSince) < maxObservationWait
 }
 
 func (r *round) maxObservations() int { return max(len(r.vmStates)/vmsPerObservation, 1) }
--- a/internal/job/planner/observe_test.go
+++ b/internal/job/planner/observe_test.go
@@ -78,7 +78,7 @@
 	t.Run("waits for a quiet VM for a bounded time", func(t *testing.T) {
 		b, tasks := setUp(t, 1, step)
 		tasks[0].WaitSince = now
-		later := now.Add(maxQuietWait)
+		later := now.Add(maxObservationWait)
 		b.state.Place(b.job("q", step).Occurrences[0].Steps[0].Tasks[0], b.state.VMs["vm-0"], 1, later)
 		if len(b.plan(later)) != 1 {
 			t.Error("it does not start")
@@ -87,7 +87,7 @@
 	t.Run("on few VMs at once", func(t *testing.T) {
 		six := step
 		six.Count = 6
-		b, _ := setUp(t, 8, six)
+		b, _ := setUp(t, 2*vmsPerObservation, six)
 		used := make(map[string]bool)
 		for _, s := range b.plan(now) {
 			if used[s.VM.Name] {
@@ -95,7 +95,7 @@
 			}
 			used[s.VM.Name] = true
 		}
-		if want := 8 / vmsPerObservation; len(used) != want {
+		if want := 2; len(used) != want {
 			t.Errorf("%d VMs are kept free of other starts, want %d", len(used), want)
 		}
 	})
--- a/internal/job/tracker/crash.go
+++ b/internal/job/tracker/crash.go
@@ -202,6 +202,14 @@
 	return len(suspects) > 0
 }
 
+// oldestCrash returns the greatest age that a run had at a crash.
+func (t *Task) oldestCrash() (age time.Duration) {
+	for _, c := range t.Crashes {
+		age = max(age, c.Age())
+	}
+	return age
+}
+
 func (t *Task) hasCrash(run int64) bool {
 	return slices.ContainsFunc(t.Crashes, func(c Crash) bool { return c.Run == run })
 }
@@ -278,8 +286,9 @@
 	return count
 }
 
-// SuspectedTasks returns the tasks that Suspected reports, in a deterministic order, and drops those
-// that have ended.
+// SuspectedTasks returns the tasks that Suspected reports, the most likely causes of crashes first,
+// and drops those that have ended. A task that crashes its workers does so each time, at the same
+// age.
 func (tr *Tracker) SuspectedTasks() (tasks []*Task) {
 	for t := range tr.suspected {
 		switch {
@@ -291,8 +300,10 @@
 	}
 	slices.SortFunc(tasks, func(a, b *Task) int {
 		switch {
-		case !a.WaitSince.Equal(b.WaitSince):
-			return a.WaitSince.Compare(b.WaitSince)
+		case len(a.Crashes) != len(b.Crashes):
+			return len(b.Crashes) - len(a.Crashes)
+		case a.oldestCrash() != b.oldestCrash():
+			return int(a.oldestCrash() - b.oldestCrash())
 		case a.ID().Less(b.ID()):
 			return -1
 		}
