--- a/internal/job/planner/planner_test.go
+++ b/internal/job/planner/planner_test.go
@@ -280,6 +280,43 @@
 	})
 }
 
+// Guards against starts beyond a capacity that has shrunk below what runs on the VM, in part or to
+// nothing, and against capacity that is not used once it has grown again.
+func TestStartsFollowChangingCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newFixture()
+		var vms []*tracker.VM
+		for i := range rapid.IntRange(1, 3).Draw(t, "vms") {
+			vms = append(vms, b.vm(fmt.Sprint("vm-", i), "in", "r", cores(8)))
+		}
+		for round := range 6 {
+			now := begin.Add(time.Duration(round) * 10 * time.Second)
+			b.job("q", specifier.Step{
+				Count: rapid.IntRange(1, 6).Draw(t, "count"), Needs: cores(rapid.Int64Range(1, 4).Draw(t, "needs")), EstimateMillis: 1000,
+				BestEffort: rapid.Bool().Draw(t, "best effort"), LongRunning: rapid.Bool().Draw(t, "long running"), Gang: rapid.Bool().Draw(t, "gang"),
+			})
+			for _, vm := range vms {
+				size := cores(rapid.Int64Range(0, 8).Draw(t, "size"))
+				b.state.UpdateInfo(vm, tracker.VMInfo{Name: vm.Name, Zone: "in", Rack: "r", Capacity: size})
+			}
+			for _, s := range b.plan(now) {
+				b.state.Place(s.Task, s.VM, s.Number, now)
+				if !s.VM.Capacity.Fits(s.VM.Committed) {
+					t.Fatalf("%s starts on %s with %+v of %+v", s.Task.ID(), s.VM.Name, s.VM.Committed, s.VM.Capacity)
+				}
+			}
+		}
+		for _, vm := range vms {
+			b.state.DropRuns(vm, begin)
+			b.state.UpdateInfo(vm, tracker.VMInfo{Name: vm.Name, Zone: "in", Rack: "r", Capacity: cores(8)})
+		}
+		b.job("q", specifier.Step{Count: 1, Needs: cores(1), EstimateMillis: 1000})
+		if len(b.plan(begin.Add(time.Hour))) == 0 {
+			t.Fatal("nothing starts on the grown capacity")
+		}
+	})
+}
+
 // Guards against a backlog in which all jobs are started and none is completed in time: those
 // nearly done go first, and large ones are not delayed for small ones.
 func TestOrderUnderBacklog(t *testing.T) {
--- a/internal/worker/guardian/guardian_test.go
+++ b/internal/worker/guardian/guardian_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
 	"bamboospread/internal/wire/messenger"
 )
@@ -167,3 +168,41 @@
 		}
 	})
 }
+
+// Guards against a VM that is committed beyond a capacity that has shrunk while its worker runs.
+// Runs that are being stopped count until their ends are listed, and a capacity that has grown again
+// is used.
+func TestStartsFollowChangingCapacity(t *testing.T) {
+	announce := func(e *testEnv, cpuMillis int64) {
+		e.g.Announce(Announcement{Incarnation: e.worker.incarnation, Zone: "z", Capacity: specifier.Resources{CPUMillis: cpuMillis, MemoryMB: 1000}})
+	}
+	worker := newFakeWorker()
+	worker.ignoredStops = 1
+	e := newTestEnv(t, worker)
+	e.own(1)
+	e.order(1, messenger.WorkStart, 0, 1)
+	e.until("the first run", func() bool { return e.confirmed() == 1 })
+	e.g.ApplyReply(time.Now(), e.worker.incarnation, messenger.WorkReply{Epoch: 1, GrantMillis: time.Minute.Milliseconds()})
+
+	announce(e, 1000) // full
+	if rep := e.report(); rep.VMInfo == nil || rep.VMInfo.Capacity.CPUMillis != 1000 {
+		t.Errorf("the owner gets %+v", rep.VMInfo)
+	}
+	e.order(1, messenger.WorkStart, 1, 1)
+	e.order(1, messenger.WorkStop, 0, 1) // has no effect yet
+	e.order(1, messenger.WorkStart, 2, 1)
+	announce(e, 0)
+	e.order(1, messenger.WorkStart, 3, 1)
+	time.Sleep(100 * time.Millisecond)
+	starts := func() int {
+		worker.mu.Lock()
+		defer worker.mu.Unlock()
+		return len(worker.starts)
+	}
+	if got := starts(); got != 1 {
+		t.Errorf("%d starts reached a worker with capacity for 1", got)
+	}
+	announce(e, 2000)
+	e.order(1, messenger.WorkStart, 4, 1)
+	e.until("a start on the grown capacity", func() bool { return starts() == 2 })
+}
