requester: a request that found no connection was not sent

Cause: an attempt whose time ended before or during the dial ends with the deadline's error, which is no *net.OpError, and was taken for a lost answer.

Now a request counts as sent from the moment at which it gets a connection (httptrace).

--- a/internal/operator/requester/requester.go
+++ b/internal/operator/requester/requester.go
@@ -11,8 +11,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"bamboospread/internal/operator/handler"
@@ -202,12 +204,13 @@
 	// The standard client repeats some requests itself when a reused connection breaks;
 	// without GetBody it does so only if nothing was sent.
 	request.GetBody = nil
-	answer, err := q.client.Do(request)
+	var connected atomic.Bool // nothing is sent before
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	answer, err := q.client.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil && !connected.Load() {
+		return ErrUnavailable{Cause: err}
+	}
 	if err != nil {
-		var dial *net.OpError
-		if errors.As(err, &dial) && dial.Op == "dial" {
-			return ErrUnavailable{Cause: err}
-		}
 		return ErrOutcomeUnknown{Cause: err}
 	}
 	defer answer.Body.Close()
--- a/internal/operator/requester/requester_test.go
+++ b/internal/operator/requester/requester_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -238,3 +239,35 @@
 		t.Errorf("%v after %d calls", err, calls)
 	}
 }
+
+// Guards against an unknown outcome of a change that was never sent: its time ended before a
+// connection was open, at a busy client or a silent entry. Once the request is on a connection, the
+// outcome is unknown.
+func TestOutcomeOfRequestWithoutConnection(t *testing.T) {
+	end := make(chan struct{})
+	silent := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-end }))
+	t.Cleanup(func() { close(end); silent.Close() })
+	blocked := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}}
+	tests := []struct {
+		name    string
+		timeout time.Duration
+		client  *http.Client
+		unknown bool
+	}{
+		{"the time ends before the dial", time.Nanosecond, nil, false},
+		{"the time ends during the dial", 50 * time.Millisecond, blocked, false},
+		{"no answer", 50 * time.Millisecond, nil, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			q := New(Config{Entries: []string{silent.URL}, Timeout: tt.timeout, HTTP: tt.client})
+			_, err := q.Apply(t.Context(), ApplyOptions{Text: text(1), ChangeID: "one"})
+			if IsErrOutcomeUnknown(err) != tt.unknown || IsErrUnavailable(err) == tt.unknown {
+				t.Errorf("%v, unknown: %t", err, IsErrOutcomeUnknown(err))
+			}
+		})
+	}
+}
