tracker: a quarantine stays at its maximum

Cause: the duration was shifted by the number of quarantines and overflowed.

TestQuarantineStaysAtItsMaximum failed before (quarantine 33 took -351909 h) and holds for 100 quarantines now: the duration doubles only until it has reached the named maximum. No other duration in internal/ or platform/ is shifted by a count.

--- a/internal/job/tracker/health.go
+++ b/internal/job/tracker/health.go
@@ -159,7 +159,10 @@
 	if vm.Quarantined(now) {
 		return
 	}
-	duration := min(quarantineFirst<<vm.Health.ConsecutiveQuarantines, quarantineMax)
+	duration := quarantineFirst
+	for n := 0; n < vm.Health.ConsecutiveQuarantines && duration < quarantineMax; n++ {
+		duration = min(2*duration, quarantineMax)
+	}
 	vm.Health.ConsecutiveQuarantines++
 	vm.Health.Cause, vm.Health.QuarantinedUntil = cause, now.Add(duration)
 }
--- a/internal/job/tracker/health_test.go
+++ b/internal/job/tracker/health_test.go
@@ -148,3 +148,18 @@
 		t.Error("the VM is still on probation although a task has been running for 2 s")
 	}
 }
+
+// Guards against a faulty worker that gets tasks again without a pause: after 32 quarantines in a
+// row the duration overflowed and was no longer above zero.
+func TestQuarantineStaysAtItsMaximum(t *testing.T) {
+	vm := attach(newState(t, 3), "vm")
+	now := begin
+	for n := range 100 {
+		vm.quarantine("tasks failed", now)
+		want := min(quarantineFirst*time.Duration(1<<min(n, 10)), quarantineMax)
+		if got := vm.Health.QuarantinedUntil.Sub(now); got != want {
+			t.Fatalf("quarantine %d takes %s, want %s", n+1, got, want)
+		}
+		now = vm.Health.QuarantinedUntil
+	}
+}
