planner: a gang that does not fit keeps the capacity reserved for it

What callers could see: a task that waits for capacity which is free. Found by reading.

Cause: placing a gang is undone by copies of the VMs' states, but the reserved tasks are a map, which the copy shares. A member that used its reservation before another member did not fit had lost it afterwards, while the free capacity was set back as if it had not: for the rest of the round nobody could use it.

TestGangThatDoesNotFitKeepsItsReservation failed before (no reservation, 3 of 8 cores free after its release) and passes now. The other reference in the state, the images of long-running tasks, is replaced and not changed in place.

--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -5,6 +5,7 @@
 package planner
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -216,7 +217,7 @@
 	saved := make([]vmState, len(r.vmStates))
 	for i, m := range r.vmStates {
 		saved[i] = *m
-		saved[i].neighbours = slices.Clone(m.neighbours)
+		saved[i].neighbours, saved[i].reserved = slices.Clone(m.neighbours), maps.Clone(m.reserved)
 	}
 	observations := r.observations
 	number := r.state.GangNumber(s)
--- a/internal/job/planner/reservation_test.go
+++ b/internal/job/planner/reservation_test.go
@@ -312,3 +312,24 @@
 		})
 	}
 }
+
+// Guards against capacity that nobody may use for the rest of a round: a gang that did not fit gave
+// up the capacity reserved for one of its members, and the VM kept it neither reserved nor free.
+func TestGangThatDoesNotFitKeepsItsReservation(t *testing.T) {
+	b := newFixture()
+	b.vm("vm", "in", "r1", cores(8))
+	gang := b.job("q", specifier.Step{Count: 2, Needs: cores(5), EstimateMillis: 1000, Gang: true}).Occurrences[0].Steps[0]
+	r := newRound(Input{Now: begin, State: b.state})
+	r.loadVMs()
+	m := r.findVM("vm")
+	m.reserve(gang.Tasks[0])
+	if starts := r.placeGang(gang); len(starts) != 0 {
+		t.Fatalf("%d members start", len(starts))
+	}
+	if !m.reserved[gang.Tasks[0]] || m.free != cores(3) {
+		t.Errorf("reserved %v, free %+v, want the reservation and 3 cores", m.reserved, m.free)
+	}
+	if m.release(gang.Tasks[0]); m.free != cores(8) {
+		t.Errorf("%+v is free without the reservation, want 8 cores", m.free)
+	}
+}
