guardian: checking whether an order can be carried out extends no lease

What callers could see: tasks of a worker that stops answering start elsewhere later than they could. Found by reading.

Cause: the function that says until when leases may be requested also recorded that they had been, so that each check of an order moved the time after which the runs of an unresponsive worker certainly have ended, and each start counted as the longest lease, although it asks for 0.8 s.

Now the question changes nothing, and polls and starts record what they request. TestRejectedStartDoesNotExtendLeases failed before (a minute later) and passes.

--- a/internal/worker/guardian/poll.go
+++ b/internal/worker/guardian/poll.go
@@ -106,7 +106,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
-	call := PollCall{Epoch: g.epoch, EndsSeen: g.endsStored, Wait: pollWait, LeaseUntil: g.leaseLocked(now)}
+	call := PollCall{Epoch: g.epoch, EndsSeen: g.endsStored, Wait: pollWait, LeaseUntil: g.requestLeaseLocked(now)}
 	if len(g.runs) == 0 {
 		call.Wait = pollWaitIdle
 	}
@@ -134,33 +134,48 @@
 	return false
 }
 
-// startUntilLocked returns the time on the worker's clock until which a start sent now may be
+// requestStartLocked returns the time on the worker's clock until which a start sent now may be
 // carried out. Afterwards the run continues under the lease that polls renew.
-func (g *Guardian) startUntilLocked(now time.Time) time.Duration {
-	lease := g.leaseLocked(now)
-	if lease <= 0 {
-		return 0
+func (g *Guardian) requestStartLocked(now time.Time) time.Duration {
+	until := g.leaseLocked(now)
+	if until > 0 {
+		until = min(until, g.clock+now.Sub(g.clockAt)+startValidity)
+	}
+	g.expectLeaseLocked(now, until)
+	return until
+}
+
+// requestLeaseLocked returns the end of the leases to request with a poll sent now, on the
+// worker's clock, or 0.
+func (g *Guardian) requestLeaseLocked(now time.Time) time.Duration {
+	until := g.leaseLocked(now)
+	g.expectLeaseLocked(now, until)
+	return until
+}
+
+// expectLeaseLocked records that a call sent now may extend the leases until the given time on the
+// worker's clock; 0: it does not.
+func (g *Guardian) expectLeaseLocked(now time.Time, until time.Duration) {
+	left := until - g.clock - now.Sub(g.clockAt)
+	if until <= 0 || left <= 0 {
+		return
+	}
+	if end := now.Add(maxLeaseTime(left)); end.After(g.leaseEnd) {
+		g.leaseEnd = end
 	}
-	return min(lease, g.clock+now.Sub(g.clockAt)+startValidity)
 }
 
-// leaseLocked returns the end of the leases to request, on the worker's clock, or 0. It
-// assumes that no time passed between the worker's answer and its arrival here, so the lease
+// leaseLocked returns the end of the leases that may be requested, on the worker's clock, or 0.
+// It assumes that no time passed between the worker's answer and its arrival here, so the lease
 // is too short rather than too long.
 //
 // An unresponsive worker gets no renewal: it may receive calls without answering, and its
 // tasks could never be given up if each poll might have extended their leases.
 func (g *Guardian) leaseLocked(now time.Time) time.Duration {
-	if !g.unresponsiveSince.IsZero() {
-		return 0
-	}
 	left := min(g.grantUntil.Sub(now), g.config.LeaseMax)
-	if g.clockAt.IsZero() || left <= 0 {
+	if !g.unresponsiveSince.IsZero() || g.clockAt.IsZero() || left <= 0 {
 		return 0
 	}
-	if end := now.Add(maxLeaseTime(left)); end.After(g.leaseEnd) {
-		g.leaseEnd = end
-	}
 	return g.clock + now.Sub(g.clockAt) + left
 }
 
--- a/internal/worker/guardian/start_expiry_test.go
+++ b/internal/worker/guardian/start_expiry_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/wire/messenger"
 )
 
@@ -198,3 +199,20 @@
 		})
 	}
 }
+
+// Guards against a question that changes state: whether an order can be carried out must not extend
+// the time for which the runs of a worker that stops answering count as running.
+func TestRejectedStartDoesNotExtendLeases(t *testing.T) {
+	e := newTestEnv(t, newFakeWorker())
+	e.own(1)
+	e.g.mu.Lock()
+	defer e.g.mu.Unlock()
+	e.g.config.LeaseMax = time.Hour
+	before := e.g.leaseEnd
+	if reason := e.g.rejectReasonLocked(messenger.WorkOrder{Needs: specifier.Resources{CPUMillis: 1 << 40}}); reason == "" {
+		t.Fatal("the order is not rejected")
+	}
+	if e.g.leaseEnd != before {
+		t.Errorf("the leases end %s later", e.g.leaseEnd.Sub(before))
+	}
+}
