guardian: a start that found no worker is not kept as unconfirmed

What callers could see: a task waits for up to a second, and longer while its VM is down, for a start that was never sent. Found by reading.

Cause: after four attempts that found no process at the worker's address, the start was taken for one without an answer: it kept its task until its stop was answered, and each later incarnation of the worker was told to refuse it.

Such an attempt has not sent anything (the connection is refused), and any other end of an attempt ends the loop, so the run is dropped and logged as rejected, and its task starts elsewhere with the next report.

TestStartThatFoundNoWorkerIsNotUnconfirmed failed before (listed as unconfirmed, one stop) and passes.

--- a/internal/worker/guardian/orders.go
+++ b/internal/worker/guardian/orders.go
@@ -137,6 +137,11 @@
 // Polls show afterwards whether the worker has the run; if none does, the run is stopped.
 func (g *Guardian) start(ctx context.Context, key tracker.RunKey, incarnation string, o messenger.WorkOrder) {
 	call, err := g.sendStart(ctx, key, incarnation, o)
+	if IsErrWorkerNotExist(err) {
+		g.config.Reporter.Report(reporter.StartRejected, reporter.Fields{"task": o.Task, "run": o.Run, "reason": "no worker", "error": err.Error()})
+		g.recordStartNotSent(key)
+		return
+	}
 	if ctx.Err() != nil { // the agent ends, or the run was stopped or ended with its incarnation
 		if err != nil {
 			g.recordUnconfirmedStart(key)
@@ -188,6 +193,17 @@
 	return call, err
 }
 
+// recordStartNotSent removes a run whose start was never sent. A stop that was ordered meanwhile
+// is sent in any case: the owner waits for it.
+func (g *Guardian) recordStartNotSent(key tracker.RunKey) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r := g.runs[key]; r != nil && r.state == starting {
+		delete(g.runs, key)
+	}
+	g.signal()
+}
+
 // recordNothingSent records that a start found no process at the worker's address.
 func (g *Guardian) recordNothingSent(key tracker.RunKey) {
 	g.mu.Lock()
--- a/internal/worker/guardian/start_expiry_test.go
+++ b/internal/worker/guardian/start_expiry_test.go
@@ -200,6 +200,26 @@
 	}
 }
 
+// Guards against a task that waits for a start that was never sent: no process listened at the
+// worker's address, and the start was kept as unconfirmed, to be stopped in each later incarnation.
+func TestStartThatFoundNoWorkerIsNotUnconfirmed(t *testing.T) {
+	worker := newFakeWorker()
+	e := newTestEnvWith(t, worker, func(w *Worker) {
+		w.Start = func(context.Context, StartCall) error { return ErrWorkerNotExist{errNoAnswer} }
+	})
+	e.own(1)
+	e.order(1, messenger.WorkStart, 0, 1)
+	e.until("the end of the attempts", func() bool { return len(e.report().Runs) == 0 })
+	if rep := e.report(); len(rep.UnconfirmedStarts) != 0 {
+		t.Errorf("unconfirmed: %+v", rep.UnconfirmedStarts)
+	}
+	worker.withLock(func() {
+		if len(worker.stops) != 0 {
+			t.Errorf("%d stops for a start that was not sent", len(worker.stops))
+		}
+	})
+}
+
 // Guards against a question that changes state: whether an order can be carried out must not extend
 // the time for which the runs of a worker that stops answering count as running.
 func TestRejectedStartDoesNotExtendLeases(t *testing.T) {
