executor: a crashed stand-in answers nothing

Trace: twice a status poll was answered between the simulated crash, which drops all runs, and the closing of the connections; the agent was told by the same incarnation that the run was gone, and the crash came without it. A process that has crashed answers nothing, so the stand-in now holds such calls until their connections are closed.

--- a/internal/standin/executor/calls.go
+++ b/internal/standin/executor/calls.go
@@ -74,7 +74,7 @@
 func (e *Executor) describeVM(rw http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	vm := invoker.VM{Incarnation: e.incarnationName(), Capacity: e.config.Capacity, Labels: e.config.Labels, Leaving: e.faults.Leaving}
-	silent := e.faults.Silent
+	silent := e.faults.Silent || e.down
 	e.mu.Unlock()
 	if silent {
 		<-r.Context().Done()
@@ -187,8 +187,12 @@
 		e.mu.Lock()
 	}
 	e.advanceLocked()
-	status := e.statusLocked()
+	status, down := e.statusLocked(), e.down
 	e.mu.Unlock()
+	if down { // a process that has crashed answers nothing
+		<-r.Context().Done()
+		return
+	}
 	server.WriteJSON(rw, http.StatusOK, status)
 }
 
