tracker: no start of a task that is about to be given up

Cause: a task is given up half a second after the crash that decides it, at the next periodic check; its own wait ended at the same moment, and a round of placement came first.

Now such a task does not wait for a start at all; if the decision is withdrawn, it does again. TestNoTaskIsTheSoleCauseOfCrashesTogether checks it and failed before.

--- a/internal/job/tracker/crash.go
+++ b/internal/job/tracker/crash.go
@@ -155,7 +155,6 @@
 			t.GiveUpAt = time.Time{}
 		case t.GiveUpAt.IsZero():
 			t.GiveUpAt = now.Add(crashesTogether)
-			t.NotBefore = t.GiveUpAt
 		case !now.Before(t.GiveUpAt):
 			tr.fail(t.Step.Occurrence.Job, t.crashReason(), now)
 		}
@@ -264,7 +263,7 @@
 	if len(t.Crashes) == 0 || t.repeatsCrash(age) {
 		return false
 	}
-	t.Crashes = nil
+	t.Crashes, t.GiveUpAt = nil, time.Time{}
 	t.Step.Occurrence.Job.dirty = true
 	delete(tr.suspected, t)
 	return true
--- a/internal/job/tracker/crash_test.go
+++ b/internal/job/tracker/crash_test.go
@@ -343,6 +343,10 @@
 			if j.State == JobFailed {
 				t.Fatal("failed before other crashes can be reported")
 			}
+			// A round of placement may come between the end of the wait and the failure.
+			if late := f.now.Add(crashesTogether); j.Occurrences[0].Steps[0].Tasks[0].Waits(late) {
+				t.Error("the task may start although it is about to be given up")
+			}
 			f.now = f.now.Add(tt.after)
 			f.tr.GiveUpCrashingTasks(f.now)
 			f.crash(tt.vm, nil)
--- a/internal/job/tracker/job.go
+++ b/internal/job/tracker/job.go
@@ -298,7 +298,7 @@
 
 // Waits reports whether the task's own state allows a start now.
 func (t *Task) Waits(now time.Time) bool {
-	return !t.Done && len(t.Runs) == 0 && !t.NotBefore.After(now)
+	return !t.Done && len(t.Runs) == 0 && !t.NotBefore.After(now) && t.GiveUpAt.IsZero()
 }
 
 // openIDs returns the IDs of the jobs that have not ended, in a deterministic order. The
