tallier: skip and count overlong lines

What operators saw: tally ended with an error at the first line of a log above 64 KiB, and gave no summary of the rest. Found by reading.

Cause: the scanner stops for good at a token that does not fit its buffer.

--- a/internal/operator/tallier/report.go
+++ b/internal/operator/tallier/report.go
@@ -48,6 +48,7 @@
 	RefusalReasons  []Count       `json:"refusals"` // of jobs, by reason
 	Ownerless       time.Duration `json:"ownerless-ns"`
 	UnreadableLines int           `json:"unreadable-lines"`
+	OverlongLines   int           `json:"overlong-lines"` // skipped
 }
 
 // Tally returns the summary of all lines read so far.
@@ -73,7 +74,7 @@
 	}
 	tally := Tally{
 		RunEnds: sortCounts(t.runEnds), StopCauses: sortCounts(t.stopCauses), WaitCauses: sortCounts(t.waitCauses), RefusalReasons: sortCounts(t.refusalReasons),
-		Ownerless: t.ownerless, UnreadableLines: t.unreadableLines,
+		Ownerless: t.ownerless, UnreadableLines: t.unreadableLines, OverlongLines: t.overlongLines,
 	}
 	for _, queue := range slices.Sorted(maps.Keys(rows)) {
 		r := rows[queue]
@@ -139,7 +140,7 @@
 			fmt.Fprintf(w, "%d\t%s\n", c.Count, c.Name)
 		}
 	}
-	fmt.Fprintf(w, "\nwithout an owner\t%s\nlines without an event\t%d\n", formatDuration(t.Ownerless), t.UnreadableLines)
+	fmt.Fprintf(w, "\nwithout an owner\t%s\nlines without an event\t%d\noverlong lines skipped\t%d\n", formatDuration(t.Ownerless), t.UnreadableLines, t.OverlongLines)
 	return w.Flush()
 }
 
--- a/internal/operator/tallier/tallier.go
+++ b/internal/operator/tallier/tallier.go
@@ -17,7 +17,7 @@
 	"bamboospread/internal/kernel/reporter"
 )
 
-// maxLineBytes limits a line of a log; Read fails on a longer one.
+// maxLineBytes limits a line of a log; Read skips longer ones.
 const maxLineBytes = 64 << 10
 
 // Tallier aggregates log lines. It is not safe for concurrent use.
@@ -31,6 +31,7 @@
 	ownerlessSince  time.Time // time since which no entry owns the cell; zero: an entry owns it
 	events          int
 	unreadableLines int
+	overlongLines   int
 }
 
 // job holds the logged data of a job.
@@ -55,22 +56,44 @@
 // Read adds the lines of a log in logfmt. Text before the first field of a line, such as
 // the name of a process, is skipped. Lines without an event are counted.
 func (t *Tallier) Read(r io.Reader) error {
-	lines := bufio.NewScanner(r)
-	lines.Buffer(make([]byte, 0, maxLineBytes), maxLineBytes)
-	for lines.Scan() {
-		line := lines.Text()
-		i := strings.Index(line, "timestamp=")
-		if i < 0 {
-			t.unreadableLines++
-			continue
-		}
-		if !t.add(line[i:]) {
-			t.unreadableLines++
+	lines := bufio.NewReaderSize(r, maxLineBytes+len("\r\n"))
+	for {
+		line, overlong, err := readLine(lines)
+		switch {
+		case errors.Is(err, io.EOF):
+			return t.checkEvents()
+		case err != nil:
+			return fmt.Errorf("read log: %w", err)
+		case overlong:
+			t.overlongLines++
+		default:
+			t.addLine(line)
 		}
 	}
-	if err := lines.Err(); err != nil {
-		return fmt.Errorf("read log: %w", err)
+}
+
+// readLine returns the next line. Of an overlong one, which does not fit into the buffer, it
+// returns the beginning.
+func readLine(r *bufio.Reader) (line string, overlong bool, err error) {
+	begin, more, err := r.ReadLine()
+	line = string(begin)
+	for more && err == nil {
+		overlong = true
+		_, more, err = r.ReadLine()
+	}
+	return line, overlong, err
+}
+
+// addLine adds a line, or counts it if it has no event.
+func (t *Tallier) addLine(line string) {
+	i := strings.Index(line, "timestamp=")
+	if i < 0 || !t.add(line[i:]) {
+		t.unreadableLines++
 	}
+}
+
+// checkEvents returns an error if nothing that was read is an event.
+func (t *Tallier) checkEvents() error {
 	if t.events == 0 {
 		return errors.New("the log has no events: want lines with timestamp= and event=")
 	}
--- a/internal/operator/tallier/tallier_test.go
+++ b/internal/operator/tallier/tallier_test.go
@@ -58,3 +58,37 @@
 		}
 	}
 }
+
+// Guards against a summary that ends at the first overlong line of a log: the line is skipped and
+// counted, and the report says so.
+func TestOverlongLinesAreSkipped(t *testing.T) {
+	overlong := `timestamp=2026-04-01T02:00:05Z level=info message="` + strings.Repeat("x", 3*maxLineBytes) + `" event=900 job=00000000000004d4 queue=q` + "\n"
+	exact := "timestamp=" + strings.Repeat("x", maxLineBytes-len("timestamp="))
+	for _, tt := range []struct {
+		name                 string
+		text                 string
+		overlong, unreadable int
+	}{
+		{"none", sample, 0, 2},
+		{"first", overlong + sample, 1, 2},
+		{"between", sample + "\n" + overlong + sample, 1, 4},
+		{"last, without an end of line", sample + "\n" + strings.TrimSpace(overlong), 1, 2},
+		{"of the greatest length", sample + "\n" + exact + "\n", 0, 3},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			tallier := New()
+			if err := tallier.Read(strings.NewReader(tt.text)); err != nil {
+				t.Fatal(err)
+			}
+			got := tallier.Tally()
+			if got.OverlongLines != tt.overlong || got.UnreadableLines != tt.unreadable || len(got.Queues) != 1 || got.Queues[0].Accepted != 2 {
+				t.Errorf("%+v, want %d overlong lines and %d without an event", got, tt.overlong, tt.unreadable)
+			}
+			var out strings.Builder
+			_ = got.Write(&out)
+			if tt.overlong > 0 && !strings.Contains(out.String(), "overlong lines skipped") {
+				t.Errorf("the report does not tell: %s", out.String())
+			}
+		})
+	}
+}
