balancer: no probe in a zone that is out of service

What callers could see: a request that is sent to a zone that operators have taken out, although others have room. Found by reading.

Cause: an upstream with a probe due was chosen first, wherever it is; the property test drew healthy and ejected upstreams only.

A probe in such a zone is chosen only if no other candidate is usable, so that a request is not refused for it. The property's earlier conditions stay; probes get theirs: chosen first, in a zone in service if there is one, and never one that was tried.

--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -82,11 +82,14 @@
 // Choose returns the better of two random candidates of the entry's zone while that
 // zone has free capacity, otherwise of all zones. If every candidate is full, it
 // returns the least loaded one with Full set. While ejection is allowed, an upstream
-// with a probe due is chosen first.
+// with a probe due is chosen first; one in a zone that is out of service only if no
+// other candidate is usable.
 func (b *Balancer) Choose(list []Candidate) Choice {
 	eject := b.ejectionAllowed(list)
-	if i := findProbeDue(list); i >= 0 && eject {
-		return Choice{Index: i, Full: list[i].full()}
+	if eject {
+		if choice := probe(list, func(c *Candidate) bool { return !c.Avoid }); choice.Index >= 0 {
+			return choice
+		}
 	}
 	mean := meanLatency(list)
 	usable := func(c *Candidate) bool {
@@ -99,7 +102,11 @@
 	if choice := b.chooseAmong(list, mean, func(c *Candidate) bool { return usable(c) && !c.Avoid }); choice.Index >= 0 && !choice.Full {
 		return choice
 	}
-	return b.chooseAmong(list, mean, usable)
+	choice := b.chooseAmong(list, mean, usable)
+	if choice.Index < 0 && eject {
+		return probe(list, func(*Candidate) bool { return true })
+	}
+	return choice
 }
 
 // slowStartFilter decides which new upstreams take part in this choice. The
@@ -185,13 +192,14 @@
 	return n > 0 && float64(n) <= b.config.MaxEjectedShare*float64(len(list))
 }
 
-func findProbeDue(list []Candidate) int {
+// probe chooses the first matching candidate with a probe due.
+func probe(list []Candidate, match func(*Candidate) bool) Choice {
 	for i := range list {
-		if list[i].Health == ProbeDue && !list[i].Excluded {
-			return i
+		if c := &list[i]; c.Health == ProbeDue && !c.Excluded && match(c) {
+			return Choice{Index: i, Full: c.full()}
 		}
 	}
-	return -1
+	return Choice{Index: -1}
 }
 
 func meanLatency(list []Candidate) time.Duration {
--- a/internal/request/balancer/balancer_test.go
+++ b/internal/request/balancer/balancer_test.go
@@ -14,7 +14,7 @@
 			Zone: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"), Slots: rapid.IntRange(1, 8).Draw(t, "slots"),
 			InFlight: rapid.IntRange(0, 10).Draw(t, "in-flight"), Age: time.Hour,
 			Latency:  time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond,
-			Health:   HealthStatus(rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "health")),
+			Health:   HealthStatus(rapid.SampledFrom([]int{0, 0, 0, 1, 2}).Draw(t, "health")),
 			Excluded: rapid.Bool().Draw(t, "excluded"), Avoid: rapid.Bool().Draw(t, "avoid"),
 		}
 	}), 0, 12).Draw(t, "candidates")
@@ -29,8 +29,14 @@
 		seed := rapid.Uint64().Draw(t, "seed")
 		b := New(Config{Zone: "a", Random: rand.New(rand.NewPCG(seed, 1)).IntN})
 		eject := b.ejectionAllowed(list)
-		usable, notFull, preferred := 0, 0, 0
+		usable, notFull, preferred, probes, preferredProbes := 0, 0, 0, 0, 0
 		for i := range list {
+			if eject && !list[i].Excluded && list[i].Health == ProbeDue {
+				probes++
+				if !list[i].Avoid {
+					preferredProbes++
+				}
+			}
 			if !list[i].Excluded && (!eject || list[i].Health == Healthy) {
 				usable++
 				if !list[i].full() {
@@ -42,13 +48,19 @@
 			}
 		}
 		c := b.Choose(list)
-		if (c.Index >= 0) != (usable > 0) {
-			t.Fatalf("%d usable candidates, chose index %d", usable, c.Index)
+		if (c.Index >= 0) != (usable+probes > 0) {
+			t.Fatalf("%d usable candidates and %d probes, chose index %d", usable, probes, c.Index)
 		}
 		if c.Index < 0 {
 			return
 		}
 		got := list[c.Index]
+		if preferredProbes > 0 || usable == 0 {
+			if got.Health != ProbeDue && eject || got.Excluded || got.Avoid && preferredProbes > 0 || c.Full != got.full() {
+				t.Fatalf("%d probes, %d of them in zones in service, chose %+v, %+v", probes, preferredProbes, got, c)
+			}
+			return
+		}
 		if got.Excluded || (eject && got.Health != Healthy) || got.full() != (notFull == 0) || c.Full != got.full() || (got.Avoid && preferred > 0) {
 			t.Fatalf("%d candidates not full, chose %+v, %+v", notFull, got, c)
 		}
