tracker: store which long-running tasks have run

Cause: precedence is for tasks that have run, and the next owner did not know which have. Only agents told it, by the runs that they list; a task that was stopped has none. The stored progress would have said so for the whole job, but a job of long-running tasks alone was never marked as changed, so it had no progress record. Such a task counted as one that had never run: no precedence, no rotation, no reservation of processors, until the backlog ended. It did not count as unavailable either, so the next owner let a fifth of the tasks yield once more.

Fix: the first confirmed run of a long-running task, or an end of a run that the owner does not know, marks the job as changed; its record holds a bitmap of the tasks that have run. HasRun is set by what a worker has had, no longer by an order, so a task whose starts never arrive is not taken for one that was running. Records without the bitmap are read as before; an older build ignores it.

--- a/internal/job/planner/yield.go
+++ b/internal/job/planner/yield.go
@@ -44,7 +44,7 @@
 		}
 		reservedCPU += int64(len(s.Tasks)) * s.Spec.Needs.CPUMillis
 		for _, t := range s.Tasks {
-			if t.HasRun && t.Unavailable() {
+			if (t.HasRun || len(t.Runs) > 0) && t.Unavailable() {
 				unavailable += s.Spec.Needs.CPUMillis
 			}
 			if r := t.PrimaryRun(); r != nil && r.State == tracker.Stopping {
--- a/internal/job/tracker/record.go
+++ b/internal/job/tracker/record.go
@@ -31,6 +31,9 @@
 	Done    string          `json:"done,omitempty"`    // hex-encoded bitmap with one bit per task, lowest bit first
 	Failed  map[int][]int64 `json:"failed,omitempty"`  // numbers of the failed runs by task index
 	Crashes map[int][]Crash `json:"crashes,omitempty"` // of workers, that a task is suspected of, by task index
+	// HasRun is a bitmap like Done of the long-running tasks that have run. Agents do not report tasks
+	// that have no run. Empty: not known.
+	HasRun string `json:"has-run,omitempty"`
 }
 
 // Encode returns the record of a job.
@@ -55,13 +58,10 @@
 	for _, s := range o.Steps {
 		var sr StepRecord
 		if s.Done > 0 {
-			bits := make([]byte, (len(s.Tasks)+7)/8)
-			for i, t := range s.Tasks {
-				if t.Done {
-					bits[i/8] |= 1 << (i % 8)
-				}
-			}
-			sr.Done = hex.EncodeToString(bits)
+			sr.Done = encodeBitmap(s.Tasks, func(t *Task) bool { return t.Done })
+		}
+		if s.Spec.LongRunning {
+			sr.HasRun = encodeBitmap(s.Tasks, func(t *Task) bool { return t.HasRun })
 		}
 		for i, t := range s.Tasks {
 			if len(t.Failed) > 0 {
@@ -77,6 +77,24 @@
 	return r
 }
 
+// encodeBitmap returns a hex-encoded bitmap with one bit per task, lowest bit first.
+func encodeBitmap(tasks []*Task, set func(*Task) bool) string {
+	bits := make([]byte, (len(tasks)+7)/8)
+	for i, t := range tasks {
+		if set(t) {
+			bits[i/8] |= 1 << (i % 8)
+		}
+	}
+	return hex.EncodeToString(bits)
+}
+
+// bitmap is a decoded bitmap. Bits beyond its length are not set.
+type bitmap []byte
+
+func decodeBitmap(text string) (bitmap, error) { return hex.DecodeString(text) }
+
+func (b bitmap) has(i int) bool { return i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 }
+
 // Restore applies the stored progress of a job that was just added.
 func (tr *Tracker) Restore(id string, value []byte, now time.Time) error {
 	j := tr.Jobs[id]
@@ -129,16 +147,19 @@
 	}
 	for i, sr := range r.Steps {
 		s := o.Steps[i]
-		bits, err := hex.DecodeString(sr.Done)
+		done, err := decodeBitmap(sr.Done)
 		if err != nil {
 			return fmt.Errorf("decode done tasks of step %d: %w", i, err)
 		}
 		for n, t := range s.Tasks {
-			if n/8 < len(bits) && bits[n/8]&(1<<(n%8)) != 0 {
+			if done.has(n) {
 				t.Done = true
 				s.Done++
 			}
-			t.Failed, t.Crashes, t.HasRun = sr.Failed[n], sr.Crashes[n], o.Job.Started
+			t.Failed, t.Crashes = sr.Failed[n], sr.Crashes[n]
+		}
+		if err := s.restoreRuns(sr); err != nil {
+			return fmt.Errorf("decode which tasks of step %d have run: %w", i, err)
 		}
 	}
 	for _, s := range o.Steps {
@@ -149,6 +170,18 @@
 	return nil
 }
 
+// restoreRuns restores which tasks have run.
+func (s *Step) restoreRuns(r StepRecord) error {
+	hasRun, err := decodeBitmap(r.HasRun)
+	if err != nil {
+		return err
+	}
+	for n, t := range s.Tasks {
+		t.HasRun = hasRun.has(n) || r.HasRun == "" && s.Occurrence.Job.Started
+	}
+	return nil
+}
+
 // Flush is one write of progress to the store: the jobs to write, and the run ends that
 // may be acknowledged to each VM's agent once they are written.
 type Flush struct {
--- a/internal/job/tracker/record_test.go
+++ b/internal/job/tracker/record_test.go
@@ -38,3 +38,109 @@
 		t.Errorf("%d ended jobs are removed, want 1", len(ids))
 	}
 }
+
+// storedProgress is what a store holds of the progress of jobs, by job ID.
+type storedProgress map[string][]byte
+
+// flush stores the progress that has changed.
+func (p storedProgress) flush(t *testing.T, tr *Tracker) {
+	t.Helper()
+	f, states := tr.BeginFlush(), make(map[string]JobState)
+	for _, j := range f.Jobs {
+		value, err := j.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		p[j.Spec.ID], states[j.Spec.ID] = value, j.State
+	}
+	tr.EndFlush(f, states, nil)
+}
+
+// takeOver returns the state of the next owner, before any agent has reported.
+func (p storedProgress) takeOver(t *testing.T, spec *specifier.Job, now time.Time) *Tracker {
+	t.Helper()
+	next := newState(t, 3)
+	next.AddJob(spec, time.Time{}, now)
+	if value := p[spec.ID]; value != nil {
+		if err := next.Restore(spec.ID, value, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return next
+}
+
+// Guards against long-running tasks without precedence under the next owner, because it takes those
+// that were stopped for tasks that have never run.
+func TestNextOwnerKnowsWhichTasksHaveRun(t *testing.T) {
+	const takeover = 5000 // ms after begin
+	confirm := func(tr *Tracker, vm *VM, run int64, millis int) {
+		tr.Place(tr.Find(task(1, 0, 0)), vm, run, at(millis))
+		tr.Apply(vm, Report{Incarnation: "1", Ready: true, OrdersSeen: vm.OrderSeq, Runs: []ReportedRun{{Key: key(1, 0, 0, run), Confirmed: true}}}, at(millis))
+	}
+	tests := []struct {
+		name   string
+		before func(tr *Tracker, vm *VM)
+		hasRun bool
+	}{
+		{"never ordered", func(*Tracker, *VM) {}, false},
+		{"start not confirmed", func(tr *Tracker, vm *VM) {
+			tr.Place(tr.Find(task(1, 0, 0)), vm, 1, at(0))
+		}, false},
+		{"running", func(tr *Tracker, vm *VM) { confirm(tr, vm, 1, 0) }, true},
+		{"stopped", func(tr *Tracker, vm *VM) {
+			confirm(tr, vm, 1, 0)
+			tr.EndRun(vm, key(1, 0, 0, 1), EndStopped, "", at(1000))
+		}, true},
+		{"lost with its VM", func(tr *Tracker, vm *VM) {
+			confirm(tr, vm, 1, 0)
+			tr.Detach(vm)
+			tr.DropRuns(vm, at(1000))
+		}, true},
+		{"stopped, next start not confirmed", func(tr *Tracker, vm *VM) {
+			confirm(tr, vm, 1, 0)
+			tr.EndRun(vm, key(1, 0, 0, 1), EndStopped, "", at(1000))
+			tr.Place(tr.Find(task(1, 0, 0)), vm, 2, at(2000))
+		}, true},
+		{"stopped, next start lost", func(tr *Tracker, vm *VM) {
+			confirm(tr, vm, 1, 0)
+			tr.EndRun(vm, key(1, 0, 0, 1), EndStopped, "", at(1000))
+			tr.Place(tr.Find(task(1, 0, 0)), vm, 2, at(2000))
+			tr.Apply(vm, Report{Incarnation: "1", Ready: true, OrdersSeen: vm.OrderSeq}, at(3000))
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tr, stored := newState(t, 3), make(storedProgress)
+			j := addJob(t, tr, 1, specifier.Step{Count: 2, Needs: oneCore, LongRunning: true})
+			tt.before(tr, attach(tr, "vm"))
+			stored.flush(t, tr)
+			for range 2 { // the owner is replaced twice
+				next := stored.takeOver(t, j.Spec, at(takeover))
+				got := next.Find(task(1, 0, 0))
+				if got.HasRun != tt.hasRun {
+					t.Errorf("has run %t, want %t", got.HasRun, tt.hasRun)
+				}
+				if other := next.Find(task(1, 0, 1)); other.HasRun {
+					t.Error("a task that has never run counts as one that has")
+				}
+				next.Jobs[j.Spec.ID].dirty = true
+				stored.flush(t, next)
+			}
+		})
+	}
+}
+
+// Guards against an end that counts for nothing because the owner that applied it was replaced
+// before it had stored it: the agent reports it to the next owner, which does not know the run.
+func TestEndOfUnknownRunShowsThatItsTaskHasRun(t *testing.T) {
+	tr := newState(t, 3)
+	addJob(t, tr, 1, specifier.Step{Count: 1, Needs: oneCore, LongRunning: true})
+	vm := attach(tr, "vm")
+	tr.Apply(vm, Report{Incarnation: "1", Ready: true, Ends: []ReportedEnd{{Seq: 1, Key: key(1, 0, 0, 1), Outcome: EndStopped}}}, at(10))
+	if !tr.Find(task(1, 0, 0)).HasRun {
+		t.Error("the task counts as one that has never run")
+	}
+	if f := tr.BeginFlush(); len(f.Jobs) != 1 {
+		t.Errorf("the progress of %d jobs is stored, want 1", len(f.Jobs))
+	}
+}
--- a/internal/job/tracker/report.go
+++ b/internal/job/tracker/report.go
@@ -229,6 +229,7 @@
 	}
 	if rep.Confirmed {
 		r.Step().Occurrence.Job.markStarted()
+		r.Task.markRun()
 		r.Measure = rep.Measure
 		r.updateProgress(rep.Progress)
 	}
--- a/internal/job/tracker/run.go
+++ b/internal/job/tracker/run.go
@@ -27,7 +27,7 @@
 	t, spec := r.Task, r.Task.Step.Spec
 	t.LastNumber = max(t.LastNumber, r.Number)
 	t.Runs = append(t.Runs, r)
-	t.Yielded, t.HasRun = false, true
+	t.Yielded = false
 	r.VM.Runs[r.Key()] = r
 	r.VM.Version++
 	if r.SizeUnknown {
@@ -52,6 +52,18 @@
 	}
 }
 
+// markRun records that a worker has, or had, a run of the task. For a long-running task that is
+// part of the job's progress: the next owner must know which tasks were running.
+func (t *Task) markRun() {
+	if t.HasRun {
+		return
+	}
+	t.HasRun = true
+	if t.Step.Spec.LongRunning {
+		t.Step.Occurrence.Job.dirty = true
+	}
+}
+
 // SetPace records an order that sets the pace of a run.
 func (r *Run) SetPace(percent int, now time.Time) {
 	if r.Pace == fullPace || r.Pace == PaceUnknown || percent == fullPace {
@@ -96,6 +108,9 @@
 		}
 	}
 	t.WaitSince = now
+	if !r.StartedAt.IsZero() {
+		t.markRun()
+	}
 }
 
 // Stop marks a run as being stopped and returns the number of the stop order.
@@ -192,6 +207,7 @@
 		return
 	}
 	t.Step.Occurrence.Job.markStarted()
+	t.markRun()
 	t.LastNumber = max(t.LastNumber, key.Number)
 	if checkpoint != "" && t.Step.Spec.Checkpoints {
 		t.Checkpoint = checkpoint
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -76,7 +76,7 @@
 	Failed     []int64 // numbers of the failed runs
 	Crashes    []Crash // of workers, that it is suspected of
 	LastNumber int64   // number of its latest run, 0 if this owner knows of none
-	HasRun     bool    // it has had a run, or may have had one under an earlier owner
+	HasRun     bool    // a worker has, or had, a run of it
 	Checkpoint string  // to resume from
 	Runs       []*Run  // runs that have not ended; more than one only if copies are allowed
 	WaitSince  time.Time
