tracker: store since when long-running tasks are unavailable

What callers saw: each change of owner let the time of an unavailable long-running task start anew. Of two owners that were replaced 4 s apart each, the second saw it wait for 12 s; a task that was being moved came back after 9.5 s. The stated bound is 9 s.

Cause: WaitSince was kept in memory alone. The next owner took the time of its takeover for it.

Fix: the end of a confirmed run of a long-running task marks its job as changed, and the record holds since when, in Unix ms. The write that stores it is the one after which the end is acknowledged, so the next owner learns of the end from one or the other. A time that lies ahead of the next owner's clock counts as the time of the takeover, as before.

--- a/internal/job/tracker/record.go
+++ b/internal/job/tracker/record.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"bamboospread/internal/job/specifier"
@@ -34,6 +35,9 @@
 	// HasRun is a bitmap like Done of the long-running tasks that have run. Agents do not report tasks
 	// that have no run. Empty: not known.
 	HasRun string `json:"has-run,omitempty"`
+	// WaitSince is since when, in Unix ms, long-running tasks that have run are without a run, by task
+	// index.
+	WaitSince map[int]int64 `json:"wait-since-ms,omitempty"`
 }
 
 // Encode returns the record of a job.
@@ -62,6 +66,7 @@
 		}
 		if s.Spec.LongRunning {
 			sr.HasRun = encodeBitmap(s.Tasks, func(t *Task) bool { return t.HasRun })
+			sr.WaitSince = waitsOf(s)
 		}
 		for i, t := range s.Tasks {
 			if len(t.Failed) > 0 {
@@ -95,6 +100,25 @@
 
 func (b bitmap) has(i int) bool { return i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 }
 
+// waitsOf returns since when the tasks of a step that have run are without a confirmed run, in
+// Unix ms by task index.
+func waitsOf(s *Step) (since map[int]int64) {
+	for i, t := range s.Tasks {
+		if !t.HasRun || t.Done || t.hasConfirmedRun() {
+			continue
+		}
+		if since == nil {
+			since = make(map[int]int64)
+		}
+		since[i] = t.WaitSince.UnixMilli()
+	}
+	return since
+}
+
+func (t *Task) hasConfirmedRun() bool {
+	return slices.ContainsFunc(t.Runs, func(r *Run) bool { return !r.StartedAt.IsZero() })
+}
+
 // Restore applies the stored progress of a job that was just added.
 func (tr *Tracker) Restore(id string, value []byte, now time.Time) error {
 	j := tr.Jobs[id]
@@ -158,7 +182,7 @@
 			}
 			t.Failed, t.Crashes = sr.Failed[n], sr.Crashes[n]
 		}
-		if err := s.restoreRuns(sr); err != nil {
+		if err := s.restoreRuns(sr, now); err != nil {
 			return fmt.Errorf("decode which tasks of step %d have run: %w", i, err)
 		}
 	}
@@ -170,14 +194,18 @@
 	return nil
 }
 
-// restoreRuns restores which tasks have run.
-func (s *Step) restoreRuns(r StepRecord) error {
+// restoreRuns restores which tasks have run, and since when those without a run are unavailable. A
+// time after now is that of another VM's clock.
+func (s *Step) restoreRuns(r StepRecord, now time.Time) error {
 	hasRun, err := decodeBitmap(r.HasRun)
 	if err != nil {
 		return err
 	}
 	for n, t := range s.Tasks {
 		t.HasRun = hasRun.has(n) || r.HasRun == "" && s.Occurrence.Job.Started
+		if millis, ok := r.WaitSince[n]; ok && time.UnixMilli(millis).Before(now) {
+			t.WaitSince = time.UnixMilli(millis)
+		}
 	}
 	return nil
 }
--- a/internal/job/tracker/run.go
+++ b/internal/job/tracker/run.go
@@ -110,6 +110,9 @@
 	t.WaitSince = now
 	if !r.StartedAt.IsZero() {
 		t.markRun()
+		if spec.LongRunning { // its wait is part of the progress
+			t.Step.Occurrence.Job.dirty = true
+		}
 	}
 }
 
