tracker: a start that never ran does not restart the wait of a long-running task

What callers saw: a long-running task that had yielded, and whose next start stayed unanswered for 2.75 s, was without a run for 15.6 s under one and the same owner. The stated bound is 9 s and the time for which an unanswered start blocks its task.

Cause: WaitSince was set whenever a run was removed, also one that no worker had confirmed. Each start that was refused, lost or never answered let the 6 s until the task takes precedence begin anew.

Fix: the end of an unconfirmed run leaves WaitSince of a long-running task as it is. Other tasks have no precedence by their wait and keep theirs.

--- a/internal/job/scheduler/replacement_test.go
+++ b/internal/job/scheduler/replacement_test.go
@@ -168,6 +168,7 @@
 		{"start of a moved task unanswered for long, same owner", 2, nil, move, failStart(startUnansweredLong), returnBound + unansweredTimeLong},
 		{"start of a yielded task refused, same owner", 4, nil, awaitYield, failStart(startRefused), returnBound},
 		{"start of a yielded task unanswered, same owner", 4, nil, awaitYield, failStart(startUnanswered), returnBound + unansweredTime},
+		{"start of a yielded task unanswered for long, same owner", 4, nil, awaitYield, failStart(startUnansweredLong), returnBound + unansweredTimeLong},
 		{"no urgent task waits", 2, nil, moveNow, change(replayStopTime / 2), returnBound},
 	}
 )
--- a/internal/job/tracker/record_test.go
+++ b/internal/job/tracker/record_test.go
@@ -97,6 +97,17 @@
 			tr.Detach(vm)
 			tr.DropRuns(vm, at(1000))
 		}, true, at(1000)},
+		{"stopped, next start not confirmed", func(tr *Tracker, vm *VM) {
+			confirm(tr, vm, 1, 0)
+			tr.EndRun(vm, key(1, 0, 0, 1), EndStopped, "", at(1000))
+			tr.Place(tr.Find(task(1, 0, 0)), vm, 2, at(2000))
+		}, true, at(1000)},
+		{"stopped, next start lost", func(tr *Tracker, vm *VM) {
+			confirm(tr, vm, 1, 0)
+			tr.EndRun(vm, key(1, 0, 0, 1), EndStopped, "", at(1000))
+			tr.Place(tr.Find(task(1, 0, 0)), vm, 2, at(2000))
+			tr.Apply(vm, Report{Incarnation: "1", Ready: true, OrdersSeen: vm.OrderSeq}, at(3000))
+		}, true, at(1000)},
 		{"stopped, by a clock that is ahead", func(tr *Tracker, vm *VM) {
 			confirm(tr, vm, 1, 0)
 			tr.EndRun(vm, key(1, 0, 0, 1), EndStopped, "", at(takeover+1000))
--- a/internal/job/tracker/run.go
+++ b/internal/job/tracker/run.go
@@ -107,12 +107,20 @@
 			break
 		}
 	}
-	t.WaitSince = now
-	if !r.StartedAt.IsZero() {
+	t.recordEnd(r, now)
+}
+
+// recordEnd records since when the task waits after a run of it has been removed.
+func (t *Task) recordEnd(r *Run, now time.Time) {
+	confirmed, longRunning := !r.StartedAt.IsZero(), t.Step.Spec.LongRunning
+	if confirmed {
 		t.markRun()
-		if spec.LongRunning { // its wait is part of the progress
-			t.Step.Occurrence.Job.dirty = true
-		}
+	}
+	if confirmed || !longRunning {
+		t.WaitSince = now
+	}
+	if confirmed && longRunning { // since when it is unavailable is part of the job's progress
+		t.Step.Occurrence.Job.dirty = true
 	}
 }
 
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -79,6 +79,8 @@
 	HasRun     bool    // a worker has, or had, a run of it
 	Checkpoint string  // to resume from
 	Runs       []*Run  // runs that have not ended; more than one only if copies are allowed
+	// WaitSince is when its last run ended. For a long-running task, a run that no worker has confirmed
+	// does not count.
 	WaitSince  time.Time
 	NotBefore  time.Time       // earliest restart after a failure
 	GiveUpAt   time.Time       // when its job fails, if too many workers have crashed under it; zero: not
