tracker: store the checkpoints of stopped tasks

What callers saw: a best-effort task that was stopped to continue elsewhere, or lost with its VM, started from the beginning if the owner was replaced before its next run had begun. Its work was done again.

Cause: the checkpoint of a run that has ended was kept in the owner's memory alone. Its end was acknowledged without a write, since a stop changed no progress, so the worker forgot the checkpoint.

Fix: a checkpoint that an ended run leaves marks the job as changed, and the job's record holds it. The end is acknowledged after that write. A record holds 256 KiB of checkpoints at most (TestStoredCheckpointsAreBounded), so that it fits in a value of the store.

--- a/internal/job/tracker/record.go
+++ b/internal/job/tracker/record.go
@@ -29,9 +29,10 @@
 
 // StepRecord is the progress of a step.
 type StepRecord struct {
-	Done    string          `json:"done,omitempty"`    // hex-encoded bitmap with one bit per task, lowest bit first
-	Failed  map[int][]int64 `json:"failed,omitempty"`  // numbers of the failed runs by task index
-	Crashes map[int][]Crash `json:"crashes,omitempty"` // of workers, that a task is suspected of, by task index
+	Done        string          `json:"done,omitempty"`        // hex-encoded bitmap with one bit per task, lowest bit first
+	Failed      map[int][]int64 `json:"failed,omitempty"`      // numbers of the failed runs by task index
+	Crashes     map[int][]Crash `json:"crashes,omitempty"`     // of workers, that a task is suspected of, by task index
+	Checkpoints map[int]string  `json:"checkpoints,omitempty"` // to resume from, by task index
 	// HasRun is a bitmap like Done of the long-running tasks that have run. Agents do not report tasks
 	// that have no run. Empty: not known.
 	HasRun string `json:"has-run,omitempty"`
@@ -46,8 +47,9 @@
 	if j.State.Final() {
 		r.EndedAt = j.EndedAt.UnixMilli()
 	} else {
+		room := maxStoredCheckpoints
 		for _, o := range j.Occurrences {
-			r.Open = append(r.Open, o.record())
+			r.Open = append(r.Open, o.record(&room))
 		}
 	}
 	b, err := json.Marshal(r)
@@ -57,7 +59,8 @@
 	return b, nil
 }
 
-func (o *Occurrence) record() OccurrenceRecord {
+// record returns the progress of an occurrence. Its checkpoints take their size from room.
+func (o *Occurrence) record(room *int) OccurrenceRecord {
 	r := OccurrenceRecord{Number: o.Number}
 	for _, s := range o.Steps {
 		var sr StepRecord
@@ -76,7 +79,7 @@
 				sr.Failed[i] = t.Failed
 			}
 		}
-		sr.Crashes = crashesOf(s)
+		sr.Crashes, sr.Checkpoints = crashesOf(s), checkpointsOf(s, room)
 		r.Steps = append(r.Steps, sr)
 	}
 	return r
@@ -115,6 +118,27 @@
 	return since
 }
 
+// maxStoredCheckpoints is the size in bytes of the checkpoints that a record holds at most; the store
+// takes keeper.MaxValueBytes for all of it. A task whose checkpoint is not stored starts from the
+// beginning under the next owner.
+const maxStoredCheckpoints = 256 << 10
+
+// checkpointsOf returns the checkpoints to resume from by the index of the task, as far as there is
+// room in bytes for them.
+func checkpointsOf(s *Step, room *int) (stored map[int]string) {
+	for i, t := range s.Tasks {
+		if t.Done || t.Checkpoint == "" || len(t.Checkpoint) > *room {
+			continue
+		}
+		if stored == nil {
+			stored = make(map[int]string)
+		}
+		*room -= len(t.Checkpoint)
+		stored[i] = t.Checkpoint
+	}
+	return stored
+}
+
 func (t *Task) hasConfirmedRun() bool {
 	return slices.ContainsFunc(t.Runs, func(r *Run) bool { return !r.StartedAt.IsZero() })
 }
@@ -180,7 +204,7 @@
 				t.Done = true
 				s.Done++
 			}
-			t.Failed, t.Crashes = sr.Failed[n], sr.Crashes[n]
+			t.Failed, t.Crashes, t.Checkpoint = sr.Failed[n], sr.Crashes[n], sr.Checkpoints[n]
 		}
 		if err := s.restoreRuns(sr, now); err != nil {
 			return fmt.Errorf("decode which tasks of step %d have run: %w", i, err)
--- a/internal/job/tracker/record_test.go
+++ b/internal/job/tracker/record_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/store/keeper"
 )
 
 // Guards against a takeover that no owner can complete. A new owner lists all jobs. With the
@@ -149,3 +150,57 @@
 		t.Errorf("the progress of %d jobs is stored, want 1", len(f.Jobs))
 	}
 }
+
+// Guards against work that is done again because the checkpoint of a stopped run is known to one owner
+// only: the worker forgets it once the end is acknowledged.
+func TestNextOwnerKnowsCheckpoints(t *testing.T) {
+	const checkpoint = "c7"
+	tests := []struct {
+		name string
+		end  func(tr *Tracker, vm *VM)
+		want string
+	}{
+		{"stopped", func(tr *Tracker, vm *VM) {
+			tr.Apply(vm, Report{Incarnation: "1", Ready: true, OrdersSeen: 1, Ends: []ReportedEnd{{Seq: 1, Key: key(1, 0, 0, 1), Outcome: EndStopped, Checkpoint: checkpoint}}}, at(10))
+		}, checkpoint},
+		{"lost with its VM", func(tr *Tracker, vm *VM) {
+			tr.Detach(vm)
+			tr.DropRuns(vm, at(10))
+		}, checkpoint},
+		{"done", func(tr *Tracker, vm *VM) { tr.EndRun(vm, key(1, 0, 0, 1), EndDone, checkpoint, at(10)) }, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tr, stored := newState(t, 3), make(storedProgress)
+			j := addJob(t, tr, 1, specifier.Step{Count: 2, Needs: oneCore, Checkpoints: true})
+			vm := attach(tr, "vm")
+			tr.Place(tr.Find(task(1, 0, 0)), vm, 1, at(0))
+			tr.Apply(vm, Report{Incarnation: "1", Ready: true, OrdersSeen: 1, Runs: []ReportedRun{{Key: key(1, 0, 0, 1), Confirmed: true, Checkpoint: checkpoint}}}, at(5))
+			tt.end(tr, vm)
+			stored.flush(t, tr)
+			if got := stored.takeOver(t, j.Spec, at(20)).Find(task(1, 0, 0)).Checkpoint; got != tt.want {
+				t.Errorf("the next run resumes from %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a record that is too large for the store: the progress of its job would never be
+// stored again.
+func TestStoredCheckpointsAreBounded(t *testing.T) {
+	tr := newState(t, 3)
+	step := specifier.Step{Count: specifier.MaxTasks / 2, Needs: oneCore, Checkpoints: true}
+	j := addJob(t, tr, 1, step, step)
+	for _, s := range j.Occurrences[0].Steps {
+		for _, task := range s.Tasks {
+			task.Checkpoint = strings.Repeat("x", 100)
+		}
+	}
+	value, err := j.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(value) > keeper.MaxValueBytes {
+		t.Errorf("the record has %d bytes, want at most %d", len(value), keeper.MaxValueBytes)
+	}
+}
--- a/internal/job/tracker/run.go
+++ b/internal/job/tracker/run.go
@@ -220,9 +220,7 @@
 	t.Step.Occurrence.Job.markStarted()
 	t.markRun()
 	t.LastNumber = max(t.LastNumber, key.Number)
-	if checkpoint != "" && t.Step.Spec.Checkpoints {
-		t.Checkpoint = checkpoint
-	}
+	t.recordCheckpoint(checkpoint)
 	if outcome != EndStopped {
 		t.Relocation = Relocation{}
 	} else if t.Relocation.Hold > 0 {
@@ -248,6 +246,15 @@
 	t.AvoidedVMs[vm] = true
 }
 
+// recordCheckpoint records the checkpoint that a run has left, for the next run to resume from. The
+// worker forgets it once the end of the run is acknowledged.
+func (t *Task) recordCheckpoint(checkpoint string) {
+	if checkpoint == "" || checkpoint == t.Checkpoint || !t.Step.Spec.Checkpoints {
+		return
+	}
+	t.Checkpoint, t.Step.Occurrence.Job.dirty = checkpoint, true
+}
+
 // DropRuns removes all runs of a VM: a new incarnation of its worker has started, or its
 // leases have certainly expired. The tasks wait again, to resume from their last checkpoint.
 func (tr *Tracker) DropRuns(vm *VM, now time.Time) []*Run {
@@ -262,9 +269,7 @@
 }
 
 func (tr *Tracker) dropRun(r *Run, now time.Time) {
-	if r.Checkpoint != "" && r.Task.Step.Spec.Checkpoints {
-		r.Task.Checkpoint = r.Checkpoint
-	}
+	r.Task.recordCheckpoint(r.Checkpoint)
 	tr.removeRun(r, now)
 }
 
