scheduler: a lost VM delays the return of long-running tasks after a takeover (fails)

What callers see: long-running tasks that had yielded return 9.48 s after their stop if the owner is replaced 2 s later and another VM is lost with it; the stated bound is 9 s.

Cause: a task without a known run may run on a VM that has not reported to the new owner. No inherited job starts before the leases there have certainly expired: 2 s of the former owner's lease and 5.4 s of its grants.

The wait guards against two runs of a task; it could end sooner only if the store showed that no start was ordered since the stop.

--- a/internal/job/scheduler/replacement_test.go
+++ b/internal/job/scheduler/replacement_test.go
@@ -162,6 +162,7 @@
 		{"lost with its VM", 2, nil, loseVM, change(time.Second), returnBound},
 		{"lost with its VM, progress stored", 2, shortStep, loseVM, change(time.Second), returnBound},
 		{"yielded, another VM lost, same owner", 4, nil, yieldAndLoseVM, sameOwner, returnBound},
+		{"yielded, another VM lost, progress stored", 4, shortStep, yieldAndLoseVM, change(time.Second), returnBound},
 		{"start of a moved task not sent", 2, nil, move, changeOnStart(startNotSent), returnBound},
 		{"start of a moved task unanswered, change of owner", 2, nil, move, changeOnStart(startUnanswered), returnBound + unansweredTime},
 		{"start of a moved task unanswered, same owner", 2, nil, move, failStart(startUnanswered), returnBound + unansweredTime},
