tracker: back off before long-running tasks that fail again and again

What callers would see: a long-running task that fails wherever it starts was ordered again within a round of placement after each failure. Each order takes a slot of an agent's report, and each run takes the place of a task that works.

Cause (by reading): the backoff of a failed task grows with the failures that count against its limit. A long-running task has no limit, so none is recorded and the delay stays zero.

Change: the first restart stays immediate; the second is delayed by up to 500 ms, each further one by up to twice as much, 4 s at most, with full jitter from Config.Random. A run that lasted 10 s before it failed counts as the first failure again. The greatest delay is shorter than the 6 s after which an unavailable task takes precedence, so the bound on its return holds. `explain job` names tasks that wait for their restart. The count is not stored: the next owner begins anew.

--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
+	"time"
 
 	"bamboospread/internal/job/tracker"
 )
@@ -24,6 +26,10 @@
 	case j.Queue.Name == "":
 		return "the fleet text does not define the queue " + j.Spec.Queue
 	}
+	delayed := explainRestarts(in.Now, s)
+	if delayed != "" && !slices.ContainsFunc(s.Tasks, func(t *tracker.Task) bool { return t.Waits(in.Now) }) {
+		return delayed
+	}
 	counts := make(map[string]int)
 	r := newRound(in)
 	r.loadVMs()
@@ -42,9 +48,26 @@
 		parts = append(parts, fmt.Sprintf("%d VMs %s", n, reason))
 	}
 	sort.Strings(parts)
+	if delayed != "" {
+		parts = append(parts, delayed)
+	}
 	return strings.Join(parts, ", ")
 }
 
+// explainRestarts returns how many tasks of a step are delayed after failures and for how long, or "".
+func explainRestarts(now time.Time, s *tracker.Step) string {
+	count, longest := 0, time.Duration(0)
+	for _, t := range s.Tasks {
+		if delay := t.RestartDelay(now); delay > 0 {
+			count, longest = count+1, max(longest, delay)
+		}
+	}
+	if count == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d tasks restart within %s after failures", count, longest.Round(time.Millisecond))
+}
+
 // rejectReason returns why a VM does not accept a task of the step now.
 func (r *round) rejectReason(in Input, vm *tracker.VM, s *tracker.Step) string {
 	switch {
--- a/internal/job/scheduler/takeover.go
+++ b/internal/job/scheduler/takeover.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -23,7 +24,7 @@
 // takeOver loads the cell's state from the store.
 func (s *Scheduler) takeOver(ctx context.Context, epoch int64) (*owner, error) {
 	now := s.config.Now()
-	state := tracker.New(tracker.Config{RunFloor: (epoch - 1) * runsPerEpoch, Policy: s.config.Policy()})
+	state := tracker.New(tracker.Config{RunFloor: (epoch - 1) * runsPerEpoch, Policy: s.config.Policy(), Random: rand.Float64})
 	o := newOwner(s, epoch, state, now)
 	work, revision, err := s.findAll(ctx, WorkPrefix)
 	if err != nil {
--- a/internal/job/tracker/job.go
+++ b/internal/job/tracker/job.go
@@ -170,15 +170,16 @@
 // that was stored but not yet acknowledged is reported to the next owner again, and
 // counting it twice would use up the task's attempts. A long-running task has no limit
 // and is restarted however it ends.
-func (tr *Tracker) taskFailed(t *Task, number int64, now time.Time) {
+func (tr *Tracker) taskFailed(t *Task, number int64, lasted time.Duration, now time.Time) {
+	if t.Step.Spec.LongRunning {
+		t.recordRestart(lasted, tr.random, now)
+		return
+	}
 	if slices.Contains(t.Failed, number) {
 		return
 	}
 	j := t.Step.Occurrence.Job
 	t.NotBefore = now.Add(failureBackoff(len(t.Failed) + 1))
-	if t.Step.Spec.LongRunning {
-		return
-	}
 	t.Failed = append(t.Failed, number)
 	j.dirty = true
 	if j.State.Final() || j.Queue.MaxFailures <= 0 {
--- /dev/null
+++ b/internal/job/tracker/restart.go
@@ -0,0 +1,52 @@
+package tracker
+
+import "time"
+
+// Backoff before a long-running task that fails again and again is restarted. Like that of other
+// tasks, its first restart is immediate: most failures are caused by the worker.
+const (
+	// restartDelayFirst is the greatest delay of the second restart. It doubles with each further one.
+	restartDelayFirst = 500 * time.Millisecond
+	// restartDelayMax is the greatest delay of all. It is shorter than the time after which an
+	// unavailable task takes precedence, so a task that has recovered is back as soon as any other.
+	restartDelayMax = 4 * time.Second
+	// restartResetAfter is how long a run must last for its failure to count as the first again.
+	restartResetAfter = 10 * time.Second
+)
+
+// recordRestart delays the restart of a long-running task whose run has failed.
+func (t *Task) recordRestart(lasted time.Duration, random func() float64, now time.Time) {
+	if lasted >= restartResetAfter {
+		t.Restarts = 0
+	}
+	t.Restarts++
+	t.NotBefore = now.Add(time.Duration(random() * float64(restartDelayLimit(t.Restarts))))
+}
+
+// restartDelayLimit is the greatest delay of a restart after the given number of failures in a row.
+func restartDelayLimit(failures int) time.Duration {
+	if failures <= 1 {
+		return 0
+	}
+	delay := restartDelayFirst
+	for n := 2; n < failures && delay < restartDelayMax; n++ {
+		delay *= 2
+	}
+	return min(delay, restartDelayMax)
+}
+
+// RestartDelay returns how long a waiting task is still delayed after failures.
+func (t *Task) RestartDelay(now time.Time) time.Duration {
+	if t.Done || len(t.Runs) > 0 {
+		return 0
+	}
+	return max(t.NotBefore.Sub(now), 0)
+}
+
+// lasted is how long a worker has had the run.
+func (r *Run) lasted(now time.Time) time.Duration {
+	if r.StartedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(r.StartedAt)
+}
--- a/internal/job/tracker/run.go
+++ b/internal/job/tracker/run.go
@@ -210,7 +210,9 @@
 	if r != nil && outcome == EndDone {
 		tr.recordRuntime(r, now)
 	}
+	lasted := time.Duration(0)
 	if r != nil {
+		lasted = r.lasted(now)
 		tr.removeRun(r, now)
 		t = r.Task
 	}
@@ -234,7 +236,7 @@
 	case EndFailed:
 		vm.recordFailure(key.Task, now)
 		t.avoidVM(vm.Name)
-		tr.taskFailed(t, key.Number, now)
+		tr.taskFailed(t, key.Number, lasted, now)
 	case EndStopped, EndLapsed, EndGangBroken, EndGangIncomplete, EndLost:
 	}
 }
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -83,6 +83,7 @@
 	// does not count.
 	WaitSince  time.Time
 	NotBefore  time.Time       // earliest restart after a failure
+	Restarts   int             // of a long-running task, after failures in a row
 	GiveUpAt   time.Time       // when its job fails, if too many workers have crashed under it; zero: not
 	AvoidedVMs map[string]bool // VMs on which a run of it failed
 	Relocation Relocation      // zero: it is not being moved
@@ -307,6 +308,7 @@
 	suspected     map[*Task]bool // tasks with crashes; may include some that have ended
 	moving        []*Task        // tasks with a relocation; may include some whose relocation has ended
 	runFloor      int64          // run numbers of this owner are higher
+	random        func() float64 // from 0 up to 1
 
 	runtimeRatios map[string]float64 // by queue
 }
@@ -318,6 +320,9 @@
 	// always increase, but the last ones of an earlier owner may not be known to anyone.
 	RunFloor int64
 	Policy   *specifier.Policy
+	// Random returns a random number from 0 up to 1, by which restarts after failures are spread;
+	// nil: each waits for as long as it may.
+	Random func() float64
 }
 
 // New returns an empty Tracker.
@@ -326,7 +331,11 @@
 	if p == nil {
 		p = &specifier.Policy{}
 	}
-	return &Tracker{Jobs: make(map[string]*Job), VMs: make(map[string]*VM), policy: p, runFloor: c.RunFloor, runtimeRatios: make(map[string]float64), suspected: make(map[*Task]bool)}
+	random := c.Random
+	if random == nil {
+		random = func() float64 { return 1 }
+	}
+	return &Tracker{random: random, Jobs: make(map[string]*Job), VMs: make(map[string]*VM), policy: p, runFloor: c.RunFloor, runtimeRatios: make(map[string]float64), suspected: make(map[*Task]bool)}
 }
 
 // Policy returns the policy in force.
