runner, control: an unavailable worker is not the task's failure

What callers would see: a task that is held as "failed 3 times" although it never ran, because its worker could not be reached, or answered 503, for a moment at each of three starts. Found by reading.

Cause: Runner.start took every error that it does not know for the worker's refusal of the task, also the driver's ErrUnavailable, which says that nothing was sent or that the worker takes no calls at present.

Evidence, on the code before: TestWorkerOutageIsNotTheTasksFailure failed in the cases of a start that is not reached and of a 503 ("State:failed Reason:the worker refused the start: worker unavailable"), and passed for a task that can't be read, which stays a failure. The second test, TestWorkerOutageUsesNoAttempt, failed with no quarantine: if these starts were merely refused, a VM whose worker takes nothing would be given the same tasks every 300 ms.

The start is reported as refused, which uses up no attempt with owners of the former version too. A new field of the report says that the worker was unavailable: such a start counts against the VM, each time, since the task can't be its cause. Three without a success quarantine the VM as before. Agents of the former version report a failure as before; former owners ignore the field.

--- a/internal/agent/runner/order.go
+++ b/internal/agent/runner/order.go
@@ -56,9 +56,10 @@
 
 // refusal is an order that was not executed.
 type refusal struct {
-	order  messenger.Order
-	state  messenger.ReportState
-	reason string
+	order       messenger.Order
+	state       messenger.ReportState
+	reason      string
+	unavailable bool // the worker was unavailable
 }
 
 // executeOrders executes orders and returns when all are done, so that the next
@@ -96,6 +97,7 @@
 	r.refused[at] = messenger.TaskReport{
 		TaskID: at.TaskID, Attempt: at.Attempt, State: f.state, Reason: f.reason,
 		Needs: f.order.Needs, Class: f.order.Class, Tenant: f.order.Tenant, Service: f.order.Service,
+		Unavailable: f.unavailable,
 	}
 	r.config.Reporter.Report(reporter.RunnerOrderRefused, reporter.Fields{
 		"kind": string(f.order.Kind), "task": at.TaskID, "attempt": at.Attempt, "reason": f.reason,
@@ -212,6 +214,12 @@
 	switch {
 	case err == nil:
 		return nil
+	case driver.IsErrUnavailable(err):
+		refused := r.preventStart(ctx, o, messenger.ReportRefused, "the worker was unavailable: "+err.Error())
+		if refused != nil {
+			refused.unavailable = true
+		}
+		return refused
 	case driver.IsErrStartExpired(err):
 		return r.preventStart(ctx, o, messenger.ReportRefused, "order expired before it was executed")
 	case driver.IsErrAttemptEnded(err):
--- a/internal/agent/runner/runner_test.go
+++ b/internal/agent/runner/runner_test.go
@@ -19,6 +19,7 @@
 	t      *testing.T
 	skew   time.Duration // of the runner's clock ahead of the real time
 	worker *worker.Worker
+	url    string // of the worker
 	runner *Runner
 	polls  []messenger.Poll
 	reply  func(messenger.Poll) messenger.PollReply
@@ -29,6 +30,7 @@
 	f.worker = worker.New(worker.Config{Capacity: messenger.Capacity{VM: "vm", Total: describer.Resources{Millicores: 1000, MemoryBytes: 1000}}})
 	server := httptest.NewServer(f.worker.Handler())
 	t.Cleanup(server.Close)
+	f.url = server.URL
 	f.runner = New(Config{
 		Cell: "c", AgentID: "a", Incarnation: 1, Driver: driver.New(driver.Config{URL: server.URL}),
 		Now: func() time.Time { return time.Now().Add(f.skew) },
--- a/internal/control/bookkeeper/apply.go
+++ b/internal/control/bookkeeper/apply.go
@@ -241,13 +241,15 @@
 	return err
 }
 
-// recordOutcome updates the list of different tasks that failed on the VM since
-// the last success.
+// recordOutcome updates the list of tasks that failed on the VM since the last success.
+// A task that fails again may itself be the cause and counts once. One that found the
+// worker unavailable is not, and counts each time: otherwise a VM whose worker takes
+// nothing would get the same task again and again.
 func (v *VM) recordOutcome(e *Ended) {
 	if e.Next == messenger.TaskCompleted {
 		v.FailedTasks, v.Quarantines = nil, 0
 	}
-	if e.Failed && !slices.Contains(v.FailedTasks, e.Task) {
+	if e.Unavailable || e.Failed && !slices.Contains(v.FailedTasks, e.Task) {
 		v.FailedTasks = append(v.FailedTasks, e.Task)
 	}
 }
--- a/internal/control/bookkeeper/bookkeeper.go
+++ b/internal/control/bookkeeper/bookkeeper.go
@@ -64,7 +64,7 @@
 	QuarantinedUntil time.Time `json:"until,omitzero"`
 	Quarantines      int       `json:"quarantines,omitempty"` // consecutive quarantines without a success
 	// FailedTasks lists the different tasks that failed on the VM since the last
-	// success.
+	// success, and the tasks that found its worker unavailable.
 	FailedTasks []string `json:"failing,omitempty"`
 }
 
--- a/internal/control/bookkeeper/record.go
+++ b/internal/control/bookkeeper/record.go
@@ -141,8 +141,9 @@
 	Attempt       int64               `json:"attempt"`
 	Next          messenger.TaskState `json:"next"` // completed, cancelled, held or queued
 	Reason        string              `json:"reason,omitempty"`
-	Checkpoint    string              `json:"checkpoint,omitempty"` // empty: keep the earlier one
-	Failed        bool                `json:"failed,omitempty"`     // counts as a failure of the task and of the VM
+	Checkpoint    string              `json:"checkpoint,omitempty"`  // empty: keep the earlier one
+	Failed        bool                `json:"failed,omitempty"`      // counts as a failure of the task and of the VM
+	Unavailable   bool                `json:"unavailable,omitempty"` // the worker was unavailable: counts as a failure of the VM only
 	Evicted       bool                `json:"evicted,omitempty"`
 	EndUnreported bool                `json:"unheard,omitempty"` // held because it may have completed without a report
 	NotBefore     time.Time           `json:"not-before,omitzero"`
--- a/internal/control/controller/quarantine.go
+++ b/internal/control/controller/quarantine.go
@@ -12,12 +12,13 @@
 
 // Quarantine of VMs on which every task fails.
 const (
-	failuresToQuarantine = 3 // different tasks in a row, without a success
+	failuresToQuarantine = 3 // different tasks, or starts on an unavailable worker, without a success
 	minQuarantine        = 10 * time.Second
 	maxQuarantine        = 10 * time.Minute
 )
 
-// quarantineIfFailing quarantines a VM on which several different tasks failed in a row.
+// quarantineIfFailing quarantines a VM on which several different tasks failed in a row, or
+// whose worker was unavailable for several starts.
 // On a VM that is being probed one failure is enough.
 func (o *owner) quarantineIfFailing(vm string) {
 	v := o.state.VM(vm)
@@ -29,7 +30,7 @@
 	}
 	length := min(minQuarantine<<min(v.Quarantines, 10), maxQuarantine)
 	until := o.config.Now().Add(length).Round(0).UTC()
-	reason := fmt.Sprintf("%d different tasks failed in a row", len(v.FailedTasks))
+	reason := fmt.Sprintf("%d tasks in a row failed or found the worker unavailable", len(v.FailedTasks))
 	o.decide(bookkeeper.Record{Quarantine: &bookkeeper.Quarantine{VM: vm, Reason: reason, Until: until}}, reporter.VMQuarantined,
 		messenger.Decision{VM: vm, Reason: reason, Inputs: map[string]string{
 			"tasks": strings.Join(v.FailedTasks[:min(len(v.FailedTasks), 10)], ","), "until": until.Format(time.RFC3339),
--- a/internal/control/controller/report.go
+++ b/internal/control/controller/report.go
@@ -23,6 +23,8 @@
 	reason     string
 	checkpoint string
 	unreported bool // the VM did not report how the attempt ended
+	// unavailable is set if the attempt was not started because the worker was unavailable.
+	unavailable bool
 }
 
 // applyReports applies the agent's reports on attempts. A poll lists every attempt on the
@@ -67,7 +69,7 @@
 			}
 		}
 	case current:
-		o.endAttempt(t, attemptEnd{state: r.State, reason: r.Reason, checkpoint: r.Checkpoint}, func() { o.ack(s, at) })
+		o.endAttempt(t, attemptEnd{state: r.State, reason: r.Reason, checkpoint: r.Checkpoint, unavailable: r.Unavailable}, func() { o.ack(s, at) })
 	case r.State == messenger.ReportRunning:
 		if !s.unassigned[at] {
 			s.unassigned[at] = true
@@ -137,7 +139,7 @@
 	if ended.Next == messenger.TaskCompleted {
 		o.metrics.observeTurnaround(t.Spec, o.config.Now().Sub(t.Submitted))
 	}
-	if ended.Failed {
+	if ended.Failed || ended.Unavailable {
 		o.quarantineIfFailing(vm)
 	}
 }
@@ -170,7 +172,7 @@
 		ended.Evicted = t.Stop == bookkeeper.StopMove
 		return reporter.AttemptMoved
 	case messenger.ReportRefused:
-		ended.NotBefore = now.Add(refusedBackoff)
+		ended.NotBefore, ended.Unavailable = now.Add(refusedBackoff), e.unavailable
 		return reporter.StartRefused
 	case messenger.ReportLost:
 		o.holdIfLost(t, e, ended)
--- a/internal/kernel/reporter/catalogue_control.go
+++ b/internal/kernel/reporter/catalogue_control.go
@@ -59,7 +59,7 @@
 	{VMChanged, log.InfoLevel, "VM changed", "The size, location, agent or upstreams of a VM changed."},
 	{VMLost, log.WarnLevel, "VM lost", "The lease of a VM has definitely expired; its tasks are queued again."},
 	{VMRemoved, log.InfoLevel, "VM removed", "A VM that has been disconnected for a long time and has no tasks was removed."},
-	{VMQuarantined, log.WarnLevel, "VM quarantined", "Several different tasks failed on a VM in a row; it gets no tasks until the given time."},
+	{VMQuarantined, log.WarnLevel, "VM quarantined", "Several different tasks in a row failed on a VM, or its worker was unavailable for several starts; it gets no tasks until the given time."},
 	{VMReleased, log.InfoLevel, "VM released from quarantine", "The VM is probed with one task at a time."},
 	{EpochOpened, log.InfoLevel, "cell taken over", "This process owns the cell from now on."},
 	{OwnershipLost, log.WarnLevel, "ownership lost", "Another process owns the cell or soon will."},
--- a/internal/wire/messenger/cell.go
+++ b/internal/wire/messenger/cell.go
@@ -90,6 +90,9 @@
 	Tenant     string              `json:"tenant,omitempty"`
 	Service    string              `json:"service,omitempty"`
 	Percent    int                 `json:"percent,omitempty"` // of the processor share at which it runs; 0: not reported by the worker
+	// Unavailable is set with ReportRefused if the worker was unavailable. An owner
+	// that does not know it takes the report for any other refusal.
+	Unavailable bool `json:"unavailable,omitempty"`
 }
 
 // Usage is the resource usage of a VM, measured over a past window.
