balancer: late results are not the probe's

What callers would see: requests sent to an upstream that still fails, because the late answer to a request of before its ejection readmitted it; or a recovered upstream that stays away for up to 30 s, because timeouts of such requests count as its failed probe, or as five failures after its readmission. Found by reading.

Cause: Health counted each result at the time of its arrival. Any result while a probe was in flight was taken for the probe's, also that of a probe given up before.

A result counts only if its request was sent after the latest ejection, probe or readmission; it always counts for the latency. TestHealthStatusFollowsResults observed a request of 1 ms at the instant at which its probe began, so that it was sent before: its clock advances by that 1 ms now, and the expected statuses are the same.

--- a/internal/request/balancer/balancer_test.go
+++ b/internal/request/balancer/balancer_test.go
@@ -162,6 +162,7 @@
 					continue
 				}
 				h.BeginProbe(now)
+				now = now.Add(time.Millisecond)
 				h.Observe(now, time.Millisecond, r == 'x')
 			}
 			if got := h.Status(now); got != c.want {
--- a/internal/request/balancer/health.go
+++ b/internal/request/balancer/health.go
@@ -38,9 +38,14 @@
 	ejections           int
 	ejectedUntil        time.Time // zero: not ejected
 	probeStarted        time.Time // zero: no probe in flight
+	// stateSince is when the upstream was ejected or readmitted, or its latest probe
+	// began. Results of requests sent earlier show what it was like before.
+	stateSince time.Time
 }
 
-// Observe records the result of a request.
+// Observe records the result of a request that took the given time. The result of a request
+// sent before the upstream was last ejected, probed or readmitted counts for the latency
+// only: taken for the probe's, it would end or prolong the ejection.
 func (h *Health) Observe(now time.Time, took time.Duration, failed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -48,11 +53,14 @@
 	if !failed || took > h.latency {
 		h.observeLatency(now, took)
 	}
+	if now.Add(-took).Before(h.stateSince) {
+		return
+	}
 	h.requests++
 	if !failed {
 		h.consecutiveFailures = 0
 		if !h.probeStarted.IsZero() {
-			h.ejectedUntil, h.probeStarted = time.Time{}, time.Time{}
+			h.ejectedUntil, h.probeStarted, h.stateSince = time.Time{}, time.Time{}, now
 			h.requests, h.failures = 0, 0
 		}
 		if h.requests >= windowRequests {
@@ -94,10 +102,10 @@
 
 func (h *Health) eject(now time.Time) {
 	if !h.ejectedUntil.IsZero() && h.probeStarted.IsZero() {
-		return // late failures of requests sent before the ejection
+		return // a failure of a request sent while too many upstreams were ejected
 	}
 	length := min(firstEjection<<min(h.ejections, 5), maxEjection)
-	h.ejectedUntil, h.probeStarted = now.Add(length), time.Time{}
+	h.ejectedUntil, h.probeStarted, h.stateSince = now.Add(length), time.Time{}, now
 	h.ejections++
 	h.consecutiveFailures, h.requests, h.failures = 0, 0, 0
 }
@@ -155,6 +163,6 @@
 	if !h.probeStarted.IsZero() && now.Sub(h.probeStarted) < probeTimeout {
 		return false
 	}
-	h.probeStarted = now
+	h.probeStarted, h.stateSince = now, now
 	return true
 }
