guardian: polls of an ended process are not the next one's

What callers would see: a job that is given up as one whose task crashes its workers, after fewer crashes than that: one end of a worker's process was reported as two or three crashes. Found by reading, when looking for results that are attributed to a later state.

Cause: the counts of failed polls outlived the incarnation that they were about. A process that had announced itself and did not listen yet inherited the polls that had failed before, and counted as crashed after one more; a poll that was sent to the ended process and failed late counted too. One that was answered late made the agent take the ended process for the current one, and back: a crash each time.

Evidence: on the code before, TestPollsOfEndedProcessAreNotTheNextOnes failed in four cases of five, with 2 crashes (the next process not listening yet, polls that fail late, both) and 3 (a poll answered late); the fifth, a next process that ends too, has its 2.

The counts begin anew with each incarnation, and what a poll shows counts only for the incarnation to which it was sent. An announcement that is itself late is overridden by the next poll, one poll later than before (TestNextPollOverridesLateAnnouncement, which passes on the code before).

--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -152,6 +152,9 @@
 	}
 	g.recordCrashLocked(crashedAt)
 	g.crashRecorded, g.expiredRuns = false, nil
+	// The failed polls are those of the process that has ended. Counted against the next one,
+	// which may not answer yet, they would make a second crash of the same tasks.
+	g.failedPolls, g.absentPolls, g.pollsFailSince = 0, 0, time.Time{}
 	lastPollSentAt := g.lastPollSentAt
 	g.incarnation, g.ends, g.endsStored, g.clockAt, g.polledEpoch, g.lastPollSentAt = incarnation, nil, 0, time.Time{}, 0, time.Time{}
 	for key, r := range g.runs {
--- a/internal/worker/guardian/poll.go
+++ b/internal/worker/guardian/poll.go
@@ -57,7 +57,7 @@
 		if pollCtx.Err() != nil && timeoutCtx.Err() == nil {
 			return // cancelled because of a new epoch or grant
 		}
-		g.recordFailedPoll(err)
+		g.recordFailedPoll(err, from)
 		_ = pauser.Pause(ctx, pollRetryPause)
 		return
 	}
@@ -71,6 +71,11 @@
 func (g *Guardian) applyPoll(status Status, call PollCall, from pollStart) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if from.incarnation != g.incarnation && status.Incarnation == from.incarnation {
+		// The process that was polled has been replaced since, unless the announcement of the
+		// other one was late. The next poll shows which one runs.
+		return false
+	}
 	g.failedPolls, g.absentPolls = 0, 0
 	if !g.unresponsiveSince.IsZero() {
 		g.config.Reporter.Report(reporter.WorkerResponding, reporter.Fields{"silent": g.config.Now().Sub(g.unresponsiveSince).String()})
@@ -184,9 +189,12 @@
 	return lease + time.Duration(float64(lease)*clockErrorMax)
 }
 
-func (g *Guardian) recordFailedPoll(err error) {
+func (g *Guardian) recordFailedPoll(err error, from pollStart) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if from.incarnation != g.incarnation {
+		return // sent to the process that has ended
+	}
 	now := g.config.Now()
 	g.failedPolls++
 	if g.pollsFailSince.IsZero() {
