guardian: TestLeaseIsRequestedOnceGranted waits for a poll of its owner

The test failed at random: 40 of 400 runs on with the race detector, "polled with {Epoch:1 EndsSeen:0 LeaseUntil:0s Wait:0s} after the grant, want a lease". It takes the first poll that waits for the one in progress at the grant. That can be the poll of before the owner, which the change of epoch cancels; the poll that follows it at once is then taken for the one after the grant.

It waits for a poll under the owner's epoch now. What it demands of the next poll is the same: 0 of 1,000 runs failed, and without the cancellation of the poll in progress it fails ("no lease was requested").

--- a/internal/worker/guardian/start_expiry_test.go
+++ b/internal/worker/guardian/start_expiry_test.go
@@ -157,7 +157,10 @@
 	e.g.Follow(1)
 	e.session = e.g.BeginSession()
 	e.report()
-	e.until("poll in progress", func() bool { return (<-asked).Wait == pollWaitIdle })
+	e.until("poll in progress", func() bool {
+		c := <-asked
+		return c.Epoch == 1 && c.Wait == pollWaitIdle
+	})
 	e.grant(1, time.Minute)
 	select {
 	case c := <-asked:
