scheduler, guardian, timekeeper: a slow clock is allowed for once

What callers would see: nothing so far. The owner's time before it gives up a lost VM's runs had 2% of the grant for a slow clock of the worker, and 0.3 s "for a worker clock that is 2% slow and the delivery of a reply": the first twice, the second without need, since the agent counts the grant from before it sent its report. Found by reading.

The second 2% hid a fault of the agent. It takes the worker's clock to have run on at full speed since the last status poll, so that after a pause of the agent the lease that it requests ends later than the grant allows on a slow clock. Its own time at which all leases have expired, after which it reports an unresponsive worker's runs as ended, had nothing to hide that but the time of a stop.

timekeeper states the assumption and the bound; the owner goes by LeaseExpiry (5.40 s as before), and the agent by a lower bound of the worker's clock. LapseTime is what remains of the old slack. Of it, leases of agents of the former version may take up to 0.1 s more.

--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -247,10 +247,7 @@
 
 // leaseExpiry returns the time after the last grant to an agent when its runs have certainly
 // ended.
-func (o *owner) leaseExpiry() time.Duration {
-	g := o.s.config.Grant
-	return g + g/50 + grantSlack
-}
+func (o *owner) leaseExpiry() time.Duration { return LeaseExpiry(o.s.config.Grant) }
 
 func (o *owner) reportLost(vm *tracker.VM, lost []*tracker.Run, cause string) {
 	for _, r := range lost {
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -15,6 +15,7 @@
 	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/kernel/timekeeper"
 	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/wire/connector"
 	"bamboospread/internal/wire/messenger"
@@ -46,12 +47,20 @@
 	DefaultGrant = 5 * time.Second
 	// DefaultLease is the duration of the owner's lease in the store.
 	DefaultLease = 2 * time.Second
-	// grantSlack covers a worker clock that is 2% slow and the delivery of a reply from the
-	// owner to the agent.
-	grantSlack = 300 * time.Millisecond
+	// LapseTime is how long a worker may take to end its runs once their leases have expired.
+	LapseTime  = 300 * time.Millisecond
 	retryDelay = 100 * time.Millisecond
 )
 
+// LeaseExpiry returns the time after the answer to a report when the runs that continue under
+// its grant have certainly ended. The agent counts the grant from when it sent the report, so
+// neither the report nor the reply needs time of its own. The difference between the clocks
+// is counted here and nowhere else: the agent requests leases that end with the grant unless a
+// clock is slow.
+func LeaseExpiry(grant time.Duration) time.Duration {
+	return timekeeper.Longest(grant) + LapseTime
+}
+
 // Config holds the settings of a Scheduler.
 type Config struct {
 	Cell    string
--- a/internal/kernel/timekeeper/timekeeper.go
+++ b/internal/kernel/timekeeper/timekeeper.go
@@ -5,6 +5,7 @@
 package timekeeper
 
 import (
+	"math"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -31,3 +32,18 @@
 // Now returns the system time at the start of the process plus the time elapsed
 // since, including suspensions.
 func Now() time.Time { return bootTime.Add(sinceBoot()) }
+
+// MaxClockError bounds the difference between the clocks of the processes that share a
+// lease: of an owner, an agent and a worker, none counts less than this fraction below what
+// another counts in the same time. All that depends on it goes by Longest and Shortest.
+const MaxClockError = 0.02
+
+// Longest returns the time that passes at most on one clock while another counts d.
+func Longest(d time.Duration) time.Duration {
+	return time.Duration(math.Ceil(float64(d) / (1 - MaxClockError)))
+}
+
+// Shortest returns the time that passes at least on one clock while another counts d.
+func Shortest(d time.Duration) time.Duration {
+	return time.Duration(math.Floor(float64(d) * (1 - MaxClockError)))
+}
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -13,6 +13,7 @@
 	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
 	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/kernel/timekeeper"
 	"bamboospread/internal/wire/messenger"
 )
 
@@ -105,7 +106,7 @@
 		// An earlier process may have requested the longest lease just before it ended.
 		// Without this, a single unanswered poll before the first lease of this process would
 		// mark all runs as ended for the owner, which would start them a second time.
-		leaseEnd: now.Add(maxLeaseTime(c.LeaseMax)),
+		leaseEnd: now.Add(timekeeper.Longest(c.LeaseMax)),
 	}
 }
 
--- a/internal/worker/guardian/orders.go
+++ b/internal/worker/guardian/orders.go
@@ -26,8 +26,8 @@
 	// than callTimeout changes nothing, and the worker refuses a later start by its own clock,
 	// so an unanswered start blocks its task for no longer than this.
 	startValidity = 800 * time.Millisecond
-	// clockLagMax is the longest time by which the worker's clock may lag behind the agent's
-	// estimate of it.
+	// clockLagMax is the longest time by which the worker's clock may lag behind the estimate of
+	// an earlier process of the agent, which may be of a version that allows for no slow clock.
 	clockLagMax = 100 * time.Millisecond
 	// neverExpires is the expiry of a start that the worker may carry out at any time.
 	neverExpires     = time.Duration(math.MaxInt64)
--- a/internal/worker/guardian/poll.go
+++ b/internal/worker/guardian/poll.go
@@ -7,6 +7,7 @@
 	"bamboospread/internal/job/tracker"
 	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/kernel/timekeeper"
 )
 
 // Intervals and limits of status polls.
@@ -38,8 +39,6 @@
 	// address before its runs count as ended. Their leases, up to 5 s, need not be waited for
 	// then.
 	absentPollsToEnd = 4
-	// clockErrorMax is the fraction by which the worker's clock may be slow.
-	clockErrorMax = 0.02
 )
 
 // poll polls the worker once, which also renews the leases.
@@ -144,7 +143,7 @@
 func (g *Guardian) requestStartLocked(now time.Time) time.Duration {
 	until := g.leaseLocked(now)
 	if until > 0 {
-		until = min(until, g.clock+now.Sub(g.clockAt)+startValidity)
+		until = min(until, g.workerClockLocked(now)+startValidity)
 	}
 	g.expectLeaseLocked(now, until)
 	return until
@@ -161,18 +160,19 @@
 // expectLeaseLocked records that a call sent now may extend the leases until the given time on the
 // worker's clock; 0: it does not.
 func (g *Guardian) expectLeaseLocked(now time.Time, until time.Duration) {
-	left := until - g.clock - now.Sub(g.clockAt)
+	left := until - g.workerClockLocked(now)
 	if until <= 0 || left <= 0 {
 		return
 	}
-	if end := now.Add(maxLeaseTime(left)); end.After(g.leaseEnd) {
+	if end := now.Add(timekeeper.Longest(left)); end.After(g.leaseEnd) {
 		g.leaseEnd = end
 	}
 }
 
 // leaseLocked returns the end of the leases that may be requested, on the worker's clock, or 0.
-// It assumes that no time passed between the worker's answer and its arrival here, so the lease
-// is too short rather than too long.
+// It assumes that no time passed between the worker's answer and its arrival here, and that the
+// worker's clock is slow since, so the lease is too short rather than too long. How long it lasts
+// on a slow clock is counted by the owner, see scheduler.LeaseExpiry.
 //
 // An unresponsive worker gets no renewal: it may receive calls without answering, and its
 // tasks could never be given up if each poll might have extended their leases.
@@ -181,12 +181,13 @@
 	if !g.unresponsiveSince.IsZero() || g.clockAt.IsZero() || left <= 0 {
 		return 0
 	}
-	return g.clock + now.Sub(g.clockAt) + left
+	return g.workerClockLocked(now) + left
 }
 
-// maxLeaseTime returns the time after which a lease has expired even on a slow clock.
-func maxLeaseTime(lease time.Duration) time.Duration {
-	return lease + time.Duration(float64(lease)*clockErrorMax)
+// workerClockLocked returns a lower bound of the worker's clock, which may be slow: an upper bound
+// would make a lease that an agent requests after a pause outlive the grant.
+func (g *Guardian) workerClockLocked(now time.Time) time.Duration {
+	return g.clock + timekeeper.Shortest(now.Sub(g.clockAt))
 }
 
 func (g *Guardian) recordFailedPoll(err error, from pollStart) {
@@ -218,7 +219,7 @@
 	}
 	// All runs have ended. A start without an answer may still arrive for a while.
 	for key, r := range g.runs {
-		if !r.startUnconfirmed || !r.startCallEndedAt.IsZero() && now.Sub(r.startCallEndedAt) > maxLeaseTime(startValidity)+clockLagMax {
+		if !r.startUnconfirmed || !r.startCallEndedAt.IsZero() && now.Sub(r.startCallEndedAt) > timekeeper.Longest(startValidity)+clockLagMax {
 			delete(g.runs, key)
 			g.expireRunLocked(key, r)
 		}
