tests: a job is not refused while an earlier submission of it may count

What maintainers would see: TestJobsUnderFaults failing with "ran although its job was refused" for a job that was accepted, or a job that was accepted and whose end nobody awaits. Found by reading.

Cause: jobTestbed.submit repeats a submission without an answer, and took "no entry can do this now" to the repetition for the answer to all. The requester keeps the outcome as unknown within one call; the testbed makes several.

--- a/tests/integration/job_testbed_test.go
+++ b/tests/integration/job_testbed_test.go
@@ -84,24 +84,25 @@
 	}
 }
 
+// submit submits a job. That no entry can take it is final only if no earlier try may have
+// been accepted.
 func (r *jobTestbed) submit(j *specifier.Job) {
 	ctx, cancel := context.WithTimeout(context.Background(), jobTimeout)
 	defer cancel()
-	for ctx.Err() == nil {
+	for unknown := false; ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
 		_, err := r.operator.SubmitJob(ctx, j)
+		unknown = unknown || err != nil && !requester.IsErrUnavailable(err)
 		r.mu.Lock()
 		switch {
 		case err == nil:
 			r.accepted[j.ID] = j
-			r.mu.Unlock()
-			return
-		case requester.IsErrUnavailable(err):
+		case !unknown:
 			r.refused[j.ID] = true
-			r.mu.Unlock()
-			return
 		}
 		r.mu.Unlock()
-		time.Sleep(100 * time.Millisecond)
+		if err == nil || !unknown {
+			return
+		}
 	}
 	r.t.Errorf("the outcome of the submission of job %s is still unknown after %s", j.ID, jobTimeout)
 }
