guardian: TestUnansweredStartsListedInNextIncarnation waits for the poll it is about

It let 100 ms pass for a poll that is sent after the start was given up and answered; a busy machine needs more.

It waits until that poll has been answered.

--- a/internal/worker/guardian/start_expiry_test.go
+++ b/internal/worker/guardian/start_expiry_test.go
@@ -71,6 +71,21 @@
 	})
 }
 
+// polledAfterStart reports whether a poll was answered that was sent after the start of the only
+// run, and, if callEnded is set, after its call was given up.
+func (e *testEnv) polledAfterStart(callEnded bool) bool {
+	e.g.mu.Lock()
+	defer e.g.mu.Unlock()
+	for _, r := range e.g.runs {
+		after := r.sentAt
+		if callEnded {
+			after = r.startCallEndedAt
+		}
+		return !after.IsZero() && after.Before(e.g.lastPollSentAt)
+	}
+	return false
+}
+
 // Guards against tasks that wait for a lost incarnation: starts that it had not carried out
 // ended with it. Only a start that was still on its way may have reached the next
 // incarnation.
@@ -105,7 +120,7 @@
 			e.own(1)
 			e.order(1, messenger.WorkStart, 0, 1)
 			e.until("the start", func() bool { return len(e.report().Runs) == 1 })
-			time.Sleep(2 * pollRetryPause) // a poll is answered in this time
+			e.until("an answer to a poll sent after the start", func() bool { return e.polledAfterStart(tt.before) })
 			worker.withLock(func() { worker.incarnation, worker.epoch = "incarnation-2", 0 })
 			e.until("report of the next incarnation", func() bool { return e.report().Incarnation == "incarnation-2" })
 			time.Sleep(4 * pollRetryPause) // polls are answered in this time
