--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -13,6 +13,7 @@
 	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
 	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/kernel/timekeeper"
 	"bamboospread/internal/wire/messenger"
 )
 
@@ -105,7 +106,7 @@
 		// An earlier process may have requested the longest lease just before it ended.
 		// Without this, a single unanswered poll before the first lease of this process would
 		// mark all runs as ended for the owner, which would start them a second time.
-		leaseEnd: now.Add(maxLeaseTime(c.LeaseMax)),
+		leaseEnd: now.Add(timekeeper.Longest(c.LeaseMax)),
 	}
 }
 
@@ -152,6 +153,9 @@
 	}
 	g.recordCrashLocked(crashedAt)
 	g.crashRecorded, g.expiredRuns = false, nil
+	// The failed polls are those of the process that has ended. Counted against the next one,
+	// which may not answer yet, they would make a second crash of the same tasks.
+	g.failedPolls, g.absentPolls, g.pollsFailSince = 0, 0, time.Time{}
 	lastPollSentAt := g.lastPollSentAt
 	g.incarnation, g.ends, g.endsStored, g.clockAt, g.polledEpoch, g.lastPollSentAt = incarnation, nil, 0, time.Time{}, 0, time.Time{}
 	for key, r := range g.runs {
--- a/internal/worker/guardian/poll.go
+++ b/internal/worker/guardian/poll.go
@@ -7,6 +7,7 @@
 	"bamboospread/internal/job/tracker"
 	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/kernel/timekeeper"
 )
 
 // Intervals and limits of status polls.
@@ -38,8 +39,6 @@
 	// address before its runs count as ended. Their leases, up to 5 s, need not be waited for
 	// then.
 	absentPollsToEnd = 4
-	// clockErrorMax is the fraction by which the worker's clock may be slow.
-	clockErrorMax = 0.02
 )
 
 // poll polls the worker once, which also renews the leases.
@@ -57,7 +56,7 @@
 		if pollCtx.Err() != nil && timeoutCtx.Err() == nil {
 			return // cancelled because of a new epoch or grant
 		}
-		g.recordFailedPoll(err)
+		g.recordFailedPoll(err, from)
 		_ = pauser.Pause(ctx, pollRetryPause)
 		return
 	}
@@ -71,6 +70,11 @@
 func (g *Guardian) applyPoll(status Status, call PollCall, from pollStart) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if from.incarnation != g.incarnation && status.Incarnation == from.incarnation {
+		// The process that was polled has been replaced since, unless the announcement of the
+		// other one was late. The next poll shows which one runs.
+		return false
+	}
 	g.failedPolls, g.absentPolls = 0, 0
 	if !g.unresponsiveSince.IsZero() {
 		g.config.Reporter.Report(reporter.WorkerResponding, reporter.Fields{"silent": g.config.Now().Sub(g.unresponsiveSince).String()})
@@ -139,7 +143,7 @@
 func (g *Guardian) requestStartLocked(now time.Time) time.Duration {
 	until := g.leaseLocked(now)
 	if until > 0 {
-		until = min(until, g.clock+now.Sub(g.clockAt)+startValidity)
+		until = min(until, g.workerClockLocked(now)+startValidity)
 	}
 	g.expectLeaseLocked(now, until)
 	return until
@@ -156,18 +160,19 @@
 // expectLeaseLocked records that a call sent now may extend the leases until the given time on the
 // worker's clock; 0: it does not.
 func (g *Guardian) expectLeaseLocked(now time.Time, until time.Duration) {
-	left := until - g.clock - now.Sub(g.clockAt)
+	left := until - g.workerClockLocked(now)
 	if until <= 0 || left <= 0 {
 		return
 	}
-	if end := now.Add(maxLeaseTime(left)); end.After(g.leaseEnd) {
+	if end := now.Add(timekeeper.Longest(left)); end.After(g.leaseEnd) {
 		g.leaseEnd = end
 	}
 }
 
 // leaseLocked returns the end of the leases that may be requested, on the worker's clock, or 0.
-// It assumes that no time passed between the worker's answer and its arrival here, so the lease
-// is too short rather than too long.
+// It assumes that no time passed between the worker's answer and its arrival here, and that the
+// worker's clock is slow since, so the lease is too short rather than too long. How long it lasts
+// on a slow clock is counted by the owner, see scheduler.LeaseExpiry.
 //
 // An unresponsive worker gets no renewal: it may receive calls without answering, and its
 // tasks could never be given up if each poll might have extended their leases.
@@ -176,17 +181,21 @@
 	if !g.unresponsiveSince.IsZero() || g.clockAt.IsZero() || left <= 0 {
 		return 0
 	}
-	return g.clock + now.Sub(g.clockAt) + left
+	return g.workerClockLocked(now) + left
 }
 
-// maxLeaseTime returns the time after which a lease has expired even on a slow clock.
-func maxLeaseTime(lease time.Duration) time.Duration {
-	return lease + time.Duration(float64(lease)*clockErrorMax)
+// workerClockLocked returns a lower bound of the worker's clock, which may be slow: an upper bound
+// would make a lease that an agent requests after a pause outlive the grant.
+func (g *Guardian) workerClockLocked(now time.Time) time.Duration {
+	return g.clock + timekeeper.Shortest(now.Sub(g.clockAt))
 }
 
-func (g *Guardian) recordFailedPoll(err error) {
+func (g *Guardian) recordFailedPoll(err error, from pollStart) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if from.incarnation != g.incarnation {
+		return // sent to the process that has ended
+	}
 	now := g.config.Now()
 	g.failedPolls++
 	if g.pollsFailSince.IsZero() {
@@ -210,7 +219,7 @@
 	}
 	// All runs have ended. A start without an answer may still arrive for a while.
 	for key, r := range g.runs {
-		if !r.startUnconfirmed || !r.startCallEndedAt.IsZero() && now.Sub(r.startCallEndedAt) > maxLeaseTime(startValidity)+clockLagMax {
+		if !r.startUnconfirmed || !r.startCallEndedAt.IsZero() && now.Sub(r.startCallEndedAt) > timekeeper.Longest(startValidity)+clockLagMax {
 			delete(g.runs, key)
 			g.expireRunLocked(key, r)
 		}
