controller, elector: a drained process acquires nothing

What callers would see: with an entry that is stopping, calls for the cell fail until its lease has expired. A drain of a process that did not own the cell just then had no effect: it went on competing, and acquired the cell if its owner ended before it did.

Cause: Drain looked only at the owner that runs now. The flag that it set was read before an acquisition began, not while one waited.

A drain now ends the acquisition, stops the owner as soon as it runs, and waits until the lease is released. A cancelled acquisition no longer leaves its record at the store for the length of a lease: its lease is revoked, also when the swap was not answered.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -78,7 +79,11 @@
 	config  Config
 	elector *elector.Elector
 	current atomic.Pointer[owner]
-	drained atomic.Bool
+
+	draining   chan struct{} // closed by the first Drain
+	drain      sync.Once
+	ended      chan struct{} // closed when Run acquires nothing any more
+	releaseErr error         // of a drained process, once ended is closed
 }
 
 // New returns a Controller; Run starts it.
@@ -102,24 +107,51 @@
 		c.NewID = idSource(c.EntryID)
 	}
 	e := elector.Config{Cell: c.Cell, EntryID: c.EntryID, Address: c.RPCAddress, Lease: c.OwnerLease, Now: c.Now}
-	return &Controller{config: c, elector: elector.New(elector.FromKeeper(e, c.Keeper))}
+	return &Controller{
+		config: c, elector: elector.New(elector.FromKeeper(e, c.Keeper)),
+		draining: make(chan struct{}), ended: make(chan struct{}),
+	}
 }
 
-// Run competes for the cell, and runs it for as long as it owns it, until ctx ends.
+// Run competes for the cell, and runs it for as long as it owns it, until ctx ends. Once
+// drained it owns nothing and only waits for the end of ctx.
 func (c *Controller) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if c.drained.Load() {
-			<-ctx.Done()
-			break
+	c.compete(ctx)
+	close(c.ended)
+	<-ctx.Done()
+	return nil
+}
+
+// compete acquires and runs the cell in turn until ctx ends or Drain is called.
+func (c *Controller) compete(parent context.Context) {
+	ctx, cancel := context.WithCancel(parent) // ends with a drain as well
+	defer cancel()
+	go func() {
+		select {
+		case <-c.draining:
+			cancel()
+		case <-ctx.Done():
 		}
+	}()
+	for ctx.Err() == nil {
 		if err := c.elector.Acquire(ctx); err != nil {
 			continue
 		}
-		if err := c.runEpoch(ctx); err != nil && ctx.Err() == nil && !c.drained.Load() {
+		err := c.runEpoch(parent) // a drained owner first journals its decisions
+		if parent.Err() == nil && ctx.Err() != nil {
+			c.releaseErr = c.release(parent)
+		} else if err != nil && parent.Err() == nil {
 			c.config.Reporter.Report(reporter.OwnershipLost, reporter.Fields{"cell": c.config.Cell, "error": err.Error()})
 		}
 		_ = pauser.Pause(ctx, reacquireDelay)
 	}
+}
+
+// release releases the lease, which may have ended with the epoch.
+func (c *Controller) release(ctx context.Context) error {
+	if err := c.elector.Release(ctx); !keeper.IsErrLeaseNotExist(err) {
+		return err
+	}
 	return nil
 }
 
@@ -164,27 +196,18 @@
 // Owner returns the last known owner of the cell.
 func (c *Controller) Owner() (messenger.CellOwner, bool) { return c.elector.LastSeenOwner() }
 
-// Drain gives up the ownership: it waits until all decisions are journalled and then
-// releases the lease, so that another process need not wait for the lease to expire.
+// Drain gives up the ownership for good: it waits until all decisions are journalled and
+// the lease is released, so that another process need not wait for the lease to expire. A
+// process that does not own the cell, or is just acquiring it, stops competing for it. Run
+// must have been started.
 func (c *Controller) Drain(ctx context.Context) error {
-	c.drained.Store(true)
-	o := c.current.Load()
-	if o == nil {
-		return nil
-	}
+	c.drain.Do(func() { close(c.draining) })
 	select {
-	case o.stop <- struct{}{}:
-	case <-o.done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	select {
-	case <-o.done:
+	case <-c.ended:
+		return c.releaseErr
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	return c.elector.Release(ctx)
 }
 
 // Handle handles an RPC call for the cell. The code of an error says whether the call
--- a/internal/control/controller/owner.go
+++ b/internal/control/controller/owner.go
@@ -64,7 +64,7 @@
 	appended  chan appendEvent
 	contacted chan contactEvent
 	snapshots chan snapshotEvent
-	stop      chan struct{}
+	stop      <-chan struct{} // closed when the owner is to stop; nil once it is stopping
 	done      chan struct{}
 
 	commits          commitQueue
@@ -149,7 +149,7 @@
 		epoch: j.Epoch(), takeoverAt: takeoverAt, priorLease: priorLease, state: state, journal: j,
 		calls: make(chan callEvent, callQueueSize), appended: make(chan appendEvent, 1),
 		contacted: make(chan contactEvent, 1), snapshots: make(chan snapshotEvent, 1),
-		stop: make(chan struct{}, 1), done: make(chan struct{}),
+		stop: c.draining, done: make(chan struct{}),
 		commits: commitQueue{nextSeq: j.NextSeq(), uncommitted: make(map[string]int)},
 		fleet:   c.config.Fleet(), zoneReturnedAt: make(map[string]time.Time),
 		sessions: make(map[string]*session), waitReasons: make(map[string]string), dirty: true,
@@ -174,7 +174,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-o.stop:
-			o.stopping = true
+			o.stopping, o.stop = true, nil
 		case call := <-o.calls:
 			o.handle(call)
 			o.handleQueuedCalls()
--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -128,6 +128,9 @@
 		}
 		heldByOther, err := e.tryAcquire(ctx)
 		if ctx.Err() != nil {
+			if err == nil && !heldByOther {
+				_ = e.Release(context.WithoutCancel(ctx)) // nobody runs the cell, and others wait for it
+			}
 			return ctx.Err()
 		}
 		if err == nil && !heldByOther {
@@ -180,7 +183,7 @@
 	}
 	if err != nil {
 		// If the swap took effect all the same, revoking the lease deletes the record.
-		_ = e.config.RevokeLease(ctx, lease.ID)
+		_ = e.config.RevokeLease(context.WithoutCancel(ctx), lease.ID)
 		return keeper.IsErrConflict(err), ignoreConflict(err)
 	}
 	e.lease, e.revision = lease.ID, rev
--- a/internal/control/elector/elector_test.go
+++ b/internal/control/elector/elector_test.go
@@ -253,3 +253,54 @@
 		})
 	}
 }
+
+// Guards against a cell without an owner for the length of a lease: a process stopped competing
+// while its acquisition was at the store, and left its record there.
+func TestCancelledAcquisitionLeavesNoRecord(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		wrap func(config *Config, cancel context.CancelFunc)
+	}{
+		{"cancelled before the swap", func(config *Config, cancel context.CancelFunc) {
+			grant := config.GrantLease
+			config.GrantLease = func(ctx context.Context, ttl time.Duration) (keeper.Lease, error) {
+				defer cancel()
+				return grant(ctx, ttl)
+			}
+		}},
+		{"cancelled before the swap is answered", func(config *Config, cancel context.CancelFunc) {
+			swap := config.CompareAndSwap
+			config.CompareAndSwap = func(ctx context.Context, o keeper.SwapOptions) (int64, error) {
+				defer cancel()
+				if _, err := swap(ctx, o); err != nil {
+					return 0, err
+				}
+				return 0, keeper.ErrOutcomeUnknown{Cause: context.Canceled}
+			}
+		}},
+		{"cancelled after the swap", func(config *Config, cancel context.CancelFunc) {
+			swap := config.CompareAndSwap
+			config.CompareAndSwap = func(ctx context.Context, o keeper.SwapOptions) (int64, error) {
+				defer cancel()
+				return swap(ctx, o)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			store := storer.New(storer.Config{})
+			server := httptest.NewServer(store.Handler())
+			t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+			k := keeper.New(keeper.Config{URL: server.URL, CallTimeout: time.Second})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			config := FromKeeper(Config{Cell: "c", EntryID: "leaving", Lease: time.Minute}, k)
+			c.wrap(&config, cancel)
+			if err := New(config).Acquire(ctx); err == nil {
+				t.Error("the cancelled acquisition succeeded")
+			}
+			if record, err := k.GetRecord(t.Context(), "cells/c/owner"); !keeper.IsErrKeyNotExist(err) {
+				t.Errorf("record %s, error %v", record.Value, err)
+			}
+		})
+	}
+}
