controller: a refused record is answered at once

What callers would see: "no result within 5s, the store may be slow" and an unknown outcome, for a claim, resolution, submission or cancellation whose record the cell's state does not accept. Nothing had been done, and the store had no part in it.

Cause: a call is answered once its record is journalled; a refused one never is, and the calls did not look at whether it was accepted.

decide returns the refusal now. A claim or resolution fails at once, without effect and with the reason; a submission names it in the task's result; a cancellation of several tasks says how many were cancelled. A wait for several records does not count a refused one.

--- a/internal/control/controller/claim.go
+++ b/internal/control/controller/claim.go
@@ -63,9 +63,10 @@
 		return
 	}
 	claimed := bookkeeper.Claimed{Tenant: r.Tenant, Key: r.Key, Service: r.Service, Digest: r.Digest, RequestID: r.RequestID}
-	o.decide(bookkeeper.Record{Claimed: &claimed}, 0, messenger.Decision{}, func() {
+	err := o.decide(bookkeeper.Record{Claimed: &claimed}, 0, messenger.Decision{}, func() {
 		call.succeed(messenger.ClaimReply{State: messenger.ClaimGranted})
 	})
+	o.failRefused(call, err)
 }
 
 // handleResolveClaim journals how a claimed request ended.
@@ -82,7 +83,8 @@
 	if r.Answer != nil && len(r.Answer.Body) > maxStoredBodyBytes {
 		closed.Answer = &messenger.StoredAnswer{Status: r.Answer.Status, Header: r.Answer.Header}
 	}
-	o.decide(bookkeeper.Record{ClaimClosed: &closed}, 0, messenger.Decision{}, func() { call.succeed(messenger.Empty{}) })
+	err := o.decide(bookkeeper.Record{ClaimClosed: &closed}, 0, messenger.Decision{}, func() { call.succeed(messenger.Empty{}) })
+	o.failRefused(call, err)
 }
 
 // expireClaims periodically removes old claims.
--- a/internal/control/controller/commit.go
+++ b/internal/control/controller/commit.go
@@ -54,8 +54,9 @@
 
 // decide applies a record to the state and queues it for the journal. The function after,
 // if not nil, runs once the record is journalled; nothing that others act on may be sent
-// before that. decide returns false and changes nothing if the state rejects the record.
-func (o *owner) decide(r bookkeeper.Record, code reporter.Code, d messenger.Decision, after func()) bool {
+// before that. decide returns an error and changes nothing if the state refuses the record;
+// after does not run then.
+func (o *owner) decide(r bookkeeper.Record, code reporter.Code, d messenger.Decision, after func()) error {
 	r.At = o.config.Now().Round(0).UTC()
 	if code != 0 {
 		d.Code = int(code)
@@ -63,11 +64,11 @@
 	}
 	raw, err := json.Marshal(r)
 	if err == nil {
-		err = o.state.Apply(r)
+		err = o.applyRecord(r)
 	}
 	if err != nil {
 		o.config.Reporter.Report(reporter.RecordRefused, reporter.Fields{"cell": o.config.Cell, "error": err.Error()})
-		return false
+		return err
 	}
 	p := &o.commits.pending
 	p.records = append(p.records, raw)
@@ -79,7 +80,7 @@
 	if code != 0 {
 		o.config.Reporter.Report(code, reporter.Fields{"cell": o.config.Cell, "task": d.Task, "vm": d.VM, "reason": d.Reason})
 	}
-	return true
+	return nil
 }
 
 // flush starts an append of all pending records, unless one is in flight or began less
--- a/internal/control/controller/owner.go
+++ b/internal/control/controller/owner.go
@@ -58,6 +58,7 @@
 	takeoverAt     time.Time
 	priorLease     time.Duration // the longest lease that an earlier owner may have granted
 	state          *bookkeeper.CellState
+	applyRecord    func(bookkeeper.Record) error // applies a record to the state
 	journal        *journaler.Journaler
 
 	calls     chan callEvent
@@ -146,7 +147,7 @@
 func (c *Controller) newOwner(j *journaler.Journaler, state *bookkeeper.CellState, takeoverAt time.Time, priorLease time.Duration) *owner {
 	o := &owner{
 		config: c.config, held: c.elector.Held, renewalOverdue: c.elector.RenewalOverdue,
-		epoch: j.Epoch(), takeoverAt: takeoverAt, priorLease: priorLease, state: state, journal: j,
+		epoch: j.Epoch(), takeoverAt: takeoverAt, priorLease: priorLease, state: state, applyRecord: state.Apply, journal: j,
 		calls: make(chan callEvent, callQueueSize), appended: make(chan appendEvent, 1),
 		contacted: make(chan contactEvent, 1), snapshots: make(chan snapshotEvent, 1),
 		stop: c.draining, done: make(chan struct{}),
@@ -262,6 +263,13 @@
 	e.result <- callResult{err: connector.Errorf(code, format, args...)}
 }
 
+// failRefused fails a call, without effect, if the state refused its record.
+func (o *owner) failRefused(call callEvent, err error) {
+	if err != nil {
+		call.fail(messenger.CodeUnavailable, "cell %s: the decision was refused: %v", o.config.Cell, err)
+	}
+}
+
 // tick runs the periodic checks.
 func (o *owner) tick() {
 	o.checkFleet()
--- a/internal/control/controller/planning.go
+++ b/internal/control/controller/planning.go
@@ -67,7 +67,7 @@
 			continue
 		}
 		d := messenger.Decision{Task: th.TaskID, VM: t.VM, Reason: th.Reason, Inputs: th.Inputs}
-		if o.decide(bookkeeper.Record{Throttled: &bookkeeper.Throttled{Task: th.TaskID, Percent: th.Percent}}, reporter.ThrottleDecided, d, nil) {
+		if o.decide(bookkeeper.Record{Throttled: &bookkeeper.Throttled{Task: th.TaskID, Percent: th.Percent}}, reporter.ThrottleDecided, d, nil) == nil {
 			o.session(t.VM).endPlacement(th.TaskID, now)
 			o.session(t.VM).addPlacement(t, now)
 			o.session(t.VM).lastAdjusted = now
@@ -75,7 +75,7 @@
 	}
 	for _, h := range plan.Holds {
 		if t := o.state.Task(h.TaskID); t != nil && t.State == messenger.TaskQueued {
-			o.hold(h.TaskID, h.Reason, true, nil)
+			_ = o.decide(heldRecord(h.TaskID, h.Reason), reporter.TaskHeld, messenger.Decision{Task: h.TaskID, Reason: h.Reason}, nil)
 		}
 	}
 }
@@ -95,7 +95,7 @@
 	}
 	d := messenger.Decision{Task: s.TaskID, VM: s.VM, Service: t.Spec.Service, Reason: s.Reason, Inputs: s.Inputs}
 	started := bookkeeper.Started{Task: s.TaskID, VM: s.VM, Attempt: t.Attempt + 1, Incarnation: o.session(s.VM).incarnation}
-	if o.decide(bookkeeper.Record{Started: &started}, reporter.StartDecided, d, nil) {
+	if o.decide(bookkeeper.Record{Started: &started}, reporter.StartDecided, d, nil) == nil {
 		o.metrics.starts.Inc()
 		o.session(s.VM).addPlacement(t, o.config.Now())
 	}
@@ -134,7 +134,7 @@
 func (o *owner) move(t *bookkeeper.Task, reason string, inputs map[string]string) {
 	d := messenger.Decision{Task: t.Spec.ID, VM: t.VM, Service: t.Spec.Service, Reason: reason, Inputs: inputs}
 	stopping := bookkeeper.Stopping{Task: t.Spec.ID, Attempt: t.Attempt, Kind: bookkeeper.StopMove}
-	if o.decide(bookkeeper.Record{Stopping: &stopping}, reporter.MoveDecided, d, nil) {
+	if o.decide(bookkeeper.Record{Stopping: &stopping}, reporter.MoveDecided, d, nil) == nil {
 		o.metrics.evictions.Inc()
 		o.session(t.VM).lastAdjusted = o.config.Now()
 	}
--- a/internal/control/controller/report.go
+++ b/internal/control/controller/report.go
@@ -129,7 +129,7 @@
 	code := o.evaluateEnd(t, e, &ended)
 	vm, s := t.VM, o.session(t.VM)
 	d := messenger.Decision{Task: t.Spec.ID, VM: vm, Service: t.Spec.Service, Reason: orDefault(e.reason, string(e.state))}
-	if !o.decide(bookkeeper.Record{Ended: &ended}, code, d, after) {
+	if o.decide(bookkeeper.Record{Ended: &ended}, code, d, after) != nil {
 		return
 	}
 	s.endPlacement(t.Spec.ID, o.config.Now())
--- a/internal/control/controller/submission.go
+++ b/internal/control/controller/submission.go
@@ -31,7 +31,7 @@
 		return
 	}
 	reply := messenger.SubmitReply{Results: make([]messenger.SubmitResult, len(r.Tasks))}
-	wait := o.newCommitWait(func() { call.succeed(reply) })
+	wait := newCommitWait(func() { call.succeed(reply) })
 	for i, spec := range r.Tasks {
 		reply.Results[i] = o.submit(spec, wait)
 	}
@@ -94,13 +94,18 @@
 		return result
 	}
 	spec = o.applyClassDefaults(spec)
+	err = o.decideFor(wait, bookkeeper.Record{Submitted: &bookkeeper.Submitted{Spec: spec, Digest: digest}}, reporter.TaskSubmitted,
+		messenger.Decision{Task: spec.ID, Service: spec.Service, Reason: "submitted by tenant " + spec.Tenant})
+	if err != nil {
+		result.Reason = fmt.Sprintf("the decision was refused: %v", err)
+		return result
+	}
 	o.metrics.submitted.Inc()
-	o.decide(bookkeeper.Record{Submitted: &bookkeeper.Submitted{Spec: spec, Digest: digest}}, reporter.TaskSubmitted,
-		messenger.Decision{Task: spec.ID, Service: spec.Service, Reason: "submitted by tenant " + spec.Tenant}, wait.add())
 	result.Accepted, result.State = true, messenger.TaskQueued
 	if reason := o.impossibleReason(spec); reason != "" {
-		o.hold(spec.ID, reason, true, wait.add())
-		result.State, result.Reason = messenger.TaskHeld, reason
+		if o.decideFor(wait, heldRecord(spec.ID, reason), reporter.TaskHeld, messenger.Decision{Task: spec.ID, Reason: reason}) == nil {
+			result.State, result.Reason = messenger.TaskHeld, reason
+		}
 	}
 	o.urgent = o.urgent || spec.Urgent
 	return result
@@ -177,10 +182,9 @@
 	return "needs more resources than any VM has"
 }
 
-// hold journals that a queued task is held.
-func (o *owner) hold(id, reason string, impossible bool, after func()) {
-	o.decide(bookkeeper.Record{Held: &bookkeeper.Held{Task: id, Reason: reason, Impossible: impossible}}, reporter.TaskHeld,
-		messenger.Decision{Task: id, Reason: reason}, after)
+// heldRecord records that a queued task is held, since it can't run on the current fleet.
+func heldRecord(id, reason string) bookkeeper.Record {
+	return bookkeeper.Record{Held: &bookkeeper.Held{Task: id, Reason: reason, Impossible: true}}
 }
 
 // checkHeld requeues the tasks whose reason to be held no longer applies.
@@ -208,42 +212,76 @@
 		return
 	}
 	var reply messenger.CancelReply
-	wait := o.newCommitWait(func() { call.succeed(reply) })
+	var refused error // the first refusal
+	wait := newCommitWait(func() { o.answerCancel(call, reply, refused) })
+	cancel := func(t *bookkeeper.Task, reason string) {
+		cancelled, err := o.cancel(t, reason, wait)
+		if cancelled {
+			reply.Cancelled++
+		}
+		if refused == nil {
+			refused = err
+		}
+	}
 	for _, id := range r.IDs {
 		t := o.state.Task(id)
 		if t == nil {
 			reply.Unknown = append(reply.Unknown, id)
 			continue
 		}
-		reply.Cancelled += o.cancel(t, "cancelled by request", wait)
+		cancel(t, "cancelled by request")
 	}
 	if r.Tenant != "" || r.Class != "" {
 		for _, t := range o.state.Tasks() {
 			if t.Spec.Service == "" && (r.Tenant == "" || t.Spec.Tenant == r.Tenant) && (r.Class == "" || t.Spec.Class == r.Class) {
-				reply.Cancelled += o.cancel(t, "cancelled with its class or tenant", wait)
+				cancel(t, "cancelled with its class or tenant")
 			}
 		}
 	}
 	wait.done()
 }
 
-func (o *owner) cancel(t *bookkeeper.Task, reason string, wait *commitWait) int {
+// answerCancel answers a cancellation, of which some tasks may have been refused.
+func (o *owner) answerCancel(call callEvent, reply messenger.CancelReply, refused error) {
+	switch {
+	case refused == nil:
+		call.succeed(reply)
+	case reply.Cancelled == 0:
+		o.failRefused(call, refused)
+	default:
+		call.fail(messenger.CodeUnknown, "cell %s: %d tasks were cancelled, others were not, since the decision was refused: %v", o.config.Cell, reply.Cancelled, refused)
+	}
+}
+
+// cancel reports whether the task is cancelled, or why the state refused that.
+func (o *owner) cancel(t *bookkeeper.Task, reason string, wait *commitWait) (bool, error) {
 	d := messenger.Decision{Task: t.Spec.ID, VM: t.VM, Service: t.Spec.Service, Reason: reason}
 	switch {
 	case t.State == messenger.TaskCompleted:
-		return 0
+		return false, nil
 	case t.State == messenger.TaskCancelled || t.Stop == bookkeeper.StopCancel:
 		if o.commits.uncommitted[t.Spec.ID] > 0 {
 			o.onCommit(wait.add())
 		}
-		return 1
+		return true, nil
 	case t.HoldsResources():
 		stopping := bookkeeper.Stopping{Task: t.Spec.ID, Attempt: t.Attempt, Kind: bookkeeper.StopCancel}
-		o.decide(bookkeeper.Record{Stopping: &stopping}, reporter.StopDecided, d, wait.add())
-		return 1
+		err := o.decideFor(wait, bookkeeper.Record{Stopping: &stopping}, reporter.StopDecided, d)
+		return err == nil, err
+	}
+	err := o.decideFor(wait, bookkeeper.Record{Cancelled: &bookkeeper.Cancelled{Task: t.Spec.ID}}, reporter.TaskCancelled, d)
+	return err == nil, err
+}
+
+// decideFor is decide for a call that waits until its records are journalled. A refused
+// record is not waited for.
+func (o *owner) decideFor(wait *commitWait, r bookkeeper.Record, code reporter.Code, d messenger.Decision) error {
+	done := wait.add()
+	err := o.decide(r, code, d, done)
+	if err != nil {
+		done() // the call itself still holds a count
 	}
-	o.decide(bookkeeper.Record{Cancelled: &bookkeeper.Cancelled{Task: t.Spec.ID}}, reporter.TaskCancelled, d, wait.add())
-	return 1
+	return err
 }
 
 // commitWait calls onDone once several records are journalled.
@@ -253,7 +291,7 @@
 }
 
 // newCommitWait returns a commitWait with a count of one, which the caller releases by done.
-func (o *owner) newCommitWait(onDone func()) *commitWait {
+func newCommitWait(onDone func()) *commitWait {
 	return &commitWait{pending: 1, onDone: onDone}
 }
 
--- a/internal/control/controller/zone.go
+++ b/internal/control/controller/zone.go
@@ -85,7 +85,7 @@
 	}
 	for _, remaining := range byService {
 		for _, t := range remaining {
-			o.cancel(t, "the service was removed from the fleet text", o.newCommitWait(func() {}))
+			o.cancel(t, "the service was removed from the fleet text", newCommitWait(func() {}))
 		}
 	}
 }
@@ -111,12 +111,12 @@
 	for len(staying) > service.Replicas {
 		last := staying[len(staying)-1]
 		staying = staying[:len(staying)-1]
-		o.cancel(last, "more replicas than configured", o.newCommitWait(func() {}))
+		o.cancel(last, "more replicas than configured", newCommitWait(func() {}))
 	}
 	// Stop a leaving replica only if the running replicas elsewhere and the other leaving
 	// ones still make up the configured number.
 	for n := 0; n < len(leaving) && running+len(leaving)-n > service.Replicas; n++ {
-		o.cancel(leaving[n], "replaced, its zone was taken out", o.newCommitWait(func() {}))
+		o.cancel(leaving[n], "replaced, its zone was taken out", newCommitWait(func() {}))
 	}
 }
 
