registrar: a cycle of services is named whole

What a developer saw: of services that need each other in a circle only two, which need not depend on one another directly: 'services "d" and "b" need each other' for b, c and d.

The error lists all names of the cycle now, in the order of their needs, and no service that only leads to it.

Evidence: the new cases of TestSortByNeedsErrors failed before. The case of two services expects the new text; it is as strict as before.

--- a/internal/kernel/registrar/registrar.go
+++ b/internal/kernel/registrar/registrar.go
@@ -7,6 +7,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"bamboospread/internal/kernel/reporter"
@@ -48,6 +51,18 @@
 	return fmt.Sprintf("service %q has not started", e.Name)
 }
 
+// ErrCycle is returned by Run for services of which none can be started first. Each name is
+// followed by that of a service that it needs; the first is also the last.
+type ErrCycle struct{ Names []string }
+
+func (e ErrCycle) Error() string {
+	quoted := make([]string, len(e.Names))
+	for i, name := range e.Names {
+		quoted[i] = strconv.Quote(name)
+	}
+	return "services need each other: " + strings.Join(quoted, " -> ")
+}
+
 // New returns an empty Registrar.
 func New(c Config) *Registrar {
 	if c.StopTimeout <= 0 {
@@ -172,30 +187,30 @@
 		byName[s.Name] = s
 	}
 	var order []Service
-	state := make(map[string]int) // 1: being visited, 2: visited
-	var visit func(name, dependent string) error
-	visit = func(name, dependent string) error {
+	visited := make(map[string]bool)
+	var visit func(name string, dependents []string) error
+	visit = func(name string, dependents []string) error {
 		s, ok := byName[name]
-		switch {
-		case !ok:
-			return fmt.Errorf("service %q needs %q, which is not registered", dependent, name)
-		case state[name] == 2:
+		if !ok {
+			return fmt.Errorf("service %q needs %q, which is not registered", dependents[len(dependents)-1], name)
+		}
+		if visited[name] {
 			return nil
-		case state[name] == 1:
-			return fmt.Errorf("services %q and %q need each other", dependent, name)
 		}
-		state[name] = 1
+		if i := slices.Index(dependents, name); i >= 0 {
+			return ErrCycle{append(slices.Clone(dependents[i:]), name)}
+		}
 		for _, need := range s.Needs {
-			if err := visit(need, name); err != nil {
+			if err := visit(need, append(slices.Clone(dependents), name)); err != nil {
 				return err
 			}
 		}
-		state[name] = 2
+		visited[name] = true
 		order = append(order, s)
 		return nil
 	}
 	for _, s := range services {
-		if err := visit(s.Name, ""); err != nil {
+		if err := visit(s.Name, nil); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/kernel/registrar/registrar_test.go
+++ b/internal/kernel/registrar/registrar_test.go
@@ -44,7 +44,9 @@
 		want     string
 	}{
 		{"missing service", []Service{{Name: "a", Needs: []string{"b"}}}, `service "a" needs "b", which is not registered`},
-		{"cycle", []Service{{Name: "a", Needs: []string{"b"}}, {Name: "b", Needs: []string{"a"}}}, `services "b" and "a" need each other`},
+		{"cycle", []Service{{Name: "a", Needs: []string{"b"}}, {Name: "b", Needs: []string{"a"}}}, `services need each other: "a" -> "b" -> "a"`},
+		{"cycle of three behind another service", []Service{{Name: "a", Needs: []string{"b"}}, {Name: "b", Needs: []string{"c"}}, {Name: "c", Needs: []string{"d"}}, {Name: "d", Needs: []string{"b"}}}, `services need each other: "b" -> "c" -> "d" -> "b"`},
+		{"service that needs itself", []Service{{Name: "a", Needs: []string{"a"}}}, `services need each other: "a" -> "a"`},
 		{"duplicate name", []Service{{Name: "a"}, {Name: "a"}}, `service "a" is registered twice`},
 	}
 	for _, c := range cases {
