registrar: report all errors of a stop

What operators saw: a process whose service failed while it stopped exited with code 0 and logged "service stopped"; one whose service ended without an error said "service a ended: %!w(<nil>)"; a start that failed hid the errors of stopping what had been started, and a service that ended during the stop was not mentioned.

Cause: the result of a stopped service was received and dropped, the errors of a stop after a failed start as well, and of the services that end by themselves only the first was read.

All are returned now, the cause of the stop first, and a service that fails in its stop is logged as failed. A cancelled context is the usual end and no error, unless another error is joined with it.

--- a/internal/kernel/registrar/registrar.go
+++ b/internal/kernel/registrar/registrar.go
@@ -89,7 +89,23 @@
 	return t, nil
 }
 
-// startedService is a service that was started; done receives the result of Run.
+// ErrServiceEnded is returned by Run for a service that ended before it was stopped.
+type ErrServiceEnded struct {
+	Name  string
+	Cause error // may be nil
+}
+
+func (e ErrServiceEnded) Error() string {
+	if e.Cause == nil {
+		return fmt.Sprintf("service %s ended without an error before it was stopped", e.Name)
+	}
+	return fmt.Sprintf("service %s ended: %v", e.Name, e.Cause)
+}
+
+func (e ErrServiceEnded) Unwrap() error { return e.Cause }
+
+// startedService is a service that was started. When it has ended, done receives the error of
+// its stop; that of a service that ended before it was stopped is received by Run.
 type startedService struct {
 	service Service
 	cancel  context.CancelFunc
@@ -97,7 +113,7 @@
 }
 
 // Run starts all services and blocks until ctx ends or one service fails, then drains
-// and stops them. It returns the first failure joined with the errors of the stop, or nil.
+// and stops them. It returns all failures joined with the errors of the stop, or nil.
 func (r *Registrar) Run(ctx context.Context) error {
 	order, err := sortByNeeds(r.services)
 	if err != nil {
@@ -108,8 +124,7 @@
 	for _, s := range order {
 		run, err := r.start(ctx, s, failed)
 		if err != nil {
-			r.stop(started)
-			return err
+			return r.end(err, started, failed)
 		}
 		started = append(started, run)
 	}
@@ -119,7 +134,20 @@
 	case cause = <-failed:
 	}
 	r.reporter.Report(reporter.StopBegan, reporter.Fields{"limit": r.stopTimeout.String()})
-	return errors.Join(cause, r.stop(started))
+	return r.end(cause, started, failed)
+}
+
+// end stops the services and returns all errors, the cause of the stop first.
+func (r *Registrar) end(cause error, started []startedService, failed <-chan error) error {
+	stopErr := r.stop(started)
+	for {
+		select {
+		case err := <-failed: // ended by itself during the stop
+			cause = errors.Join(cause, err)
+		default:
+			return errors.Join(cause, stopErr)
+		}
+	}
 }
 
 func (r *Registrar) start(ctx context.Context, s Service, failed chan<- error) (startedService, error) {
@@ -139,8 +167,13 @@
 		go func() {
 			err := s.Run(serviceCtx)
 			if serviceCtx.Err() == nil {
-				r.reporter.Report(reporter.ServiceFailed, reporter.Fields{"service": s.Name, "error": fmt.Sprint(err)})
-				failed <- fmt.Errorf("service %s ended: %w", s.Name, err)
+				err = ErrServiceEnded{Name: s.Name, Cause: err}
+				r.reporter.Report(reporter.ServiceFailed, reporter.Fields{"service": s.Name, "error": err.Error()})
+				failed <- err
+				err = nil
+			}
+			if isCanceled(err) { // the usual end of a stopped service
+				err = nil
 			}
 			run.done <- err
 		}()
@@ -167,7 +200,12 @@
 	for i := len(started) - 1; i >= 0; i-- {
 		started[i].cancel()
 		select {
-		case <-started[i].done:
+		case err := <-started[i].done:
+			if err != nil {
+				r.reporter.Report(reporter.ServiceFailed, reporter.Fields{"service": started[i].service.Name, "error": err.Error()})
+				errs = append(errs, fmt.Errorf("stop service %s: %w", started[i].service.Name, err))
+				continue
+			}
 			r.reporter.Report(reporter.ServiceStopped, reporter.Fields{"service": started[i].service.Name})
 		case <-ctx.Done():
 			r.reporter.Report(reporter.StopTimedOut, reporter.Fields{"service": started[i].service.Name})
@@ -177,6 +215,15 @@
 	return errors.Join(errs...)
 }
 
+// isCanceled reports whether err says only that a context was cancelled.
+func isCanceled(err error) bool {
+	joined, ok := err.(interface{ Unwrap() []error })
+	if !ok {
+		return errors.Is(err, context.Canceled)
+	}
+	return !slices.ContainsFunc(joined.Unwrap(), func(e error) bool { return !isCanceled(e) })
+}
+
 // sortByNeeds returns the services in the order in which they have to be started.
 func sortByNeeds(services []Service) ([]Service, error) {
 	byName := make(map[string]Service, len(services))
--- a/internal/kernel/reporter/catalogue_kernel.go
+++ b/internal/kernel/reporter/catalogue_kernel.go
@@ -20,7 +20,7 @@
 var kernelDefinitions = []Definition{
 	{ServiceStarted, log.InfoLevel, "service started", "A service of the process is up; the services that need it start next."},
 	{ServiceStopped, log.InfoLevel, "service stopped", "A service has ended after finishing its work in flight."},
-	{ServiceFailed, log.ErrorLevel, "service failed", "A service ended with an error; the whole process shuts down gracefully."},
+	{ServiceFailed, log.ErrorLevel, "service failed", "A service ended by itself or failed in its stop; the whole process shuts down gracefully and exits with code 1."},
 	{StopBegan, log.InfoLevel, "shutdown started", "The process was asked to stop, or a service failed; it drains."},
 	{StopTimedOut, log.ErrorLevel, "service stop timed out", "A service did not end within the stop timeout and was abandoned."},
 	{ProcessStarted, log.InfoLevel, "process started", "The process has read its settings and starts its services."},
