Remove fields that nothing reads

learner group.seen, keeper ErrConflict.AfterLostAnswer, commitQueue.pendingBytes, gatekeeper upstream.sentMillis and tallier job.starts were written or declared and never read. None is sent or stored: the first four have no encoding, and the age of a renewal comes from SentAtMillis of the announcement, which stays. What a conflict after a lost answer may hide is found by the change id in the current record (changer).

No behaviour changes; the tests of the packages pass with the race detector.

--- a/internal/agent/gatekeeper/upstream.go
+++ b/internal/agent/gatekeeper/upstream.go
@@ -20,7 +20,6 @@
 	connections int
 	leaving     bool
 	renewed     time.Time
-	sentMillis  int64 // send time of the last renewal, if the upstream gives it
 	inFlight    int
 	meanTime    time.Duration
 	pool        *pool
--- a/internal/control/controller/commit.go
+++ b/internal/control/controller/commit.go
@@ -36,7 +36,6 @@
 type commitQueue struct {
 	nextSeq      int64 // sequence number of the next append
 	pending      commitGroup
-	pendingBytes int
 	appending    bool
 	rateLimited  bool // the last append began less than minAppendInterval ago
 	appendBegan  time.Time
@@ -72,7 +71,6 @@
 	}
 	p := &o.commits.pending
 	p.records = append(p.records, raw)
-	o.commits.pendingBytes += len(raw)
 	p.tasks = append(p.tasks, d.Task)
 	p.callbacks = append(p.callbacks, after)
 	o.commits.uncommitted[d.Task]++
@@ -117,7 +115,6 @@
 	for n < len(c.pending.records) && (limit <= 0 || n < limit) {
 		size += len(c.pending.records[n])
 		if n > 0 && size > journaler.MaxEntryBytes {
-			size -= len(c.pending.records[n])
 			break
 		}
 		n++
@@ -125,7 +122,6 @@
 	p := &c.pending
 	g := commitGroup{records: p.records[:n:n], tasks: p.tasks[:n:n], callbacks: p.callbacks[:n:n]}
 	p.records, p.tasks, p.callbacks = p.records[n:], p.tasks[n:], p.callbacks[n:]
-	c.pendingBytes -= size
 	return g
 }
 
--- a/internal/job/learner/group.go
+++ b/internal/job/learner/group.go
@@ -24,10 +24,9 @@
 
 // group holds the headroom of a set of long-running tasks that serve the same users.
 type group struct {
-	own  float64 // recent headroom without interference
-	low  float64 // lowest value over the last swing of the load
-	at   time.Time
-	seen bool
+	own float64 // recent headroom without interference
+	low float64 // lowest value over the last swing of the load
+	at  time.Time
 }
 
 func (l *Learner) group(name string, now time.Time) *group {
@@ -53,7 +52,6 @@
 	g.own += weight * (own - g.own)
 	g.low += (1 - math.Exp(-float64(elapsed)/float64(lowTimeConstant))) * (g.own - g.low)
 	g.low = math.Min(g.low, g.own)
-	g.seen = true
 }
 
 // OwnHeadroom returns a group's headroom without interference: the present value and the
--- a/internal/operator/tallier/tallier.go
+++ b/internal/operator/tallier/tallier.go
@@ -41,8 +41,7 @@
 	started          time.Time
 	ended            time.Time
 	state            string
-	waitTime         time.Duration // sum over its tasks
-	starts           int
+	waitTime         time.Duration        // sum over its tasks
 	runs             map[string]time.Time // time of the start decision, by task and run
 	runTime          time.Duration        // sum over its runs
 	unsuccessfulRuns int                  // runs that did not end as done
@@ -180,7 +179,6 @@
 	if waitTime, err := time.ParseDuration(f["waited"]); err == nil {
 		j.waitTime += waitTime
 	}
-	j.starts++
 	j.runs[f["task"]+" "+f["run"]] = at
 }
 
--- a/internal/store/keeper/keeper.go
+++ b/internal/store/keeper/keeper.go
@@ -36,9 +36,6 @@
 	// Records are the current records of all expectations, if the service returns
 	// them.
 	Records []Record
-	// AfterLostAnswer is set when an earlier answer to the same write was lost: the
-	// write may have taken effect before Current replaced it.
-	AfterLostAnswer bool
 }
 
 func (e ErrConflict) Error() string {
--- a/internal/store/keeper/resolve.go
+++ b/internal/store/keeper/resolve.go
@@ -33,8 +33,7 @@
 			if isResultOf(o, conflict.Current) {
 				return conflict.Current.Revision, nil
 			}
-			conflict.AfterLostAnswer = unknown != nil
-			return 0, conflict
+			return 0, conflict // if an answer was lost, Current may have replaced this write
 		case IsErrOutcomeUnknown(err):
 			unknown = err
 		case unknown != nil && IsErrUnavailable(err):
