--- a/internal/control/controller/commit.go
+++ b/internal/control/controller/commit.go
@@ -36,7 +36,6 @@
 type commitQueue struct {
 	nextSeq      int64 // sequence number of the next append
 	pending      commitGroup
-	pendingBytes int
 	appending    bool
 	rateLimited  bool // the last append began less than minAppendInterval ago
 	appendBegan  time.Time
@@ -54,8 +53,9 @@
 
 // decide applies a record to the state and queues it for the journal. The function after,
 // if not nil, runs once the record is journalled; nothing that others act on may be sent
-// before that. decide returns false and changes nothing if the state rejects the record.
-func (o *owner) decide(r bookkeeper.Record, code reporter.Code, d messenger.Decision, after func()) bool {
+// before that. decide returns an error and changes nothing if the state refuses the record;
+// after does not run then.
+func (o *owner) decide(r bookkeeper.Record, code reporter.Code, d messenger.Decision, after func()) error {
 	r.At = o.config.Now().Round(0).UTC()
 	if code != 0 {
 		d.Code = int(code)
@@ -63,15 +63,14 @@
 	}
 	raw, err := json.Marshal(r)
 	if err == nil {
-		err = o.state.Apply(r)
+		err = o.applyRecord(r)
 	}
 	if err != nil {
 		o.config.Reporter.Report(reporter.RecordRefused, reporter.Fields{"cell": o.config.Cell, "error": err.Error()})
-		return false
+		return err
 	}
 	p := &o.commits.pending
 	p.records = append(p.records, raw)
-	o.commits.pendingBytes += len(raw)
 	p.tasks = append(p.tasks, d.Task)
 	p.callbacks = append(p.callbacks, after)
 	o.commits.uncommitted[d.Task]++
@@ -79,7 +78,7 @@
 	if code != 0 {
 		o.config.Reporter.Report(code, reporter.Fields{"cell": o.config.Cell, "task": d.Task, "vm": d.VM, "reason": d.Reason})
 	}
-	return true
+	return nil
 }
 
 // flush starts an append of all pending records, unless one is in flight or began less
@@ -116,7 +115,6 @@
 	for n < len(c.pending.records) && (limit <= 0 || n < limit) {
 		size += len(c.pending.records[n])
 		if n > 0 && size > journaler.MaxEntryBytes {
-			size -= len(c.pending.records[n])
 			break
 		}
 		n++
@@ -124,7 +122,6 @@
 	p := &c.pending
 	g := commitGroup{records: p.records[:n:n], tasks: p.tasks[:n:n], callbacks: p.callbacks[:n:n]}
 	p.records, p.tasks, p.callbacks = p.records[n:], p.tasks[n:], p.callbacks[n:]
-	c.pendingBytes -= size
 	return g
 }
 
--- a/internal/control/controller/owner.go
+++ b/internal/control/controller/owner.go
@@ -58,13 +58,14 @@
 	takeoverAt     time.Time
 	priorLease     time.Duration // the longest lease that an earlier owner may have granted
 	state          *bookkeeper.CellState
+	applyRecord    func(bookkeeper.Record) error // applies a record to the state
 	journal        *journaler.Journaler
 
 	calls     chan callEvent
 	appended  chan appendEvent
 	contacted chan contactEvent
 	snapshots chan snapshotEvent
-	stop      chan struct{}
+	stop      <-chan struct{} // closed when the owner is to stop; nil once it is stopping
 	done      chan struct{}
 
 	commits          commitQueue
@@ -146,10 +147,10 @@
 func (c *Controller) newOwner(j *journaler.Journaler, state *bookkeeper.CellState, takeoverAt time.Time, priorLease time.Duration) *owner {
 	o := &owner{
 		config: c.config, held: c.elector.Held, renewalOverdue: c.elector.RenewalOverdue,
-		epoch: j.Epoch(), takeoverAt: takeoverAt, priorLease: priorLease, state: state, journal: j,
+		epoch: j.Epoch(), takeoverAt: takeoverAt, priorLease: priorLease, state: state, applyRecord: state.Apply, journal: j,
 		calls: make(chan callEvent, callQueueSize), appended: make(chan appendEvent, 1),
 		contacted: make(chan contactEvent, 1), snapshots: make(chan snapshotEvent, 1),
-		stop: make(chan struct{}, 1), done: make(chan struct{}),
+		stop: c.draining, done: make(chan struct{}),
 		commits: commitQueue{nextSeq: j.NextSeq(), uncommitted: make(map[string]int)},
 		fleet:   c.config.Fleet(), zoneReturnedAt: make(map[string]time.Time),
 		sessions: make(map[string]*session), waitReasons: make(map[string]string), dirty: true,
@@ -174,7 +175,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-o.stop:
-			o.stopping = true
+			o.stopping, o.stop = true, nil
 		case call := <-o.calls:
 			o.handle(call)
 			o.handleQueuedCalls()
@@ -262,6 +263,13 @@
 	e.result <- callResult{err: connector.Errorf(code, format, args...)}
 }
 
+// failRefused fails a call, without effect, if the state refused its record.
+func (o *owner) failRefused(call callEvent, err error) {
+	if err != nil {
+		call.fail(messenger.CodeUnavailable, "cell %s: the decision was refused: %v", o.config.Cell, err)
+	}
+}
+
 // tick runs the periodic checks.
 func (o *owner) tick() {
 	o.checkFleet()
--- a/internal/kernel/reporter/catalogue_kernel.go
+++ b/internal/kernel/reporter/catalogue_kernel.go
@@ -13,16 +13,20 @@
 	ProcessStopped
 	SettingsReloaded
 	SettingsRefused
+	StopCutShort
+	StopSignalRepeated
 )
 
 var kernelDefinitions = []Definition{
 	{ServiceStarted, log.InfoLevel, "service started", "A service of the process is up; the services that need it start next."},
 	{ServiceStopped, log.InfoLevel, "service stopped", "A service has ended after finishing its work in flight."},
-	{ServiceFailed, log.ErrorLevel, "service failed", "A service ended with an error; the whole process shuts down gracefully."},
+	{ServiceFailed, log.ErrorLevel, "service failed", "A service ended by itself or failed in its stop; the whole process shuts down gracefully and exits with code 1."},
 	{StopBegan, log.InfoLevel, "shutdown started", "The process was asked to stop, or a service failed; it drains."},
 	{StopTimedOut, log.ErrorLevel, "service stop timed out", "A service did not end within the stop timeout and was abandoned."},
 	{ProcessStarted, log.InfoLevel, "process started", "The process has read its settings and starts its services."},
 	{ProcessStopped, log.InfoLevel, "process stopped", "The process has shut down gracefully."},
 	{SettingsReloaded, log.InfoLevel, "settings reloaded", "The settings file has changed; changed lists the settings, in-force says whether they apply without a restart."},
 	{SettingsRefused, log.ErrorLevel, "settings refused", "The settings file can't be read or contains errors; the previous settings stay in force."},
+	{StopCutShort, log.WarnLevel, "stop cut short", "A second SIGTERM or SIGINT arrived during the graceful stop, and the process ended at once with exit code 5. Requests in flight were interrupted and nothing was handed over."},
+	{StopSignalRepeated, log.InfoLevel, "stop signal repeated", "A process on the users' platform was asked again to stop. It completes its stop; the platform ends it when the grace is over."},
 }
