tracker: the stored wait of a long-running task ends with its next run

What callers would see: urgent tasks that wait for a long-running one which was stopped a moment ago. After a change of owner it took precedence at once, since the next owner counted from a stop long before. Found in review.

Cause: a confirmed run of a task that had run before did not mark the job as changed, so its record kept the wait that had ended.

Evidence: both cases of TestNextOwnerDoesNotResumeAnEndedWait failed before.

Fix: the first report of a run of a long-running task marks its job as changed.

--- a/internal/job/tracker/record_test.go
+++ b/internal/job/tracker/record_test.go
@@ -204,3 +204,40 @@
 		t.Errorf("the record has %d bytes, want at most %d", len(value), keeper.MaxValueBytes)
 	}
 }
+
+// Guards against a long-running task that takes precedence right after its stop because the next
+// owner takes an earlier wait, which has ended long since, for the present one.
+func TestNextOwnerDoesNotResumeAnEndedWait(t *testing.T) {
+	const takeover = 61_000 // ms after begin
+	tests := []struct {
+		name   string
+		report Report // to the next owner
+	}{
+		{"lost with its VM", Report{}},
+		{"end not stored", Report{Incarnation: "1", Ready: true, Ends: []ReportedEnd{{Seq: 2, Key: key(1, 0, 0, 2), Outcome: EndStopped}}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tr, stored := newState(t, 3), make(storedProgress)
+			j := addJob(t, tr, 1, specifier.Step{Count: 1, Needs: oneCore, LongRunning: true})
+			vm := attach(tr, "vm")
+			confirm := func(run int64, now time.Time) {
+				tr.Place(tr.Find(task(1, 0, 0)), vm, run, now)
+				tr.Apply(vm, Report{Incarnation: "1", Ready: true, OrdersSeen: vm.OrderSeq, Runs: []ReportedRun{{Key: key(1, 0, 0, run), Confirmed: true}}}, now)
+			}
+			confirm(1, at(0))
+			tr.EndRun(vm, key(1, 0, 0, 1), EndStopped, "", at(1000))
+			stored.flush(t, tr)
+			confirm(2, at(2000))
+			stored.flush(t, tr)
+			// It runs for nearly a minute.
+			next := stored.takeOver(t, j.Spec, at(takeover))
+			if tt.report.Incarnation != "" {
+				next.Apply(attach(next, "vm"), tt.report, at(takeover))
+			}
+			if got := next.Find(task(1, 0, 0)); got.WaitSince.Before(at(60_000)) {
+				t.Errorf("waits since %s, want %s", got.WaitSince, at(takeover))
+			}
+		})
+	}
+}
--- a/internal/job/tracker/report.go
+++ b/internal/job/tracker/report.go
@@ -222,6 +222,7 @@
 	}
 	if rep.Confirmed && r.State == Ordered {
 		r.State, r.StartedAt, r.ProgressedAt = Running, now, now
+		r.Task.recordStart()
 	}
 	r.applyStop(rep.Stopping, ordersSeen, now)
 	if rep.Checkpoint != "" {
--- a/internal/job/tracker/run.go
+++ b/internal/job/tracker/run.go
@@ -110,6 +110,13 @@
 	t.recordEnd(r, now)
 }
 
+// recordStart records that a worker has confirmed a run of the task, which ends its wait.
+func (t *Task) recordStart() {
+	if t.Step.Spec.LongRunning {
+		t.Step.Occurrence.Job.dirty = true
+	}
+}
+
 // recordEnd records since when the task waits after a run of it has been removed.
 func (t *Task) recordEnd(r *Run, now time.Time) {
 	confirmed, longRunning := !r.StartedAt.IsZero(), t.Step.Spec.LongRunning
