tracker: a run that ends before a report lists it ends the wait of its task

What callers would see: urgent tasks that never get the capacity of a long-running task which ends soon after each start: it keeps the precedence of its first wait. Found in review.

Cause: a run counted as confirmed only by a report that lists it while it is not being stopped. One that had ended by then, or whose stop had been ordered, left the wait as it was.

Evidence: both cases of TestShortRunRestartsTheWait failed before.

Fix: a run that a report lists, or whose end it tells, is confirmed, whatever its state.

--- a/internal/job/tracker/report.go
+++ b/internal/job/tracker/report.go
@@ -220,10 +220,13 @@
 	if r.Unconfirmed { // this process of the agent knows the run, and lists it until it has ended
 		r.Unconfirmed, r.Order = false, 0
 	}
-	if rep.Confirmed && r.State == Ordered {
-		r.State, r.StartedAt, r.ProgressedAt = Running, now, now
+	if rep.Confirmed && r.StartedAt.IsZero() {
+		r.StartedAt, r.ProgressedAt = now, now
 		r.Task.recordStart()
 	}
+	if rep.Confirmed && r.State == Ordered {
+		r.State = Running
+	}
 	r.applyStop(rep.Stopping, ordersSeen, now)
 	if rep.Checkpoint != "" {
 		r.Checkpoint = rep.Checkpoint
--- a/internal/job/tracker/run.go
+++ b/internal/job/tracker/run.go
@@ -220,6 +220,9 @@
 	lasted := time.Duration(0)
 	if r != nil {
 		lasted = r.lasted(now)
+		if r.StartedAt.IsZero() {
+			r.StartedAt = now // it ended before a report listed it
+		}
 		tr.removeRun(r, now)
 		t = r.Task
 	}
--- a/internal/job/tracker/started_test.go
+++ b/internal/job/tracker/started_test.go
@@ -60,3 +60,35 @@
 		t.Errorf("%d runs are unconfirmed, want 1", got)
 	}
 }
+
+// Guards against a long-running task that ends soon after each start and that takes precedence over
+// all others without end, because runs that end before a report lists them do not count.
+func TestShortRunRestartsTheWait(t *testing.T) {
+	tests := []struct {
+		name   string
+		report func(tr *Tracker, vm *VM)
+	}{
+		{"failed before a report listed it", func(tr *Tracker, vm *VM) {
+			tr.Apply(vm, Report{Incarnation: "1", Ready: true, OrdersSeen: 1, Ends: []ReportedEnd{{Seq: 1, Key: key(1, 0, 0, 1), Outcome: EndFailed}}}, at(60_100))
+		}},
+		{"listed once its stop was ordered", func(tr *Tracker, vm *VM) {
+			r := tr.Find(task(1, 0, 0)).Runs[0]
+			tr.Stop(r, "unconfirmed start", at(60_010))
+			tr.Apply(vm, Report{Incarnation: "1", Ready: true, OrdersSeen: 2, Runs: []ReportedRun{{Key: r.Key(), Confirmed: true, Stopping: true}}}, at(60_050))
+			tr.Apply(vm, Report{Incarnation: "1", Ready: true, OrdersSeen: 2, Ends: []ReportedEnd{{Seq: 1, Key: r.Key(), Outcome: EndStopped}}}, at(60_100))
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tr := newState(t, 3)
+			addJob(t, tr, 1, specifier.Step{Count: 1, Needs: oneCore, LongRunning: true})
+			vm := attach(tr, "vm")
+			tr.Place(tr.Find(task(1, 0, 0)), vm, 1, at(60_000))
+			tt.report(tr, vm)
+			got := tr.Find(task(1, 0, 0))
+			if !got.HasRun || !got.WaitSince.Equal(at(60_100)) {
+				t.Errorf("has run %t, waits since %s, want %s", got.HasRun, got.WaitSince, at(60_100))
+			}
+		})
+	}
+}
