tracker: store the checkpoints of a VM that stops reporting

What callers would see: the work of a lost VM is done again from the beginning if the owner is replaced between the loss of the VM and the end of its leases. Found in review.

Cause: the last reported checkpoint of a run was stored once the run counted as lost, 5.4 s after the last report.

Evidence: TestNextOwnerKnowsCheckpointsOfSilentVM failed before ("resumes from "", want "c7"").

Fix: it is stored once the VM is detached, 1.5 s after its last report. A VM and an owner that are lost together still lose it.

--- a/internal/job/tracker/record_test.go
+++ b/internal/job/tracker/record_test.go
@@ -241,3 +241,19 @@
 		})
 	}
 }
+
+// Guards against work that is done again because the owner was replaced between the loss of a VM and
+// the end of its leases.
+func TestNextOwnerKnowsCheckpointsOfSilentVM(t *testing.T) {
+	const checkpoint = "c7"
+	tr, stored := newState(t, 3), make(storedProgress)
+	j := addJob(t, tr, 1, specifier.Step{Count: 2, Needs: oneCore, Checkpoints: true})
+	vm := attach(tr, "vm")
+	tr.Place(tr.Find(task(1, 0, 0)), vm, 1, at(0))
+	tr.Apply(vm, Report{Incarnation: "1", Ready: true, OrdersSeen: 1, Runs: []ReportedRun{{Key: key(1, 0, 0, 1), Confirmed: true, Checkpoint: checkpoint}}}, at(5))
+	tr.Detach(vm)
+	stored.flush(t, tr)
+	if got := stored.takeOver(t, j.Spec, at(20)).Find(task(1, 0, 0)).Checkpoint; got != checkpoint {
+		t.Errorf("the next run resumes from %q, want %q", got, checkpoint)
+	}
+}
--- a/internal/job/tracker/report.go
+++ b/internal/job/tracker/report.go
@@ -166,8 +166,14 @@
 	}
 }
 
-// Detach ends a session. The runs keep their resources until their leases have expired.
-func (tr *Tracker) Detach(vm *VM) { vm.Attached = false }
+// Detach ends a session. The runs keep their resources until their leases have expired, and their
+// checkpoints are stored: if the VM is lost, the next owner gets no report of them.
+func (tr *Tracker) Detach(vm *VM) {
+	vm.Attached = false
+	for _, r := range vm.Runs {
+		r.Task.recordCheckpoint(r.Checkpoint)
+	}
+}
 
 // Apply applies a report. A run whose order the agent has received and that the report
 // does not list counts as lost.
