tracker: bound the checkpoints of a record by their encoded size

What callers would see: a job whose progress is never stored again, and whose end they never learn, if its checkpoints have characters that JSON escapes, or if its tasks have failed besides. Found in review.

Cause: the bound counted the bytes of the checkpoints, not those that they take in the record: up to six for one, and some ten for the index of the task.

Fix: the size of each entry as encoded counts.

--- a/internal/job/tracker/record.go
+++ b/internal/job/tracker/record.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -118,8 +119,8 @@
 	return since
 }
 
-// maxStoredCheckpoints is the size in bytes of the checkpoints that a record holds at most; the store
-// takes keeper.MaxValueBytes for all of it. A task whose checkpoint is not stored starts from the
+// maxStoredCheckpoints is the size in bytes, as encoded, of the checkpoints that a record holds at most;
+// the store takes keeper.MaxValueBytes for all of it. A task whose checkpoint is not stored starts from the
 // beginning under the next owner.
 const maxStoredCheckpoints = 256 << 10
 
@@ -127,18 +128,31 @@
 // room in bytes for them.
 func checkpointsOf(s *Step, room *int) (stored map[int]string) {
 	for i, t := range s.Tasks {
-		if t.Done || t.Checkpoint == "" || len(t.Checkpoint) > *room {
+		if t.Done || t.Checkpoint == "" {
+			continue
+		}
+		size := encodedSize(i, t.Checkpoint)
+		if size > *room {
 			continue
 		}
 		if stored == nil {
 			stored = make(map[int]string)
 		}
-		*room -= len(t.Checkpoint)
+		*room -= size
 		stored[i] = t.Checkpoint
 	}
 	return stored
 }
 
+// encodedSize returns the size in bytes of a checkpoint in a record, with its index.
+func encodedSize(index int, checkpoint string) int {
+	entry, err := json.Marshal(map[int]string{index: checkpoint})
+	if err != nil {
+		return math.MaxInt
+	}
+	return len(entry)
+}
+
 func (t *Task) hasConfirmedRun() bool {
 	return slices.ContainsFunc(t.Runs, func(r *Run) bool { return !r.StartedAt.IsZero() })
 }
--- a/internal/job/tracker/record_test.go
+++ b/internal/job/tracker/record_test.go
@@ -257,3 +257,36 @@
 		t.Errorf("the next run resumes from %q, want %q", got, checkpoint)
 	}
 }
+
+// Guards against a record that is too large for the store because its text is longer than the
+// checkpoints in it, or because of what it holds besides.
+func TestRecordFitsInStore(t *testing.T) {
+	tests := []struct {
+		name       string
+		checkpoint string
+		failures   int
+	}{
+		{"escaped checkpoints", strings.Repeat("<", 100), 0},
+		{"checkpoints of control characters", strings.Repeat("\x01", 100), 0},
+		{"short checkpoints of tasks that have failed", strings.Repeat("x", 13), 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tr := newState(t, 3)
+			j := addJob(t, tr, 1, specifier.Step{Count: specifier.MaxTasks, Needs: oneCore, Checkpoints: true})
+			for _, task := range j.Occurrences[0].Steps[0].Tasks {
+				task.Checkpoint = tt.checkpoint
+				for n := range tt.failures {
+					task.Failed = append(task.Failed, int64(100_001+n)) // of the 100th owner
+				}
+			}
+			value, err := j.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(value) > keeper.MaxValueBytes {
+				t.Errorf("the record has %d bytes, want at most %d", len(value), keeper.MaxValueBytes)
+			}
+		})
+	}
+}
