tracker: three crashes are conclusive only at the same age

What callers saw: a job failed with "task ... crashes its workers" although none of its tasks did.

Cause: a task starts on the next worker as soon as it is lost, and after two crashes apart from others. It is then the only likely cause of whatever happens to that worker, which was taken for proof.

Fix: a task that crashes its workers does so at the same age (10 to 59 ms in 65 crashes of the integration test, up to 121 ms at a load of 65). Three crashes count as conclusive only if the ages differ from that at the last by 0.1 s at most: agents notice a crash up to 50 ms late, and as much is left for a busy VM. Otherwise the fourth or fifth crash decides as before, so at most two starts follow the third.

--- a/internal/job/tracker/crash.go
+++ b/internal/job/tracker/crash.go
@@ -20,8 +20,13 @@
 	// its starts are observed. Observing each task that stood beside one crash would delay many.
 	crashesToObserve = 2
 	// observedCrashesToGiveUp is how many workers must crash under the task before its job fails,
-	// if it was the only likely cause of the last crash. Its start was observed then.
+	// if it was the only likely cause of the last crash, whose start was observed, and its runs had
+	// the same age at each of them.
 	observedCrashesToGiveUp = crashesToObserve + 1
+	// crashAgeSpread is how much the age at a crash may differ from that at the last crash to count
+	// as the same. Agents notice a crash up to 50 ms late, between two polls; as much is left for a
+	// busy VM. Workers that are restarted one after the other end the runs of a task at any age.
+	crashAgeSpread = 100 * time.Millisecond
 	// likelyCrashesToGiveUp is the number of crashes of which the task was a likely cause.
 	likelyCrashesToGiveUp = 4
 	// crashesTogether is the time within which crashes on several VMs are taken for one event, such
--- a/internal/job/tracker/suspicion.go
+++ b/internal/job/tracker/suspicion.go
@@ -55,8 +55,23 @@
 			likely++
 		}
 	}
-	lastSole := len(t.Crashes) > 0 && t.Crashes[len(t.Crashes)-1].Sole
-	return lastSole && len(crashes) >= observedCrashesToGiveUp || likely >= likelyCrashesToGiveUp || len(crashes) >= crashesToGiveUp
+	observed := t.crashesLikeObserved(crashes) >= observedCrashesToGiveUp
+	return observed || likely >= likelyCrashesToGiveUp || len(crashes) >= crashesToGiveUp
+}
+
+// crashesLikeObserved returns how many of the crashes came at the same age as the task's last one,
+// if the task was the sole cause of that, or else 0.
+func (t *Task) crashesLikeObserved(crashes []Crash) (count int) {
+	if len(t.Crashes) == 0 || !t.Crashes[len(t.Crashes)-1].Sole {
+		return 0
+	}
+	last := t.Crashes[len(t.Crashes)-1]
+	for _, c := range crashes {
+		if (c.Age() - last.Age()).Abs() <= crashAgeSpread {
+			count++
+		}
+	}
+	return count
 }
 
 func (t *Task) crashReason() string {
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -103,7 +103,7 @@
 	{OrdersNotAccepted, log.WarnLevel, "orders not accepted", "An agent refused orders or did not answer them; its session ends, and the orders are decided again in the next one."},
 	{JobStopOverdue, log.WarnLevel, "stop overdue", "A run was ordered to stop long ago and its agent still lists it."},
 	{JobMoveDecided, log.InfoLevel, "move decided", "A long-running task is stopped and restarted on another VM, so that best-effort tasks that it keeps off its VM may run there."},
-	{JobTaskSuspected, log.WarnLevel, "task suspected", "A worker crashed while a run of the task was there. The field likely counts the likely causes: runs that had started within the second before, or repeat a crash. With sole=true the task was the only one. From its second crash on it starts apart from others, and its job fails after three crashes if it was the sole cause of the last, otherwise after four or five."},
+	{JobTaskSuspected, log.WarnLevel, "task suspected", "A worker crashed while a run of the task was there. The field likely counts the likely causes: runs that had started within the second before, or repeat a crash. With sole=true the task was the only one. From its second crash on it starts apart from others, and its job fails after three crashes if it was the sole cause of the last and its runs had the same age at each, otherwise after four or five."},
 	{JobTaskCleared, log.InfoLevel, "task cleared", "A run of a suspected task has outlived the time after which a worker crashed; the crashes do not count any more."},
 	{StartsHeld, log.WarnLevel, "starts held", "The policy was read too long ago to start tasks by it: an availability zone may have been taken out since. With held=false, starts have resumed."},
 
--- a/tests/integration/job_crash_test.go
+++ b/tests/integration/job_crash_test.go
@@ -1,13 +1,17 @@
 package integration
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/standin/executor"
 	"bamboospread/tests/harness"
 )
 
@@ -137,3 +141,65 @@
 		})
 	}
 }
+
+// startsOf returns the starts of a task, oldest first.
+func (r *jobTestbed) startsOf(task string) (starts []executor.Event) {
+	r.t.Helper()
+	for _, e := range r.JobEvents() {
+		if e.Task == task && e.Kind == "start" {
+			starts = append(starts, e)
+		}
+	}
+	return starts
+}
+
+// endExecutor injects a fault that ends the executor of a VM, which may not answer then.
+func (r *jobTestbed) endExecutor(name string, f executor.Faults) {
+	r.t.Helper()
+	body, err := json.Marshal(f)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	for _, vm := range r.JobVMs {
+		if vm.Name != name {
+			continue
+		}
+		if resp, err := http.Post(vm.ExecutorURL+"/control/faults", "application/json", bytes.NewReader(body)); err == nil {
+			resp.Body.Close()
+		}
+	}
+}
+
+// TestTaskOnRestartedWorkersIsNotGivenUp guards against a job that fails because the workers under
+// its task were restarted one after the other: it starts on the next one at once, and is alone there.
+func TestTaskOnRestartedWorkersIsNotGivenUp(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		fault executor.Faults
+	}{
+		{"process ends", executor.Faults{Crash: true}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			r := newJobTestbed(t, harness.Seed(t))
+			j := &specifier.Job{ID: "00000000000004d6", Queue: "labels", Payload: `{"run-ms":1500}`, Steps: []specifier.Step{
+				{Count: 1, EstimateMillis: 1500, Needs: specifier.Resources{CPUMillis: 500, MemoryMB: 100}},
+			}}
+			r.submit(j)
+			task := specifier.TaskID{Job: j.ID}.String()
+			for n, age := range []time.Duration{400 * time.Millisecond, 100 * time.Millisecond, 600 * time.Millisecond} {
+				harness.WaitFor(t, jobTimeout, "a start", func(context.Context) error {
+					if starts := r.startsOf(task); len(starts) <= n {
+						return fmt.Errorf("%d starts", len(starts))
+					}
+					return nil
+				})
+				start := r.startsOf(task)[n]
+				time.Sleep(time.Until(start.At.Add(age)))
+				r.endExecutor(start.VM, tt.fault)
+			}
+			r.awaitJobs()
+			r.checkDuplicateRuns()
+		})
+	}
+}
