guardian, tracker: a crash at an unknown time has no sole cause

Cause: such a loss is noticed with the next answer to a status poll, every 0.3 s or, on a VM on which nothing ran, every second. The age reported for a run is the time from its start to that answer, so that it is the same each time for no reason: 620, 620 and 619 ms in one run.

Fix: the agent reports with a crash that its time is not known if no poll has failed, and no task is the sole cause of such a crash. Four of them still end a job, one start after the third. A process that ends breaks the poll in progress or refuses the next one, so crashes of real processes are judged as before.

--- a/internal/job/tracker/crash.go
+++ b/internal/job/tracker/crash.go
@@ -39,8 +39,11 @@
 
 // ReportedCrash is the crash of a VM's worker.
 type ReportedCrash struct {
-	Seq  int64 // in the agent's process, from 1
-	Runs []CrashedRun
+	Seq int64 // in the agent's process, from 1
+	// TimeUnknown: the worker answered as another incarnation without a broken connection. It was
+	// noticed with the next answer, up to a second later, so the ages tell when polls are answered.
+	TimeUnknown bool
+	Runs        []CrashedRun
 }
 
 // CrashedRun is a run that a worker had when it crashed.
@@ -104,7 +107,7 @@
 	suspects := tr.crashSuspects(c)
 	likely := slices.DeleteFunc(slices.Clone(suspects), func(s suspect) bool { return !s.likely })
 	together := tr.comesWithOthers(vm, now)
-	sole := areOneUnit(likely) && !together
+	sole := areOneUnit(likely) && !together && !c.TimeUnknown
 	for _, s := range suspects {
 		t := s.task
 		if t == nil || t.Done || t.Step.Occurrence.Job.State.Final() || t.hasCrash(s.Key.Number) {
--- a/internal/job/tracker/suspicion_test.go
+++ b/internal/job/tracker/suspicion_test.go
@@ -44,3 +44,33 @@
 		})
 	}
 }
+
+// Guards against a job that fails because workers lost their state without a broken connection:
+// that is noticed with the next answer, so that the ages are the same each time for no reason.
+func TestCrashesAtUnknownTimesAreNotConclusive(t *testing.T) {
+	tests := []struct {
+		name    string
+		crashes int
+		failed  bool
+	}{
+		{"three", observedCrashesToGiveUp, false},
+		{"four", likelyCrashesToGiveUp, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newCrashFixture(t)
+			j := addJob(t, f.tr, 1, oneTask(1))
+			for n := range tt.crashes {
+				f.now = f.now.Add(2 * crashesTogether)
+				r := f.run("vm", j.Occurrences[0].Steps[0].Tasks[0])
+				f.tr.Apply(r.VM, Report{Incarnation: r.VM.Incarnation, OrdersSeen: r.VM.OrderSeq, Crashes: []ReportedCrash{
+					{Seq: int64(n + 1), TimeUnknown: true, Runs: []CrashedRun{{Key: r.Key(), Age: 620 * time.Millisecond}}},
+				}}, f.now)
+			}
+			f.waitToGiveUp()
+			if got := j.State == JobFailed; got != tt.failed {
+				t.Errorf("the job is %s: %+v", j.State, j.Occurrences[0].Steps[0].Tasks[0].Crashes)
+			}
+		})
+	}
+}
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -73,8 +73,9 @@
 
 // WorkCrash is a crash of the worker.
 type WorkCrash struct {
-	Seq  int64            `json:"seq"` // in the agent's process, from 1
-	Runs []WorkCrashedRun `json:"runs"`
+	Seq         int64            `json:"seq"`                    // in the agent's process, from 1
+	TimeUnknown bool             `json:"time-unknown,omitempty"` // no connection broke; it came some time before it was noticed
+	Runs        []WorkCrashedRun `json:"runs"`
 }
 
 // WorkCrashedRun is a run that the worker had when it crashed.
--- a/internal/worker/guardian/crash.go
+++ b/internal/worker/guardian/crash.go
@@ -21,8 +21,9 @@
 
 // crash is a crash of the worker that the owner has not stored yet.
 type crash struct {
-	seq  int64
-	runs []crashedRun
+	seq         int64
+	timeUnknown bool // no poll failed
+	runs        []crashedRun
 }
 
 // crashedRun is a run that was on a worker when it crashed.
@@ -41,7 +42,7 @@
 	runs := g.crashedRunsLocked(at)
 	g.config.Reporter.Report(reporter.WorkerCrashed, reporter.Fields{"life": g.incarnation, "runs": len(runs), "latest": describeCrashedRuns(runs)})
 	g.lastCrash++
-	g.crashes = append(g.crashes, crash{seq: g.lastCrash, runs: runs})
+	g.crashes = append(g.crashes, crash{seq: g.lastCrash, timeUnknown: g.pollsFailSince.IsZero(), runs: runs})
 	g.crashes = g.crashes[max(len(g.crashes)-maxCrashesKept, 0):]
 	g.signal()
 }
@@ -55,7 +56,7 @@
 func (g *Guardian) crashesLocked() []messenger.WorkCrash {
 	var all []messenger.WorkCrash
 	for _, c := range g.crashes {
-		w := messenger.WorkCrash{Seq: c.seq}
+		w := messenger.WorkCrash{Seq: c.seq, TimeUnknown: c.timeUnknown}
 		for _, r := range c.runs {
 			w.Runs = append(w.Runs, messenger.WorkCrashedRun{Task: r.key.Task.String(), Run: r.key.Number, AgeMillis: r.age.Milliseconds()})
 		}
--- a/internal/worker/guardian/crash_test.go
+++ b/internal/worker/guardian/crash_test.go
@@ -183,3 +183,30 @@
 		t.Errorf("the crash names %+v", runs)
 	}
 }
+
+// Guards against a crash that is taken for one just noticed: if no poll failed, the worker may have
+// lost its state any time since the last answer.
+func TestTimeOfCrashIsKnownFromFailedPolls(t *testing.T) {
+	tests := []struct {
+		name    string
+		end     func(e *testEnv)
+		unknown bool
+	}{
+		{"another incarnation answers the next poll", func(e *testEnv) { e.restartWorker("incarnation-2") }, true},
+		{"polls fail", func(e *testEnv) { e.endWorker() }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			e := newTestEnv(t, newFakeWorker())
+			e.own(1)
+			e.order(1, messenger.WorkStart, 0, 1)
+			e.until("a run", func() bool { return e.confirmed() == 1 })
+			tt.end(e)
+			e.until("the crash", func() bool { return len(e.report().Crashes) == 1 })
+			if got := e.report().Crashes[0].TimeUnknown; got != tt.unknown {
+				t.Errorf("time unknown %t", got)
+			}
+		})
+	}
+}
--- a/tests/integration/job_crash_test.go
+++ b/tests/integration/job_crash_test.go
@@ -178,6 +178,7 @@
 		fault executor.Faults
 	}{
 		{"process ends", executor.Faults{Crash: true}},
+		{"state lost", executor.Faults{NewIncarnation: true}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
