soak: tasks that crash their executors

Each burst submits no, one or up to three jobs at once whose first task crashes each executor that starts it, 10 ms to 5 s after the start. The check: fewer than three starts after three crashes. Jobs beside them must end as done as before; only the crashing ones may be shown as failed.

--- a/tests/soak/callers_test.go
+++ b/tests/soak/callers_test.go
@@ -20,6 +20,15 @@
 	maxLongRunning = 14 // long-running jobs at a time, so that they fit on the VMs
 	stateDone      = "done"
 	stateCancelled = "cancelled"
+	stateFailed    = "failed"
+)
+
+// Jobs with a task that crashes each executor that starts it.
+const (
+	maxCrashing      = 3                     // submitted at once
+	minCrashDelay    = 10 * time.Millisecond // from a start to the crash; each is twice the one before, up to 5 s
+	crashDelays      = 10
+	crashingIDPrefix = 0xc0
 )
 
 // record is the state of a job according to the answers to its callers.
@@ -28,6 +37,7 @@
 	accepted        time.Time // zero: no submission was answered with 2xx
 	refused         bool      // every attempt was answered with a refusal
 	submitting      bool      // a submission is in progress
+	crashes         bool      // one of its tasks crashes each executor that starts it
 	cancelRequested bool      // a caller has requested cancellation
 	acked           time.Time // of the cancellation
 	done            time.Time // when it was first shown as done
@@ -153,6 +163,33 @@
 	return j, c.random.IntN(2) == 0
 }
 
+// drawCrashingJob returns a job whose first task crashes each executor that starts it.
+func (c *caller) drawCrashingJob(r *rand.Rand, n int) *specifier.Job {
+	j := &specifier.Job{
+		ID: fmt.Sprintf("%08x%08x", crashingIDPrefix, n), Queue: "labels",
+		Payload: fmt.Sprintf(`{"run-ms":10000,"crash-index":0,"crash-ms":%d}`, minCrashDelay.Milliseconds()<<r.IntN(crashDelays)),
+		Steps:   []specifier.Step{{Count: 1 + r.IntN(3), EstimateMillis: 500, Needs: specifier.Resources{CPUMillis: 500, MemoryMB: 100}}},
+	}
+	c.registry.mu.Lock()
+	defer c.registry.mu.Unlock()
+	c.registry.jobs[j.ID] = &record{spec: j, submitting: true, crashes: true}
+	return j
+}
+
+// submitCrashing submits no, one or several jobs at once with a task that crashes its executors.
+func (b *testbed) submitCrashing(seedCtx context.Context, r *rand.Rand, burst int) {
+	at, c := time.Duration(r.Int64N(int64(minBurst))), b.callers[0]
+	var jobs []*specifier.Job
+	for n := range r.IntN(1 + maxCrashing) {
+		jobs = append(jobs, c.drawCrashingJob(r, burst*maxCrashing+n))
+	}
+	b.background.Go(func() {
+		wait(seedCtx, at)
+		b.logEvent("%d crashing jobs", len(jobs))
+		forEach(jobs, func(j *specifier.Job) { c.submit(seedCtx, j, true) })
+	})
+}
+
 func (c *caller) drawStep(i int) specifier.Step {
 	s := specifier.Step{
 		Count: 1 + c.random.IntN(4), EstimateMillis: 500, Checkpoints: true, BestEffort: c.random.IntN(4) == 0, Copies: c.random.IntN(5) == 0,
--- a/tests/soak/history_checks_test.go
+++ b/tests/soak/history_checks_test.go
@@ -24,6 +24,12 @@
 	done := append(started[:1:1], event(1, "a", "end", "0.0.0", 1, "done"))
 	acknowledged := append(done[:2:2], event(1.5, "a", "acknowledged", "0.0.0", 1, "done"))
 	expired := append(started[:1:1], event(9, "a", "end", "0.0.0", 1, "lapsed"))
+	var crashing []executor.Event // six starts that crash their executor
+	for n := range int64(maxCrashes + forbiddenStarts) {
+		for _, kind := range []string{"start", "crash", "end"} {
+			crashing = append(crashing, event(float64(n), "a", kind, "0.0.0", 1+n, ""))
+		}
+	}
 	elsewhere := event(7, "b", "start", "0.0.0", 2, "")
 	tests := []struct {
 		name   string
@@ -47,6 +53,8 @@
 		{"in order", append(done[:2:2], event(1.2, "b", "start", "0.1.0", 1, "")), record{}, window{}, time.Time{}, ""},
 		{"over capacity", append(started[:1:1], event(0.5, "a", "start", "0.0.1", 1, "")), record{}, window{}, time.Time{}, "capacity"},
 		{"refused", started, record{refused: true}, window{}, time.Time{}, "refused"},
+		{"two starts after three crashes", crashing[:13:13], record{crashes: true}, window{}, time.Time{}, ""},
+		{"three starts after three crashes", crashing, record{crashes: true}, window{}, time.Time{}, "crashes"},
 		{"shown as done", done, record{done: second(2)}, window{}, time.Time{}, "accepted"},
 	}
 	for _, tt := range tests {
@@ -83,6 +91,8 @@
 	}{
 		{"refused", record{spec: short, refused: true}, 0},
 		{"being submitted", record{spec: short, submitting: true}, 1},
+		{"failed", record{spec: short, accepted: now, state: stateFailed}, 1},
+		{"failed, with a task that crashes its executors", record{spec: short, accepted: now, crashes: true, state: stateFailed}, 0},
 		{"not ended", record{spec: short, accepted: now, state: "running"}, 1},
 		{"done", record{spec: short, accepted: now, done: now, state: stateDone}, 0},
 		{"long-running task that does not run", record{spec: longRunning, accepted: now}, 1},
