--- a/internal/job/tracker/crash.go
+++ b/internal/job/tracker/crash.go
@@ -20,8 +20,13 @@
 	// its starts are observed. Observing each task that stood beside one crash would delay many.
 	crashesToObserve = 2
 	// observedCrashesToGiveUp is how many workers must crash under the task before its job fails,
-	// if it was the only likely cause of the last crash. Its start was observed then.
+	// if it was the only likely cause of the last crash, whose start was observed, and its runs had
+	// the same age at each of them.
 	observedCrashesToGiveUp = crashesToObserve + 1
+	// crashAgeSpread is how much the age at a crash may differ from that at the last crash to count
+	// as the same. Agents notice a crash up to 50 ms late, between two polls; as much is left for a
+	// busy VM. Workers that are restarted one after the other end the runs of a task at any age.
+	crashAgeSpread = 100 * time.Millisecond
 	// likelyCrashesToGiveUp is the number of crashes of which the task was a likely cause.
 	likelyCrashesToGiveUp = 4
 	// crashesTogether is the time within which crashes on several VMs are taken for one event, such
@@ -34,8 +39,11 @@
 
 // ReportedCrash is the crash of a VM's worker.
 type ReportedCrash struct {
-	Seq  int64 // in the agent's process, from 1
-	Runs []CrashedRun
+	Seq int64 // in the agent's process, from 1
+	// TimeUnknown: the worker answered as another incarnation without a broken connection. It was
+	// noticed with the next answer, up to a second later, so the ages tell when polls are answered.
+	TimeUnknown bool
+	Runs        []CrashedRun
 }
 
 // CrashedRun is a run that a worker had when it crashed.
@@ -99,7 +107,7 @@
 	suspects := tr.crashSuspects(c)
 	likely := slices.DeleteFunc(slices.Clone(suspects), func(s suspect) bool { return !s.likely })
 	together := tr.comesWithOthers(vm, now)
-	sole := areOneUnit(likely) && !together
+	sole := areOneUnit(likely) && !together && !c.TimeUnknown
 	for _, s := range suspects {
 		t := s.task
 		if t == nil || t.Done || t.Step.Occurrence.Job.State.Final() || t.hasCrash(s.Key.Number) {
