planner: runs of an earlier owner may yield and rotate at once

Cause: a run must have lasted 6 s before it may make way for another task. The next owner counts a run from when it learns of it, so nothing yields and nothing rotates in for 6 s after each change of owner.

Evidence: TestRunsOfEarlierOwnersMayYield failed before ("0 runs yield, want 1").

Fix: a run that the worker had before this owner counts as long where it makes way for urgent or overdue tasks. Moves for best-effort tasks wait as before; they can.

--- a/internal/job/planner/move.go
+++ b/internal/job/planner/move.go
@@ -330,9 +330,19 @@
 
 // mayMove reports whether a long-running run has been running long enough, and whether its
 // step's limit of unavailable tasks allows it to stop.
-func (r *round) mayMove(run *tracker.Run) bool {
+func (r *round) mayMove(run *tracker.Run) bool { return r.mayStop(run) && r.hasRunLong(run) }
+
+// mayYield reports the same for a run that makes way for other tasks. One that an earlier owner
+// started counts as long: the tasks that wait for it have waited since before the change of owner.
+func (r *round) mayYield(run *tracker.Run) bool {
+	return r.mayStop(run) && (run.Inherited || r.hasRunLong(run))
+}
+
+func (r *round) mayStop(run *tracker.Run) bool {
 	if s := run.Step(); s.Spec.MaxUnavailable > 0 && s.Unavailable() > 0 {
 		return false
 	}
-	return run.State == tracker.Running && run.Progress >= paceFull && !run.Step().Spec.Gang && r.now.Sub(run.StartedAt) >= minRunTime
+	return run.State == tracker.Running && run.Progress >= paceFull && !run.Step().Spec.Gang
 }
+
+func (r *round) hasRunLong(run *tracker.Run) bool { return r.now.Sub(run.StartedAt) >= minRunTime }
--- a/internal/job/planner/yield.go
+++ b/internal/job/planner/yield.go
@@ -105,7 +105,7 @@
 	for _, m := range r.vmStates {
 		for _, run := range longRunningRuns(m.vm) {
 			s := run.Step()
-			if s.Spec.MaxUnavailable > 0 || len(s.Tasks) == 1 || !r.mayMove(run) {
+			if s.Spec.MaxUnavailable > 0 || len(s.Tasks) == 1 || !r.mayYield(run) {
 				continue
 			}
 			if _, known := unavailable[s]; !known {
--- a/internal/job/planner/yield_test.go
+++ b/internal/job/planner/yield_test.go
@@ -180,3 +180,39 @@
 		t.Errorf("%d of 20 and %d of 4 tasks yield", l, s)
 	}
 }
+
+// Guards against urgent and overdue tasks that wait for six seconds after each change of owner, because
+// the runs that the new owner found count as just started.
+func TestRunsOfEarlierOwnersMayYield(t *testing.T) {
+	tests := []struct {
+		name      string
+		inherited bool
+		want      int
+	}{
+		{"started by this owner", false, 0},
+		{"started by an earlier owner", true, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newFixture(specifier.Queue{Name: "long-running"}, specifier.Queue{Name: "urgent", Slack: 1.5})
+			vm := b.vm("vm", "in", "r1", cores(32))
+			s := b.job("long-running", specifier.Step{Count: 8, Needs: cores(4), LongRunning: true}).Occurrences[0].Steps[0]
+			report := tracker.Report{Incarnation: vm.Incarnation, Ready: true}
+			for _, task := range s.Tasks {
+				if !tt.inherited {
+					b.state.Place(task, vm, 1, begin)
+				}
+				report.Runs = append(report.Runs, tracker.ReportedRun{Key: tracker.RunKey{Task: task.ID(), Number: 1}, Confirmed: true, Progress: paceFull})
+			}
+			b.state.Apply(vm, report, begin)
+			b.urgent("urgent", 4)
+			in := Input{Now: begin.Add(yieldAfter), State: b.state}
+			if runs, _ := Yields(in); len(runs) != tt.want {
+				t.Errorf("%d runs yield, want %d", len(runs), tt.want)
+			}
+			if moves := Moves(in); len(moves) != 0 {
+				t.Errorf("%d runs move", len(moves))
+			}
+		})
+	}
+}
--- a/internal/job/tracker/run.go
+++ b/internal/job/tracker/run.go
@@ -293,7 +293,7 @@
 		Task: t, Number: rep.Key.Number, VM: vm, State: Running, OrderedAt: now, StartedAt: now,
 		Pace: fullPace, Resumed: true, ProgressedAt: now,
 	}
-	if !rep.Confirmed {
+	if r.Inherited = rep.Confirmed; !rep.Confirmed {
 		r.State, r.StartedAt = Ordered, time.Time{}
 	}
 	if t == nil {
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -33,6 +33,7 @@
 	Order           int64 // number of the order that started it, 0 if it was adopted
 	OrderedAt       time.Time
 	StartedAt       time.Time // when it was first reported as running
+	Inherited       bool      // the worker had it before this owner; StartedAt is when this owner learned of it
 	Progress        int       // percent of its work, as last reported; for a long-running task, 100 once it is doing its work
 	Pace            int       // percent of full speed, as last ordered; PaceUnknown if an order may have been lost
 	PacedAt         time.Time // when it was last ordered to leave full speed or to return to it
