scheduler: a new owner assumes that urgent tasks wait

What callers would see: urgent tasks that start nowhere for some seconds after a change of owner, since all long-running tasks that had yielded to them start again. Found in review of the stored waits.

Cause: unavailable tasks take precedence after 3 s, or 6 s while urgent tasks wait. A new owner knew the waits of the former but not that urgent tasks waited: that shows only after 250 ms.

Evidence: TestUrgentTasksStartAfterChangeOfOwner failed before: tasks that had yielded returned after 3.4 s.

Fix: once its jobs may start, an owner takes urgent tasks to have waited too long just then. Without any, that ends after 1.5 s, as it does under one owner.

--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -266,7 +266,9 @@
 	if waiting := o.state.Reconcile(len(o.unreported) == 0, now); waiting > 0 || now.Sub(o.started) < o.s.config.Lease && len(o.unreported) > 0 {
 		return
 	}
-	o.reconciled = true
+	// Urgent tasks may wait as they did under the former owner; without this, the long-running tasks
+	// that have yielded to them would start again before that shows.
+	o.reconciled, o.urgentDelayedAt = true, now
 	o.s.config.Reporter.Report(reporter.CellReconciled, reporter.Fields{"epoch": o.epoch, "unheard": len(o.unreported), "after": now.Sub(o.started).String()})
 }
 
