tracker, scheduler: stricter tests of the stored progress, and a cheaper bound on checkpoints

TestNextOwnerKnowsUnavailableLongRunningTasks stores what a confirmed run changes before the run ends, so that it finds an end that does not mark its job (with that taken out it passed before and fails now).

--- a/internal/job/tracker/record.go
+++ b/internal/job/tracker/record.go
@@ -4,8 +4,9 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"math"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"bamboospread/internal/job/specifier"
@@ -48,7 +49,7 @@
 	if j.State.Final() {
 		r.EndedAt = j.EndedAt.UnixMilli()
 	} else {
-		room := maxStoredCheckpoints
+		room := maxStoredCheckpointBytes
 		for _, o := range j.Occurrences {
 			r.Open = append(r.Open, o.record(&room))
 		}
@@ -119,10 +120,10 @@
 	return since
 }
 
-// maxStoredCheckpoints is the size in bytes, as encoded, of the checkpoints that a record holds at most;
-// the store takes keeper.MaxValueBytes for all of it. A task whose checkpoint is not stored starts from the
-// beginning under the next owner.
-const maxStoredCheckpoints = 256 << 10
+// maxStoredCheckpointBytes is the encoded size of the checkpoints that a record holds at most; the store
+// takes keeper.MaxValueBytes for all of it. A task whose checkpoint is not stored starts from the beginning
+// under the next owner.
+const maxStoredCheckpointBytes = 256 << 10
 
 // checkpointsOf returns the checkpoints to resume from by the index of the task, as far as there is
 // room in bytes for them.
@@ -144,13 +145,19 @@
 	return stored
 }
 
-// encodedSize returns the size in bytes of a checkpoint in a record, with its index.
+// encodedSize returns the size in bytes that a checkpoint takes in a record at most, with its index.
 func encodedSize(index int, checkpoint string) int {
-	entry, err := json.Marshal(map[int]string{index: checkpoint})
-	if err != nil {
-		return math.MaxInt
+	const escaped, quoting = 6, 6 // bytes of \u0000, and of "":"",
+	size := len(strconv.Itoa(index)) + quoting
+	for i := range len(checkpoint) {
+		switch c := checkpoint[i]; {
+		case c < ' ', c > '~', strings.IndexByte(`"\<>&`, c) >= 0:
+			size += escaped
+		default:
+			size++
+		}
 	}
-	return len(entry)
+	return size
 }
 
 func (t *Task) hasConfirmedRun() bool {
@@ -221,7 +228,7 @@
 			t.Failed, t.Crashes, t.Checkpoint = sr.Failed[n], sr.Crashes[n], sr.Checkpoints[n]
 		}
 		if err := s.restoreRuns(sr, now); err != nil {
-			return fmt.Errorf("decode which tasks of step %d have run: %w", i, err)
+			return fmt.Errorf("decode has-run bitmap of step %d: %w", i, err)
 		}
 	}
 	for _, s := range o.Steps {
--- a/internal/job/tracker/record_test.go
+++ b/internal/job/tracker/record_test.go
@@ -74,9 +74,11 @@
 // replaced, because the next owner takes them for tasks that have never run.
 func TestNextOwnerKnowsUnavailableLongRunningTasks(t *testing.T) {
 	const takeover = 5000 // ms after begin
+	var stored storedProgress
 	confirm := func(tr *Tracker, vm *VM, run int64, millis int) {
 		tr.Place(tr.Find(task(1, 0, 0)), vm, run, at(millis))
 		tr.Apply(vm, Report{Incarnation: "1", Ready: true, OrdersSeen: vm.OrderSeq, Runs: []ReportedRun{{Key: key(1, 0, 0, run), Confirmed: true}}}, at(millis))
+		stored.flush(t, tr) // what follows must be stored for its own sake
 	}
 	tests := []struct {
 		name      string
@@ -116,7 +118,8 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			tr, stored := newState(t, 3), make(storedProgress)
+			tr := newState(t, 3)
+			stored = make(storedProgress)
 			j := addJob(t, tr, 1, specifier.Step{Count: 2, Needs: oneCore, LongRunning: true})
 			tt.before(tr, attach(tr, "vm"))
 			stored.flush(t, tr)
