tracker: the delay of restarts does not exceed the time until precedence

A long-running task that fails again and again was delayed by up to 4 s, while an unavailable task takes precedence after 3 s where no urgent task waits. Its restart could come a second later than that of a task that was stopped. The greatest delay is 3 s now; the comment named the longer of the two times. TestLongRunningTaskBacksOff checks the delays by the constants.

--- a/internal/job/tracker/restart.go
+++ b/internal/job/tracker/restart.go
@@ -7,9 +7,9 @@
 const (
 	// restartDelayFirst is the greatest delay of the second restart. It doubles with each further one.
 	restartDelayFirst = 500 * time.Millisecond
-	// restartDelayMax is the greatest delay of all. It is shorter than the time after which an
+	// restartDelayMax is the greatest delay of all. It is no longer than the time after which an
 	// unavailable task takes precedence, so a task that has recovered is back as soon as any other.
-	restartDelayMax = 4 * time.Second
+	restartDelayMax = 3 * time.Second
 	// restartResetAfter is how long a run must last for its failure to count as the first again.
 	restartResetAfter = 10 * time.Second
 )
