--- a/internal/job/tracker/record.go
+++ b/internal/job/tracker/record.go
@@ -1,12 +1,8 @@
 package tracker
 
 import (
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"bamboospread/internal/job/specifier"
@@ -49,9 +45,9 @@
 	if j.State.Final() {
 		r.EndedAt = j.EndedAt.UnixMilli()
 	} else {
-		room := maxStoredCheckpointBytes
+		budget := maxStoredCheckpointBytes
 		for _, o := range j.Occurrences {
-			r.Open = append(r.Open, o.record(&room))
+			r.Open = append(r.Open, o.record(&budget))
 		}
 	}
 	b, err := json.Marshal(r)
@@ -61,8 +57,8 @@
 	return b, nil
 }
 
-// record returns the progress of an occurrence. Its checkpoints take their size from room.
-func (o *Occurrence) record(room *int) OccurrenceRecord {
+// record returns the progress of an occurrence. Its checkpoints reduce the budget of bytes for them.
+func (o *Occurrence) record(budget *int) OccurrenceRecord {
 	r := OccurrenceRecord{Number: o.Number}
 	for _, s := range o.Steps {
 		var sr StepRecord
@@ -81,89 +77,12 @@
 				sr.Failed[i] = t.Failed
 			}
 		}
-		sr.Crashes, sr.Checkpoints = crashesOf(s), checkpointsOf(s, room)
+		sr.Crashes, sr.Checkpoints = crashesOf(s), checkpointsOf(s, budget)
 		r.Steps = append(r.Steps, sr)
 	}
 	return r
 }
 
-// encodeBitmap returns a hex-encoded bitmap with one bit per task, lowest bit first.
-func encodeBitmap(tasks []*Task, set func(*Task) bool) string {
-	bits := make([]byte, (len(tasks)+7)/8)
-	for i, t := range tasks {
-		if set(t) {
-			bits[i/8] |= 1 << (i % 8)
-		}
-	}
-	return hex.EncodeToString(bits)
-}
-
-// bitmap is a decoded bitmap. Bits beyond its length are not set.
-type bitmap []byte
-
-func decodeBitmap(text string) (bitmap, error) { return hex.DecodeString(text) }
-
-func (b bitmap) has(i int) bool { return i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 }
-
-// waitsOf returns since when the tasks of a step that have run are without a confirmed run, in
-// Unix ms by task index.
-func waitsOf(s *Step) (since map[int]int64) {
-	for i, t := range s.Tasks {
-		if !t.HasRun || t.Done || t.hasConfirmedRun() {
-			continue
-		}
-		if since == nil {
-			since = make(map[int]int64)
-		}
-		since[i] = t.WaitSince.UnixMilli()
-	}
-	return since
-}
-
-// maxStoredCheckpointBytes is the encoded size of the checkpoints that a record holds at most; the store
-// takes keeper.MaxValueBytes for all of it. A task whose checkpoint is not stored starts from the beginning
-// under the next owner.
-const maxStoredCheckpointBytes = 256 << 10
-
-// checkpointsOf returns the checkpoints to resume from by the index of the task, as far as there is
-// room in bytes for them.
-func checkpointsOf(s *Step, room *int) (stored map[int]string) {
-	for i, t := range s.Tasks {
-		if t.Done || t.Checkpoint == "" {
-			continue
-		}
-		size := encodedSize(i, t.Checkpoint)
-		if size > *room {
-			continue
-		}
-		if stored == nil {
-			stored = make(map[int]string)
-		}
-		*room -= size
-		stored[i] = t.Checkpoint
-	}
-	return stored
-}
-
-// encodedSize returns the size in bytes that a checkpoint takes in a record at most, with its index.
-func encodedSize(index int, checkpoint string) int {
-	const escaped, quoting = 6, 6 // bytes of \u0000, and of "":"",
-	size := len(strconv.Itoa(index)) + quoting
-	for i := range len(checkpoint) {
-		switch c := checkpoint[i]; {
-		case c < ' ', c > '~', strings.IndexByte(`"\<>&`, c) >= 0:
-			size += escaped
-		default:
-			size++
-		}
-	}
-	return size
-}
-
-func (t *Task) hasConfirmedRun() bool {
-	return slices.ContainsFunc(t.Runs, func(r *Run) bool { return !r.StartedAt.IsZero() })
-}
-
 // Restore applies the stored progress of a job that was just added.
 func (tr *Tracker) Restore(id string, value []byte, now time.Time) error {
 	j := tr.Jobs[id]
@@ -239,22 +158,6 @@
 	return nil
 }
 
-// restoreRuns restores which tasks have run, and since when those without a run are unavailable. A
-// time after now is that of another VM's clock.
-func (s *Step) restoreRuns(r StepRecord, now time.Time) error {
-	hasRun, err := decodeBitmap(r.HasRun)
-	if err != nil {
-		return err
-	}
-	for n, t := range s.Tasks {
-		t.HasRun = hasRun.has(n) || r.HasRun == "" && s.Occurrence.Job.Started
-		if millis, ok := r.WaitSince[n]; ok && time.UnixMilli(millis).Before(now) {
-			t.WaitSince = time.UnixMilli(millis)
-		}
-	}
-	return nil
-}
-
 // Flush is one write of progress to the store: the jobs to write, and the run ends that
 // may be acknowledged to each VM's agent once they are written.
 type Flush struct {
--- a/internal/job/tracker/run.go
+++ b/internal/job/tracker/run.go
@@ -52,18 +52,6 @@
 	}
 }
 
-// markRun records that a worker has, or had, a run of the task. For a long-running task that is
-// part of the job's progress: the next owner must know which tasks were running.
-func (t *Task) markRun() {
-	if t.HasRun {
-		return
-	}
-	t.HasRun = true
-	if t.Step.Spec.LongRunning {
-		t.Step.Occurrence.Job.dirty = true
-	}
-}
-
 // SetPace records an order that sets the pace of a run.
 func (r *Run) SetPace(percent int, now time.Time) {
 	if r.Pace == fullPace || r.Pace == PaceUnknown || percent == fullPace {
@@ -110,27 +98,6 @@
 	t.recordEnd(r, now)
 }
 
-// recordStart records that a worker has confirmed a run of the task, which ends its wait.
-func (t *Task) recordStart() {
-	if t.Step.Spec.LongRunning {
-		t.Step.Occurrence.Job.dirty = true
-	}
-}
-
-// recordEnd records since when the task waits after a run of it has been removed.
-func (t *Task) recordEnd(r *Run, now time.Time) {
-	confirmed, longRunning := !r.StartedAt.IsZero(), t.Step.Spec.LongRunning
-	if confirmed {
-		t.markRun()
-	}
-	if confirmed || !longRunning {
-		t.WaitSince = now
-	}
-	if confirmed && longRunning { // since when it is unavailable is part of the job's progress
-		t.Step.Occurrence.Job.dirty = true
-	}
-}
-
 // Stop marks a run as being stopped and returns the number of the stop order.
 func (tr *Tracker) Stop(r *Run, cause string, now time.Time) int64 {
 	r.State, r.StopCause = Stopping, cause
@@ -258,15 +225,6 @@
 	t.AvoidedVMs[vm] = true
 }
 
-// recordCheckpoint records the checkpoint that a run has left, for the next run to resume from. The
-// worker forgets it once the end of the run is acknowledged.
-func (t *Task) recordCheckpoint(checkpoint string) {
-	if checkpoint == "" || checkpoint == t.Checkpoint || !t.Step.Spec.Checkpoints {
-		return
-	}
-	t.Checkpoint, t.Step.Occurrence.Job.dirty = checkpoint, true
-}
-
 // DropRuns removes all runs of a VM: a new incarnation of its worker has started, or its
 // leases have certainly expired. The tasks wait again, to resume from their last checkpoint.
 func (tr *Tracker) DropRuns(vm *VM, now time.Time) []*Run {
