--- a/internal/job/scheduler/replacement_test.go
+++ b/internal/job/scheduler/replacement_test.go
@@ -61,7 +61,8 @@
 	r.t.Helper()
 	const hold = 1500 * time.Millisecond
 	from, to := r.agents[0].report.VM, r.agents[len(r.agents)-1].report.VM
-	runs := slices.SortedFunc(maps.Values(r.owner.state.VMs[from].Runs), func(a, b *tracker.Run) int { return cmp.Compare(a.Key().Task.String(), b.Key().Task.String()) })
+	byTask := func(a, b *tracker.Run) int { return cmp.Compare(a.Key().Task.String(), b.Key().Task.String()) }
+	runs := slices.SortedFunc(maps.Values(r.owner.state.VMs[from].Runs), byTask)
 	for _, run := range runs {
 		if run.Step().Spec.LongRunning && run.State == tracker.Running && r.owner.orderStop(run, "moves") {
 			r.owner.state.SetRelocation(run.Task, tracker.Relocation{From: from, To: to, Hold: hold, Until: r.now.Add(hold)}, r.now)
--- a/internal/job/scheduler/replay_test.go
+++ b/internal/job/scheduler/replay_test.go
@@ -102,8 +102,10 @@
 		after = append(after, n)
 	}
 	r := &replay{
-		t: t, now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(1, 1)), work: make(map[string]time.Duration), lastRun: make(map[string]time.Time), gaps: make(map[string]time.Duration),
-		store: replayStore{records: make(map[string]keeper.Record)}, startFault: func(string) startFault { return noFault },
+		t: t, now: time.Unix(1_000_000, 0), rand: rand.New(rand.NewPCG(1, 1)),
+		store:      replayStore{records: make(map[string]keeper.Record)},
+		startFault: func(string) startFault { return noFault },
+		work:       make(map[string]time.Duration), lastRun: make(map[string]time.Time), gaps: make(map[string]time.Duration),
 	}
 	for n := range replayVMs {
 		info := &messenger.WorkVMInfo{Zone: "z", Rack: fmt.Sprint("r", n/2), Capacity: specifier.Resources{CPUMillis: 32_000, MemoryMB: 32_000}}
