tracker: a crash that also ends the agent counts as a repetition

An agent that is killed within a second of a crash has not reported it, and the next process does not know the runs: the crash counted for nothing.

The owner now compares its own view with the first report of the next process of an agent. If the worker has another incarnation too, runs that were running and have no end count as crashed at the age of the last report, if that repeats a crash that was reported. A loss of power ends both processes as well, so such a crash starts no suspicion and makes no task the sole cause.

--- a/internal/job/tracker/crash.go
+++ b/internal/job/tracker/crash.go
@@ -124,6 +124,36 @@
 	return found
 }
 
+// attributeUnreportedCrash records the end of a VM's worker that no process of its agent reported,
+// because that ended with it. Both may have ended for a cause outside, such as a loss of power, so
+// it counts only as the repetition of a reported crash, and for no task as the sole cause.
+func (tr *Tracker) attributeUnreportedCrash(vm *VM, rep Report) (found []Suspicion) {
+	ended := make(map[RunKey]bool)
+	for _, r := range rep.Runs {
+		ended[r.Key] = true
+	}
+	for _, e := range rep.Ends {
+		ended[e.Key] = true
+	}
+	for key, r := range vm.Runs {
+		t := r.Task
+		if ended[key] || r.State != Running || t.Done || t.Step.Occurrence.Job.State.Final() || t.hasCrash(key.Number) {
+			continue
+		}
+		age := vm.SeenAt.Sub(r.StartedAt) // when last reported; the crash came later
+		if t.repeatsCrash(age) {
+			c := Crash{Run: key.Number, VM: vm.Name, AgeMillis: max(age, 0).Milliseconds(), Likely: true}
+			t.Crashes = append(t.Crashes, c)
+			t.Step.Occurrence.Job.dirty = true
+			found = append(found, Suspicion{Task: t, Crash: c})
+		}
+	}
+	for i := range found {
+		found[i].Likely = len(found)
+	}
+	return found
+}
+
 // comesWithOthers reports whether the worker of another VM has crashed just before. No task counts
 // as the sole cause of either crash then.
 func (tr *Tracker) comesWithOthers(vm *VM, now time.Time) (together bool) {
--- a/internal/job/tracker/report.go
+++ b/internal/job/tracker/report.go
@@ -111,7 +111,13 @@
 	}
 	tr.UpdateInfo(vm, info)
 	rep.OrdersSeen = 0
-	return vm, tr.Apply(vm, rep, now)
+	var unreported []Suspicion
+	if restarted && vm.Incarnation != rep.Incarnation {
+		unreported = tr.attributeUnreportedCrash(vm, rep)
+	}
+	changes := tr.Apply(vm, rep, now)
+	changes.Suspicions = append(unreported, changes.Suspicions...)
+	return vm, changes
 }
 
 // resetOrders discards the numbers of the orders given for a run, and the pace of a
