--- a/internal/job/planner/observe.go
+++ b/internal/job/planner/observe.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bamboospread/internal/job/tracker"
+	"bamboospread/internal/worker/attributor"
 )
 
 // Observed starts. A task under which workers have crashed starts again on a VM on which nothing
@@ -80,7 +81,7 @@
 	if m.observed == nil && !t.Step.Spec.Gang {
 		return true // it starts on the VM that is kept free for it
 	}
-	return m.placed > 0 || r.now.Sub(m.vm.LatestStart()) < tracker.CrashWindow
+	return m.placed > 0 || r.now.Sub(m.vm.LatestStart()) < attributor.CrashWindow
 }
 
 func (r *round) waitsForObservation(t *tracker.Task) bool {
--- a/internal/job/planner/observe_test.go
+++ b/internal/job/planner/observe_test.go
@@ -10,6 +10,7 @@
 
 	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
+	"bamboospread/internal/worker/attributor"
 )
 
 const crashDelay = 10 * time.Millisecond // from the start of a crashing task to the crash
@@ -51,7 +52,7 @@
 		}
 		return b, tasks
 	}
-	now := begin.Add(tracker.CrashWindow)
+	now := begin.Add(attributor.CrashWindow)
 
 	t.Run("nothing starts on its VM", func(t *testing.T) {
 		b, tasks := setUp(t, 1, step)
@@ -71,7 +72,7 @@
 		if starts := b.plan(now); len(starts) != 0 {
 			t.Errorf("%v starts beside a new run", vmsByTask(starts))
 		}
-		if later := now.Add(tracker.CrashWindow); len(b.plan(later)) != 1 {
+		if later := now.Add(attributor.CrashWindow); len(b.plan(later)) != 1 {
 			t.Error("it does not start once the VM was quiet")
 		}
 	})
--- a/internal/job/tracker/crash.go
+++ b/internal/job/tracker/crash.go
@@ -3,38 +3,8 @@
 import (
 	"slices"
 	"time"
-)
 
-// Rules by which the crash of a worker is attributed to a task.
-const (
-	// CrashWindow is how long after its start a run is a likely cause of a crash of its worker. The
-	// starts of a task that crashes workers later than that are not observed.
-	CrashWindow = time.Second
-	// minObservation is how long a run must run at least to clear its task.
-	minObservation = 500 * time.Millisecond
-	// crashRepeatFactor is how many times the age that a run had at a crash a later run of the
-	// same task may have at another crash to be a likely cause again. A run that outlives it
-	// clears its task.
-	crashRepeatFactor = 2
-	// crashesToObserve is how many workers must crash under the task within CrashWindow before
-	// its starts are observed. Observing each task that stood beside one crash would delay many.
-	crashesToObserve = 2
-	// observedCrashesToGiveUp is how many workers must crash under the task before its job fails,
-	// if it was the only likely cause of the last crash, whose start was observed, and its runs had
-	// the same age at each of them.
-	observedCrashesToGiveUp = crashesToObserve + 1
-	// crashAgeSpread is how much the age at a crash may differ from that at the last crash to count
-	// as the same. Agents notice a crash up to 50 ms late, between two polls; as much is left for a
-	// busy VM. Workers that are restarted one after the other end the runs of a task at any age.
-	crashAgeSpread = 100 * time.Millisecond
-	// likelyCrashesToGiveUp is the number of crashes of which the task was a likely cause.
-	likelyCrashesToGiveUp = 4
-	// crashesTogether is the time within which crashes on several VMs are taken for one event, such
-	// as the loss of a rack, for which no task is the sole cause.
-	crashesTogether = 500 * time.Millisecond
-	// crashesToGiveUp is the number of crashes in all. A task may start twice after three workers
-	// have crashed under it.
-	crashesToGiveUp = 5
+	"bamboospread/internal/worker/attributor"
 )
 
 // ReportedCrash is the crash of a VM's worker.
@@ -52,27 +22,10 @@
 	Age time.Duration // since its start
 }
 
-// Crash is a crash of a worker that a task is suspected of, in its stored form.
-type Crash struct {
-	Run       int64  `json:"run"`
-	VM        string `json:"vm"`
-	AgeMillis int64  `json:"age-ms"`           // of the run
-	Likely    bool   `json:"likely,omitempty"` // it had just started, or repeated a crash
-	Sole      bool   `json:"sole,omitempty"`   // no other task was a likely cause
-}
-
-// observation is how long a later run of the task must run to clear it.
-func (c Crash) observation() time.Duration {
-	return max(minObservation, crashRepeatFactor*c.Age())
-}
-
-// Age is how long the run had run at the crash.
-func (c Crash) Age() time.Duration { return time.Duration(c.AgeMillis) * time.Millisecond }
-
 // Suspicion is the attribution of a crash to a task.
 type Suspicion struct {
 	Task   *Task
-	Crash  Crash
+	Crash  attributor.Crash
 	Likely int // tasks that are likely causes of this crash
 }
 
@@ -113,7 +66,7 @@
 		if t == nil || t.Done || t.Step.Occurrence.Job.State.Final() || t.hasCrash(s.Key.Number) {
 			continue
 		}
-		crash := Crash{Run: s.Key.Number, VM: vm.Name, AgeMillis: s.Age.Milliseconds(), Likely: s.likely, Sole: s.likely && sole}
+		crash := attributor.Crash{Run: s.Key.Number, VM: vm.Name, AgeMillis: s.Age.Milliseconds(), Likely: s.likely, Sole: s.likely && sole}
 		t.Crashes = append(t.Crashes, crash)
 		t.Step.Occurrence.Job.dirty = true
 		tr.suspected[t] = true
@@ -141,8 +94,8 @@
 			continue
 		}
 		age := vm.SeenAt.Sub(r.StartedAt) // when last reported; the crash came later
-		if t.repeatsCrash(age) {
-			c := Crash{Run: key.Number, VM: vm.Name, AgeMillis: max(age, 0).Milliseconds(), Likely: true}
+		if attributor.Repeats(t.Crashes, age) {
+			c := attributor.Crash{Run: key.Number, VM: vm.Name, AgeMillis: max(age, 0).Milliseconds(), Likely: true}
 			t.Crashes = append(t.Crashes, c)
 			t.Step.Occurrence.Job.dirty = true
 			found = append(found, Suspicion{Task: t, Crash: c})
@@ -157,7 +110,7 @@
 // comesWithOthers reports whether the worker of another VM has crashed just before. No task counts
 // as the sole cause of either crash then.
 func (tr *Tracker) comesWithOthers(vm *VM, now time.Time) (together bool) {
-	tr.recentCrashes = slices.DeleteFunc(tr.recentCrashes, func(c recentCrash) bool { return now.Sub(c.at) > crashesTogether })
+	tr.recentCrashes = slices.DeleteFunc(tr.recentCrashes, func(c recentCrash) bool { return now.Sub(c.at) > attributor.CrashesTogether })
 	for _, c := range tr.recentCrashes {
 		if c.vm == vm {
 			continue
@@ -187,7 +140,7 @@
 	anyLikely := false
 	for _, r := range c.Runs {
 		s := suspect{CrashedRun: r, task: tr.Find(r.Key.Task)}
-		s.likely = r.Age <= CrashWindow || s.task != nil && s.task.repeatsCrash(r.Age)
+		s.likely = attributor.IsLikely(s.task.crashes(), r.Age)
 		if !s.likely && s.task != nil && s.task.Step.Spec.LongRunning {
 			continue
 		}
@@ -215,15 +168,15 @@
 }
 
 func (t *Task) hasCrash(run int64) bool {
-	return slices.ContainsFunc(t.Crashes, func(c Crash) bool { return c.Run == run })
+	return slices.ContainsFunc(t.Crashes, func(c attributor.Crash) bool { return c.Run == run })
 }
 
 // crashesOf returns the crashes in their stored form, by the index of the task.
-func crashesOf(s *Step) (stored map[int][]Crash) {
+func crashesOf(s *Step) (stored map[int][]attributor.Crash) {
 	for i, t := range s.Tasks {
 		if len(t.Crashes) > 0 {
 			if stored == nil {
-				stored = make(map[int][]Crash)
+				stored = make(map[int][]attributor.Crash)
 			}
 			stored[i] = t.Crashes
 		}
--- a/internal/job/tracker/crash_test.go
+++ b/internal/job/tracker/crash_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/worker/attributor"
 )
 
 // crashFixture replays the reports of VMs whose workers crash.
@@ -56,13 +57,13 @@
 
 // waitToGiveUp lets the time pass after which a task is given up.
 func (f *crashFixture) waitToGiveUp() {
-	f.now = f.now.Add(crashesTogether)
+	f.now = f.now.Add(attributor.CrashesTogether)
 	f.tr.GiveUpCrashingTasks(f.now)
 }
 
 // crashOnce lets tasks run on a VM and its worker crash.
 func (f *crashFixture) crashOnce(vm string, ages map[*Task]time.Duration) Changes {
-	f.now = f.now.Add(2 * crashesTogether)
+	f.now = f.now.Add(2 * attributor.CrashesTogether)
 	runs := make(map[*Run]time.Duration)
 	for task, age := range ages {
 		runs[f.run(vm, task)] = age
@@ -203,8 +204,8 @@
 		ran     time.Duration // the next run
 		cleared bool
 	}{
-		{"shorter than the least observation", 10 * time.Millisecond, minObservation - 10*time.Millisecond, false},
-		{"longer than the least observation", 10 * time.Millisecond, minObservation + 10*time.Millisecond, true},
+		{"shorter than the least observation", 10 * time.Millisecond, attributor.MinObservation - 10*time.Millisecond, false},
+		{"longer than the least observation", 10 * time.Millisecond, attributor.MinObservation + 10*time.Millisecond, true},
 		{"up to the same age", 3 * time.Second, 3 * time.Second, false},
 		{"well beyond the same age", 3 * time.Second, 7 * time.Second, true},
 	}
@@ -328,23 +329,23 @@
 		failed bool
 	}{
 		{"another VM at once", "other", 0, false},
-		{"another VM a moment later", "other", crashesTogether / 2, false},
-		{"another VM much later", "other", 2 * crashesTogether, true},
-		{"the same VM", "vm", crashesTogether / 2, true},
+		{"another VM a moment later", "other", attributor.CrashesTogether / 2, false},
+		{"another VM much later", "other", 2 * attributor.CrashesTogether, true},
+		{"the same VM", "vm", attributor.CrashesTogether / 2, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newCrashFixture(t)
 			j := addJob(t, f.tr, 1, oneTask(1))
 			attach(f.tr, "other")
-			for range observedCrashesToGiveUp {
+			for range attributor.ObservedCrashesToGiveUp {
 				f.crashOnce("vm", map[*Task]time.Duration{j.Occurrences[0].Steps[0].Tasks[0]: time.Millisecond})
 			}
 			if j.State == JobFailed {
 				t.Fatal("failed before other crashes can be reported")
 			}
 			// A round of placement may come between the end of the wait and the failure.
-			if late := f.now.Add(crashesTogether); j.Occurrences[0].Steps[0].Tasks[0].Waits(late) {
+			if late := f.now.Add(attributor.CrashesTogether); j.Occurrences[0].Steps[0].Tasks[0].Waits(late) {
 				t.Error("the task may start although it is about to be given up")
 			}
 			f.now = f.now.Add(tt.after)
--- a/internal/job/tracker/record.go
+++ b/internal/job/tracker/record.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/worker/attributor"
 )
 
 // Record is the stored progress of a job. It does not list the runs: those are
@@ -27,10 +28,10 @@
 
 // StepRecord is the progress of a step.
 type StepRecord struct {
-	Done        string          `json:"done,omitempty"`        // hex-encoded bitmap with one bit per task, lowest bit first
-	Failed      map[int][]int64 `json:"failed,omitempty"`      // numbers of the failed runs by task index
-	Crashes     map[int][]Crash `json:"crashes,omitempty"`     // of workers, that a task is suspected of, by task index
-	Checkpoints map[int]string  `json:"checkpoints,omitempty"` // to resume from, by task index
+	Done        string                     `json:"done,omitempty"`        // hex-encoded bitmap with one bit per task, lowest bit first
+	Failed      map[int][]int64            `json:"failed,omitempty"`      // numbers of the failed runs by task index
+	Crashes     map[int][]attributor.Crash `json:"crashes,omitempty"`     // of workers, that a task is suspected of, by task index
+	Checkpoints map[int]string             `json:"checkpoints,omitempty"` // to resume from, by task index
 	// HasRun is a bitmap like Done of the long-running tasks that have run. Agents do not report tasks
 	// that have no run. Empty: not known.
 	HasRun string `json:"has-run,omitempty"`
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/worker/attributor"
 )
 
 // RunState is the state of a run as known to the owner.
@@ -74,12 +75,12 @@
 	Step       *Step
 	Index      int
 	Done       bool
-	Failed     []int64 // numbers of the failed runs
-	Crashes    []Crash // of workers, that it is suspected of
-	LastNumber int64   // number of its latest run, 0 if this owner knows of none
-	HasRun     bool    // a worker has, or had, a run of it
-	Checkpoint string  // to resume from
-	Runs       []*Run  // runs that have not ended; more than one only if copies are allowed
+	Failed     []int64            // numbers of the failed runs
+	Crashes    []attributor.Crash // of workers, that it is suspected of
+	LastNumber int64              // number of its latest run, 0 if this owner knows of none
+	HasRun     bool               // a worker has, or had, a run of it
+	Checkpoint string             // to resume from
+	Runs       []*Run             // runs that have not ended; more than one only if copies are allowed
 	// WaitSince is when its last run ended. For a long-running task, a run that no worker has confirmed
 	// does not count.
 	WaitSince  time.Time
--- a/internal/job/tracker/suspicion.go
+++ b/internal/job/tracker/suspicion.go
@@ -7,12 +7,15 @@
 	"time"
 
 	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/worker/attributor"
 )
 
-// repeatsCrash reports whether a run of this age may have crashed its worker as an earlier run of
-// the task did.
-func (t *Task) repeatsCrash(age time.Duration) bool {
-	return slices.ContainsFunc(t.Crashes, func(c Crash) bool { return age <= c.observation() })
+// crashes returns the crashes that the task is suspected of. t may be nil.
+func (t *Task) crashes() []attributor.Crash {
+	if t == nil {
+		return nil
+	}
+	return t.Crashes
 }
 
 // oldestCrash returns the greatest age that a run had at a crash.
@@ -33,13 +36,13 @@
 }
 
 // unitCrashes returns the crashes that the task, or its gang, is suspected of.
-func (t *Task) unitCrashes() (crashes []Crash) {
+func (t *Task) unitCrashes() (crashes []attributor.Crash) {
 	if !t.Step.Spec.Gang {
 		return t.Crashes
 	}
 	for _, member := range t.Unit() {
 		for _, c := range member.Crashes {
-			same := func(other Crash) bool { return other.Run == c.Run && other.VM == c.VM }
+			same := func(other attributor.Crash) bool { return other.Run == c.Run && other.VM == c.VM }
 			if !slices.ContainsFunc(crashes, same) {
 				crashes = append(crashes, c)
 			}
@@ -48,31 +51,7 @@
 	return crashes
 }
 
-func (t *Task) crashedTooOften() bool {
-	crashes, likely := t.unitCrashes(), 0
-	for _, c := range crashes {
-		if c.Likely {
-			likely++
-		}
-	}
-	observed := t.crashesLikeObserved(crashes) >= observedCrashesToGiveUp
-	return observed || likely >= likelyCrashesToGiveUp || len(crashes) >= crashesToGiveUp
-}
-
-// crashesLikeObserved returns how many of the crashes came at the same age as the task's last one,
-// if the task was the sole cause of that, or else 0.
-func (t *Task) crashesLikeObserved(crashes []Crash) (count int) {
-	if len(t.Crashes) == 0 || !t.Crashes[len(t.Crashes)-1].Sole {
-		return 0
-	}
-	last := t.Crashes[len(t.Crashes)-1]
-	for _, c := range crashes {
-		if (c.Age() - last.Age()).Abs() <= crashAgeSpread {
-			count++
-		}
-	}
-	return count
-}
+func (t *Task) crashedTooOften() bool { return attributor.TooMany(t.Crashes, t.unitCrashes()) }
 
 func (t *Task) crashReason() string {
 	var vms []string
@@ -90,7 +69,7 @@
 		case t.Done || t.Step.Occurrence.Job.State.Final() || !t.crashedTooOften():
 			t.GiveUpAt = time.Time{}
 		case t.GiveUpAt.IsZero():
-			t.GiveUpAt = now.Add(crashesTogether)
+			t.GiveUpAt = now.Add(attributor.CrashesTogether)
 		case !now.Before(t.GiveUpAt):
 			tr.fail(t.Step.Occurrence.Job, t.crashReason(), now)
 		}
@@ -100,7 +79,7 @@
 // clearCrashes clears the task of the crashes that it is suspected of if a run of it has outlived
 // the time at which it would have repeated them. It reports whether it did.
 func (tr *Tracker) clearCrashes(t *Task, age time.Duration) bool {
-	if len(t.Crashes) == 0 || t.repeatsCrash(age) {
+	if len(t.Crashes) == 0 || attributor.Repeats(t.Crashes, age) {
 		return false
 	}
 	t.Crashes, t.GiveUpAt = nil, time.Time{}
@@ -114,11 +93,11 @@
 
 // StartsObserved reports whether the next run of the task is kept apart from other starts, so that a
 // crash shows whether it is the cause.
-func (t *Task) StartsObserved() bool { return t.observableCrashes() >= crashesToObserve }
+func (t *Task) StartsObserved() bool { return t.observableCrashes() >= attributor.CrashesToObserve }
 
 func (t *Task) observableCrashes() (count int) {
 	for _, c := range t.unitCrashes() {
-		if c.Age() <= CrashWindow {
+		if c.Age() <= attributor.CrashWindow {
 			count++
 		}
 	}
--- a/internal/job/tracker/suspicion_test.go
+++ b/internal/job/tracker/suspicion_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"bamboospread/internal/worker/attributor"
 )
 
 // Guards against a job that fails because its task stood on three workers that were restarted one
@@ -19,8 +21,8 @@
 		{"the last one differs", []time.Duration{300 * ms, 300 * ms, 450 * ms}, false},
 		{"the first one differs", []time.Duration{10 * ms, 300 * ms, 310 * ms}, false},
 		{"three at the same age", []time.Duration{300 * ms, 340 * ms, 310 * ms}, true},
-		{"the greatest difference", []time.Duration{300 * ms, 310 * ms, 300*ms + crashAgeSpread}, true},
-		{"a greater difference", []time.Duration{300 * ms, 310 * ms, 301*ms + crashAgeSpread}, false},
+		{"the greatest difference", []time.Duration{300 * ms, 310 * ms, 300*ms + attributor.CrashAgeSpread}, true},
+		{"a greater difference", []time.Duration{300 * ms, 310 * ms, 301*ms + attributor.CrashAgeSpread}, false},
 		{"two at the same age after one that another task caused", []time.Duration{3000 * ms, 10 * ms, 20 * ms}, false},
 		{"three at the same age after one that another task caused", []time.Duration{3000 * ms, 10 * ms, 20 * ms, 10 * ms}, true},
 		{"four at different ages", []time.Duration{400 * ms, 723 * ms, 105 * ms, 600 * ms}, true},
@@ -32,7 +34,7 @@
 			other := addJob(t, f.tr, 2, oneTask(1))
 			for _, age := range tt.ages {
 				ages := map[*Task]time.Duration{j.Occurrences[0].Steps[0].Tasks[0]: age}
-				if age > CrashWindow {
+				if age > attributor.CrashWindow {
 					ages[other.Occurrences[0].Steps[0].Tasks[0]] = ms
 				}
 				f.crashOnce("vm", ages)
@@ -53,15 +55,15 @@
 		crashes int
 		failed  bool
 	}{
-		{"three", observedCrashesToGiveUp, false},
-		{"four", likelyCrashesToGiveUp, true},
+		{"three", attributor.ObservedCrashesToGiveUp, false},
+		{"four", attributor.LikelyCrashesToGiveUp, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newCrashFixture(t)
 			j := addJob(t, f.tr, 1, oneTask(1))
 			for n := range tt.crashes {
-				f.now = f.now.Add(2 * crashesTogether)
+				f.now = f.now.Add(2 * attributor.CrashesTogether)
 				r := f.run("vm", j.Occurrences[0].Steps[0].Tasks[0])
 				f.tr.Apply(r.VM, Report{Incarnation: r.VM.Incarnation, OrdersSeen: r.VM.OrderSeq, Crashes: []ReportedCrash{
 					{Seq: int64(n + 1), TimeUnknown: true, Runs: []CrashedRun{{Key: r.Key(), Age: 620 * time.Millisecond}}},
