controller: a task of a class that crashes its workers is held

If a poll lists none of the confirmed attempts of a VM, its worker has started again without its state. A VM that leaves and a replica of a service that had run for long do not count.

--- a/internal/control/bookkeeper/apply.go
+++ b/internal/control/bookkeeper/apply.go
@@ -225,6 +225,9 @@
 		if e.Checkpoint != "" {
 			t.Checkpoint = e.Checkpoint
 		}
+		if len(e.Crashes) > 0 {
+			t.Crashes = e.Crashes
+		}
 		if e.Evicted {
 			t.Evictions++
 		}
--- a/internal/control/bookkeeper/bookkeeper.go
+++ b/internal/control/bookkeeper/bookkeeper.go
@@ -11,6 +11,7 @@
 
 	"bamboospread/internal/fleet/describer"
 	"bamboospread/internal/wire/messenger"
+	"bamboospread/internal/worker/attributor"
 )
 
 // Limits of the stored history.
@@ -44,6 +45,7 @@
 	NotBefore     time.Time           `json:"not-before,omitzero"`
 	Submitted     time.Time           `json:"submitted"`
 	Changed       time.Time           `json:"changed"`
+	Crashes       []attributor.Crash  `json:"crashes,omitempty"`   // of workers, that it is suspected of
 	Decisions     []int64             `json:"decisions,omitempty"` // numbers of the last few decisions
 }
 
--- a/internal/control/bookkeeper/record.go
+++ b/internal/control/bookkeeper/record.go
@@ -5,6 +5,7 @@
 
 	"bamboospread/internal/fleet/describer"
 	"bamboospread/internal/wire/messenger"
+	"bamboospread/internal/worker/attributor"
 )
 
 // Record is one journalled state change. Exactly one of the pointers after
@@ -147,6 +148,7 @@
 	Evicted       bool                `json:"evicted,omitempty"`
 	EndUnreported bool                `json:"unheard,omitempty"` // held because it may have completed without a report
 	NotBefore     time.Time           `json:"not-before,omitzero"`
+	Crashes       []attributor.Crash  `json:"crashes,omitempty"` // if its worker crashed: those that the task is suspected of from now on
 }
 
 // Throttled sets the processor share of a running task.
--- a/internal/control/controller/crashing_test.go
+++ b/internal/control/controller/crashing_test.go
@@ -95,7 +95,7 @@
 }
 
 // Guards against a task that takes down one worker after the other without end, with what runs
-// beside it: an attempt that is lost with its worker is queued again and never counted.
+// beside it: an attempt that is lost with its worker was queued again and never counted.
 func TestTaskOfClassThatCrashesItsWorkersIsGivenUp(t *testing.T) {
 	c := newCell(t, 0, 1)
 	var crashes atomic.Int64
--- a/internal/control/controller/report.go
+++ b/internal/control/controller/report.go
@@ -7,6 +7,7 @@
 	"bamboospread/internal/control/bookkeeper"
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/wire/messenger"
+	"bamboospread/internal/worker/attributor"
 )
 
 // Backoff and limits after failures.
@@ -25,6 +26,7 @@
 	unreported bool // the VM did not report how the attempt ended
 	// unavailable is set if the attempt was not started because the worker was unavailable.
 	unavailable bool
+	crashes     []attributor.Crash // that the task is suspected of, if its worker crashed
 }
 
 // applyReports applies the agent's reports on attempts. A poll lists every attempt on the
@@ -42,10 +44,11 @@
 			delete(s.unassigned, at)
 		}
 	}
+	crashed := o.findCrashed(s, p, o.config.Now())
 	for _, t := range o.state.On(vm) {
 		at := messenger.TaskAttempt{TaskID: t.Spec.ID, Attempt: t.Attempt}
 		if t.State == messenger.TaskRunning && !s.hasReport(at) {
-			o.endAttempt(t, attemptEnd{state: messenger.ReportLost, reason: "no longer reported by its VM", unreported: true}, nil)
+			o.endAttempt(t, attemptEnd{state: messenger.ReportLost, reason: "no longer reported by its VM", unreported: true, crashes: crashed[t.Spec.ID]}, nil)
 		}
 	}
 }
@@ -175,7 +178,9 @@
 		ended.NotBefore, ended.Unavailable = now.Add(refusedBackoff), e.unavailable
 		return reporter.StartRefused
 	case messenger.ReportLost:
-		o.holdIfLost(t, e, ended)
+		if !holdIfCrashing(t, e.crashes, ended) {
+			o.holdIfLost(t, e, ended)
+		}
 		return reporter.AttemptLost
 	}
 	ended.Failed = true
