tallier: waits are summed by queue and reason

A summary listed each distinct cause of a wait with its numbers, for example "39 VMs where it would interfere with long-running tasks, 13 VMs without free capacity", some 50 lines of one each that did not tell why a queue waited. It now sums the VMs that each line names by queue and reason, with the reason's share in each tenth of the time, at most eight reasons a queue in the table. In JSON, "waits" lists queue, reason, lines, vm-rounds and percent instead of name and count.

Evidence: TestWaitsAreSummedByReason; TestTally expects the new rows.

--- a/internal/operator/tallier/report.go
+++ b/internal/operator/tallier/report.go
@@ -44,7 +44,7 @@
 	Queues          []Row         `json:"queues"`
 	RunEnds         []Count       `json:"ends"`     // of runs, by how they ended
 	StopCauses      []Count       `json:"stops"`    // of runs, by cause
-	WaitCauses      []Count       `json:"waits"`    // of steps, by logged cause
+	Waits           []Wait        `json:"waits"`    // of steps, by queue and reason
 	RefusalReasons  []Count       `json:"refusals"` // of jobs, by reason
 	Ownerless       time.Duration `json:"ownerless-ns"`
 	UnreadableLines int           `json:"unreadable-lines"`
@@ -73,7 +73,7 @@
 		}
 	}
 	tally := Tally{
-		RunEnds: sortCounts(t.runEnds), StopCauses: sortCounts(t.stopCauses), WaitCauses: sortCounts(t.waitCauses), RefusalReasons: sortCounts(t.refusalReasons),
+		RunEnds: sortCounts(t.runEnds), StopCauses: sortCounts(t.stopCauses), Waits: t.sumWaits(), RefusalReasons: sortCounts(t.refusalReasons),
 		Ownerless: t.ownerless, UnreadableLines: t.unreadableLines, OverlongLines: t.overlongLines,
 	}
 	for _, queue := range slices.Sorted(maps.Keys(rows)) {
@@ -134,12 +134,13 @@
 	for _, part := range []struct {
 		title string
 		rows  []Count
-	}{{"runs ended", t.RunEnds}, {"stops decided", t.StopCauses}, {"steps that waited (logged at a limited rate)", t.WaitCauses}, {"refused", t.RefusalReasons}} {
+	}{{"runs ended", t.RunEnds}, {"stops decided", t.StopCauses}, {"refused", t.RefusalReasons}} {
 		fmt.Fprintf(w, "\n%s\n", part.title)
 		for _, c := range part.rows {
 			fmt.Fprintf(w, "%d\t%s\n", c.Count, c.Name)
 		}
 	}
+	writeWaits(w, t.Waits)
 	fmt.Fprintf(w, "\nwithout an owner\t%s\nlines without an event\t%d\noverlong lines skipped\t%d\n", formatDuration(t.Ownerless), t.UnreadableLines, t.OverlongLines)
 	return w.Flush()
 }
--- a/internal/operator/tallier/tallier.go
+++ b/internal/operator/tallier/tallier.go
@@ -24,7 +24,7 @@
 type Tallier struct {
 	jobs            map[string]*job
 	stopCauses      map[string]int // count of stops by cause
-	waitCauses      map[string]int // count of waiting steps by logged cause
+	waits           []waitLine
 	refusalReasons  map[string]int
 	runEnds         map[string]int // count of runs by how they ended
 	ownerless       time.Duration
@@ -49,7 +49,7 @@
 
 // New returns an empty Tallier.
 func New() *Tallier {
-	return &Tallier{jobs: make(map[string]*job), stopCauses: make(map[string]int), waitCauses: make(map[string]int), refusalReasons: make(map[string]int), runEnds: make(map[string]int)}
+	return &Tallier{jobs: make(map[string]*job), stopCauses: make(map[string]int), refusalReasons: make(map[string]int), runEnds: make(map[string]int)}
 }
 
 // Read adds the lines of a log in logfmt. Text before the first field of a line, such as
@@ -147,7 +147,7 @@
 	case reporter.JobStopDecided:
 		t.stopCauses[f["cause"]]++
 	case reporter.JobStepWaits:
-		t.waitCauses[f["cause"]]++
+		t.waits = append(t.waits, waitLine{job: f["job"], at: at, reasons: parseCause(f["cause"])})
 	case reporter.JobEnded:
 		j := t.job(f["job"])
 		j.ended, j.state, j.queue = at, f["state"], f["queue"]
