planner: exchanges of long-running tasks are found by a linear bound

The served demand is a concave function of the usable processors. Its tangent bounds the gain of an exchange from above and splits into terms of one VM each, so all pairs of groups are compared by a table, and the exact gain is computed for the best. Moves go by known effects only: with the lower gain, the mean taken for unknown pairs would move tasks for a guess (TestWhenLongRunningTasksMove/no_effects_of_the_images_are_known).

--- a/internal/job/planner/demand.go
+++ b/internal/job/planner/demand.go
@@ -34,9 +34,14 @@
 	images []string             // best-effort images, sorted
 	needs  []float64            // demand in thousandths of a core, by best-effort image
 	shares map[string][]float64 // by long-running image: the share of a VM's idle processors that each best-effort image may use
+	share  shareFunc
 	in     Input
 }
 
+// shareFunc returns the share of a VM's idle processors that a best-effort image may use next to a
+// long-running one. l may be nil.
+type shareFunc func(l *learner.Learner, longRunning, bestEffort string) float64
+
 func newDemandModel(in Input, idle float64) *demandModel {
 	needed := make(map[string]float64)
 	if in.Learner != nil {
@@ -49,33 +54,49 @@
 			needed[s.Spec.Image] += float64(len(s.Tasks)-s.Done) * float64(s.Spec.Needs.CPUMillis)
 		}
 	}
-	d := &demandModel{in: in, shares: make(map[string][]float64), images: slices.Sorted(maps.Keys(needed))}
+	d := &demandModel{in: in, share: typicalShare, shares: make(map[string][]float64), images: slices.Sorted(maps.Keys(needed))}
 	for _, image := range d.images {
 		d.needs = append(d.needs, needed[image]+idle*baselineDemand/float64(len(needed)))
 	}
 	return d
 }
 
+// byKnownEffects returns the model of the same demand in which effects that are not known cost
+// nothing.
+func (d *demandModel) byKnownEffects() *demandModel {
+	return &demandModel{in: d.in, share: knownShare, shares: make(map[string][]float64), images: d.images, needs: d.needs}
+}
+
 // sharesNextTo returns the share of idle processors that each best-effort image may use next
 // to a long-running image.
 func (d *demandModel) sharesNextTo(longRunning string) []float64 {
 	shares, ok := d.shares[longRunning]
 	if !ok {
 		for _, bestEffort := range d.images {
-			shares = append(shares, usableShare(d.in.Learner, longRunning, bestEffort))
+			shares = append(shares, d.share(d.in.Learner, longRunning, bestEffort))
 		}
 		d.shares[longRunning] = shares
 	}
 	return shares
 }
 
-func usableShare(l *learner.Learner, longRunning, bestEffort string) float64 {
+// typicalShare takes the mean of all pairs for an effect as far as it is not known.
+func typicalShare(l *learner.Learner, longRunning, bestEffort string) float64 {
+	return shareByEffect(l, longRunning, bestEffort, defaultUsableShare)
+}
+
+// knownShare takes an effect for nothing as far as it is not known.
+func knownShare(l *learner.Learner, longRunning, bestEffort string) float64 {
+	return shareByEffect(l, longRunning, bestEffort, 1)
+}
+
+func shareByEffect(l *learner.Learner, longRunning, bestEffort string, unknown float64) float64 {
 	if l == nil {
-		return defaultUsableShare
+		return unknown
 	}
 	effect, confidence := l.KnownEffect(longRunning, bestEffort)
 	known := min(spareHeadroom/max(effect, spareHeadroom), 1)
-	return confidence*known + (1-confidence)*defaultUsableShare
+	return confidence*known + (1-confidence)*unknown
 }
 
 // imageCounts is the number of long-running tasks of each image on a VM.
@@ -101,15 +122,9 @@
 
 // usable returns how many thousandths of a core of a VM each best-effort image may use.
 func (d *demandModel) usable(m *vmState) []float64 {
-	idle := m.idle()
-	usable := make([]float64, len(d.images))
+	usable := d.sharesWithout(m, "")
 	for i := range usable {
-		usable[i] = idle
-	}
-	for longRunning := range m.imageCounts() {
-		for i, share := range d.sharesNextTo(longRunning) {
-			usable[i] *= share
-		}
+		usable[i] *= m.idle()
 	}
 	return usable
 }
@@ -127,6 +142,36 @@
 	return sum
 }
 
+// marginal returns how much more demand is met by another thousandth of a core of usable
+// processors, by best-effort image.
+func (d *demandModel) marginal(usable []float64) []float64 {
+	weights := make([]float64, len(d.needs))
+	for i, need := range d.needs {
+		if need > 0 {
+			weights[i] = need / (need + usable[i]) * need / (need + usable[i])
+		}
+	}
+	return weights
+}
+
+// sharesWithout returns the share of a VM's idle processors that each best-effort image may use
+// next to all long-running images there except one.
+func (d *demandModel) sharesWithout(m *vmState, without string) []float64 {
+	remaining := make([]float64, len(d.images))
+	for i := range remaining {
+		remaining[i] = 1
+	}
+	for image := range m.imageCounts() {
+		if image == without {
+			continue
+		}
+		for i, share := range d.sharesNextTo(image) {
+			remaining[i] *= share
+		}
+	}
+	return remaining
+}
+
 // addLongRunning adds a long-running task to a VM.
 func (m *vmState) addLongRunning(s *tracker.Step) {
 	m.images = m.imageCounts().adjusted(s.Spec.Image, 1)
@@ -161,6 +206,13 @@
 
 const millisPerCore = 1000
 
+func dot(a, b []float64) (sum float64) {
+	for i := range a {
+		sum += a[i] * b[i]
+	}
+	return sum
+}
+
 func addScaled(sum, values []float64, factor float64) {
 	for i, v := range values {
 		sum[i] += factor * v
