planner: best-effort tasks leave scarce VMs to those that depend on them

Where half of the pairs of images interfere, tasks that may run almost anywhere took the VMs with most idle processors, the only ones that other images could use, and those waited while the rest of the fleet was idle.

The choice of a VM for a best-effort task now also weighs its scarcity: the share of the other images' demand that may use the VM, each weighted by how much of it is not met, from the model that the moves go by.

Evidence: TestFlexibleTasksLeaveScarceVMsToOthers fails before (one of two tasks of the flexible image starts on the VM that the other depends on).

--- a/internal/job/planner/cache.go
+++ b/internal/job/planner/cache.go
@@ -15,6 +15,7 @@
 type Cache struct {
 	vms         map[string]cachedVM
 	demand      *demandModel
+	scarcities  map[string]scarcity // by VM
 	fleetUsable []float64
 	fleetServed float64
 	demandAt    time.Time
@@ -62,7 +63,7 @@
 	}
 	c := r.in.Cache
 	if c != nil && c.demand != nil && r.now.Sub(c.demandAt) < cacheTTL {
-		r.demand, r.fleetUsable, r.fleetServed = c.demand, c.fleetUsable, c.fleetServed
+		r.demand, r.fleetUsable, r.fleetServed, r.scarcities = c.demand, c.fleetUsable, c.fleetServed, c.scarcities
 		return r.demand
 	}
 	idle := 0.0
@@ -75,8 +76,9 @@
 		addScaled(r.fleetUsable, r.demand.usable(m), 1)
 	}
 	r.fleetServed = r.demand.served(r.fleetUsable)
+	r.scarcities = make(map[string]scarcity)
 	if c != nil {
-		c.demand, c.fleetUsable, c.fleetServed, c.demandAt = r.demand, r.fleetUsable, r.fleetServed, r.now
+		c.demand, c.fleetUsable, c.fleetServed, c.scarcities, c.demandAt = r.demand, r.fleetUsable, r.fleetServed, r.scarcities, r.now
 	}
 	return r.demand
 }
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -85,6 +85,7 @@
 	counts      map[*tracker.Step]map[*tracker.VM]int
 	unplaceable map[placementClass]specifier.Resources // smallest needs of each class that fit on no VM
 	demand      *demandModel                           // nil until it is needed
+	scarcities  map[string]scarcity                    // by VM
 	fleetUsable []float64                              // usable by each best-effort image on all VMs at the start of the round
 	fleetServed float64                                // best-effort demand served by it
 	// stopped holds the runs that the round stops for long-running tasks, and preempted the
@@ -306,7 +307,7 @@
 			if d.leastHeadroom < minHeadroom {
 				continue
 			}
-			cost = d.loss
+			cost = d.loss + scarcityWeight*r.scarcityFor(m, s.Spec.Image)
 		}
 		if s.Spec.LongRunning {
 			cost = r.servedLoss(m, s)
