--- a/internal/job/planner/cache.go
+++ b/internal/job/planner/cache.go
@@ -15,7 +15,7 @@
 type Cache struct {
 	vms         map[string]cachedVM
 	demand      *demandModel
-	scarcities  map[string]scarcity // by VM
+	scarcities  *scarcities
 	fleetUsable []float64
 	fleetServed float64
 	demandAt    time.Time
@@ -76,7 +76,7 @@
 		addScaled(r.fleetUsable, r.demand.usable(m), 1)
 	}
 	r.fleetServed = r.demand.served(r.fleetUsable)
-	r.scarcities = make(map[string]scarcity)
+	r.scarcities = newScarcities(r.demand, r.fleetUsable)
 	if c != nil {
 		c.demand, c.fleetUsable, c.fleetServed, c.scarcities, c.demandAt = r.demand, r.fleetUsable, r.fleetServed, r.scarcities, r.now
 	}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -85,9 +85,9 @@
 	counts      map[*tracker.Step]map[*tracker.VM]int
 	unplaceable map[placementClass]specifier.Resources // smallest needs of each class that fit on no VM
 	demand      *demandModel                           // nil until it is needed
-	scarcities  map[string]scarcity                    // by VM
-	fleetUsable []float64                              // usable by each best-effort image on all VMs at the start of the round
-	fleetServed float64                                // best-effort demand served by it
+	scarcities  *scarcities
+	fleetUsable []float64 // usable by each best-effort image on all VMs at the start of the round
+	fleetServed float64   // best-effort demand served by it
 	// stopped holds the runs that the round stops for long-running tasks, and preempted the
 	// number of these tasks.
 	stopped               map[*tracker.Run]bool
--- a/internal/job/planner/scarcity.go
+++ b/internal/job/planner/scarcity.go
@@ -18,10 +18,10 @@
 // to 1.
 func (r *round) scarcityFor(m *vmState, image string) float64 {
 	d := r.demandModel()
-	s, known := r.scarcities[m.vm.Name]
+	s, known := r.scarcities.byVM[m.vm.Name]
 	if !known {
-		s = r.newScarcity(d, m)
-		r.scarcities[m.vm.Name] = s
+		s = r.scarcities.of(d.sharesWithout(m, ""))
+		r.scarcities.byVM[m.vm.Name] = s
 	}
 	if i, found := slices.BinarySearch(d.images, image); found {
 		return s.total - s.byImage[i]
@@ -29,16 +29,30 @@
 	return s.total
 }
 
-func (r *round) newScarcity(d *demandModel, m *vmState) scarcity {
-	unmet, sum := d.marginal(r.fleetUsable), 0.0
+// scarcities holds the scarcity of VMs as far as it has been computed.
+type scarcities struct {
+	unmet []float64 // share of each best-effort image in the demand that is not met
+	byVM  map[string]scarcity
+}
+
+func newScarcities(d *demandModel, fleetUsable []float64) *scarcities {
+	unmet, sum := d.marginal(fleetUsable), 0.0
 	for i := range unmet {
 		unmet[i] *= d.needs[i]
 		sum += unmet[i]
 	}
-	s := scarcity{byImage: d.sharesWithout(m, "")}
 	for i := range unmet {
-		s.byImage[i] *= unmet[i] / max(sum, 1)
-		s.total += s.byImage[i]
+		unmet[i] /= max(sum, 1)
+	}
+	return &scarcities{unmet: unmet, byVM: make(map[string]scarcity)}
+}
+
+// of returns the scarcity of a VM by the share of its idle processors that each image may use.
+func (s *scarcities) of(shares []float64) scarcity {
+	found := scarcity{byImage: shares}
+	for i, unmet := range s.unmet {
+		found.byImage[i] *= unmet
+		found.total += found.byImage[i]
 	}
-	return s
+	return found
 }
