planner: exchanges leave most tasks of a step available

With a tenth of all long-running tasks allowed to move at once instead of six of a small fleet, the users of one job without a limit of its own could lose all its tasks together. A step now loses six tasks at once at most, as many as one exchange, or a tenth of its tasks if that is more; those that are unavailable for other causes count.

Evidence: TestExchangesLeaveMostTasksOfAStep fails before (7 of 14 tasks of a step move at once).

--- a/internal/job/planner/move.go
+++ b/internal/job/planner/move.go
@@ -68,14 +68,18 @@
 }
 
 // withinMaxUnavailable reports whether the runs can stop together without more tasks of any step
-// becoming unavailable than its limit allows. Tasks that are unavailable already are not
-// counted: mayMove excludes the runs of their steps.
+// becoming unavailable than its limit allows or, if it has none, than maxMoving and maxMovingShare
+// allow for the step alone. mayMove excludes the runs of steps with a limit and unavailable tasks.
 func withinMaxUnavailable(lists ...[]*tracker.Run) bool {
 	moving := make(map[*tracker.Step]int)
 	for _, runs := range lists {
 		for _, run := range runs {
 			s := run.Step()
-			if moving[s]++; s.Spec.MaxUnavailable > 0 && moving[s] > s.Spec.MaxUnavailable {
+			limit := s.Spec.MaxUnavailable
+			if limit == 0 {
+				limit = max(maxMoving, int(maxMovingShare*float64(len(s.Tasks)))) - s.Unavailable()
+			}
+			if moving[s]++; moving[s] > limit {
 				return false
 			}
 		}
--- a/internal/job/planner/move_test.go
+++ b/internal/job/planner/move_test.go
@@ -248,6 +248,32 @@
 
 // Two tasks of a step that allows one to be unavailable must not leave their VM together;
 // tasks of two jobs may.
+// Guards against the users of one long-running job who lose most of its tasks at once because many
+// exchanges are made together.
+func TestExchangesLeaveMostTasksOfAStep(t *testing.T) {
+	const count = 14
+	f := newMixedFleet(count)
+	for range 12 * count { // other long-running tasks, so that the limit of the fleet does not bind
+		f.job("q", specifier.Step{Count: 1, Needs: cores(1), LongRunning: true, TailMillis: 18, Image: "c"})
+	}
+	for range count {
+		f.submitBestEffort("x")
+		f.submitBestEffort("y")
+	}
+	moving := make(map[*tracker.Step]int)
+	for _, m := range f.moves() {
+		moving[m.Run.Step()]++
+	}
+	for _, n := range moving {
+		if n > maxMoving {
+			t.Errorf("%d of %d tasks of a step move at once, want %d at most", n, count, maxMoving)
+		}
+	}
+	if len(moving) == 0 {
+		t.Error("no tasks move")
+	}
+}
+
 func TestWithinMaxUnavailable(t *testing.T) {
 	f := newMixedFleet(2)
 	a0, a1, b0 := longRunningRunsOf(f.vms[0], "a")[0], longRunningRunsOf(f.vms[1], "a")[0], longRunningRunsOf(f.vms[0], "b")[0]
