controller: the attribution of crashes is named by what it returns

findCrashed becomes attributeCrash, with its comment in two plain sentences, and answers at once for a VM that leaves. No change of behaviour.

--- a/internal/control/controller/crash.go
+++ b/internal/control/controller/crash.go
@@ -10,11 +10,14 @@
 	"bamboospread/internal/worker/attributor"
 )
 
-// findCrashed returns the crashes that count for the tasks of a VM, including earlier ones, if the
-// latest poll lists none of its confirmed attempts: the worker has started again without its state.
-// Agents report neither the time of a crash nor a worker that leaves in order with a poll of its own,
-// so a VM that leaves counts as sound.
-func (o *owner) findCrashed(s *session, p messenger.Poll, now time.Time) map[string][]attributor.Crash {
+// attributeCrash returns the crashes that the tasks of a VM are suspected of, by task and including
+// earlier ones, if the latest poll lists none of the VM's confirmed attempts: its worker has started
+// again without its state. The worker of a VM that leaves has not crashed. Agents do not report the
+// time of a crash, so the age of an attempt is counted from its confirmation to the poll.
+func (o *owner) attributeCrash(s *session, p messenger.Poll, now time.Time) map[string][]attributor.Crash {
+	if p.Leaving {
+		return nil
+	}
 	var running []*bookkeeper.Task
 	for _, t := range o.state.On(p.Capacity.VM) {
 		if t.State != messenger.TaskRunning {
@@ -25,9 +28,6 @@
 		}
 		running = append(running, t)
 	}
-	if p.Leaving {
-		return nil
-	}
 	crashes, likely := make(map[string][]attributor.Crash), 0
 	for _, t := range running {
 		age := now.Sub(t.Changed)
--- a/internal/control/controller/report.go
+++ b/internal/control/controller/report.go
@@ -44,11 +44,11 @@
 			delete(s.unassigned, at)
 		}
 	}
-	crashed := o.findCrashed(s, p, o.config.Now())
+	crashes := o.attributeCrash(s, p, o.config.Now())
 	for _, t := range o.state.On(vm) {
 		at := messenger.TaskAttempt{TaskID: t.Spec.ID, Attempt: t.Attempt}
 		if t.State == messenger.TaskRunning && !s.hasReport(at) {
-			o.endAttempt(t, attemptEnd{state: messenger.ReportLost, reason: "no longer reported by its VM", unreported: true, crashes: crashed[t.Spec.ID]}, nil)
+			o.endAttempt(t, attemptEnd{state: messenger.ReportLost, reason: "no longer reported by its VM", unreported: true, crashes: crashes[t.Spec.ID]}, nil)
 		}
 	}
 }
