--- a/internal/job/learner/learner_test.go
+++ b/internal/job/learner/learner_test.go
@@ -75,6 +75,28 @@
 	}
 }
 
+// Guards against a trend that is extrapolated over a time without reports: a swing has turned by then.
+func TestTrendDecaysWithoutReports(t *testing.T) {
+	const interval, silence = 150 * time.Millisecond, time.Minute
+	l := New()
+	at := begin
+	for n := range 12 { // the load rises, the headroom falls from 3.4 to 1.6
+		at = at.Add(interval)
+		l.Observe(Observation{Group: "g", Image: "l", Headroom: 3.4 - 0.15*float64(n), At: at})
+	}
+	if change := l.Trend("g", time.Second); change > -0.5 {
+		t.Fatalf("the trend is %.2f in a second, want about -1", change)
+	}
+	at = at.Add(silence)
+	l.Observe(Observation{Group: "g", Image: "l", Headroom: 2.4, At: at})
+	if now, _ := l.OwnHeadroom("g"); math.Abs(now-2.4) > reportNoise {
+		t.Errorf("own headroom is %.2f after a report of 2.4", now)
+	}
+	if change := l.Trend("g", time.Second); math.Abs(change) > reportNoise {
+		t.Errorf("the trend is %.2f in a second after a minute without reports", change)
+	}
+}
+
 // Effects change within seconds. An image that no longer interferes must be admitted again,
 // and one that begins to interfere must be detected.
 func TestEffectFollowsChange(t *testing.T) {
