harness: a drawn seed is not passed on to the program

With BAMBOOSPREAD_SEED=random, which docs/PROOFS.md offers, no integration test could start a store: the program has a setting of the same name and refuses a value that is no number. Processes of tests now get the variable only if it is one.

--- a/tests/harness/harness_test.go
+++ b/tests/harness/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -36,6 +37,22 @@
 	}
 }
 
+// Guards against tests with a drawn seed whose processes refuse it as their own setting and end.
+func TestDrawnSeedIsNotPassedOn(t *testing.T) {
+	for _, tt := range []struct{ seed, want string }{{"random", ""}, {"7", seedVariable + "=7"}} {
+		got := withoutDrawnSeed([]string{"A=1", seedVariable + "=" + tt.seed, "B=random"})
+		want := []string{"A=1", tt.want, "B=random"}
+		want = slices.DeleteFunc(want, func(variable string) bool { return variable == "" })
+		if !slices.Equal(got, want) {
+			t.Errorf("seed %s: environment %v, want %v", tt.seed, got, want)
+		}
+	}
+	t.Setenv(seedVariable, "random")
+	address := FreeAddress(t)
+	StartProcess(t, "store", "standin", "store", "--listen", address)
+	WaitFor(t, readyLimit, "started", func(ctx context.Context) error { return checkURL(ctx, "http://"+address+"/control/calls") })
+}
+
 func TestPeerNameIsFound(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/tests/harness/process.go
+++ b/tests/harness/process.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,18 +35,20 @@
 // defaultSeed makes runs repeatable, so that CI draws the same faults each time.
 const defaultSeed = 20261202
 
-// Seed returns the seed of a test and prints it. BAMBOOSPREAD_SEED sets it;
-// "random" draws one.
+// seedVariable sets the seed of a test.
+const seedVariable = "BAMBOOSPREAD_SEED"
+
+// Seed returns the seed of a test and prints it. The variable sets it; "random" draws one.
 func Seed(t testing.TB) uint64 {
 	t.Helper()
 	seed := uint64(defaultSeed)
-	if os.Getenv("BAMBOOSPREAD_SEED") == "random" {
+	if os.Getenv(seedVariable) == "random" {
 		seed = uint64(time.Now().UnixNano())
 	}
-	if s, err := strconv.ParseUint(os.Getenv("BAMBOOSPREAD_SEED"), 10, 64); err == nil {
+	if s, err := strconv.ParseUint(os.Getenv(seedVariable), 10, 64); err == nil {
 		seed = s
 	}
-	t.Logf("seed %d (set BAMBOOSPREAD_SEED to repeat)", seed)
+	t.Logf("seed %d (set %s to repeat)", seed, seedVariable)
 	return seed
 }
 
@@ -147,12 +150,23 @@
 // startChild starts a command that is killed when the test process ends, even if
 // it crashes.
 func startChild(cmd *exec.Cmd) error {
+	cmd.Env = withoutDrawnSeed(cmd.Environ())
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	started := make(chan error)
 	starter() <- func() { started <- cmd.Start() }
 	return <-started
 }
 
+// withoutDrawnSeed removes a seed that is no number: the program has a setting of the same name,
+// and refuses it.
+func withoutDrawnSeed(environment []string) []string {
+	return slices.DeleteFunc(environment, func(variable string) bool {
+		value, found := strings.CutPrefix(variable, seedVariable+"=")
+		_, err := strconv.ParseUint(value, 10, 64)
+		return found && err != nil
+	})
+}
+
 // Process is a running program that ends with the test.
 type Process struct {
 	Name string
