attender, locator: agents watch a vacant cell, and ask a few entries at once

Seen: while the cell of 804 agents was vacant each agent read the store every 150 ms, 5,400 of the 16,000 reads a second that it allows. Without the store agents dialled all entries one after the other, sorted by name, 300 ms for each that did not answer: up to 55 s with 184 entries, and all agents began with the same one.

Cause: both searches repeat at a fixed interval, so their calls grow with agents times time, or with agents times entries.

Change: an agent that finds no owner waits for the next change of the owner's record. Without the store it asks eight entries at most, four at once, in random order; the entries that it knows already fill up the list that a new owner names. The search moves to package locator.

The tests fail without it: calls to the store while the cell is vacant, time until a published owner is reached, and time to an owner behind silent entries.

--- /dev/null
+++ b/internal/job/locator/locator_test.go
@@ -0,0 +1,88 @@
+package locator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"bamboospread/internal/wire/connector"
+	"bamboospread/internal/wire/messenger"
+)
+
+// serve returns the address of an entry that names an owner of the given epoch; 0: it knows none.
+func serve(t *testing.T, epoch int64) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() {
+		served <- connector.Serve(ctx, l, func(context.Context, *connector.Conn, string, json.RawMessage) (any, error) {
+			return messenger.WorkOwner{Owner: messenger.CellOwner{EntryID: "owner", Epoch: epoch}}, nil
+		}, nil)
+	}()
+	t.Cleanup(func() { cancel(); <-served })
+	return l.Addr().String()
+}
+
+// silent returns an address that accepts connections and never answers.
+func silent(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l.Addr().String()
+}
+
+// Guards against agents that reach a new owner only after they have waited for each entry that does
+// not answer, one after the other.
+func TestSilentEntriesDelayFindBriefly(t *testing.T) {
+	var addresses []string
+	for range maxEntries - 1 {
+		addresses = append(addresses, silent(t))
+	}
+	l := New(append(addresses, serve(t, 7)))
+	began := time.Now()
+	o, err := l.Find(t.Context())
+	if err != nil || o.Epoch != 7 {
+		t.Fatalf("owner %+v, error %v", o, err)
+	}
+	groups := (maxEntries + askedAtOnce - 1) / askedAtOnce
+	if took := time.Since(began); took > time.Duration(groups)*askTimeout+askTimeout/2 {
+		t.Errorf("found after %s, want %d timeouts at most", took, groups)
+	}
+}
+
+func TestEntriesThatKnowNoOwner(t *testing.T) {
+	if _, err := New([]string{serve(t, 0), serve(t, 0)}).Find(t.Context()); err == nil {
+		t.Error("an owner was found")
+	}
+	if _, err := New(nil).Find(t.Context()); err == nil {
+		t.Error("an owner was found without entries")
+	}
+}
+
+// Guards against agents that forget the entries they know when a new owner, which few entries have
+// reached yet, names only one.
+func TestEarlierEntriesFillUpTheList(t *testing.T) {
+	named := func(from, to int) (all []messenger.PeerAddress) {
+		for n := from; n < to; n++ {
+			all = append(all, messenger.PeerAddress{EntryID: fmt.Sprint("entry-", n), Address: fmt.Sprint("address-", n)})
+		}
+		return all
+	}
+	l := New(nil)
+	l.Remember(named(0, maxEntries))
+	l.Remember(named(maxEntries, maxEntries+1))
+	l.Remember(nil)
+	if len(l.entries) != maxEntries || l.entries[0].EntryID != fmt.Sprint("entry-", maxEntries) || l.entries[1].EntryID != "entry-0" {
+		t.Errorf("entries %+v", l.entries)
+	}
+}
--- a/internal/service/hoster/agent.go
+++ b/internal/service/hoster/agent.go
@@ -39,7 +39,7 @@
 		VM: c.Settings.Name, Worker: worker.Calls(), LeaseMax: c.Settings.LeaseMax, StopTime: c.Settings.StopTime, Reporter: c.Reporter, Now: now,
 	})
 	a.attender = attender.New(attender.Config{
-		Cell: cell, Guardian: a.guardian, GetRecord: a.store.Calls().GetRecord, Now: now, Reporter: c.Reporter,
+		Cell: cell, Guardian: a.guardian, FindRecords: a.store.Calls().FindRecords, Watch: a.store.Calls().Watch, Now: now, Reporter: c.Reporter,
 	})
 	a.announcements = &platform.Announcements{
 		Worker: worker, OnAnnouncement: a.guardian.Announce,
--- a/internal/worker/attender/attender.go
+++ b/internal/worker/attender/attender.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"time"
 
+	"bamboospread/internal/job/locator"
 	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/store/keeper"
@@ -30,8 +31,7 @@
 	// dialTimeout is long compared with the round trip to the farthest peer, about 30 ms. A
 	// VM without power does not even refuse a connection, and agents must look for a new
 	// owner in the meantime.
-	dialTimeout  = 300 * time.Millisecond
-	storeTimeout = time.Second
+	dialTimeout = 300 * time.Millisecond
 	// retryPause is the pause after a failure. It doubles with each consecutive failure up to
 	// retryPauseMax. An owner is replaced within 3 s. Without backoff, agents whose calls
 	// time out on an overloaded entry open connections faster than it can accept them, and it
@@ -40,28 +40,26 @@
 	// takeover, and work waited for the last agent.
 	retryPause    = 150 * time.Millisecond
 	retryPauseMax = 1200 * time.Millisecond
-	// askInterval is the minimum time between queries of the entries while the store does not
-	// answer: each query opens a connection from every agent to every entry.
-	askInterval = 600 * time.Millisecond
 )
 
 // Config holds the settings of an Attender.
 type Config struct {
 	Cell     string
 	Guardian *guardian.Guardian
-	// GetRecord reads the owner's address from the store. It is nil if agents cannot reach
-	// the store.
-	GetRecord func(ctx context.Context, key string) (keeper.Record, error)
-	Entries   []string // addresses of the entries to query before any other is known
-	Now       func() time.Time
-	Reporter  *reporter.Reporter
+	// FindRecords and Watch read the owner's address from the store. They are nil if agents cannot
+	// reach the store.
+	FindRecords func(ctx context.Context, o keeper.ListOptions) (keeper.ListResult, error)
+	Watch       func(ctx context.Context, o keeper.WatchOptions) (keeper.WatchResult, error)
+	Entries     []string // addresses of the entries to query before any other is known
+	Now         func() time.Time
+	Reporter    *reporter.Reporter
 }
 
 // Attender maintains the session. Run must be called once.
 type Attender struct {
 	config         Config
 	abridger       *abridger.Abridger
-	entries        []messenger.PeerAddress // queried when the store does not answer
+	locator        *locator.Locator // asked when the store does not answer
 	ownerLost      bool
 	pause          time.Duration // after the next failure
 	entriesAskedAt time.Time     // when the entries were last queried
@@ -69,11 +67,7 @@
 
 // New returns an Attender.
 func New(c Config) *Attender {
-	a := &Attender{config: c, abridger: abridger.New()}
-	for _, address := range c.Entries {
-		a.entries = append(a.entries, messenger.PeerAddress{Address: address})
-	}
-	return a
+	return &Attender{config: c, abridger: abridger.New(), locator: locator.New(c.Entries)}
 }
 
 // Run finds owners and maintains sessions with them until ctx ends.
@@ -141,9 +135,7 @@
 	if !a.config.Guardian.ApplyReply(sentAt, rep.Incarnation, reply) {
 		return fmt.Errorf("reply from owner %s with outdated epoch %d", conn.Remote(), reply.Epoch)
 	}
-	if len(reply.Entries) > 0 {
-		a.entries = reply.Entries
-	}
+	a.locator.Remember(reply.Entries)
 	a.ownerLost, a.pause = false, retryPause
 	return nil
 }
@@ -179,89 +171,3 @@
 	}
 	return messenger.Empty{}, nil
 }
-
-// errTakingOver is returned while an entry is preparing to own the cell.
-type errTakingOver struct{ entry string }
-
-func (e errTakingOver) Error() string {
-	return fmt.Sprintf("entry %s is taking the cell over", e.entry)
-}
-
-// errOwnerUnknown is returned while the cell has no known owner, so that no connection to an
-// owner was attempted.
-type errOwnerUnknown struct{ cause error }
-
-func (e errOwnerUnknown) Error() string {
-	return fmt.Sprintf("owner of the cell is not known: %v", e.cause)
-}
-func (e errOwnerUnknown) Unwrap() error { return e.cause }
-
-// errNoOwner is returned when no entry could name an owner.
-var errNoOwner = errors.New("no entry could name the owner of the cell")
-
-// findOwner looks the owner up in the store, then asks the known entries.
-func (a *Attender) findOwner(ctx context.Context) (messenger.CellOwner, error) {
-	if a.config.GetRecord == nil {
-		return a.ownerFromEntries(ctx)
-	}
-	o, err := a.ownerFromStore(ctx)
-	if err == nil {
-		return o, nil
-	}
-	var takingOver errTakingOver
-	answered := keeper.IsErrKeyNotExist(err) || errors.As(err, &takingOver)
-	if now := a.config.Now(); !answered && now.Sub(a.entriesAskedAt) >= askInterval {
-		a.entriesAskedAt = now
-		if o, askErr := a.ownerFromEntries(ctx); askErr == nil {
-			return o, nil
-		}
-	}
-	return messenger.CellOwner{}, errOwnerUnknown{err}
-}
-
-func (a *Attender) ownerFromStore(ctx context.Context) (o messenger.CellOwner, err error) {
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	record, err := a.config.GetRecord(callCtx, fmt.Sprintf("cells/%s/owner", a.config.Cell))
-	if err != nil {
-		return o, err
-	}
-	if err := json.Unmarshal(record.Value, &o); err != nil {
-		return o, fmt.Errorf("decode owner: %w", err)
-	}
-	if o.Epoch == 0 {
-		return o, errTakingOver{o.EntryID}
-	}
-	return o, nil
-}
-
-func (a *Attender) ownerFromEntries(ctx context.Context) (messenger.CellOwner, error) {
-	err := errNoOwner
-	for _, e := range a.entries {
-		o, askErr := askEntry(ctx, e.Address)
-		if askErr == nil && o.Epoch > 0 {
-			return o, nil
-		}
-		if askErr != nil {
-			err = askErr
-		}
-	}
-	return messenger.CellOwner{}, err
-}
-
-func askEntry(ctx context.Context, address string) (messenger.CellOwner, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := connector.Dial(ctx, address, rejectCall)
-	if err != nil {
-		return messenger.CellOwner{}, err
-	}
-	defer conn.Close()
-	var w messenger.WorkOwner
-	err = conn.Call(ctx, messenger.MethodWorkOwner, messenger.Empty{}, &w)
-	return w.Owner, err
-}
-
-func rejectCall(_ context.Context, _ *connector.Conn, method string, _ json.RawMessage) (any, error) {
-	return nil, connector.Errorf(messenger.CodeBadRequest, "unknown method %s", method)
-}
