attender, guardian: ends are reported at once, measurements by the owner's budget

Cause: the owner asks for a longest interval between reports so that all agents together send a thousand a second. It applied to ends as well, so the end of a step, and each failure, was known up to a quarter of a second late, out of an objective of 0.25 s. The limit of the interval, 0.25 s, also broke the thousand from 250 VMs on.

Change: the guardian tells news, which the owner acts on, from measurements. News is sent 20 ms after the last report at the latest, whatever interval is asked for: its rate follows from the work that ends, not from the number of agents. The interval is that of reports without news, up to 0.6 s, and is the longest pause between two reports, too; the agent sends one measurement each interval and no more.

TestEndIsReportedAtOnceWhateverInterval fails without it (0.6 s); TestPollRateWhileEndIsNotStored counts both kinds of wakes now.

--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -197,17 +197,19 @@
 	return n
 }
 
-// Limits of the interval between an agent's reports. With an unlimited rate, an owner on a
-// small entry VM did nothing but read reports, and urgent tasks waited seconds for a start that
-// takes a millisecond to decide. The interval limits all agents together to a thousand reports
-// a second; most agents have fewer changes to report.
+// Limits of the interval between an agent's reports without news. With an unlimited rate, an owner
+// on a small entry VM did nothing but read measurements, and urgent tasks waited seconds for a
+// start that takes a millisecond to decide. News is reported at once: it comes with the work that
+// ends, and steps and retries wait for it.
 const (
 	reportIntervalPerVM = time.Millisecond
 	minReportInterval   = 20 * time.Millisecond
-	maxReportInterval   = 250 * time.Millisecond
+	// maxReportInterval lets one report be lost before the VM is detached, and paces react well
+	// within the seconds for which a long-running task may be over its target.
+	maxReportInterval = 600 * time.Millisecond
 )
 
-// reportInterval returns the interval between reports that is requested from agents.
+// reportInterval returns the interval between reports without news that is requested from agents.
 func (o *owner) reportInterval() time.Duration {
 	return min(max(time.Duration(len(o.sessions))*reportIntervalPerVM, minReportInterval), maxReportInterval)
 }
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -110,7 +110,7 @@
 	GrantMillis   int64 `json:"grant-ms"`
 	EndsStored    int64 `json:"ends-stored"`              // the worker may discard ends up to this number
 	CrashesStored int64 `json:"crashes-stored,omitempty"` // the agent may discard crashes up to this number
-	GapMillis     int64 `json:"gap-ms"`                   // minimum time between reports
+	GapMillis     int64 `json:"gap-ms"`                   // minimum time between reports without news
 	// Needs are the needs of the listed runs, in the answer to the first report of a
 	// session: a restarted agent does not have them.
 	Needs []WorkRun `json:"needs,omitempty"`
--- a/internal/worker/attender/attender.go
+++ b/internal/worker/attender/attender.go
@@ -24,8 +24,8 @@
 	// maxReportInterval is the longest pause between reports. The owner detaches a VM after
 	// 1.5 s without a report.
 	maxReportInterval = 400 * time.Millisecond
-	// minReportInterval is the shortest pause between reports, unless the owner asks for a
-	// longer one, so that ends that occur together share a report.
+	// minReportInterval is the shortest time between reports, so that ends that occur together
+	// share a report.
 	minReportInterval = 20 * time.Millisecond
 	reportTimeout     = time.Second // for a reply; a connection that no longer responds is detected only by this
 	// dialTimeout is long compared with the round trip to the farthest peer, about 30 ms. A
@@ -140,20 +140,24 @@
 	return nil
 }
 
-// wait returns when the next report is due.
+// wait returns when the next report is due. News is due at once, whatever interval the owner asks
+// for: its rate depends on the work that ends, and not on the number of agents.
 func (a *Attender) wait(ctx context.Context, conn *connector.Conn) error {
-	timer := time.NewTimer(maxReportInterval)
+	if err := pauser.Pause(ctx, minReportInterval); err != nil {
+		return err
+	}
+	timer := time.NewTimer(max(maxReportInterval, a.config.Guardian.RequestedReportInterval()) - minReportInterval)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-conn.Done():
 		return fmt.Errorf("connection to owner %s ended", conn.Remote())
+	case <-a.config.Guardian.News():
 	case <-a.config.Guardian.Wake():
-		return pauser.Pause(ctx, max(minReportInterval, a.config.Guardian.RequestedReportInterval()))
 	case <-timer.C:
-		return nil
 	}
+	return nil
 }
 
 // handle answers calls of the owner.
--- a/internal/worker/attender/attender_test.go
+++ b/internal/worker/attender/attender_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"encoding/json"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/store/keeper"
+	"bamboospread/internal/wire/connector"
 	"bamboospread/internal/wire/messenger"
 	"bamboospread/internal/worker/guardian"
 )
@@ -126,3 +129,102 @@
 		t.Errorf("the owner was found after %s, want %s at most", took, retryPause)
 	}
 }
+
+// endingWorker has one run until end is called.
+type endingWorker struct {
+	started time.Time
+	ended   chan struct{}
+}
+
+var endingTask = specifier.TaskID{Job: "00000000000004d2"}
+
+func (w *endingWorker) poll(ctx context.Context, c guardian.PollCall) (guardian.Status, error) {
+	status := guardian.Status{Incarnation: "1"}
+	select {
+	case <-w.ended:
+		if c.EndsSeen == 0 {
+			status.Ends = []guardian.ListedEnd{{Seq: 1, Task: endingTask, Run: 1, Outcome: "done"}}
+		}
+	case <-time.After(c.Wait):
+		status.Runs = []guardian.ListedRun{{Task: endingTask, Run: 1, Measure: time.Since(w.started).Milliseconds()}}
+	case <-ctx.Done():
+		return status, ctx.Err()
+	}
+	status.Clock = time.Since(w.started)
+	return status, nil
+}
+
+// fakeOwner answers reports and asks for an interval between them.
+type fakeOwner struct {
+	interval time.Duration
+	mu       sync.Mutex
+	reports  int
+	endSeen  time.Time
+}
+
+func (o *fakeOwner) handle(_ context.Context, _ *connector.Conn, _ string, params json.RawMessage) (any, error) {
+	r, err := connector.Decode[messenger.WorkReport](params)
+	if err != nil {
+		return nil, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.reports++
+	reply := messenger.WorkReply{Epoch: 1, GrantMillis: testLimit.Milliseconds(), GapMillis: o.interval.Milliseconds()}
+	if len(r.Ends) > 0 {
+		reply.EndsStored = 1
+		if o.endSeen.IsZero() {
+			o.endSeen = time.Now()
+		}
+	}
+	return reply, nil
+}
+
+func (o *fakeOwner) state() (reports int, endSeen time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.reports, o.endSeen
+}
+
+// Guards against steps and retries that start late on a large fleet: its owner asks for long
+// intervals between reports, and the end of a run waited for the next report.
+func TestEndIsReportedAtOnceWhateverInterval(t *testing.T) {
+	owner := &fakeOwner{interval: 600 * time.Millisecond}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- connector.Serve(ctx, l, owner.handle, nil) }()
+	t.Cleanup(func() { cancel(); <-served })
+	worker := &endingWorker{started: time.Now(), ended: make(chan struct{})}
+	g := guardian.New(guardian.Config{VM: "vm-1", Worker: guardian.Worker{Poll: worker.poll}, LeaseMax: testLimit, StopTime: time.Second, Reporter: reporter.Discard(), Now: time.Now})
+	polled := make(chan error, 1)
+	go func() { polled <- g.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-polled })
+	g.Announce(guardian.Announcement{Incarnation: "1", Zone: "z"})
+	s := &vacantStore{published: make(chan struct{})}
+	s.publish(t, messenger.CellOwner{Cell: "c", Epoch: 1, EntryID: "e", Address: l.Addr().String()})
+	start(t, Config{Guardian: g, FindRecords: s.find, Watch: s.watch})
+	time.Sleep(time.Second) // until the session is open and the agent has reported its grant
+	before, _ := owner.state()
+	const quiet = 3 * time.Second
+	time.Sleep(quiet)
+	if after, _ := owner.state(); after-before > int(quiet/owner.interval)+1 {
+		t.Errorf("%d reports without news in %s, want one in %s", after-before, quiet, owner.interval)
+	}
+	endedAt := time.Now()
+	close(worker.ended)
+	for deadline := time.Now().Add(testLimit); ; time.Sleep(time.Millisecond) {
+		if _, seen := owner.state(); !seen.IsZero() {
+			if took := seen.Sub(endedAt); took > owner.interval/4 {
+				t.Errorf("the end was reported after %s", took)
+			}
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the end was not reported")
+		}
+	}
+}
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -60,7 +60,8 @@
 // Guardian manages one worker. It is safe for concurrent use.
 type Guardian struct {
 	config Config
-	wake   chan struct{} // signalled when there is something new to report
+	news   chan struct{} // signalled when there is something that the owner acts on
+	wake   chan struct{} // signalled when the owner's measurements of runs are old
 
 	mu                      sync.Mutex
 	vmInfo                  *messenger.WorkVMInfo
@@ -77,7 +78,7 @@
 	grantUntil              time.Time             // the owner has granted lease time until then
 	vmInfoAcked             *messenger.WorkVMInfo // acknowledged in this session by the reply to a report
 	vmInfoSent              *messenger.WorkVMInfo // in the latest report
-	requestedReportInterval time.Duration         // minimum time between reports that the owner asks for
+	requestedReportInterval time.Duration         // minimum time between reports without news that the owner asks for
 	reportedAt              time.Time             // when the last report was made
 	repliedAt               time.Time             // when the last report that got a reply was sent
 	clock                   time.Duration         // the worker's clock in its latest answer to a poll
@@ -101,7 +102,7 @@
 func New(c Config) *Guardian {
 	now := c.Now()
 	return &Guardian{
-		config: c, wake: make(chan struct{}, 1), runs: make(map[tracker.RunKey]*run), unconfirmedStarts: make(map[tracker.RunKey]unconfirmedStart), runCtx: context.Background(),
+		config: c, news: make(chan struct{}, 1), wake: make(chan struct{}, 1), runs: make(map[tracker.RunKey]*run), unconfirmedStarts: make(map[tracker.RunKey]unconfirmedStart), runCtx: context.Background(),
 		session: now.UnixMilli(), process: now.UnixMilli(),
 		// An earlier process may have requested the longest lease just before it ended.
 		// Without this, a single unanswered poll before the first lease of this process would
@@ -110,12 +111,18 @@
 	}
 }
 
-// Wake is signalled when there is something new to report.
+// News is signalled when there is something to report that the owner acts on at once, such as
+// the end of a run: the next step of its job waits for it.
+func (g *Guardian) News() <-chan struct{} { return g.news }
+
+// Wake is signalled when the owner's measurements of runs are old and there is no other news.
 func (g *Guardian) Wake() <-chan struct{} { return g.wake }
 
-func (g *Guardian) signal() {
+func (g *Guardian) signal() { notify(g.news) }
+
+func notify(c chan<- struct{}) {
 	select {
-	case g.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -254,7 +261,8 @@
 	return g.session
 }
 
-// RequestedReportInterval returns the minimum time between reports that the owner asks for.
+// RequestedReportInterval returns the minimum time between reports without news that the owner
+// asks for.
 func (g *Guardian) RequestedReportInterval() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/worker/guardian/poll.go
+++ b/internal/worker/guardian/poll.go
@@ -29,9 +29,6 @@
 	// without other news triggers a report. Pacing uses them; each is a mean over half a
 	// second.
 	metricsMaxAge = 240 * time.Millisecond
-	// metricsMaxAgeIntervals is the same limit as a multiple of the report interval that the owner
-	// asks for.
-	metricsMaxAgeIntervals = 6
 	// failedPollsToUnresponsive is how many polls in a row must fail before the worker counts
 	// as unresponsive and gets no new starts. A single poll may be delayed.
 	failedPollsToUnresponsive = 2
@@ -266,8 +263,11 @@
 	}
 	news = g.addEndsLocked(status.Ends) || news
 	news = g.dropLostRunsLocked(listed, status.Clock, from) || news
-	if news || len(status.Runs) > 0 && g.config.Now().Sub(g.reportedAt) >= max(metricsMaxAge, metricsMaxAgeIntervals*g.requestedReportInterval) {
+	switch {
+	case news:
 		g.signal()
+	case len(status.Runs) > 0 && g.config.Now().Sub(g.reportedAt) >= max(metricsMaxAge, g.requestedReportInterval):
+		notify(g.wake)
 	}
 	return news
 }
--- a/internal/worker/guardian/poll_rate_test.go
+++ b/internal/worker/guardian/poll_rate_test.go
@@ -33,6 +33,9 @@
 	before, from := polls(), time.Now()
 	for time.Since(from) < span {
 		select {
+		case <-e.g.News():
+			wakes++
+			e.report()
 		case <-e.g.Wake():
 			wakes++
 			e.report()
