scheduler: each agent is told of eight entries, and only when they change

Seen: each agent got the list of all entries, 9 KB at 184, whenever one came or went, and each hello, one a second from each entry, was answered by it; the owner sorted the list for each report. After a change of owner the list grows hello by hello, so each agent got several lists.

Cause: entries times agents, in bytes and in time.

Change: an agent is told of eight entries, chosen by rendezvous hashing: an entry that comes or goes changes only the lists that it is in, and the queries of all agents spread over all entries. Lists are compared only when an entry has come or gone. Hellos are answered without a list, which no entry used. The restorer of a connection is removed with it; before, each new connection of an agent looked at those of all others.

--- a/internal/job/scheduler/peers.go
+++ b/internal/job/scheduler/peers.go
@@ -1,22 +1,30 @@
 package scheduler
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bamboospread/internal/wire/messenger"
 )
 
 // peerTTL is how long an entry stays listed after its last hello. Hellos are sent every second;
 // some may be lost.
-const peerTTL = 10 * time.Second
+const (
+	peerTTL       = 10 * time.Second
+	pruneInterval = time.Second
+)
 
 // peers holds the entries with recent contact. Agents use them if they lose the owner while the
 // store is unavailable.
 type peers struct {
 	now      func() time.Time
 	mu       sync.Mutex
+	version  int64 // changes with each entry that comes or goes
+	prunedAt time.Time
 	lastSeen map[messenger.PeerAddress]time.Time
 	outside  map[messenger.PeerAddress]time.Time // last hello of an entry that does not take part in admission
 }
@@ -28,21 +36,62 @@
 func (p *peers) add(a messenger.PeerAddress) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastSeen[a] = p.now()
+	now := p.now()
+	if _, known := p.lastSeen[a]; !known {
+		p.version++
+	}
+	p.lastSeen[a] = now
+	if now.Sub(p.prunedAt) >= pruneInterval {
+		p.pruneLocked(now)
+	}
 }
 
-func (p *peers) list() []messenger.PeerAddress {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var all []messenger.PeerAddress
+// pruneLocked removes the entries without recent contact.
+func (p *peers) pruneLocked(now time.Time) {
+	p.prunedAt = now
 	for a, at := range p.lastSeen {
-		if p.now().Sub(at) > peerTTL {
+		if now.Sub(at) > peerTTL {
 			delete(p.lastSeen, a)
-			continue
+			p.version++
 		}
-		all = append(all, a)
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].EntryID < all[j].EntryID })
+}
+
+// currentVersion returns a number that changes with each entry that comes or goes.
+func (p *peers) currentVersion() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.version
+}
+
+// maxNamedEntries is how many entries an agent is told of. One of them that is up and knows the
+// owner suffices.
+const maxNamedEntries = 8
+
+// choose returns the entries with recent contact that an agent is told of, sorted by id. Each agent
+// gets others, so that the queries of all agents spread over the entries, and an entry that comes
+// or goes changes only the lists that it is in (rendezvous hashing).
+func (p *peers) choose(agent string) []messenger.PeerAddress {
+	type ranked struct {
+		rank  uint64
+		entry messenger.PeerAddress
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best []ranked // by descending rank
+	for a := range p.lastSeen {
+		r := ranked{xxhash.Sum64String(agent + "/" + a.EntryID), a}
+		i, _ := slices.BinarySearchFunc(best, r, func(x, y ranked) int { return cmp.Compare(y.rank, x.rank) })
+		if i < maxNamedEntries {
+			best = slices.Insert(best, i, r)
+			best = best[:min(len(best), maxNamedEntries)]
+		}
+	}
+	var all []messenger.PeerAddress
+	for _, r := range best {
+		all = append(all, r.entry)
+	}
+	slices.SortFunc(all, func(a, b messenger.PeerAddress) int { return cmp.Compare(a.EntryID, b.EntryID) })
 	return all
 }
 
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -278,7 +278,7 @@
 }
 
 func (s *Scheduler) ownerInfo() messenger.WorkOwner {
-	w := messenger.WorkOwner{Entries: s.peers.list()}
+	w := messenger.WorkOwner{}
 	if known, ok := s.elector.LastSeenOwner(); ok {
 		w.Owner = known
 	}
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -33,9 +33,11 @@
 
 	reporter *reporter.Reporter
 
-	queued        []messenger.WorkOrder // accessed by the loop only, as are the next two
+	queued        []messenger.WorkOrder // accessed by the loop only, as are the next three
 	sentEndStored int64
 	sentEntries   []messenger.PeerAddress
+	// entriesVersion is the version of the entries that sentEntries was chosen from.
+	entriesVersion int64
 
 	mu      sync.Mutex
 	outbox  []messenger.WorkOrders
@@ -54,7 +56,7 @@
 
 // report handles an agent's report and replies once it is applied.
 func (o *owner) report(ctx context.Context, c *connector.Conn, r messenger.WorkReport) (messenger.WorkReply, error) {
-	r, err := o.restore(c, r)
+	r, err := o.restore(ctx, c, r)
 	if err != nil {
 		o.s.config.Reporter.Report(reporter.MessageMalformed, reporter.Fields{"vm": r.VM, "error": err.Error()})
 		return messenger.WorkReply{}, connector.Errorf(messenger.CodeBadRequest, "report of %s: %v", r.VM, err)
@@ -82,24 +84,24 @@
 }
 
 // restore expands an abridged report. Reports of a connection arrive one at a time.
-func (o *owner) restore(c *connector.Conn, r messenger.WorkReport) (messenger.WorkReport, error) {
-	return o.restorerOf(c).Restore(r)
+func (o *owner) restore(ctx context.Context, c *connector.Conn, r messenger.WorkReport) (messenger.WorkReport, error) {
+	return o.restorerOf(ctx, c).Restore(r)
 }
 
-func (o *owner) restorerOf(c *connector.Conn) *abridger.Restorer {
+// restorerOf returns the restorer of a connection, which is kept until ctx, the context of the
+// connection, ends.
+func (o *owner) restorerOf(ctx context.Context, c *connector.Conn) *abridger.Restorer {
 	o.restorersMu.Lock()
 	defer o.restorersMu.Unlock()
 	if known := o.restorers[c]; known != nil {
 		return known
 	}
-	for other := range o.restorers {
-		select {
-		case <-other.Done():
-			delete(o.restorers, other)
-		default:
-		}
-	}
 	o.restorers[c] = abridger.NewRestorer()
+	context.AfterFunc(ctx, func() {
+		o.restorersMu.Lock()
+		defer o.restorersMu.Unlock()
+		delete(o.restorers, c)
+	})
 	return o.restorers[c]
 }
 
@@ -147,14 +149,27 @@
 	default:
 		o.joining[s.vm.Name] = true
 	}
-	if entries := o.s.peers.list(); !slices.Equal(entries, s.sentEntries) {
-		reply.Entries, s.sentEntries = entries, entries
-	}
+	reply.Entries = o.newEntries(s)
 	reply.CrashesStored = s.vm.CrashStored
 	reply.EndsStored, s.sentEndStored = s.vm.EndStored, s.vm.EndStored
 	e.answer <- reply
 }
 
+// newEntries returns the entries that an agent is told of if they have changed, otherwise nil.
+func (o *owner) newEntries(s *session) []messenger.PeerAddress {
+	version := o.s.peers.currentVersion()
+	if version == s.entriesVersion {
+		return nil
+	}
+	s.entriesVersion = version
+	entries := o.s.peers.choose(s.vm.Name)
+	if slices.Equal(entries, s.sentEntries) {
+		return nil
+	}
+	s.sentEntries = entries
+	return entries
+}
+
 // maxEndedProcesses is how many earlier processes of an agent are remembered.
 const maxEndedProcesses = 8
 
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -116,7 +116,7 @@
 	Needs []WorkRun `json:"needs,omitempty"`
 	// Unconfirmed starts of earlier processes of the agent, in the same answer.
 	UnconfirmedStarts []WorkUnconfirmedStart `json:"doubts,omitempty"`
-	Entries           []PeerAddress          `json:"entries,omitempty"` // to query for the owner when this one is lost
+	Entries           []PeerAddress          `json:"entries,omitempty"` // some that the agent may query for the owner when this one is lost
 }
 
 // WorkOrderKind is the action of an order.
