elector, forwarder: an entry goes by whether the owner answers it

Entries that the store turned away did not learn of a new owner at all, and refused their callers. They also repeated each refused call ten times a second.

Cause: calls grow with entries times time; the owner was known through the store only.

Change: while the owner answers the hello of an entry, once a second, the watch of its record waits for 10 s: a deletion is still seen at once. When a hello is not answered, the record is read at once, and an entry that does not reach the store asks some of the entries that the owner has named. While the owner answers, a refused read is repeated after a second.

--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,7 +23,15 @@
 	retryInterval = 100 * time.Millisecond
 	// watchWait limits how long a watch that gets no reply, or no changes any more, can
 	// delay the detection that the owner's record was deleted.
-	watchWait           = 900 * time.Millisecond
+	watchWait = 900 * time.Millisecond
+	// contactWatchWait is the wait while the owner answers this process. Deletions are still seen at
+	// once, and an owner that stops answering ends the watch. Without it, the calls of all entries
+	// that wait for nothing grow with their number and are most of what the store serves.
+	contactWatchWait = 10 * time.Second
+	// contactRetryInterval follows a failed read while the owner answers this process.
+	contactRetryInterval = time.Second
+	// contactMaxAge is how long an answer of the owner counts. Entries call it once a second.
+	contactMaxAge       = 2 * time.Second
 	renewalsPerLease    = 6
 	overdueLeaseDivisor = 3 // no renewal for a third of the lease counts as a store outage
 	// takeoverCalls is the number of store calls that another process may need to detect
@@ -70,6 +79,10 @@
 	lastSeen    atomic.Pointer[messenger.CellOwner]
 	revision    int64
 	readLatency time.Duration // of the last successful read of the owner's record
+
+	contactMu     sync.Mutex
+	ownerAnswered time.Time          // when the owner last answered this process
+	cancelWatch   context.CancelFunc // ends the watch in progress
 }
 
 // New returns an Elector.
@@ -230,6 +243,16 @@
 	}
 }
 
+// LearnOwner records an owner that another process has named, unless a later one is known.
+func (e *Elector) LearnOwner(o messenger.CellOwner) {
+	for {
+		known := e.lastSeen.Load()
+		if known != nil && known.Epoch >= o.Epoch || e.lastSeen.CompareAndSwap(known, &o) {
+			return
+		}
+	}
+}
+
 // awaitVacancy returns when the owner's record does not exist, or belongs to an earlier
 // incarnation of this process.
 func (e *Elector) awaitVacancy(ctx context.Context) {
@@ -251,11 +274,56 @@
 			err = watchErr
 		}
 		if err != nil {
-			_ = pauser.Pause(ctx, retryInterval)
+			e.pauseAfterFailure(ctx)
 		}
 	}
 }
 
+// RecordContact records whether the owner has answered a call of this process. If it has not, its
+// record is read again at once.
+func (e *Elector) RecordContact(answered bool) {
+	e.contactMu.Lock()
+	defer e.contactMu.Unlock()
+	if answered {
+		e.ownerAnswered = e.config.Now()
+		return
+	}
+	e.ownerAnswered = time.Time{}
+	if e.cancelWatch != nil {
+		e.cancelWatch()
+	}
+}
+
+// inContactLocked reports whether the owner has answered this process lately.
+func (e *Elector) inContactLocked() bool {
+	return !e.ownerAnswered.IsZero() && e.config.Now().Sub(e.ownerAnswered) <= contactMaxAge
+}
+
+// pauseAfterFailure pauses after a failed read of the owner's record.
+func (e *Elector) pauseAfterFailure(ctx context.Context) {
+	e.contactMu.Lock()
+	pause := retryInterval
+	if e.inContactLocked() {
+		pause = contactRetryInterval
+	}
+	e.contactMu.Unlock()
+	_ = pauser.Pause(ctx, pause)
+}
+
+// beginWatch returns the context and the wait of a watch, which ends early if the owner stops
+// answering.
+func (e *Elector) beginWatch(ctx context.Context) (context.Context, context.CancelFunc, time.Duration) {
+	e.contactMu.Lock()
+	defer e.contactMu.Unlock()
+	if !e.inContactLocked() {
+		e.cancelWatch = nil
+		return ctx, func() {}, watchWait
+	}
+	watchCtx, cancel := context.WithCancel(ctx)
+	e.cancelWatch = cancel
+	return watchCtx, cancel, contactWatchWait
+}
+
 // findOwner reads the owner's record, with revision 0 if there is none, and the store's
 // current revision. A watch has to start at the current revision and not at the record's:
 // the store may already have discarded the revision at which a long ownership began.
@@ -276,7 +344,13 @@
 // or returns no changes.
 func (e *Elector) watchUntilDeleted(ctx context.Context, after int64) (deleted bool, err error) {
 	for {
-		seen, err := e.config.Watch(ctx, keeper.WatchOptions{Prefix: e.key(), After: after, Wait: watchWait})
+		watchCtx, cancel, wait := e.beginWatch(ctx)
+		seen, err := e.config.Watch(watchCtx, keeper.WatchOptions{Prefix: e.key(), After: after, Wait: wait})
+		interrupted := watchCtx.Err() != nil
+		cancel()
+		if interrupted {
+			return false, nil // the owner does not answer: its record is read next
+		}
 		if err != nil || len(seen.Changes) == 0 {
 			return false, err
 		}
--- a/internal/job/forwarder/forwarder.go
+++ b/internal/job/forwarder/forwarder.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"bamboospread/internal/job/locator"
 	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/wire/connector"
@@ -22,6 +23,9 @@
 	// only the timeout detects a stalled connection.
 	CallTimeout   = 700 * time.Millisecond
 	helloInterval = time.Second
+	// lostHelloInterval applies while the owner does not answer: an entry that reaches neither the
+	// store nor the owner refuses its callers until it has found the next owner.
+	lostHelloInterval = 300 * time.Millisecond
 )
 
 // Config holds the settings of a Forwarder.
@@ -33,8 +37,15 @@
 	Admission func() *messenger.AdmissionState
 	// UseAdmission takes what the owner of an epoch answered to a hello that was sent at the given time.
 	UseAdmission func(epoch int64, u *messenger.AdmissionUpdate, sentAt time.Time)
-	Now          func() time.Time // for UseAdmission
-	Reporter     *reporter.Reporter
+	// Locator finds the owner while StoreUnreachable, and LearnOwner records it; nil: it is found in
+	// the store only.
+	Locator          *locator.Locator
+	StoreUnreachable func() bool
+	LearnOwner       func(o messenger.CellOwner)
+	// RecordContact, if set, is told after each hello whether the owner has answered it.
+	RecordContact func(answered bool)
+	Now           func() time.Time // for UseAdmission
+	Reporter      *reporter.Reporter
 }
 
 // Forwarder sends calls to the owner. It is safe for concurrent use.
@@ -145,13 +156,38 @@
 // entries.
 func (f *Forwarder) Run(ctx context.Context) error {
 	for {
-		f.reportReachability(f.sayHello(ctx))
-		if err := pauser.Pause(ctx, helloInterval); err != nil {
+		err := f.sayHello(ctx)
+		if err != nil && f.locateOwner(ctx) {
+			err = f.sayHello(ctx)
+		}
+		f.reportReachability(err)
+		if f.config.RecordContact != nil {
+			f.config.RecordContact(err == nil)
+		}
+		interval := helloInterval
+		if err != nil {
+			interval = lostHelloInterval
+		}
+		if err := pauser.Pause(ctx, interval); err != nil {
 			return err
 		}
 	}
 }
 
+// locateOwner asks other entries for the owner if it can't be read from the store, and reports
+// whether they have named one.
+func (f *Forwarder) locateOwner(ctx context.Context) bool {
+	if f.config.Locator == nil || !f.config.StoreUnreachable() {
+		return false
+	}
+	o, err := f.config.Locator.Find(ctx)
+	if err != nil {
+		return false
+	}
+	f.config.LearnOwner(o)
+	return true
+}
+
 // sayHello announces this entry to the owner.
 func (f *Forwarder) sayHello(ctx context.Context) error {
 	var w messenger.WorkOwner
@@ -162,10 +198,14 @@
 	h.Admission = f.config.Admission()
 	sentAt := f.config.Now()
 	err := f.Call(ctx, messenger.MethodWorkHello, h, &w)
-	if err == nil {
-		f.config.UseAdmission(w.Owner.Epoch, w.Admission, sentAt)
+	if err != nil {
+		return err
 	}
-	return err
+	f.config.UseAdmission(w.Owner.Epoch, w.Admission, sentAt)
+	if f.config.Locator != nil {
+		f.config.Locator.Remember(w.Entries)
+	}
+	return nil
 }
 
 // reportReachability logs when the owner is lost and when it is reachable again.
--- a/internal/job/forwarder/forwarder_test.go
+++ b/internal/job/forwarder/forwarder_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"bamboospread/internal/job/locator"
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/wire/connector"
 	"bamboospread/internal/wire/messenger"
@@ -58,3 +59,53 @@
 		t.Errorf("the next call: %v", err)
 	}
 }
+
+// Guards against an entry that refuses its callers until the store serves it again: the store turns
+// its VM away, and the owner that it knows has been replaced meanwhile.
+func TestOwnerIsLocatedWithoutTheStore(t *testing.T) {
+	serve := func(handle connector.Handler) string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		served := make(chan error, 1)
+		go func() { served <- connector.Serve(ctx, l, handle, nil) }()
+		t.Cleanup(func() { cancel(); <-served })
+		return l.Addr().String()
+	}
+	var current atomic.Pointer[messenger.CellOwner]
+	var helloed atomic.Int64
+	next := serve(func(context.Context, *connector.Conn, string, json.RawMessage) (any, error) {
+		helloed.Add(1)
+		return messenger.WorkOwner{}, nil
+	})
+	peer := serve(func(context.Context, *connector.Conn, string, json.RawMessage) (any, error) {
+		return messenger.WorkOwner{Owner: messenger.CellOwner{EntryID: "next", Epoch: 2, Address: next}}, nil
+	})
+	former := serve(func(_ context.Context, _ *connector.Conn, method string, _ json.RawMessage) (any, error) {
+		return nil, connector.Errorf(messenger.CodeNotOwner, "%s: not the owner", method)
+	})
+	current.Store(&messenger.CellOwner{EntryID: "former", Epoch: 1, Address: former})
+	var unreachable atomic.Bool
+	f := New(Config{
+		Self: messenger.PeerAddress{EntryID: "e1"}, Reporter: reporter.Discard(), Now: time.Now,
+		Owner:   func() (messenger.CellOwner, bool) { return *current.Load(), true },
+		Locator: locator.New([]string{peer}), StoreUnreachable: unreachable.Load,
+		LearnOwner: func(o messenger.CellOwner) { current.Store(&o) },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	time.Sleep(2 * lostHelloInterval)
+	if helloed.Load() > 0 {
+		t.Fatal("other entries were asked although the store is reachable")
+	}
+	unreachable.Store(true)
+	for deadline := time.Now().Add(5 * lostHelloInterval); helloed.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the next owner was not found")
+		}
+	}
+}
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -116,6 +116,12 @@
 // Owner returns the last known owner of the cell.
 func (s *Scheduler) Owner() (messenger.CellOwner, bool) { return s.elector.LastSeenOwner() }
 
+// RecordOwnerContact records whether the owner has answered a call of this process.
+func (s *Scheduler) RecordOwnerContact(answered bool) { s.elector.RecordContact(answered) }
+
+// LearnOwner records an owner that another entry has named, unless a later one is known.
+func (s *Scheduler) LearnOwner(o messenger.CellOwner) { s.elector.LearnOwner(o) }
+
 // Owns reports whether this process owns the cell.
 func (s *Scheduler) Owns() bool { return s.owner.Load() != nil }
 
@@ -258,6 +264,7 @@
 		return serveCall(params, func(h messenger.WorkHello) (messenger.WorkOwner, error) {
 			s.peers.addHello(h)
 			w := s.ownerInfo()
+			w.Entries = s.peers.choose(h.EntryID)
 			w.Admission = o.load.admission.update(h.Admission, s.config.Now())
 			return w, nil
 		})
--- a/internal/service/hoster/entry.go
+++ b/internal/service/hoster/entry.go
@@ -13,6 +13,7 @@
 
 	"bamboospread/internal/job/follower"
 	"bamboospread/internal/job/forwarder"
+	"bamboospread/internal/job/locator"
 	"bamboospread/internal/job/receiver"
 	"bamboospread/internal/job/scheduler"
 	"bamboospread/internal/job/specifier"
@@ -75,7 +76,9 @@
 	})
 	admission := receiver.NewAdmission(receiver.AdmissionConfig{Policy: e.follower.Policy, Now: now, Reporter: c.Reporter, Metrics: e.metrics})
 	e.forwarder = forwarder.New(forwarder.Config{
-		Self: self, Owner: e.scheduler.Owner, Handle: e.scheduler.Handle, Admission: admission.State, UseAdmission: admission.Use, Now: now, Reporter: c.Reporter,
+		Self: self, Owner: e.scheduler.Owner, Handle: e.scheduler.Handle, Admission: admission.State, UseAdmission: admission.Use,
+		Locator: locator.New(nil), StoreUnreachable: observed.Unreachable, LearnOwner: e.scheduler.LearnOwner,
+		RecordContact: e.scheduler.RecordOwnerContact, Now: now, Reporter: c.Reporter,
 	})
 	e.receiver = receiver.New(receiver.Config{
 		Store: calls, StoreAge: observed.Age, StoreUnreachable: observed.Unreachable, CallOwner: e.forwarder.Call, HadNoEffect: forwarder.HadNoEffect, NotOwner: forwarder.NotOwner, Admission: admission, Now: now, Reporter: c.Reporter, DefaultAccount: c.Settings.Zone,
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -277,7 +277,9 @@
 // WorkOwner contains the owner of the cell and the other entries as known to an
 // entry.
 type WorkOwner struct {
-	Owner   CellOwner     `json:"owner"` // zero value if unknown
+	Owner CellOwner `json:"owner"` // zero value if unknown
+	// Entries are some that the caller may ask for the owner when it can reach neither this one nor
+	// the store; in the answer to a WorkHello.
 	Entries []PeerAddress `json:"entries,omitempty"`
 	// Admission is set in the answer to a WorkHello if the owner gives tables.
 	Admission *AdmissionUpdate `json:"admission,omitempty"`
