follower, scheduler: an entry without the store takes the policy from the owner

Cause: an entry knew the policy from its own reads of the store only; that others reach the store did not count. It holds only while the entries that are turned away are few.

Change: while the store does not answer it, an entry asks the owner up to which revision of the store it has the operators' records and since when they were certainly the newest, and gets them if one has changed. The entry counts their age from what the owner says; older records never replace newer ones, so a zone that is out stays out. The store is tried once in 0.4 s then. An owner that has lost the store confirms nothing.

The tests of package follower fail without it: the policy gets old, a new entry has none.

--- a/internal/job/follower/follower.go
+++ b/internal/job/follower/follower.go
@@ -1,9 +1,11 @@
-// Package follower watches the operators' records in the store and keeps the policy up to date.
+// Package follower watches the operators' records in the store and keeps the policy up to date. While
+// the store does not answer, it takes the records from the owner of the cell.
 package follower
 
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +13,7 @@
 	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/store/keeper"
+	"bamboospread/internal/wire/messenger"
 )
 
 // Watch and retry durations.
@@ -22,6 +25,10 @@
 	// maxListLag is how long lists may be behind the newest known revision. After it the store
 	// is assumed to have lost its state and to have restarted its revisions.
 	maxListLag = 5 * time.Second
+	// askInterval is the minimum time between requests to the owner while the store does not answer.
+	// While the owner confirms the policy, the store is tried as often: the calls that it refuses
+	// would otherwise grow with the VMs that it turns away.
+	askInterval = 400 * time.Millisecond
 )
 
 // Config holds the settings of a Follower.
@@ -30,7 +37,10 @@
 	Prefix string // of the operators' records
 	// Decode decodes all records below the prefix. If it returns an error for an unreadable
 	// text, the policy still holds the zones that are out.
-	Decode   func(records map[string][]byte) (*specifier.Policy, error)
+	Decode func(records map[string][]byte) (*specifier.Policy, error)
+	// AskOwner asks the owner of the cell for the records while the store does not answer this
+	// process: the store may refuse some VMs and serve others. nil: it is not asked.
+	AskOwner func(ctx context.Context, q messenger.WorkPolicyRequest) (messenger.WorkPolicyReply, error)
 	Now      func() time.Time
 	Reporter *reporter.Reporter
 }
@@ -39,14 +49,24 @@
 type Follower struct {
 	config         Config
 	policy         atomic.Pointer[specifier.Policy]
-	contact        atomic.Pointer[time.Time] // when the last answered read was sent
+	contact        atomic.Pointer[time.Time] // when the policy was last certainly the newest
+	known          atomic.Pointer[snapshot]
 	records        map[string][]byte
+	changedAt      int64     // no record has changed after this revision, up to after
+	askedAt        time.Time // when the owner was last asked
 	after          int64     // 0: list first
 	newestRevision int64     // highest revision seen
 	lagSince       time.Time // when lists first were behind newestRevision; zero: they are not
 	lost           bool
 }
 
+// snapshot is what the follower passes on to other processes. Its records are not changed any more.
+type snapshot struct {
+	records   map[string][]byte
+	revision  int64 // of the store, up to which the records are complete
+	changedAt int64
+}
+
 // New returns a Follower without a policy.
 func New(c Config) *Follower { return &Follower{config: c} }
 
@@ -77,17 +97,72 @@
 		changed, err := f.step(ctx)
 		f.reportReachability(err)
 		if err != nil {
-			_ = pauser.Pause(ctx, retryDelay)
+			pause := retryDelay
+			if f.askOwner(ctx) {
+				pause = askInterval
+			}
+			_ = pauser.Pause(ctx, pause)
 			continue
 		}
-		f.contact.Store(&sentAt)
-		if changed {
-			f.publish(sentAt)
-		}
+		f.confirm(sentAt, changed)
 	}
 	return ctx.Err()
 }
 
+// confirm records that the records were certainly the newest at the given time.
+func (f *Follower) confirm(at time.Time, changed bool) {
+	f.contact.Store(&at)
+	f.known.Store(&snapshot{records: f.records, revision: f.after, changedAt: f.changedAt})
+	if changed {
+		f.publish(at)
+	}
+}
+
+// askOwner takes the records from the owner, which may reach the store while this process does not,
+// and reports whether it has confirmed them. Without it, a third of the entries refuse their callers
+// if the store refuses a third of the VMs.
+func (f *Follower) askOwner(ctx context.Context) (confirmed bool) {
+	now := f.config.Now()
+	if f.config.AskOwner == nil || now.Sub(f.askedAt) < askInterval {
+		return false
+	}
+	f.askedAt = now
+	a, err := f.config.AskOwner(ctx, messenger.WorkPolicyRequest{After: f.after})
+	at := now.Add(-time.Duration(a.AgeMillis) * time.Millisecond)
+	if known := f.contact.Load(); err != nil || a.Revision == 0 || a.Revision < f.after || known != nil && !at.After(*known) {
+		return false
+	}
+	if a.Changed {
+		f.records = make(map[string][]byte, len(a.Records))
+		for _, r := range a.Records {
+			f.records[r.Key] = r.Value
+		}
+		f.changedAt = a.Revision
+	}
+	f.after, f.newestRevision = a.Revision, max(f.newestRevision, a.Revision)
+	f.confirm(at, a.Changed)
+	f.config.Reporter.Report(reporter.PolicyConfirmed, reporter.Fields{"revision": a.Revision, "changed": a.Changed, "age": f.Age().String()})
+	return true
+}
+
+// Records answers the request of an entry that cannot reach the store. The reply of a follower that
+// has read nothing yet is empty and as old as can be.
+func (f *Follower) Records(q messenger.WorkPolicyRequest) messenger.WorkPolicyReply {
+	age := f.Age() // before the records are read: they may be newer, but not older
+	known := f.known.Load()
+	if known == nil {
+		return messenger.WorkPolicyReply{AgeMillis: age.Milliseconds()}
+	}
+	a := messenger.WorkPolicyReply{Revision: known.revision, AgeMillis: age.Milliseconds(), Changed: q.After < known.changedAt}
+	if !a.Changed {
+		return a
+	}
+	for key, value := range known.records {
+		a.Records = append(a.Records, messenger.PolicyRecord{Key: key, Value: value})
+	}
+	return a
+}
+
 // step lists or watches once and reports whether a record may have changed.
 func (f *Follower) step(ctx context.Context) (bool, error) {
 	if f.after == 0 {
@@ -109,6 +184,10 @@
 	}
 	f.after = max(f.after, result.Revision)
 	f.newestRevision = max(f.newestRevision, f.after)
+	if len(result.Changes) == 0 {
+		return false, nil
+	}
+	f.records, f.changedAt = maps.Clone(f.records), f.after
 	for _, c := range result.Changes {
 		if c.Deleted {
 			delete(f.records, c.Record.Key)
@@ -116,7 +195,7 @@
 			f.records[c.Record.Key] = c.Record.Value
 		}
 	}
-	return len(result.Changes) > 0, nil
+	return true, nil
 }
 
 func (f *Follower) list(ctx context.Context) error {
@@ -137,7 +216,7 @@
 			records[r.Key], after = r.Value, r.Key
 		}
 		if !page.More || len(page.Records) == 0 {
-			f.records, f.after, f.newestRevision = records, first, first
+			f.records, f.after, f.newestRevision, f.changedAt = records, first, first, first
 			return nil
 		}
 	}
--- a/internal/job/follower/follower_test.go
+++ b/internal/job/follower/follower_test.go
@@ -11,6 +11,7 @@
 	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/store/keeper"
+	"bamboospread/internal/wire/messenger"
 )
 
 const testLimit = 5 * time.Second
@@ -89,7 +90,19 @@
 
 func startFollower(t *testing.T, f *fakeStore) *Follower {
 	t.Helper()
-	w := New(Config{Store: keeper.Calls{FindRecords: f.find, Watch: f.watch}, Prefix: "op/", Decode: decode, Now: time.Now, Reporter: reporter.Discard()})
+	return startFollowerOf(t, f, nil)
+}
+
+// startFollowerOf starts a follower that asks owner while the store does not answer.
+func startFollowerOf(t *testing.T, f *fakeStore, owner *Follower) *Follower {
+	t.Helper()
+	c := Config{Store: keeper.Calls{FindRecords: f.find, Watch: f.watch}, Prefix: "op/", Decode: decode, Now: time.Now, Reporter: reporter.Discard()}
+	if owner != nil {
+		c.AskOwner = func(_ context.Context, q messenger.WorkPolicyRequest) (messenger.WorkPolicyReply, error) {
+			return owner.Records(q), nil
+		}
+	}
+	w := New(c)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- w.Run(ctx) }()
@@ -211,3 +224,61 @@
 		t.Errorf("change %t after the store reset, error %v", changed, err)
 	}
 }
+
+// Guards against callers that are refused, with "configuration may be old", by the entries on VMs
+// that the store turns away while it serves the owner's.
+func TestOwnerConfirmsPolicyWhileStoreRefuses(t *testing.T) {
+	served := &fakeStore{value: "5", revision: 1}
+	owner := startFollower(t, served)
+	await(t, "version 5 at the owner", func() bool { return owner.Policy().Version == 5 })
+	refused := &fakeStore{value: "5", revision: 1}
+	w := startFollowerOf(t, refused, owner)
+	await(t, "version 5", func() bool { return w.Policy().Version == 5 })
+	refused.set(func() { refused.down = true })
+	for until := time.Now().Add(3 * askInterval); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if age := w.Age(); age > 2*askInterval {
+			t.Fatalf("the policy is %s old", age)
+		}
+	}
+	served.set(func() { served.value, served.zoneOut = "6", true })
+	await(t, "version 6 with a zone out", func() bool { return w.Policy().Version == 6 && w.Policy().ZonesOut["a"] })
+	served.set(func() { served.zoneOut = false })
+	await(t, "the zone back", func() bool { return !w.Policy().ZonesOut["a"] })
+}
+
+// Guards against an entry that starts while the store turns its VM away and serves no caller until it
+// does not any more.
+func TestOwnerSendsPolicyToEntryThatNeverReachedTheStore(t *testing.T) {
+	owner := startFollower(t, &fakeStore{value: "5", revision: 9})
+	await(t, "version 5 at the owner", func() bool { return owner.Policy().Version == 5 })
+	w := startFollowerOf(t, &fakeStore{down: true}, owner)
+	await(t, "version 5", func() bool { return w.Policy().Version == 5 })
+}
+
+// Guards against a zone that is out and comes back in: an owner whose records are older than those of
+// the entry must not replace them, nor make them look fresh.
+func TestOlderRecordsOfTheOwnerAreIgnored(t *testing.T) {
+	owner := startFollower(t, &fakeStore{value: "5", revision: 3})
+	await(t, "version 5 at the owner", func() bool { return owner.Policy().Version == 5 })
+	f := &fakeStore{value: "5", revision: 7, zoneOut: true}
+	w := startFollowerOf(t, f, owner)
+	await(t, "zone out", func() bool { return w.Policy().ZonesOut["a"] })
+	f.set(func() { f.down = true })
+	await(t, "an old policy", func() bool { return w.Age() > 3*askInterval })
+	if !w.Policy().ZonesOut["a"] {
+		t.Error("the zone is no longer out")
+	}
+}
+
+// Guards against an owner that has lost the store itself and still confirms the policy.
+func TestOwnerWithoutStoreConfirmsNothing(t *testing.T) {
+	served := &fakeStore{value: "5", revision: 1}
+	owner := startFollower(t, served)
+	await(t, "version 5 at the owner", func() bool { return owner.Policy().Version == 5 })
+	served.set(func() { served.down = true })
+	f := &fakeStore{value: "5", revision: 1}
+	w := startFollowerOf(t, f, owner)
+	await(t, "version 5", func() bool { return w.Policy().Version == 5 })
+	f.set(func() { f.down = true })
+	await(t, "an old policy", func() bool { return w.Age() > 3*askInterval })
+}
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -75,6 +75,9 @@
 	// PolicyAge returns the time since the policy was last confirmed to be the newest; nil if
 	// it always is.
 	PolicyAge func() time.Duration
+	// PolicyRecords returns the operators' records for an entry that cannot reach the store;
+	// nil: they are not passed on.
+	PolicyRecords func(q messenger.WorkPolicyRequest) messenger.WorkPolicyReply
 	// Advise asks the advising service which workers may run a step and returns a ticket for
 	// each that may; nil without such a service.
 	Advise func(ctx context.Context, step string, workers []string) (map[string]string, error)
@@ -248,6 +251,8 @@
 		return serveCall(params, func(q messenger.WorkStoreRequest) (messenger.WorkStoreReply, error) {
 			return s.config.StoreForEntry(ctx, q), nil
 		})
+	case messenger.MethodWorkPolicy:
+		return serveCall(params, s.policyRecords)
 	case messenger.MethodWorkState:
 		return serveCall(params, func(r messenger.WorkStateRequest) (messenger.WorkStateReply, error) { return o.jobState(ctx, r) })
 	case messenger.MethodWorkPending:
@@ -272,6 +277,13 @@
 	return nil, connector.Errorf(messenger.CodeBadRequest, "unknown method %s", method)
 }
 
+func (s *Scheduler) policyRecords(q messenger.WorkPolicyRequest) (messenger.WorkPolicyReply, error) {
+	if s.config.PolicyRecords == nil {
+		return messenger.WorkPolicyReply{}, connector.Errorf(messenger.CodeBadRequest, "entry %s passes on no records of the operators", s.config.EntryID)
+	}
+	return s.config.PolicyRecords(q), nil
+}
+
 func serveCall[Q, A any](params json.RawMessage, do func(Q) (A, error)) (any, error) {
 	q, err := connector.Decode[Q](params)
 	if err != nil {
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -42,6 +42,9 @@
 	StartsHeld
 	JobTaskSuspected
 	JobTaskCleared
+	PolicyConfirmed
+	OwnerBehind
+	StoreCallsRelayed
 )
 
 // Events of jobs at agents, numbered from 950.
@@ -107,6 +110,9 @@
 	{JobTaskSuspected, log.WarnLevel, "task suspected", "A worker crashed while a run of the task was there. The field likely counts the likely causes: runs that had started within the second before, or repeat a crash. With sole=true the task was the only one; it is false with one likely cause if workers of several VMs crashed together, or if no connection broke, so that the time of the crash is not known. From its second crash on it starts apart from others, and its job fails after three crashes if it was the sole cause of the last and its runs had the same age at each, otherwise after four or five."},
 	{JobTaskCleared, log.InfoLevel, "task cleared", "A run of a suspected task has outlived the time after which a worker crashed; the crashes do not count any more."},
 	{StartsHeld, log.WarnLevel, "starts held", "The policy was read too long ago to start tasks by it: an availability zone may have been taken out since. With held=false, starts have resumed."},
+	{PolicyConfirmed, log.InfoLevel, "policy confirmed by the owner", "The store does not answer this entry; the owner of the cell, which reaches it, has the same policy or has sent a newer one."},
+	{OwnerBehind, log.WarnLevel, "owner falls behind", "A decision of the owner takes so long that it is made less often than planned: the VM of the owner is too small for the fleet. The fields say which decision, how long it takes and its interval. With behind=false it is made as often as planned again."},
+	{StoreCallsRelayed, log.WarnLevel, "store calls relayed", "The store refuses this owner's VM and serves other entries: the owner keeps the cell and makes its calls by way of one of them. With relayed=false the store answers it directly again."},
 
 	{WorkerAnnounced, log.InfoLevel, "worker announced itself", "The worker of this VM reported its state."},
 	{WorkerRestarted, log.WarnLevel, "worker restarted", "The worker restarted as a new incarnation and has lost its state; its runs are lost."},
--- a/internal/service/hoster/entry.go
+++ b/internal/service/hoster/entry.go
@@ -58,6 +58,10 @@
 	calls := observed.Observe(e.store.Calls())
 	e.follower = follower.New(follower.Config{
 		Store: calls, Prefix: platform.OperatorPrefix, Decode: c.decodePolicy, Now: now, Reporter: c.Reporter,
+		AskOwner: func(ctx context.Context, q messenger.WorkPolicyRequest) (a messenger.WorkPolicyReply, err error) {
+			err = e.forwarder.Call(ctx, messenger.MethodWorkPolicy, q, &a)
+			return a, err
+		},
 	})
 	self := messenger.PeerAddress{EntryID: c.Settings.Name, Address: rpcAddress(c.Settings)}
 	var advise func(context.Context, string, []string) (map[string]string, error)
@@ -65,7 +69,7 @@
 		advise = platform.NewAdvisor(c.Settings.AdviceAddress).Advise
 	}
 	e.scheduler = scheduler.New(scheduler.Config{
-		Cell: cell, EntryID: self.EntryID, Address: self.Address, Store: calls, Policy: e.follower.Policy, PolicyAge: e.follower.Age,
+		Cell: cell, EntryID: self.EntryID, Address: self.Address, Store: calls, Policy: e.follower.Policy, PolicyAge: e.follower.Age, PolicyRecords: e.follower.Records,
 		Advise: advise,
 		StoreForEntry: func(ctx context.Context, q messenger.WorkStoreRequest) messenger.WorkStoreReply {
 			return e.receiver.StoreForEntry(ctx, q)
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -20,9 +20,10 @@
 	// MethodWorkExplainQueue is from entry to owner: WorkQueueRequest, WorkQueueReply.
 	MethodWorkExplainQueue = "work/explain-queue"
 
-	MethodWorkOwner = "work/owner" // agent to entry: Empty, WorkOwner
-	MethodWorkStore = "work/store" // entry to owner: WorkStoreRequest, WorkStoreReply
-	MethodWorkHello = "work/hello" // entry to owner: WorkHello, WorkOwner
+	MethodWorkOwner  = "work/owner"  // agent or entry to entry: Empty, WorkOwner
+	MethodWorkStore  = "work/store"  // entry to owner: WorkStoreRequest, WorkStoreReply
+	MethodWorkPolicy = "work/policy" // entry to owner: WorkPolicyRequest, WorkPolicyReply
+	MethodWorkHello  = "work/hello"  // entry to owner: WorkHello, WorkOwner
 )
 
 // WorkReport contains the full state of the runs of an agent's worker.
@@ -274,8 +275,27 @@
 	State string `json:"state"`
 }
 
-// WorkOwner contains the owner of the cell and the other entries as known to an
-// entry.
+// WorkPolicyRequest asks the owner for the operators' records, for an entry that can't reach the
+// store.
+type WorkPolicyRequest struct {
+	After int64 `json:"after"` // revision of the store up to which the entry has them; 0: it has none
+}
+
+// WorkPolicyReply answers a WorkPolicyRequest.
+type WorkPolicyReply struct {
+	Revision  int64          `json:"revision"`          // of the store, up to which the owner has the records
+	AgeMillis int64          `json:"age-ms"`            // since they were certainly the newest
+	Changed   bool           `json:"changed"`           // one may have changed since the revision of the request
+	Records   []PolicyRecord `json:"records,omitempty"` // all, if one may have changed
+}
+
+// PolicyRecord is a record of the operators.
+type PolicyRecord struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+}
+
+// WorkOwner contains the owner of the cell as known to an entry.
 type WorkOwner struct {
 	Owner CellOwner `json:"owner"` // zero value if unknown
 	// Entries are some that the caller may ask for the owner when it can reach neither this one nor
