relayer: an owner that the store turns away calls it by way of another entry

The owner lost its lease, another entry took over 2.5 s later, and 22 of 60 jobs of the first two seconds were late.

Cause: the owner's lease, fences and records are in order; only its own path to the store is closed.

Change: when the store has certainly not carried out a call of the process that holds the cell, another entry that has said hello lately makes it. Each call keeps its conditions, and its outcome is passed on as it is: a lost answer stays an unknown outcome. Nothing is relayed by processes that do not hold the cell. While calls are relayed, a watch tries the store directly twice a second. A build that does not know the call refuses it, and another entry is tried.

--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -231,6 +231,12 @@
 	return last + 1, err
 }
 
+// HoldsCell reports whether this process certainly holds the ownership now, also while it takes over.
+func (s *Scheduler) HoldsCell() bool { return s.elector.Held() }
+
+// Entries returns the entries with recent contact to this process as the owner.
+func (s *Scheduler) Entries() []messenger.PeerAddress { return s.peers.choose(s.config.EntryID) }
+
 // Handle serves a call of an agent or an entry.
 func (s *Scheduler) Handle(ctx context.Context, c *connector.Conn, method string, params json.RawMessage) (any, error) {
 	if method == messenger.MethodWorkOwner {
--- a/internal/service/hoster/entry.go
+++ b/internal/service/hoster/entry.go
@@ -18,7 +18,9 @@
 	"bamboospread/internal/job/scheduler"
 	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/store/observer"
+	"bamboospread/internal/store/relayer"
 	"bamboospread/internal/wire/connector"
 	"bamboospread/internal/wire/messenger"
 	"bamboospread/platform"
@@ -38,14 +40,15 @@
 
 // Entry is a process that serves callers.
 type Entry struct {
-	config    Config
-	metrics   *metrics.Set
-	store     *platform.Store
-	follower  *follower.Follower
-	scheduler *scheduler.Scheduler
-	forwarder *forwarder.Forwarder
-	receiver  *receiver.Receiver
-	draining  atomic.Bool
+	config      Config
+	metrics     *metrics.Set
+	store       *platform.Store
+	directCalls keeper.Calls // of the store, by this process itself
+	follower    *follower.Follower
+	scheduler   *scheduler.Scheduler
+	forwarder   *forwarder.Forwarder
+	receiver    *receiver.Receiver
+	draining    atomic.Bool
 }
 
 // NewEntry builds an entry.
@@ -54,8 +57,16 @@
 	e.store = platform.NewStore(c.Settings.StoreAddress, func(call string) {
 		e.metrics.GetOrCreateCounter(fmt.Sprintf(`bamboospread_store_calls_total{call=%q}`, call)).Inc()
 	})
-	observed := observer.New(now)
-	calls := observed.Observe(e.store.Calls())
+	directly, observed := observer.New(now), observer.New(now)
+	e.directCalls = directly.Observe(e.store.Calls())
+	calls := observed.Observe(relayer.New(relayer.Config{
+		Calls: e.directCalls, Unreachable: directly.Unreachable, Now: now, Reporter: c.Reporter,
+		Active:  func() bool { return e.scheduler.HoldsCell() },
+		Entries: func() []messenger.PeerAddress { return e.scheduler.Entries() },
+		Count: func(call string) {
+			e.metrics.GetOrCreateCounter(fmt.Sprintf(`bamboospread_store_relayed_calls_total{call=%q}`, call)).Inc()
+		},
+	}).Calls())
 	e.follower = follower.New(follower.Config{
 		Store: calls, Prefix: platform.OperatorPrefix, Decode: c.decodePolicy, Now: now, Reporter: c.Reporter,
 		AskOwner: func(ctx context.Context, q messenger.WorkPolicyRequest) (a messenger.WorkPolicyReply, err error) {
@@ -157,6 +168,9 @@
 }
 
 func (e *Entry) handle(ctx context.Context, c *connector.Conn, method string, params json.RawMessage) (any, error) {
+	if method == messenger.MethodStoreCall {
+		return relayer.Serve(ctx, e.directCalls, params)
+	}
 	return e.scheduler.Handle(ctx, c, method, params)
 }
 
--- /dev/null
+++ b/internal/store/relayer/relayer.go
@@ -0,0 +1,249 @@
+// Package relayer carries out the store calls of an owner by way of another entry while the store
+// refuses the owner's VM. The lease, the fences and the records of the owner stay valid, so the cell
+// needs no other owner: only the path of its calls changes.
+package relayer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/store/keeper"
+	"bamboospread/internal/wire/connector"
+	"bamboospread/internal/wire/messenger"
+)
+
+const (
+	// probeInterval is the time between direct calls while calls are relayed.
+	probeInterval = 500 * time.Millisecond
+	// dialTimeout is long compared with the round trip to the farthest entry, about 30 ms.
+	dialTimeout = 200 * time.Millisecond
+	// answerTime is how long an entry may take beyond the wait of a call. The store's own limit is
+	// below it, so that a call that is not carried out in time is answered as such.
+	answerTime = time.Second
+	// maxEntriesPerCall is how many entries a call tries.
+	maxEntriesPerCall = 3
+)
+
+// Config holds the settings of a Relayer.
+type Config struct {
+	Calls       keeper.Calls // direct calls
+	Unreachable func() bool  // the latest direct calls all failed
+	// Active reports whether calls may be relayed: the process owns the cell.
+	Active   func() bool
+	Entries  func() []messenger.PeerAddress // with recent contact
+	Now      func() time.Time
+	Reporter *reporter.Reporter
+	Count    func(call string) // is called with the kind of each relayed call; may be nil
+}
+
+// Relayer makes the store calls of one process. It is safe for concurrent use.
+type Relayer struct {
+	config   Config
+	mu       sync.Mutex
+	entry    messenger.PeerAddress
+	conn     *connector.Conn // to entry; nil: none
+	probedAt time.Time
+	relaying bool
+}
+
+// New returns a Relayer.
+func New(c Config) *Relayer { return &Relayer{config: c} }
+
+// Calls returns calls that are made directly if possible, otherwise by way of another entry.
+func (r *Relayer) Calls() keeper.Calls {
+	d := r.config.Calls
+	return keeper.Calls{
+		GetRecord: func(ctx context.Context, key string) (keeper.Record, error) {
+			a, err := relay(ctx, r, keeper.KindGet, keeper.KeyCall{Key: key}, 0, func() (keeper.RecordAnswer, error) {
+				record, err := d.GetRecord(ctx, key)
+				return keeper.RecordAnswer{Record: record}, err
+			})
+			return a.Record, err
+		},
+		FindRecords: func(ctx context.Context, o keeper.ListOptions) (keeper.ListResult, error) {
+			a, err := relay(ctx, r, keeper.KindList, keeper.ListCall{Prefix: o.Prefix, After: o.After, Limit: o.Limit}, o.Wait, func() (keeper.ListAnswer, error) {
+				found, err := d.FindRecords(ctx, o)
+				return keeper.ListAnswer(found), err
+			})
+			return keeper.ListResult(a), err
+		},
+		Transact: func(ctx context.Context, t keeper.Transaction) (int64, error) {
+			a, err := relay(ctx, r, keeper.KindTransact, t, 0, func() (keeper.RevisionAnswer, error) {
+				revision, err := d.Transact(ctx, t)
+				return keeper.RevisionAnswer{Revision: revision}, err
+			})
+			return a.Revision, err
+		},
+		GrantLease: d.GrantLease, // an owner has its lease
+		KeepAlive: func(ctx context.Context, lease int64) error {
+			_, err := relay(ctx, r, keeper.KindKeepAlive, keeper.LeaseCall{Lease: lease}, 0, func() (messenger.Empty, error) {
+				return messenger.Empty{}, d.KeepAlive(ctx, lease)
+			})
+			return err
+		},
+		RevokeLease: func(ctx context.Context, lease int64) error {
+			_, err := relay(ctx, r, keeper.KindRevoke, keeper.LeaseCall{Lease: lease}, 0, func() (messenger.Empty, error) {
+				return messenger.Empty{}, d.RevokeLease(ctx, lease)
+			})
+			return err
+		},
+		Watch: func(ctx context.Context, o keeper.WatchOptions) (keeper.WatchResult, error) {
+			a, err := relay(ctx, r, keeper.KindWatch, keeper.WatchCall{Prefix: o.Prefix, After: o.After, WaitMillis: o.Wait.Milliseconds()}, o.Wait, func() (keeper.WatchAnswer, error) {
+				seen, err := d.Watch(ctx, o)
+				return keeper.WatchAnswer(seen), err
+			})
+			return keeper.WatchResult(a), err
+		},
+	}
+}
+
+// relay makes a call directly, and by way of another entry if the store has certainly not carried it
+// out.
+func relay[Q, A any](ctx context.Context, r *Relayer, kind string, body Q, wait time.Duration, direct func() (A, error)) (A, error) {
+	if !r.config.Active() || !r.config.Unreachable() || r.probes(kind) {
+		a, err := direct()
+		if err == nil {
+			r.recordDirect()
+		}
+		if !keeper.IsErrUnavailable(err) || !r.config.Active() || ctx.Err() != nil {
+			return a, err
+		}
+	}
+	var a A
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return a, fmt.Errorf("encode call %s: %w", kind, err)
+	}
+	answer, err := r.callEntries(ctx, Request{Kind: kind, Body: raw, WaitMillis: wait.Milliseconds()})
+	if err != nil {
+		return a, err
+	}
+	if err := json.Unmarshal(answer, &a); err != nil {
+		return a, keeper.ErrOutcomeUnknown{Cause: fmt.Errorf("decode answer to %s: %w", kind, err)}
+	}
+	return a, nil
+}
+
+// probes reports whether a call should try the store although it was unreachable. Only watches do:
+// others are needed in time.
+func (r *Relayer) probes(kind string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.config.Now()
+	if kind != keeper.KindWatch || now.Sub(r.probedAt) < probeInterval {
+		return false
+	}
+	r.probedAt = now
+	return true
+}
+
+// recordDirect logs the end of relaying.
+func (r *Relayer) recordDirect() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.relaying {
+		r.relaying = false
+		r.config.Reporter.Report(reporter.StoreCallsRelayed, reporter.Fields{"relayed": false})
+	}
+}
+
+// callEntries makes a call by way of an entry, and by way of others while none has carried it out.
+func (r *Relayer) callEntries(ctx context.Context, q Request) (json.RawMessage, error) {
+	if r.config.Count != nil {
+		r.config.Count(q.Kind)
+	}
+	err := error(keeper.ErrUnavailable{Cause: errors.New("no entry reaches the store")})
+	for range maxEntriesPerCall {
+		conn, connErr := r.connect(ctx)
+		if connErr != nil {
+			err = keeper.ErrUnavailable{Cause: connErr}
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, answerTime+time.Duration(q.WaitMillis)*time.Millisecond)
+		var a Reply
+		callErr := conn.Call(callCtx, messenger.MethodStoreCall, q, &a)
+		cancel()
+		switch {
+		case callErr == nil && a.Failure == nil:
+			r.recordRelayed()
+			return a.Answer, nil
+		case callErr == nil && a.Failure.Kind != failureUnavailable:
+			r.recordRelayed()
+			return nil, a.Failure.err()
+		case callErr == nil:
+			err = a.Failure.err()
+		case connector.CodeOf(callErr) == messenger.CodeBadRequest: // an earlier build, which does not know the method
+			err = keeper.ErrUnavailable{Cause: callErr}
+		case q.writes():
+			r.drop(conn)
+			return nil, keeper.ErrOutcomeUnknown{Cause: callErr}
+		default:
+			err = keeper.ErrUnavailable{Cause: callErr}
+		}
+		r.drop(conn)
+	}
+	return nil, err
+}
+
+// recordRelayed logs the beginning of relaying.
+func (r *Relayer) recordRelayed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.relaying {
+		r.relaying = true
+		r.config.Reporter.Report(reporter.StoreCallsRelayed, reporter.Fields{"relayed": true, "entry": r.entry.EntryID})
+	}
+}
+
+// connect returns the connection to the entry in use, or one to another entry, drawn at random.
+func (r *Relayer) connect(ctx context.Context) (*connector.Conn, error) {
+	r.mu.Lock()
+	conn := r.conn
+	r.mu.Unlock()
+	if conn != nil {
+		select {
+		case <-conn.Done():
+		default:
+			return conn, nil
+		}
+	}
+	entries := r.config.Entries()
+	if len(entries) == 0 {
+		return nil, errors.New("no other entry is known")
+	}
+	entry := entries[rand.IntN(len(entries))]
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dialled, err := connector.Dial(dialCtx, entry.Address, rejectCall)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.conn != nil && r.conn != conn {
+		dialled.Close() // another call has connected meanwhile
+		return r.conn, nil
+	}
+	r.conn, r.entry = dialled, entry
+	return dialled, nil
+}
+
+// drop closes a connection, so that the next call goes to another entry.
+func (r *Relayer) drop(conn *connector.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.conn == conn {
+		r.conn = nil
+	}
+	conn.Close()
+}
+
+func rejectCall(_ context.Context, _ *connector.Conn, method string, _ json.RawMessage) (any, error) {
+	return nil, connector.Errorf(messenger.CodeBadRequest, "unknown method %s", method)
+}
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -26,6 +26,10 @@
 	MethodWorkHello  = "work/hello"  // entry to owner: WorkHello, WorkOwner
 )
 
+// MethodStoreCall asks an entry to make a store call for the owner of the cell, whose VM the store
+// refuses; package relayer has its messages.
+const MethodStoreCall = "store/call"
+
 // WorkReport contains the full state of the runs of an agent's worker.
 type WorkReport struct {
 	VM          string      `json:"vm"`
@@ -283,9 +287,9 @@
 
 // WorkPolicyReply answers a WorkPolicyRequest.
 type WorkPolicyReply struct {
-	Revision  int64          `json:"revision"`          // of the store, up to which the owner has the records
-	AgeMillis int64          `json:"age-ms"`            // since they were certainly the newest
-	Changed   bool           `json:"changed"`           // one may have changed since the revision of the request
+	Revision  int64          `json:"revision"` // of the store, up to which the owner has the records
+	AgeMillis int64          `json:"age-ms"`   // since they were certainly the newest
+	Changed   bool           `json:"changed"`  // one may have changed since the revision of the request
 	Records   []PolicyRecord `json:"records,omitempty"` // all, if one may have changed
 }
 
