scheduler: each kind of decision takes a quarter of the owner's time at most

Cause: decisions were made at fixed intervals, and their cost grows faster than the fleet: on 1,000 VMs a round of placement takes 6 ms and the periodic checks 30 ms, at 100 and 17 a second more than a core before a report is read. An owner on a VM that is too small read no reports, decided by old ones, and lost its sessions.

Change: the interval of placement, of the periodic checks and of the search for moves grows with the time that they take, so that each takes a quarter of the owner's time at most and the rest is left to reports and orders. Where decisions are fast nothing changes.

--- a/internal/job/scheduler/metrics.go
+++ b/internal/job/scheduler/metrics.go
@@ -50,6 +50,13 @@
 	}
 }
 
+// decisionMade records the time that a kind of decision of the owner has taken.
+func (m *Metrics) decisionMade(name string, took time.Duration) {
+	if m != nil {
+		m.set.GetOrCreateHistogram(fmt.Sprintf(`bamboospread_job_decision_seconds{decision=%q}`, name)).Update(took.Seconds())
+	}
+}
+
 func (m *Metrics) progressWritten(took time.Duration) {
 	if m != nil {
 		m.set.GetOrCreateHistogram("bamboospread_job_progress_write_seconds").Update(took.Seconds())
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -20,8 +20,7 @@
 	// stopped reporting, long-running tasks over their targets.
 	tickInterval = 150 * time.Millisecond
 	// minRoundInterval is the shortest time between rounds of placement. Reports that arrive
-	// together share a round; with one round per report, the owner of a large fleet would do
-	// nothing else.
+	// together share a round.
 	minRoundInterval = 10 * time.Millisecond
 	// minCheckInterval is the shortest time between periodic checks. Reported measurements are
 	// a mean over half a second, so checking more often gains nothing.
@@ -96,9 +95,9 @@
 	snapshotAt          time.Time // when snapshots were last stored
 	removals            []string  // keys of expired jobs to remove
 	dirty               bool      // something changed that affects placement
-	placedAt            time.Time // start of the last round of placement
-	checkedAt           time.Time
-	movedAt             time.Time            // when moves were last searched for
+	placement           decision
+	checks              decision
+	moves               decision             // search for long-running tasks to move
 	waitsCheckedAt      time.Time            // when waiting steps were last checked
 	waitReportedAt      map[string]time.Time // when a waiting step was last logged, by step
 	urgentDelayedAt     time.Time            // when an urgent task had last waited too long for free capacity
@@ -110,6 +109,7 @@
 	state.SetObserver(load.observer(s.config.Now))
 	return &owner{
 		s: s, epoch: epoch, started: now, state: state, load: load, forecasts: newForecasts(), learner: learner.New(), snapshotAt: now, cache: planner.NewCache(), writer: newWriter(s.config.Store.Transact), events: make(chan event, eventBuffer), done: make(chan struct{}),
+		placement: decision{name: "placement", planned: minRoundInterval}, checks: decision{name: "checks", planned: minCheckInterval}, moves: decision{name: "moves", planned: moveInterval},
 		restorers: make(map[*connector.Conn]*abridger.Restorer),
 		sessions:  make(map[string]*session), cancelled: make(map[string]bool), members: make(map[string]bool), listed: make(map[string]bool),
 		joining: make(map[string]bool), leaving: make(map[string]bool), unreported: make(map[string]bool), reportedQuarantines: make(map[string]time.Time), waitReportedAt: make(map[string]time.Time), dirty: true, removeEndedAt: now.Add(removeEndedInterval),
@@ -165,7 +165,7 @@
 		o.runRound(ctx, o.s.config.Now())
 		due = nil
 		if o.dirty {
-			due = time.After(minRoundInterval)
+			due = time.After(o.placement.interval())
 		}
 	}
 }
@@ -186,17 +186,13 @@
 // change within minRoundInterval; everything else waits for the next periodic checks, so that
 // it does not delay urgent tasks.
 func (o *owner) runRound(ctx context.Context, now time.Time) {
-	if now.Sub(o.checkedAt) >= minCheckInterval {
-		o.checkedAt, o.dirty = now, true
-		o.runChecks(ctx, now)
+	if o.checks.due(now) {
+		o.dirty = true
+		o.decide(&o.checks, now, func() { o.runChecks(ctx, now) })
 	}
-	if o.dirty && now.Sub(o.placedAt) >= minRoundInterval {
-		o.placedAt, o.dirty = now, false
-		if p := o.s.config.Policy(); p != o.state.Policy() {
-			o.state.SetPolicy(p)
-		}
-		o.reconcile(now)
-		o.startWaitingTasks(now)
+	if o.dirty && o.placement.due(now) {
+		o.dirty = false
+		o.decide(&o.placement, now, func() { o.place(now) })
 	}
 	o.reportEndedJobs(now)
 	o.storeMembers(ctx)
@@ -204,6 +200,15 @@
 	o.sendOrders()
 }
 
+// place starts waiting tasks by the newest policy.
+func (o *owner) place(now time.Time) {
+	if p := o.s.config.Policy(); p != o.state.Policy() {
+		o.state.SetPolicy(p)
+	}
+	o.reconcile(now)
+	o.startWaitingTasks(now)
+}
+
 // runChecks handles what is not urgent or causes no event: runs that are no longer needed, due
 // times, VMs that stopped reporting, tasks that stall or interfere with others.
 func (o *owner) runChecks(ctx context.Context, now time.Time) {
--- a/internal/job/scheduler/policy_test.go
+++ b/internal/job/scheduler/policy_test.go
@@ -46,7 +46,7 @@
 			age = tt.age
 			state.AddJob(&specifier.Job{ID: "00000000000004d2", Queue: "q", Steps: []specifier.Step{{Count: 1, Needs: specifier.Resources{CPUMillis: 1}}}}, time.Time{}, now)
 			o.rearrange(now)
-			if got := !o.movedAt.IsZero(); got != (tt.starts > 0) {
+			if got := !o.moves.madeAt.IsZero(); got != (tt.starts > 0) {
 				t.Errorf("searched for moves: %t", got)
 			}
 			o.startWaitingTasks(now)
--- a/internal/job/scheduler/rearrange.go
+++ b/internal/job/scheduler/rearrange.go
@@ -18,9 +18,8 @@
 	o.rotate(now)
 	o.evict(now)
 	o.preempt(now)
-	if now.Sub(o.movedAt) >= moveIntervalFor(len(o.state.VMs)) {
-		o.movedAt = now
-		o.move(now)
+	if o.moves.planned = moveIntervalFor(len(o.state.VMs)); o.moves.due(now) {
+		o.decide(&o.moves, now, func() { o.move(now) })
 	}
 }
 
