scheduler, follower, tracker: older agents, VMs that are gone, fewer log lines

- Agents of earlier builds apply the interval that they are asked for to ends as well.
- An owner kept each VM that was ever replaced and looked at it in each decision.

--- a/internal/job/follower/follower.go
+++ b/internal/job/follower/follower.go
@@ -54,6 +54,7 @@
 	records        map[string][]byte
 	changedAt      int64     // no record has changed after this revision, up to after
 	askedAt        time.Time // when the owner was last asked
+	byOwner        bool      // the owner has confirmed the policy since the store last answered
 	after          int64     // 0: list first
 	newestRevision int64     // highest revision seen
 	lagSince       time.Time // when lists first were behind newestRevision; zero: they are not
@@ -104,6 +105,7 @@
 			_ = pauser.Pause(ctx, pause)
 			continue
 		}
+		f.byOwner = false
 		f.confirm(sentAt, changed)
 	}
 	return ctx.Err()
@@ -141,7 +143,10 @@
 	}
 	f.after, f.newestRevision = a.Revision, max(f.newestRevision, a.Revision)
 	f.confirm(at, a.Changed)
-	f.config.Reporter.Report(reporter.PolicyConfirmed, reporter.Fields{"revision": a.Revision, "changed": a.Changed, "age": f.Age().String()})
+	if a.Changed || !f.byOwner {
+		f.config.Reporter.Report(reporter.PolicyConfirmed, reporter.Fields{"revision": a.Revision, "changed": a.Changed, "age": f.Age().String()})
+	}
+	f.byOwner = true
 	return true
 }
 
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -44,6 +44,9 @@
 	// minutes; late repeats of a submission arrive within seconds.
 	endedJobRetention   = 10 * time.Minute
 	removeEndedInterval = time.Minute
+	// goneVMRetention is how long a VM without contact and runs is kept. Without it, each VM that was
+	// ever replaced would cost memory and time in each decision for as long as the owner runs.
+	goneVMRetention = 10 * time.Minute
 	// memberExpiryFactor is how many times the longest lease a VM may go without a report
 	// before it is removed from the members: nothing can still run there then. Each member that was
 	// lost for good makes the next owner wait for it.
@@ -261,6 +264,11 @@
 		if !vm.Attached && len(vm.Runs) > 0 && sinceContact > o.leaseExpiry() {
 			o.reportLost(vm, o.state.DropRuns(vm, now), "leases expired")
 		}
+		if !vm.Attached && len(vm.Runs) == 0 && sinceContact > goneVMRetention {
+			o.state.ForgetVM(vm)
+			delete(o.sessions, vm.Name)
+			delete(o.reportedQuarantines, vm.Name)
+		}
 	}
 }
 
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -111,7 +111,8 @@
 		e.answer <- messenger.WorkReply{} // superseded by a later session
 		return
 	}
-	reply := messenger.WorkReply{Epoch: o.epoch, GapMillis: o.reportInterval().Milliseconds()}
+	quiet := o.reportInterval()
+	reply := messenger.WorkReply{Epoch: o.epoch, GapMillis: min(quiet, maxNewsInterval).Milliseconds(), QuietMillis: quiet.Milliseconds()}
 	var changes tracker.Changes
 	if s == nil || s.conn != e.conn {
 		var vm *tracker.VM
@@ -219,9 +220,11 @@
 const (
 	reportIntervalPerVM = time.Millisecond
 	minReportInterval   = 20 * time.Millisecond
-	// maxReportInterval lets one report be lost before the VM is detached, and paces react well
-	// within the seconds for which a long-running task may be over its target.
+	// maxReportInterval leaves two reports before a VM without contact is detached, and paces react
+	// well within the seconds for which a long-running task may be over its target.
 	maxReportInterval = 600 * time.Millisecond
+	// maxNewsInterval is the longest interval asked of agents that apply it to all reports.
+	maxNewsInterval = 250 * time.Millisecond
 )
 
 // reportInterval returns the interval between reports without news that is requested from agents.
--- a/internal/job/tracker/changes.go
+++ b/internal/job/tracker/changes.go
@@ -31,9 +31,16 @@
 	tr.sorted = nil
 }
 
+// ForgetVM removes a VM without runs.
+func (tr *Tracker) ForgetVM(vm *VM) {
+	delete(tr.VMs, vm.Name)
+	delete(tr.unstored, vm)
+	tr.sorted = nil
+}
+
 // SortedVMs returns all VMs, sorted by name. The slice must not be changed.
 func (tr *Tracker) SortedVMs() []*VM {
-	if len(tr.sorted) != len(tr.VMs) {
+	if tr.sorted == nil {
 		tr.sorted = slices.SortedFunc(maps.Values(tr.VMs), func(a, b *VM) int { return cmp.Compare(a.Name, b.Name) })
 	}
 	return tr.sorted
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -115,7 +115,10 @@
 	GrantMillis   int64 `json:"grant-ms"`
 	EndsStored    int64 `json:"ends-stored"`              // the worker may discard ends up to this number
 	CrashesStored int64 `json:"crashes-stored,omitempty"` // the agent may discard crashes up to this number
-	GapMillis     int64 `json:"gap-ms"`                   // minimum time between reports without news
+	// GapMillis is the minimum time between reports for agents of earlier builds, which apply it to news as well.
+	GapMillis int64 `json:"gap-ms"`
+	// QuietMillis is the minimum time between reports without news; 0: GapMillis.
+	QuietMillis int64 `json:"quiet-ms,omitempty"`
 	// Needs are the needs of the listed runs, in the answer to the first report of a
 	// session: a restarted agent does not have them.
 	Needs []WorkRun `json:"needs,omitempty"`
@@ -287,9 +290,9 @@
 
 // WorkPolicyReply answers a WorkPolicyRequest.
 type WorkPolicyReply struct {
-	Revision  int64          `json:"revision"` // of the store, up to which the owner has the records
-	AgeMillis int64          `json:"age-ms"`   // since they were certainly the newest
-	Changed   bool           `json:"changed"`  // one may have changed since the revision of the request
+	Revision  int64          `json:"revision"`          // of the store, up to which the owner has the records
+	AgeMillis int64          `json:"age-ms"`            // since they were certainly the newest
+	Changed   bool           `json:"changed"`           // one may have changed since the revision of the request
 	Records   []PolicyRecord `json:"records,omitempty"` // all, if one may have changed
 }
 
--- a/internal/worker/attender/attender_test.go
+++ b/internal/worker/attender/attender_test.go
@@ -170,7 +170,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.reports++
-	reply := messenger.WorkReply{Epoch: 1, GrantMillis: testLimit.Milliseconds(), GapMillis: o.interval.Milliseconds()}
+	reply := messenger.WorkReply{Epoch: 1, GrantMillis: testLimit.Milliseconds(), GapMillis: o.interval.Milliseconds() / 2, QuietMillis: o.interval.Milliseconds()}
 	if len(r.Ends) > 0 {
 		reply.EndsStored = 1
 		if o.endSeen.IsZero() {
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -5,6 +5,7 @@
 package guardian
 
 import (
+	"cmp"
 	"context"
 	"reflect"
 	"sync"
@@ -279,7 +280,7 @@
 	}
 	g.followLocked(reply.Epoch)
 	g.repliedAt, g.vmInfoAcked = sentAt, g.vmInfoSent
-	g.requestedReportInterval = time.Duration(reply.GapMillis) * time.Millisecond
+	g.requestedReportInterval = time.Duration(cmp.Or(reply.QuietMillis, reply.GapMillis)) * time.Millisecond
 	if until := sentAt.Add(time.Duration(reply.GrantMillis) * time.Millisecond); until.After(g.grantUntil) {
 		if !g.grantUntil.After(g.config.Now()) {
 			g.signal()           // the owner orders nothing before a report shows the grant
