--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,9 @@
 .PHONY: bench-capacity
 bench-capacity: build ## measure the slopes of docs/CAPACITY.md on real processes
 	$(GO) test -run '^$$' -bench 'Plan|Observe' ./internal/control/...
+	$(GO) test -run '^$$' -bench 'Round|FullFleet|ManyImages' -benchtime 50x ./internal/job/planner
+	$(GO) test -run '^$$' -bench 'Fleet/report' -benchtime 5000x ./internal/job/scheduler
+	$(GO) test -run '^$$' -bench 'Fleet/checks' -benchtime 100x ./internal/job/scheduler
 	BAMBOOSPREAD_BINARY=$(CURDIR)/build/bamboospread $(GO) test -run '^$$' -bench . -benchtime 1x -timeout 30m ./tests/capacity
 
 .PHONY: soak
--- a/internal/job/scheduler/budget.go
+++ b/internal/job/scheduler/budget.go
@@ -40,9 +40,9 @@
 }
 
 // decide makes a decision of a kind and records what it took.
-func (o *owner) decide(d *decision, now time.Time, make func()) {
+func (o *owner) decide(d *decision, now time.Time, run func()) {
 	began := o.s.config.Now()
-	make()
+	run()
 	took := o.s.config.Now().Sub(began)
 	d.record(now, took)
 	o.s.config.Metrics.decisionMade(d.name, took)
--- a/internal/store/relayer/relayer_test.go
+++ b/internal/store/relayer/relayer_test.go
@@ -172,7 +172,9 @@
 
 func TestFailuresKeepTheirKind(t *testing.T) {
 	for _, want := range []error{
-		keeper.ErrKeyNotExist{Key: "k"}, keeper.ErrLeaseNotExist{Lease: 3}, keeper.ErrHistoryNotExist{After: 9},
+		keeper.ErrKeyNotExist{Key: "k"},
+		keeper.ErrLeaseNotExist{Lease: 3},
+		keeper.ErrHistoryNotExist{After: 9},
 		keeper.ErrConflict{Key: "k", Current: keeper.Record{Key: "k", Value: []byte("v"), Revision: 4}},
 	} {
 		if got := newFailure(want).err(); !reflect.DeepEqual(got, want) {
