scheduler: an entry is not named to itself

The owner says hello to itself like any entry, so one of the entries by way of which it calls a store that turns it away could be itself, and an entry could be told to ask itself for the owner. TestEntryIsNotNamedToItself fails without the change.

--- a/internal/job/scheduler/peers.go
+++ b/internal/job/scheduler/peers.go
@@ -64,14 +64,14 @@
 	return p.version
 }
 
-// maxNamedEntries is how many entries an agent is told of. One of them that is up and knows the
+// maxNamedEntries is how many entries a process is told of. One of them that is up and knows the
 // owner suffices.
 const maxNamedEntries = 8
 
-// choose returns the entries with recent contact that an agent is told of, sorted by id. Each agent
-// gets others, so that the queries of all agents spread over the entries, and an entry that comes
+// choose returns the entries with recent contact that an agent or another entry is told of, sorted by
+// id. Each gets others, so that the queries of all agents spread over the entries, and an entry that comes
 // or goes changes only the lists that it is in (rendezvous hashing).
-func (p *peers) choose(agent string) []messenger.PeerAddress {
+func (p *peers) choose(process string) []messenger.PeerAddress {
 	type ranked struct {
 		rank  uint64
 		entry messenger.PeerAddress
@@ -80,7 +80,10 @@
 	defer p.mu.Unlock()
 	var best []ranked // by descending rank
 	for a := range p.lastSeen {
-		r := ranked{xxhash.Sum64String(agent + "/" + a.EntryID), a}
+		if a.EntryID == process {
+			continue
+		}
+		r := ranked{xxhash.Sum64String(process + "/" + a.EntryID), a}
 		i, _ := slices.BinarySearchFunc(best, r, func(x, y ranked) int { return cmp.Compare(y.rank, x.rank) })
 		if i < maxNamedEntries {
 			best = slices.Insert(best, i, r)
--- a/internal/job/scheduler/peers_test.go
+++ b/internal/job/scheduler/peers_test.go
@@ -73,3 +73,13 @@
 		t.Error("the version has changed without an entry that comes or goes")
 	}
 }
+
+// Guards against an owner that makes its calls by way of itself, and entries that ask themselves.
+func TestEntryIsNotNamedToItself(t *testing.T) {
+	p, _ := testPeers(3)
+	for _, e := range p.choose("entry-001") {
+		if e.EntryID == "entry-001" {
+			t.Error("the entry is named to itself")
+		}
+	}
+}
