--- a/internal/job/planner/bench_test.go
+++ b/internal/job/planner/bench_test.go
@@ -98,6 +98,25 @@
 	}
 }
 
+// BenchmarkOneStep measures a placement round in which one urgent step of 13 tasks waits, and nothing
+// else: the usual round on a fleet with free capacity.
+func BenchmarkOneStep(b *testing.B) {
+	for _, vms := range fleetSizes {
+		in, fleet := busyFleet(vms)
+		for _, s := range in.State.WaitingSteps(in.Now) {
+			in.State.Cancel(s.Occurrence.Job.Spec.ID, in.Now)
+		}
+		fleet.job("urgent", specifier.Step{Count: 13, Needs: cores(1), EstimateMillis: 800})
+		in.Cache = NewCache()
+		b.Run(fmt.Sprintf("vms-%d", vms), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Plan(in)
+			}
+		})
+	}
+}
+
 // BenchmarkFullFleet measures the less frequent decisions on a fleet where long-running tasks
 // have reserved all processors, while other long-running tasks and urgent ones wait for
 // capacity.
