--- a/internal/job/scheduler/budget.go
+++ b/internal/job/scheduler/decision.go
@@ -6,10 +6,10 @@
 	"bamboospread/internal/kernel/reporter"
 )
 
-// maxDecisionShare is the inverse of the largest share of the owner's time that one kind of decision
-// takes. The rest is for reports, orders and the other kinds: an owner that decides all the time
-// reads no reports, and decides by old ones.
-const maxDecisionShare = 4
+// minIntervalFactor is the shortest interval of a kind of decision, as a multiple of the time that it
+// takes. The rest of the interval is for reports, orders and the other kinds: an owner that decides all
+// the time reads no reports, and decides by old ones.
+const minIntervalFactor = 4
 
 // behindFactor is how many times its planned interval a decision is delayed before that is logged.
 const behindFactor = 4
@@ -26,7 +26,7 @@
 }
 
 // interval returns the time from one decision of this kind to the next.
-func (d *decision) interval() time.Duration { return max(d.planned, maxDecisionShare*d.took) }
+func (d *decision) interval() time.Duration { return max(d.planned, minIntervalFactor*d.took) }
 
 // due reports whether it is time for the next decision of this kind.
 func (d *decision) due(now time.Time) bool { return now.Sub(d.madeAt) >= d.interval() }
@@ -34,7 +34,7 @@
 // record counts a decision that began at the given time and took some time. A single slow one, for
 // instance while the process waits for its processor, changes the interval by a part only.
 func (d *decision) record(began time.Time, took time.Duration) {
-	const smoothing = 8
+	const smoothing = 8 // decisions over which the time is averaged
 	d.madeAt = began
 	d.took += (took - d.took) / smoothing
 }
