--- a/review/standin/recorder.go
+++ b/review/standin/recorder.go
@@ -34,6 +34,7 @@
 	starts []startSeen
 	ends   []endSeen
 	acks   []ackSeen
+	lapses []startSeen
 }
 
 func newRecorder() *recorder { return &recorder{began: time.Now()} }
@@ -63,6 +64,26 @@
 	r.acks = append(r.acks, ackSeen{time.Now(), runner, n})
 }
 
+// lapsed notes that the lease of a runner has lapsed, whether something ran there or not.
+func (r *recorder) lapsed(runner string) {
+	r.add("lapse  of the lease at %s", runner)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lapses = append(r.lapses, startSeen{at: time.Now(), runner: runner})
+}
+
+// lapsedBetween reports whether the lease of a runner lapsed between two times.
+func (r *recorder) lapsedBetween(runner string, from, to time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range r.lapses {
+		if l.runner == runner && !l.at.Before(from) && !l.at.After(to) {
+			return true
+		}
+	}
+	return false
+}
+
 // at returns a time as seconds since the beginning.
 func (r *recorder) at(t time.Time) string { return fmt.Sprintf("%.3f s", t.Sub(r.began).Seconds()) }
 
