planner, scheduler: waiting steps name probation and what gangs lack

The owner's log could not tell why: event 931 said "1 VMs with free capacity, 10 VMs without the label b" for 17 s, since Explain looked at one task by itself and had no reason for a VM on probation.

Explain now places the members of a gang that fit, so that the reasons are those for the next one, and names probation, the limit per VM and the limit of best-effort tasks apart. It reads the state of the VMs in the round, where it had made a second one. Event 941 says when a VM's probation ends.

--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -31,11 +31,13 @@
 		return delayed
 	}
 	counts := make(map[string]int)
-	r := newRound(in)
-	r.loadVMs()
+	r := newLoadedRound(in)
 	if reason := r.explainShare(s); reason != "" {
 		delayed = strings.Trim(reason+", "+delayed, ", ")
 	}
+	if members := r.explainMembers(s); members != "" {
+		delayed = strings.Trim(members+", "+delayed, ", ")
+	}
 	for _, vm := range in.State.VMs {
 		reason := r.rejectReason(in, vm, s)
 		if m := r.findVM(vm.Name); reason == freeCapacity && m != nil && m.observed != nil {
@@ -73,6 +75,19 @@
 	return fmt.Sprintf("%d tasks restart within %s after failures", count, longest.Round(time.Millisecond))
 }
 
+// explainMembers places the members of a gang that fit, so that the reasons of the VMs are those for
+// the next one, and returns how many they are. It places none and returns "" if all fit.
+func (r *round) explainMembers(s *tracker.Step) string {
+	if !s.Spec.Gang || len(newLoadedRound(r.in).placeGang(s)) > 0 {
+		return ""
+	}
+	placed := len(r.placeMembers(s))
+	if placed == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d of %d tasks that start together have a place", placed, len(s.Tasks))
+}
+
 // rejectReason returns why a VM does not accept a task of the step now.
 func (r *round) rejectReason(in Input, vm *tracker.VM, s *tracker.Step) string {
 	switch {
@@ -94,19 +109,20 @@
 	if _, ok := s.TicketFor(vm, in.Now); s.Occurrence.Job.Queue.Advised && !ok {
 		return "without a ticket from the advising service"
 	}
-	m := newVMState(vm, in.Now)
-	if found := r.findVM(vm.Name); found != nil {
-		m.copySpeed(found)
-	}
+	m, running := r.findVM(vm.Name), r.runCounts(s)[vm] // found, since the VM accepts tasks
 	switch {
 	case !m.free.Fits(s.Spec.Committed()):
 		return "without free capacity"
+	case m.awaitsProbe():
+		return "on probation after a quarantine, until a run shows that the worker is sound"
 	case m.slow && m.measured && s.Spec.BestEffort && !m.admitsProbe():
 		return "that are slow"
 	case m.rampedOut():
 		return "that have just recovered from being slow"
-	case !m.admits(s, runsPerVM(s)[vm]):
-		return "at the limit for tasks of the step or for best-effort tasks"
+	case s.Spec.MaxPerVM > 0 && running >= s.Spec.MaxPerVM:
+		return "at the limit for tasks of the step"
+	case !m.admits(s, running):
+		return "at the limit for best-effort tasks"
 	case s.Spec.BestEffort && r.interference(m, s).leastHeadroom < minHeadroom:
 		return "where it would interfere with long-running tasks"
 	}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -132,6 +132,12 @@
 	return &round{in: in, now: in.Now, state: in.State, learner: in.Learner, effects: make(map[imagePair]float64), counts: make(map[*tracker.Step]map[*tracker.VM]int), unplaceable: make(map[placementClass]specifier.Resources), stopped: make(map[*tracker.Run]bool), reservedSteps: make(map[*tracker.Step]bool), holdings: newHoldings(in)}
 }
 
+func newLoadedRound(in Input) *round {
+	r := newRound(in)
+	r.loadVMs()
+	return r
+}
+
 // loadVMs adds the usable VMs, sorted by name.
 func (r *round) loadVMs() {
 	all := r.state.SortedVMs()
@@ -272,23 +278,32 @@
 		saved[i].neighbours, saved[i].reserved = slices.Clone(m.neighbours), maps.Clone(m.reserved)
 	}
 	observations := r.observations
+	starts := r.placeMembers(s)
+	if len(starts) == len(s.Tasks) {
+		return starts
+	}
+	for i, m := range r.vmStates {
+		*m = saved[i]
+	}
+	delete(r.counts, s)
+	r.holdings.add(s, -len(starts))
+	r.observations = observations
+	r.recountRoom()
+	return nil
+}
+
+// placeMembers places the tasks of a gang up to the first that has to wait: no VM has capacity for
+// it, or a member of an earlier run has not ended yet.
+func (r *round) placeMembers(s *tracker.Step) (starts []Start) {
 	number := r.state.GangNumber(s)
 	count := r.runCounts(s)
-	var starts []Start
 	for _, t := range s.Tasks {
-		best := (*vmState)(nil)
-		if t.Waits(r.now) {
-			best = r.choose(s, t, count)
+		if !t.Waits(r.now) {
+			return starts
 		}
-		if best == nil { // no capacity, or a member of an earlier run has not ended yet
-			for i, m := range r.vmStates {
-				*m = saved[i]
-			}
-			delete(r.counts, s)
-			r.holdings.add(s, -len(starts))
-			r.observations = observations
-			r.recountRoom()
-			return nil
+		best := r.choose(s, t, count)
+		if best == nil {
+			return starts
 		}
 		starts = append(starts, r.place(t, best, number))
 	}
@@ -386,14 +401,20 @@
 		return false
 	case s.Occurrence.Job.Queue.Advised && !m.hasTicket(s):
 		return false
-	case m.vm.OnProbation() && m.vm.Probes()+m.placed > 0:
-		return false // one task at a time shows whether the worker is healthy again
+	case m.awaitsProbe():
+		return false
 	case m.rampedOut():
 		return false
 	}
 	return true
 }
 
+// awaitsProbe reports whether the VM is on probation and a run is to show whether its worker is
+// sound again. Until then nothing else starts there.
+func (m *vmState) awaitsProbe() bool {
+	return m.vm.OnProbation() && m.vm.Probes()+m.placed > 0
+}
+
 // bestEffortCapacity is how many thousandths of a core best-effort tasks may still ask for.
 func (m *vmState) bestEffortCapacity() float64 {
 	share := overcommitAlone
--- a/internal/job/planner/slow.go
+++ b/internal/job/planner/slow.go
@@ -70,11 +70,6 @@
 	}
 }
 
-// copySpeed sets the speed of a VM to that of another state of it.
-func (m *vmState) copySpeed(o *vmState) {
-	m.slow, m.measured, m.factor, m.speedAge, m.ramping, m.rampLeft = o.slow, o.measured, o.factor, o.speedAge, o.ramping, o.rampLeft
-}
-
 // limitRamp limits the starts on a VM that has recovered, so that a backlog does not land on it at once.
 func (m *vmState) limitRamp(since time.Time) {
 	steps := int(m.now.Sub(since) / rampStep)
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -320,13 +320,18 @@
 	}
 }
 
-// checkHealth stops stalled runs and logs new quarantines of VMs.
+// checkHealth stops stalled runs and logs new quarantines of VMs and the end of their probation.
 func (o *owner) checkHealth(now time.Time) {
 	for _, r := range o.state.Stalled(o.checkedVMs, now) {
 		o.orderStop(r, "stalled")
 	}
 	for _, vm := range o.state.VMs {
-		if vm.Quarantined(now) && o.reportedQuarantines[vm.Name] != vm.Health.QuarantinedUntil {
+		until, reported := o.reportedQuarantines[vm.Name]
+		switch {
+		case reported && !vm.OnProbation():
+			delete(o.reportedQuarantines, vm.Name)
+			o.s.config.Reporter.Report(reporter.JobVMReleased, reporter.Fields{"vm": vm.Name, "life": vm.Incarnation, "after": now.Sub(until).String()})
+		case vm.Quarantined(now) && until != vm.Health.QuarantinedUntil:
 			o.reportedQuarantines[vm.Name] = vm.Health.QuarantinedUntil
 			o.s.config.Reporter.Report(reporter.JobVMQuarantined, reporter.Fields{"vm": vm.Name, "failed": len(vm.Health.Failed), "cause": vm.Health.Cause, "for": vm.Health.QuarantinedUntil.Sub(now).String()})
 		}
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -45,6 +45,7 @@
 	PolicyConfirmed
 	OwnerBehind
 	StoreCallsRelayed
+	JobVMReleased
 )
 
 // Events of jobs at agents, numbered from 950.
@@ -113,6 +114,7 @@
 	{PolicyConfirmed, log.InfoLevel, "policy confirmed by the owner", "The store does not answer this entry; the owner of the cell, which reaches it, has the same policy or has sent a newer one."},
 	{OwnerBehind, log.WarnLevel, "owner falls behind", "A decision of the owner takes so long that it is made less often than planned: the VM of the owner is too small for the fleet. The fields say which decision, how long it takes and its interval. With behind=false it is made as often as planned again."},
 	{StoreCallsRelayed, log.WarnLevel, "store calls relayed", "The store refuses this owner's VM and serves other entries: the owner keeps the cell and makes its calls by way of one of them. With relayed=false the store answers it directly again."},
+	{JobVMReleased, log.InfoLevel, "VM released from probation", "A run on a VM that was quarantined has shown that its worker is sound, or the worker has restarted: the VM accepts tasks without limit again."},
 
 	{WorkerAnnounced, log.InfoLevel, "worker announced itself", "The worker of this VM reported its state."},
 	{WorkerRestarted, log.WarnLevel, "worker restarted", "The worker restarted as a new incarnation and has lost its state; its runs are lost."},
