--- /dev/null
+++ b/internal/job/planner/gang.go
@@ -0,0 +1,51 @@
+package planner
+
+import (
+	"maps"
+	"slices"
+
+	"bamboospread/internal/job/tracker"
+)
+
+// placeGang places all tasks of a gang or none: a part of the gang would only wait.
+func (r *round) placeGang(s *tracker.Step) []Start {
+	if !r.holdings.allows(s, len(s.Tasks)) {
+		return nil
+	}
+	saved := make([]vmState, len(r.vmStates))
+	for i, m := range r.vmStates {
+		saved[i] = *m
+		saved[i].neighbours, saved[i].reserved = slices.Clone(m.neighbours), maps.Clone(m.reserved)
+	}
+	observations := r.observations
+	starts := r.placeMembers(s)
+	if len(starts) == len(s.Tasks) {
+		return starts
+	}
+	for i, m := range r.vmStates {
+		*m = saved[i]
+	}
+	delete(r.counts, s)
+	r.holdings.add(s, -len(starts))
+	r.observations = observations
+	r.recountRoom()
+	return nil
+}
+
+// placeMembers places the tasks of a gang up to the first that has to wait: no VM has capacity for
+// it, or a member of an earlier run has not ended yet.
+func (r *round) placeMembers(s *tracker.Step) (starts []Start) {
+	number := r.state.GangNumber(s)
+	count := r.runCounts(s)
+	for _, t := range s.Tasks {
+		if !t.Waits(r.now) {
+			return starts
+		}
+		best := r.choose(s, t, count)
+		if best == nil {
+			return starts
+		}
+		starts = append(starts, r.place(t, best, number))
+	}
+	return starts
+}
