planner: the members of a gang count as one run on probation

Cause: after a quarantine a VM accepts one task at a time until a run shows that its worker is sound. placeGang places all members or none, and the first member used up that limit for the second, so the gang never started; with nothing else to run there, no run could end the probation. The log of the case says so since: "1 VMs on probation after a quarantine, ..., 1 of 2 tasks that start together have a place".

Fix: members of one gang count as one run. That keeps the purpose of the limit: a gang fails as a whole whether one member or all are on a faulty VM, and nothing else starts beside them. Further members prefer sound VMs.

--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -113,7 +113,7 @@
 	switch {
 	case !m.free.Fits(s.Spec.Committed()):
 		return "without free capacity"
-	case m.awaitsProbe():
+	case m.awaitsProbe(s, running):
 		return "on probation after a quarantine, until a run shows that the worker is sound"
 	case m.slow && m.measured && s.Spec.BestEffort && !m.admitsProbe():
 		return "that are slow"
--- /dev/null
+++ b/internal/job/planner/gang_test.go
@@ -0,0 +1,106 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/job/tracker"
+)
+
+// gangOf returns a step whose tasks start together.
+func gangOf(count int, needs specifier.Resources, change func(*specifier.Step)) specifier.Step {
+	s := specifier.Step{Count: count, Needs: needs, EstimateMillis: 1000, Gang: true}
+	if change != nil {
+		change(&s)
+	}
+	return s
+}
+
+func labelled(label string) func(*specifier.Step) {
+	return func(s *specifier.Step) { s.Label = label }
+}
+
+// startsOf returns the number of starts of a job's tasks by VM.
+func startsOf(starts []Start, j *tracker.Job) map[string]int {
+	count := make(map[string]int)
+	for _, s := range starts {
+		if s.Task.Step.Occurrence.Job == j {
+			count[s.VM.Name]++
+		}
+	}
+	return count
+}
+
+// Guards against a gang that is never started because its first member uses up the one run that a VM
+// on probation accepts, and nothing else runs there that could end the probation.
+func TestGangIsOneProbe(t *testing.T) {
+	tests := []struct {
+		name  string
+		gang  specifier.Step
+		sound int64 // cores of another VM that the gang may use; 0: there is none
+		want  int   // members on the VM on probation
+	}{
+		{"all members on the VM", gangOf(2, cores(3), labelled("b")), 0, 2},
+		{"as many as there is room for", gangOf(8, cores(1), labelled("b")), 0, 8},
+		{"more than there is room for", gangOf(9, cores(1), labelled("b")), 0, 0},
+		{"one, if a sound VM takes the other", gangOf(2, cores(3), labelled("b")), 3, 1},
+		{"no more than sound VMs lack room for", gangOf(3, cores(3), labelled("b")), 6, 1},
+		{"within the limit per VM", gangOf(2, cores(1), func(s *specifier.Step) { s.Label, s.MaxPerVM = "b", 1 }), 0, 0},
+		{"best-effort", gangOf(2, cores(3), func(s *specifier.Step) { s.Label, s.BestEffort = "b", true }), 0, 2},
+		{"long-running", gangOf(2, cores(3), func(s *specifier.Step) { s.Label, s.LongRunning = "b", true }), 0, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newFixture()
+			b.vm("other", "in", "r1", cores(64))
+			vm := b.vm("vm", "in", "r2", cores(8), "b")
+			if tt.sound > 0 {
+				b.vm("sound", "in", "r3", cores(tt.sound), "b")
+			}
+			vm.Health.ConsecutiveQuarantines = 1
+			j := b.job("q", tt.gang)
+			starts := startsOf(b.plan(begin), j)
+			if starts["vm"] != tt.want {
+				t.Errorf("%d members start on the VM on probation, want %d; all: %v", starts["vm"], tt.want, starts)
+			}
+		})
+	}
+}
+
+// Guards against a faulty VM that gets a backlog: on probation it accepts one task or one gang at a
+// time, whatever waits.
+func TestVMOnProbationGetsNoBacklog(t *testing.T) {
+	single := specifier.Step{Count: 4, Needs: cores(1), EstimateMillis: 1000}
+	tests := []struct {
+		name  string
+		steps []specifier.Step // each a job, the first goes first
+		want  int              // starts
+	}{
+		{"tasks", []specifier.Step{single, single}, 1},
+		{"gangs", []specifier.Step{gangOf(2, cores(1), nil), gangOf(2, cores(1), nil)}, 2},
+		{"a gang, then tasks", []specifier.Step{gangOf(2, cores(1), nil), single}, 2},
+		{"tasks, then a gang", []specifier.Step{single, gangOf(2, cores(1), nil)}, 1},
+		{"best-effort gangs", []specifier.Step{gangOf(2, cores(1), func(s *specifier.Step) { s.BestEffort = true }), gangOf(3, cores(1), func(s *specifier.Step) { s.BestEffort = true })}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newFixture()
+			vm := b.vm("vm", "in", "r1", cores(32))
+			vm.Health.ConsecutiveQuarantines = 1
+			for _, s := range tt.steps {
+				b.job("q", s)
+			}
+			starts := b.plan(begin)
+			if len(starts) != tt.want {
+				t.Errorf("%d tasks start, want %d: %v", len(starts), tt.want, vmsByTask(starts))
+			}
+			b.apply(starts, begin)
+			for round := range 20 {
+				if more := b.plan(begin.Add(time.Duration(round) * time.Second)); len(more) > 0 {
+					t.Fatalf("%d more start while these run", len(more))
+				}
+			}
+		})
+	}
+}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -356,7 +356,7 @@
 		return false
 	case s.Occurrence.Job.Queue.Advised && !m.hasTicket(s):
 		return false
-	case m.awaitsProbe():
+	case m.awaitsProbe(s, running):
 		return false
 	case m.rampedOut():
 		return false
@@ -365,9 +365,19 @@
 }
 
 // awaitsProbe reports whether the VM is on probation and a run is to show whether its worker is
-// sound again. Until then nothing else starts there.
-func (m *vmState) awaitsProbe() bool {
-	return m.vm.OnProbation() && m.vm.Probes()+m.placed > 0
+// sound again. Until then nothing else starts there. The members of a gang count as one run: they
+// start together or not at all, and a failure of one ends all.
+func (m *vmState) awaitsProbe(s *tracker.Step, running int) bool {
+	return m.vm.OnProbation() && m.vm.Probes()+m.placedBeside(s, running) > 0
+}
+
+// placedBeside returns the number of tasks placed on the VM in the round that are not members of the
+// same gang as the next one. running is the number of runs of the step there.
+func (m *vmState) placedBeside(s *tracker.Step, running int) int {
+	if !s.Spec.Gang {
+		return m.placed
+	}
+	return max(m.placed-running, 0) // a gang has no other runs when its members are placed
 }
 
 // bestEffortCapacity is how many thousandths of a core best-effort tasks may still ask for.
--- a/internal/job/planner/score.go
+++ b/internal/job/planner/score.go
@@ -29,6 +29,9 @@
 	if m.slow {
 		sc[0]--
 	}
+	if spec.Gang && running > 0 && m.vm.OnProbation() {
+		sc[0]-- // one member shows as much as several
+	}
 	if m.suspected && t.Suspected() {
 		sc[0] -= besideSuspected
 	}
