planner: the members of a gang count as one probe of a slow VM

What callers see: a best-effort gang that only a slow VM may run (by label or by memory) is never started, while other VMs of the service are sound.

Cause: a slow VM accepts one best-effort task to show whether it has recovered, if nothing else there shows it. The gang's first member is that one, so the second fits nowhere and the gang is taken back, in each round. Nothing else runs there that could change the measured speed.

Fix: the members of one gang count as one probe, as on probation. Nothing else starts beside them, so a slow VM still gets no backlog.

Evidence: TestGangProbesSlowVM fails before ("0 tasks in all" of 3) and passes.

--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -115,7 +115,7 @@
 		return "without free capacity"
 	case m.awaitsProbe(s, running):
 		return "on probation after a quarantine, until a run shows that the worker is sound"
-	case m.slow && m.measured && s.Spec.BestEffort && !m.admitsProbe():
+	case m.slow && m.measured && s.Spec.BestEffort && !m.admitsProbe(s, running):
 		return "that are slow"
 	case m.rampedOut():
 		return "that have just recovered from being slow"
--- a/internal/job/planner/gang_test.go
+++ b/internal/job/planner/gang_test.go
@@ -104,3 +104,25 @@
 		})
 	}
 }
+
+// Guards against a best-effort gang that is never started because its first member is the only run
+// that a slow VM accepts, and nothing else runs there that could show that the VM has recovered.
+func TestGangProbesSlowVM(t *testing.T) {
+	bestEffort := func(s *specifier.Step) { s.Label, s.BestEffort, s.Image = "b", true, "x" }
+	b, in := slowFixture("vm-1")
+	b.state.VMs["vm-1"].Labels["b"] = true
+	gangs := []*tracker.Job{b.job("q", gangOf(3, cores(2), bestEffort)), b.job("q", gangOf(2, cores(2), bestEffort))}
+	in.Now = begin.Add(probeAfter / 2)
+	if starts := Plan(in); len(starts) != 0 {
+		t.Errorf("%d tasks start while the speed is known", len(starts))
+	}
+	in.Now = begin.Add(2 * probeAfter)
+	starts := Plan(in)
+	if first := startsOf(starts, gangs[0]); first["vm-1"] != 3 || len(starts) != 3 {
+		t.Errorf("%v of the first gang start, and %d tasks in all", first, len(starts))
+	}
+	b.apply(starts, in.Now)
+	if more := Plan(in); len(more) != 0 {
+		t.Errorf("%d more tasks start beside the gang", len(more))
+	}
+}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -339,7 +339,7 @@
 		return true
 	}
 	if m.slow && m.measured {
-		return m.admitsProbe()
+		return m.admitsProbe(s, running)
 	}
 	left := m.bestEffortCapacity()
 	return m.bestEffortCPU == 0 && left > 0 || float64(spec.Needs.CPUMillis) <= left
--- a/internal/job/planner/slow.go
+++ b/internal/job/planner/slow.go
@@ -88,9 +88,10 @@
 // rampedOut reports whether a VM that has recovered must not accept another start yet.
 func (m *vmState) rampedOut() bool { return m.ramping && m.placed >= m.rampLeft }
 
-// admitsProbe reports whether a slow VM accepts a best-effort task that shows whether it has recovered.
-func (m *vmState) admitsProbe() bool {
-	if m.placed > 0 || m.speedAge < probeAfter {
+// admitsProbe reports whether a slow VM accepts a best-effort task, or the members of a gang, to show whether it has
+// recovered.
+func (m *vmState) admitsProbe(s *tracker.Step, running int) bool {
+	if m.placedBeside(s, running) > 0 || m.speedAge < probeAfter {
 		return false
 	}
 	for _, run := range m.vm.Runs {
