planner: a best-effort gang may overcommit a VM on which nothing else fills

What callers see: a best-effort gang whose tasks together ask for more than twice the idle processors of the VMs is never started, on an idle fleet. A single task of any size starts on a VM without other best-effort tasks, since their size is no claim on the capacity.

Cause: "without other best-effort tasks" counted the gang's own members, so the second one met the limit of overcommitment, and no end of another run could help. A long-running best-effort task used the exception up for good as well, for single tasks too.

Fix: the exception holds where no other best-effort task that ends by itself runs or is placed. The members still spread to the least overcommitted VMs, and what comes after them waits.

Evidence: TestGangMayOvercommitIdleVM fails before for "one VM" (0 of 8 start) and "beside a long-running one" (0 of 8), and passes.

--- a/internal/job/planner/gang_test.go
+++ b/internal/job/planner/gang_test.go
@@ -1,9 +1,12 @@
 package planner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
 )
@@ -126,3 +129,48 @@
 		t.Errorf("%d more tasks start beside the gang", len(more))
 	}
 }
+
+// Guards against a best-effort gang that is never started because its own members, or a long-running
+// best-effort task, use up the processors that best-effort tasks may ask for.
+func TestGangMayOvercommitIdleVM(t *testing.T) {
+	memory := specifier.Resources{CPUMillis: 32_000, MemoryMB: 64_000}
+	needs := specifier.Resources{CPUMillis: 30_000, MemoryMB: 1000}
+	bestEffort := func(s *specifier.Step) { s.BestEffort = true }
+	beside := func(step specifier.Step) func(*fixture) {
+		return func(b *fixture) {
+			b.state.Place(b.job("q", step).Occurrences[0].Steps[0].Tasks[0], b.state.VMs["vm-0"], 1, begin)
+		}
+	}
+	tests := []struct {
+		name    string
+		vms     int
+		prepare func(b *fixture)
+		want    map[string]int
+	}{
+		{"one VM", 1, nil, map[string]int{"vm-0": 8}},
+		{"spread over idle VMs", 4, nil, map[string]int{"vm-0": 2, "vm-1": 2, "vm-2": 2, "vm-3": 2}},
+		{"not beside another task", 1, beside(specifier.Step{Count: 1, Needs: cores(40), BestEffort: true}), map[string]int{}},
+		{"beside a long-running one", 1, beside(specifier.Step{Count: 1, Needs: cores(40), BestEffort: true, LongRunning: true}), map[string]int{"vm-0": 8}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newFixture()
+			for i := range tt.vms {
+				b.vm(fmt.Sprint("vm-", i), "in", "r", memory)
+			}
+			if tt.prepare != nil {
+				tt.prepare(b)
+			}
+			j := b.job("q", gangOf(8, needs, bestEffort))
+			starts := b.plan(begin)
+			if diff := cmp.Diff(tt.want, startsOf(starts, j)); diff != "" {
+				t.Error(diff)
+			}
+			b.apply(starts, begin)
+			b.job("q", specifier.Step{Count: 1, Needs: needs, BestEffort: true})
+			if more := b.plan(begin); len(more) != 0 {
+				t.Errorf("%d more tasks start on a full VM", len(more))
+			}
+		})
+	}
+}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -341,8 +341,26 @@
 	if m.slow && m.measured {
 		return m.admitsProbe(s, running)
 	}
-	left := m.bestEffortCapacity()
-	return m.bestEffortCPU == 0 && left > 0 || float64(spec.Needs.CPUMillis) <= left
+	return float64(spec.Needs.CPUMillis) <= m.bestEffortCapacity() || m.idle() > 0 && m.onlyBestEffort(s, running)
+}
+
+// onlyBestEffort reports whether no other best-effort task that ends by itself runs on the VM or was
+// placed there in the round. A task that asks for more than there is starts then: it can't wait for
+// anything that would leave it more.
+func (m *vmState) onlyBestEffort(s *tracker.Step, running int) bool {
+	placed := m.bestEffortCPU - m.vm.BestEffortCPU
+	if s.Spec.Gang {
+		placed -= int64(running) * s.Spec.Needs.CPUMillis
+	}
+	if placed > 0 {
+		return false
+	}
+	for _, run := range m.vm.Runs {
+		if r := run.Step().Spec; r.BestEffort && !r.LongRunning {
+			return false
+		}
+	}
+	return true
 }
 
 // eligible reports whether the VM would admit a task of the step if it had enough free
