--- a/internal/job/planner/gang_test.go
+++ b/internal/job/planner/gang_test.go
@@ -174,3 +174,24 @@
 		})
 	}
 }
+
+// Guards against a gang that is kept from a VM by the limit on starts after it has recovered from
+// being slow, beyond the time for which that limit holds.
+func TestGangStartsOnceRecoveredVMIsFilled(t *testing.T) {
+	b, in := slowFixture("vm-1")
+	for at := time.Duration(0); at < 4*time.Second; at += 250 * time.Millisecond {
+		observeTails(in.Calibrator, "vm-1", begin.Add(at), false)
+	}
+	since := in.Calibrator.SoundSince("vm-1")
+	b.state.VMs["vm-1"].Labels["b"] = true
+	b.job("q", gangOf(32, cores(1), labelled("b")))
+	for _, tt := range []struct {
+		after time.Duration
+		want  int
+	}{{0, 0}, {(rampSteps - 2) * rampStep, 0}, {rampSteps * rampStep, 32}} {
+		in.Now = since.Add(tt.after)
+		if starts := Plan(in); len(starts) != tt.want {
+			t.Errorf("%d of 32 members start %s after the recovery, want %d", len(starts), tt.after, tt.want)
+		}
+	}
+}
--- a/internal/job/planner/observe_test.go
+++ b/internal/job/planner/observe_test.go
@@ -111,6 +111,14 @@
 			t.Errorf("%d of 4 members start", len(starts))
 		}
 	})
+	t.Run("a gang starts together on one VM", func(t *testing.T) {
+		b := newFixture()
+		b.vm("vm-0", "in", "r", cores(9))
+		b.crashTwice(b.job("q", specifier.Step{Count: 4, Needs: cores(2), EstimateMillis: 1000, Gang: true}).Occurrences[0].Steps[0].Tasks[0])
+		if starts := b.plan(now); len(starts) != 4 {
+			t.Errorf("%d of 4 members start", len(starts))
+		}
+	})
 	t.Run("without copies", func(t *testing.T) {
 		copied := step
 		copied.Copies = true
