tracker, planner: a run that is throttled to zero is no probe

What callers see: work that only one VM may run waits while the single run on that VM, on probation after a quarantine, is a best-effort one throttled to zero beside long-running tasks. It neither ends nor makes progress for as long as their load lasts, so the probation can't end.

Fix: tasks and gangs with reserved processors do not wait for such a run. They become the probe themselves, so still nothing else starts beside them. Best-effort tasks wait as before: they would be throttled too, and would pile up on a VM that may be faulty.

Evidence: TestThrottledRunIsNoProbe fails before in two cases ("0 tasks start in round 0, want 1" and "want 2") and passes.

--- a/internal/job/planner/gang_test.go
+++ b/internal/job/planner/gang_test.go
@@ -195,3 +195,40 @@
 		}
 	}
 }
+
+// Guards against a task that waits for good because the only run on a VM on probation is throttled to
+// zero, which shows nothing of the worker.
+func TestThrottledRunIsNoProbe(t *testing.T) {
+	urgent := specifier.Step{Count: 4, Needs: cores(1), EstimateMillis: 1000}
+	bestEffort := urgent
+	bestEffort.BestEffort = true
+	tests := []struct {
+		name string
+		pace int // of the run on the VM
+		next specifier.Step
+		want int
+	}{
+		{"at full pace", 100, urgent, 0},
+		{"throttled", 10, urgent, 0},
+		{"throttled to zero", 0, urgent, 1},
+		{"throttled to zero, a gang waits", 0, gangOf(2, cores(1), nil), 2},
+		{"throttled to zero, best-effort tasks wait", 0, bestEffort, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newFixture()
+			vm := b.vm("vm", "in", "r1", cores(32))
+			vm.Health.ConsecutiveQuarantines = 1
+			run := b.state.Place(b.job("q", specifier.Step{Count: 1, Needs: cores(1), BestEffort: true}).Occurrences[0].Steps[0].Tasks[0], vm, 1, begin)
+			run.SetPace(tt.pace, begin)
+			b.job("q", tt.next)
+			for round, want := range []int{tt.want, 0} {
+				starts := b.plan(begin)
+				if len(starts) != want {
+					t.Errorf("%d tasks start in round %d, want %d", len(starts), round, want)
+				}
+				b.apply(starts, begin)
+			}
+		})
+	}
+}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -386,7 +386,7 @@
 // sound again. Until then nothing else starts there. The members of a gang count as one run: they
 // start together or not at all, and a failure of one ends all.
 func (m *vmState) awaitsProbe(s *tracker.Step, running int) bool {
-	return m.vm.OnProbation() && m.vm.Probes()+m.placedBeside(s, running) > 0
+	return m.vm.OnProbation() && m.vm.Probes(s.Spec)+m.placedBeside(s, running) > 0
 }
 
 // placedBeside returns the number of tasks placed on the VM in the round that are not members of the
--- a/internal/job/tracker/health_test.go
+++ b/internal/job/tracker/health_test.go
@@ -133,8 +133,8 @@
 	reportProgress(tr, vm, 0, 100, 0)
 	vm.quarantine("tasks failed", begin)
 	after := int(quarantineFirst/time.Millisecond) + 1
-	if vm.Probes() != 0 {
-		t.Fatalf("%d runs from before the quarantine count as probes", vm.Probes())
+	if n := vm.Probes(&longRunning); n != 0 {
+		t.Fatalf("%d runs from before the quarantine count as probes", n)
 	}
 	probe := addJob(t, tr, 500, longRunning)
 	tr.Place(probe.Occurrences[0].Steps[0].Tasks[0], vm, 1, at(after))
