--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -66,33 +66,6 @@
 	Service *Service
 }
 
-// vmState is the capacity of a VM during a round, after the tasks placed in the round.
-type vmState struct {
-	vm              *tracker.VM
-	now             time.Time
-	free            specifier.Resources
-	slow            bool          // tasks should start on other VMs, if they can
-	measured        bool          // slow is by the measured speed
-	factor          float64       // speed of a slow VM, otherwise 1
-	speedAge        time.Duration // age of the speed of a slow VM
-	ramping         bool          // it has recovered lately, and accepts rampLeft starts in this round
-	rampLeft        int
-	bestEffortCPU   int64         // thousandths of a core that best-effort tasks ask for
-	longRunning     int           // number of long-running tasks
-	longRunningCPU  int64         // thousandths of a core reserved for them
-	placed          int           // in this round
-	observed        *tracker.Task // a run of it is observed on the VM; nil: none is
-	suspected       bool          // it has a run of a suspected task
-	neighboursKnown bool          // whether neighbours is set
-	// neighbours are the long-running tasks that best-effort tasks could interfere with.
-	neighbours []neighbour
-	images     imageCounts // of the long-running tasks; nil until it is needed
-	// reserved holds the tasks with reserved capacity on the VM, which free does not include.
-	reserved         map[*tracker.Task]bool
-	releasesKnown    bool                // whether stopping and ending are set
-	stopping, ending specifier.Resources // resources of the runs that are being stopped, and of the others that are not long-running
-}
-
 type round struct {
 	in          Input
 	now         time.Time
@@ -153,15 +126,6 @@
 	r.reserveForMoves()
 }
 
-func newVMState(vm *tracker.VM, now time.Time) *vmState {
-	m := vmStateOf(vm, now)
-	return &m
-}
-
-func vmStateOf(vm *tracker.VM, now time.Time) vmState {
-	return vmState{vm: vm, now: now, free: vm.Capacity.Sub(vm.Committed), bestEffortCPU: vm.BestEffortCPU, longRunning: vm.LongRunning, longRunningCPU: vm.LongRunningCPU}
-}
-
 // Plan returns the starts of one round, most urgent first.
 func Plan(in Input) []Start {
 	r := newRound(in)
@@ -270,11 +234,6 @@
 	return Start{Task: t, VM: m.vm, Number: number, Ticket: ticket}
 }
 
-func (m *vmState) hasTicket(s *tracker.Step) bool {
-	_, ok := s.TicketFor(m.vm, m.now)
-	return ok
-}
-
 // assign accounts for a task on a VM.
 func (r *round) assign(m *vmState, s *specifier.Step) {
 	m.free = m.free.Sub(s.Committed())
@@ -319,107 +278,3 @@
 	}
 	return best
 }
-
-// admitsTask reports whether the VM admits a task of the step, including on the capacity
-// reserved for it.
-func (m *vmState) admitsTask(s *tracker.Step, t *tracker.Task, running int) bool {
-	if !m.release(t) {
-		return m.admits(s, running)
-	}
-	defer m.reserve(t)
-	return m.admits(s, running)
-}
-
-func (m *vmState) admits(s *tracker.Step, running int) bool {
-	spec := s.Spec
-	if !m.free.Fits(spec.Committed()) || !m.eligible(s, running) {
-		return false
-	}
-	if !spec.BestEffort {
-		return true
-	}
-	if m.slow && m.measured {
-		return m.admitsProbe(s, running)
-	}
-	return float64(spec.Needs.CPUMillis) <= m.bestEffortCapacity() || m.idle() > 0 && m.onlyBestEffort(s, running)
-}
-
-// onlyBestEffort reports whether no other best-effort task that ends by itself runs on the VM or was
-// placed there in the round. A task that asks for more than there is starts then: it can't wait for
-// anything that would leave it more.
-func (m *vmState) onlyBestEffort(s *tracker.Step, running int) bool {
-	placed := m.bestEffortCPU - m.vm.BestEffortCPU
-	if s.Spec.Gang {
-		placed -= int64(running) * s.Spec.Needs.CPUMillis
-	}
-	if placed > 0 {
-		return false
-	}
-	for _, run := range m.vm.Runs {
-		if r := run.Step().Spec; r.BestEffort && !r.LongRunning {
-			return false
-		}
-	}
-	return true
-}
-
-// eligible reports whether the VM would admit a task of the step if it had enough free
-// capacity.
-func (m *vmState) eligible(s *tracker.Step, running int) bool {
-	spec := s.Spec
-	switch {
-	case !s.Occurrence.Job.Queue.RunsOn(m.vm.Service),
-		spec.Label != "" && !m.vm.Labels[spec.Label],
-		spec.MaxPerVM > 0 && running >= spec.MaxPerVM:
-		return false
-	case s.Occurrence.Job.Queue.Advised && !m.hasTicket(s):
-		return false
-	case m.awaitsProbe(s, running):
-		return false
-	case m.rampedOut():
-		return false
-	}
-	return true
-}
-
-// awaitsProbe reports whether the VM is on probation and a run is to show whether its worker is
-// sound again. Until then nothing else starts there. The members of a gang count as one run: they
-// start together or not at all, and a failure of one ends all.
-func (m *vmState) awaitsProbe(s *tracker.Step, running int) bool {
-	return m.vm.OnProbation() && m.vm.Probes(s.Spec)+m.placedBeside(s, running) > 0
-}
-
-// placedBeside returns the number of tasks placed on the VM in the round that are not members of the
-// same gang as the next one. running is the number of runs of the step there.
-func (m *vmState) placedBeside(s *tracker.Step, running int) int {
-	if !s.Spec.Gang {
-		return m.placed
-	}
-	return max(m.placed-running, 0) // a gang has no other runs when its members are placed
-}
-
-// bestEffortCapacity is how many thousandths of a core best-effort tasks may still ask for.
-func (m *vmState) bestEffortCapacity() float64 {
-	share := overcommitAlone
-	if m.longRunning > 0 {
-		share = overcommitColocated
-	}
-	return m.idle()*share - float64(m.bestEffortCPU)
-}
-
-// idle is how many thousandths of a core the tasks with reserved processors are expected to
-// leave unused.
-func (m *vmState) idle() float64 {
-	if m.slow && m.measured {
-		return m.deliveredIdle()
-	}
-	return float64(m.free.CPUMillis) + float64(m.longRunningCPU)*(1-longRunningUtilization)
-}
-
-// imageCounts returns the long-running images of the VM, including those placed in this round.
-func (m *vmState) imageCounts() imageCounts {
-	if m.images == nil {
-		m.images = countImages(m.vm)
-	}
-	return m.images
-}
