planner: a ticket counts only if the step can start with it

What callers see: on fleets of more than 20 VMs a gang of an advised queue is never started, and a task waits until a ticket of another VM has expired.

Cause: a step was not asked about again while it had a ticket for any VM with room for one task. A gang needs tickets for all its members, and the VM with the ticket may lack the step's label, be on probation, or have reached the step's limit per VM.

Fix: candidates are the VMs that would take a task but for the ticket, and requests go on until the tickets are enough for one task, or for all members of a gang. The answers are recorded by the tracker.

--- a/internal/job/planner/advise.go
+++ b/internal/job/planner/advise.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -23,41 +24,52 @@
 	VMs  []*tracker.VM
 }
 
-// NextAdviceRequest returns the most urgent request for the advising service, if there is one:
-// for a step without a valid ticket for any usable VM with enough free capacity. VMs with the
-// most free capacity come first. VMs that already have an answer without a valid ticket come
-// last, so that the next request names others.
+// NextAdviceRequest returns the most urgent request for the advising service, if there is one: for a
+// step that can't start with the tickets that it has. VMs with the most free capacity come first. VMs
+// that already have an answer without a valid ticket come last, so that the next request names others.
 func NextAdviceRequest(in Input) (AdviceRequest, bool) {
-	for _, s := range order(in, in.State.WaitingSteps(in.Now)) {
-		if !s.Occurrence.Job.Queue.Advised || in.Now.Before(s.AdviseAt) {
-			continue
+	steps := slices.DeleteFunc(in.State.WaitingSteps(in.Now), func(s *tracker.Step) bool {
+		return !s.Occurrence.Job.Queue.Advised || in.Now.Before(s.Advice.NotBefore)
+	})
+	if len(steps) == 0 {
+		return AdviceRequest{}, false
+	}
+	in.Now, in.Cache = in.Now.Add(ticketMargin), nil // what is cached is not of that time
+	r := newLoadedRound(in)
+	for _, s := range order(in, steps) {
+		if candidates := r.adviceCandidates(s); len(candidates) > 0 && !r.hasTickets(s) {
+			return AdviceRequest{Step: s, VMs: selectVMs(s, candidates)}, true
 		}
-		var candidates []*vmState
-		hasTicket := false
-		for _, vm := range in.State.VMs {
-			if !acceptsTasks(vm, in) || !s.Occurrence.Job.Queue.RunsOn(vm.Service) || vm.WorkerID == "" {
-				continue
-			}
-			m := newVMState(vm, in.Now.Add(ticketMargin))
-			if !m.free.Fits(s.Spec.Committed()) {
-				continue
-			}
-			hasTicket = hasTicket || m.hasTicket(s)
+	}
+	return AdviceRequest{}, false
+}
+
+// adviceCandidates returns the VMs without a valid ticket that would take a task of the step.
+func (r *round) adviceCandidates(s *tracker.Step) (candidates []*vmState) {
+	count := r.runCounts(s)
+	for _, m := range r.vmStates {
+		if m.vm.WorkerID != "" && !m.hasTicket(s) && m.takes(s, count[m.vm]) {
 			candidates = append(candidates, m)
 		}
-		if hasTicket || len(candidates) == 0 {
-			continue
-		}
-		return AdviceRequest{Step: s, VMs: selectVMs(s, candidates)}, true
 	}
-	return AdviceRequest{}, false
+	return candidates
+}
+
+// hasTickets reports whether the tickets of a step are enough for one task, or for all members of a
+// gang. It places the gang if they are.
+func (r *round) hasTickets(s *tracker.Step) bool {
+	if s.Spec.Gang {
+		return len(r.placeGang(s)) > 0
+	}
+	count := r.runCounts(s)
+	return slices.ContainsFunc(r.vmStates, func(m *vmState) bool { return m.admits(s, count[m.vm]) })
 }
 
 func selectVMs(s *tracker.Step, candidates []*vmState) []*tracker.VM {
 	sort.Slice(candidates, func(i, j int) bool {
 		a, b := candidates[i], candidates[j]
-		_, askedA := s.Tickets[a.vm.Name]
-		_, askedB := s.Tickets[b.vm.Name]
+		_, askedA := s.Advice.Tickets[a.vm.Name]
+		_, askedB := s.Advice.Tickets[b.vm.Name]
 		if askedA != askedB {
 			return askedB
 		}
--- a/internal/job/planner/vmstate.go
+++ b/internal/job/planner/vmstate.go
@@ -59,8 +59,18 @@
 }
 
 func (m *vmState) admits(s *tracker.Step, running int) bool {
+	return m.permits(s) && m.takes(s, running)
+}
+
+// permits reports whether the queue's policy is known to allow the VM.
+func (m *vmState) permits(s *tracker.Step) bool {
+	return !s.Occurrence.Job.Queue.Advised || m.hasTicket(s)
+}
+
+// takes reports whether the VM would admit a task of the step if the queue's policy allowed it.
+func (m *vmState) takes(s *tracker.Step, running int) bool {
 	spec := s.Spec
-	if !m.free.Fits(spec.Committed()) || !m.eligible(s, running) {
+	if !m.free.Fits(spec.Committed()) || !m.suits(s, running) {
 		return false
 	}
 	if !spec.BestEffort {
@@ -94,20 +104,20 @@
 // eligible reports whether the VM would admit a task of the step if it had enough free
 // capacity.
 func (m *vmState) eligible(s *tracker.Step, running int) bool {
+	return m.permits(s) && m.suits(s, running)
+}
+
+// suits reports whether the VM would admit a task of the step if it had enough free capacity and the
+// queue's policy allowed it.
+func (m *vmState) suits(s *tracker.Step, running int) bool {
 	spec := s.Spec
 	switch {
 	case !s.Occurrence.Job.Queue.RunsOn(m.vm.Service),
 		spec.Label != "" && !m.vm.Labels[spec.Label],
 		spec.MaxPerVM > 0 && running >= spec.MaxPerVM:
 		return false
-	case s.Occurrence.Job.Queue.Advised && !m.hasTicket(s):
-		return false
-	case m.awaitsProbe(s, running):
-		return false
-	case m.rampedOut():
-		return false
 	}
-	return true
+	return !m.awaitsProbe(s, running) && !m.rampedOut()
 }
 
 // awaitsProbe reports whether the VM is on probation and a run is to show whether its worker is
--- a/internal/job/scheduler/advice.go
+++ b/internal/job/scheduler/advice.go
@@ -10,13 +10,9 @@
 	"bamboospread/internal/kernel/reporter"
 )
 
-const (
-	// adviceRetryDelay is how long a step waits after a request that returned no ticket.
-	adviceRetryDelay = 300 * time.Millisecond
-	// adviceQueueTime is added to the service's declared response time, since requests of
-	// others may be queued first.
-	adviceQueueTime = 2 * time.Second
-)
+// adviceQueueTime is added to the service's declared response time, since requests of
+// others may be queued first.
+const adviceQueueTime = 2 * time.Second
 
 // requestAdvice calls the advising service. It sends one request at a time, since the service
 // accepts only one at a time from each VM.
@@ -24,7 +20,7 @@
 	if o.advicePending || o.s.config.Advise == nil {
 		return
 	}
-	q, ok := planner.NextAdviceRequest(planner.Input{Now: now, State: o.state})
+	q, ok := planner.NextAdviceRequest(o.input(now))
 	if !ok {
 		return
 	}
@@ -59,23 +55,19 @@
 func (e *adviceResult) apply(o *owner, now time.Time) {
 	o.advicePending, o.dirty = false, true
 	s := e.request.Step
-	if s.Tickets == nil {
-		s.Tickets = make(map[string]tracker.Ticket)
-	}
-	allowed := 0
+	tickets, allowed := make(map[string]tracker.Ticket), 0
 	for _, vm := range e.request.VMs {
-		text, ok := e.tickets[vm.WorkerID]
-		t := tracker.Ticket{Incarnation: e.incarnations[vm.Name]} // an empty ticket records a refusal
-		if ok {
+		t := tracker.Ticket{Incarnation: e.incarnations[vm.Name]}
+		if text, ok := e.tickets[vm.WorkerID]; ok {
 			allowed++
 			t.Text, t.Until = text, e.until
 		}
-		if e.err == nil {
-			s.Tickets[vm.Name] = t
-		}
+		tickets[vm.Name] = t
 	}
-	if allowed == 0 {
-		s.AdviseAt = now.Add(adviceRetryDelay)
+	if e.err != nil {
+		s.RecordAdviceFailure(now)
+	} else {
+		s.RecordAdvice(tickets, now)
 	}
 	fields := reporter.Fields{"step": e.step, "asked": len(e.request.VMs), "allowed": allowed}
 	if e.err != nil {
--- a/internal/job/tracker/report.go
+++ b/internal/job/tracker/report.go
@@ -216,7 +216,7 @@
 	}
 	for key, r := range vm.Runs {
 		if !listed[key] && r.Order <= rep.OrdersSeen {
-			delete(r.Step().Tickets, vm.Name) // the worker may have refused the ticket
+			delete(r.Step().Advice.Tickets, vm.Name) // the worker may have refused the ticket
 			tr.dropRun(r, now)
 			c.Lost = append(c.Lost, r)
 		}
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -147,8 +147,7 @@
 	Tasks      []*Task
 	Done       int // number of tasks that are done
 	ReadyAt    time.Time
-	Tickets    map[string]Ticket // by VM, for an advised queue
-	AdviseAt   time.Time         // earliest time of the next request for advice
+	Advice     Advice // of an advised queue
 	name       string
 }
 
@@ -160,19 +159,6 @@
 	return s.name
 }
 
-// Ticket permits tasks of a step to start on a VM.
-type Ticket struct {
-	Text        string
-	Incarnation string // the only incarnation of the worker for which it is valid
-	Until       time.Time
-}
-
-// TicketFor returns the ticket that is valid for a VM now.
-func (s *Step) TicketFor(vm *VM, now time.Time) (string, bool) {
-	t, ok := s.Tickets[vm.Name]
-	return t.Text, ok && t.Incarnation == vm.Incarnation && now.Before(t.Until)
-}
-
 // Finished reports whether all tasks are done.
 func (s *Step) Finished() bool { return s.Done == len(s.Tasks) }
 
