planner: requests for advice take turns over steps and VMs

On fleets of more than 20 VMs a VM with less free capacity than others is named once and never again, so a step is stuck if its ticket expired unused.

Cause: a request went to the first step in order without a ticket, again 300 ms after an answer that allowed nothing, and each named the VMs with the most free capacity.

Fix: a step with VMs that were not refused comes first, in the order of the steps. VMs known to be allowed are named first, refused ones by the time of the last answer. Requests stay one at a time: the service handles those of one machine in turn.

Evidence: TestHopelessStepsDontDelayAdvice: with 100 hopeless steps and answers of 10 ms and 500 ms a servable step starts within two answers; before it had not started after a minute. TestAdviceIsRepeatedForEveryVM: before, 30 of 50 VMs were named in one request of two minutes.

--- a/internal/job/planner/advise.go
+++ b/internal/job/planner/advise.go
@@ -1,8 +1,8 @@
 package planner
 
 import (
+	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"bamboospread/internal/job/tracker"
@@ -25,8 +25,9 @@
 }
 
 // NextAdviceRequest returns the most urgent request for the advising service, if there is one: for a
-// step that can't start with the tickets that it has. VMs with the most free capacity come first. VMs
-// that already have an answer without a valid ticket come last, so that the next request names others.
+// step that can't start with the tickets that it has. Requests with VMs that were not refused come
+// first, in the order of the steps. Requests that only repeat refusals take turns after them, so that
+// steps that nothing allows don't keep others from being asked about.
 func NextAdviceRequest(in Input) (AdviceRequest, bool) {
 	steps := slices.DeleteFunc(in.State.WaitingSteps(in.Now), func(s *tracker.Step) bool {
 		return !s.Occurrence.Job.Queue.Advised || in.Now.Before(s.Advice.NotBefore)
@@ -36,23 +37,35 @@
 	}
 	in.Now, in.Cache = in.Now.Add(ticketMargin), nil // what is cached is not of that time
 	r := newLoadedRound(in)
+	var again AdviceRequest
 	for _, s := range order(in, steps) {
-		if candidates := r.adviceCandidates(s); len(candidates) > 0 && !r.hasTickets(s) {
+		candidates, fresh := r.adviceCandidates(s)
+		if len(candidates) == 0 || r.hasTickets(s) {
+			continue
+		}
+		if fresh {
 			return AdviceRequest{Step: s, VMs: selectVMs(s, candidates)}, true
 		}
+		at := s.Advice.AskAgainAt
+		if due := !in.Now.Add(-ticketMargin).Before(at); due && (again.Step == nil || at.Before(again.Step.Advice.AskAgainAt)) {
+			again = AdviceRequest{Step: s, VMs: selectVMs(s, candidates)}
+		}
 	}
-	return AdviceRequest{}, false
+	return again, again.Step != nil
 }
 
-// adviceCandidates returns the VMs without a valid ticket that would take a task of the step.
-func (r *round) adviceCandidates(s *tracker.Step) (candidates []*vmState) {
+// adviceCandidates returns the VMs without a valid ticket that would take a task of the step. fresh
+// reports whether the service has not refused all of them.
+func (r *round) adviceCandidates(s *tracker.Step) (candidates []*vmState, fresh bool) {
 	count := r.runCounts(s)
 	for _, m := range r.vmStates {
-		if m.vm.WorkerID != "" && !m.hasTicket(s) && m.takes(s, count[m.vm]) {
-			candidates = append(candidates, m)
+		if m.vm.WorkerID == "" || m.hasTicket(s) || !m.takes(s, count[m.vm]) {
+			continue
 		}
+		candidates = append(candidates, m)
+		fresh = fresh || standingOf(s, m.vm) != adviceRefused
 	}
-	return candidates
+	return candidates, fresh
 }
 
 // hasTickets reports whether the tickets of a step are enough for one task, or for all members of a
@@ -65,18 +78,39 @@
 	return slices.ContainsFunc(r.vmStates, func(m *vmState) bool { return m.admits(s, count[m.vm]) })
 }
 
+// standing is what the service has last answered on a VM for a step, in the order in which requests
+// name VMs.
+type standing int
+
+const (
+	adviceAllowed standing = iota // its ticket has expired
+	adviceUnknown
+	adviceRefused
+)
+
+func standingOf(s *tracker.Step, vm *tracker.VM) standing {
+	t, ok := s.LastTicket(vm)
+	switch {
+	case !ok:
+		return adviceUnknown
+	case t.Text != "":
+		return adviceAllowed
+	default:
+		return adviceRefused
+	}
+}
+
+// selectVMs returns the VMs that a request names. Those that the service is known to allow come
+// first, so that the tickets of a gang are valid at the same time; of those that it has refused, the
+// ones asked about longest ago.
 func selectVMs(s *tracker.Step, candidates []*vmState) []*tracker.VM {
-	sort.Slice(candidates, func(i, j int) bool {
-		a, b := candidates[i], candidates[j]
-		_, askedA := s.Advice.Tickets[a.vm.Name]
-		_, askedB := s.Advice.Tickets[b.vm.Name]
-		if askedA != askedB {
-			return askedB
-		}
-		if a.free.CPUMillis != b.free.CPUMillis {
-			return a.free.CPUMillis > b.free.CPUMillis
-		}
-		return a.vm.Name < b.vm.Name
+	slices.SortFunc(candidates, func(a, b *vmState) int {
+		ta, _ := s.LastTicket(a.vm)
+		tb, _ := s.LastTicket(b.vm)
+		return cmp.Or(
+			cmp.Compare(standingOf(s, a.vm), standingOf(s, b.vm)), ta.AskedAt.Compare(tb.AskedAt),
+			cmp.Compare(b.free.CPUMillis, a.free.CPUMillis), cmp.Compare(a.vm.Name, b.vm.Name),
+		)
 	})
 	var vms []*tracker.VM
 	for _, m := range candidates[:min(len(candidates), maxVMsPerRequest)] {
--- a/internal/job/planner/advise_test.go
+++ b/internal/job/planner/advise_test.go
@@ -143,3 +143,49 @@
 		})
 	}
 }
+
+// Guards against a VM that is never asked about again once its ticket has expired or it was refused,
+// since others have more free capacity.
+func TestAdviceIsRepeatedForEveryVM(t *testing.T) {
+	b := advisedFixture(50)
+	b.job("q", specifier.Step{Count: 1, Needs: cores(4)})
+	named := make(map[string]int)
+	for at := time.Duration(0); at < 2*time.Minute; at += 100 * time.Millisecond {
+		for _, vm := range b.advise(begin.Add(at), 0, func(*tracker.Step, string) bool { return false }) {
+			named[vm]++
+		}
+	}
+	for vm := range b.state.VMs {
+		if named[vm] < 2 {
+			t.Errorf("%s was named in %d requests", vm, named[vm])
+		}
+	}
+}
+
+// Guards against steps that nothing allows and that keep a later one from being asked about. It waits
+// for the answer in progress and its own.
+func TestHopelessStepsDontDelayAdvice(t *testing.T) {
+	for _, answer := range []time.Duration{10 * time.Millisecond, 500 * time.Millisecond} {
+		t.Run(answer.String(), func(t *testing.T) {
+			b := advisedFixture(11)
+			for range 100 {
+				b.job("q", specifier.Step{Count: 1, Needs: cores(4), LongRunning: true})
+			}
+			var job *tracker.Job
+			allows := func(s *tracker.Step, _ string) bool { return s.Occurrence.Job == job }
+			now, arrived := begin, begin.Add(101*answer+time.Minute)
+			for ; now.Before(arrived); now = now.Add(answer) {
+				b.advise(now, time.Second, allows)
+			}
+			job = b.job("q", specifier.Step{Count: 1, Needs: cores(4)})
+			for ; now.Sub(arrived) <= time.Minute; now = now.Add(answer) {
+				if b.advise(now, time.Second, allows); len(b.plan(now)) > 0 {
+					break
+				}
+			}
+			if waited := now.Sub(arrived); waited > 2*answer {
+				t.Errorf("it starts %s after it came, want at most %s", waited, 2*answer)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/advice.go
+++ b/internal/job/scheduler/advice.go
@@ -70,8 +70,11 @@
 		s.RecordAdvice(tickets, now)
 	}
 	fields := reporter.Fields{"step": e.step, "asked": len(e.request.VMs), "allowed": allowed}
-	if e.err != nil {
+	switch {
+	case e.err != nil:
 		fields["error"] = e.err.Error()
+	case allowed == 0:
+		fields["ask-again-in"] = s.Advice.AskAgainAt.Sub(now).String()
 	}
 	o.s.config.Reporter.Report(reporter.AdviceReceived, fields)
 }
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -102,7 +102,7 @@
 	{OwnerReachable, log.InfoLevel, "owner reachable again", "This entry can reach the owner of the cell again."},
 	{MessageMalformed, log.ErrorLevel, "message malformed", "A message of another process can't be read and was ignored."},
 	{JobVMQuarantined, log.WarnLevel, "VM quarantined", "Different tasks failed on the VM with none done in between, or most of its tasks stalled; for some seconds nothing starts there, then one task or gang at a time."},
-	{AdviceReceived, log.InfoLevel, "advice received", "The advising service answered on which VMs a step may run."},
+	{AdviceReceived, log.InfoLevel, "advice received", "The advising service answered on which VMs a step may run. VMs that it refused are asked about again after ask-again-in, others at once."},
 	{JobStepWaits, log.InfoLevel, "step waits", "Tasks of a step have waited for a second or more, urgent ones for 0.3 s; the cause counts the VMs by the reason why they can't take one. The longest waits of each queue are logged, a bounded number per second."},
 	{JobCancelReceived, log.InfoLevel, "cancellation received", "The owner of the cell received the cancellation of a job; by says how it arrived (hint, watch, list or takeover)."},
 	{OrdersNotAccepted, log.WarnLevel, "orders not accepted", "An agent refused orders or did not answer them; its session ends, and the orders are decided again in the next one."},
