bookkeeper: replicas and earlier tasks are no probes after a quarantine

What callers see: a VM that was quarantined never gets a task again if a replica of a service runs there, since a replica does not complete; with a long task of before the quarantine it gets none until that has ended.

Cause: after a quarantine a VM gets one task at a time until one completes, and all tasks that hold its resources were counted.

Fix: a task records how many quarantines the VM had when it started, and counts only if that is still so; a replica counts until it runs. A failure quarantines the VM again at once, as before, so a faulty worker still gets one task at a time.

Evidence: TestOnlyTasksSinceQuarantineAreProbes fails with the former count in three of its six cases ("1 probes, want 0") and passes. The field is left out of records while it is 0, and unknown to earlier builds, which ignore it.

--- a/internal/control/bookkeeper/apply.go
+++ b/internal/control/bookkeeper/apply.go
@@ -206,7 +206,7 @@
 	s.update(r, t, func(t *Task) {
 		t.StartedOn, t.StartedBy, t.Confirmed = r.Started.VM, r.Started.Incarnation, false
 		t.State, t.VM, t.Attempt, t.Reason = messenger.TaskStarting, r.Started.VM, r.Started.Attempt, ""
-		t.Stop, t.Percent, t.NotBefore = "", 0, r.At
+		t.Stop, t.Percent, t.NotBefore, t.Quarantines = "", 0, r.At, v.Quarantines
 	})
 	return nil
 }
--- a/internal/control/bookkeeper/bookkeeper.go
+++ b/internal/control/bookkeeper/bookkeeper.go
@@ -36,6 +36,7 @@
 	StartedBy     int64               `json:"started-by,omitempty"` // incarnation of that VM's agent
 	Confirmed     bool                `json:"confirmed,omitempty"`  // the agent reported the latest attempt running
 	Attempt       int64               `json:"attempt"`
+	Quarantines   int                 `json:"quarantines,omitempty"` // of the VM when the latest attempt started
 	Stop          StopKind            `json:"stop,omitempty"`
 	Percent       int                 `json:"percent,omitempty"`
 	Failures      int                 `json:"failures,omitempty"`
@@ -203,6 +204,19 @@
 // CountOn returns how many tasks hold resources of a VM.
 func (s *CellState) CountOn(vm string) int { return len(s.onVM[vm]) }
 
+// CountProbes returns how many tasks a VM that was quarantined has to wait for before another may
+// start there. Tasks of before the quarantine show nothing of its worker now. A replica that runs has
+// shown what it can: it does not complete.
+func (s *CellState) CountProbes(vm string) int {
+	n := 0
+	for _, t := range s.onVM[vm] {
+		if t.Quarantines == s.data.VMs[vm].Quarantines && (t.Spec.Service == "" || t.State != messenger.TaskRunning) {
+			n++
+		}
+	}
+	return n
+}
+
 // Counts returns the number of tasks by state, without states that have none.
 func (s *CellState) Counts() map[messenger.TaskState]int {
 	counts := make(map[messenger.TaskState]int, len(s.counts))
--- a/internal/control/bookkeeper/bookkeeper_test.go
+++ b/internal/control/bookkeeper/bookkeeper_test.go
@@ -227,3 +227,52 @@
 		t.Errorf("after removing old claims: %d bytes, %d claims, error %v", s.data.AnswerBytes, s.CountClaims(), err)
 	}
 }
+
+// Guards against a VM that never accepts a task again after its quarantine: replicas, and tasks of
+// before the quarantine, counted as the one task that shows whether its worker is sound.
+func TestOnlyTasksSinceQuarantineAreProbes(t *testing.T) {
+	tests := []struct {
+		name             string
+		service          string
+		before, confirms bool // started before the quarantine; reported as running
+		want             int
+	}{
+		{"a task of before", "", true, true, 0},
+		{"a task", "", false, false, 1},
+		{"a task that runs", "", false, true, 1},
+		{"a replica of before", "s", true, true, 0},
+		{"a replica that is starting", "s", false, false, 1},
+		{"a replica that runs", "s", false, true, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := New()
+			apply := func(r Record) {
+				t.Helper()
+				r.At = start
+				if err := s.Apply(r); err != nil {
+					t.Fatal(err)
+				}
+			}
+			apply(Record{VMSeen: &VMSeen{Capacity: messenger.Capacity{VM: "v", Total: describer.Resources{Millicores: 1000}}}})
+			apply(Record{Submitted: &Submitted{Spec: messenger.TaskSpec{ID: "t", Service: tt.service}}})
+			quarantine := func() {
+				apply(Record{Quarantine: &Quarantine{VM: "v", Reason: "fails", Until: start}})
+				apply(Record{Quarantine: &Quarantine{VM: "v"}})
+			}
+			if !tt.before {
+				quarantine()
+			}
+			apply(Record{Started: &Started{Task: "t", VM: "v", Attempt: 1}})
+			if tt.confirms {
+				apply(Record{Confirmed: &Confirmed{Task: "t", Attempt: 1}})
+			}
+			if tt.before {
+				quarantine()
+			}
+			if got := s.CountProbes("v"); got != tt.want {
+				t.Errorf("%d probes, want %d", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/control/controller/planning.go
+++ b/internal/control/controller/planning.go
@@ -170,7 +170,7 @@
 	vm := placer.VM{
 		Name: name, Zone: c.Zone, Rack: c.Rack, Total: c.Total, Committed: o.state.Committed(name),
 		Reachable: session.reachable(now) && now.Sub(session.firstSeen) >= newVMDelay, Leaving: v.Seen.Leaving,
-		Quarantined: v.Quarantined != "" || v.Quarantines > 0 && o.state.CountOn(name) > 0,
+		Quarantined: v.Quarantined != "" || v.Quarantines > 0 && o.state.CountProbes(name) > 0,
 		ReturnedAt:  o.zoneReturnedAt[c.Zone], LastAdjustedAt: session.lastAdjusted,
 	}
 	for _, u := range v.Seen.Services {
