guardian, tracker: runs beyond a full list of ends are not lost

Cause: a worker lists 500 ends at a time, and lists them again until they are stored. Runs that had ended beyond these were in no list. The agent took them for lost, a new owner heard nothing of them and took the inherited jobs for reconciled.

Fix: a worker's answer says whether it may have more ends. Until all are listed the agent keeps the runs that it does not see, its reports carry more-ends, and the owner takes none of that VM's runs for lost, judges no stalls or stragglers there and reconciles no inherited job.

--- a/internal/job/planner/copies.go
+++ b/internal/job/planner/copies.go
@@ -68,7 +68,7 @@
 	if !run.VM.Attached || run.State == tracker.Stopping {
 		return true
 	}
-	if run.State != tracker.Running || spec.EstimateMillis <= 0 || run.Pace != paceFull {
+	if run.VM.MoreEnds || run.State != tracker.Running || spec.EstimateMillis <= 0 || run.Pace != paceFull {
 		return false
 	}
 	if s := stragglerOf(in, run); s != nil {
--- a/internal/job/tracker/health.go
+++ b/internal/job/tracker/health.go
@@ -83,7 +83,7 @@
 func (tr *Tracker) Stalled(vms []*VM, now time.Time) []*Run {
 	var all []*Run
 	for _, vm := range vms {
-		if !vm.Attached {
+		if !vm.Attached || vm.MoreEnds { // runs without progress may have ended
 			continue
 		}
 		vm.endProbation(now)
--- a/internal/job/tracker/record.go
+++ b/internal/job/tracker/record.go
@@ -257,13 +257,17 @@
 }
 
 // Reconcile marks jobs as reconciled, so that they may start: all of them if every VM has
-// reported, otherwise those for which all runs under earlier owners have certainly ended.
-// It returns how many jobs are not reconciled yet.
+// reported, otherwise those for which all runs under earlier owners have certainly ended. None is
+// while a VM has ends that its agent could not report yet. It returns how many jobs are not
+// reconciled yet.
 func (tr *Tracker) Reconcile(allReported bool, now time.Time) int {
 	waiting := 0
+	endsMissing := tr.endsMissing()
 	for _, j := range tr.Jobs {
 		switch {
 		case j.ReconcileAt.IsZero():
+		case endsMissing:
+			waiting++
 		case allReported || !now.Before(j.ReconcileAt):
 			j.ReconcileAt = time.Time{}
 		default:
@@ -273,6 +277,15 @@
 	return waiting
 }
 
+func (tr *Tracker) endsMissing() bool {
+	for _, vm := range tr.VMs {
+		if vm.MoreEnds {
+			return true
+		}
+	}
+	return false
+}
+
 // Startable reports whether new runs of the job's tasks may start.
 func (j *Job) Startable() bool {
 	return !j.State.Final() && j.ReconcileAt.IsZero() && !j.Unreadable
--- a/internal/job/tracker/report.go
+++ b/internal/job/tracker/report.go
@@ -23,6 +23,7 @@
 	OrdersSeen        int64         // number of orders of this session that the agent has received
 	Runs              []ReportedRun
 	Ends              []ReportedEnd // not yet acknowledged, in ascending order of Seq
+	MoreEnds          bool          // the worker may have more, so runs that are not listed may have ended
 	UnconfirmedStarts []UnconfirmedStart
 	Crashes           []ReportedCrash // not yet acknowledged, in ascending order of Seq
 }
@@ -72,7 +73,7 @@
 
 // Idle reports whether the VM accepts no new tasks and has no run that is running or may
 // still start.
-func (vm *VM) Idle() bool { return !vm.Ready && len(vm.Runs) == 0 }
+func (vm *VM) Idle() bool { return !vm.Ready && len(vm.Runs) == 0 && !vm.MoreEnds }
 
 // UnconfirmedRuns returns the runs of a VM with unconfirmed starts. They have to be stopped
 // before their tasks may start again, since their starts may still be carried out.
@@ -182,7 +183,7 @@
 }
 
 // Apply applies a report. A run whose order the agent has received and that the report
-// does not list counts as lost.
+// does not list counts as lost, unless the report may lack ends.
 func (tr *Tracker) Apply(vm *VM, rep Report, now time.Time) Changes {
 	var c Changes
 	listed := make(map[RunKey]bool, len(rep.Runs))
@@ -194,7 +195,7 @@
 		vm.Incarnation, vm.EndSeen, vm.EndStored, vm.Health, vm.Throttle, vm.Speed = rep.Incarnation, 0, 0, Health{}, ThrottleState{}, Speed{}
 	}
 	vm.Version++
-	vm.Ready, vm.GrantedAt, vm.SeenAt = rep.Ready, now, now.Add(-rep.Age)
+	vm.Ready, vm.MoreEnds, vm.GrantedAt, vm.SeenAt = rep.Ready, rep.MoreEnds, now, now.Add(-rep.Age)
 	vm.applyUnconfirmedStarts(rep, now)
 	for _, e := range rep.Ends {
 		if e.Seq > vm.EndSeen {
@@ -215,7 +216,7 @@
 		}
 	}
 	for key, r := range vm.Runs {
-		if !listed[key] && r.Order <= rep.OrdersSeen {
+		if !listed[key] && r.Order <= rep.OrdersSeen && !vm.MoreEnds {
 			delete(r.Step().Advice.Tickets, vm.Name) // the worker may have refused the ticket
 			tr.dropRun(r, now)
 			c.Lost = append(c.Lost, r)
@@ -255,8 +256,10 @@
 		r.Step().Occurrence.Job.markStarted()
 		r.Task.markRun()
 		r.Measure = rep.Measure
-		r.recordWork(now)
-		tr.updateProgress(r, rep.Progress)
+		if !vm.MoreEnds { // the run may have ended
+			r.recordWork(now)
+			tr.updateProgress(r, rep.Progress)
+		}
 	}
 	return adopted
 }
--- a/internal/job/tracker/report_test.go
+++ b/internal/job/tracker/report_test.go
@@ -275,3 +275,50 @@
 		t.Errorf("%d stops are overdue, want 1", len(got))
 	}
 }
+
+// Guards against tasks that start again after they were done: a report that may lack ends says nothing
+// of the runs that it does not list, and their progress says nothing of the worker.
+func TestReportThatLacksEndsLosesNoRun(t *testing.T) {
+	tr := newState(t, 3)
+	vm := attach(tr, "vm")
+	runTasks(t, tr, vm, 4, oneSecond)
+	var listed ReportedRun
+	for key := range vm.Runs {
+		listed = ReportedRun{Key: key, Confirmed: true}
+		break
+	}
+	for millis := 0; millis <= 4000; millis += 200 {
+		rep := Report{Incarnation: "1", Ready: true, OrdersSeen: 1000, MoreEnds: true, Runs: []ReportedRun{listed}}
+		if c := tr.Apply(vm, rep, at(millis)); len(c.Lost) > 0 || len(vm.Runs) != 4 {
+			t.Fatalf("%d runs are lost after %d ms, %d left", len(c.Lost), millis, len(vm.Runs))
+		}
+		if stalled := tr.Stalled(tr.SortedVMs(), at(millis)); len(stalled) > 0 || vm.OnProbation() {
+			t.Fatalf("%d runs have stalled after %d ms, on probation: %t", len(stalled), millis, vm.OnProbation())
+		}
+	}
+	c := tr.Apply(vm, Report{Incarnation: "1", Ready: true, OrdersSeen: 1000, Runs: []ReportedRun{listed}}, at(4200))
+	if len(c.Lost) != 3 {
+		t.Errorf("%d runs are lost by a complete report, want 3", len(c.Lost))
+	}
+}
+
+// Guards against tasks that an earlier owner's runs have done and that start again: neither the owner
+// nor a restarted agent knows runs whose ends the worker does not list yet.
+func TestNoReconciliationWhileEndsAreMissing(t *testing.T) {
+	tr := newState(t, 3)
+	vm := attach(tr, "vm")
+	j := addJob(t, tr, 1, oneSecond)
+	j.ReconcileAt = at(1000)
+	tr.Apply(vm, Report{Incarnation: "1", Ready: true, MoreEnds: true}, at(0))
+	if tr.Reconcile(true, at(2000)); j.Startable() {
+		t.Error("the job may start while ends are missing")
+	}
+	tr.Detach(vm)
+	if tr.Reconcile(true, at(3000)); j.Startable() {
+		t.Error("the job may start before the leases of the VM have expired")
+	}
+	tr.DropRuns(vm, at(9000))
+	if tr.Reconcile(true, at(9000)); !j.Startable() {
+		t.Error("the job does not start after the VM is lost")
+	}
+}
--- a/internal/job/tracker/run.go
+++ b/internal/job/tracker/run.go
@@ -243,6 +243,7 @@
 	for _, r := range lost {
 		tr.dropRun(r, now)
 	}
+	vm.MoreEnds = false // what has not been reported by now is lost too
 	return lost
 }
 
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -238,6 +238,7 @@
 	Capacity          specifier.Resources
 	Incarnation       string // incarnation of the worker; a new one knows nothing of earlier ones
 	Ready             bool   // the worker accepts new tasks
+	MoreEnds          bool   // the worker may have ends that its agent has not reported yet
 	Attached          bool   // its agent has a session and has reported its runs
 	Process           int64  // process of its agent
 	OrderSeq          int64  // number of orders sent in this session
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -70,6 +70,7 @@
 	StopWithoutEffect
 	WorkerCrashed
 	CrashesNotStored
+	EndsNotListed
 )
 
 var jobDefinitions = []Definition{
@@ -135,5 +136,6 @@
 	{StopWithoutEffect, log.WarnLevel, "stop without effect", "The worker answered a stop but the run is still running; the stop is repeated."},
 	{WorkerCrashed, log.WarnLevel, "worker crashed", "The worker's process ended without having announced that it leaves. The field latest names the runs that it had, the latest starts first, with the time since each start."},
 	{CrashesNotStored, log.WarnLevel, "crashes not stored", "The agent stops although no owner has stored the crashes of its worker that it has seen; they do not count against the tasks that ran there."},
+	{EndsNotListed, log.WarnLevel, "ends not listed", "The worker lists only some of its ends at a time, and those are not stored yet: runs that it does not list count as running until the others are listed. With more=false it has listed all."},
 	{AnnouncementMalformed, log.WarnLevel, "announcement malformed", "An announcement to this agent did not come from a worker and was ignored."},
 }
--- a/internal/service/hoster/agent.go
+++ b/internal/service/hoster/agent.go
@@ -38,6 +38,8 @@
 	a.guardian = guardian.New(guardian.Config{
 		VM: c.Settings.Name, Worker: worker.Calls(), LeaseMax: c.Settings.LeaseMax, StopTime: c.Settings.StopTime, Reporter: c.Reporter, Now: now,
 	})
+	a.metrics.NewGauge("bamboospread_agent_ends_waiting", func() float64 { ends, _ := a.guardian.Waiting(); return float64(ends) })
+	a.metrics.NewGauge("bamboospread_agent_runs_in_doubt", func() float64 { _, runs := a.guardian.Waiting(); return float64(runs) })
 	a.attender = attender.New(attender.Config{
 		Cell: cell, Guardian: a.guardian, FindRecords: a.store.Calls().FindRecords, Watch: a.store.Calls().Watch, Now: now, Reporter: c.Reporter,
 	})
--- a/internal/standin/executor/calls.go
+++ b/internal/standin/executor/calls.go
@@ -204,7 +204,8 @@
 }
 
 func (e *Executor) statusLocked() invoker.PollResponse {
-	s := invoker.PollResponse{Incarnation: e.incarnationName(), ClockMillis: e.clockLocked().Milliseconds(), Ends: append([]invoker.End(nil), e.ends...)}
+	listed := e.ends[:min(len(e.ends), invoker.MaxListedEnds)]
+	s := invoker.PollResponse{Incarnation: e.incarnationName(), ClockMillis: e.clockLocked().Milliseconds(), Ends: append([]invoker.End(nil), listed...), MoreEnds: len(listed) < len(e.ends)}
 	for _, key := range e.sortedTasksLocked() {
 		r := e.runs[key]
 		v := invoker.Run{Task: r.task, Run: r.number, Checkpoint: r.checkpoint(), Progress: 100, Measure: r.payload.TailMillis}
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -43,6 +43,7 @@
 	AgeMillis   int64       `json:"age-ms"` // of the reported state of the runs
 	Runs        []WorkRun   `json:"runs,omitempty"`
 	Ends        []WorkEnd   `json:"ends,omitempty"`
+	MoreEnds    bool        `json:"more-ends,omitempty"` // the worker may have more; runs that are not listed may have ended
 	// Unconfirmed starts: they were not answered and no status poll has shown the run yet.
 	// The worker may still carry them out, even in another incarnation.
 	UnconfirmedStarts []WorkUnconfirmedStart `json:"doubts,omitempty"`
--- a/internal/worker/guardian/env_test.go
+++ b/internal/worker/guardian/env_test.go
@@ -40,6 +40,7 @@
 	refusedPaces      int  // number of paces refused with the reason below
 	refusal           RefusalReason
 	paces             []int // that were applied
+	listedEnds        int   // of an answer at most; 0: all
 	reportsEndsAtOnce bool  // polls return immediately while ends are listed, as real workers do
 	waitsFully        bool  // polls last their whole wait, as if nothing ended
 	startedAt         time.Time
@@ -129,6 +130,10 @@
 			status.Ends = append(status.Ends, e)
 		}
 	}
+	if f.listedEnds > 0 {
+		status.MoreEnds = len(status.Ends) >= f.listedEnds
+		status.Ends = status.Ends[:min(len(status.Ends), f.listedEnds)]
+	}
 	return status, nil
 }
 
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -45,6 +45,7 @@
 	stopped          bool          // its stop was answered
 	startUnconfirmed bool          // its start was not answered and may be carried out later
 	confirmed        bool          // an answer or a poll has shown that the worker has or had the run
+	inDoubt          bool          // the last poll listed neither the run nor all ends
 	startExpiresAt   time.Duration // on the worker's clock, which refuses the start afterwards; 0: not known yet
 	sentAt           time.Time     // when its start was last sent, or when it was found; zero: nothing has been sent
 	startCallEndedAt time.Time     // when the start call was answered or given up; zero: not yet
@@ -72,6 +73,7 @@
 	unconfirmedStarts       map[tracker.RunKey]unconfirmedStart // starts without an answer
 	ends                    []ListedEnd
 	endsStored              int64
+	moreEnds                bool // the worker may have ends that its last answer did not list
 	epoch                   int64
 	session                 int64
 	process                 int64 // identifies this agent process
@@ -165,7 +167,7 @@
 	// which may not answer yet, they would make a second crash of the same tasks.
 	g.failedPolls, g.absentPolls, g.pollsFailSince = 0, 0, time.Time{}
 	lastPollSentAt := g.lastPollSentAt
-	g.incarnation, g.ends, g.endsStored, g.clockAt, g.polledEpoch, g.lastPollSentAt = incarnation, nil, 0, time.Time{}, 0, time.Time{}
+	g.incarnation, g.ends, g.endsStored, g.moreEnds, g.clockAt, g.polledEpoch, g.lastPollSentAt = incarnation, nil, 0, false, time.Time{}, 0, time.Time{}
 	for key, r := range g.runs {
 		r.startExpiresAt = neverExpires // the previous expiry was on another clock
 		switch {
@@ -217,7 +219,7 @@
 	rep := messenger.WorkReport{
 		VM: g.config.VM, Session: session, Process: g.process, Incarnation: g.incarnation, OrdersSeen: g.ordersSeen,
 		AgeMillis: g.config.Now().Sub(g.clockAt).Milliseconds(),
-		Ready:     !g.leaving && g.unresponsiveSince.IsZero(), Granted: g.grantUntil.After(g.config.Now()),
+		Ready:     !g.leaving && g.unresponsiveSince.IsZero(), Granted: g.grantUntil.After(g.config.Now()), MoreEnds: g.moreEnds,
 	}
 	if g.vmInfoAcked != g.vmInfo {
 		rep.VMInfo = g.vmInfo
@@ -247,6 +249,19 @@
 	return g.polledEpoch == g.epoch || !g.unresponsiveSince.IsZero() && g.allRunsEndedLocked()
 }
 
+// Waiting returns how many ends the owner has not stored yet, and how many runs may be among further
+// ends that the worker could not list.
+func (g *Guardian) Waiting() (ends, runsInDoubt int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.runs {
+		if r.inDoubt {
+			runsInDoubt++
+		}
+	}
+	return len(g.ends), runsInDoubt
+}
+
 // allRunsEndedLocked reports whether everything on an unresponsive worker has ended for
 // certain.
 func (g *Guardian) allRunsEndedLocked() bool {
--- a/internal/worker/guardian/poll.go
+++ b/internal/worker/guardian/poll.go
@@ -262,6 +262,7 @@
 		r.checkpoint, r.progress, r.measure = s.Checkpoint, s.Progress, s.Measure
 	}
 	news = g.addEndsLocked(status.Ends) || news
+	news = g.setMoreEndsLocked(status.MoreEnds) || news
 	news = g.dropLostRunsLocked(listed, status.Clock, from) || news
 	switch {
 	case news:
@@ -272,11 +273,25 @@
 	return news
 }
 
+// setMoreEndsLocked records whether the worker may have more ends than it has listed, and reports
+// whether that has changed.
+func (g *Guardian) setMoreEndsLocked(more bool) (changed bool) {
+	if g.moreEnds == more {
+		return false
+	}
+	g.moreEnds = more
+	g.config.Reporter.Report(reporter.EndsNotListed, reporter.Fields{"more": more, "waiting": len(g.ends), "stored": g.endsStored, "runs": len(g.runs)})
+	return true
+}
+
 // dropLostRunsLocked removes the runs that the worker does not have and will not get, and
 // reports whether there were any. A poll sent after the start or stop was answered, or after
-// the start has expired, shows whether the worker has the run.
+// the start has expired, shows whether the worker has the run, unless it leaves out ends.
 func (g *Guardian) dropLostRunsLocked(listed map[tracker.RunKey]bool, clock time.Duration, from pollStart) (dropped bool) {
 	for key, r := range g.runs {
+		if r.inDoubt = !listed[key] && g.moreEnds; r.inDoubt {
+			continue
+		}
 		if !listed[key] && (r.pollIsConclusive(from.sentAt) || r.startExpired(from.clock)) {
 			delete(g.runs, key)
 			dropped = true
--- a/internal/worker/guardian/worker.go
+++ b/internal/worker/guardian/worker.go
@@ -62,6 +62,9 @@
 	Clock       time.Duration // of the worker, when it answered
 	Runs        []ListedRun
 	Ends        []ListedEnd
+	// MoreEnds is set if the worker may have more ends than it lists. A run that is not listed may be
+	// one of them, and has not been lost then.
+	MoreEnds bool
 }
 
 // ListedRun is a run on the worker.
--- a/internal/worker/invoker/invoker.go
+++ b/internal/worker/invoker/invoker.go
@@ -143,7 +143,7 @@
 	if err := i.call(ctx, http.MethodPost, PathPoll, i.lastIncarnation(), PollRequest{Epoch: c.Epoch, EndsSeen: c.EndsSeen, LeaseMillis: millis(c.LeaseUntil), WaitMillis: millis(c.Wait)}, &a); err != nil {
 		return guardian.Status{}, err
 	}
-	status := guardian.Status{Incarnation: a.Incarnation, Clock: time.Duration(a.ClockMillis) * time.Millisecond}
+	status := guardian.Status{Incarnation: a.Incarnation, Clock: time.Duration(a.ClockMillis) * time.Millisecond, MoreEnds: a.MoreEnds}
 	for _, r := range a.Runs {
 		id, err := specifier.ParseTaskID(r.Task)
 		if err != nil {
--- a/internal/worker/invoker/protocol.go
+++ b/internal/worker/invoker/protocol.go
@@ -69,9 +69,13 @@
 	Incarnation string `json:"life"`
 	ClockMillis int64  `json:"clock-ms"`
 	Runs        []Run  `json:"runs"`
-	Ends        []End  `json:"ends"`
+	Ends        []End  `json:"ends"`                // at most MaxListedEnds, the earliest
+	MoreEnds    bool   `json:"more-ends,omitempty"` // there are others, which are listed once these are seen
 }
 
+// MaxListedEnds is how many ends an executor lists in an answer.
+const MaxListedEnds = 500
+
 // Run is a run on the executor.
 type Run struct {
 	Task       string `json:"task"`
