specifier, tracker: a job is stored with the settings of its queue

Cause: a job's queue settings came from the newest policy, or from what one owner had seen before and kept in memory. An owner that never saw the queue passes over its jobs for good.

Fix: the entry stores with the job what its tasks need of the queue, in the write that accepts it. The field is optional: records of earlier builds are read as before, and earlier builds ignore it. TestSubmissionIsStoredCompletely compares the whole record as before, with the new field in it.

--- a/internal/job/specifier/policy.go
+++ b/internal/job/specifier/policy.go
@@ -27,6 +27,52 @@
 // RunsOn reports whether tasks of the queue may run on the VMs of a service.
 func (q Queue) RunsOn(service string) bool { return q.Service == "" || q.Service == service }
 
+// QueueSettings are the settings of a queue that its accepted jobs need, in their stored form. An owner
+// decides by them once the operators have removed the queue.
+type QueueSettings struct {
+	Service           string  `json:"service,omitempty"`
+	Priority          int     `json:"priority,omitempty"`
+	MaxFailures       int     `json:"max-failures,omitempty"`
+	Slack             float64 `json:"slack,omitempty"`
+	TargetMillis      int64   `json:"target-ms,omitempty"`
+	Advised           bool    `json:"advised,omitempty"`
+	AdviceMillis      int64   `json:"advice-ms,omitempty"`
+	AdviceVMMillis    int64   `json:"advice-vm-ms,omitempty"`
+	AdviceValidMillis int64   `json:"advice-valid-ms,omitempty"`
+}
+
+// Accept makes j a job of the queue and records the queue's settings with it.
+func (q Queue) Accept(j *Job) {
+	j.Queue = q.Name
+	j.QueueSettings = &QueueSettings{
+		Service: q.Service, Priority: q.Priority, MaxFailures: q.MaxFailures, Slack: q.Slack, TargetMillis: q.Target.Milliseconds(),
+		Advised: q.Advised, AdviceMillis: q.AdviceTime.Milliseconds(), AdviceVMMillis: q.AdvicePerVM.Milliseconds(), AdviceValidMillis: q.AdviceValid.Milliseconds(),
+	}
+}
+
+// AcceptedIn returns the queue as it was when the job was accepted, without what only requests of
+// callers need. ok is false if an earlier build stored the job.
+func (j *Job) AcceptedIn() (q Queue, ok bool) {
+	s := j.QueueSettings
+	if s == nil {
+		return Queue{}, false
+	}
+	millis := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+	return Queue{
+		Name: j.Queue, Service: s.Service, Priority: s.Priority, MaxFailures: s.MaxFailures, Slack: s.Slack, Target: millis(s.TargetMillis),
+		Advised: s.Advised, AdviceTime: millis(s.AdviceMillis), AdvicePerVM: millis(s.AdviceVMMillis), AdviceValid: millis(s.AdviceValidMillis),
+	}, true
+}
+
+// QueueOf returns the queue of a job: its present settings or, if it was removed, those with which the
+// job was accepted. ok is false if neither is known.
+func (p *Policy) QueueOf(j *Job) (q Queue, ok bool) {
+	if q, ok = p.QueueByName(j.Queue); ok {
+		return q, true
+	}
+	return j.AcceptedIn()
+}
+
 // Policy is one version of the operators' settings. It is immutable once published.
 type Policy struct {
 	Version  int64
--- a/internal/job/specifier/specifier.go
+++ b/internal/job/specifier/specifier.go
@@ -97,6 +97,8 @@
 	// StartByMillis bounds the first start of a job that was admitted under a backlog, in Unix ms; 0:
 	// not bounded.
 	StartByMillis int64 `json:"start-by-ms,omitempty"`
+	// QueueSettings are those of the queue when the job was accepted; nil: stored by an earlier build.
+	QueueSettings *QueueSettings `json:"queue-settings,omitempty"`
 	// Ended is the final state of a job that has ended; its payload and steps are
 	// dropped then. It is empty while the job is open.
 	Ended       string `json:"ended,omitempty"`
--- a/internal/job/tracker/job.go
+++ b/internal/job/tracker/job.go
@@ -16,7 +16,7 @@
 		return false
 	}
 	j := &Job{Spec: spec, State: JobQueued, StoredState: JobQueued, ReconcileAt: reconcileAt, tracker: tr}
-	j.Queue, _ = tr.policy.QueueByName(spec.Queue)
+	j.Queue, _ = tr.policy.QueueOf(spec)
 	tr.Jobs[spec.ID] = j
 	if spec.Ended != "" {
 		j.State, j.StoredState, j.Started = JobState(spec.Ended), JobState(spec.Ended), true
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -208,7 +208,7 @@
 // Job is an accepted job.
 type Job struct {
 	Spec        *specifier.Job
-	Queue       specifier.Queue // from the newest policy that contained it
+	Queue       specifier.Queue // its present settings, or those with which the job was accepted
 	Occurrences []*Occurrence   // due and not finished
 	Next        int             // next occurrence to open
 	Finished    int             // number of finished occurrences
@@ -357,12 +357,12 @@
 // Policy returns the policy in force.
 func (tr *Tracker) Policy() *specifier.Policy { return tr.policy }
 
-// SetPolicy applies a newer policy. A job whose queue was removed keeps the last
-// settings of the queue.
+// SetPolicy applies a newer policy. A job whose queue was removed has the settings with which it was
+// accepted, under every owner; one that an earlier build stored keeps the last settings.
 func (tr *Tracker) SetPolicy(p *specifier.Policy) {
 	tr.policy = p
 	for _, j := range tr.Jobs {
-		if q, ok := p.QueueByName(j.Spec.Queue); ok {
+		if q, ok := p.QueueOf(j.Spec); ok {
 			j.Queue = q
 		}
 	}
--- a/internal/operator/handler/jobs.go
+++ b/internal/operator/handler/jobs.go
@@ -51,10 +51,12 @@
 	if !readJSON(w, r, &j) {
 		return
 	}
-	j.ID, j.Queue = r.PathValue("id"), r.PathValue("queue")
-	if !h.checkQueue(w, j.Queue) || !h.checkAccount(w, j.Account) {
+	j.ID = r.PathValue("id")
+	q, ok := h.findQueue(w, r.PathValue("queue"))
+	if !ok || !h.checkAccount(w, j.Account) {
 		return
 	}
+	q.Accept(&j)
 	if err := specifier.Check(&j); err != nil {
 		writeError(w, http.StatusBadRequest, ErrorAnswer{Error: err.Error(), Outcome: OutcomeRefused})
 		return
@@ -62,18 +64,17 @@
 	writeJobResult(w, j.ID, h.config.Jobs.Receiver.Submit(r.Context(), &j))
 }
 
-// checkQueue reports whether the fleet text has the queue. If not, it writes the answer.
-func (h *Handler) checkQueue(w http.ResponseWriter, name string) bool {
+// findQueue returns the queue with the given name. If the fleet text has none, it writes the answer.
+func (h *Handler) findQueue(w http.ResponseWriter, name string) (q specifier.Queue, ok bool) {
 	p := h.config.Jobs.Policy()
 	if p.Version == 0 {
 		writeError(w, http.StatusServiceUnavailable, ErrorAnswer{Error: "this entry has no fleet text yet", Outcome: OutcomeUnavailable})
-		return false
+		return q, false
 	}
-	if _, ok := p.QueueByName(name); !ok {
+	if q, ok = p.QueueByName(name); !ok {
 		writeError(w, http.StatusNotFound, ErrorAnswer{Error: "queue " + strconv.Quote(name) + " does not exist", Outcome: OutcomeRefused})
-		return false
 	}
-	return true
+	return q, ok
 }
 
 func writeJobResult(w http.ResponseWriter, id string, res receiver.Result) {
@@ -126,7 +127,7 @@
 
 func (h *Handler) countQueue(w http.ResponseWriter, r *http.Request) {
 	name := r.PathValue("queue")
-	if !h.checkQueue(w, name) {
+	if _, ok := h.findQueue(w, name); !ok {
 		return
 	}
 	n, err := h.config.Jobs.Receiver.Pending(r.Context(), name)
