planner: nothing is placed on a VM whose agent has no grant

By the same cause a single task is decided for the new VM in each round and not ordered, while another VM has room.

Cause: the owner dropped, after the decision, the starts on VMs whose agent has no grant yet or that are not stored as members.

Fix: the planner is told which VMs take orders and counts the others as unusable, so a gang waits whole and a task goes elsewhere. Explain says "whose agent has no grant yet".

--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -95,6 +95,8 @@
 		return "not connected"
 	case !vm.Ready:
 		return "draining or out of contact"
+	case !in.takesOrders(vm):
+		return "whose agent has no grant yet"
 	case !vm.SizesKnown():
 		return "with a run of unknown size"
 	case vm.Quarantined(in.Now):
--- a/internal/job/planner/gang_test.go
+++ b/internal/job/planner/gang_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -232,3 +234,35 @@
 		})
 	}
 }
+
+// Guards against a gang that is ordered without its member on a new VM, whose agent has no grant yet,
+// so that the others end alone; and against a task that waits for such a VM while another has room.
+func TestStartsWaitForGrants(t *testing.T) {
+	single := specifier.Step{Count: 1, Needs: cores(4), EstimateMillis: 1000}
+	tests := []struct {
+		name    string
+		step    specifier.Step
+		granted []string
+		want    map[string]int
+	}{
+		{"a gang, both VMs", gangOf(2, cores(4), nil), []string{"new", "old"}, map[string]int{"new": 1, "old": 1}},
+		{"a gang, one VM", gangOf(2, cores(4), nil), []string{"old"}, map[string]int{}},
+		{"a task, no VM", single, nil, map[string]int{}},
+		{"a task, the smaller VM", single, []string{"old"}, map[string]int{"old": 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newFixture()
+			b.vm("new", "in", "r", cores(7))
+			b.vm("old", "in", "r", cores(5))
+			j := b.job("q", tt.step)
+			in := Input{Now: begin, State: b.state, TakesOrders: func(vm *tracker.VM) bool { return slices.Contains(tt.granted, vm.Name) }}
+			if diff := cmp.Diff(tt.want, startsOf(Plan(in), j)); diff != "" {
+				t.Error(diff)
+			}
+			if got, want := Explain(in, j.Occurrences[0].Steps[0]), "whose agent has no grant yet"; len(tt.granted) < 2 && !strings.Contains(got, want) {
+				t.Errorf("explanation is %q, want that it contains %q", got, want)
+			}
+		})
+	}
+}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -48,10 +48,13 @@
 
 // Input is the input of a planning round.
 type Input struct {
-	Now     time.Time
-	State   *tracker.Tracker
-	VMs     []*tracker.VM    // whose runs Paces and Evictions look at; nil: all
-	Learner *learner.Learner // nil if no effects of images are known
+	Now   time.Time
+	State *tracker.Tracker
+	VMs   []*tracker.VM // whose runs Paces and Evictions look at; nil: all
+	// TakesOrders reports whether a VM's agent can carry out a start now; nil: all can. A start that is
+	// decided for another VM would not be ordered, and the other members of its gang would end alone.
+	TakesOrders func(vm *tracker.VM) bool
+	Learner     *learner.Learner // nil if no effects of images are known
 	// UrgentDelayedAt is when an urgent task last had waited too long for capacity.
 	UrgentDelayedAt time.Time
 	// Cache caches results between rounds; if it is nil, each round computes them anew.
@@ -99,6 +102,8 @@
 	return in.VMs
 }
 
+func (in Input) takesOrders(vm *tracker.VM) bool { return in.TakesOrders == nil || in.TakesOrders(vm) }
+
 func newRound(in Input) *round {
 	return &round{in: in, now: in.Now, state: in.State, learner: in.Learner, effects: make(map[imagePair]float64), counts: make(map[*tracker.Step]map[*tracker.VM]int), unplaceable: make(map[placementClass]specifier.Resources), stopped: make(map[*tracker.Run]bool), reservedSteps: make(map[*tracker.Step]bool), holdings: newHoldings(in)}
 }
@@ -141,7 +146,7 @@
 // acceptsTasks reports whether any task may start on a VM. None may on a VM with a run of
 // unknown size: the VM could be overcommitted.
 func acceptsTasks(vm *tracker.VM, in Input) bool {
-	return vm.Attached && vm.Ready && vm.SizesKnown() && !vm.Quarantined(in.Now) && !in.State.Policy().ZonesOut[vm.Zone]
+	return vm.Attached && vm.Ready && in.takesOrders(vm) && vm.SizesKnown() && !vm.Quarantined(in.Now) && !in.State.Policy().ZonesOut[vm.Zone]
 }
 
 func (r *round) placeStep(s *tracker.Step) []Start {
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -340,7 +340,7 @@
 
 // input returns the input to a round of decisions.
 func (o *owner) input(now time.Time) planner.Input {
-	in := planner.Input{Now: now, State: o.state, VMs: o.checkedVMs, Learner: o.learner, UrgentDelayedAt: o.urgentDelayedAt, Cache: o.cache}
+	in := planner.Input{Now: now, State: o.state, VMs: o.checkedVMs, Learner: o.learner, UrgentDelayedAt: o.urgentDelayedAt, Cache: o.cache, TakesOrders: o.takesOrders}
 	o.addLoadControl(&in)
 	return in
 }
@@ -350,12 +350,17 @@
 		return
 	}
 	for _, s := range planner.Plan(o.input(now)) {
-		if sess := o.sessions[s.VM.Name]; sess != nil && sess.granted && o.members[s.VM.Name] {
-			o.orderStart(sess, s, now)
-		}
+		o.orderStart(o.sessions[s.VM.Name], s, now)
 	}
 }
 
+// takesOrders reports whether a VM's agent has a grant, under which it may start runs, and is stored as
+// a member, so that the next owner waits for it.
+func (o *owner) takesOrders(vm *tracker.VM) bool {
+	s := o.sessions[vm.Name]
+	return s != nil && s.granted && o.members[vm.Name]
+}
+
 func (o *owner) adjustPaces(now time.Time) {
 	for _, p := range planner.Paces(o.input(now)) {
 		o.orderPace(p)
