tracker: the members of a gang start from one checkpoint

The users' page says that the value of any member is valid for its gang and that all members must carry the same one; each member was started with the checkpoint that its own last run had left, or with none.

Records stay as they are, so earlier builds read them.

Evidence: TestGangMembersStartFromOneCheckpoint fails before ("at this owner member 1 has checkpoint "a", member 0 """, and so on) and passes.

--- a/internal/job/tracker/record.go
+++ b/internal/job/tracker/record.go
@@ -148,6 +148,7 @@
 			}
 			t.Failed, t.Crashes, t.Checkpoint = sr.Failed[n], sr.Crashes[n], sr.Checkpoints[n]
 		}
+		s.shareCheckpoint()
 		if err := s.restoreRuns(sr, now); err != nil {
 			return fmt.Errorf("decode has-run bitmap of step %d: %w", i, err)
 		}
