planner, tracker: count best-effort runs that end, drop an unused constructor

onlyBestEffort read all runs of a VM for each best-effort task that does not fit; the VM keeps the number instead. newVMState had no caller outside a test. The pause of requests for advice doubles without a bound of its own on the number of steps.

--- a/internal/job/planner/cache_test.go
+++ b/internal/job/planner/cache_test.go
@@ -41,7 +41,8 @@
 	Plan(in)
 	vm := f.vms[0]
 	isCached := func(now time.Time) bool {
-		m := newVMState(vm, now)
+		state := vmStateOf(vm, now)
+		m := &state
 		in.Cache.restore(m)
 		return m.neighboursKnown
 	}
--- a/internal/job/planner/vmstate.go
+++ b/internal/job/planner/vmstate.go
@@ -34,11 +34,6 @@
 	stopping, ending specifier.Resources // resources of the runs that are being stopped, and of the others that are not long-running
 }
 
-func newVMState(vm *tracker.VM, now time.Time) *vmState {
-	m := vmStateOf(vm, now)
-	return &m
-}
-
 func vmStateOf(vm *tracker.VM, now time.Time) vmState {
 	return vmState{vm: vm, now: now, free: vm.Capacity.Sub(vm.Committed), bestEffortCPU: vm.BestEffortCPU, longRunning: vm.LongRunning, longRunningCPU: vm.LongRunningCPU}
 }
@@ -90,15 +85,7 @@
 	if s.Spec.Gang {
 		placed -= int64(running) * s.Spec.Needs.CPUMillis
 	}
-	if placed > 0 {
-		return false
-	}
-	for _, run := range m.vm.Runs {
-		if r := run.Step().Spec; r.BestEffort && !r.LongRunning {
-			return false
-		}
-	}
-	return true
+	return placed <= 0 && m.vm.BestEffortEnding == 0
 }
 
 // eligible reports whether the VM would admit a task of the step if it had enough free
--- a/internal/job/tracker/advice.go
+++ b/internal/job/tracker/advice.go
@@ -55,7 +55,7 @@
 		return
 	}
 	pause := adviceRetryDelay
-	for range min(a.refusals, 16) {
+	for n := 0; n < a.refusals && pause < adviceRetryMax; n++ {
 		pause = min(2*pause, adviceRetryMax)
 	}
 	a.refusals++
--- a/internal/job/tracker/run.go
+++ b/internal/job/tracker/run.go
@@ -37,6 +37,9 @@
 	tr.countUsage(r, spec.Needs)
 	if spec.BestEffort {
 		r.VM.BestEffortCPU += spec.Needs.CPUMillis
+		if !spec.LongRunning {
+			r.VM.BestEffortEnding++
+		}
 	}
 	if spec.LongRunning {
 		r.VM.LongRunning++
@@ -86,6 +89,9 @@
 	tr.countUsage(r, specifier.Resources{}.Sub(spec.Needs))
 	if spec.BestEffort {
 		r.VM.BestEffortCPU -= spec.Needs.CPUMillis
+		if !spec.LongRunning {
+			r.VM.BestEffortEnding--
+		}
 	}
 	if spec.LongRunning {
 		r.VM.LongRunning--
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -248,6 +248,7 @@
 	CrashStored       int64  // highest of them that is stored
 	Committed         specifier.Resources
 	BestEffortCPU     int64 // thousandths of a core that best-effort tasks would use
+	BestEffortEnding  int   // number of its runs of best-effort tasks that end by themselves
 	LongRunning       int   // number of its runs of long-running tasks
 	LongRunningCPU    int64 // thousandths of a core that they declare
 	Runs              map[RunKey]*Run
