--- a/internal/job/planner/advise.go
+++ b/internal/job/planner/advise.go
@@ -35,7 +35,8 @@
 	if len(steps) == 0 {
 		return AdviceRequest{}, false
 	}
-	in.Now, in.Cache = in.Now.Add(ticketMargin), nil // what is cached is not of that time
+	now := in.Now
+	in.Now, in.Cache = now.Add(ticketMargin), nil // what is cached is not of that time
 	r := newLoadedRound(in)
 	var again AdviceRequest
 	for _, s := range order(in, steps) {
@@ -46,8 +47,8 @@
 		if fresh {
 			return AdviceRequest{Step: s, VMs: selectVMs(s, candidates)}, true
 		}
-		at := s.Advice.AskAgainAt
-		if due := !in.Now.Add(-ticketMargin).Before(at); due && (again.Step == nil || at.Before(again.Step.Advice.AskAgainAt)) {
+		due := s.Advice.AskAgainAt
+		if !now.Before(due) && (again.Step == nil || due.Before(again.Step.Advice.AskAgainAt)) {
 			again = AdviceRequest{Step: s, VMs: selectVMs(s, candidates)}
 		}
 	}
