enroller: the list of entries is read to its last page

What operators see with more than 1,000 entries outside the users' platform: an entry whose name sorts late can't register ("write registration: key entries/e1 is at revision 1101, not at the expected one") and knows only the first 1,000 others. Found while lists were read for conclusions from absence.

Cause: only the first page of the list was read, and the entry's own record was taken for missing.

Evidence: TestRegistrationBeyondFirstPageIsFound, with 1,100 records, fails before with that error and passes.

--- a/internal/service/enroller/enroller.go
+++ b/internal/service/enroller/enroller.go
@@ -329,11 +329,26 @@
 		}
 		e.lease = lease.ID
 	}
-	found, err := e.config.Keeper.FindRecords(ctx, keeper.ListOptions{Prefix: keyPrefix})
+	records, err := e.findEntries(ctx)
 	if err != nil {
 		return fmt.Errorf("list entries: %w", err)
 	}
-	return e.applyRecords(ctx, found.Records)
+	return e.applyRecords(ctx, records)
+}
+
+// findEntries lists the records of all entries, page by page.
+func (e *Enroller) findEntries(ctx context.Context) (all []keeper.Record, err error) {
+	for after := ""; ; {
+		page, err := e.config.Keeper.FindRecords(ctx, keeper.ListOptions{Prefix: keyPrefix, After: after})
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, page.Records...)
+		if !page.More || len(page.Records) == 0 {
+			return all, nil
+		}
+		after = page.Records[len(page.Records)-1].Key
+	}
 }
 
 // applyRecords adds the registered entries as peers. It writes this entry's own record
--- a/internal/service/enroller/enroller_test.go
+++ b/internal/service/enroller/enroller_test.go
@@ -1,6 +1,8 @@
 package enroller
 
 import (
+	"encoding/json"
+	"fmt"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -67,3 +69,30 @@
 		})
 	}
 }
+
+// Guards against an entry that can't register: its own record is not in the first page of the list, so
+// it takes the record for missing and writes against it.
+func TestRegistrationBeyondFirstPageIsFound(t *testing.T) {
+	const others = 1100 // a page has 1,000 records
+	server := httptest.NewServer(storer.New(storer.Config{}).Handler())
+	t.Cleanup(server.Close)
+	k := keeper.New(keeper.Config{URL: server.URL})
+	for n := range others {
+		value, err := json.Marshal(messenger.PeerAddress{EntryID: fmt.Sprintf("a-%04d", n), Address: fmt.Sprintf("127.0.0.1:%d", 10_000+n)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := k.CompareAndSwap(t.Context(), keeper.SwapOptions{Key: fmt.Sprintf("%sa-%04d", keyPrefix, n), Value: value}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	e := New(Config{Self: messenger.PeerAddress{EntryID: "e1", Address: "127.0.0.1:1"}, Keeper: k})
+	for range 2 {
+		if err := e.register(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := len(e.peers); got != others {
+		t.Errorf("%d peers are known, want %d", got, others)
+	}
+}
