--- a/tests/soak/scenes_test.go
+++ b/tests/soak/scenarios_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"bamboospread/internal/job/specifier"
@@ -13,24 +12,24 @@
 	"bamboospread/internal/standin/storer"
 )
 
-// Seeds from firstSceneSeed on submit jobs of rare shapes besides the usual ones, and play scenes after
+// Seeds from firstScenarioSeed on submit jobs of rare shapes besides the usual ones, and run scenarios after
 // the last burst, when nothing else is submitted: what waits then waits for these jobs alone. They ask for
 // no decisions under load and have no tasks that crash executors. No entry here has an advising service,
 // so no queue is advised.
 const (
-	firstSceneSeed = 2000
-	shapesPerBurst = 8
-	shapeIDPrefix  = 0xa0
-	sceneIDPrefix  = 0xa8
-	maxMembers     = 8
-	rareLabel      = "rare" // of one VM
-	fewLabel       = "few"  // of two VMs
+	firstScenarioSeed = 2000
+	shapesPerBurst    = 8
+	shapeIDPrefix     = 0xa0
+	scenarioIDPrefix  = 0xa8
+	maxMembers        = 8
+	rareLabel         = "rare" // of one VM
+	fewLabel          = "few"  // of two VMs
 	// removableQueues are added to the fleet text; the operators remove them for good while they have jobs.
 	removableQueues = "  - {name: seasonal, priority: 0, max-failures: 4, slack: 2, target: 250ms}\n"
 	removableQueue  = "seasonal"
 	// Small tasks, so many on each VM that their ends do not fit in one list.
 	smallJobs, smallTasks = 12, 200
-	sceneRetryPause       = 200 * time.Millisecond
+	scenarioRetryPause    = 200 * time.Millisecond
 	policyTime            = 3 * time.Second // for a removed queue to be known everywhere
 	// quarantineTime is longer than two quarantines in a row.
 	quarantineTime = 13 * time.Second
@@ -42,17 +41,19 @@
 	{"a", rareLabel}, {"a", fewLabel}, {"a", fewLabel}, {"a"},
 }
 
-// scenes draws the jobs and scenes of a seed. A nil scenes draws nothing.
-type scenes struct {
+// scenarios draws the jobs and scenarios of a seed. A nil scenarios draws nothing.
+type scenarios struct {
 	b      *testbed
 	random *rand.Rand
 	count  int
 }
 
-func newScenes(b *testbed) *scenes { return &scenes{b: b, random: rand.New(rand.NewPCG(b.seed, 5))} }
+func newScenarios(b *testbed) *scenarios {
+	return &scenarios{b: b, random: rand.New(rand.NewPCG(b.seed, 5))}
+}
 
 // add registers a job.
-func (s *scenes) add(prefix int, queue, payload string, steps ...specifier.Step) *specifier.Job {
+func (s *scenarios) add(prefix int, queue, payload string, steps ...specifier.Step) *specifier.Job {
 	s.count++
 	j := &specifier.Job{ID: fmt.Sprintf("%08x%08x", prefix, s.count), Queue: queue, Payload: payload, Steps: steps}
 	s.b.registry.mu.Lock()
@@ -63,7 +64,7 @@
 
 // submitShapes submits gangs, labelled, bounded and copied tasks in chains of steps, some of them
 // long-running, at times drawn within a burst.
-func (s *scenes) submitShapes(ctx context.Context, burst int) {
+func (s *scenarios) submitShapes(ctx context.Context, burst int) {
 	if s == nil {
 		return
 	}
@@ -77,7 +78,7 @@
 	}
 }
 
-func (s *scenes) drawShape() *specifier.Job {
+func (s *scenarios) drawShape() *specifier.Job {
 	r := s.random
 	if r.IntN(4) == 0 {
 		step := specifier.Step{Count: 1 + r.IntN(2), LongRunning: true, Label: []string{"", "a", fewLabel}[r.IntN(3)], Needs: specifier.Resources{CPUMillis: 250, MemoryMB: 200}}
@@ -103,30 +104,30 @@
 	return s.add(shapeIDPrefix, []string{"labels", "sorting"}[r.IntN(2)], fmt.Sprintf(`{"run-ms":%d,"checkpointed":true}`, 100+r.IntN(900)), steps...)
 }
 
-// play plays one to three different scenes in an order that is drawn.
-func (s *scenes) play(ctx context.Context) {
+// run runs one to three different scenarios in an order that is drawn.
+func (s *scenarios) run(ctx context.Context) {
 	if s == nil {
 		return
 	}
 	all := []func(context.Context){s.endsBeyondAList, s.queueRemoved, s.gangAfterQuarantine}
-	for _, scene := range drawSome(s.random, all, 1+s.random.IntN(len(all))) {
-		scene(ctx)
+	for _, scenario := range drawSome(s.random, all, 1+s.random.IntN(len(all))) {
+		scenario(ctx)
 	}
 }
 
 // submit submits jobs concurrently and returns once all have an outcome.
-func (s *scenes) submit(ctx context.Context, jobs ...*specifier.Job) {
+func (s *scenarios) submit(ctx context.Context, jobs ...*specifier.Job) {
 	forEach(jobs, func(j *specifier.Job) { s.b.callers[0].submit(ctx, j, true) })
 }
 
 // endsBeyondAList lets many small tasks end while the store is down.
-func (s *scenes) endsBeyondAList(ctx context.Context) {
+func (s *scenarios) endsBeyondAList(ctx context.Context) {
 	run, down := 2000+s.random.IntN(1500), 3500*time.Millisecond+time.Duration(s.random.Int64N(int64(1500*time.Millisecond)))
-	s.b.logEvent("scene: %d tasks of %d ms end while the store is down for %s", smallJobs*smallTasks, run, down)
+	s.b.logEvent("scenario: %d tasks of %d ms end while the store is down for %s", smallJobs*smallTasks, run, down)
 	var jobs []*specifier.Job
 	for range smallJobs {
 		step := specifier.Step{Count: smallTasks, EstimateMillis: int64(run), Needs: specifier.Resources{CPUMillis: 8, MemoryMB: 4}}
-		jobs = append(jobs, s.add(sceneIDPrefix, "labels", fmt.Sprintf(`{"run-ms":%d}`, run), step))
+		jobs = append(jobs, s.add(scenarioIDPrefix, "labels", fmt.Sprintf(`{"run-ms":%d}`, run), step))
 	}
 	s.submit(ctx, jobs...)
 	wait(ctx, time.Duration(run)*time.Millisecond*3/4)
@@ -138,14 +139,14 @@
 
 // queueRemoved removes a queue while the first steps of its jobs run, and then ends all entries, so that
 // the next owner has never seen it.
-func (s *scenes) queueRemoved(ctx context.Context) {
-	s.b.logEvent("scene: a queue with jobs is removed and the entries end")
+func (s *scenarios) queueRemoved(ctx context.Context) {
+	s.b.logEvent("scenario: a queue with jobs is removed and the entries end")
 	var jobs []*specifier.Job
 	for range 1 + s.random.IntN(3) {
 		step := specifier.Step{Count: 1 + s.random.IntN(3), EstimateMillis: 6000, Needs: specifier.Resources{CPUMillis: 200, MemoryMB: 100}}
 		next := step
 		next.After = []int{0}
-		jobs = append(jobs, s.add(sceneIDPrefix, removableQueue, `{"run-ms":6000}`, step, next))
+		jobs = append(jobs, s.add(scenarioIDPrefix, removableQueue, `{"run-ms":6000}`, step, next))
 	}
 	s.submit(ctx, jobs...)
 	s.removeQueue(ctx)
@@ -156,9 +157,9 @@
 }
 
 // removeQueue replaces the first fleet text by one without the queue.
-func (s *scenes) removeQueue(ctx context.Context) {
+func (s *scenarios) removeQueue(ctx context.Context) {
 	o := requester.ApplyOptions{Text: []byte(fleetText), Base: 1, ChangeID: "without-" + removableQueue}
-	for ; ctx.Err() == nil; wait(ctx, sceneRetryPause) {
+	for ; ctx.Err() == nil; wait(ctx, scenarioRetryPause) {
 		if _, err := s.b.Operator().Apply(ctx, o); err == nil {
 			return
 		}
@@ -167,119 +168,17 @@
 
 // gangAfterQuarantine lets all tasks on one VM fail for some seconds, and submits a gang that only this VM
 // may run once the VM is sound again. Long-running jobs are cancelled first: they could fill the VM.
-func (s *scenes) gangAfterQuarantine(ctx context.Context) {
+func (s *scenarios) gangAfterQuarantine(ctx context.Context) {
 	members := 2 + s.random.IntN(maxMembers-1)
-	s.b.logEvent("scene: tasks on %s fail, then a gang of %d may run only there", s.b.JobVMs[0].Name, members)
+	s.b.logEvent("scenario: tasks on %s fail, then a gang of %d may run only there", s.b.JobVMs[0].Name, members)
 	forEach(s.b.registry.jobIDs(func(r *record) bool { return r.pending() && r.spec.LongRunning() }), func(id string) { s.b.callers[0].cancel(ctx, id) })
 	wait(ctx, cancelBound+stopTime)
 	end := s.b.executorStacks[0].push(executor.Faults{FailAll: true})
 	ordinary := specifier.Step{Count: 40, EstimateMillis: 500, Needs: specifier.Resources{CPUMillis: 400, MemoryMB: 100}}
-	s.submit(ctx, s.add(sceneIDPrefix, "labels", `{"run-ms":500}`, ordinary))
+	s.submit(ctx, s.add(scenarioIDPrefix, "labels", `{"run-ms":500}`, ordinary))
 	wait(ctx, 2*time.Second+time.Duration(s.random.Int64N(int64(4*time.Second))))
 	end()
 	wait(ctx, quarantineTime)
 	gang := specifier.Step{Count: members, EstimateMillis: 500, Gang: true, Label: rareLabel, Needs: specifier.Resources{CPUMillis: 500, MemoryMB: 100}}
-	s.submit(ctx, s.add(sceneIDPrefix, "labels", `{"run-ms":500}`, gang))
-}
-
-// vmsWith returns the number of VMs with a label; all have the empty one.
-func vmsWith(label string) (n int) {
-	for _, labels := range vmLabels {
-		if label == "" || slices.Contains(labels, label) {
-			n++
-		}
-	}
-	return n
-}
-
-// checkLabels checks that each run of a task is on a VM with the label that its step requires.
-func checkLabels(j record, runs []*span) (found []string) {
-	label := j.spec.Steps[runs[0].id.Step].Label
-	for _, s := range runs {
-		if label != "" && !slices.Contains(labelsOf(s.vm), label) {
-			found = append(found, fmt.Sprintf("label: %s needs the label %s", s, label))
-		}
-	}
-	return found
-}
-
-// checkBounds checks that no more tasks of a step run on a VM at once than its bound.
-func (h *history) checkBounds() (found []string) {
-	type place struct {
-		job             string
-		occurrence      int
-		step            int
-		vm, incarnation string
-	}
-	runs := make(map[place][]*span)
-	for _, all := range h.tasks {
-		for _, s := range all {
-			p := place{s.id.Job, s.id.Occurrence, s.id.Step, s.vm, s.incarnation}
-			runs[p] = append(runs[p], s)
-		}
-	}
-	for p, all := range runs {
-		j := h.jobs[p.job]
-		if j.spec == nil || j.spec.Steps[p.step].MaxPerVM == 0 {
-			continue
-		}
-		for _, s := range all {
-			n := 0
-			for _, other := range all {
-				if !other.from.After(s.from) && other.runsAfter(s.from) {
-					n++
-				}
-			}
-			if n > j.spec.Steps[p.step].MaxPerVM {
-				found = append(found, fmt.Sprintf("bound: %d tasks of step %d, at most %d: %s", n, p.step, j.spec.Steps[p.step].MaxPerVM, s))
-			}
-		}
-	}
-	return found
-}
-
-func labelsOf(vm string) []string {
-	var n int
-	if _, err := fmt.Sscanf(vm, "job-vm-%d", &n); err != nil || n < 1 || n > jobVMs {
-		return nil
-	}
-	return vmLabels[n-1]
-}
-
-// checkGangs checks that no member of a gang starts without the others while there are no faults.
-func (h *history) checkGangs() (found []string) {
-	for id, j := range h.jobs {
-		if j.spec == nil || j.cancelRequested {
-			continue
-		}
-		for step, spec := range j.spec.Steps {
-			if spec.Gang {
-				found = append(found, h.checkGang(id, step, spec.Count)...)
-			}
-		}
-	}
-	return found
-}
-
-func (h *history) checkGang(job string, step, count int) (found []string) {
-	started := make(map[int64][]*span) // members by run
-	for index := range count {
-		for _, s := range h.tasks[specifier.TaskID{Job: job, Step: step, Index: index}.String()] {
-			started[s.run] = append(started[s.run], s)
-		}
-	}
-	for run, members := range started {
-		first := slices.MinFunc(members, func(a, b *span) int { return a.from.Compare(b.from) })
-		if len(members) < count && h.isCalm(first.from, first.from.Add(gangTime)) {
-			found = append(found, fmt.Sprintf("gang: %d of %d members of step %d of job %s start in run %d: %s", len(members), count, step, job, run, first))
-		}
-	}
-	return found
-}
-
-// isCalm reports whether there were no faults, nor processes that reconnect after them, in a period.
-func (h *history) isCalm(from, to time.Time) bool {
-	return slices.ContainsFunc(h.faultFree, func(w window) bool {
-		return from.After(w.from.Add(reconnectBound)) && to.Before(h.until) && (w.to.IsZero() || to.Before(w.to))
-	})
+	s.submit(ctx, s.add(scenarioIDPrefix, "labels", `{"run-ms":500}`, gang))
 }
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -123,11 +123,11 @@
 	r, crashing := rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3))
 	var findings []string
 	for n := range 2 + r.IntN(2) {
-		if b.scenes == nil {
+		if b.scenarios == nil {
 			b.submitCrashing(seedCtx, crashing, n)
 		}
 		b.submitBacklog(seedCtx, n)
-		b.scenes.submitShapes(seedCtx, n)
+		b.scenarios.submitShapes(seedCtx, n)
 		b.burst(ctx, seedCtx, r)
 		b.beginFaultFree()
 		wait(seedCtx, faultFreeTime)
@@ -138,7 +138,7 @@
 	}
 	stop()
 	if len(findings) == 0 {
-		b.scenes.play(seedCtx)
+		b.scenarios.run(seedCtx)
 		b.beginFaultFree()
 		findings = b.checkFinalState(seedCtx)
 	}
--- a/tests/soak/testbed_test.go
+++ b/tests/soak/testbed_test.go
@@ -51,7 +51,7 @@
 	t              *testing.T
 	seed           uint64
 	loadControl    bool // decisions under load are asked for
-	scenes         *scenes
+	scenarios      *scenarios
 	registry       *registry
 	callers        []*caller
 	entries        []*managedProcess
@@ -77,10 +77,10 @@
 			"--cpu-millis", fmt.Sprint(vmMillis), "--memory-mb", fmt.Sprint(vmMemoryMB), "--lease-max", "10s", "--stop-time", stopTime.String(),
 		},
 	})
-	b := &testbed{Cluster: k, t: t, seed: seed, registry: newRegistry(), loadControl: seed < firstSceneSeed && rand.New(rand.NewPCG(seed, 4)).IntN(2) == 0}
+	b := &testbed{Cluster: k, t: t, seed: seed, registry: newRegistry(), loadControl: seed < firstScenarioSeed && rand.New(rand.NewPCG(seed, 4)).IntN(2) == 0}
 	text := fleetText
-	if seed >= firstSceneSeed {
-		b.scenes = newScenes(b)
+	if seed >= firstScenarioSeed {
+		b.scenarios = newScenarios(b)
 		text += removableQueues
 	}
 	if b.loadControl {
