--- a/tests/soak/testbed_test.go
+++ b/tests/soak/testbed_test.go
@@ -28,7 +28,7 @@
 `
 	maxFailures = 4 // of a task, by the queues
 	// loadControl is added to the text of a part of the seeds. Those from firstAdmissionSeed on ask for
-	// admission too.
+	// admission too, and those from firstScenarioSeed on for nothing.
 	loadControl        = "load-control: [estimates, shares, forecast]\n"
 	admissionControl   = "load-control: [estimates, admission, shares, forecast]\n"
 	firstAdmissionSeed = 1000
