--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -313,3 +313,73 @@
 	l.note("the submission is shown as %q", l.state(0, batchPrefix, filling))
 	return idle >= maxIdle, nil
 }
+
+// rollAfterLostMachine: a runner's machine is lost for good, and the entries are stopped and started
+// in turn, the one that owns first.
+func rollAfterLostMachine(l *lab) (bool, error) {
+	const id = "00000000000000a7"
+	const entries, runners, gap = 4, 4, 2 * time.Second
+	if err := l.begin(entries, runners); err != nil {
+		return false, err
+	}
+	s := step{Count: runners, CPU: 2000, Mem: 2000, Estimate: 320, LongRunning: true, Image: "watch", MaxPerServer: 1}
+	if err := accepted(l.submit(0, watchPrefix, id, work{StartMillis: 300}, s)); err != nil {
+		return false, err
+	}
+	s = step{Count: 1, CPU: 500, Mem: 500, Estimate: 60000, LongRunning: true, Image: "watch"} // may run on any runner
+	const free = "00000000000000a8"
+	s.Count = 2 * runners
+	if err := accepted(l.submit(1, watchPrefix, free, work{StartMillis: 300}, s)); err != nil {
+		return false, err
+	}
+	time.Sleep(5 * time.Second)
+	if l.trouble {
+		l.loseMachine(0)
+	}
+	lostAt := l.now()
+	time.Sleep(300 * time.Millisecond)
+	rolled := make(map[string]bool)
+	for range entries {
+		name := l.nextToRoll(rolled)
+		rolled[name] = true
+		if err := l.roll(name); err != nil {
+			return false, err
+		}
+		time.Sleep(gap)
+	}
+	time.Sleep(12 * time.Second)
+	return l.longestAway(free, lostAt) >= 6*time.Second+maxIdle, nil
+}
+
+// nextToRoll returns the entry that owns, as the store's record shows, or else any other that was
+// not rolled yet.
+func (l *lab) nextToRoll(rolled map[string]bool) (next string) {
+	owner := l.store.text("cells/main/owner")
+	for n := range l.entries {
+		name := fmt.Sprintf("frontend-%d", n+1)
+		if rolled[name] {
+			continue
+		}
+		if strings.Contains(owner, name) {
+			return name
+		}
+		next = name
+	}
+	return next
+}
+
+// longestAway returns how long a task of a submission had no run, at most, from when it was lost.
+func (l *lab) longestAway(id string, lostAt time.Duration) (longest time.Duration) {
+	for _, lost := range l.seen("lost", id) {
+		back := l.now()
+		for _, s := range l.seen("start", id) {
+			if s.task == lost.task && s.at > lost.at {
+				back = min(back, s.at)
+			}
+		}
+		l.note("%s was without a run for %.1f s", lost.task, (back - lost.at).Seconds())
+		longest = max(longest, back-lost.at)
+	}
+	l.note("a task was without a run for %.1f s at most; the machine was lost at %.3f", longest.Seconds(), lostAt.Seconds())
+	return longest
+}
--- a/review/standin-2/lab.go
+++ b/review/standin-2/lab.go
@@ -40,6 +40,14 @@
 	detail string
 }
 
+// spawned is a process of the project and what it was started with.
+type spawned struct {
+	cmd      *exec.Cmd
+	machine  int
+	settings string
+	args     []string
+}
+
 // lab is a small deployment: the project's processes, and stand-ins for all others.
 type lab struct {
 	net     string // the first three numbers of all addresses
@@ -53,6 +61,7 @@
 	record    *os.File
 	events    []event
 	processes []*exec.Cmd
+	named     map[string]spawned
 	runners   []*runner
 	entries   []string
 }
@@ -67,7 +76,7 @@
 		return nil, err
 	}
 	pid := os.Getpid()
-	l := &lab{net: fmt.Sprintf("127.%d.%d", 10+pid/250%200, 1+pid%250), zone: "chaguanas", dir: dir, store: newStore(), trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), record: f}
+	l := &lab{net: fmt.Sprintf("127.%d.%d", 10+pid/250%200, 1+pid%250), zone: "chaguanas", dir: dir, store: newStore(), named: make(map[string]spawned), trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), record: f}
 	listener, err := net.Listen("tcp", l.address(2, storePort))
 	if err != nil {
 		return nil, err
@@ -120,7 +129,7 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
-	out, err := os.Create(filepath.Join(l.dir, name+".log"))
+	out, err := os.OpenFile(filepath.Join(l.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
@@ -132,6 +141,7 @@
 		return nil, err
 	}
 	l.processes = append(l.processes, cmd)
+	l.named[name] = spawned{cmd, machine, settings, args}
 	l.note("started %s (%s) on machine-%d", name, strings.Join(args, " "), machine)
 	return cmd, nil
 }
@@ -253,6 +263,28 @@
 	return fmt.Errorf("the entries are not ready after 15 s")
 }
 
+// roll stops a process with SIGTERM, waits until it has ended and starts it again.
+func (l *lab) roll(name string) error {
+	p := l.named[name]
+	l.note("%s gets SIGTERM", name)
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	_ = p.cmd.Wait()
+	l.note("%s has ended", name)
+	_, err := l.spawn(name, p.machine, p.settings, p.args...)
+	return err
+}
+
+// loseMachine ends a runner and its agent for good.
+func (l *lab) loseMachine(n int) {
+	r := l.runners[n]
+	r.restartAfter = time.Hour
+	_ = l.named[r.name].cmd.Process.Kill()
+	r.crash("machine lost")
+	l.note("machine %s is lost for good", r.name)
+}
+
 // step is a step of a submission.
 type step struct {
 	Count          int    `json:"count"`
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,6 +22,7 @@
 	"evict":      lastingFillersAreEvicted,
 	"late":       cancelledBeforeLateWrite,
 	"kind":       newBootOfAnotherKind,
+	"roll":       rollAfterLostMachine,
 	"fill":       fillersNeverStart,
 }
 
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -303,3 +303,11 @@
 	s.endLeaseLocked(id)
 	answer(w, http.StatusOK, map[string]any{})
 }
+
+// text returns the value of a record, "" if there is none.
+func (s *store) text(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value, _ := base64.StdEncoding.DecodeString(s.items[key].Value)
+	return string(value)
+}
