--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -103,24 +103,27 @@
 	return idle
 }
 
-// hopelessTasksHoldAllRunners: all tasks of one submission fail, beside other work of a lower
-// priority. It is one of 42 submissions within 3 s.
+// hopelessTasksHoldAllRunners: all tasks of two submissions fail, beside other work of a lower
+// priority. They are two of 83 submissions within 2.7 s.
 func hopelessTasksHoldAllRunners(l *lab) (bool, error) {
-	const hopeless, last = "00000000000000e1", "00000000000000e2"
-	if err := l.begin(2, 3); err != nil {
+	const last = "00000000000000e3"
+	hopeless := []string{"00000000000000e1", "00000000000000e2"}
+	if err := l.begin(4, 11); err != nil {
 		return false, err
 	}
 	s := step{Count: 1, CPU: 500, Mem: 500, Estimate: 200, Image: "label"}
-	if err := l.submitSound(urgentPrefix, 0xe100, 40, 50*time.Millisecond, work{RunMillis: 100}, s); err != nil {
+	if err := l.submitSound(urgentPrefix, 0xe100, 80, 25*time.Millisecond, work{RunMillis: 100}, s); err != nil {
 		return false, err
 	}
 	w := work{RunMillis: 200}
 	if l.trouble {
 		w.FailMillis = 100
 	}
-	s.Count = 12
-	if err := accepted(l.submit(0, urgentPrefix, hopeless, w, s)); err != nil {
-		return false, err
+	s.Count = 36
+	for n, id := range hopeless {
+		if err := accepted(l.submit(n, urgentPrefix, id, w, s)); err != nil {
+			return false, err
+		}
 	}
 	time.Sleep(300 * time.Millisecond)
 	s.Count, s.Image = 1, "sort"
@@ -128,7 +131,7 @@
 		return false, err
 	}
 	idle := l.idleAfterFinish(last, 40*time.Second)
-	l.note("the last submission is shown as %q, the hopeless one as %q", l.state(0, batchPrefix, last), l.state(0, urgentPrefix, hopeless))
+	l.note("the last submission is shown as %q, the hopeless ones as %q and %q", l.state(0, batchPrefix, last), l.state(0, urgentPrefix, hopeless[0]), l.state(0, urgentPrefix, hopeless[1]))
 	return idle >= maxIdle, nil
 }
 
