planner: best-effort tasks wait for headroom for a bounded time

Cause: minHeadroom is a margin against swings of the load, but it was an absolute limit, whatever the task's effect and however long it had waited.

While no best-effort task works on a VM that may run it, a waiting task now starts after 2 s where the targets are expected to be kept and after 6 s where most headroom is left; after 20 s if others work. Such starts are 2 s apart on a VM, in a busy fleet altogether, so that throttling by the reports has answered one before the next: the targets are protected by measurement, not by the estimate. What runs elsewhere still needs the margin, so nothing is evicted to such a VM.

--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -125,7 +125,7 @@
 		return "at the limit for tasks of the step"
 	case !m.admits(s, running):
 		return "at the limit for best-effort tasks"
-	case s.Spec.BestEffort && r.interference(m, s).leastHeadroom < minHeadroom:
+	case s.Spec.BestEffort && !r.headroomAccepted(m, s, r.runCounts(s)):
 		return "where it would interfere with long-running tasks"
 	}
 	return freeCapacity
--- /dev/null
+++ b/internal/job/planner/headroom.go
@@ -0,0 +1,148 @@
+package planner
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"bamboospread/internal/job/tracker"
+)
+
+// Limits of the wait of best-effort tasks for VMs whose long-running tasks have headroom to spare. The
+// wait has to end: long-running tasks may stay near their targets for as long as their users want, and
+// the headroom is an estimate. From then on throttling by the reports keeps them within their targets.
+const (
+	// marginWait is how long a best-effort task waits for a VM where minHeadroom is left, while no
+	// best-effort task works on any VM that may run it. After it, targetHeadroom is enough, after
+	// headroomWait any headroom.
+	marginWait   = 2 * time.Second
+	headroomWait = 6 * time.Second
+	// busyHeadroomWait takes the place of both while others work: VMs with headroom are in use then, and
+	// become free when these tasks end.
+	busyHeadroomWait = 20 * time.Second
+	// targetHeadroom is the headroom of a long-running task that is at its target.
+	targetHeadroom = 1.0
+	// startSpacing is the time between starts of best-effort tasks on a VM without minHeadroom: the
+	// reports show the effect of the last one by then, and throttling has answered it.
+	startSpacing = 2 * time.Second
+)
+
+// waited is how long a task has been waiting to start.
+func (r *round) waited(t *tracker.Task) time.Duration {
+	since := t.WaitSince
+	if t.Step.ReadyAt.After(since) {
+		since = t.Step.ReadyAt
+	}
+	return r.now.Sub(since)
+}
+
+// headroomPatience is the state of a task's wait for headroom.
+type headroomPatience int
+
+const (
+	waitsForMargin   headroomPatience = iota // minHeadroom has to be left
+	waitsForTarget                           // targetHeadroom has to be left
+	waitsForNone                             // any headroom will do, while no other best-effort task works
+	waitsForNoOthers                         // any headroom will do
+)
+
+func (r *round) headroomPatience(t *tracker.Task) headroomPatience {
+	if !t.Step.Spec.BestEffort || !t.Waits(r.now) {
+		return waitsForMargin // what runs elsewhere can stay there
+	}
+	switch waited := r.waited(t); {
+	case waited < marginWait:
+		return waitsForMargin
+	case waited < headroomWait:
+		return waitsForTarget
+	case waited < busyHeadroomWait:
+		return waitsForNone
+	default:
+		return waitsForNoOthers
+	}
+}
+
+// chooseWithoutHeadroom returns the VM where a best-effort task leaves most headroom, or nil if it is to
+// wait for headroom.
+func (r *round) chooseWithoutHeadroom(s *tracker.Step, t *tracker.Task, count map[*tracker.VM]int) *vmState {
+	patience := r.headroomPatience(t)
+	if patience == waitsForMargin || !r.mayExceedHeadroom(s, patience, count) {
+		return nil
+	}
+	required := targetHeadroom
+	if patience > waitsForTarget {
+		required = math.Inf(-1)
+	}
+	var best *vmState
+	var bestScore score
+	for _, m := range r.vmStates {
+		if !r.mayRun(m, s, t, count) || r.startedLately(m, s, count[m.vm]) {
+			continue
+		}
+		d := r.interference(m, s)
+		if d.leastHeadroom < required {
+			continue
+		}
+		sc := scoreVM(m, s, t, count[m.vm], -d.leastHeadroom)
+		if best == nil || sc.above(bestScore) {
+			best, bestScore = m, sc
+		}
+	}
+	return best
+}
+
+// mayExceedHeadroom reports whether a task of the step may start without minHeadroom: no other best-effort
+// task works on a VM that may run it, or it has waited for long and none has started so lately.
+func (r *round) mayExceedHeadroom(s *tracker.Step, p headroomPatience, count map[*tracker.VM]int) bool {
+	for _, m := range r.vmStates {
+		if !m.eligible(s, count[m.vm]) {
+			continue
+		}
+		if p == waitsForNoOthers && r.startedLately(m, s, count[m.vm]) && r.exceedsHeadroom(m) {
+			return false
+		}
+		if p < waitsForNoOthers && m.worksOn(s, count[m.vm]) {
+			return false
+		}
+	}
+	return true
+}
+
+// startedLately reports whether a best-effort task was started on a VM so lately that the reports may not
+// show its effect yet. Members of the gang whose next member is looked at don't count.
+func (r *round) startedLately(m *vmState, s *tracker.Step, running int) bool {
+	return m.placedBestEffort(s, running) > 0 || r.now.Sub(m.vm.LatestBestEffortStart()) < startSpacing
+}
+
+// exceedsHeadroom reports whether a long-running task of a VM has less than minHeadroom left beside the
+// best-effort tasks there.
+func (r *round) exceedsHeadroom(m *vmState) bool {
+	return m.longRunning > 0 && r.learner != nil && slices.ContainsFunc(r.neighboursOf(m.vm), func(n neighbour) bool { return n.left < minHeadroom })
+}
+
+// worksOn reports whether the VM works on best-effort tasks that end by themselves, other than those of
+// the gang whose next member is looked at.
+func (m *vmState) worksOn(s *tracker.Step, running int) bool {
+	if m.placedBestEffort(s, running) > 0 {
+		return true
+	}
+	if m.vm.BestEffortEnding == 0 {
+		return false
+	}
+	for _, run := range m.vm.Runs {
+		if spec := run.Step().Spec; spec.BestEffort && !spec.LongRunning && run.State != tracker.Stopping && run.Pace != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// headroomAccepted reports whether a VM accepts a best-effort step as far as headroom is concerned, given
+// that it accepts the step otherwise.
+func (r *round) headroomAccepted(m *vmState, s *tracker.Step, count map[*tracker.VM]int) bool {
+	if r.interference(m, s).leastHeadroom >= minHeadroom {
+		return true
+	}
+	t := longestWaiting(s, r.now)
+	return t != nil && r.chooseWithoutHeadroom(s, t, count) == m
+}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -160,14 +160,19 @@
 // placeTasks places up to limit tasks of a step, from the task with the given index on. It returns
 // the index from which to continue.
 func (r *round) placeTasks(s *tracker.Step, from, limit int) (starts []Start, next int) {
-	if r.knownUnplaceable(s) {
-		return nil, len(s.Tasks)
-	}
 	count := r.runCounts(s)
+	unplaceable := make(map[headroomPatience]bool)
 	for i, t := range s.Tasks[from:] {
 		if !t.Waits(r.now) || r.overdue(t) || t.Yielded && r.underPressure() {
 			continue
 		}
+		patience := r.headroomPatience(t)
+		if _, known := unplaceable[patience]; !known {
+			unplaceable[patience] = r.knownUnplaceable(s, patience)
+		}
+		if unplaceable[patience] {
+			continue
+		}
 		if len(starts) == limit {
 			return starts, from + i
 		}
@@ -182,12 +187,11 @@
 			if t.StartsObserved() {
 				continue // the others may not wait for the same VM
 			}
-			r.noteUnplaceable(s)
-			// Tasks of a step have the same needs, so the others fit on no VM either, except
-			// for a task that only avoids VMs where it failed or that may wait for urgent ones.
-			if len(t.AvoidedVMs) == 0 && !r.mayHold(t) {
-				break
-			}
+			r.noteUnplaceable(s, patience)
+			// Tasks of a step have the same needs, so the others that have waited as long fit on
+			// no VM either, except for a task that only avoids VMs where it failed or that may wait for
+			// urgent ones.
+			unplaceable[patience] = len(t.AvoidedVMs) == 0 && !r.mayHold(t)
 			continue
 		}
 		starts = append(starts, r.place(t, best, r.state.NextNumber(t)))
@@ -209,22 +213,25 @@
 
 // placementClass identifies best-effort tasks that any VM of their service may run, so that
 // within a class placement depends on the size of a task only.
-type placementClass struct{ queue, image string }
+type placementClass struct {
+	queue, image string
+	patience     headroomPatience
+}
 
 // knownUnplaceable reports whether a step needs at least as much as one of its class that fit
 // on no VM in this round. Under a backlog this is true of most waiting steps, and the owner
 // would spend its processor time on checking all VMs for each of them.
-func (r *round) knownUnplaceable(s *tracker.Step) bool {
-	least, ok := r.unplaceable[placementClass{s.Occurrence.Job.Queue.Name, s.Spec.Image}]
+func (r *round) knownUnplaceable(s *tracker.Step, p headroomPatience) bool {
+	least, ok := r.unplaceable[placementClass{s.Occurrence.Job.Queue.Name, s.Spec.Image, p}]
 	return ok && plainBestEffort(s) && s.Spec.Needs.Fits(least)
 }
 
 // noteUnplaceable records that a task of a step fits on no VM.
-func (r *round) noteUnplaceable(s *tracker.Step) {
+func (r *round) noteUnplaceable(s *tracker.Step, p headroomPatience) {
 	if !plainBestEffort(s) {
 		return
 	}
-	k := placementClass{s.Occurrence.Job.Queue.Name, s.Spec.Image}
+	k := placementClass{s.Occurrence.Job.Queue.Name, s.Spec.Image, p}
 	if least, ok := r.unplaceable[k]; !ok || least.Fits(s.Spec.Needs) {
 		r.unplaceable[k] = s.Spec.Needs
 	}
@@ -258,17 +265,16 @@
 func (r *round) choose(s *tracker.Step, t *tracker.Task, count map[*tracker.VM]int) *vmState {
 	var best *vmState
 	var bestScore score
+	lacksHeadroom := false
 	for _, m := range r.vmStates {
-		if !m.admitsTask(s, t, count[m.vm]) || t.RunsOn(m.vm) {
-			continue
-		}
-		if t.MovesElsewhere(m.vm.Name, r.now) || r.separates(m, t) || r.waitsForSound(m, t) || r.heldBack(m, t) {
+		if !r.mayRun(m, s, t, count) {
 			continue
 		}
 		var cost float64
 		if s.Spec.BestEffort {
 			d := r.interference(m, s)
 			if d.leastHeadroom < minHeadroom {
+				lacksHeadroom = true
 				continue
 			}
 			cost = d.loss + scarcityWeight*r.scarcityFor(m, s.Spec.Image)
@@ -281,5 +287,16 @@
 			best, bestScore = m, sc
 		}
 	}
+	if best == nil && lacksHeadroom {
+		return r.chooseWithoutHeadroom(s, t, count)
+	}
 	return best
 }
+
+// mayRun reports whether a task may start on a VM, whatever its effect on other tasks there.
+func (r *round) mayRun(m *vmState, s *tracker.Step, t *tracker.Task, count map[*tracker.VM]int) bool {
+	if !m.admitsTask(s, t, count[m.vm]) || t.RunsOn(m.vm) {
+		return false
+	}
+	return !t.MovesElsewhere(m.vm.Name, r.now) && !r.separates(m, t) && !r.waitsForSound(m, t) && !r.heldBack(m, t)
+}
--- a/internal/job/planner/reserve_urgent.go
+++ b/internal/job/planner/reserve_urgent.go
@@ -183,11 +183,7 @@
 	if t.HasRun {
 		return !r.needsReservation(t)
 	}
-	since := t.WaitSince
-	if t.Step.ReadyAt.After(since) {
-		since = t.Step.ReadyAt
-	}
-	return r.now.Sub(since) < maxFirstHold
+	return r.waited(t) < maxFirstHold
 }
 
 // returnsLater reports whether a task that has yielded takes precedence over others as late as under
--- a/internal/job/planner/slow.go
+++ b/internal/job/planner/slow.go
@@ -17,6 +17,8 @@
 	maxPatience   = time.Second
 	// probeAfter is the age of a slow VM's speed from which one best-effort task shows whether it has recovered.
 	probeAfter = 2 * time.Second
+	// slowVMWait is how long a best-effort task waits for another VM, or for a slow one without other tasks.
+	slowVMWait = 6 * time.Second
 	// rampStep is the time after a VM has recovered in which the number of starts that it accepts doubles, for
 	// rampSteps times.
 	rampStep  = 250 * time.Millisecond
@@ -89,13 +91,18 @@
 func (m *vmState) rampedOut() bool { return m.ramping && m.placed >= m.rampLeft }
 
 // admitsProbe reports whether a slow VM accepts a best-effort task, or the members of a gang, to show whether it has
-// recovered.
+// recovered. After slowVMWait one starts beside other tasks too: a stream of urgent tasks may never end, and a task
+// that is throttled to zero shows nothing.
 func (m *vmState) admitsProbe(s *tracker.Step, running int) bool {
-	if m.placedBeside(s, running) > 0 || m.speedAge < probeAfter {
+	patient := m.now.Sub(s.ReadyAt) < slowVMWait
+	if m.placedBeside(s, running) > 0 || patient && m.speedAge < probeAfter {
 		return false
 	}
 	for _, run := range m.vm.Runs {
-		if !run.Step().Spec.LongRunning && run.State != tracker.Stopping {
+		if run.Step().Spec.LongRunning || run.State == tracker.Stopping {
+			continue
+		}
+		if patient || run.Step().Spec.BestEffort && (run.Pace != 0 || m.now.Sub(run.OrderedAt) < startSpacing) {
 			return false // it shows the speed itself
 		}
 	}
@@ -117,9 +124,5 @@
 	}
 	cost := float64(s.Estimate()) * (1/m.factor - 1)
 	patience := min(time.Duration(patienceShare*cost), maxPatience)
-	since := t.WaitSince
-	if t.Step.ReadyAt.After(since) {
-		since = t.Step.ReadyAt
-	}
-	return r.now.Sub(since) < patience
+	return r.waited(t) < patience
 }
--- a/internal/job/planner/throttle.go
+++ b/internal/job/planner/throttle.go
@@ -29,9 +29,10 @@
 
 // bestEffortRun is a best-effort run during the calculation of paces.
 type bestEffortRun struct {
-	run   *tracker.Run
-	use   float64 // at full pace, as a share of the VM
-	level int     // index of paceLevels
+	run     *tracker.Run
+	use     float64 // at full pace, as a share of the VM
+	level   int     // index of paceLevels
+	starved bool    // it has been throttled for so long that it is to work as the targets allow
 }
 
 func (b bestEffortRun) useAt(level int) float64 { return b.use * float64(paceLevels[level]) / paceFull }
@@ -61,13 +62,21 @@
 	var runs []bestEffortRun
 	for _, r := range vm.Runs {
 		if r.Step().Spec.BestEffort && r.State == tracker.Running {
-			runs = append(runs, bestEffortRun{run: r, use: fullPaceUse(r, in.Now)})
+			runs = append(runs, bestEffortRun{run: r, use: fullPaceUse(r, in.Now), starved: throttledFor(r, in.Now) >= headroomWait})
 		}
 	}
 	sort.Slice(runs, func(i, j int) bool { return runs[i].run.Key().Less(runs[j].run.Key()) })
 	return runs
 }
 
+// throttledFor is how long a run has been below full pace.
+func throttledFor(r *tracker.Run, now time.Time) time.Duration {
+	if r.Pace == paceFull || r.Pace == tracker.PaceUnknown || r.PacedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(r.PacedAt)
+}
+
 // protectedRun is a long-running run with the headroom that it would have without best-effort
 // tasks.
 type protectedRun struct {
@@ -107,7 +116,7 @@
 			left -= b.useAt(b.level) * in.Learner.Effect(p.image, b.image())
 		}
 		for left < least {
-			worst := mostInterfering(in, throttled, p.image)
+			worst := mostInterfering(in, throttled, p.image, left >= targetHeadroom)
 			if worst < 0 {
 				break
 			}
@@ -125,11 +134,16 @@
 const minEffect = 0.3
 
 // mostInterfering returns the index of the run whose use costs the image most headroom per
-// processor, or -1. Throttling that run loses the least work.
-func mostInterfering(in Input, runs []bestEffortRun, image string) int {
+// processor, or -1. Throttling that run loses the least work. While the target is met, starved runs keep
+// the lowest pace at which they work.
+func mostInterfering(in Input, runs []bestEffortRun, image string, targetMet bool) int {
 	best, largest := -1, minEffect
 	for i, b := range runs {
-		if b.level == len(paceLevels)-1 || b.use == 0 {
+		lowest := len(paceLevels) - 1
+		if b.starved && targetMet {
+			lowest--
+		}
+		if b.level >= lowest || b.use == 0 {
 			continue
 		}
 		// Of equal ones take the fastest, so that no run is throttled to zero before the
--- a/internal/job/planner/vmstate.go
+++ b/internal/job/planner/vmstate.go
@@ -81,11 +81,17 @@
 // placed there in the round. A task that asks for more than there is starts then: it can't wait for
 // anything that would leave it more.
 func (m *vmState) onlyBestEffort(s *tracker.Step, running int) bool {
+	return m.placedBestEffort(s, running) == 0 && m.vm.BestEffortEnding == 0
+}
+
+// placedBestEffort is how many thousandths of a core the best-effort tasks ask for that were placed on
+// the VM in the round, without members of the same gang as the next one.
+func (m *vmState) placedBestEffort(s *tracker.Step, running int) int64 {
 	placed := m.bestEffortCPU - m.vm.BestEffortCPU
 	if s.Spec.Gang {
 		placed -= int64(running) * s.Spec.Needs.CPUMillis
 	}
-	return placed <= 0 && m.vm.BestEffortEnding == 0
+	return max(placed, 0)
 }
 
 // eligible reports whether the VM would admit a task of the step if it had enough free
@@ -111,7 +117,7 @@
 // sound again. Until then nothing else starts there. The members of a gang count as one run: they
 // start together or not at all, and a failure of one ends all.
 func (m *vmState) awaitsProbe(s *tracker.Step, running int) bool {
-	return m.vm.OnProbation() && m.vm.Probes(s.Spec)+m.placedBeside(s, running) > 0
+	return m.vm.OnProbation() && m.vm.Probes(s.Spec, m.now)+m.placedBeside(s, running) > 0
 }
 
 // placedBeside returns the number of tasks placed on the VM in the round that are not members of the
--- a/internal/job/tracker/health.go
+++ b/internal/job/tracker/health.go
@@ -28,14 +28,18 @@
 // again.
 func (vm *VM) OnProbation() bool { return vm.Health.ConsecutiveQuarantines > 0 }
 
+// throttledProbeWait is how long best-effort tasks wait for a run that is throttled to zero.
+const throttledProbeWait = 4 * time.Second
+
 // Probes counts the runs that were ordered since the quarantine and that a task of the step must wait
 // for. Earlier runs do not count: long-running tasks do not end by themselves, so a VM that waited for
 // them would never accept a task again. A run that is throttled to zero shows nothing, for as long as
-// the load of long-running tasks lasts; only best-effort tasks, which would be throttled too, wait for it.
-func (vm *VM) Probes(next *specifier.Step) int {
+// the load of long-running tasks lasts. Best-effort tasks, which may be throttled too, wait for it for a
+// while, so that a faulty worker gets few of them.
+func (vm *VM) Probes(next *specifier.Step, now time.Time) int {
 	n := 0
 	for _, r := range vm.Runs {
-		if !r.OrderedAt.Before(vm.Health.QuarantinedUntil) && (r.Pace != 0 || next.BestEffort) {
+		if !r.OrderedAt.Before(vm.Health.QuarantinedUntil) && (r.Pace != 0 || next.BestEffort && now.Sub(r.OrderedAt) < throttledProbeWait) {
 			n++
 		}
 	}
