receiver: a cancelled job is never stored afterwards

Cause: the entry concluded from the absence of the job's record that there was nothing to cancel, and stored nothing. The late write's condition, that the job is new, still held.

A cancellation is now stored whether the job is known or not, and a job is stored only on the condition that no cancellation is: the late write fails by itself, under any owner. The owner removes cancellations of jobs that have not arrived after a minute and keeps 10,000 at most; beyond that they are refused with a time to return.

Related answers from absence: the state of a job whose submission has an unknown outcome is refused for 10 s instead of denied, also by other entries, which learn of it from the owner; a second submission that the same entry refuses meanwhile is answered as unknown; one that follows the cancellation is refused. Refusals by admission are stored already.

TestSubmissionWithoutAdmission wanted one condition and now wants exactly these two. TestSubmitThroughOwner's stand-in of the owner answers only the call that the test is about, since the entry makes another one now.

--- a/internal/job/receiver/admission_test.go
+++ b/internal/job/receiver/admission_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -341,7 +342,7 @@
 	}
 }
 
-// Without admission a submission is one write under the condition that the job is new, as before.
+// Without admission a submission is one write under the conditions that the job is new and not cancelled.
 func TestSubmissionWithoutAdmission(t *testing.T) {
 	s, c := newSwapStore(), newTestClock()
 	r := newEntry(s, c, nil)
@@ -353,7 +354,8 @@
 		return s.transact(ctx, t)
 	}
 	check(t, "submission", submit(t, r), Accepted, false)
-	if len(sent) != 1 || len(sent[0].Expect) != 1 || strings.Contains(string(sent[0].Puts[0].Value), "start-by") || r.config.Admission.State() != nil {
+	want := []keeper.Expectation{{Key: scheduler.JobKey(id)}, {Key: scheduler.CancelKey(id)}}
+	if len(sent) != 1 || !slices.Equal(sent[0].Expect, want) || strings.Contains(string(sent[0].Puts[0].Value), "start-by") || r.config.Admission.State() != nil {
 		t.Errorf("sent %+v", sent)
 	}
 }
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -59,6 +59,7 @@
 	RetryAfter time.Duration    // of a refused request
 	// NotAdmitted is set if the request was refused because of the backlog. The refusal is stored.
 	NotAdmitted bool
+	cancelled   bool // refused because the job was cancelled before it was stored
 }
 
 // Config holds the settings of a Receiver.
@@ -81,7 +82,10 @@
 }
 
 // Receiver handles the requests of callers. It is safe for concurrent use.
-type Receiver struct{ config Config }
+type Receiver struct {
+	config Config
+	doubts doubts
+}
 
 // New returns a Receiver.
 func New(c Config) *Receiver { return &Receiver{config: c} }
@@ -103,11 +107,16 @@
 	case Accepted:
 		r.config.Reporter.Report(reporter.JobAccepted, reporter.Fields{"job": j.ID, "queue": j.Queue, "account": j.Account, "steps": len(j.Steps), "store-age": r.config.StoreAge().String()})
 	case OutcomeUnknown:
-		r.config.Reporter.Report(reporter.JobOutcomeUnknown, reporter.Fields{"job": j.ID, "reason": res.Reason})
+		r.reportDoubt(ctx, j.ID, res.Reason)
 	case Refused, NotExist:
 		if res.NotAdmitted {
 			return res
 		}
+		if !res.cancelled && r.doubts.contains(j.ID, r.config.Now()) {
+			res = Result{Outcome: OutcomeUnknown, Reason: "an earlier submission may still be stored: " + res.Reason}
+			r.reportDoubt(ctx, j.ID, res.Reason)
+			return res
+		}
 		return r.refuse(j.ID, res)
 	}
 	return res
@@ -130,7 +139,7 @@
 // to the owner: the store may refuse some VMs and serve others.
 func (r *Receiver) createRecord(ctx context.Context, key string, value []byte) Result {
 	res := r.createRecordDirectly(ctx, key, value)
-	if res.Outcome != Refused {
+	if res.Outcome != Refused || res.cancelled {
 		return res
 	}
 	return r.createRecordThroughOwner(ctx, key, value, res)
@@ -195,6 +204,9 @@
 		return Result{Outcome: Refused, Reason: "store not reached"}
 	}
 	t := keeper.Transaction{Expect: []keeper.Expectation{{Key: key}}, Puts: []keeper.Put{{Key: key, Value: value}}}
+	if id, ok := scheduler.JobOfKey(key); ok {
+		t.Expect = append(t.Expect, keeper.Expectation{Key: scheduler.CancelKey(id)})
+	}
 	outcomeUnknown := false
 	for {
 		revision, err := r.config.Store.Transact(ctx, t)
@@ -203,6 +215,8 @@
 		case err == nil:
 			r.hint(ctx, keeper.Record{Key: key, Value: value, Revision: revision})
 			return Result{Outcome: Accepted}
+		case errors.As(err, &conflict) && conflict.Key != key:
+			return cancelledBefore()
 		case errors.As(err, &conflict):
 			if existing := conflict.Current; len(existing.Value) > 0 {
 				r.hint(ctx, keeper.Record{Key: key, Value: existing.Value, Revision: existing.Revision})
@@ -260,19 +274,35 @@
 	return err
 }
 
-// State returns the state of a job.
+// State returns the state of a job. A job that may still be stored is not said not to exist.
 func (r *Receiver) State(ctx context.Context, id string) Result {
+	l := r.lookUp(ctx, id)
+	if l.Outcome == NotExist && (l.inDoubt || r.doubts.contains(id, r.config.Now())) {
+		return Result{Outcome: Refused, Reason: "the outcome of its submission is not known yet", RetryAfter: minRetryAfter}
+	}
+	return l.Result
+}
+
+// lookup is what the owner and the store know of a job.
+type lookup struct {
+	Result
+
+	inDoubt     bool // the owner knows that a write may still store it
+	cancelsFull bool // the owner can't keep another cancellation of an unknown job
+}
+
+func (r *Receiver) lookUp(ctx context.Context, id string) lookup {
 	var a messenger.WorkStateReply
 	err := r.config.CallOwner(ctx, messenger.MethodWorkState, messenger.WorkStateRequest{Job: id}, &a)
 	if err == nil && a.Known {
-		return Result{Outcome: Accepted, State: tracker.JobState(a.State), Reason: a.Reason}
+		return lookup{Result: Result{Outcome: Accepted, State: tracker.JobState(a.State), Reason: a.Reason}}
 	}
 	res, storeErr := r.storedState(ctx, id)
 	if storeErr != nil {
 		r.config.Reporter.Report(reporter.JobQueryFailed, reporter.Fields{"job": id, "owner-error": fmt.Sprint(err), "store-error": storeErr.Error()})
-		return Result{Outcome: Refused, Reason: "state not known now", RetryAfter: minRetryAfter}
+		return lookup{Result: Result{Outcome: Refused, Reason: "state not known now", RetryAfter: minRetryAfter}}
 	}
-	return res
+	return lookup{Result: res, inDoubt: a.InDoubt, cancelsFull: a.CancelsFull}
 }
 
 // storedState returns the state of a job according to the store.
@@ -308,10 +338,16 @@
 	return Result{Outcome: Accepted, State: state}, nil
 }
 
-// Cancel stores the cancellation of a job.
+// Cancel stores the cancellation of a job, also of one that does not exist: a submission whose outcome is
+// not known may still be carried out. With the cancellation it is not, since a job is stored only if it
+// has not been cancelled.
 func (r *Receiver) Cancel(ctx context.Context, id string) Result {
-	if res := r.State(ctx, id); res.Outcome != Accepted {
-		return res
+	known := r.lookUp(ctx, id)
+	if known.Outcome != Accepted && known.Outcome != NotExist {
+		return known.Result
+	}
+	if known.Outcome == NotExist && known.cancelsFull {
+		return r.refuse(id, Result{Reason: "too many cancellations of unknown jobs"})
 	}
 	value, err := json.Marshal(r.config.Now().UnixMilli())
 	if err != nil {
@@ -320,7 +356,11 @@
 	res := r.createRecord(ctx, scheduler.CancelKey(id), value)
 	switch res.Outcome {
 	case Accepted:
-		r.config.Reporter.Report(reporter.JobCancelAccepted, reporter.Fields{"job": id})
+		r.doubts.remove(id)
+		r.config.Reporter.Report(reporter.JobCancelAccepted, reporter.Fields{"job": id, "known": known.Outcome == Accepted})
+		if known.Outcome == NotExist {
+			return known.Result
+		}
 	case Refused, OutcomeUnknown, NotExist:
 		r.config.Reporter.Report(reporter.JobQueryFailed, reporter.Fields{"job": id, "store-error": res.Reason})
 		res.RetryAfter = max(res.RetryAfter, minRetryAfter)
@@ -328,6 +368,11 @@
 	return res
 }
 
+// cancelledBefore is the result of a submission of a job that was cancelled before it was stored.
+func cancelledBefore() Result {
+	return Result{Outcome: Refused, Reason: "cancelled before it was stored", cancelled: true}
+}
+
 // Pending counts the jobs of a queue that have not started.
 func (r *Receiver) Pending(ctx context.Context, queue string) (int, error) {
 	var a messenger.WorkPendingReply
--- a/internal/job/receiver/receiver_test.go
+++ b/internal/job/receiver/receiver_test.go
@@ -136,8 +136,8 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			r := newReceiver(&fakeStore{answers: []error{busy}}, 0, func(_ string, result any) error {
-				if tt.err == nil {
+			r := newReceiver(&fakeStore{answers: []error{busy}}, 0, func(method string, result any) error {
+				if tt.err == nil && method == messenger.MethodWorkStore {
 					*result.(*messenger.WorkStoreReply) = messenger.WorkStoreReply{Outcome: tt.outcome}
 				}
 				return tt.err
--- a/internal/job/receiver/submit.go
+++ b/internal/job/receiver/submit.go
@@ -41,7 +41,7 @@
 	a := &attempt{r: r, job: j, received: now}
 	a.judge(now, false)
 	res := a.store(ctx)
-	if res.Outcome == Refused && !res.NotAdmitted && !a.decision.Refuse {
+	if res.Outcome == Refused && !res.NotAdmitted && !res.cancelled && !a.decision.Refuse {
 		value, err := a.encodeJob()
 		if err != nil {
 			return Result{Outcome: Refused, Reason: err.Error()}
@@ -93,6 +93,8 @@
 				a.r.hint(ctx, keeper.Record{Key: conflict.Key, Value: existing.Value, Revision: existing.Revision})
 			}
 			return Result{Outcome: Accepted, Reason: "known"}
+		case errors.As(err, &conflict) && conflict.Key == scheduler.CancelKey(a.job.ID):
+			return cancelledBefore()
 		case errors.As(err, &conflict):
 			if a.decision.Refuse && a.concurrent && a.isOwn(conflict.Current) {
 				return a.refused() // by an earlier write of this attempt
@@ -136,6 +138,7 @@
 		t.Puts = []keeper.Put{{Key: refusalKey, Value: value}}
 		return t, err
 	}
+	t.Expect = append(t.Expect, keeper.Expectation{Key: scheduler.CancelKey(a.job.ID)})
 	value, err := a.encodeJob()
 	t.Puts = []keeper.Put{{Key: jobKey, Value: value}}
 	if a.revision > 0 {
--- a/internal/job/scheduler/follow.go
+++ b/internal/job/scheduler/follow.go
@@ -37,6 +37,7 @@
 	}
 	if o.addJob(e.record, reconcileAt, now) {
 		id := strings.TrimPrefix(e.record.Key, jobPrefix)
+		o.unknown.forget(id)
 		if o.cancelled[id] {
 			o.cancel(id, e, now)
 		}
@@ -45,10 +46,15 @@
 
 // addCancellation cancels a job, or remembers the cancellation until the job's record arrives.
 func (o *owner) addCancellation(id string, e recordSeen, now time.Time) {
-	if !o.cancelled[id] {
-		o.cancelled[id] = true
-		o.cancel(id, e, now)
+	if o.cancelled[id] {
+		return
+	}
+	o.cancelled[id] = true
+	delete(o.unknown.doubts, id) // with the cancellation, no write can store it
+	if o.state.Jobs[id] == nil {
+		o.unknown.cancels[id] = now
 	}
+	o.cancel(id, e, now)
 }
 
 // cancel ends a job whose cancellation is stored. The next periodic checks stop its runs.
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -83,10 +83,11 @@
 	shares              accountShares
 	forecasts           forecasts
 	cache               *planner.Cache
-	sessions            map[string]*session  // by VM
-	unsent              map[*session]bool    // with orders to send, or ends to acknowledge
-	checkedVMs          []*tracker.VM        // that the present periodic checks look at
-	cancelled           map[string]bool      // stored cancellations, also of jobs that are not known yet
+	sessions            map[string]*session // by VM
+	unsent              map[*session]bool   // with orders to send, or ends to acknowledge
+	checkedVMs          []*tracker.VM       // that the present periodic checks look at
+	cancelled           map[string]bool     // stored cancellations, also of jobs that are not known yet
+	unknown             unknownJobs
 	members             map[string]bool      // VMs that are stored as members and may be granted leases
 	listed              map[string]bool      // VMs that may be stored as members
 	joining             map[string]bool      // VMs to be stored as members
@@ -120,7 +121,7 @@
 		s: s, epoch: epoch, started: now, state: state, load: load, forecasts: newForecasts(), learner: learner.New(), snapshotAt: now, cache: planner.NewCache(), writer: newWriter(s.config.Store.Transact), events: make(chan event, eventBuffer), done: make(chan struct{}),
 		placement: decision{name: "placement", planned: minRoundInterval}, checks: decision{name: "checks", planned: minCheckInterval}, moves: decision{name: "moves", planned: moveInterval},
 		restorers: make(map[*connector.Conn]*abridger.Restorer),
-		sessions:  make(map[string]*session), unsent: make(map[*session]bool), cancelled: make(map[string]bool), members: make(map[string]bool), listed: make(map[string]bool),
+		sessions:  make(map[string]*session), unsent: make(map[*session]bool), cancelled: make(map[string]bool), unknown: newUnknownJobs(), members: make(map[string]bool), listed: make(map[string]bool),
 		joining: make(map[string]bool), leaving: make(map[string]bool), unreported: make(map[string]bool), reportedQuarantines: make(map[string]time.Time), waitReportedAt: make(map[string]time.Time), dirty: true, removeEndedAt: now.Add(removeEndedInterval),
 	}
 }
@@ -376,6 +377,10 @@
 		o.removals = append(o.removals, JobKey(id), CancelKey(id), ProgressKey(id))
 		delete(o.cancelled, id)
 	}
+	for _, id := range o.unknown.expire(now) {
+		o.removals = append(o.removals, CancelKey(id))
+		delete(o.cancelled, id)
+	}
 }
 
 // reportEndedJobs logs and counts the jobs that have ended.
--- a/internal/job/scheduler/query.go
+++ b/internal/job/scheduler/query.go
@@ -47,7 +47,7 @@
 	return ask(ctx, o, func(o *owner) messenger.WorkStateReply {
 		j := o.state.Jobs[r.Job]
 		if j == nil {
-			return messenger.WorkStateReply{}
+			return messenger.WorkStateReply{InDoubt: o.unknown.inDoubt(r.Job, o.s.config.Now()), CancelsFull: o.unknown.cancelsFull()}
 		}
 		return messenger.WorkStateReply{Known: true, State: string(j.ReportedState()), Reason: j.ReportedReason()}
 	})
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,9 @@
 // JobKey returns the key of an accepted job.
 func JobKey(id string) string { return jobPrefix + id }
 
+// JobOfKey returns the job of a key of an accepted job. ok is false for other keys.
+func JobOfKey(key string) (id string, ok bool) { return strings.CutPrefix(key, jobPrefix) }
+
 // CancelKey returns the key of a job's cancellation.
 func CancelKey(id string) string { return cancelPrefix + id }
 
@@ -261,6 +265,8 @@
 		return serveCall(params, s.policyRecords)
 	case messenger.MethodWorkState:
 		return serveCall(params, func(r messenger.WorkStateRequest) (messenger.WorkStateReply, error) { return o.jobState(ctx, r) })
+	case messenger.MethodWorkDoubt:
+		return serveCall(params, func(r messenger.WorkStateRequest) (messenger.Empty, error) { return o.addDoubt(ctx, r) })
 	case messenger.MethodWorkPending:
 		return serveCall(params, func(r messenger.WorkPendingRequest) (messenger.WorkPendingReply, error) { return o.pending(ctx, r) })
 	case messenger.MethodWorkExplain:
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -13,6 +13,7 @@
 	MethodWorkOrders  = "work/orders"  // owner to agent: WorkOrders, Empty
 	MethodWorkHint    = "work/hint"    // entry to owner: WorkHint, WorkHintReply
 	MethodWorkState   = "work/state"   // entry to owner: WorkStateRequest, WorkStateReply
+	MethodWorkDoubt   = "work/doubt"   // entry to owner: WorkStateRequest of a job whose submission has an unknown outcome, Empty
 	MethodWorkPending = "work/pending" // entry to owner: WorkPendingRequest, WorkPendingReply
 	MethodWorkExplain = "work/explain" // entry to owner: WorkStateRequest, WorkExplainReply
 	// MethodWorkExplainAccount is from entry to owner: WorkAccountRequest, WorkAccountReply.
@@ -233,6 +234,11 @@
 	Known  bool   `json:"known"`
 	State  string `json:"state,omitempty"`  // a tracker.JobState
 	Reason string `json:"reason,omitempty"` // why the job failed
+	// InDoubt is set if the job is not known and a write may still store it.
+	InDoubt bool `json:"in-doubt,omitempty"`
+	// CancelsFull is set if the job is not known and the owner keeps as many cancellations of unknown jobs
+	// as it may.
+	CancelsFull bool `json:"cancels-full,omitempty"`
 }
 
 // WorkPendingRequest asks how many jobs of a queue have not started.
