tracker: a failure is attributed to the VM or to the job

Cause: three different failed tasks counted against a worker, though they were of one job that failed on every VM. After a quarantine one failure was enough, and the task that may show that the VM is sound was that of the hopeless job, which has the higher priority.

A VM is now quarantined if a sound one would hardly have failed so many tasks, given how their steps fare on other VMs. VMs are judged again as evidence arrives, in both directions. While it is open which is at fault, a VM takes one task of each step at a time. After a quarantine, jobs that have not failed there go first. Stalled tasks are judged in the same way.

--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -117,6 +117,8 @@
 		return "without free capacity"
 	case m.awaitsProbe(s, running):
 		return "on probation after a quarantine, until a run shows that the worker is sound"
+	case m.awaitsTrial(s, running):
+		return "where tasks have failed, with a task of the step that shows whether the VM is sound"
 	case m.slow && m.measured && s.Spec.BestEffort && !m.admitsProbe(s, running):
 		return "that are slow"
 	case m.rampedOut():
--- a/internal/job/planner/vmstate.go
+++ b/internal/job/planner/vmstate.go
@@ -110,14 +110,40 @@
 		spec.MaxPerVM > 0 && running >= spec.MaxPerVM:
 		return false
 	}
-	return !m.awaitsProbe(s, running) && !m.rampedOut()
+	return !m.awaitsProbe(s, running) && !m.awaitsTrial(s, running) && !m.rampedOut()
 }
 
+// otherJobsFirst is how long after a quarantine a VM accepts only tasks of jobs that have not failed there:
+// they show better whether its worker is sound.
+const otherJobsFirst = 500 * time.Millisecond
+
 // awaitsProbe reports whether the VM is on probation and a run is to show whether its worker is
 // sound again. Until then nothing else starts there. The members of a gang count as one run: they
 // start together or not at all, and a failure of one ends all.
 func (m *vmState) awaitsProbe(s *tracker.Step, running int) bool {
-	return m.vm.OnProbation() && m.vm.Probes(s.Spec, m.now)+m.placedBeside(s, running) > 0
+	if !m.vm.OnProbation() {
+		return false
+	}
+	if m.now.Sub(m.vm.Health.QuarantinedUntil) < otherJobsFirst && m.vm.FailedJob(s.Occurrence.Job) {
+		return true
+	}
+	return m.vm.Probes(s.Spec, m.now)+m.placedBeside(s, running) > 0
+}
+
+// awaitsTrial reports whether tasks have failed on the VM, perhaps through its fault, and a task of the
+// step there has not shown yet whether it will. A faulty VM looks idle and would get a backlog; a gang
+// fails as a whole.
+func (m *vmState) awaitsTrial(s *tracker.Step, running int) bool {
+	if !m.vm.Doubtful() || s.Spec.Gang {
+		return false
+	}
+	before := 0 // this round
+	for _, run := range m.vm.Runs {
+		if run.Step() == s {
+			before++
+		}
+	}
+	return m.vm.Trials(s)+running-before > 0
 }
 
 // placedBeside returns the number of tasks placed on the VM in the round that are not members of the
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -334,7 +334,7 @@
 			o.s.config.Reporter.Report(reporter.JobVMReleased, reporter.Fields{"vm": vm.Name, "life": vm.Incarnation, "after": now.Sub(until).String()})
 		case vm.Quarantined(now) && until != vm.Health.QuarantinedUntil:
 			o.reportedQuarantines[vm.Name] = vm.Health.QuarantinedUntil
-			o.s.config.Reporter.Report(reporter.JobVMQuarantined, reporter.Fields{"vm": vm.Name, "failed": len(vm.Health.Failed), "cause": vm.Health.Cause, "for": vm.Health.QuarantinedUntil.Sub(now).String()})
+			o.s.config.Reporter.Report(reporter.JobVMQuarantined, reporter.Fields{"vm": vm.Name, "failed": vm.FailedTasks(), "cause": vm.Health.Cause, "for": vm.Health.QuarantinedUntil.Sub(now).String()})
 		}
 	}
 }
--- a/internal/job/tracker/health.go
+++ b/internal/job/tracker/health.go
@@ -8,15 +8,20 @@
 
 // Limits of the health check of a VM's worker.
 const (
-	// failuresToQuarantine is how many different tasks must fail on a VM, with no
-	// success in between, before the worker counts as faulty. A task that fails
-	// everywhere through its own fault counts once. On a healthy worker, where one
-	// run in twenty fails, three failures in a row have a chance of 1 in 8,000.
+	// failuresToQuarantine is how many jobs of which nothing else is known must have a failed task on a
+	// VM, with no success in between, before the worker counts as faulty. Tasks of one job are enough if
+	// others of it succeed elsewhere.
 	failuresToQuarantine = 3
 	quarantineFirst      = 4 * time.Second // doubled with each consecutive quarantine
 	quarantineMax        = 16 * time.Second
 )
 
+// Causes of quarantines.
+const (
+	causeFailed  = "tasks failed"
+	causeStalled = "tasks stalled"
+)
+
 // Quarantined reports whether nothing should start on the VM.
 func (vm *VM) Quarantined(now time.Time) bool { return now.Before(vm.Health.QuarantinedUntil) }
 
@@ -46,15 +51,18 @@
 	return n
 }
 
-// endProbation clears the health record of a VM on which a run ordered since the
-// quarantine makes progress.
+// endProbation clears the health record of a VM on which a run makes progress that was ordered since the
+// quarantine or, without one, since its tasks fail.
 func (vm *VM) endProbation(now time.Time) {
-	if !vm.OnProbation() || vm.Quarantined(now) {
+	if !vm.OnProbation() && !vm.Doubtful() || vm.Quarantined(now) {
 		return
 	}
+	since := vm.Health.QuarantinedUntil
+	if vm.Health.streakSince.After(since) {
+		since = vm.Health.streakSince
+	}
 	for _, r := range vm.Runs {
-		progressing := r.Step().Spec.LongRunning && r.Progress >= fullPace || vm.SeenAt.Sub(r.ProgressedAt) < stallGrace
-		if r.State == Running && !r.OrderedAt.Before(vm.Health.QuarantinedUntil) && vm.SeenAt.Sub(r.StartedAt) >= probeDuration && progressing {
+		if r.State == Running && !r.OrderedAt.Before(since) && r.provesSound() {
 			vm.clearHealth()
 			return
 		}
@@ -85,22 +93,35 @@
 // in use, but looks idle, so it would be given more and more tasks. Without this, 48
 // runs stalled for up to 4 s in a replay of such a worker.
 func (tr *Tracker) Stalled(vms []*VM, now time.Time) []*Run {
-	var all []*Run
+	var found []stalls
 	for _, vm := range vms {
 		if !vm.Attached || vm.MoreEnds { // runs without progress may have ended
 			continue
 		}
 		vm.endProbation(now)
-		stalled, progressing := vm.stalled()
-		switch {
-		case len(stalled) >= stallsToQuarantine && len(stalled) >= progressing:
-			vm.quarantine("tasks stalled", now)
-			all = append(all, stalled...)
-		default:
-			for _, r := range stalled {
-				if vm.SeenAt.Sub(r.ProgressedAt) > singleStallLimit {
-					all = append(all, r)
-				}
+		runs, progressing := vm.stalled()
+		if len(runs) == 0 {
+			continue
+		}
+		found = append(found, stalls{vm, runs, progressing})
+		byStep := make(map[*Step]int)
+		for _, r := range runs {
+			byStep[r.Step()]++
+		}
+		for s, n := range byStep {
+			s.recordStalled(vm, n)
+		}
+	}
+	var all []*Run
+	for _, s := range found {
+		if tr.faultyByStalls(s) {
+			s.vm.quarantine(causeStalled, now)
+			all = append(all, s.runs...)
+			continue
+		}
+		for _, r := range s.runs {
+			if s.vm.SeenAt.Sub(r.ProgressedAt) > singleStallLimit {
+				all = append(all, r)
 			}
 		}
 	}
@@ -193,18 +214,3 @@
 	vm.Health.ConsecutiveQuarantines++
 	vm.Health.Cause, vm.Health.QuarantinedUntil = cause, now.Add(duration)
 }
-
-func (vm *VM) recordFailure(id specifier.TaskID, now time.Time) {
-	if vm.Health.Failed == nil {
-		vm.Health.Failed = make(map[specifier.TaskID]time.Time)
-	}
-	vm.Health.Failed[id] = now
-	if vm.Quarantined(now) {
-		return // the run was started before the quarantine
-	}
-	// After a quarantine the first failure is enough for the next one.
-	if len(vm.Health.Failed) < failuresToQuarantine && vm.Health.ConsecutiveQuarantines == 0 {
-		return
-	}
-	vm.quarantine("tasks failed", now)
-}
--- a/internal/job/tracker/run.go
+++ b/internal/job/tracker/run.go
@@ -221,11 +221,10 @@
 	}
 	switch outcome {
 	case EndDone:
-		delete(vm.Health.Failed, key.Task)
-		vm.clearHealth()
 		tr.taskDone(t, now)
+		tr.recordSuccess(vm, t.Step, now)
 	case EndFailed:
-		vm.recordFailure(key.Task, now)
+		tr.recordFailure(vm, t, now)
 		t.avoidVM(vm.Name)
 		tr.taskFailed(t, key.Number, lasted, now)
 	case EndStopped, EndLapsed, EndGangBroken, EndGangIncomplete, EndLost:
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -148,6 +148,7 @@
 	Done       int // number of tasks that are done
 	ReadyAt    time.Time
 	Advice     Advice // of an advised queue
+	outcomes   outcomes
 	name       string
 }
 
@@ -285,10 +286,11 @@
 
 // Health is the health record of a VM's worker.
 type Health struct {
-	Failed                 map[specifier.TaskID]time.Time // tasks that failed on it since its last success
-	QuarantinedUntil       time.Time                      // end of the quarantine
-	Cause                  string                         // of the quarantine
+	QuarantinedUntil       time.Time // end of the quarantine
+	Cause                  string    // of the quarantine
 	ConsecutiveQuarantines int
+	streak                 []failures // since its last success
+	streakSince            time.Time  // time of the first of them
 }
 
 // Tracker is the state of a cell.
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -102,7 +102,7 @@
 	{OwnerUnreachable, log.WarnLevel, "owner unreachable", "This entry can't reach the owner of the cell; it answers from the store what it can."},
 	{OwnerReachable, log.InfoLevel, "owner reachable again", "This entry can reach the owner of the cell again."},
 	{MessageMalformed, log.ErrorLevel, "message malformed", "A message of another process can't be read and was ignored."},
-	{JobVMQuarantined, log.WarnLevel, "VM quarantined", "Different tasks failed on the VM with none done in between, or most of its tasks stalled; for some seconds nothing starts there, then one task or gang at a time."},
+	{JobVMQuarantined, log.WarnLevel, "VM quarantined", "Tasks of several jobs, or of jobs that succeed elsewhere, failed on the VM with none done in between, or most of its tasks stalled; for some seconds nothing starts there, then one task or gang at a time."},
 	{AdviceReceived, log.InfoLevel, "advice received", "The advising service answered on which VMs a step may run. VMs that it refused are asked about again after ask-again-in, others at once."},
 	{JobStepWaits, log.InfoLevel, "step waits", "Tasks of a step have waited for a second or more, urgent ones for 0.3 s; the cause counts the VMs by the reason why they can't take one. The longest waits of each queue are logged, a bounded number per second."},
 	{JobCancelReceived, log.InfoLevel, "cancellation received", "The owner of the cell received the cancellation of a job; by says how it arrived (hint, watch, list or takeover)."},
@@ -115,7 +115,7 @@
 	{PolicyConfirmed, log.InfoLevel, "policy confirmed by the owner", "The store does not answer this entry; the owner of the cell, which reaches it, has the same policy or has sent a newer one."},
 	{OwnerBehind, log.WarnLevel, "owner falls behind", "A decision of the owner takes so long that it is made less often than planned: the VM of the owner is too small for the fleet. The fields say which decision, how long it takes and its interval. With behind=false it is made as often as planned again."},
 	{StoreCallsRelayed, log.WarnLevel, "store calls relayed", "The store refuses this owner's VM and serves other entries: the owner keeps the cell and makes its calls by way of one of them. With relayed=false the store answers it directly again."},
-	{JobVMReleased, log.InfoLevel, "VM released from probation", "A run on a VM that was quarantined has shown that its worker is sound, or the worker has restarted: the VM accepts tasks without limit again."},
+	{JobVMReleased, log.InfoLevel, "VM released from probation", "A run on a VM that was quarantined has shown that its worker is sound, the worker has restarted, or tasks of the same jobs fail on other VMs too: the VM accepts tasks without limit again."},
 
 	{WorkerAnnounced, log.InfoLevel, "worker announced itself", "The worker of this VM reported its state."},
 	{WorkerRestarted, log.WarnLevel, "worker restarted", "The worker restarted as a new incarnation and has lost its state; its runs are lost."},
