planner: evictions keep max-unavailable

Cause: evictions were written for best-effort tasks that end. They left out gangs, and took long-running tasks for others without reading the limit.

Evictions now keep the limit as moves do. The owner stops a run that is still needed in one place only, which checks the limit once more with what the same round has stopped, so decisions can't exceed it together. A task that is not at work may always be stopped, since one that is throttled to zero while it starts would never get to work.

Moves, rotations and yields kept the limit before, alone and in any order (property test). Preemptions, departures, reclaims and stalls take no long-running tasks.

--- a/internal/job/planner/evict.go
+++ b/internal/job/planner/evict.go
@@ -25,7 +25,8 @@
 	maxEvictions = 8
 )
 
-// Evictions returns the best-effort runs to stop so that they continue on other VMs.
+// Evictions returns the best-effort runs to stop so that they continue on other VMs. Those of a step of
+// long-running tasks go a few at a time: the others stay at work, though throttled.
 func Evictions(in Input) []*tracker.Run {
 	r := newRound(in)
 	var starvedRuns []*tracker.Run
@@ -47,6 +48,9 @@
 			break
 		}
 		s := run.Step()
+		if s.Spec.LongRunning && !withinMaxUnavailable(evicted, []*tracker.Run{run}) {
+			continue
+		}
 		count := r.runCounts(s)
 		to := r.choose(s, run.Task, count)
 		if to == nil || to.slow || !to.hasIdleFor(s) {
--- a/internal/job/planner/move.go
+++ b/internal/job/planner/move.go
@@ -69,17 +69,20 @@
 
 // withinMaxUnavailable reports whether the runs can stop together without more tasks of any step
 // becoming unavailable than its limit allows or, if it has none, than maxMoving and maxMovingShare
-// allow for the step alone. mayMove excludes the runs of steps with a limit and unavailable tasks.
+// allow for the step alone. Runs that are not at work yet make no more tasks unavailable.
 func withinMaxUnavailable(lists ...[]*tracker.Run) bool {
 	moving := make(map[*tracker.Step]int)
 	for _, runs := range lists {
 		for _, run := range runs {
 			s := run.Step()
+			if !s.Spec.LongRunning || run.Task.Unavailable() {
+				continue
+			}
 			limit := s.Spec.MaxUnavailable
 			if limit == 0 {
-				limit = max(maxMoving, int(maxMovingShare*float64(len(s.Tasks)))) - s.Unavailable()
+				limit = max(maxMoving, int(maxMovingShare*float64(len(s.Tasks))))
 			}
-			if moving[s]++; moving[s] > limit {
+			if moving[s]++; moving[s] > limit-s.Unavailable() {
 				return false
 			}
 		}
--- a/internal/job/scheduler/forecast.go
+++ b/internal/job/scheduler/forecast.go
@@ -122,7 +122,7 @@
 	runs, u := planner.EarlyYields(o.input(now))
 	y := yieldAhead{at: now, capacity: u.Held + u.Room}
 	for _, r := range runs {
-		if r.Task.Yielded = o.orderStop(r, causeYieldAhead); r.Task.Yielded {
+		if r.Task.Yielded = o.interrupt(r, causeYieldAhead); r.Task.Yielded {
 			y.tasks++
 			y.cpu += float64(r.Step().Spec.Needs.CPUMillis)
 		}
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -324,7 +324,7 @@
 // checkHealth stops stalled runs and logs new quarantines of VMs and the end of their probation.
 func (o *owner) checkHealth(now time.Time) {
 	for _, r := range o.state.Stalled(o.checkedVMs, now) {
-		o.orderStop(r, "stalled")
+		o.interrupt(r, "stalled")
 	}
 	for _, vm := range o.state.VMs {
 		until, reported := o.reportedQuarantines[vm.Name]
--- a/internal/job/scheduler/rearrange.go
+++ b/internal/job/scheduler/rearrange.go
@@ -36,7 +36,7 @@
 		if m.For != nil {
 			cause = "moves for a long-running task"
 		}
-		if o.orderStop(m.Run, cause) {
+		if o.interrupt(m.Run, cause) {
 			o.state.SetRelocation(m.Run.Task, m.Relocation(now), now)
 		}
 	}
@@ -49,7 +49,7 @@
 		o.urgentDelayedAt = now
 	}
 	for _, r := range runs {
-		r.Task.Yielded = o.orderStop(r, "yields to urgent tasks")
+		r.Task.Yielded = o.interrupt(r, "yields to urgent tasks")
 	}
 }
 
@@ -57,7 +57,7 @@
 // in their place.
 func (o *owner) rotate(now time.Time) {
 	for _, r := range planner.Rotations(o.input(now)) {
-		if o.orderStop(r.Run, "rotates with a long-running task") {
+		if o.interrupt(r.Run, "rotates with a long-running task") {
 			r.Run.Task.Yielded = true
 			o.state.SetRelocation(r.Task, r.Relocation(now), now)
 		}
@@ -67,13 +67,13 @@
 // evict stops starved best-effort tasks that can continue elsewhere.
 func (o *owner) evict(now time.Time) {
 	for _, r := range planner.Evictions(o.input(now)) {
-		o.orderStop(r, "can continue elsewhere")
+		o.interrupt(r, "can continue elsewhere")
 	}
 }
 
 // preempt stops best-effort tasks that hold memory that long-running ones wait for.
 func (o *owner) preempt(now time.Time) {
 	for _, r := range planner.Preemptions(o.input(now)) {
-		o.orderStop(r, "frees capacity for a long-running task")
+		o.interrupt(r, "frees capacity for a long-running task")
 	}
 }
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -363,6 +363,13 @@
 	return true
 }
 
+// interrupt stops a run that is still needed, to continue elsewhere or later, unless too many tasks of its
+// step would be unavailable. It reports whether the stop was ordered. All decisions of a round stop runs by
+// it, so that together they stay within the limit.
+func (o *owner) interrupt(r *tracker.Run, cause string) bool {
+	return r.MayInterrupt() && o.orderStop(r, cause)
+}
+
 func (o *owner) orderPace(p planner.Pace) {
 	s := o.sessions[p.Run.VM.Name]
 	if s == nil {
--- a/internal/job/scheduler/shares.go
+++ b/internal/job/scheduler/shares.go
@@ -71,7 +71,7 @@
 	}
 	for _, c := range planner.Reclaims(o.input(now)) {
 		o.shares.reclaimedAt = now
-		if !o.orderStop(c.Run, planner.ReclaimCause) {
+		if !o.interrupt(c.Run, planner.ReclaimCause) {
 			continue
 		}
 		giver, taker := c.Run.Step().Occurrence.Job, c.For.Occurrence.Job
--- a/internal/job/scheduler/speeds.go
+++ b/internal/job/scheduler/speeds.go
@@ -85,7 +85,7 @@
 // leaveSlowVMs stops what ends sooner, or meets its target, on another VM than the slow one where it runs.
 func (o *owner) leaveSlowVMs(now time.Time) {
 	for _, d := range planner.Departures(o.input(now)) {
-		if !o.orderStop(d.Run, planner.LeavesSlowVM) {
+		if !o.interrupt(d.Run, planner.LeavesSlowVM) {
 			continue
 		}
 		kind := "urgent"
@@ -99,7 +99,7 @@
 		})
 	}
 	for _, m := range planner.SlowMoves(o.input(now)) {
-		if !o.orderStop(m.Run, "moves from a slow VM") {
+		if !o.interrupt(m.Run, "moves from a slow VM") {
 			continue
 		}
 		o.state.SetRelocation(m.Run.Task, m.Relocation(now), now)
--- a/internal/job/tracker/job.go
+++ b/internal/job/tracker/job.go
@@ -246,10 +246,20 @@
 }
 
 // Unavailable reports whether a long-running task is unavailable: it has no run, its run is being
-// stopped, or its run has not reported progress 100 yet.
+// stopped, has not reported progress 100 yet, or is on a VM that is out of contact.
 func (t *Task) Unavailable() bool {
 	r := t.PrimaryRun()
-	return r == nil || r.State != Running || r.Progress < fullPace
+	return r == nil || r.State != Running || r.Progress < fullPace || !r.VM.Attached
+}
+
+// MayInterrupt reports whether a run that is still needed may be stopped without more tasks of its step
+// becoming unavailable than the step allows.
+func (r *Run) MayInterrupt() bool {
+	s := r.Step()
+	if !s.Spec.LongRunning || s.Spec.MaxUnavailable == 0 || r.Task.Unavailable() {
+		return true
+	}
+	return s.Unavailable() < s.Spec.MaxUnavailable
 }
 
 // openSteps returns the matching steps among those that are ready but not finished.
