planner: the wait for headroom depends on how busy the fleet is

A single best-effort task at work kept all others waiting for 20 s while each VM lacked headroom and most of the fleet was idle: longer than the 14 s after which callers count accepted work as lost.

The short waits now hold while best-effort tasks work on less than half of the VMs that may run the task, and the long one is 12 s.

--- a/internal/job/planner/headroom.go
+++ b/internal/job/planner/headroom.go
@@ -12,14 +12,14 @@
 // wait has to end: long-running tasks may stay near their targets for as long as their users want, and
 // the headroom is an estimate. From then on throttling by the reports keeps them within their targets.
 const (
-	// marginWait is how long a best-effort task waits for a VM where minHeadroom is left, while no
-	// best-effort task works on any VM that may run it. After it, targetHeadroom is enough, after
+	// marginWait is how long a best-effort task waits for a VM where minHeadroom is left, while best-effort
+	// tasks work on less than half of the VMs that may run it. After it, targetHeadroom is enough, after
 	// headroomWait any headroom.
 	marginWait   = 2 * time.Second
 	headroomWait = 6 * time.Second
-	// busyHeadroomWait takes the place of both while others work: VMs with headroom are in use then, and
-	// become free when these tasks end.
-	busyHeadroomWait = 20 * time.Second
+	// busyHeadroomWait takes the place of both on a busier fleet: VMs with headroom are in use then, and
+	// become free when tasks end.
+	busyHeadroomWait = 12 * time.Second
 	// targetHeadroom is the headroom of a long-running task that is at its target.
 	targetHeadroom = 1.0
 	// startSpacing is the time between starts of best-effort tasks on a VM without minHeadroom: the
@@ -36,17 +36,17 @@
 	return r.now.Sub(since)
 }
 
-// headroomPatience is the state of a task's wait for headroom.
-type headroomPatience int
+// patience is the state of a task's wait for headroom.
+type patience int
 
 const (
-	waitsForMargin   headroomPatience = iota // minHeadroom has to be left
-	waitsForTarget                           // targetHeadroom has to be left
-	waitsForNone                             // any headroom will do, while no other best-effort task works
-	waitsForNoOthers                         // any headroom will do
+	waitsForMargin patience = iota // minHeadroom has to be left
+	waitsForTarget                 // targetHeadroom has to be left
+	waitsForNone                   // any headroom will do, unless the fleet is busy
+	waitsNoLonger                  // any headroom will do
 )
 
-func (r *round) headroomPatience(t *tracker.Task) headroomPatience {
+func (r *round) patienceOf(t *tracker.Task) patience {
 	if !t.Step.Spec.BestEffort || !t.Waits(r.now) {
 		return waitsForMargin // what runs elsewhere can stay there
 	}
@@ -58,25 +58,25 @@
 	case waited < busyHeadroomWait:
 		return waitsForNone
 	default:
-		return waitsForNoOthers
+		return waitsNoLonger
 	}
 }
 
 // chooseWithoutHeadroom returns the VM where a best-effort task leaves most headroom, or nil if it is to
 // wait for headroom.
 func (r *round) chooseWithoutHeadroom(s *tracker.Step, t *tracker.Task, count map[*tracker.VM]int) *vmState {
-	patience := r.headroomPatience(t)
-	if patience == waitsForMargin || !r.mayExceedHeadroom(s, patience, count) {
+	wait := r.patienceOf(t)
+	if wait == waitsForMargin || !r.mayExceedHeadroom(s, wait, count) {
 		return nil
 	}
 	required := targetHeadroom
-	if patience > waitsForTarget {
+	if wait > waitsForTarget {
 		required = math.Inf(-1)
 	}
 	var best *vmState
 	var bestScore score
 	for _, m := range r.vmStates {
-		if !r.mayRun(m, s, t, count) || r.startedLately(m, s, count[m.vm]) {
+		if !r.mayRun(m, s, t, count) || r.startedLately(m, s, count[m.vm]) || wait < waitsNoLonger && m.worksOn(s, count[m.vm]) {
 			continue
 		}
 		d := r.interference(m, s)
@@ -91,21 +91,22 @@
 	return best
 }
 
-// mayExceedHeadroom reports whether a task of the step may start without minHeadroom: no other best-effort
-// task works on a VM that may run it, or it has waited for long and none has started so lately.
-func (r *round) mayExceedHeadroom(s *tracker.Step, p headroomPatience, count map[*tracker.VM]int) bool {
+// mayExceedHeadroom reports whether a task of the step may start without minHeadroom: best-effort tasks
+// work on less than half of the VMs that may run it, or it has waited for long and none has started so
+// lately.
+func (r *round) mayExceedHeadroom(s *tracker.Step, p patience, count map[*tracker.VM]int) bool {
+	suited, working, lately := 0, 0, false
 	for _, m := range r.vmStates {
 		if !m.eligible(s, count[m.vm]) {
 			continue
 		}
-		if p == waitsForNoOthers && r.startedLately(m, s, count[m.vm]) && r.exceedsHeadroom(m) {
-			return false
-		}
-		if p < waitsForNoOthers && m.worksOn(s, count[m.vm]) {
-			return false
+		suited++
+		if m.worksOn(s, count[m.vm]) {
+			working++
 		}
+		lately = lately || p == waitsNoLonger && r.startedLately(m, s, count[m.vm]) && r.exceedsHeadroom(m)
 	}
-	return true
+	return 2*working < suited || p == waitsNoLonger && !lately
 }
 
 // startedLately reports whether a best-effort task was started on a VM so lately that the reports may not
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -161,16 +161,16 @@
 // the index from which to continue.
 func (r *round) placeTasks(s *tracker.Step, from, limit int) (starts []Start, next int) {
 	count := r.runCounts(s)
-	unplaceable := make(map[headroomPatience]bool)
+	unplaceable := make(map[patience]bool) // tasks of the step that wait so fit on no VM
 	for i, t := range s.Tasks[from:] {
 		if !t.Waits(r.now) || r.overdue(t) || t.Yielded && r.underPressure() {
 			continue
 		}
-		patience := r.headroomPatience(t)
-		if _, known := unplaceable[patience]; !known {
-			unplaceable[patience] = r.knownUnplaceable(s, patience)
+		wait := r.patienceOf(t)
+		if _, known := unplaceable[wait]; !known {
+			unplaceable[wait] = r.knownUnplaceable(s, wait)
 		}
-		if unplaceable[patience] {
+		if unplaceable[wait] {
 			continue
 		}
 		if len(starts) == limit {
@@ -187,11 +187,11 @@
 			if t.StartsObserved() {
 				continue // the others may not wait for the same VM
 			}
-			r.noteUnplaceable(s, patience)
+			r.noteUnplaceable(s, wait)
 			// Tasks of a step have the same needs, so the others that have waited as long fit on
 			// no VM either, except for a task that only avoids VMs where it failed or that may wait for
 			// urgent ones.
-			unplaceable[patience] = len(t.AvoidedVMs) == 0 && !r.mayHold(t)
+			unplaceable[wait] = len(t.AvoidedVMs) == 0 && !r.mayHold(t)
 			continue
 		}
 		starts = append(starts, r.place(t, best, r.state.NextNumber(t)))
@@ -215,19 +215,19 @@
 // within a class placement depends on the size of a task only.
 type placementClass struct {
 	queue, image string
-	patience     headroomPatience
+	patience     patience
 }
 
 // knownUnplaceable reports whether a step needs at least as much as one of its class that fit
 // on no VM in this round. Under a backlog this is true of most waiting steps, and the owner
 // would spend its processor time on checking all VMs for each of them.
-func (r *round) knownUnplaceable(s *tracker.Step, p headroomPatience) bool {
+func (r *round) knownUnplaceable(s *tracker.Step, p patience) bool {
 	least, ok := r.unplaceable[placementClass{s.Occurrence.Job.Queue.Name, s.Spec.Image, p}]
 	return ok && plainBestEffort(s) && s.Spec.Needs.Fits(least)
 }
 
 // noteUnplaceable records that a task of a step fits on no VM.
-func (r *round) noteUnplaceable(s *tracker.Step, p headroomPatience) {
+func (r *round) noteUnplaceable(s *tracker.Step, p patience) {
 	if !plainBestEffort(s) {
 		return
 	}
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -83,11 +83,11 @@
 	shares              accountShares
 	forecasts           forecasts
 	cache               *planner.Cache
-	sessions            map[string]*session // by VM
-	unsent              map[*session]bool   // with orders to send, or ends to acknowledge
-	checkedVMs          []*tracker.VM       // that the present periodic checks look at
-	cancelled           map[string]bool     // stored cancellations, also of jobs that are not known yet
-	unknown             unknownJobs
+	sessions            map[string]*session  // by VM
+	unsent              map[*session]bool    // with orders to send, or ends to acknowledge
+	checkedVMs          []*tracker.VM        // that the present periodic checks look at
+	cancelled           map[string]bool      // stored cancellations, also of jobs that are not known yet
+	unknown             unknownJobs          // what is kept of jobs that are not known yet
 	members             map[string]bool      // VMs that are stored as members and may be granted leases
 	listed              map[string]bool      // VMs that may be stored as members
 	joining             map[string]bool      // VMs to be stored as members
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -77,7 +77,7 @@
 	{JobAccepted, log.InfoLevel, "job accepted", "The job is stored and the caller was informed."},
 	{JobRefused, log.InfoLevel, "job refused", "The job was not accepted and never runs; the caller received the reason."},
 	{JobOutcomeUnknown, log.WarnLevel, "job outcome unknown", "The store's answer was lost: the caller received an unknown outcome and asks again with the same id."},
-	{JobCancelAccepted, log.InfoLevel, "cancellation accepted", "The cancellation is stored; the runs of the job are being stopped."},
+	{JobCancelAccepted, log.InfoLevel, "cancellation accepted", "The cancellation is stored; the runs of the job are being stopped. If it is not known, a submission that has no answer yet can no longer store it."},
 	{JobQueryFailed, log.WarnLevel, "job query failed", "Neither the owner nor the store could answer; the caller was asked to retry."},
 	{JobLoaded, log.InfoLevel, "job loaded", "The owner of the cell has loaded the job and will start its tasks."},
 	{JobEnded, log.InfoLevel, "job ended", "All tasks are done, or the job failed or was cancelled."},
