tracker: say where failures on another VM show nothing of a step

A comment after a closing brace explained the condition before it, and a check was made twice. No change of behaviour; tests of tracker and planner pass.

--- a/internal/job/tracker/fault.go
+++ b/internal/job/tracker/fault.go
@@ -134,9 +134,12 @@
 func (tr *Tracker) evidence(vm *VM, s *Step, tasks int, failed map[string]int) float64 {
 	elsewhere := 0
 	for name, n := range failed {
-		if other := tr.VMs[name]; name != vm.Name && (other == nil || other.failedJobs() <= len(failed)) {
+		other := tr.VMs[name]
+		// A VM on which more jobs fail than there are VMs on which this step fails is more likely at
+		// fault itself, and shows nothing of the step.
+		if name != vm.Name && (other == nil || other.failedJobs() <= len(failed)) {
 			elsewhere += n
-		} // tasks of more jobs fail on the other VM than it takes VMs to see this step fail: that one is faulty
+		}
 	}
 	succeeded := s.succeededBeside(vm)
 	switch {
@@ -176,7 +179,7 @@
 // since the failures of the step there have another explanation now.
 func (tr *Tracker) recordFailure(vm *VM, t *Task, now time.Time) {
 	vm.recordFailed(t, now)
-	if !vm.Quarantined(now) && tr.faulty(vm) { // otherwise the run was started before the quarantine
+	if tr.faulty(vm) {
 		vm.quarantine(causeFailed, now)
 	}
 	for name := range t.Step.outcomes.failed {
