--- a/internal/job/planner/headroom.go
+++ b/internal/job/planner/headroom.go
@@ -44,13 +44,26 @@
 	waitsForTarget                 // targetHeadroom has to be left
 	waitsForNone                   // any headroom will do, unless the fleet is busy
 	waitsNoLonger                  // any headroom will do
+	patienceStates
 )
 
 func (r *round) patienceOf(t *tracker.Task) patience {
 	if !t.Step.Spec.BestEffort || !t.Waits(r.now) {
 		return waitsForMargin // what runs elsewhere can stay there
 	}
-	switch waited := r.waited(t); {
+	return patienceAfter(r.waited(t))
+}
+
+// patienceOfStep is the state of the tasks of a step that wait longest.
+func (r *round) patienceOfStep(s *tracker.Step) patience {
+	if !s.Spec.BestEffort {
+		return waitsForMargin
+	}
+	return patienceAfter(r.now.Sub(s.ReadyAt))
+}
+
+func patienceAfter(waited time.Duration) patience {
+	switch {
 	case waited < marginWait:
 		return waitsForMargin
 	case waited < headroomWait:
@@ -95,8 +108,11 @@
 // work on less than half of the VMs that may run it, or it has waited for long and none has started so
 // lately.
 func (r *round) mayExceedHeadroom(s *tracker.Step, p patience, count map[*tracker.VM]int) bool {
-	suited, working, lately := 0, 0, false
+	suited, working, lately := 0, 0, p < waitsNoLonger
 	for _, m := range r.vmStates {
+		if lately && 2*working >= len(r.vmStates) {
+			return false
+		}
 		if !m.eligible(s, count[m.vm]) {
 			continue
 		}
@@ -104,38 +120,54 @@
 		if m.worksOn(s, count[m.vm]) {
 			working++
 		}
-		lately = lately || p == waitsNoLonger && r.startedLately(m, s, count[m.vm]) && r.exceedsHeadroom(m)
+		lately = lately || r.startedLately(m, s, count[m.vm]) && r.exceedsHeadroom(m)
 	}
-	return 2*working < suited || p == waitsNoLonger && !lately
+	return 2*working < suited || !lately
 }
 
 // startedLately reports whether a best-effort task was started on a VM so lately that the reports may not
 // show its effect yet. Members of the gang whose next member is looked at don't count.
 func (r *round) startedLately(m *vmState, s *tracker.Step, running int) bool {
-	return m.placedBestEffort(s, running) > 0 || r.now.Sub(m.vm.LatestBestEffortStart()) < startSpacing
+	m.lookAtBestEffort()
+	return m.placedBestEffort(s, running) > 0 || r.now.Sub(m.bestEffortStart) < startSpacing
 }
 
 // exceedsHeadroom reports whether a long-running task of a VM has less than minHeadroom left beside the
 // best-effort tasks there.
 func (r *round) exceedsHeadroom(m *vmState) bool {
-	return m.longRunning > 0 && r.learner != nil && slices.ContainsFunc(r.neighboursOf(m.vm), func(n neighbour) bool { return n.left < minHeadroom })
+	if m.longRunning == 0 || r.learner == nil {
+		return false
+	}
+	r.loadNeighbours(m)
+	return slices.ContainsFunc(m.neighbours, func(n neighbour) bool { return n.left < minHeadroom })
 }
 
 // worksOn reports whether the VM works on best-effort tasks that end by themselves, other than those of
 // the gang whose next member is looked at.
 func (m *vmState) worksOn(s *tracker.Step, running int) bool {
-	if m.placedBestEffort(s, running) > 0 {
-		return true
+	m.lookAtBestEffort()
+	return m.bestEffortWorks || m.placedBestEffort(s, running) > 0
+}
+
+// lookAtBestEffort sets what is known of the best-effort runs from before the round.
+func (m *vmState) lookAtBestEffort() {
+	if m.bestEffortKnown {
+		return
 	}
-	if m.vm.BestEffortEnding == 0 {
-		return false
+	m.bestEffortKnown = true
+	if m.vm.BestEffortCPU == 0 && m.vm.BestEffortEnding == 0 {
+		return
 	}
 	for _, run := range m.vm.Runs {
-		if spec := run.Step().Spec; spec.BestEffort && !spec.LongRunning && run.State != tracker.Stopping && run.Pace != 0 {
-			return true
+		spec := run.Step().Spec
+		if !spec.BestEffort {
+			continue
+		}
+		if run.OrderedAt.After(m.bestEffortStart) {
+			m.bestEffortStart = run.OrderedAt
 		}
+		m.bestEffortWorks = m.bestEffortWorks || !spec.LongRunning && run.State != tracker.Stopping && run.Pace != 0
 	}
-	return false
 }
 
 // headroomAccepted reports whether a VM accepts a best-effort step as far as headroom is concerned, given
--- a/internal/job/planner/interference.go
+++ b/internal/job/planner/interference.go
@@ -105,12 +105,7 @@
 	if m.longRunning == 0 || r.learner == nil {
 		return d
 	}
-	if !m.neighboursKnown {
-		m.neighbours, m.neighboursKnown = r.neighboursOf(m.vm), true
-		if m.placed == 0 {
-			r.in.Cache.storeNeighbours(m.vm, r.now, m.neighbours)
-		}
-	}
+	r.loadNeighbours(m)
 	share := m.expectedShare(s.Spec)
 	for _, n := range m.neighbours {
 		loss := share * r.effect(n.image, s.Spec.Image)
@@ -120,6 +115,17 @@
 	return d
 }
 
+// loadNeighbours sets the neighbours of a VM, computed once per round.
+func (r *round) loadNeighbours(m *vmState) {
+	if m.neighboursKnown {
+		return
+	}
+	m.neighbours, m.neighboursKnown = r.neighboursOf(m.vm), true
+	if m.placed == 0 {
+		r.in.Cache.storeNeighbours(m.vm, r.now, m.neighbours)
+	}
+}
+
 func (r *round) neighboursOf(vm *tracker.VM) []neighbour {
 	use := expectedUse(vm, r.now)
 	var all []neighbour
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -160,15 +160,18 @@
 // placeTasks places up to limit tasks of a step, from the task with the given index on. It returns
 // the index from which to continue.
 func (r *round) placeTasks(s *tracker.Step, from, limit int) (starts []Start, next int) {
+	if r.knownUnplaceable(s, r.patienceOfStep(s)) {
+		return nil, len(s.Tasks)
+	}
 	count := r.runCounts(s)
-	unplaceable := make(map[patience]bool) // tasks of the step that wait so fit on no VM
+	var checked, unplaceable [patienceStates]bool // tasks of the step that wait so fit on no VM
 	for i, t := range s.Tasks[from:] {
 		if !t.Waits(r.now) || r.overdue(t) || t.Yielded && r.underPressure() {
 			continue
 		}
 		wait := r.patienceOf(t)
-		if _, known := unplaceable[wait]; !known {
-			unplaceable[wait] = r.knownUnplaceable(s, wait)
+		if !checked[wait] {
+			checked[wait], unplaceable[wait] = true, r.knownUnplaceable(s, wait)
 		}
 		if unplaceable[wait] {
 			continue
--- a/internal/job/planner/vmstate.go
+++ b/internal/job/planner/vmstate.go
@@ -19,6 +19,9 @@
 	ramping         bool          // it has recovered lately, and accepts rampLeft starts in this round
 	rampLeft        int
 	bestEffortCPU   int64         // thousandths of a core that best-effort tasks ask for
+	bestEffortKnown bool          // whether bestEffortStart and bestEffortWorks are set
+	bestEffortStart time.Time     // latest start of a best-effort run from before the round
+	bestEffortWorks bool          // it works on best-effort runs that end by themselves, from before the round
 	longRunning     int           // number of long-running tasks
 	longRunningCPU  int64         // thousandths of a core reserved for them
 	placed          int           // in this round
--- a/internal/job/tracker/fault.go
+++ b/internal/job/tracker/fault.go
@@ -230,9 +230,14 @@
 	progressing int // runs that make progress
 }
 
+// many reports whether there are so many stalled runs that the worker may be at fault.
+func (s stalls) many() bool {
+	return len(s.runs) >= stallsToQuarantine && len(s.runs) >= s.progressing
+}
+
 // faultyByStalls reports whether the stalled runs show that a VM's worker is faulty.
 func (tr *Tracker) faultyByStalls(s stalls) bool {
-	if len(s.runs) < stallsToQuarantine || len(s.runs) < s.progressing {
+	if !s.many() {
 		return false
 	}
 	tasks := make(map[*Step]map[specifier.TaskID]bool)
--- a/internal/job/tracker/health.go
+++ b/internal/job/tracker/health.go
@@ -104,6 +104,9 @@
 			continue
 		}
 		found = append(found, stalls{vm, runs, progressing})
+		if !found[len(found)-1].many() {
+			continue
+		}
 		byStep := make(map[*Step]int)
 		for _, r := range runs {
 			byStep[r.Step()]++
--- a/internal/job/tracker/suspicion.go
+++ b/internal/job/tracker/suspicion.go
@@ -141,17 +141,6 @@
 	return latest
 }
 
-// LatestBestEffortStart is LatestStart of the best-effort tasks.
-func (vm *VM) LatestBestEffortStart() time.Time {
-	var latest time.Time
-	for _, r := range vm.Runs {
-		if r.Step().Spec.BestEffort && r.OrderedAt.After(latest) {
-			latest = r.OrderedAt
-		}
-	}
-	return latest
-}
-
 // restoreSuspected collects the tasks of a restored job that are suspected of crashes.
 func (tr *Tracker) restoreSuspected(j *Job) {
 	for _, o := range j.Occurrences {
