guardian: log what showed that a worker or its runs have ended

The logs could not tell why an agent gave the runs of its worker up: "worker crashed" did not say what showed the end, and "run lost" of the owner only says that the worker reports the run no longer.

"worker crashed" (968) gets the field proof, and "runs given up" (975) is logged once an agent counts the runs of a worker that does not respond as ended: how many, by what proof, and how long the leases that it had requested could still last. No decision changes.

--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -77,6 +77,7 @@
 	PollAnsweredByOther
 	RunNotListed
 	EndsMissing
+	RunsGivenUp
 )
 
 var jobDefinitions = []Definition{
@@ -142,12 +143,13 @@
 	{OwnerAccepted, log.InfoLevel, "new owner accepted", "This agent follows the orders of an owner with a higher epoch from now on."},
 	{OwnerLost, log.WarnLevel, "owner lost", "The owner of the cell does not answer; runs continue until the grant ends."},
 	{StopWithoutEffect, log.WarnLevel, "stop without effect", "The worker answered a stop but the run is still running; the stop is repeated."},
-	{WorkerCrashed, log.WarnLevel, "worker crashed", "The worker's process ended without having announced that it leaves. The field latest names the runs that it had, the latest starts first, with the time since each start."},
+	{WorkerCrashed, log.WarnLevel, "worker crashed", "The worker's process ended without having announced that it leaves. The field latest names the runs that it had, the latest starts first, with the time since each start; the field proof says what showed the end."},
 	{CrashesNotStored, log.WarnLevel, "crashes not stored", "The agent stops although no owner has stored the crashes of its worker that it has seen; they do not count against the tasks that ran there."},
 	{EndsNotListed, log.WarnLevel, "ends not listed", "The worker lists only some of its ends at a time, and those are not stored yet: runs that it does not list count as running until the others are listed. With more=false it has listed all."},
 	{PollUnanswered, log.WarnLevel, "status poll not answered", "The worker may have received the poll, and may carry it out later: the fields say which incarnation it was meant for, up to which number it lets the worker forget ends, and which lease it requests. With cancelled=true the agent itself has given it up for one with a new epoch or grant."},
 	{PollAnsweredByOther, log.WarnLevel, "status poll answered by another incarnation", "A poll that was meant for one incarnation of the worker was carried out by another one. The field ends-seen says up to which number it let that one forget ends."},
 	{RunNotListed, log.WarnLevel, "run not listed", "The worker lists neither the run nor its end, and will not list it: the owner is told that the run is gone. The reason says why the poll shows that."},
 	{EndsMissing, log.WarnLevel, "ends missing", "The worker leaves out numbers in its list of ends: it has forgotten ends that this process has not read."},
+	{RunsGivenUp, log.WarnLevel, "runs given up", "The worker does not respond, and its runs count as ended: the owner may start their tasks elsewhere. The field proof says what showed that, lease-left how long the leases that were requested could still last."},
 	{AnnouncementMalformed, log.WarnLevel, "announcement malformed", "An announcement to this agent did not come from a worker and was ignored."},
 }
--- a/internal/worker/guardian/crash.go
+++ b/internal/worker/guardian/crash.go
@@ -49,6 +49,16 @@
 	}
 }
 
+// endProof is what showed that a worker, or all its runs, have ended.
+type endProof string
+
+const (
+	connectionsRefused   endProof = "connections refused"
+	leasesExpired        endProof = "leases expired"
+	incarnationAnswered  endProof = "another incarnation answered"
+	incarnationAnnounced endProof = "another incarnation announced itself"
+)
+
 // crash is a crash of the worker that the owner has not stored yet.
 type crash struct {
 	seq         int64
@@ -64,13 +74,13 @@
 
 // recordCrashLocked records that the worker's process has ended without having announced that
 // it leaves. Each incarnation crashes at most once. at is when it ended, as far as known.
-func (g *Guardian) recordCrashLocked(at time.Time) {
+func (g *Guardian) recordCrashLocked(at time.Time, proof endProof) {
 	if g.incarnation == "" || g.leaving || g.crashRecorded {
 		return
 	}
 	g.crashRecorded = true
 	runs := g.crashedRunsLocked(at)
-	g.config.Reporter.Report(reporter.WorkerCrashed, reporter.Fields{"life": g.incarnation, "runs": len(runs), "latest": describeCrashedRuns(runs)})
+	g.config.Reporter.Report(reporter.WorkerCrashed, reporter.Fields{"life": g.incarnation, "runs": len(runs), "proof": string(proof), "latest": describeCrashedRuns(runs)})
 	g.lastCrash++
 	g.crashes = append(g.crashes, crash{seq: g.lastCrash, timeUnknown: g.pollsFailSince.IsZero(), runs: runs})
 	g.crashes = g.crashes[max(len(g.crashes)-maxCrashesKept, 0):]
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -153,7 +153,7 @@
 	defer g.mu.Unlock()
 	changed := g.incarnation != a.Incarnation || g.announced != a.Incarnation || g.leaving != a.Leaving || g.vmInfo == nil
 	if g.incarnation != a.Incarnation {
-		g.beginIncarnationLocked(a.Incarnation)
+		g.beginIncarnationLocked(a.Incarnation, incarnationAnnounced)
 	}
 	g.leaving, g.announced = a.Leaving, a.Incarnation
 	vmInfo := &messenger.WorkVMInfo{WorkerID: a.ID, Zone: a.Zone, Rack: a.Rack, Service: a.Service, Labels: a.Labels, Capacity: a.Capacity}
@@ -170,7 +170,7 @@
 // had not carried out yet. A start that was still being sent after the previous incarnation
 // last answered may have reached the new one instead: it is stopped there before it is
 // reported as ended.
-func (g *Guardian) beginIncarnationLocked(incarnation string) {
+func (g *Guardian) beginIncarnationLocked(incarnation string, proof endProof) {
 	if g.incarnation != "" {
 		g.config.Reporter.Report(reporter.WorkerRestarted, reporter.Fields{"life": incarnation, "before": g.incarnation, "runs": len(g.runs)})
 	}
@@ -178,7 +178,7 @@
 	if crashedAt.IsZero() {
 		crashedAt = g.config.Now()
 	}
-	g.recordCrashLocked(crashedAt)
+	g.recordCrashLocked(crashedAt, proof)
 	g.crashRecorded, g.expiredRuns = false, nil
 	// The failed polls are those of the process that has ended. Counted against the next one,
 	// which may not answer yet, they would make a second crash of the same tasks.
@@ -286,8 +286,18 @@
 
 // allRunsEndedLocked reports whether everything on an unresponsive worker has ended for
 // certain.
-func (g *Guardian) allRunsEndedLocked() bool {
-	return g.absentPolls >= absentPollsToEnd || g.config.Now().After(g.leaseEnd.Add(g.config.StopTime))
+func (g *Guardian) allRunsEndedLocked() bool { return g.proofOfEndLocked() != "" }
+
+// proofOfEndLocked returns what shows that everything on an unresponsive worker has ended; empty:
+// nothing does.
+func (g *Guardian) proofOfEndLocked() endProof {
+	switch {
+	case g.absentPolls >= absentPollsToEnd:
+		return connectionsRefused
+	case g.config.Now().After(g.leaseEnd.Add(g.config.StopTime)):
+		return leasesExpired
+	}
+	return ""
 }
 
 // BeginSession starts a new session. Orders of earlier sessions expire.
--- a/internal/worker/guardian/poll.go
+++ b/internal/worker/guardian/poll.go
@@ -115,7 +115,7 @@
 		g.signal()
 	}
 	if g.incarnation != status.Incarnation {
-		g.beginIncarnationLocked(status.Incarnation)
+		g.beginIncarnationLocked(status.Incarnation, incarnationAnswered)
 	}
 	g.pollsFailSince, g.crashRecorded, g.expiredRuns = time.Time{}, false, nil
 	if g.clockAt.IsZero() {
@@ -286,18 +286,23 @@
 		g.absentPolls = 0
 	}
 	if g.absentPolls >= absentPollsToEnd {
-		g.recordCrashLocked(g.pollsFailSince)
+		g.recordCrashLocked(g.pollsFailSince, connectionsRefused)
 	}
-	if len(g.runs) == 0 || !g.allRunsEndedLocked() {
+	proof := g.proofOfEndLocked()
+	if len(g.runs) == 0 || proof == "" {
 		return
 	}
 	// All runs have ended. A start without an answer may still arrive for a while.
+	before := len(g.runs)
 	for key, r := range g.runs {
 		if !r.startUnconfirmed || !r.startCallEndedAt.IsZero() && now.Sub(r.startCallEndedAt) > timekeeper.Longest(startValidity)+clockLagMax {
 			delete(g.runs, key)
 			g.expireRunLocked(key, r)
 		}
 	}
+	if n := before - len(g.runs); n > 0 {
+		g.config.Reporter.Report(reporter.RunsGivenUp, reporter.Fields{"life": g.incarnation, "runs": n, "left": len(g.runs), "proof": string(proof), "lease-left": max(g.leaseEnd.Sub(now), 0).String()})
+	}
 	g.signal()
 }
 
