guardian: refused connections do not end a worker's runs

Cause: a refused connection counted as the end of the process behind it. After four refused polls, 0.2 s, the agent gave all runs of its worker up without waiting for their leases, and the owner started the tasks again elsewhere; a crash was recorded against tasks of a worker that lived. A filter, a proxy, a full backlog and a closed listener refuse just so.

Change: a refused connection shows only that nothing was sent, and only if it was refused while it was opened. The runs of a worker that does not respond end with their leases, with another incarnation of the worker, or with proof that its process has ended. An executor may state its process (boot, PID namespace, number, start time), if its runs end with it; an agent that sees the process holds a descriptor of it and asks the kernel. A crash is recorded on proof only. The platform's protocol has no such statement: there a worker that stays away is waited for until its leases have ended.

The unit tests that took a refused poll for the end of the process now have the proof for it, and new rows in which refusals alone end nothing.

--- a/internal/cli/commander/standin_executor.go
+++ b/internal/cli/commander/standin_executor.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
+	"bamboospread/internal/kernel/inspector"
 	"bamboospread/internal/kernel/loader"
 	"bamboospread/internal/standin/executor"
 	"bamboospread/internal/standin/recorder"
@@ -32,6 +33,9 @@
 			if c.Recorder, err = recorder.Open(witness); err != nil {
 				return ExitError{Code: ExitUsage, Err: err}
 			}
+			if self, err := inspector.Self(); err == nil { // elsewhere than on Linux it states no process
+				c.Process = &self
+			}
 			return o.serve(cmd, c.VM, executor.New(c).Run)
 		},
 	}
--- a/internal/standin/executor/calls.go
+++ b/internal/standin/executor/calls.go
@@ -79,7 +79,7 @@
 
 func (e *Executor) describeVM(rw http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	vm := invoker.VM{Incarnation: e.incarnationName(), Capacity: e.config.Capacity, Labels: e.config.Labels, Leaving: e.faults.Leaving}
+	vm := invoker.VM{Incarnation: e.incarnationName(), Capacity: e.config.Capacity, Labels: e.config.Labels, Leaving: e.faults.Leaving, Process: e.config.Process}
 	silent := e.faults.Silent || e.down
 	e.mu.Unlock()
 	if silent {
--- a/internal/standin/executor/executor.go
+++ b/internal/standin/executor/executor.go
@@ -20,6 +20,7 @@
 
 	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
+	"bamboospread/internal/kernel/inspector"
 	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/standin/recorder"
 	"bamboospread/internal/standin/server"
@@ -45,8 +46,9 @@
 	VM       string
 	Capacity specifier.Resources
 	Labels   []string
-	LeaseMax time.Duration // longer leases are shortened to this; default 10 s
-	StopTime time.Duration // duration of a stop; default 50 ms
+	LeaseMax time.Duration       // longer leases are shortened to this; default 10 s
+	StopTime time.Duration       // duration of a stop; default 50 ms
+	Process  *inspector.Identity // stated to the agent; may be nil
 	Now      func() time.Time
 	OnEvent  func(Event)        // called for each event; may be nil
 	Recorder *recorder.Recorder // records each event; may be nil
--- a/internal/worker/guardian/crash.go
+++ b/internal/worker/guardian/crash.go
@@ -53,7 +53,7 @@
 type endProof string
 
 const (
-	connectionsRefused   endProof = "connections refused"
+	processEnded         endProof = "process ended"
 	leasesExpired        endProof = "leases expired"
 	incarnationAnswered  endProof = "another incarnation answered"
 	incarnationAnnounced endProof = "another incarnation announced itself"
@@ -106,7 +106,7 @@
 }
 
 // crashedRunsLocked returns the runs that the worker had, or may have had, when it ended, the
-// latest starts first. A start that found no process, or was sent to one that had ended, is not
+// latest starts first. A start that was not sent, or was sent to a process that had ended, is not
 // among them.
 func (g *Guardian) crashedRunsLocked(at time.Time) []crashedRun {
 	var runs []crashedRun
--- a/internal/worker/guardian/crash_test.go
+++ b/internal/worker/guardian/crash_test.go
@@ -46,7 +46,7 @@
 // endWorker ends the worker's process.
 func (e *testEnv) endWorker() {
 	e.worker.withLock(func() {
-		e.worker.notRunning = true
+		e.worker.ended = true
 		clear(e.worker.runs)
 	})
 }
@@ -54,7 +54,7 @@
 // restartWorker starts another process of the worker.
 func (e *testEnv) restartWorker(incarnation string) {
 	e.worker.withLock(func() {
-		e.worker.notRunning, e.worker.unresponsive, e.worker.incarnation, e.worker.fence = false, false, incarnation, Fence{}
+		e.worker.ended, e.worker.unreachable, e.worker.unresponsive, e.worker.incarnation, e.worker.fence = false, false, false, incarnation, Fence{}
 		clear(e.worker.runs)
 	})
 }
@@ -85,6 +85,21 @@
 			e.until("no runs", func() bool { return len(e.report().Runs) == 0 })
 			e.worker.withLock(func() { e.worker.unresponsive = false })
 		}, 0},
+		{"unreachable, then another process", func(e *testEnv) {
+			e.worker.withLock(func() { e.worker.unreachable = true })
+			e.until("no runs", func() bool { return len(e.report().Runs) == 0 })
+			e.restartWorker("incarnation-2")
+		}, 1},
+		{"unreachable", func(e *testEnv) {
+			e.worker.withLock(func() { e.worker.unreachable = true })
+			time.Sleep(10 * pollRetryPause)
+			e.worker.withLock(func() { e.worker.unreachable = false })
+		}, 0},
+		{"unreachable until its leases have ended", func(e *testEnv) {
+			e.worker.withLock(func() { e.worker.unreachable = true })
+			e.until("no runs", func() bool { return len(e.report().Runs) == 0 })
+			e.worker.withLock(func() { e.worker.unreachable = false })
+		}, 0},
 		{"leaves", func(e *testEnv) {
 			e.announce(true)
 			e.endWorker()
@@ -125,10 +140,10 @@
 		start := w.Start
 		w.Start = func(ctx context.Context, c StartCall) error {
 			worker.mu.Lock()
-			ended := worker.notRunning
+			ended := worker.ended
 			worker.mu.Unlock()
 			if ended {
-				return ErrWorkerNotExist{errNoAnswer}
+				return ErrWorkerUnreachable{errNoAnswer}
 			}
 			return start(ctx, c)
 		}
@@ -173,7 +188,7 @@
 	worker := newFakeWorker()
 	e := newTestEnvWith(t, worker, func(w *Worker) {
 		w.Start = func(context.Context, StartCall) error {
-			worker.withLock(func() { worker.notRunning = true })
+			worker.withLock(func() { worker.ended = true })
 			return errNoAnswer
 		}
 	})
--- a/internal/worker/guardian/env_test.go
+++ b/internal/worker/guardian/env_test.go
@@ -34,7 +34,8 @@
 	stops             []StopCall
 	leases            []time.Duration
 	unresponsive      bool // calls get no answer
-	notRunning        bool // polls fail with ErrWorkerNotExist
+	unreachable       bool // polls fail with ErrWorkerUnreachable
+	ended             bool // polls fail with ErrWorkerEnded
 	lostStarts        int  // number of starts that get no answer and have no effect
 	lostPaces         int  // number of paces that get no answer and have no effect
 	ignoredStops      int  // number of stops that are answered and have no effect
@@ -97,7 +98,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.stops = append(f.stops, c)
-	if f.unresponsive || f.notRunning {
+	if f.unresponsive || f.unreachable || f.ended {
 		return errNoAnswer
 	}
 	if f.ignoredStops > 0 {
@@ -116,8 +117,11 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.notRunning {
-		return Status{}, ErrWorkerNotExist{errNoAnswer}
+	if f.ended {
+		return Status{}, ErrWorkerEnded{Incarnation: f.incarnation, Cause: ErrWorkerUnreachable{errNoAnswer}}
+	}
+	if f.unreachable {
+		return Status{}, ErrWorkerUnreachable{errNoAnswer}
 	}
 	if f.unresponsive {
 		return Status{}, errNoAnswer
--- a/internal/worker/guardian/fence.go
+++ b/internal/worker/guardian/fence.go
@@ -61,7 +61,7 @@
 // fenceFailedPoll raises the generation after a poll that may be carried out later. By then another
 // incarnation may have taken its place, for which neither the lease nor the number of ends is meant.
 func (g *Guardian) fenceFailedPoll(call PollCall, err error) {
-	if IsErrWorkerNotExist(err) {
+	if IsErrWorkerUnreachable(err) {
 		return
 	}
 	g.mu.Lock()
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -103,7 +103,7 @@
 	clock                   time.Duration         // the worker's clock in its latest answer to a poll
 	clockAt                 time.Time             // when clock was received; zero: not yet from this incarnation
 	failedPolls             int                   // in a row
-	absentPolls             int                   // in a row that found no process
+	processEnded            bool                  // the process of this incarnation is known to have ended
 	pollsFailSince          time.Time             // when the first of the failed polls in a row ended; zero: the last poll was answered
 	unresponsiveSince       time.Time             // when the worker began to count as unresponsive; zero: it responds
 	crashRecorded           bool                  // the crash of this incarnation is recorded
@@ -182,7 +182,7 @@
 	g.crashRecorded, g.expiredRuns = false, nil
 	// The failed polls are those of the process that has ended. Counted against the next one,
 	// which may not answer yet, they would make a second crash of the same tasks.
-	g.failedPolls, g.absentPolls, g.pollsFailSince = 0, 0, time.Time{}
+	g.failedPolls, g.processEnded, g.pollsFailSince = 0, false, time.Time{}
 	lastPollSentAt := g.lastPollSentAt
 	g.knownFromStart = g.incarnation != ""
 	g.incarnation, g.ends, g.endsStored, g.endsConfirmed, g.moreEnds = incarnation, nil, 0, 0, false
@@ -292,8 +292,8 @@
 // nothing does.
 func (g *Guardian) proofOfEndLocked() endProof {
 	switch {
-	case g.absentPolls >= absentPollsToEnd:
-		return connectionsRefused
+	case g.processEnded:
+		return processEnded
 	case g.config.Now().After(g.leaseEnd.Add(g.config.StopTime)):
 		return leasesExpired
 	}
--- a/internal/worker/guardian/late_poll_test.go
+++ b/internal/worker/guardian/late_poll_test.go
@@ -11,38 +11,45 @@
 // ended process that fail or are answered late must not count against the next one, which has
 // announced itself but does not answer yet.
 func TestPollsOfEndedProcessAreNotTheNextOnes(t *testing.T) {
+	const first, second = "incarnation-1", "incarnation-2"
 	tests := []struct {
 		name     string
-		answered bool // a poll sent to the first process is answered after the next one's announcement
-		late     int  // such polls that fail
-		failed   int  // polls of the next process that fail
+		answered bool   // a poll sent to the first process is answered after the next one's announcement
+		late     int    // such polls that fail
+		failed   int    // polls of the next process that fail
+		ended    string // whose process has ended, as the latter say; empty: they do not say so
 		crashes  int
 	}{
-		{"the next process does not listen yet", false, 0, absentPollsToEnd - 1, 1},
-		{"polls fail late", false, absentPollsToEnd, 0, 1},
-		{"polls fail late, the next process does not listen yet", false, 1, absentPollsToEnd - 1, 1},
-		{"a poll is answered late", true, 0, 0, 1},
-		{"the next process ends too", false, 0, absentPollsToEnd, 2},
+		{name: "the next process does not listen yet", failed: 4, crashes: 1},
+		{name: "polls fail late", late: 4, crashes: 1},
+		{name: "polls fail late, the next process does not listen yet", late: 1, failed: 4, crashes: 1},
+		{name: "a poll is answered late", answered: true, crashes: 1},
+		{name: "the next process is not known yet", failed: 4, ended: first, crashes: 1},
+		{name: "the next process ends too", failed: 1, ended: second, crashes: 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			g := New(Config{VM: "vm-1", LeaseMax: time.Second, Reporter: reporter.Discard(), Now: time.Now})
-			fail := func(n int, from pollStart) {
+			fail := func(n int, from pollStart, ended string) {
+				err := error(ErrWorkerUnreachable{errNoAnswer})
+				if ended != "" {
+					err = ErrWorkerEnded{Incarnation: ended, Cause: err}
+				}
 				for range n {
-					g.recordFailedPoll(ErrWorkerNotExist{errNoAnswer}, from)
+					g.recordFailedPoll(err, from)
 				}
 			}
-			g.Announce(Announcement{Incarnation: "incarnation-1"})
-			call, first := g.nextPoll()
-			fail(absentPollsToEnd, first)
-			g.Announce(Announcement{Incarnation: "incarnation-2"})
-			fail(tt.late, first)
+			g.Announce(Announcement{Incarnation: first})
+			call, toFirst := g.nextPoll()
+			fail(1, toFirst, first)
+			g.Announce(Announcement{Incarnation: second})
+			fail(tt.late, toFirst, first)
 			if tt.answered {
-				g.applyPoll(Status{Incarnation: "incarnation-1"}, call, first)
+				g.applyPoll(Status{Incarnation: first}, call, toFirst)
 			}
-			call, next := g.nextPoll()
-			fail(tt.failed, next)
-			g.applyPoll(Status{Incarnation: "incarnation-2"}, call, next)
+			call, toSecond := g.nextPoll()
+			fail(tt.failed, toSecond, tt.ended)
+			g.applyPoll(Status{Incarnation: second}, call, toSecond)
 			if n := len(g.crashes); n != tt.crashes {
 				t.Errorf("%d crashes, want %d", n, tt.crashes)
 			}
--- a/internal/worker/guardian/orders.go
+++ b/internal/worker/guardian/orders.go
@@ -21,7 +21,7 @@
 	callTimeout   = 600 * time.Millisecond
 	callPause     = 50 * time.Millisecond  // before a retry
 	callPauseMax  = 400 * time.Millisecond // the pause doubles up to this
-	startAttempts = 4                      // of a start, while no process listens at the worker's address
+	startAttempts = 4                      // of a start, while connections to the worker are refused
 	// startValidity is how long after it was sent a start may be carried out. An answer later
 	// than callTimeout changes nothing, and the worker refuses a later start by its own clock,
 	// so an unanswered start blocks its task for no longer than this.
@@ -137,8 +137,8 @@
 // Polls show afterwards whether the worker has the run; if none does, the run is stopped.
 func (g *Guardian) start(ctx context.Context, key tracker.RunKey, incarnation string, o messenger.WorkOrder) {
 	call, err := g.sendStart(ctx, key, incarnation, o)
-	if IsErrWorkerNotExist(err) {
-		g.config.Reporter.Report(reporter.StartRejected, reporter.Fields{"task": o.Task, "run": o.Run, "reason": "no worker", "error": err.Error()})
+	if IsErrWorkerUnreachable(err) {
+		g.config.Reporter.Report(reporter.StartRejected, reporter.Fields{"task": o.Task, "run": o.Run, "reason": "worker unreachable", "error": err.Error()})
 		g.recordStartNotSent(key)
 		return
 	}
@@ -168,8 +168,8 @@
 	}
 }
 
-// sendStart makes the call of a start. It is repeated only while no process listens at the
-// worker's address, as nothing has been sent then, and if a later call has arrived before it.
+// sendStart makes the call of a start. It is repeated only while connections to the
+// worker are refused, as nothing has been sent then, and if a later call has arrived before it.
 func (g *Guardian) sendStart(ctx context.Context, key tracker.RunKey, incarnation string, o messenger.WorkOrder) (call StartCall, err error) {
 	for range startAttempts {
 		call = StartCall{Task: key.Task, Run: key.Number, Payload: o.Payload, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Incarnation: incarnation}
@@ -187,7 +187,7 @@
 		if g.overtaken(call.Fence, err) {
 			continue
 		}
-		if !IsErrWorkerNotExist(err) {
+		if !IsErrWorkerUnreachable(err) {
 			break
 		}
 		g.recordNothingSent(key)
@@ -216,7 +216,7 @@
 	g.signal()
 }
 
-// recordNothingSent records that a start found no process at the worker's address.
+// recordNothingSent records that the connection of a start was refused.
 func (g *Guardian) recordNothingSent(key tracker.RunKey) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/worker/guardian/poll.go
+++ b/internal/worker/guardian/poll.go
@@ -33,10 +33,6 @@
 	// failedPollsToUnresponsive is how many polls in a row must fail before the worker counts
 	// as unresponsive and gets no new starts. A single poll may be delayed.
 	failedPollsToUnresponsive = 2
-	// absentPollsToEnd is how many polls in a row must find no process at the worker's
-	// address before its runs count as ended. Their leases, up to 5 s, need not be waited for
-	// then.
-	absentPollsToEnd = 4
 )
 
 // poll polls the worker once, which also renews the leases.
@@ -87,7 +83,7 @@
 // reportUnansweredPoll logs a poll that the worker may have received without an answer to it.
 func (g *Guardian) reportUnansweredPoll(call PollCall, from pollStart, err error, cancelled bool) {
 	var refused ErrRefused
-	if IsErrWorkerNotExist(err) || errors.As(err, &refused) {
+	if IsErrWorkerUnreachable(err) || errors.As(err, &refused) {
 		return
 	}
 	g.config.Reporter.Report(reporter.PollUnanswered, reporter.Fields{
@@ -108,7 +104,7 @@
 	if from.incarnation != "" && from.incarnation != status.Incarnation {
 		g.config.Reporter.Report(reporter.PollAnsweredByOther, reporter.Fields{"life": from.incarnation, "by": status.Incarnation, "epoch": call.Fence.Epoch, "generation": call.Fence.Generation, "ends-seen": call.EndsSeen})
 	}
-	g.failedPolls, g.absentPolls = 0, 0
+	g.failedPolls, g.processEnded = 0, false
 	if !g.unresponsiveSince.IsZero() {
 		g.config.Reporter.Report(reporter.WorkerResponding, reporter.Fields{"silent": g.config.Now().Sub(g.unresponsiveSince).String()})
 		g.unresponsiveSince = time.Time{}
@@ -275,18 +271,15 @@
 	if g.pollsFailSince.IsZero() {
 		g.pollsFailSince = now
 	}
-	if g.unresponsiveSince.IsZero() && g.failedPolls >= failedPollsToUnresponsive {
+	var ended ErrWorkerEnded
+	g.processEnded = g.processEnded || errors.As(err, &ended) && ended.Incarnation == g.incarnation
+	if g.unresponsiveSince.IsZero() && (g.processEnded || g.failedPolls >= failedPollsToUnresponsive) {
 		g.unresponsiveSince = now
 		g.config.Reporter.Report(reporter.WorkerNotResponding, reporter.Fields{"error": err.Error(), "runs": len(g.runs)})
 		g.signal()
 	}
-	if IsErrWorkerNotExist(err) {
-		g.absentPolls++
-	} else {
-		g.absentPolls = 0
-	}
-	if g.absentPolls >= absentPollsToEnd {
-		g.recordCrashLocked(g.pollsFailSince, connectionsRefused)
+	if g.processEnded {
+		g.recordCrashLocked(g.pollsFailSince, processEnded)
 	}
 	proof := g.proofOfEndLocked()
 	if len(g.runs) == 0 || proof == "" {
--- a/internal/worker/guardian/start_expiry_test.go
+++ b/internal/worker/guardian/start_expiry_test.go
@@ -196,7 +196,8 @@
 		least  time.Duration // since the start
 		most   time.Duration
 	}{
-		{"no process", func(f *fakeWorker) { f.notRunning = true }, startValidity, 2 * startValidity},
+		{"process ended", func(f *fakeWorker) { f.ended = true }, startValidity, 2 * startValidity},
+		{"unreachable", func(f *fakeWorker) { f.unreachable = true }, startValidity, 3 * time.Second},
 		{"no answer", func(f *fakeWorker) { f.unresponsive = true }, startValidity, 3 * time.Second}, // leases last a second here
 	}
 	for _, tt := range tests {
@@ -223,7 +224,7 @@
 func TestStartThatFoundNoWorkerIsNotUnconfirmed(t *testing.T) {
 	worker := newFakeWorker()
 	e := newTestEnvWith(t, worker, func(w *Worker) {
-		w.Start = func(context.Context, StartCall) error { return ErrWorkerNotExist{errNoAnswer} }
+		w.Start = func(context.Context, StartCall) error { return ErrWorkerUnreachable{errNoAnswer} }
 	})
 	e.own(1)
 	e.order(1, messenger.WorkStart, 0, 1)
--- a/internal/worker/guardian/unanswered_start_test.go
+++ b/internal/worker/guardian/unanswered_start_test.go
@@ -62,16 +62,17 @@
 	})
 }
 
-// Guards against tasks that wait for the leases of a worker that has ended. When no process
-// listens at its address, its runs have ended with it; a worker that merely does not answer
-// may still run them. An unanswered start may reach the next incarnation.
+// Guards against tasks that wait for the leases of a worker whose process has ended, and against
+// tasks that run twice: a worker that does not answer, or refuses connections, may still run them. An
+// unanswered start may reach the next incarnation.
 func TestRunsOfEndedWorker(t *testing.T) {
 	tests := []struct {
 		name   string
 		change func(f *fakeWorker)
 		left   int
 	}{
-		{"no process", func(f *fakeWorker) { f.notRunning = true }, 1},
+		{"process ended", func(f *fakeWorker) { f.ended = true }, 1},
+		{"unreachable", func(f *fakeWorker) { f.unreachable = true }, 2},
 		{"no answer", func(f *fakeWorker) { f.unresponsive = true }, 2},
 	}
 	for _, tt := range tests {
@@ -84,7 +85,7 @@
 			worker.withLock(func() { worker.lostStarts = 1000 })
 			e.order(1, messenger.WorkStart, 1, 1)
 			worker.withLock(func() { tt.change(worker) })
-			time.Sleep((absentPollsToEnd + 2) * pollRetryPause)
+			time.Sleep(6 * pollRetryPause)
 			if got := len(e.report().Runs); got != tt.left {
 				t.Errorf("%d runs are listed, want %d", got, tt.left)
 			}
@@ -182,7 +183,7 @@
 		stopped bool
 	}{
 		{"no answer", errNoAnswer, 1, true},
-		{"no process listens", ErrWorkerNotExist{errNoAnswer}, startAttempts, false}, // nothing was sent
+		{"connection refused", ErrWorkerUnreachable{errNoAnswer}, startAttempts, false}, // nothing was sent
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/worker/guardian/worker.go
+++ b/internal/worker/guardian/worker.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
+	"syscall"
 	"time"
 
 	"bamboospread/internal/job/specifier"
@@ -128,19 +130,40 @@
 // retryable reports whether the same call may be accepted a moment later.
 func (r RefusalReason) retryable() bool { return r == RefusedUnhealthy || r == RefusedEpoch }
 
-// ErrWorkerNotExist is returned by calls when no process listens at the worker's address: the
-// worker has ended, and all its runs with it.
-type ErrWorkerNotExist struct{ Cause error }
+// ErrWorkerUnreachable is returned by calls whose connection was refused: nothing has been sent. The
+// worker may live all the same, behind a filter, a proxy, a full backlog or a closed listener.
+type ErrWorkerUnreachable struct{ Cause error }
 
-func (e ErrWorkerNotExist) Error() string { return fmt.Sprintf("no worker: %v", e.Cause) }
-func (e ErrWorkerNotExist) Unwrap() error { return e.Cause }
+func (e ErrWorkerUnreachable) Error() string { return fmt.Sprintf("worker unreachable: %v", e.Cause) }
+func (e ErrWorkerUnreachable) Unwrap() error { return e.Cause }
 
-// IsErrWorkerNotExist reports whether err is, or wraps, an ErrWorkerNotExist.
-func IsErrWorkerNotExist(err error) bool {
-	var target ErrWorkerNotExist
+// IsErrWorkerUnreachable reports whether err is, or wraps, an ErrWorkerUnreachable.
+func IsErrWorkerUnreachable(err error) bool {
+	var target ErrWorkerUnreachable
 	return errors.As(err, &target)
 }
 
+// CallError returns the error of a call that failed with err and has no answer.
+func CallError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" && errors.Is(op, syscall.ECONNREFUSED) {
+		return ErrWorkerUnreachable{Cause: err}
+	}
+	return err
+}
+
+// ErrWorkerEnded is returned by polls if the process of an incarnation of the worker is known to have
+// ended, and all its runs with it.
+type ErrWorkerEnded struct {
+	Incarnation string
+	Cause       error
+}
+
+func (e ErrWorkerEnded) Error() string {
+	return fmt.Sprintf("the process of incarnation %s of the worker has ended: %v", e.Incarnation, e.Cause)
+}
+func (e ErrWorkerEnded) Unwrap() error { return e.Cause }
+
 // ErrRefused is returned for a call that had no effect and never will.
 type ErrRefused struct{ Reason RefusalReason }
 
--- a/internal/worker/invoker/invoker.go
+++ b/internal/worker/invoker/invoker.go
@@ -7,10 +7,11 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"syscall"
+	"sync"
 	"time"
 
 	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/kernel/inspector"
 	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/worker/guardian"
 )
@@ -36,6 +37,11 @@
 type Invoker struct {
 	config Config
 	client *http.Client
+
+	mu          sync.Mutex
+	identity    inspector.Identity // of the process that the executor has stated last
+	process     *inspector.Process // nil: not stated, or not seen from here
+	incarnation string             // the last one that stated it
 }
 
 // New returns an Invoker.
@@ -53,6 +59,7 @@
 
 // Run polls the executor's description until ctx ends.
 func (i *Invoker) Run(ctx context.Context) error {
+	defer i.watch(VM{})
 	for {
 		if err := i.describe(ctx); err != nil && ctx.Err() == nil {
 			i.config.OnDescribeError(err)
@@ -68,6 +75,7 @@
 	if err := i.call(ctx, http.MethodGet, PathVM, "", nil, &vm); err != nil {
 		return err
 	}
+	i.watch(vm)
 	i.config.OnAnnouncement(guardian.Announcement{
 		Incarnation: vm.Incarnation, Zone: i.config.Zone, Rack: i.config.Rack, Service: i.config.Service,
 		Labels: vm.Labels, Capacity: vm.Capacity, Leaving: vm.Leaving,
@@ -75,6 +83,40 @@
 	return nil
 }
 
+// watch watches the process that an executor states, if it can be seen from here.
+func (i *Invoker) watch(vm VM) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.incarnation = vm.Incarnation
+	var stated inspector.Identity
+	if vm.Process != nil {
+		stated = *vm.Process
+	}
+	if stated == i.identity {
+		return
+	}
+	if i.process != nil {
+		i.process.Close()
+	}
+	i.identity, i.process = stated, nil
+	if vm.Process == nil {
+		return
+	}
+	if process, err := inspector.Open(stated); err == nil {
+		i.process = process
+	}
+}
+
+// pollError returns the error of a failed poll. It says whether the executor's process has ended.
+func (i *Invoker) pollError(err error) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.process == nil || !i.process.Ended() {
+		return err
+	}
+	return guardian.ErrWorkerEnded{Incarnation: i.incarnation, Cause: err}
+}
+
 // call makes a call that is meant for one incarnation of the executor; empty: for any.
 func (i *Invoker) call(ctx context.Context, method, path, incarnation string, body, answer any) error {
 	encoded, err := json.Marshal(body)
@@ -87,11 +129,8 @@
 	}
 	r.Header.Set(HeaderIncarnation, incarnation)
 	reply, err := i.client.Do(r)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return guardian.ErrWorkerNotExist{Cause: err}
-	}
 	if err != nil {
-		return err
+		return guardian.CallError(err)
 	}
 	defer reply.Body.Close()
 	switch reply.StatusCode {
@@ -134,7 +173,7 @@
 		return guardian.Status{}, errors.Join(err, i.describe(ctx))
 	}
 	if err != nil {
-		return guardian.Status{}, err
+		return guardian.Status{}, i.pollError(err)
 	}
 	status := guardian.Status{Incarnation: a.Incarnation, Clock: time.Duration(a.ClockMillis) * time.Millisecond, MoreEnds: a.MoreEnds}
 	for _, r := range a.Runs {
--- a/internal/worker/invoker/protocol.go
+++ b/internal/worker/invoker/protocol.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/kernel/inspector"
 )
 
 // Paths of the executor's API. All are POSTs except PathVM.
@@ -27,6 +28,9 @@
 	Capacity    specifier.Resources `json:"capacity"`
 	Labels      []string            `json:"labels,omitempty"`
 	Leaving     bool                `json:"leaving,omitempty"`
+	// Process is the executor's process, if all its runs end with it. An agent that sees the process
+	// then need not wait for the leases once it has ended.
+	Process *inspector.Identity `json:"process,omitempty"`
 }
 
 // Start requests a run. Times are ms on the executor's clock.
