guardian: an announcement alone ends no incarnation of the worker

Callers would have seen jobs given up for crashes that did not happen: an announcement by another incarnation of the worker counted at once, also a late one of a worker that had ended.

Evidence: a trial on: a worker runs a task, an announcement of another incarnation arrives, and the worker goes on. The agent records two crashes of a worker that lives, one for each way.

Change: the announcement is kept, and a poll meant for the announced incarnation is sent at once.

Tests: TestAnnouncementAloneIsNoCrash, late and real restarts, workers that check the incarnation of a poll and that do not; a restart is followed within the wait of a poll. Three tests relied on announcements: TestPlannedStopAwaitsStoredCrash makes its crash by an answer instead; in TestPollsOfEndedProcessAreNotTheNextOnes a process that ends has to have answered first, since nothing can run on one that never did, and the row of a late answer begins before the end; testLeaseOfLatePoll waits for a report of the next life and no longer takes one of the former.

--- a/internal/worker/guardian/crash.go
+++ b/internal/worker/guardian/crash.go
@@ -53,10 +53,9 @@
 type endProof string
 
 const (
-	processEnded         endProof = "process ended"
-	leasesExpired        endProof = "leases expired"
-	incarnationAnswered  endProof = "another incarnation answered"
-	incarnationAnnounced endProof = "another incarnation announced itself"
+	processEnded        endProof = "process ended"
+	leasesExpired       endProof = "leases expired"
+	incarnationAnswered endProof = "another incarnation answered"
 )
 
 // crash is a crash of the worker that the owner has not stored yet.
--- a/internal/worker/guardian/crash_test.go
+++ b/internal/worker/guardian/crash_test.go
@@ -246,7 +246,8 @@
 				g := New(Config{VM: "vm-1", Reporter: reporter.Discard(), Now: time.Now})
 				g.Announce(Announcement{Incarnation: "incarnation-1"})
 				if tt.crash {
-					g.Announce(Announcement{Incarnation: "incarnation-2"})
+					call, from := g.nextPoll()
+					g.applyPoll(Status{Incarnation: "incarnation-2"}, call, from)
 				}
 				began := time.Now()
 				const replyAfter = time.Second
--- a/internal/worker/guardian/env_test.go
+++ b/internal/worker/guardian/env_test.go
@@ -36,6 +36,7 @@
 	unresponsive      bool // calls get no answer
 	unreachable       bool // polls fail with ErrWorkerUnreachable
 	ended             bool // polls fail with ErrWorkerEnded
+	checksIncarnation bool // refuses polls that are meant for another incarnation
 	lostStarts        int  // number of starts that get no answer and have no effect
 	lostPaces         int  // number of paces that get no answer and have no effect
 	ignoredStops      int  // number of stops that are answered and have no effect
@@ -126,6 +127,9 @@
 	if f.unresponsive {
 		return Status{}, errNoAnswer
 	}
+	if f.checksIncarnation && c.Incarnation != f.incarnation {
+		return Status{}, ErrRefused{RefusedIncarnation}
+	}
 	if f.refuses(c.Fence) {
 		return Status{}, ErrRefused{RefusedEpoch}
 	}
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -70,8 +70,10 @@
 
 	mu                      sync.Mutex
 	vmInfo                  *messenger.WorkVMInfo
-	incarnation             string // of the worker; empty until first contact
-	announced               string // incarnation that vmInfo is of
+	incarnation             string        // of the worker; empty until first contact
+	announced               string        // incarnation that vmInfo is of
+	successor               *Announcement // by another incarnation, which no poll has confirmed yet
+	successorAt             time.Time     // when the first announcement by it arrived
 	leaving                 bool
 	runs                    map[tracker.RunKey]*run
 	unconfirmedStarts       map[tracker.RunKey]unconfirmedStart // starts without an answer
@@ -147,14 +149,47 @@
 	}
 }
 
-// Announce records what the worker announced about itself.
+// Announce records what the worker announced about itself. An announcement by another incarnation may
+// be a late one of a worker that has ended, while the present one lives: it counts once that
+// incarnation has answered a poll, which is sent at once.
 func (g *Guardian) Announce(a Announcement) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	changed := g.incarnation != a.Incarnation || g.announced != a.Incarnation || g.leaving != a.Leaving || g.vmInfo == nil
-	if g.incarnation != a.Incarnation {
-		g.beginIncarnationLocked(a.Incarnation, incarnationAnnounced)
+	switch {
+	case g.incarnation == "":
+		g.beginIncarnationLocked(a.Incarnation)
+	case a.Incarnation != g.incarnation:
+		g.setSuccessorLocked(a)
+		return
+	}
+	g.applyAnnouncementLocked(a)
+}
+
+func (g *Guardian) setSuccessorLocked(a Announcement) {
+	if g.successor == nil || g.successor.Incarnation != a.Incarnation {
+		g.successorAt = g.config.Now()
+		g.cancelPollLocked()
 	}
+	g.successor = &a
+}
+
+// confirmSuccessorLocked applies the announcement of the incarnation that has answered a poll sent at
+// pollSentAt. Once another one has answered, the announcement was late.
+func (g *Guardian) confirmSuccessorLocked(pollSentAt time.Time) {
+	a := g.successor
+	switch {
+	case a == nil:
+	case a.Incarnation == g.incarnation:
+		g.successor = nil
+		g.applyAnnouncementLocked(*a)
+	case !pollSentAt.Before(g.successorAt):
+		g.successor = nil
+		g.config.Reporter.Report(reporter.AnnouncementLate, reporter.Fields{"life": g.incarnation, "announced": a.Incarnation})
+	}
+}
+
+func (g *Guardian) applyAnnouncementLocked(a Announcement) {
+	changed := g.announced != a.Incarnation || g.leaving != a.Leaving || g.vmInfo == nil
 	g.leaving, g.announced = a.Leaving, a.Incarnation
 	vmInfo := &messenger.WorkVMInfo{WorkerID: a.ID, Zone: a.Zone, Rack: a.Rack, Service: a.Service, Labels: a.Labels, Capacity: a.Capacity}
 	if g.vmInfo == nil || !reflect.DeepEqual(*vmInfo, *g.vmInfo) {
@@ -170,7 +205,7 @@
 // had not carried out yet. A start that was still being sent after the previous incarnation
 // last answered may have reached the new one instead: it is stopped there before it is
 // reported as ended.
-func (g *Guardian) beginIncarnationLocked(incarnation string, proof endProof) {
+func (g *Guardian) beginIncarnationLocked(incarnation string) {
 	if g.incarnation != "" {
 		g.config.Reporter.Report(reporter.WorkerRestarted, reporter.Fields{"life": incarnation, "before": g.incarnation, "runs": len(g.runs)})
 	}
@@ -178,7 +213,7 @@
 	if crashedAt.IsZero() {
 		crashedAt = g.config.Now()
 	}
-	g.recordCrashLocked(crashedAt, proof)
+	g.recordCrashLocked(crashedAt, incarnationAnswered)
 	g.crashRecorded, g.expiredRuns = false, nil
 	// The failed polls are those of the process that has ended. Counted against the next one,
 	// which may not answer yet, they would make a second crash of the same tasks.
--- a/internal/worker/guardian/poll.go
+++ b/internal/worker/guardian/poll.go
@@ -96,11 +96,6 @@
 func (g *Guardian) applyPoll(status Status, call PollCall, from pollStart) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if from.incarnation != g.incarnation && status.Incarnation == from.incarnation {
-		// The process that was polled has been replaced since, unless the announcement of the
-		// other one was late. The next poll shows which one runs.
-		return false
-	}
 	if from.incarnation != "" && from.incarnation != status.Incarnation {
 		g.config.Reporter.Report(reporter.PollAnsweredByOther, reporter.Fields{"life": from.incarnation, "by": status.Incarnation, "epoch": call.Fence.Epoch, "generation": call.Fence.Generation, "ends-seen": call.EndsSeen})
 	}
@@ -111,8 +106,9 @@
 		g.signal()
 	}
 	if g.incarnation != status.Incarnation {
-		g.beginIncarnationLocked(status.Incarnation, incarnationAnswered)
+		g.beginIncarnationLocked(status.Incarnation)
 	}
+	g.confirmSuccessorLocked(from.sentAt)
 	g.pollsFailSince, g.crashRecorded, g.expiredRuns = time.Time{}, false, nil
 	if g.clockAt.IsZero() {
 		g.signal()
@@ -157,6 +153,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Now()
+	if g.successor != nil {
+		return g.successorPollLocked(now)
+	}
 	call := PollCall{Fence: g.fenceLocked(), Incarnation: g.incarnation, Wait: pollWait, LeaseUntil: g.requestLeaseLocked(now)}
 	if len(g.runs) == 0 {
 		call.Wait = pollWaitIdle
@@ -176,6 +175,14 @@
 	return call, from
 }
 
+// successorPollLocked returns a poll that shows whether the announced incarnation has replaced the
+// present one. The other one refuses it or answers it, so it requests no lease and forgets no ends.
+func (g *Guardian) successorPollLocked(now time.Time) (PollCall, pollStart) {
+	g.pollInProgress, g.pollGeneration, g.pollAnswered, g.confirmingPoll = true, g.generation, false, false
+	call := PollCall{Fence: g.fenceLocked(), Incarnation: g.successor.Incarnation}
+	return call, pollStart{sentAt: now, incarnation: g.successor.Incarnation}
+}
+
 // endsToForgetLocked returns the number up to which the next poll allows the worker to forget ends, 0 if
 // there is none or it has to wait, and the poll's wait.
 //
@@ -263,10 +270,12 @@
 func (g *Guardian) recordFailedPoll(err error, from pollStart) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if from.incarnation != g.incarnation {
-		return // sent to the process that has ended
-	}
 	now := g.config.Now()
+	var refused ErrRefused
+	if from.incarnation != g.incarnation && errors.As(err, &refused) && refused.Reason == RefusedIncarnation {
+		g.successor = nil // the worker that is there is not the announced one
+		return
+	}
 	g.failedPolls++
 	if g.pollsFailSince.IsZero() {
 		g.pollsFailSince = now
