tracker: runs of a worker that does not answer count as unavailable

Callers would have seen more tasks of a long-running step away than its max-unavailable allows, and tasks that may run in copies waiting for leases.

Change: an agent reports for how long its worker has not answered. The owner counts long-running tasks there as unavailable, and starts copies of tasks that may have them. Older agents report nothing, and older owners ignore it, as before.

--- a/internal/job/planner/copies.go
+++ b/internal/job/planner/copies.go
@@ -65,7 +65,7 @@
 
 func isStraggler(in Input, run *tracker.Run) bool {
 	spec := run.Step().Spec
-	if !run.VM.Attached || run.State == tracker.Stopping {
+	if !run.VM.Attached || !run.VM.Responds() || run.State == tracker.Stopping {
 		return true
 	}
 	if run.VM.MoreEnds || run.State != tracker.Running || spec.EstimateMillis <= 0 || run.Pace != paceFull {
--- a/internal/job/planner/copies_test.go
+++ b/internal/job/planner/copies_test.go
@@ -145,3 +145,20 @@
 		t.Errorf("starts %v, want the waiting task on vm-2 and nothing else", vmsByTask(starts))
 	}
 }
+
+// Guards against tasks that wait for the leases of a worker that does not answer, though they may run in
+// copies: its runs may have ended.
+func TestRunOfUnresponsiveWorkerGetsACopy(t *testing.T) {
+	b, task := newCopyFixture(t, nil)
+	b.reportProgress(0, 0)
+	now := b.reportProgress(40, 400*time.Millisecond)
+	if needsCopy(Input{Now: now, State: b.state}, task) {
+		t.Error("a copy beside a run on schedule")
+	}
+	run := task.Runs[0]
+	rep := tracker.Report{Incarnation: "1", OrdersSeen: run.VM.OrderSeq, Unresponsive: time.Second, Runs: []tracker.ReportedRun{{Key: run.Key(), Confirmed: true, Progress: 40}}}
+	b.state.Apply(run.VM, rep, now)
+	if !needsCopy(Input{Now: now, State: b.state}, task) {
+		t.Error("no copy")
+	}
+}
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -138,7 +138,7 @@
 		o.dirty = true
 		o.s.config.Reporter.Report(reporter.VMAttached, reporter.Fields{"vm": vm.Name, "life": vm.Incarnation, "runs": len(vm.Runs), "ready": vm.Ready})
 	} else {
-		o.dirty = o.dirty || s.vm.Ready != e.parsed.Ready || !s.vm.Attached
+		o.dirty = o.dirty || s.vm.Ready != e.parsed.Ready || s.vm.Responds() != (e.parsed.Unresponsive == 0) || !s.vm.Attached
 		s.vm.Attached = true
 		if e.report.VMInfo != nil {
 			o.state.UpdateInfo(s.vm, e.info)
@@ -305,7 +305,7 @@
 }
 
 func parseReport(r messenger.WorkReport) (tracker.Report, tracker.VMInfo, error) {
-	rep := tracker.Report{Incarnation: r.Incarnation, Process: r.Process, Ready: r.Ready, OrdersSeen: r.OrdersSeen, MoreEnds: r.MoreEnds, Age: time.Duration(r.AgeMillis) * time.Millisecond, LeaseLeft: time.Duration(r.LeaseMillis) * time.Millisecond}
+	rep := tracker.Report{Incarnation: r.Incarnation, Process: r.Process, Ready: r.Ready, OrdersSeen: r.OrdersSeen, MoreEnds: r.MoreEnds, Age: time.Duration(r.AgeMillis) * time.Millisecond, LeaseLeft: time.Duration(r.LeaseMillis) * time.Millisecond, Unresponsive: time.Duration(r.UnresponsiveMillis) * time.Millisecond}
 	for _, w := range r.Runs {
 		id, err := specifier.ParseTaskID(w.Task)
 		if err != nil {
--- a/internal/job/tracker/job.go
+++ b/internal/job/tracker/job.go
@@ -246,10 +246,11 @@
 }
 
 // Unavailable reports whether a long-running task is unavailable: it has no run, its run is being
-// stopped, has not reported progress 100 yet, or is on a VM that is out of contact.
+// stopped, has not reported progress 100 yet, or is on a VM that is out of contact or whose worker does not
+// answer.
 func (t *Task) Unavailable() bool {
 	r := t.PrimaryRun()
-	return r == nil || r.State != Running || r.Progress < fullPace || !r.VM.Attached
+	return r == nil || r.State != Running || r.Progress < fullPace || !r.VM.Attached || !r.VM.Responds()
 }
 
 // MayInterrupt reports whether a run that is still needed may be stopped without more tasks of its step
--- a/internal/job/tracker/report.go
+++ b/internal/job/tracker/report.go
@@ -19,6 +19,7 @@
 	Incarnation       string // incarnation of the worker
 	Process           int64  // process of the agent
 	Ready             bool
+	Unresponsive      time.Duration // for how long the worker has not answered; 0: it does
 	Age               time.Duration // of the data on the runs
 	LeaseLeft         time.Duration // runs may go on for so long whatever was granted
 	OrdersSeen        int64         // number of orders of this session that the agent has received
@@ -197,6 +198,10 @@
 	}
 	vm.Version++
 	vm.Ready, vm.MoreEnds, vm.GrantedAt, vm.SeenAt = rep.Ready, rep.MoreEnds, now, now.Add(-rep.Age)
+	vm.UnresponsiveSince = time.Time{}
+	if rep.Unresponsive > 0 {
+		vm.UnresponsiveSince = now.Add(-rep.Unresponsive)
+	}
 	if end := now.Add(rep.LeaseLeft); end.After(vm.UnrequestedLeaseEnd) {
 		vm.UnrequestedLeaseEnd = end
 	}
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -267,11 +267,16 @@
 	// UnrequestedLeaseEnd is when the leases of its runs have ended that its agent has not requested.
 	UnrequestedLeaseEnd time.Time
 	SeenAt              time.Time // when the worker provided the data of the latest report
+	UnresponsiveSince   time.Time // when the worker stopped answering its agent; zero: it answers
 	Speed               Speed
 	Throttle            ThrottleState
 	Health              Health
 }
 
+// Responds reports whether the worker answers its agent. The runs of one that does not are kept until
+// they have certainly ended, but may have ended before.
+func (vm *VM) Responds() bool { return vm.UnresponsiveSince.IsZero() }
+
 // SizesKnown reports whether the resources of all runs on the VM are known.
 func (vm *VM) SizesKnown() bool { return vm.unknownSizeRuns == 0 }
 
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -40,9 +40,11 @@
 	Epoch       int64       `json:"epoch,omitempty"` // of the owner that the report was made for; 0: not known
 	Incarnation string      `json:"life"`            // incarnation of the worker
 	Ready       bool        `json:"ready"`
-	Granted     bool        `json:"granted"` // the agent has a grant; without one it starts nothing
-	OrdersSeen  int64       `json:"orders-seen"`
-	AgeMillis   int64       `json:"age-ms"` // of the reported state of the runs
+	// UnresponsiveMillis is how long the worker has not answered; 0: it does. Its runs may have ended.
+	UnresponsiveMillis int64 `json:"unresponsive-ms,omitempty"`
+	Granted            bool  `json:"granted"` // the agent has a grant; without one it starts nothing
+	OrdersSeen         int64 `json:"orders-seen"`
+	AgeMillis          int64 `json:"age-ms"` // of the reported state of the runs
 	// LeaseMillis is how long runs may go on without contact although nobody has granted that.
 	LeaseMillis int64     `json:"lease-left-ms,omitempty"`
 	Runs        []WorkRun `json:"runs,omitempty"`
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -278,6 +278,9 @@
 		AgeMillis: g.config.Now().Sub(g.clockAt).Milliseconds(), LeaseMillis: max(g.unrequestedLeaseEnd.Sub(g.config.Now()), 0).Milliseconds(),
 		Ready: !g.leaving && g.unresponsiveSince.IsZero() && g.announced == g.incarnation, Granted: g.grantUntil.After(g.config.Now()), MoreEnds: g.moreEnds,
 	}
+	if !g.unresponsiveSince.IsZero() {
+		rep.UnresponsiveMillis = max(g.config.Now().Sub(g.pollsFailSince).Milliseconds(), 1)
+	}
 	if g.vmInfoAcked != g.vmInfo {
 		rep.VMInfo = g.vmInfo
 	}
