tracker: crashes count by when they came, not by when they are reported

Callers would have seen jobs shown as failed because workers had crashed together, for example with their rack: no task is the sole cause of crashes within half a second of each other.

Change: a crash is reported with the time since it came, and compared by it with others of the last 30 s. A worker that does not answer since that time may have crashed with it, and counts as such.

TestCrashesReportedApartCountByTheirTime, TestCrashIsReportedWithItsTime.

--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -332,7 +332,7 @@
 		rep.UnconfirmedStarts = append(rep.UnconfirmedStarts, tracker.UnconfirmedStart{Key: tracker.RunKey{Task: id, Number: w.Run}, Age: time.Duration(w.AgeMillis) * time.Millisecond})
 	}
 	for _, w := range r.Crashes {
-		c := tracker.ReportedCrash{Seq: w.Seq, TimeUnknown: w.TimeUnknown}
+		c := tracker.ReportedCrash{Seq: w.Seq, Ago: time.Duration(w.AgoMillis) * time.Millisecond, TimeUnknown: w.TimeUnknown}
 		for _, run := range w.Runs {
 			id, err := specifier.ParseTaskID(run.Task)
 			if err != nil {
--- a/internal/job/tracker/crash.go
+++ b/internal/job/tracker/crash.go
@@ -9,7 +9,8 @@
 
 // ReportedCrash is the crash of a VM's worker.
 type ReportedCrash struct {
-	Seq int64 // in the agent's process, from 1
+	Seq int64         // in the agent's process, from 1
+	Ago time.Duration // since it came
 	// TimeUnknown: the worker answered as another incarnation without a broken connection. It was
 	// noticed with the next answer, up to a second later, so the ages tell when polls are answered.
 	TimeUnknown bool
@@ -38,10 +39,14 @@
 
 func (s suspect) isLongRunning() bool { return s.task != nil && s.task.Step.Spec.LongRunning }
 
+// recentCrashTime is how long a crash is remembered for others that came with it. An agent may report a
+// crash only once its worker is back.
+const recentCrashTime = 30 * time.Second
+
 // recentCrash is a crash that another may turn out to have come with.
 type recentCrash struct {
 	vm         *VM
-	at         time.Time
+	at         time.Time // when it came
 	suspicions []Suspicion
 }
 
@@ -62,7 +67,8 @@
 func (tr *Tracker) attributeCrash(vm *VM, c ReportedCrash, now time.Time) (found []Suspicion) {
 	suspects := tr.crashSuspects(c)
 	likely := slices.DeleteFunc(slices.Clone(suspects), func(s suspect) bool { return !s.likely })
-	together := tr.comesWithOthers(vm, now)
+	at := now.Add(-c.Ago)
+	together := tr.comesWithOthers(vm, at, now)
 	sole := areOneUnit(likely) && !together && !c.TimeUnknown
 	for _, s := range suspects {
 		t := s.task
@@ -79,7 +85,7 @@
 		tr.suspected[t] = true
 		found = append(found, Suspicion{Task: t, Crash: crash, Likely: len(likely)})
 	}
-	tr.recentCrashes = append(tr.recentCrashes, recentCrash{vm: vm, at: now, suspicions: found})
+	tr.recentCrashes = append(tr.recentCrashes, recentCrash{vm: vm, at: at, suspicions: found})
 	tr.GiveUpCrashingTasks(now)
 	return found
 }
@@ -114,12 +120,15 @@
 	return found
 }
 
-// comesWithOthers reports whether the worker of another VM has crashed just before. No task counts
-// as the sole cause of either crash then.
-func (tr *Tracker) comesWithOthers(vm *VM, now time.Time) (together bool) {
-	tr.recentCrashes = slices.DeleteFunc(tr.recentCrashes, func(c recentCrash) bool { return now.Sub(c.at) > attributor.CrashesTogether })
+// comesWithOthers reports whether the worker of another VM has crashed at the same time as one did at
+// at, or may have: it does not answer since. No task counts as the sole cause of either crash then.
+func (tr *Tracker) comesWithOthers(vm *VM, at, now time.Time) (together bool) {
+	tr.recentCrashes = slices.DeleteFunc(tr.recentCrashes, func(c recentCrash) bool { return now.Sub(c.at) > recentCrashTime })
+	for _, other := range tr.VMs {
+		together = together || other != vm && !other.Responds() && areTogether(other.UnresponsiveSince, at)
+	}
 	for _, c := range tr.recentCrashes {
-		if c.vm == vm {
+		if c.vm == vm || !areTogether(c.at, at) {
 			continue
 		}
 		together = true
@@ -130,6 +139,8 @@
 	return together
 }
 
+func areTogether(a, b time.Time) bool { return a.Sub(b).Abs() <= attributor.CrashesTogether }
+
 // withdrawSole records that the task was not the sole cause of a crash.
 func (t *Task) withdrawSole(run int64) {
 	for i := range t.Crashes {
--- a/internal/job/tracker/crash_test.go
+++ b/internal/job/tracker/crash_test.go
@@ -362,3 +362,44 @@
 		})
 	}
 }
+
+// Guards against a job that fails because several workers crashed at once, of which each is reported when
+// it is back: what counts is when they crashed, and which others do not answer since.
+func TestCrashesReportedApartCountByTheirTime(t *testing.T) {
+	const second = time.Second
+	tests := []struct {
+		name         string
+		ago          time.Duration // since the crash of the task's worker, when it is reported
+		otherAgo     time.Duration // since the crash of another worker, reported 2 s later; below 0: none
+		unresponsive time.Duration // for which the other worker has not answered when the first crash is reported; 0: it answers
+		sole         bool
+	}{
+		{name: "together, reported apart", ago: second, otherAgo: 3 * second, sole: false},
+		{name: "apart, reported apart", ago: second, otherAgo: second, sole: true},
+		{name: "the other one does not answer since", ago: second, otherAgo: -1, unresponsive: second, sole: false},
+		{name: "the other one has not answered for long", ago: second, otherAgo: -1, unresponsive: 10 * second, sole: true},
+		{name: "no other", ago: second, otherAgo: -1, sole: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newCrashFixture(t)
+			task := addJob(t, f.tr, 1, oneTask(1)).Occurrences[0].Steps[0].Tasks[0]
+			other := attach(f.tr, "other")
+			report := func(vm *VM, rep Report) {
+				rep.Incarnation, rep.Process, rep.OrdersSeen = vm.Incarnation, vm.Process, vm.OrderSeq
+				f.tr.Apply(vm, rep, f.now)
+			}
+			r := f.run("vm", task)
+			f.now = f.now.Add(2 * second)
+			report(other, Report{Unresponsive: tt.unresponsive})
+			report(f.tr.VMs["vm"], Report{Crashes: []ReportedCrash{{Seq: 1, Ago: tt.ago, Runs: []CrashedRun{{Key: r.Key(), Age: time.Millisecond}}}}})
+			f.now = f.now.Add(2 * second)
+			if tt.otherAgo >= 0 {
+				report(other, Report{Crashes: []ReportedCrash{{Seq: 1, Ago: tt.otherAgo}}})
+			}
+			if len(task.Crashes) != 1 || task.Crashes[0].Sole != tt.sole {
+				t.Errorf("crashes %+v, want sole %t", task.Crashes, tt.sole)
+			}
+		})
+	}
+}
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -97,6 +97,7 @@
 // WorkCrash is a crash of the worker.
 type WorkCrash struct {
 	Seq         int64            `json:"seq"`                    // in the agent's process, from 1
+	AgoMillis   int64            `json:"ago-ms,omitempty"`       // since it came
 	TimeUnknown bool             `json:"time-unknown,omitempty"` // no connection broke; it came some time before it was noticed
 	Runs        []WorkCrashedRun `json:"runs"`
 }
--- a/internal/worker/guardian/crash.go
+++ b/internal/worker/guardian/crash.go
@@ -61,7 +61,8 @@
 // crash is a crash of the worker that the owner has not stored yet.
 type crash struct {
 	seq         int64
-	timeUnknown bool // no poll failed
+	at          time.Time // when the first poll failed, or when it was noticed
+	timeUnknown bool      // no poll failed
 	runs        []crashedRun
 }
 
@@ -81,7 +82,7 @@
 	runs := g.crashedRunsLocked(at)
 	g.config.Reporter.Report(reporter.WorkerCrashed, reporter.Fields{"life": g.incarnation, "runs": len(runs), "proof": string(proof), "latest": describeCrashedRuns(runs)})
 	g.lastCrash++
-	g.crashes = append(g.crashes, crash{seq: g.lastCrash, timeUnknown: g.pollsFailSince.IsZero(), runs: runs})
+	g.crashes = append(g.crashes, crash{seq: g.lastCrash, at: at, timeUnknown: g.pollsFailSince.IsZero(), runs: runs})
 	g.crashes = g.crashes[max(len(g.crashes)-maxCrashesKept, 0):]
 	g.signal()
 }
@@ -95,7 +96,7 @@
 func (g *Guardian) crashesLocked() []messenger.WorkCrash {
 	var all []messenger.WorkCrash
 	for _, c := range g.crashes {
-		w := messenger.WorkCrash{Seq: c.seq, TimeUnknown: c.timeUnknown}
+		w := messenger.WorkCrash{Seq: c.seq, AgoMillis: g.config.Now().Sub(c.at).Milliseconds(), TimeUnknown: c.timeUnknown}
 		for _, r := range c.runs {
 			w.Runs = append(w.Runs, messenger.WorkCrashedRun{Task: r.key.Task.String(), Run: r.key.Number, AgeMillis: r.age.Milliseconds()})
 		}
--- a/internal/worker/guardian/crash_test.go
+++ b/internal/worker/guardian/crash_test.go
@@ -271,3 +271,26 @@
 		})
 	}
 }
+
+// Guards against crashes that are taken for one another's companions, or not, by when they are reported:
+// without proof a crash is reported only once the worker is back, with the time since it came.
+func TestCrashIsReportedWithItsTime(t *testing.T) {
+	const away = 500 * time.Millisecond
+	e := newTestEnv(t, newFakeWorker())
+	e.own(1)
+	e.order(1, messenger.WorkStart, 0, 1)
+	e.until("a run", func() bool { return e.confirmed() == 1 })
+	e.worker.withLock(func() { e.worker.unreachable = true; clear(e.worker.runs) })
+	endedAt := time.Now()
+	e.until("an unresponsive worker", func() bool { return e.report().UnresponsiveMillis > 0 })
+	time.Sleep(away)
+	if rep := e.report(); len(rep.Crashes) != 0 || rep.UnresponsiveMillis < away.Milliseconds() || len(rep.Runs) != 1 {
+		t.Fatalf("before the worker is back: %+v", rep)
+	}
+	e.restartWorker("incarnation-2")
+	e.until("the crash", func() bool { return len(e.report().Crashes) == 1 })
+	rep := e.report()
+	if ago, ended := rep.Crashes[0].AgoMillis, time.Since(endedAt).Milliseconds(); ago < away.Milliseconds() || ago > ended || rep.UnresponsiveMillis != 0 {
+		t.Errorf("crash reported as of %d ms ago, the worker ended %d ms ago: %+v", ago, ended, rep)
+	}
+}
