guardian: a worker that has deregistered and refuses connections has left

Cause: a worker that leaves announces it, deregisters and ends.

Change: its deregistration is its own statement that it ends. A deregistration of a former incarnation may be late and counts for nothing while the present one does not leave.

--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -151,7 +151,7 @@
 	{PollAnsweredByOther, log.WarnLevel, "status poll answered by another incarnation", "A poll that was meant for one incarnation of the worker was carried out by another one. The field ends-seen says up to which number it let that one forget ends."},
 	{RunNotListed, log.WarnLevel, "run not listed", "The worker lists neither the run nor its end, and will not list it: the owner is told that the run is gone. The reason says why the poll shows that."},
 	{EndsMissing, log.WarnLevel, "ends missing", "The worker leaves out numbers in its list of ends: it has forgotten ends that this process has not read."},
-	{RunsGivenUp, log.WarnLevel, "runs given up", "The worker does not respond, and its runs count as ended: the owner may start their tasks elsewhere. The field proof says what showed that: their leases have expired, or the process has ended. lease-left is how long leases that were requested could still last."},
+	{RunsGivenUp, log.WarnLevel, "runs given up", "The worker does not respond, and its runs count as ended: the owner may start their tasks elsewhere. The field proof says what showed that: their leases have expired, the process has ended, or the worker has left. lease-left is how long leases that were requested could still last."},
 	{AnnouncementLate, log.WarnLevel, "announcement late", "An incarnation of the worker announced itself, and another one answered the status poll that followed: the announcement was ignored."},
 	{AnnouncementMalformed, log.WarnLevel, "announcement malformed", "An announcement to this agent did not come from a worker and was ignored."},
 }
--- a/internal/service/hoster/agent.go
+++ b/internal/service/hoster/agent.go
@@ -49,7 +49,7 @@
 		Cell: cell, Guardian: a.guardian, FindRecords: a.store.Calls().FindRecords, Watch: a.store.Calls().Watch, Now: now, Reporter: c.Reporter,
 	})
 	a.announcements = &platform.Announcements{
-		Worker: worker, OnAnnouncement: a.guardian.Announce,
+		Worker: worker, OnAnnouncement: a.guardian.Announce, OnDeregistration: a.guardian.Deregister,
 		OnMalformed: func(err error) {
 			c.Reporter.Report(reporter.AnnouncementMalformed, reporter.Fields{"error": err.Error()})
 		},
--- a/internal/worker/guardian/crash.go
+++ b/internal/worker/guardian/crash.go
@@ -54,6 +54,7 @@
 
 const (
 	processEnded        endProof = "process ended"
+	workerLeft          endProof = "worker left"
 	leasesExpired       endProof = "leases expired"
 	incarnationAnswered endProof = "another incarnation answered"
 )
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -105,6 +105,8 @@
 	clock                   time.Duration         // the worker's clock in its latest answer to a poll
 	clockAt                 time.Time             // when clock was received; zero: not yet from this incarnation
 	failedPolls             int                   // in a row
+	unreachable             bool                  // the latest poll was refused a connection
+	deregisteredAt          time.Time             // when the worker, which leaves, has deregistered; zero: it has not
 	processEnded            bool                  // the process of this incarnation is known to have ended
 	pollsFailSince          time.Time             // when the first of the failed polls in a row ended; zero: the last poll was answered
 	unresponsiveSince       time.Time             // when the worker began to count as unresponsive; zero: it responds
@@ -188,9 +190,23 @@
 	}
 }
 
+// Deregister records that the worker has deregistered, the last thing that one does that leaves: it ends,
+// and all its runs with it. A former incarnation's deregistration may be late, so it counts only for a
+// worker that has announced that it leaves, and once its connections are refused.
+func (g *Guardian) Deregister(workerID string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leaving && g.announced == g.incarnation && g.vmInfo != nil && g.vmInfo.WorkerID == workerID && g.deregisteredAt.IsZero() {
+		g.deregisteredAt = g.config.Now()
+	}
+}
+
 func (g *Guardian) applyAnnouncementLocked(a Announcement) {
 	changed := g.announced != a.Incarnation || g.leaving != a.Leaving || g.vmInfo == nil
 	g.leaving, g.announced = a.Leaving, a.Incarnation
+	if !a.Leaving {
+		g.deregisteredAt = time.Time{}
+	}
 	vmInfo := &messenger.WorkVMInfo{WorkerID: a.ID, Zone: a.Zone, Rack: a.Rack, Service: a.Service, Labels: a.Labels, Capacity: a.Capacity}
 	if g.vmInfo == nil || !reflect.DeepEqual(*vmInfo, *g.vmInfo) {
 		g.vmInfo, changed = vmInfo, true // reported again
@@ -217,7 +233,7 @@
 	g.crashRecorded, g.expiredRuns = false, nil
 	// The failed polls are those of the process that has ended. Counted against the next one,
 	// which may not answer yet, they would make a second crash of the same tasks.
-	g.failedPolls, g.processEnded, g.pollsFailSince = 0, false, time.Time{}
+	g.failedPolls, g.processEnded, g.unreachable, g.pollsFailSince, g.deregisteredAt = 0, false, false, time.Time{}, time.Time{}
 	lastPollSentAt := g.lastPollSentAt
 	g.knownFromStart = g.incarnation != ""
 	g.incarnation, g.ends, g.endsStored, g.endsConfirmed, g.moreEnds = incarnation, nil, 0, 0, false
@@ -332,6 +348,8 @@
 	switch {
 	case g.processEnded:
 		return processEnded
+	case !g.deregisteredAt.IsZero() && g.unreachable && g.config.Now().Sub(g.deregisteredAt) > g.config.StopTime:
+		return workerLeft
 	case g.config.Now().After(g.leaseEnd.Add(g.config.StopTime)):
 		return leasesExpired
 	}
--- a/internal/worker/guardian/poll.go
+++ b/internal/worker/guardian/poll.go
@@ -99,7 +99,7 @@
 	if from.incarnation != "" && from.incarnation != status.Incarnation {
 		g.config.Reporter.Report(reporter.PollAnsweredByOther, reporter.Fields{"life": from.incarnation, "by": status.Incarnation, "epoch": call.Fence.Epoch, "generation": call.Fence.Generation, "ends-seen": call.EndsSeen})
 	}
-	g.failedPolls, g.processEnded = 0, false
+	g.failedPolls, g.processEnded, g.unreachable = 0, false, false
 	if !g.unresponsiveSince.IsZero() {
 		g.config.Reporter.Report(reporter.WorkerResponding, reporter.Fields{"silent": g.config.Now().Sub(g.unresponsiveSince).String()})
 		g.unresponsiveSince = time.Time{}
@@ -277,6 +277,7 @@
 		return
 	}
 	g.failedPolls++
+	g.unreachable = IsErrWorkerUnreachable(err)
 	if g.pollsFailSince.IsZero() {
 		g.pollsFailSince = now
 	}
