invoker: an executor whose process lives is not replaced by another

Callers would have seen tasks run twice at once: all runs of a worker were dropped once another incarnation answered at its address. A proxy that sends new connections to another executor does that, and an executor that starts at the port of one that is still shutting down.

Change: the invoker keeps the processes of earlier executors while they live. A poll that another incarnation would answer in place of one whose process lives fails, until the leases of its runs have ended; no crash is recorded then.

--- a/internal/kernel/inspector/process_linux.go
+++ b/internal/kernel/inspector/process_linux.go
@@ -19,13 +19,16 @@
 )
 
 // Self returns the identity of this process.
-func Self() (Identity, error) {
+func Self() (Identity, error) { return Identify(os.Getpid()) }
+
+// Identify returns the identity of the process that has a number now.
+func Identify(pid int) (Identity, error) {
 	i, err := surroundings()
 	if err != nil {
 		return Identity{}, err
 	}
-	i.PID = os.Getpid()
-	i.StartTicks, err = startTicks(i.PID)
+	i.PID = pid
+	i.StartTicks, err = startTicks(pid)
 	return i, err
 }
 
@@ -64,7 +67,7 @@
 }
 
 // Open returns a Process for an identity that the process itself has stated. It returns
-// ErrUnknownProcess if the process can't be seen from here, or has ended already.
+// ErrUnknownProcess if no such process can be seen from here, or its parent knows already that it has ended.
 func Open(i Identity) (*Process, error) {
 	here, err := surroundings()
 	if err != nil {
--- a/internal/kernel/inspector/process_linux_test.go
+++ b/internal/kernel/inspector/process_linux_test.go
@@ -22,11 +22,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = child.Process.Kill(); _ = child.Wait() })
-	if i, err = surroundings(); err != nil {
-		t.Fatal(err)
-	}
-	i.PID = child.Process.Pid
-	if i.StartTicks, err = startTicks(i.PID); err != nil {
+	if i, err = Identify(child.Process.Pid); err != nil {
 		t.Fatal(err)
 	}
 	return i, func() { input.Close() }
--- a/internal/kernel/inspector/process_other.go
+++ b/internal/kernel/inspector/process_other.go
@@ -10,6 +10,9 @@
 // Self returns an error: processes are identified on Linux only.
 func Self() (Identity, error) { return Identity{}, errors.ErrUnsupported }
 
+// Identify returns an error, as Self does.
+func Identify(int) (Identity, error) { return Identity{}, errors.ErrUnsupported }
+
 // Open returns an error, as Self does.
 func Open(Identity) (*Process, error) { return nil, errors.ErrUnsupported }
 
--- a/internal/worker/guardian/poll.go
+++ b/internal/worker/guardian/poll.go
@@ -180,6 +180,9 @@
 func (g *Guardian) successorPollLocked(now time.Time) (PollCall, pollStart) {
 	g.pollInProgress, g.pollGeneration, g.pollAnswered, g.confirmingPoll = true, g.generation, false, false
 	call := PollCall{Fence: g.fenceLocked(), Incarnation: g.successor.Incarnation}
+	if len(g.runs) > 0 {
+		call.Replaces = g.incarnation
+	}
 	return call, pollStart{sentAt: now, incarnation: g.successor.Incarnation}
 }
 
@@ -288,6 +291,10 @@
 		g.config.Reporter.Report(reporter.WorkerNotResponding, reporter.Fields{"error": err.Error(), "runs": len(g.runs)})
 		g.signal()
 	}
+	var lives ErrFormerWorkerLives
+	if errors.As(err, &lives) {
+		g.crashRecorded, g.expiredRuns = true, nil // none has come
+	}
 	if g.processEnded {
 		g.recordCrashLocked(g.pollsFailSince, processEnded)
 	}
--- a/internal/worker/guardian/worker.go
+++ b/internal/worker/guardian/worker.go
@@ -66,6 +66,7 @@
 type PollCall struct {
 	Fence       Fence
 	Incarnation string        // of the worker, which EndsSeen and LeaseUntil are meant for; empty before the first contact
+	Replaces    string        // the incarnation that the announced one is to replace, as far as its runs have not ended; empty: none
 	EndsSeen    int64         // the worker may drop ends up to this number; 0: no further ones
 	LeaseUntil  time.Duration // on the worker's clock; 0: no renewal
 	Wait        time.Duration // how long the answer may wait for a run to end
@@ -164,6 +165,17 @@
 }
 func (e ErrWorkerEnded) Unwrap() error { return e.Cause }
 
+// ErrFormerWorkerLives is returned by a poll of an incarnation that would replace one whose process is
+// known to live: its runs go on until their leases have ended.
+type ErrFormerWorkerLives struct {
+	Incarnation string // the former one
+	PID         int
+}
+
+func (e ErrFormerWorkerLives) Error() string {
+	return fmt.Sprintf("another worker answers, and process %d of incarnation %s lives", e.PID, e.Incarnation)
+}
+
 // ErrRefused is returned for a call that had no effect and never will.
 type ErrRefused struct{ Reason RefusalReason }
 
--- a/internal/worker/invoker/invoker.go
+++ b/internal/worker/invoker/invoker.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"bamboospread/internal/job/specifier"
-	"bamboospread/internal/kernel/inspector"
 	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/worker/guardian"
 )
@@ -37,11 +36,11 @@
 type Invoker struct {
 	config Config
 	client *http.Client
+	// describing is held during a description, so that they arrive in order.
+	describing chan struct{}
 
-	mu          sync.Mutex
-	identity    inspector.Identity // of the process that the executor has stated last
-	process     *inspector.Process // nil: not stated, or not seen from here
-	incarnation string             // the last one that stated it
+	mu        sync.Mutex
+	processes []*process // of the executors that have described themselves, the latest last; earlier ones only while they live
 }
 
 // New returns an Invoker.
@@ -49,7 +48,7 @@
 	if c.DescribeEvery <= 0 {
 		c.DescribeEvery = describeInterval
 	}
-	return &Invoker{config: c, client: &http.Client{Timeout: callTimeout}}
+	return &Invoker{config: c, client: &http.Client{Timeout: callTimeout}, describing: make(chan struct{}, 1)}
 }
 
 // Calls returns the calls for a guardian.
@@ -59,7 +58,7 @@
 
 // Run polls the executor's description until ctx ends.
 func (i *Invoker) Run(ctx context.Context) error {
-	defer i.watch(VM{})
+	defer i.closeProcesses()
 	for {
 		if err := i.describe(ctx); err != nil && ctx.Err() == nil {
 			i.config.OnDescribeError(err)
@@ -71,11 +70,17 @@
 }
 
 func (i *Invoker) describe(ctx context.Context) error {
+	select {
+	case i.describing <- struct{}{}:
+		defer func() { <-i.describing }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	var vm VM
 	if err := i.call(ctx, http.MethodGet, PathVM, "", nil, &vm); err != nil {
 		return err
 	}
-	i.watch(vm)
+	i.watch(vm.Incarnation, vm.Process)
 	i.config.OnAnnouncement(guardian.Announcement{
 		Incarnation: vm.Incarnation, Zone: i.config.Zone, Rack: i.config.Rack, Service: i.config.Service,
 		Labels: vm.Labels, Capacity: vm.Capacity, Leaving: vm.Leaving,
@@ -83,40 +88,6 @@
 	return nil
 }
 
-// watch watches the process that an executor states, if it can be seen from here.
-func (i *Invoker) watch(vm VM) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.incarnation = vm.Incarnation
-	var stated inspector.Identity
-	if vm.Process != nil {
-		stated = *vm.Process
-	}
-	if stated == i.identity {
-		return
-	}
-	if i.process != nil {
-		i.process.Close()
-	}
-	i.identity, i.process = stated, nil
-	if vm.Process == nil {
-		return
-	}
-	if process, err := inspector.Open(stated); err == nil {
-		i.process = process
-	}
-}
-
-// pollError returns the error of a failed poll. It says whether the executor's process has ended.
-func (i *Invoker) pollError(err error) error {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.process == nil || !i.process.Ended() {
-		return err
-	}
-	return guardian.ErrWorkerEnded{Incarnation: i.incarnation, Cause: err}
-}
-
 // call makes a call that is meant for one incarnation of the executor; empty: for any.
 func (i *Invoker) call(ctx context.Context, method, path, incarnation string, body, answer any) error {
 	encoded, err := json.Marshal(body)
@@ -165,6 +136,9 @@
 }
 
 func (i *Invoker) poll(ctx context.Context, c guardian.PollCall) (guardian.Status, error) {
+	if former := i.formerProcess(c); former != nil {
+		return guardian.Status{}, *former
+	}
 	var a PollResponse
 	err := i.call(ctx, http.MethodPost, PathPoll, c.Incarnation, PollRequest{Epoch: c.Fence.Epoch, EndsSeen: c.EndsSeen, LeaseMillis: millis(c.LeaseUntil), WaitMillis: millis(c.Wait)}, &a)
 	var refused guardian.ErrRefused
