guardian: a planned stop waits until it is known whether the worker crashed

Callers would have seen a task crash more workers than it may: an agent that stops while its worker is away did not wait any more, since without proof a crash is recorded only once the worker is back, and the agent's next process knows nothing of it.

Change: while the worker does not answer and had runs, the stop waits as it does for crashes that no owner has stored, at most 4 s.

TestPlannedStopAwaitsStoredCrash has the case.

--- a/internal/worker/guardian/crash.go
+++ b/internal/worker/guardian/crash.go
@@ -29,21 +29,21 @@
 	crashStoredInterval = 20 * time.Millisecond
 )
 
-// AwaitCrashesStored returns once the owner has stored the crashes that this process has seen, or
-// after CrashReportTimeout. The next process of the agent knows nothing of them: an agent that stops
+// AwaitCrashesStored returns once the owner has stored the crashes that this process has seen and it
+// is known whether a worker that does not answer has crashed, or after CrashReportTimeout. The next process of the agent knows nothing of them: an agent that stops
 // earlier lets the tasks that crashed its worker crash others.
 func (g *Guardian) AwaitCrashesStored(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, CrashReportTimeout)
 	defer cancel()
 	for {
 		g.mu.Lock()
-		unstored := len(g.crashes)
+		unstored, undecided := len(g.crashes), g.isCrashUndecidedLocked()
 		g.mu.Unlock()
-		if unstored == 0 {
+		if unstored == 0 && !undecided {
 			return nil
 		}
 		if err := pauser.Pause(ctx, crashStoredInterval); err != nil {
-			g.config.Reporter.Report(reporter.CrashesNotStored, reporter.Fields{"crashes": unstored})
+			g.config.Reporter.Report(reporter.CrashesNotStored, reporter.Fields{"crashes": unstored, "undecided": undecided})
 			return nil
 		}
 	}
@@ -59,6 +59,11 @@
 	incarnationAnswered endProof = "another incarnation answered"
 )
 
+// isCrashUndecidedLocked reports whether the worker does not answer and may have crashed with runs.
+func (g *Guardian) isCrashUndecidedLocked() bool {
+	return !g.unresponsiveSince.IsZero() && !g.leaving && !g.crashRecorded && len(g.runs)+len(g.expiredRuns) > 0
+}
+
 // crash is a crash of the worker that the owner has not stored yet.
 type crash struct {
 	seq         int64
--- a/internal/worker/guardian/crash_test.go
+++ b/internal/worker/guardian/crash_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"bamboospread/internal/job/tracker"
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/wire/messenger"
 )
@@ -233,12 +234,14 @@
 	tests := []struct {
 		name       string
 		crash      bool
+		away       bool  // the worker does not answer, and a run was on it
 		stored     int64 // by the owner's reply that comes during the stop
 		wantWaited bool
 	}{
 		{name: "no crash"},
 		{name: "crash that is stored during the stop", crash: true, stored: 1, wantWaited: true},
 		{name: "crash that no owner stores", crash: true, wantWaited: true},
+		{name: "worker that may have crashed", away: true, wantWaited: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -249,6 +252,13 @@
 					call, from := g.nextPoll()
 					g.applyPoll(Status{Incarnation: "incarnation-2"}, call, from)
 				}
+				if tt.away {
+					g.runs[tracker.RunKey{Task: taskID(0), Number: 1}] = &run{state: running, confirmed: true}
+					_, from := g.nextPoll()
+					for range failedPollsToUnresponsive {
+						g.recordFailedPoll(ErrWorkerUnreachable{errNoAnswer}, from)
+					}
+				}
 				began := time.Now()
 				const replyAfter = time.Second
 				if tt.stored > 0 {
