runner: no poll before the worker has answered a renewal

Cause: a poll that names the epoch of an owner counts as proof that the leases of earlier owners are replaced at the worker; the owner then waits for its own, shorter lease only. The agent named the epoch as soon as it had the owner's reply, also if the connection of the renewal at its worker was refused. A failed call counted as one that took effect. Where the earlier owner had granted the outage lease (180 s by default), and the worker refused connections again afterwards, its tasks were started elsewhere after 6.3 s while they ran on.

Change: a renewal that failed is repeated before the next poll. Until the worker has answered it, the agent does not poll, as if it could not list the attempts; the owner waits for the longest lease.

--- a/internal/agent/runner/order.go
+++ b/internal/agent/runner/order.go
@@ -23,7 +23,7 @@
 	}
 	r.epoch = reply.Epoch
 	r.setConnected(true, nil)
-	r.leaseUntil = sent.Add(messenger.FromMillis(reply.LeaseMillis))
+	r.leaseUntil, r.renewalDue = sent.Add(messenger.FromMillis(reply.LeaseMillis)), true
 	if err := r.renewLeases(ctx); err != nil {
 		return err
 	}
@@ -51,6 +51,7 @@
 	if err := r.config.Driver.RenewLeasesUntil(ctx, r.leaseUntil.Round(0)); err != nil {
 		return fmt.Errorf("renew leases at worker: %w", err)
 	}
+	r.renewalDue = false
 	return nil
 }
 
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -51,6 +51,7 @@
 	epoch             int64 // highest seen
 	sequence          int64
 	leaseUntil        time.Time
+	renewalDue        bool // the worker has not answered the renewal up to leaseUntil
 	capacity          messenger.Capacity
 	capacityAt        time.Time
 	usageAt           time.Time
@@ -106,9 +107,7 @@
 
 // pollOnce makes one poll and executes its orders.
 func (r *Runner) pollOnce(ctx context.Context) error {
-	if err := r.readWorker(ctx); err != nil {
-		// A poll without the full list would make the owner treat the missing
-		// attempts as ended and run them elsewhere while they are running here.
+	if err := r.prepare(ctx); err != nil {
 		if !r.workerUnreachable {
 			r.config.Reporter.Report(reporter.RunnerWorkerNotResponding, reporter.Fields{"error": err.Error()})
 		}
@@ -131,6 +130,20 @@
 	return r.applyReply(ctx, sent, p, *reply)
 }
 
+// prepare makes the calls to the worker that a poll depends on. A poll without the full list would
+// make the owner treat the missing attempts as ended and run them elsewhere while they are running
+// here. One that names the epoch of an owner tells it that no lease of an earlier owner, which may be
+// much longer, is in force at the worker any more.
+func (r *Runner) prepare(ctx context.Context) error {
+	if err := r.readWorker(ctx); err != nil {
+		return err
+	}
+	if r.renewalDue {
+		return r.renewLeases(ctx)
+	}
+	return nil
+}
+
 func (r *Runner) setConnected(connected bool, err error) {
 	if connected == r.connected {
 		return
--- a/internal/control/controller/cell_test.go
+++ b/internal/control/controller/cell_test.go
@@ -5,8 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
+	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -40,6 +44,20 @@
 	controllers  []*Controller
 	stops        []context.CancelFunc
 	disconnected []*atomic.Bool
+	refused      []*refusedCalls
+}
+
+// refusedCalls refuses connections of an agent to its worker.
+type refusedCalls struct {
+	// refuse, if set, returns whether the connection of a call is refused.
+	refuse atomic.Pointer[func(*http.Request) bool]
+}
+
+func (c *refusedCalls) RoundTrip(r *http.Request) (*http.Response, error) {
+	if refuse := c.refuse.Load(); refuse != nil && (*refuse)(r) {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	}
+	return http.DefaultTransport.RoundTrip(r)
 }
 
 func newCell(t testing.TB, vms, controllers int) *cell {
@@ -105,8 +123,11 @@
 	})
 	disconnected := &atomic.Bool{}
 	c.disconnected = append(c.disconnected, disconnected)
+	refused := &refusedCalls{}
+	c.refused = append(c.refused, refused)
 	r := runner.New(runner.Config{
-		Cell: "c1", AgentID: fmt.Sprintf("a%d", i), Incarnation: 1, Driver: driver.New(driver.Config{URL: server.URL}),
+		Cell: "c1", AgentID: fmt.Sprintf("a%d", i), Incarnation: 1,
+		Driver: driver.New(driver.Config{URL: server.URL, HTTP: &http.Client{Transport: refused}}),
 		CallOwner: func(ctx context.Context, method string, params, result any) error {
 			if disconnected.Load() {
 				return errors.New("agent disconnected")
--- a/internal/wire/messenger/cell.go
+++ b/internal/wire/messenger/cell.go
@@ -128,7 +128,7 @@
 	Cell        string       `json:"cell"`
 	AgentID     string       `json:"agent-id"`
 	Incarnation int64        `json:"incarnation"`
-	Epoch       int64        `json:"epoch"` // highest epoch that the agent has seen
+	Epoch       int64        `json:"epoch"` // highest epoch that the agent has seen; its worker has answered a renewal of leases since
 	Sequence    int64        `json:"sequence"`
 	Capacity    Capacity     `json:"capacity"`
 	Upstreams   []Upstream   `json:"upstreams,omitempty"` // the needs of their services are committed on the VM
