runner: the first poll after a lost one is answered at once

Cause: the owner keeps an idle poll for up to a quarter of the lease, which is meant for a lease that was renewed a moment ago. After a session was closed, or the owner refused connections, the lease was renewed longest ago, and the first poll waited all the same.

TestFirstPollOfSessionIsAnsweredAtOnce fails for the three polls.

Change: an agent whose last poll was not answered asks for an answer at once (wait-ms 0).

--- a/internal/agent/runner/renewal_test.go
+++ b/internal/agent/runner/renewal_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"testing"
@@ -47,3 +48,30 @@
 		}
 	}
 }
+
+// TestFirstPollOfSessionIsAnsweredAtOnce guards against tasks that are given up after a short
+// interruption: a lease that is nearly over must not wait for as long as an idle poll may.
+func TestFirstPollOfSessionIsAnsweredAtOnce(t *testing.T) {
+	f := newFixture(t)
+	call := f.runner.config.CallOwner
+	for i, failed := range []bool{false, false, true, true, false, false} {
+		wait := pollWaitTime
+		if i == 0 || i == 3 || i == 4 { // the poll before was not answered
+			wait = 0
+		}
+		f.reply = func(p messenger.Poll) messenger.PollReply {
+			if got := messenger.FromMillis(p.WaitMillis); got != wait {
+				t.Errorf("poll %d may wait for %s, want %s", i, got, wait)
+			}
+			return messenger.PollReply{Epoch: 1, LeaseMillis: 6000}
+		}
+		f.runner.config.CallOwner = func(ctx context.Context, method string, params, result any) error {
+			err := call(ctx, method, params, result)
+			if failed {
+				err = errors.New("the connection is closed")
+			}
+			return err
+		}
+		_ = f.runner.pollOnce(t.Context())
+	}
+}
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -181,6 +181,9 @@
 		Sequence: r.sequence, Capacity: r.capacity, Upstreams: r.upstreams(), Leaving: r.leaving.Load(),
 		WaitMillis: messenger.Millis(pollWaitTime),
 	}
+	if !r.connected {
+		p.WaitMillis = 0 // the latest renewal is older than after a poll that was answered
+	}
 	for _, t := range r.tasks {
 		// The worker's report replaces an earlier refusal recorded here.
 		delete(r.refused, messenger.TaskAttempt{TaskID: t.TaskID, Attempt: t.Attempt})
