tests: workers and agents of tasks of classes whose connections are refused

The harness puts proxies between an agent and its worker, and between it and its upstream, where a test asks for them; the upstream's stand-in can announce another address than its own.

--- a/internal/cli/commander/standin_upstream.go
+++ b/internal/cli/commander/standin_upstream.go
@@ -53,6 +53,7 @@
 	cmd.Flags().DurationVar(&c.ServiceTime, "service-time", 2*time.Millisecond, "mean service time of a request")
 	cmd.Flags().StringVar(&distribution, "distribution", "fixed", "distribution of service times: fixed or exponential")
 	cmd.Flags().StringVar(&c.Agent, "agent", "", "URL of the agent's local listener to announce to; empty: none")
+	cmd.Flags().StringVar(&c.Advertise, "advertise", "", "address that it announces; empty: the one at which it listens")
 	cmd.Flags().StringVar(&witness, "witness-file", "", "append the requests that it runs to this file")
 	return cmd
 }
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -4,6 +4,7 @@
 package responder
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -50,6 +51,7 @@
 	Distribution Distribution
 	Seed         uint64
 	Agent        string        // URL of the agent to announce to; empty: none
+	Advertise    string        // address that is announced; empty: that of the listener
 	Announce     time.Duration // interval between announcements; default 1 s
 	Recorder     *recorder.Recorder
 	Now          func() time.Time
@@ -152,7 +154,7 @@
 	announced := make(chan struct{})
 	go func() {
 		defer close(announced)
-		u.announce(ctx, l.Addr().String())
+		u.announce(ctx, cmp.Or(u.config.Advertise, l.Addr().String()))
 		stop() // only now, since the agent sends no new requests once it was notified
 	}()
 	err := server.Serve(serving, &countingListener{Listener: l, u: u}, u.mux)
--- a/tests/harness/cluster.go
+++ b/tests/harness/cluster.go
@@ -43,6 +43,9 @@
 	// agent and executor. On the others an agent's connection is refused when the
 	// executor does not listen.
 	ExecutorLinks int
+	// LocalLinks puts proxies between the agent of each VM and its worker, and between
+	// the agent and the upstream.
+	LocalLinks bool
 }
 
 // Cluster runs a store, entries and VMs as processes. Each entry reaches the
@@ -72,8 +75,10 @@
 type VM struct {
 	Name, Zone, Rack        string
 	Worker, Upstream, Agent *Process
-	WorkerURL, UpstreamURL  string
-	Admin                   string // host:port of the agent's /metrics
+	WorkerURL, UpstreamURL  string       // direct, not through the links
+	WorkerLink              *proxy.Proxy // from the agent to the worker; nil: no proxy
+	UpstreamLink            *proxy.Proxy // from the agent to the upstream, for requests; nil: no proxy
+	Admin                   string       // host:port of the agent's /metrics
 }
 
 // New starts a cluster and waits until every process is ready.
@@ -167,15 +172,22 @@
 		"--witness-file", k.witnessFile("tasks", vm.Name),
 	}, c.WorkerArgs...)...)
 	k.wait(vm.WorkerURL + "/control/witness")
+	workerURL, upstreamArgs := vm.WorkerURL, c.UpstreamArgs
+	if c.LocalLinks {
+		vm.WorkerLink = k.StartProxy(proxy.Config{Target: worker})
+		vm.UpstreamLink = k.StartProxy(proxy.Config{Target: upstream})
+		workerURL = "http://" + vm.WorkerLink.Address()
+		upstreamArgs = append([]string{"--advertise", vm.UpstreamLink.Address()}, upstreamArgs...)
+	}
 	vm.Agent = k.startDialer("agent-"+vm.Name, append([]string{
 		"agent", "--id", "agent-" + vm.Name, "--vm", vm.Name, "--zone", vm.Zone, "--rack", vm.Rack,
-		"--entries", k.Entries[0].RPCLink.Address(), "--worker-url", vm.WorkerURL,
+		"--entries", k.Entries[0].RPCLink.Address(), "--worker-url", workerURL,
 		"--local-listen", local, "--listen", vm.Admin,
 	}, c.AgentArgs...)...)
 	vm.Upstream = StartProcess(k.t, "upstream-"+vm.Name, append([]string{
 		"standin", "upstream", "--listen", upstream, "--id", "upstream-" + vm.Name, "--service", c.Service,
 		"--agent", "http://" + local, "--witness-file", k.witnessFile("runs", vm.Name),
-	}, c.UpstreamArgs...)...)
+	}, upstreamArgs...)...)
 	return vm
 }
 
@@ -202,6 +214,10 @@
 		}
 	}
 	for _, vm := range k.VMs {
+		if vm.WorkerLink != nil {
+			vm.WorkerLink.Reset()
+			vm.UpstreamLink.Reset()
+		}
 		k.Control(vm.WorkerURL+"/control/faults", worker.Faults{})
 		k.Control(vm.UpstreamURL+"/control/modes", responder.Modes{})
 	}
--- a/tests/integration/control_testbed_test.go
+++ b/tests/integration/control_testbed_test.go
@@ -45,9 +45,16 @@
 }
 
 func newCellTestbed(t *testing.T, seed uint64, vms int, fleetText string) *cellTestbed {
+	t.Helper()
+	return newLinkedCellTestbed(t, seed, vms, fleetText, false)
+}
+
+// newLinkedCellTestbed returns a testbed in which, with links, agents reach their workers and upstreams
+// through proxies.
+func newLinkedCellTestbed(t *testing.T, seed uint64, vms int, fleetText string, links bool) *cellTestbed {
 	t.Helper()
 	k := harness.New(t, harness.Config{
-		Entries: 2, VMs: vms,
+		Entries: 2, VMs: vms, LocalLinks: links,
 		EntryArgs: []string{
 			"--owner-lease", testOwnerLease.String(), "--vm-lease", testVMLease.String(),
 			"--outage-lease", testOutageLease.String(), "--log-level", "info",
