gatekeeper: a request whose connection was reset keeps its slot

Cause: a reset connection between agent and upstream counted as the end of the request that was sent over it. The agent freed the slot at once, while the upstream, which lives, ran on.

Change: the slot of such a request stays occupied until the upstream states that it does not run the request any more, or until 5 s past the deadline, as for a request without an answer. Upstreams may state the ids of the requests that they run in their announcements (running); the stand-in does. The end of the stream frees the slot at once as before: the upstream's side has sent it, also when its process has ended. A planned stop of the agent does not wait for such requests.

--- a/internal/agent/gatekeeper/exchange.go
+++ b/internal/agent/gatekeeper/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -23,9 +24,10 @@
 }
 
 // exchange sends the request once and reads the whole response. checkSend returns
-// a reason not to send the request, or an empty string.
-func (u *upstream) exchange(c Config, r messenger.RunRequest, deadline time.Time, checkSend func() string) messenger.RunReply {
-	reply := messenger.RunReply{RequestID: r.RequestID, Attempt: r.Attempt, Outcome: messenger.OutcomeNotRun}
+// a reason not to send the request, or an empty string. A request is lost if the
+// upstream may run it beyond the exchange.
+func (u *upstream) exchange(c Config, r messenger.RunRequest, deadline time.Time, checkSend func() string) (reply messenger.RunReply, lost bool) {
+	reply = messenger.RunReply{RequestID: r.RequestID, Attempt: r.Attempt, Outcome: messenger.OutcomeNotRun}
 	var message bytes.Buffer
 	req, err := newRequest(r, u.address)
 	if err == nil {
@@ -33,19 +35,19 @@
 	}
 	if err != nil {
 		reply.Reason = err.Error()
-		return reply
+		return reply, false
 	}
 	conn, err := u.connect(c, deadline)
 	if err != nil {
 		reply.Reason = err.Error()
-		return reply
+		return reply, false
 	}
 	// The agent may have been paused since the request was admitted, and the
 	// upstream may have left meanwhile. So the conditions are checked again
 	// immediately before the single write that sends the request.
 	if reply.Reason = checkSend(); reply.Reason != "" {
 		u.pool.put(conn, c.Now())
-		return reply
+		return reply, false
 	}
 	// From here on the upstream may have received a part of the request.
 	reply.Outcome = messenger.OutcomeUnknown
@@ -53,13 +55,13 @@
 	if err != nil {
 		u.pool.drop(conn)
 		reply.Reason = err.Error()
-		return reply
+		return reply, connectionLost(err)
 	}
 	body, err := readBody(resp, r)
 	if err != nil {
 		u.pool.drop(conn)
 		reply.Reason = err.Error()
-		return reply
+		return reply, connectionLost(err)
 	}
 	if resp.Close || req.Close || conn.reader.Buffered() > 0 {
 		u.pool.drop(conn)
@@ -69,7 +71,15 @@
 	removeHopHeaders(resp.Header)
 	reply.Outcome, reply.Status, reply.Header = messenger.OutcomeRun, resp.StatusCode, messenger.PackHeader(resp.Header)
 	reply.Body, reply.BodyLength = body, len(body)
-	return reply
+	return reply, false
+}
+
+// connectionLost reports whether an exchange ended because its connection was reset, or is
+// broken in another way: that shows nothing about the upstream, which may run the request. The end of
+// the stream was sent by the upstream's side itself.
+func connectionLost(err error) bool {
+	var broken *net.OpError
+	return errors.As(err, &broken) && !broken.Timeout()
 }
 
 // connect returns a connection that times out c.MaxOverrun after the deadline of
--- a/internal/agent/gatekeeper/gatekeeper.go
+++ b/internal/agent/gatekeeper/gatekeeper.go
@@ -33,7 +33,7 @@
 	// of its last renewal.
 	Expiry time.Duration
 	// MaxOverrun is how long the slot of a request past its deadline stays
-	// occupied while its upstream is still working on it; default 5 s.
+	// occupied while its upstream is, or may be, still working on it; default 5 s.
 	MaxOverrun  time.Duration
 	DialTimeout time.Duration // default 1 s
 	// MaxWait is how long a request may wait for a slot; default 10 ms, negative:
@@ -146,8 +146,11 @@
 	// slot at the deadline would send a slow upstream more requests than it has
 	// slots.
 	go func() {
-		reply := u.exchange(g.config, r, deadline, func() string { return g.checkSend(u, deadline) })
-		reply.InFlight = g.release(u, started, reply)
+		reply, lost := u.exchange(g.config, r, deadline, func() string { return g.checkSend(u, deadline) })
+		if lost {
+			g.keepSlot(u, r.RequestID, deadline)
+		}
+		reply.InFlight = g.release(u, started, reply, lost)
 		done <- reply
 	}()
 	timer := time.NewTimer(time.Until(deadline))
@@ -260,17 +263,15 @@
 	return ""
 }
 
-// release frees the slot or passes it to the next waiter, and returns how many
-// requests the upstream still has.
-func (g *Gatekeeper) release(u *upstream, started time.Time, reply messenger.RunReply) int {
+// release ends an exchange, frees its slot unless its request was lost, and returns how many requests
+// the upstream still has.
+func (g *Gatekeeper) release(u *upstream, started time.Time, reply messenger.RunReply, lost bool) int {
 	elapsed := g.config.Now().Sub(started)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if w := u.pop(); w != nil {
-		w.granted <- true // the slot stays occupied
-	} else {
-		u.inFlight--
-		g.inFlight--
+	g.inFlight--
+	if !lost {
+		g.freeSlot(u)
 	}
 	if reply.Outcome != messenger.OutcomeNotRun {
 		u.meanTime += (elapsed - u.meanTime) / ewmaDivisor
@@ -287,6 +288,16 @@
 	return u.load()
 }
 
+// freeSlot frees a slot or passes it to the next waiter. The caller holds mu.
+func (g *Gatekeeper) freeSlot(u *upstream) {
+	if w := u.pop(); w != nil {
+		w.granted <- true // the slot stays occupied
+		g.inFlight++
+		return
+	}
+	u.inFlight--
+}
+
 func (g *Gatekeeper) closeDrained() {
 	select {
 	case <-g.drained:
--- a/internal/agent/gatekeeper/handler.go
+++ b/internal/agent/gatekeeper/handler.go
@@ -25,6 +25,11 @@
 	// share the clock of their VM. When an agent resumes after a pause, its
 	// socket holds old renewals; SentAtMillis shows that they are old.
 	SentAtMillis int64 `json:"sent-at-ms,omitempty"`
+	// Running are the ids of the requests that the upstream runs, optional; it
+	// takes effect with SentAtMillis. Without it the slot of a request whose
+	// connection was reset stays occupied for as long as that of one without an
+	// answer.
+	Running []string `json:"running"`
 }
 
 // Handler serves the announcements of local upstreams: POST /v1/upstreams renews
@@ -69,6 +74,9 @@
 	changed := g.renew(a, sent)
 	if u := g.upstreams[a.ID]; u != nil && sent.After(u.renewed) {
 		u.renewed = sent
+		if a.Running != nil && a.SentAtMillis > 0 {
+			g.applyRunning(u, a.Running, sent)
+		}
 	}
 	notify := g.onChange
 	g.mu.Unlock()
--- a/internal/agent/gatekeeper/upstream.go
+++ b/internal/agent/gatekeeper/upstream.go
@@ -20,7 +20,8 @@
 	connections int
 	leaving     bool
 	renewed     time.Time
-	inFlight    int
+	inFlight    int            // slots that are occupied
+	lost        []*lostRequest // in the order of their loss; they occupy slots
 	meanTime    time.Duration
 	pool        *pool
 	waiters     []*waiter // in the order of their deadlines
--- a/internal/standin/responder/announce.go
+++ b/internal/standin/responder/announce.go
@@ -28,6 +28,9 @@
 	// SentAtMillis is the Unix time of sending: an agent that was paused reads old
 	// announcements when it resumes and must not treat them as new ones.
 	SentAtMillis int64 `json:"sent-at-ms"`
+	// Running are the ids of the requests that the upstream runs: an agent whose
+	// connection was reset can't know.
+	Running []string `json:"running"`
 }
 
 // announce announces the upstream to the agent until ctx ends, then deregisters it.
@@ -39,7 +42,8 @@
 		Slots: u.config.Slots, Connections: u.config.Connections, State: messenger.UpstreamReady,
 	}
 	for ctx.Err() == nil {
-		a.SentAtMillis = time.Now().UnixMilli()
+		a.SentAtMillis = time.Now().UnixMilli() // before the list, so that it holds then
+		a.Running = u.runningIDs()
 		body, err := json.Marshal(a)
 		if err != nil {
 			panic(err) // a struct of strings and numbers
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -8,9 +8,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -67,6 +69,7 @@
 	random      *rand.Rand
 	modes       Modes
 	running     int
+	requests    map[*http.Request]string // ids of the running ones
 	connections int
 	counts      Counts
 	previous    answer // to the request before, for crossed answers
@@ -119,7 +122,7 @@
 	}
 	u := &Upstream{
 		config: c, mux: http.NewServeMux(), random: rand.New(rand.NewPCG(c.Seed, c.Seed)),
-		http: &http.Client{Timeout: 2 * time.Second},
+		http: &http.Client{Timeout: 2 * time.Second}, requests: make(map[*http.Request]string),
 	}
 	u.mux.HandleFunc("POST /control/modes", u.handleSetModes)
 	u.mux.HandleFunc("GET /control/counts", func(w http.ResponseWriter, _ *http.Request) {
@@ -146,6 +149,13 @@
 	return append([]Run(nil), u.runs...)
 }
 
+// runningIDs returns the ids of the requests that run; it is never nil.
+func (u *Upstream) runningIDs() []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.AppendSeq([]string{}, maps.Values(u.requests))
+}
+
 // Run announces the upstream and serves on l until ctx ends. It then deregisters at
 // the agent, finishes the running requests and returns.
 func (u *Upstream) Run(ctx context.Context, l net.Listener) error {
@@ -222,6 +232,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.running++
+	u.requests[r] = r.Header.Get(RequestIDHeader)
 	u.counts.Requests++
 	u.counts.MostRunning = max(u.counts.MostRunning, u.running)
 	overload := u.running > u.config.Slots
@@ -248,6 +259,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.running--
+	delete(u.requests, r)
 	u.recordLocked(r, "end", false)
 	other := u.previous
 	u.previous = a
--- a/tests/integration/request_testbed_test.go
+++ b/tests/integration/request_testbed_test.go
@@ -41,13 +41,20 @@
 // newRequestTestbed starts two entries and four VMs and waits until each entry answers
 // requests.
 func newRequestTestbed(t *testing.T, upstreamArgs ...string) *requestTestbed {
+	t.Helper()
+	return newLinkedRequestTestbed(t, false, upstreamArgs...)
+}
+
+// newLinkedRequestTestbed returns a testbed in which, with links, agents reach their upstreams through
+// proxies.
+func newLinkedRequestTestbed(t *testing.T, links bool, upstreamArgs ...string) *requestTestbed {
 	t.Helper()
 	b := &requestTestbed{
 		t: t, seed: harness.Seed(t),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
 	b.Cluster = harness.New(t, harness.Config{
-		VMs: 4, Service: requestService, UpstreamArgs: upstreamArgs,
+		VMs: 4, Service: requestService, UpstreamArgs: upstreamArgs, LocalLinks: links,
 		// If the entries had zones, most agents would be idle, and faults injected
 		// there would test nothing.
 		EntryArgs: []string{"--zone", ""},
