driver, runner: tests of what failed calls to a worker show

None found here. A call is unavailable only if it never got a connection, or was answered with 503; a proxy may answer so after the worker has carried the call out, but every start that failed, however, is first stopped at the worker, and reported as not started only once the stop was answered. What the worker lists replaces such a report.

The comment on ErrUnavailable promised that a 503 had no effect; it now says what may be concluded.

--- a/internal/agent/runner/outage_test.go
+++ b/internal/agent/runner/outage_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"testing"
 
 	"bamboospread/internal/standin/worker"
@@ -58,3 +59,39 @@
 		})
 	}
 }
+
+// answeredByProxy has the worker carry calls out and answers with a status of a proxy.
+type answeredByProxy struct {
+	paths  []string
+	status int
+}
+
+func (a *answeredByProxy) RoundTrip(r *http.Request) (*http.Response, error) {
+	reply, err := http.DefaultTransport.RoundTrip(r)
+	if err == nil && slices.Contains(a.paths, r.URL.Path) {
+		reply.StatusCode = a.status
+	}
+	return reply, err
+}
+
+// TestStartAnsweredByProxyIsNotStartedElsewhere guards against tasks that run twice: a proxy may answer a
+// start that the worker has carried out as if the worker were unavailable.
+func TestStartAnsweredByProxyIsNotStartedElsewhere(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusBadGateway, http.StatusGatewayTimeout, http.StatusTooManyRequests, http.StatusForbidden} {
+		for _, stopped := range []bool{true, false} {
+			f := newFixture(t)
+			path := &answeredByProxy{paths: []string{driver.PathStart}, status: status}
+			want := messenger.ReportStopped
+			if !stopped {
+				path.paths = append(path.paths, driver.PathStop)
+			}
+			f.runner.config.Driver = driver.New(driver.Config{URL: f.url, HTTP: &http.Client{Transport: path}})
+			f.poll(messenger.PollReply{Epoch: 1, LeaseMillis: 6000, Orders: []messenger.Order{start("t", 1, 1, 500)}}, 0)
+			f.poll(messenger.PollReply{Epoch: 1, LeaseMillis: 6000}, 0)
+			reports := f.polls[len(f.polls)-1].Tasks
+			if len(reports) != 1 || reports[0].State != want || reports[0].Unavailable || f.starts() != 1 {
+				t.Errorf("status %d, stop answered %t: %d starts, reported %+v, want what the worker lists, %s", status, stopped, f.starts(), reports, want)
+			}
+		}
+	}
+}
--- a/internal/worker/driver/driver.go
+++ b/internal/worker/driver/driver.go
@@ -53,8 +53,10 @@
 // IsErrTaskNotExist reports whether err is, or wraps, an ErrTaskNotExist.
 func IsErrTaskNotExist(err error) bool { return asError[ErrTaskNotExist](err) }
 
-// ErrUnavailable is returned when the worker refused the call or could not be reached before
-// the call was sent: the call had no effect.
+// ErrUnavailable is returned when the worker could not be reached before the call was sent, or
+// answered with status 503, which it does without an effect. A proxy may answer so after the
+// worker has carried the call out: nothing may be concluded from a start that failed so before
+// the worker has answered its stop.
 type ErrUnavailable struct{ Cause error }
 
 func (e ErrUnavailable) Error() string { return fmt.Sprintf("worker unavailable: %v", e.Cause) }
@@ -277,7 +279,8 @@
 }
 
 // do makes one call. Without a response it returns ErrUnavailable if the call never got a
-// connection, so that nothing was sent, and ErrOutcomeUnknown otherwise.
+// connection, so that nothing was sent, and ErrOutcomeUnknown otherwise. Neither says that the
+// worker's process has ended.
 func (d *Driver) do(ctx context.Context, method, path string, body []byte, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, d.config.CallTimeout)
 	defer cancel()
