driver: a renewal of leases that had no effect is an error

Cause: the worker ignores a renewal whose number is below the latest it has seen, and says so; RenewLeasesUntil returned no error. After a restart of the agent and a jump back of the clock, the first poll that names an owner's epoch told it that the leases of earlier owners were replaced, before that was so.

Change: ErrRenewalIgnored. The renewal is repeated, with a number above the latest, before the next poll.

--- a/internal/agent/runner/renewal_test.go
+++ b/internal/agent/runner/renewal_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"testing"
+	"time"
 
 	"bamboospread/internal/wire/messenger"
 	"bamboospread/internal/worker/driver"
@@ -49,6 +50,30 @@
 	}
 }
 
+// TestPollsFollowRenewalsThatTookEffect guards against the same, where the clock has stepped back since an
+// earlier process of the agent: the worker ignores the first renewal of this one.
+func TestPollsFollowRenewalsThatTookEffect(t *testing.T) {
+	f := newFixture(t)
+	earlier := driver.New(driver.Config{URL: f.url, Now: func() time.Time { return time.Now().Add(time.Hour) }})
+	if err := earlier.RenewLeases(t.Context(), time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	path := &failingRenewals{}
+	f.runner.config.Driver = driver.New(driver.Config{URL: f.url, HTTP: &http.Client{Transport: path}})
+	f.reply = func(p messenger.Poll) messenger.PollReply {
+		if p.Epoch > 0 && path.answered < 2 {
+			t.Errorf("a poll of epoch %d after %d renewals, the first of which was ignored", p.Epoch, path.answered)
+		}
+		return messenger.PollReply{Epoch: 1, LeaseMillis: 6000}
+	}
+	for range 3 {
+		_ = f.runner.pollOnce(t.Context())
+	}
+	if len(f.polls) != 3 {
+		t.Errorf("%d polls", len(f.polls))
+	}
+}
+
 // TestFirstPollOfSessionIsAnsweredAtOnce guards against tasks that are given up after a short
 // interruption: a lease that is nearly over must not wait for as long as an idle poll may.
 func TestFirstPollOfSessionIsAnsweredAtOnce(t *testing.T) {
--- a/internal/worker/driver/driver.go
+++ b/internal/worker/driver/driver.go
@@ -77,6 +77,17 @@
 // IsErrOutcomeUnknown reports whether err is, or wraps, an ErrOutcomeUnknown.
 func IsErrOutcomeUnknown(err error) bool { return asError[ErrOutcomeUnknown](err) }
 
+// ErrRenewalIgnored is returned for a renewal of leases that had no effect, since the worker has
+// seen one with a higher number. The next renewal has a number above that one.
+type ErrRenewalIgnored struct{ Number, Latest int64 }
+
+func (e ErrRenewalIgnored) Error() string {
+	return fmt.Sprintf("renewal %d of leases was ignored: the worker has seen renewal %d", e.Number, e.Latest)
+}
+
+// IsErrRenewalIgnored reports whether err is, or wraps, an ErrRenewalIgnored.
+func IsErrRenewalIgnored(err error) bool { return asError[ErrRenewalIgnored](err) }
+
 func asError[T error](err error) bool {
 	var target T
 	return errors.As(err, &target)
@@ -200,6 +211,7 @@
 		// An earlier process numbered its renewals by a clock that has jumped back since.
 		// This call had no effect; the next ones will.
 		d.nextNumber(a.Number)
+		return ErrRenewalIgnored{Number: c.Number, Latest: a.Number}
 	}
 	return nil
 }
