--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -4,12 +4,15 @@
 package responder
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -50,6 +53,7 @@
 	Distribution Distribution
 	Seed         uint64
 	Agent        string        // URL of the agent to announce to; empty: none
+	Advertise    string        // address that is announced; empty: that of the listener
 	Announce     time.Duration // interval between announcements; default 1 s
 	Recorder     *recorder.Recorder
 	Now          func() time.Time
@@ -65,6 +69,7 @@
 	random      *rand.Rand
 	modes       Modes
 	running     int
+	requests    map[*http.Request]string // ids of the running ones
 	connections int
 	counts      Counts
 	previous    answer // to the request before, for crossed answers
@@ -117,7 +122,7 @@
 	}
 	u := &Upstream{
 		config: c, mux: http.NewServeMux(), random: rand.New(rand.NewPCG(c.Seed, c.Seed)),
-		http: &http.Client{Timeout: 2 * time.Second},
+		http: &http.Client{Timeout: 2 * time.Second}, requests: make(map[*http.Request]string),
 	}
 	u.mux.HandleFunc("POST /control/modes", u.handleSetModes)
 	u.mux.HandleFunc("GET /control/counts", func(w http.ResponseWriter, _ *http.Request) {
@@ -144,6 +149,13 @@
 	return append([]Run(nil), u.runs...)
 }
 
+// runningIDs returns the ids of the requests that run; it is never nil.
+func (u *Upstream) runningIDs() []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.AppendSeq([]string{}, maps.Values(u.requests))
+}
+
 // Run announces the upstream and serves on l until ctx ends. It then deregisters at
 // the agent, finishes the running requests and returns.
 func (u *Upstream) Run(ctx context.Context, l net.Listener) error {
@@ -152,7 +164,7 @@
 	announced := make(chan struct{})
 	go func() {
 		defer close(announced)
-		u.announce(ctx, l.Addr().String())
+		u.announce(ctx, cmp.Or(u.config.Advertise, l.Addr().String()))
 		stop() // only now, since the agent sends no new requests once it was notified
 	}()
 	err := server.Serve(serving, &countingListener{Listener: l, u: u}, u.mux)
@@ -220,6 +232,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.running++
+	u.requests[r] = r.Header.Get(RequestIDHeader)
 	u.counts.Requests++
 	u.counts.MostRunning = max(u.counts.MostRunning, u.running)
 	overload := u.running > u.config.Slots
@@ -246,6 +259,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.running--
+	delete(u.requests, r)
 	u.recordLocked(r, "end", false)
 	other := u.previous
 	u.previous = a
--- a/internal/worker/driver/driver.go
+++ b/internal/worker/driver/driver.go
@@ -53,8 +53,10 @@
 // IsErrTaskNotExist reports whether err is, or wraps, an ErrTaskNotExist.
 func IsErrTaskNotExist(err error) bool { return asError[ErrTaskNotExist](err) }
 
-// ErrUnavailable is returned when the worker refused the call or could not be reached before
-// the call was sent: the call had no effect.
+// ErrUnavailable is returned when the worker could not be reached before the call was sent, or
+// answered with status 503, which it does without an effect. A proxy may answer so after the
+// worker has carried the call out: nothing may be concluded from a start that failed so before
+// the worker has answered its stop.
 type ErrUnavailable struct{ Cause error }
 
 func (e ErrUnavailable) Error() string { return fmt.Sprintf("worker unavailable: %v", e.Cause) }
@@ -75,6 +77,17 @@
 // IsErrOutcomeUnknown reports whether err is, or wraps, an ErrOutcomeUnknown.
 func IsErrOutcomeUnknown(err error) bool { return asError[ErrOutcomeUnknown](err) }
 
+// ErrRenewalIgnored is returned for a renewal of leases that had no effect, since the worker has
+// seen one with a higher number. The next renewal has a number above that one.
+type ErrRenewalIgnored struct{ Number, Latest int64 }
+
+func (e ErrRenewalIgnored) Error() string {
+	return fmt.Sprintf("renewal %d of leases was ignored: the worker has seen renewal %d", e.Number, e.Latest)
+}
+
+// IsErrRenewalIgnored reports whether err is, or wraps, an ErrRenewalIgnored.
+func IsErrRenewalIgnored(err error) bool { return asError[ErrRenewalIgnored](err) }
+
 func asError[T error](err error) bool {
 	var target T
 	return errors.As(err, &target)
@@ -198,6 +211,7 @@
 		// An earlier process numbered its renewals by a clock that has jumped back since.
 		// This call had no effect; the next ones will.
 		d.nextNumber(a.Number)
+		return ErrRenewalIgnored{Number: c.Number, Latest: a.Number}
 	}
 	return nil
 }
@@ -277,7 +291,8 @@
 }
 
 // do makes one call. Without a response it returns ErrUnavailable if the call never got a
-// connection, so that nothing was sent, and ErrOutcomeUnknown otherwise.
+// connection, so that nothing was sent, and ErrOutcomeUnknown otherwise. Neither says that the
+// worker's process has ended.
 func (d *Driver) do(ctx context.Context, method, path string, body []byte, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, d.config.CallTimeout)
 	defer cancel()
