scheduler: a delayed report of an agent's former process is refused

Cause: the owner accepted a report of another process of an agent at once when the connection of the present session had ended, or after 1.5 s without its reports. A network resets and cuts connections of an agent that lives. A report of the agent's former process, delayed on a connection that was still open to the owner, then opened a session, and all runs that had started since were given up and started again elsewhere, although they ran.

Not seen in a record of the users.

Change: connections carry a number, in the order in which a listener's clients opened them. A report of another process on a connection that was opened before that of the present session is refused, whatever has become of that session. A process that lives opens another connection after a refusal; it is accepted as before: at once if the session's connection has ended, after 1.5 s of silence otherwise.

A row of TestLateReportOfEndedProcess wanted the delayed report of an ended process accepted after a silence, and the running process refused then. That was the fault. It now wants the report refused and the running process accepted; the old expectation stands in rows for a connection that was opened later.

What remains: a connection that the owner's kernel completes only after the next process's one, because the last packet of its handshake was lost, counts as the later one.

--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -26,9 +26,10 @@
 	process int64   // identifies the agent's process
 	ended   []int64 // the agent's earlier processes, the latest last
 	conn    *connector.Conn
-	// connDone is closed with the connection.
-	connDone <-chan struct{}
-	epoch    int64
+	// connNumber is the number of the connection: lower ones were opened before.
+	connNumber int64
+	connDone   <-chan struct{} // closed with the connection
+	epoch      int64
 	// granted is as reported by the agent. An order may overtake the reply with the grant, and
 	// without a grant the agent has no lease to start anything under.
 	granted bool
@@ -52,12 +53,13 @@
 
 // reportReceived is the event of a report. The sender waits for its answer.
 type reportReceived struct {
-	conn     *connector.Conn
-	connDone <-chan struct{} // closed with the connection
-	report   messenger.WorkReport
-	info     tracker.VMInfo
-	parsed   tracker.Report
-	answer   chan messenger.WorkReply
+	conn       *connector.Conn
+	connNumber int64           // of the connection
+	connDone   <-chan struct{} // closed with the connection
+	report     messenger.WorkReport
+	info       tracker.VMInfo
+	parsed     tracker.Report
+	answer     chan messenger.WorkReply
 }
 
 // report handles an agent's report and replies once it is applied.
@@ -72,7 +74,7 @@
 		o.s.config.Reporter.Report(reporter.MessageMalformed, reporter.Fields{"vm": r.VM, "error": err.Error()})
 		return messenger.WorkReply{}, connector.Errorf(messenger.CodeBadRequest, "report of %s: %v", r.VM, err)
 	}
-	e := reportReceived{conn: c, connDone: ctx.Done(), report: r, info: info, parsed: parsed, answer: make(chan messenger.WorkReply, 1)}
+	e := reportReceived{conn: c, connNumber: c.Number(), connDone: ctx.Done(), report: r, info: info, parsed: parsed, answer: make(chan messenger.WorkReply, 1)}
 	if err := o.send(ctx, e); err != nil {
 		return messenger.WorkReply{}, connector.Errorf(messenger.CodeNotOwner, "%v", err)
 	}
@@ -113,7 +115,7 @@
 
 func (e reportReceived) apply(o *owner, now time.Time) {
 	s := o.sessions[e.report.VM]
-	if e.connClosed() || s != nil && s.supersedes(e.report, now) {
+	if e.connClosed() || s != nil && s.supersedes(e, now) {
 		e.answer <- messenger.WorkReply{} // superseded by a later session
 		return
 	}
@@ -202,20 +204,29 @@
 
 // supersedes reports whether s is later than the session of a report. Session numbers rise only
 // within one process of the agent: a process takes its first number from the clock, and the
-// time of day may jump back before the next process starts. While the current process reports on
-// an open connection, a report of another one is late. Reports of a replaced process are accepted
-// again once the current one has stopped reporting, since the current one may be the process that
-// has ended.
-func (s *session) supersedes(r messenger.WorkReport, now time.Time) bool {
+// time of day may jump back before the next process starts.
+//
+// A report of another process that arrives on a connection opened before that of s is late: its
+// process has ended or was replaced. Neither the end of the connection of s nor silence shows
+// that the process of s has ended, since a network resets and cuts connections of processes that
+// live. A process that lives opens another connection after the refusal.
+//
+// On a later connection, a process that was replaced is accepted again once the current one has
+// stopped reporting, since the current one may be the process that has ended.
+func (s *session) supersedes(e reportReceived, now time.Time) bool {
+	r := e.report
 	if r.Process == s.process {
 		return r.Session < s.number
 	}
+	if e.connNumber < s.connNumber {
+		return true
+	}
 	return (slices.Contains(s.ended, r.Process) || !isClosed(s.connDone)) && now.Sub(s.vm.GrantedAt) <= reportTimeout
 }
 
 // next returns the session that a report opens after s. s may be nil.
 func (s *session) next(vm *tracker.VM, e reportReceived) *session {
-	n := &session{vm: vm, number: e.report.Session, process: e.report.Process, conn: e.conn, connDone: e.connDone, payloads: abridger.NewPayloadAbridger(e.report.KeepsPayloads)}
+	n := &session{vm: vm, number: e.report.Session, process: e.report.Process, conn: e.conn, connNumber: e.connNumber, connDone: e.connDone, payloads: abridger.NewPayloadAbridger(e.report.KeepsPayloads)}
 	if s == nil {
 		return n
 	}
--- a/internal/job/scheduler/session_test.go
+++ b/internal/job/scheduler/session_test.go
@@ -160,30 +160,37 @@
 	tests := []struct {
 		name     string
 		connDone chan struct{} // closed with the connection of the late report
+		later    bool          // that connection was opened after the running process's one
 		silent   time.Duration // between the last report of the running process and the late one
 		late     bool          // the late report is accepted
 		after    time.Duration // between it and the next session of the running process
 		accepted bool          // the next session of the running process is accepted
 	}{
-		{"its connection has ended", ended, 0, false, 0, true},
-		{"its connection seems open", open, 0, false, 0, true},
-		{"its connection seems open, the running process has been silent", open, reportTimeout + time.Millisecond, true, 0, false},
-		{"the same, and no more reports arrive", open, reportTimeout + time.Millisecond, true, reportTimeout + time.Millisecond, true},
+		{"its connection has ended", ended, false, 0, false, 0, true},
+		{"its connection seems open", open, false, 0, false, 0, true},
+		{"its connection seems open, the running process has been silent", open, false, reportTimeout + time.Millisecond, false, 0, true},
+		{"its connection was opened later and has ended", ended, true, 0, false, 0, true},
+		{"its connection was opened later", open, true, 0, false, 0, true},
+		{"its connection was opened later, the running process has been silent", open, true, reportTimeout + time.Millisecond, true, 0, false},
+		{"the same, and no more reports arrive", open, true, reportTimeout + time.Millisecond, true, reportTimeout + time.Millisecond, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			b := newStopFixture(t)
-			b.report.Process, b.report.Session = 2000, 2001
+			b.report.Process, b.report.Session, b.connNumber = 2000, 2001, 2
 			if !b.sendReportOn(new(connector.Conn), nil) {
 				t.Fatal("the running process is refused")
 			}
 			b.now = b.now.Add(tt.silent)
+			if b.connNumber = 1; tt.later {
+				b.connNumber = 3
+			}
 			b.report.Process, b.report.Session = 1000, 1001
 			if got := b.sendReportOn(new(connector.Conn), tt.connDone); got != tt.late {
 				t.Fatalf("the late report is accepted: %t", got)
 			}
 			b.now = b.now.Add(tt.after)
-			b.report.Process, b.report.Session = 2000, 2002
+			b.report.Process, b.report.Session, b.connNumber = 2000, 2002, 4
 			if got := b.sendReportOn(new(connector.Conn), nil); got != tt.accepted {
 				t.Errorf("the running process is accepted: %t, want %t", got, tt.accepted)
 			}
--- a/internal/job/scheduler/stops_test.go
+++ b/internal/job/scheduler/stops_test.go
@@ -20,11 +20,12 @@
 
 // stopFixture is an owner with one long-running task that runs on one VM, and its log.
 type stopFixture struct {
-	t      *testing.T
-	o      *owner
-	log    *bytes.Buffer
-	now    time.Time
-	report messenger.WorkReport
+	t          *testing.T
+	o          *owner
+	log        *bytes.Buffer
+	now        time.Time
+	report     messenger.WorkReport
+	connNumber int64 // of the connection that the report is read from
 }
 
 func newStopFixture(t *testing.T) *stopFixture {
@@ -62,7 +63,7 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	e := reportReceived{conn: c, connDone: connDone, report: b.report, parsed: parsed, info: info, answer: make(chan messenger.WorkReply, 1)}
+	e := reportReceived{conn: c, connNumber: b.connNumber, connDone: connDone, report: b.report, parsed: parsed, info: info, answer: make(chan messenger.WorkReply, 1)}
 	e.apply(b.o, b.now)
 	return (<-e.answer).Epoch != 0
 }
--- a/internal/wire/connector/connector.go
+++ b/internal/wire/connector/connector.go
@@ -62,6 +62,7 @@
 type Conn struct {
 	queued  *queuedConn
 	remote  string
+	number  int64
 	handle  Handler
 	arrival arrival
 	account *limiter.Account
@@ -144,6 +145,9 @@
 	}
 }
 
+// lastNumber is the number of the latest connection of this process.
+var lastNumber atomic.Int64
+
 // newConn returns a connection whose account is the result of open.
 func newConn(raw net.Conn, config Config, open func(l *limiter.Limiter, remote string, end func()) *limiter.Account) *Conn {
 	if config.Limiter == nil {
@@ -153,7 +157,7 @@
 		config.MaxRequests = DefaultMaxRequests
 	}
 	c := &Conn{
-		queued: newQueuedConn(raw), remote: raw.RemoteAddr().String(), handle: config.Handle, limiter: config.Limiter,
+		queued: newQueuedConn(raw), remote: raw.RemoteAddr().String(), number: lastNumber.Add(1), handle: config.Handle, limiter: config.Limiter,
 		done: make(chan struct{}), requests: make(chan message), maxHandling: int64(config.MaxRequests), pending: make(map[uint64]chan message),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -414,5 +418,9 @@
 // Remote returns the address of the other side.
 func (c *Conn) Remote() string { return c.remote }
 
+// Number returns the number of the connection. Those accepted on one listener are numbered in the order in
+// which they were opened.
+func (c *Conn) Number() int64 { return c.number }
+
 // Close closes the connection; pending calls return an error.
 func (c *Conn) Close() error { return c.queued.Close() }
--- a/internal/wire/connector/connector_test.go
+++ b/internal/wire/connector/connector_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -160,3 +161,35 @@
 		}
 	}
 }
+
+// TestConnectionsAreNumberedInTheOrderOfOpening guards against an owner that takes an ended process's
+// connection for a later one, and loses runs by its report. The listener accepts them late.
+func TestConnectionsAreNumberedInTheOrderOfOpening(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const connections = 50
+	order := make(map[string]int, connections) // by the client's address
+	for i := range connections {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		order[c.LocalAddr().String()] = i
+	}
+	accepted := make(chan *Conn, connections)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- Serve(ctx, l, refuse, func(c *Conn) { accepted <- c }) }()
+	t.Cleanup(func() { cancel(); <-done })
+	numbers := make([]int64, connections)
+	for range connections {
+		c := <-accepted
+		numbers[order[c.Remote()]] = c.Number()
+	}
+	if !slices.IsSorted(numbers) {
+		t.Errorf("numbers in the order of opening: %v", numbers)
+	}
+}
