scheduler: a former process of an agent that is awake again ends no runs

Cause: two processes of an agent can live, one of them frozen and awake again. Once the connection of the present one had been reset, the other one's report was accepted on its next connection, also when its list of runs was from before it stood still: its worker had not answered it since. The runs that had started meanwhile counted as lost and were started again elsewhere.

Evidence: TestReportOfFormerProcessAwakeAgain, with the owner's reports over real connections: on the code before, the three cases with an old list lose the run.

Change: a report states the age of its list. A report of another process whose list is older than the latest one of the present session is refused, until the worker has answered that process again. An agent that restarts reports nothing before its first poll was answered, which is later than the polls of its former process, so it is accepted as before.

Measured: the cases pass, and those in which the list is new are accepted as before.

--- a/internal/job/scheduler/former_process_test.go
+++ b/internal/job/scheduler/former_process_test.go
@@ -119,6 +119,51 @@
 	}
 }
 
+// Guards against tasks that run twice: a former process of an agent that stood still and is awake again must
+// not end the runs since by what its worker listed before, while the network has cut the running process off.
+func TestReportOfFormerProcessAwakeAgain(t *testing.T) {
+	const former, running, stoodStill = 1000, 2000, 3 * time.Second
+	tests := []struct {
+		name     string
+		known    bool          // the former process has reported to this owner before
+		silent   time.Duration // of the running process, after the end of its connection
+		age      time.Duration // of the list of runs
+		accepted bool
+	}{
+		{"list from before", false, 0, stoodStill + time.Millisecond, false},
+		{"list from before, known to this owner, after a silence", true, 2 * time.Second, stoodStill + 2*time.Second, false},
+		{"list from just before the running process's latest", true, 2 * time.Second, 2*time.Second + time.Millisecond, false},
+		{"list as new as the running process's", false, 0, 0, true},
+		{"new list, known to this owner, after a silence", true, 2 * time.Second, 10 * time.Millisecond, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFormerProcessFixture(t)
+			run := f.report.Runs
+			if tt.known && !f.sendOver(f.dial(), former, 0, nil) {
+				t.Fatal("the former process is refused")
+			}
+			f.now = f.now.Add(stoodStill)
+			conn := f.dial()
+			if !f.sendOver(conn, running, 0, run) {
+				t.Fatal("the running process is refused")
+			}
+			f.end(conn)
+			f.now = f.now.Add(tt.silent)
+			var list []messenger.WorkRun
+			if tt.accepted {
+				list = run
+			}
+			if got := f.sendOver(f.dial(), former, tt.age, list); got != tt.accepted {
+				t.Errorf("the report of the former process is accepted: %t", got)
+			}
+			if n := len(f.o.state.VMs["vm-1"].Runs); n != 1 {
+				t.Errorf("%d runs on the VM, want 1", n)
+			}
+		})
+	}
+}
+
 // Guards against a VM that is lost until the next change of owner, or for seconds: a process that opens
 // another connection is accepted at once if that of the session has ended, and after a silence otherwise.
 func TestRestartedAgentIsAcceptedAtOnce(t *testing.T) {
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -211,6 +211,9 @@
 // that the process of s has ended, since a network resets and cuts connections of processes that
 // live. A process that lives opens another connection after the refusal.
 //
+// So is one with a list of runs from before the latest list of s: its process stood still, and
+// does not know the runs since. It is accepted once its worker has answered it.
+//
 // On a later connection, a process that was replaced is accepted again once the current one has
 // stopped reporting, since the current one may be the process that has ended.
 func (s *session) supersedes(e reportReceived, now time.Time) bool {
@@ -218,7 +221,7 @@
 	if r.Process == s.process {
 		return r.Session < s.number
 	}
-	if e.connNumber < s.connNumber {
+	if e.connNumber < s.connNumber || now.Add(-e.parsed.Age).Before(s.vm.SeenAt) {
 		return true
 	}
 	return (slices.Contains(s.ended, r.Process) || !isClosed(s.connDone)) && now.Sub(s.vm.GrantedAt) <= reportTimeout
