--- a/tests/harness/jobs.go
+++ b/tests/harness/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 
@@ -15,6 +16,7 @@
 	Executor, Agent  *Process
 	ExecutorURL      string       // direct, not through ExecutorLink
 	ExecutorLink     *proxy.Proxy // from the agent to the executor; nil: no proxy
+	agentArgs        []string     // without its addresses and the executor's
 }
 
 func (k *Cluster) startJobVM(c Config, i int) *JobVM {
@@ -35,14 +37,27 @@
 		vm.ExecutorLink = k.StartProxy(proxy.Config{Target: address})
 		executorURL = "http://" + vm.ExecutorLink.Address()
 	}
+	vm.agentArgs = append([]string{
+		"agent", "--id", "agent-" + vm.Name, "--vm", vm.Name, "--zone", vm.Zone, "--rack", vm.Rack, "--entries", k.entryAddresses(),
+	}, c.AgentArgs...)
+	vm.Agent = k.startJobAgent(vm, "agent-"+vm.Name, executorURL)
+	return vm
+}
+
+// startJobAgent starts a process of a job VM's agent and waits until it is ready.
+func (k *Cluster) startJobAgent(vm *JobVM, name, executorURL string) *Process {
+	k.t.Helper()
 	admin := FreeAddress(k.t)
-	vm.Agent = k.startDialer("agent-"+vm.Name, append([]string{
-		"agent", "--id", "agent-" + vm.Name, "--vm", vm.Name, "--zone", vm.Zone, "--rack", vm.Rack,
-		"--entries", k.entryAddresses(), "--executor-url", executorURL,
-		"--local-listen", FreeAddress(k.t), "--listen", admin,
-	}, c.AgentArgs...)...)
+	p := k.startDialer(name, append(slices.Clone(vm.agentArgs), "--executor-url", executorURL, "--local-listen", FreeAddress(k.t), "--listen", admin)...)
 	k.wait("http://" + admin + "/readyz")
-	return vm
+	return p
+}
+
+// StartNextAgent starts another process of a job VM's agent beside the present one, which may stand still.
+// It reaches the executor directly.
+func (k *Cluster) StartNextAgent(vm *JobVM) *Process {
+	k.t.Helper()
+	return k.startJobAgent(vm, "next-agent-"+vm.Name, vm.ExecutorURL)
 }
 
 // entryAddresses returns the RPC addresses of all entries, so that an agent finds
