--- a/tests/integration/control_unreachable_test.go
+++ b/tests/integration/control_unreachable_test.go
@@ -51,8 +51,8 @@
 	return busiest
 }
 
-// linkFault makes a VM unreachable over one of its links and ends that again.
-type linkFault struct {
+// vmLinkFault makes a VM unreachable over one of its links and ends that again.
+type vmLinkFault struct {
 	name string
 	// kept is set if the fault is shorter than the leases: no task may be given up.
 	kept   bool
@@ -60,7 +60,7 @@
 }
 
 // checkLink plays faults of a link while tasks run, each beside the others.
-func checkLink(t *testing.T, faults []linkFault) {
+func checkLink(t *testing.T, faults []vmLinkFault) {
 	for _, f := range faults {
 		t.Run(f.name, func(t *testing.T) {
 			t.Parallel()
@@ -105,7 +105,7 @@
 			time.Sleep(d)
 		}
 	}
-	checkLink(t, []linkFault{
+	checkLink(t, []vmLinkFault{
 		{"shorter than the leases", true, during(700*time.Millisecond, unreachable)},
 		{"about as long as the leases", false, during(testVMLease, unreachable)},
 		{"longer than the leases", false, during(5*time.Second, unreachable)},
@@ -144,7 +144,7 @@
 // and their tasks.
 func TestUnreachableAgentKeepsItsTasks(t *testing.T) {
 	reset := func(r *cellTestbed, vm *harness.VM) { r.SetAgentFaults(vm, proxy.Faults{Refuse: true}) }
-	checkLink(t, []linkFault{
+	checkLink(t, []vmLinkFault{
 		{"reset once", true, func(r *cellTestbed, vm *harness.VM) {
 			reset(r, vm)
 			r.SetAgentFaults(vm, proxy.Faults{})
