scheduler: records are removed at the revision that is known

Callers would have seen a cancelled job run, or an accepted job lost: the removal of an expired cancellation or of an ended job's records named the keys alone.

Change: a removal expects the revision of each record, as the writes of progress do; a record that has changed since its revision became known is left, and expires later. The owner notes the revision of cancellations. The number of transactions is as before. The revisions of removed records are no longer kept.

TestRemovalAppliesToKnownRevision has the cases of a known, an unknown and a changed record.

--- a/internal/job/scheduler/flush.go
+++ b/internal/job/scheduler/flush.go
@@ -85,8 +85,7 @@
 		}
 	}
 	for chunk := range slices.Chunk(removes, maxPutsPerTransaction) {
-		t := keeper.Transaction{Expect: []keeper.Expectation{o.writer.fence}, Removes: chunk}
-		if _, err := o.s.config.Store.Transact(ctx, t); err != nil {
+		if err := o.writer.remove(ctx, chunk); err != nil {
 			return fmt.Errorf("remove records of ended jobs: %w", err)
 		}
 	}
--- a/internal/job/scheduler/follow.go
+++ b/internal/job/scheduler/follow.go
@@ -46,6 +46,7 @@
 
 // addCancellation cancels a job, or remembers the cancellation until the job's record arrives.
 func (o *owner) addCancellation(id string, e recordSeen, now time.Time) {
+	o.writer.raiseRevision(e.record.Key, e.record.Revision)
 	if o.cancelled[id] {
 		return
 	}
--- a/internal/job/scheduler/writer.go
+++ b/internal/job/scheduler/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 
 	"bamboospread/internal/store/keeper"
@@ -32,6 +33,13 @@
 	w.revisions[key] = revision
 }
 
+// raiseRevision is setRevision for a record that may have been seen already at a later revision.
+func (w *writer) raiseRevision(key string, revision int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revisions[key] = max(w.revisions[key], revision)
+}
+
 // put writes records in one transaction. If an earlier write with a lost answer took effect,
 // this one conflicts; put then updates the revisions and overwrites the records.
 func (w *writer) put(ctx context.Context, puts []keeper.Put) error {
@@ -66,6 +74,68 @@
 	return t
 }
 
+// remove removes records in one transaction, each at its known revision: a removal that takes effect late,
+// after it was repeated, must not remove a record that was stored under the same key since. Records that
+// have changed since their revisions became known are left.
+func (w *writer) remove(ctx context.Context, keys []string) error {
+	var conflict keeper.ErrConflict
+	for range extraConflictTries + len(keys) {
+		_, err := w.transact(ctx, w.removal(keys))
+		if err == nil {
+			w.forget(keys)
+			return nil
+		}
+		if !errors.As(err, &conflict) {
+			return err
+		}
+		if w.fence.Key == conflict.Key || w.fence.Key == conflict.Current.Key {
+			return fmt.Errorf("ownership has ended: %w", err)
+		}
+		if keys = w.dropChanged(keys, conflict); len(keys) == 0 {
+			return nil
+		}
+	}
+	return fmt.Errorf("removal of %d records: too many conflicts, the last on %q at revision %d", len(keys), conflict.Current.Key, conflict.Current.Revision)
+}
+
+// removal returns the transaction that removes records. One without a known revision must not exist.
+func (w *writer) removal(keys []string) keeper.Transaction {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := keeper.Transaction{Expect: []keeper.Expectation{w.fence}}
+	for _, key := range keys {
+		revision := w.revisions[key]
+		t.Expect = append(t.Expect, keeper.Expectation{Key: key, Revision: revision})
+		if revision != 0 {
+			t.Removes = append(t.Removes, key)
+		}
+	}
+	return t
+}
+
+func (w *writer) forget(keys []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, key := range keys {
+		delete(w.revisions, key)
+	}
+}
+
+// dropChanged updates the known revisions from a conflict and returns the keys without those of records
+// that have changed.
+func (w *writer) dropChanged(keys []string, c keeper.ErrConflict) []string {
+	before := make(map[string]int64, len(keys))
+	w.mu.Lock()
+	for _, key := range keys {
+		before[key] = w.revisions[key]
+	}
+	w.mu.Unlock()
+	w.applyConflict(c)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(keys), func(key string) bool { return before[key] != 0 && w.revisions[key] != before[key] })
+}
+
 // applyConflict updates the known revisions from a conflict.
 func (w *writer) applyConflict(c keeper.ErrConflict) {
 	w.mu.Lock()
--- a/internal/job/scheduler/writer_test.go
+++ b/internal/job/scheduler/writer_test.go
@@ -141,3 +141,40 @@
 		t.Errorf("%d tries, %v", tries, err)
 	}
 }
+
+// Guards against records that are removed, or kept, wrongly: a removal applies to the revision that is known,
+// and leaves a record that was stored since.
+func TestRemovalAppliesToKnownRevision(t *testing.T) {
+	const key = "progress/a"
+	for _, tt := range []struct {
+		name    string
+		known   func(stored int64) int64
+		changed bool // since the revision became known
+		left    bool
+	}{
+		{"known", func(stored int64) int64 { return stored }, false, false},
+		{"not known", func(int64) int64 { return 0 }, false, false},
+		{"changed since", func(stored int64) int64 { return stored }, true, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s, w := newLateStore()
+			store := func() int64 {
+				revision, err := s.apply(keeper.Transaction{Puts: []keeper.Put{{Key: key}}})
+				if err != nil {
+					t.Fatal(err)
+				}
+				return revision
+			}
+			w.setRevision(key, tt.known(store()))
+			if tt.changed {
+				store()
+			}
+			if err := w.remove(t.Context(), []string{key, "progress/b"}); err != nil {
+				t.Fatal(err)
+			}
+			if _, left := s.records[key]; left != tt.left {
+				t.Errorf("left: %t", left)
+			}
+		})
+	}
+}
