scheduler: a lost VM's runs are given up after the time that a worker may take to end them

Cause: owner and agent counted the end of runs differently. The agent waits until the leases have ended and the longest stop is over (bounds.stop_timeout_ms: 0.4 or 0.9 s; 1 s for an executor); the owner of a VM that reports to nobody waited 0.3 s, a constant of its own. The users' protocol says that everything is killed when a lease expires and gives no time for that; the only time that it gives for the end of a run is that of a stop.

Ruled out: a longer constant. The owner knows the bound from the settings, as the agent does. A statement of each agent was considered: the next owner would need it of VMs that have never reported to it, so it would have to be stored as well, while all settings state the same bound.

Change: Config.StopTime of the owner, from the settings on the users' platform, ExecutorStopTime (1 s) otherwise, in place of LapseTime: for VMs without contact, for the next owner's wait, and after leases that no grant allowed. Nothing on the wire changes.

TestRunsNeverOutliveTheirGrant checks the same bound for a stop time of 0.4 s.

Cost: tasks of a VM that reports to nobody start again later by the stop time less 0.3 s: 0.1 s where it is 0.4 s, 0.6 s where it is 0.9 s, 0.7 s on our own executors.

--- a/internal/cli/commander/standin_executor.go
+++ b/internal/cli/commander/standin_executor.go
@@ -48,6 +48,7 @@
 	f.Int64Var(&c.Capacity.GPUs, "gpus", 0, "accelerators of the VM")
 	f.DurationVar(&c.LeaseMax, "lease-max", 0, "longest lease that it grants (default 10s)")
 	f.DurationVar(&c.StopTime, "stop-time", 0, "how long a stop takes (default 50ms)")
+	f.DurationVar(&c.LapseTime, "lapse-time", 0, "how long runs take to end once their leases have expired (default 0s)")
 	f.StringVar(&witness, "witness-file", "", "append the starts and ends of tasks to this file")
 	return cmd
 }
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -271,7 +271,7 @@
 			o.state.Detach(vm)
 			o.s.config.Reporter.Report(reporter.VMDetached, reporter.Fields{"vm": vm.Name, "quiet": sinceContact.String(), "runs": len(vm.Runs)})
 		}
-		if !vm.Attached && (len(vm.Runs) > 0 || vm.MoreEnds) && sinceContact > o.leaseExpiry() && now.Sub(vm.UnrequestedLeaseEnd) > LapseTime {
+		if !vm.Attached && (len(vm.Runs) > 0 || vm.MoreEnds) && sinceContact > o.leaseExpiry() && now.Sub(vm.UnrequestedLeaseEnd) > o.s.config.StopTime {
 			o.reportLost(vm, o.state.DropRuns(vm, now), "leases expired")
 		}
 		if !vm.Attached && len(vm.Runs) == 0 && sinceContact > goneVMRetention {
@@ -284,7 +284,9 @@
 
 // leaseExpiry returns the time after the last grant to an agent when its runs have certainly
 // ended.
-func (o *owner) leaseExpiry() time.Duration { return LeaseExpiry(o.s.config.Grant) }
+func (o *owner) leaseExpiry() time.Duration {
+	return LeaseExpiry(o.s.config.Grant, o.s.config.StopTime)
+}
 
 func (o *owner) reportLost(vm *tracker.VM, lost []*tracker.Run, cause string) {
 	for _, r := range lost {
--- a/internal/job/scheduler/replay_test.go
+++ b/internal/job/scheduler/replay_test.go
@@ -260,7 +260,7 @@
 
 // advance applies what the worker has done since the last step.
 func (r *replay) advance(a *replayAgent) {
-	if a.lost && r.now.Sub(a.grantedAt) > LeaseExpiry(DefaultGrant) {
+	if a.lost && r.now.Sub(a.grantedAt) > LeaseExpiry(DefaultGrant, DefaultStopTime) {
 		a.runs = nil // its leases have certainly expired
 	}
 	a.runs = slices.DeleteFunc(a.runs, func(run *replayRun) bool {
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -51,18 +51,18 @@
 	DefaultGrant = 5 * time.Second
 	// DefaultLease is the duration of the owner's lease in the store.
 	DefaultLease = 2 * time.Second
-	// LapseTime is how long a worker may take to end its runs once their leases have expired.
-	LapseTime  = 300 * time.Millisecond
-	retryDelay = 100 * time.Millisecond
+	// DefaultStopTime is the time that workers may take to end runs where no settings state it.
+	DefaultStopTime = time.Second
+	retryDelay      = 100 * time.Millisecond
 )
 
 // LeaseExpiry returns the time after the answer to a report when the runs that continue under
-// its grant have certainly ended. The agent counts the grant from when it sent the report, so
-// neither the report nor the reply needs time of its own. The difference between the clocks
-// is counted here and nowhere else: the agent requests leases that end with the grant unless a
-// clock is slow.
-func LeaseExpiry(grant time.Duration) time.Duration {
-	return timekeeper.Longest(grant) + LapseTime
+// its grant have certainly ended, if their worker takes at most stopTime to end them. The agent
+// counts the grant from when it sent the report, so neither the report nor the reply needs time of
+// its own. The difference between the clocks is counted here and nowhere else: the agent requests
+// leases that end with the grant unless a clock is slow.
+func LeaseExpiry(grant, stopTime time.Duration) time.Duration {
+	return timekeeper.Longest(grant) + stopTime
 }
 
 // Config holds the settings of a Scheduler.
@@ -73,6 +73,9 @@
 	Store   keeper.Calls
 	Lease   time.Duration // 0: DefaultLease
 	Grant   time.Duration // 0: DefaultGrant
+	// StopTime is the longest time that a worker takes to end runs, by a stop and once their leases have
+	// expired; 0: DefaultStopTime. It must not be shorter than that of any agent.
+	StopTime time.Duration
 	// AcquireDelay is how long a vacant cell is left to other entries before this one acquires it.
 	AcquireDelay time.Duration
 	Policy       func() *specifier.Policy
@@ -106,6 +109,9 @@
 	if c.Grant <= 0 {
 		c.Grant = DefaultGrant
 	}
+	if c.StopTime <= 0 {
+		c.StopTime = DefaultStopTime
+	}
 	if c.Lease <= 0 {
 		c.Lease = DefaultLease
 	}
--- a/internal/job/scheduler/silence_test.go
+++ b/internal/job/scheduler/silence_test.go
@@ -49,8 +49,8 @@
 				tt.replace(r, vacancy)
 			}
 			// The time without an owner, and what no owner has stored, is not counted.
-			changes := time.Duration(LeaseExpiry(DefaultGrant)/tt.lasting) + 1
-			r.checkGaps(LeaseExpiry(DefaultGrant) + changes*(vacancy+tt.stale) + time.Second)
+			changes := time.Duration(LeaseExpiry(DefaultGrant, DefaultStopTime)/tt.lasting) + 1
+			r.checkGaps(LeaseExpiry(DefaultGrant, DefaultStopTime) + changes*(vacancy+tt.stale) + time.Second)
 		})
 	}
 }
@@ -59,7 +59,7 @@
 // that is not the former owner's or can't be true.
 func TestRecordOfSilentMembers(t *testing.T) {
 	const lease = DefaultLease
-	lapses := LeaseExpiry(DefaultGrant)
+	lapses := LeaseExpiry(DefaultGrant, DefaultStopTime)
 	tests := []struct {
 		name, value string
 		want        time.Duration // from the takeover until the member's leases have certainly ended
@@ -224,7 +224,7 @@
 			play(length)
 		}
 		d.storeDown = false
-		play(DefaultLease + LeaseExpiry(DefaultGrant) + 2*time.Second)
+		play(DefaultLease + LeaseExpiry(DefaultGrant, DefaultStopTime) + 2*time.Second)
 		for task := range maps.Keys(d.lastRun) {
 			if d.lastRun[task] != d.now && d.now.Sub(d.lastRun[task]) > time.Second {
 				rt.Fatalf("%s has had no run for %s", task, d.now.Sub(d.lastRun[task]))
--- a/internal/job/scheduler/stops_test.go
+++ b/internal/job/scheduler/stops_test.go
@@ -11,6 +11,7 @@
 	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
 	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/kernel/timekeeper"
 	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/wire/connector"
 	"bamboospread/internal/wire/messenger"
@@ -127,21 +128,27 @@
 	}
 }
 
-// Guards against two concurrent runs of a task: a worker's leases may last longer than any grant if a late
-// call of its former incarnation has set them, and its VM is lost before they end.
+// Guards against two concurrent runs of a task: a worker takes up to the time of a stop to end its runs once
+// their leases have expired; and its leases may last longer than any grant if a late call of its former
+// incarnation has set them, and its VM is lost before they end.
 func TestRunsAreKeptUntilUnrequestedLeasesEnd(t *testing.T) {
 	const left = 10 * time.Second
+	const stopTime = 900 * time.Millisecond
 	for _, tt := range []struct {
 		name        string
 		leaseMillis int64
+		stopTime    time.Duration
 		expiry      time.Duration
 	}{
-		{"granted leases", 0, LeaseExpiry(DefaultGrant)},
-		{"shorter than the grant", 1000, LeaseExpiry(DefaultGrant)},
-		{"longer than the grant", left.Milliseconds(), left + LapseTime},
+		{"granted leases", 0, 0, timekeeper.Longest(DefaultGrant) + DefaultStopTime},
+		{"granted leases, stop time stated", 0, stopTime, timekeeper.Longest(DefaultGrant) + stopTime},
+		{"shorter than the grant", 1000, 0, timekeeper.Longest(DefaultGrant) + DefaultStopTime},
+		{"longer than the grant", left.Milliseconds(), 0, left + DefaultStopTime},
+		{"longer than the grant, stop time stated", left.Milliseconds(), stopTime, left + stopTime},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			b := newStopFixture(t)
+			b.o.s = New(Config{Cell: "jobs", StopTime: tt.stopTime, Reporter: b.o.s.config.Reporter, Now: b.o.s.config.Now, Policy: b.o.s.config.Policy})
 			b.report.LeaseMillis = tt.leaseMillis
 			b.sendReport()
 			b.report.LeaseMillis = 0 // of a later report, which takes nothing back
--- a/internal/service/agent/jobs.go
+++ b/internal/service/agent/jobs.go
@@ -19,7 +19,9 @@
 // Limits of an executor.
 const (
 	executorLeaseMax = 10 * time.Second
-	executorStopTime = time.Second
+	// ExecutorStopTime is the longest time that an executor takes to end runs, by a stop and once their
+	// leases have expired.
+	ExecutorStopTime = time.Second
 )
 
 // jobs holds the agent's components for jobs.
@@ -39,7 +41,7 @@
 		},
 	})
 	j.guardian = guardian.New(guardian.Config{
-		VM: c.VM, Worker: j.invoker.Calls(), LeaseMax: executorLeaseMax, StopTime: executorStopTime,
+		VM: c.VM, Worker: j.invoker.Calls(), LeaseMax: executorLeaseMax, StopTime: ExecutorStopTime,
 		Reporter: c.Reporter, Now: timekeeper.Now,
 	})
 	j.attender = attender.New(attender.Config{
--- a/internal/service/hoster/entry.go
+++ b/internal/service/hoster/entry.go
@@ -87,7 +87,7 @@
 		StoreForEntry: func(ctx context.Context, q messenger.WorkStoreRequest) messenger.WorkStoreReply {
 			return e.receiver.StoreForEntry(ctx, q)
 		},
-		Grant: min(scheduler.DefaultGrant, c.Settings.LeaseMax), Lease: max(scheduler.DefaultLease, c.Settings.StoreLeaseMin),
+		Grant: min(scheduler.DefaultGrant, c.Settings.LeaseMax), Lease: max(scheduler.DefaultLease, c.Settings.StoreLeaseMin), StopTime: c.Settings.StopTime,
 		AcquireDelay: acquireDelay(c.Settings),
 		Now:          now, Reporter: c.Reporter, Metrics: scheduler.NewMetrics(e.metrics),
 	})
--- a/internal/service/server/jobs.go
+++ b/internal/service/server/jobs.go
@@ -38,7 +38,8 @@
 		StoreForEntry: func(ctx context.Context, q messenger.WorkStoreRequest) messenger.WorkStoreReply {
 			return s.jobs.receiver.StoreForEntry(ctx, q)
 		},
-		Now: timekeeper.Now, Reporter: c.Reporter, Metrics: scheduler.NewMetrics(s.metrics),
+		StopTime: agent.ExecutorStopTime,
+		Now:      timekeeper.Now, Reporter: c.Reporter, Metrics: scheduler.NewMetrics(s.metrics),
 	})
 	admission := receiver.NewAdmission(receiver.AdmissionConfig{Policy: policy, Now: timekeeper.Now, Reporter: c.Reporter, Metrics: s.metrics})
 	s.jobs.forwarder = forwarder.New(forwarder.Config{
--- a/internal/standin/executor/calls_test.go
+++ b/internal/standin/executor/calls_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
 	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/job/tracker"
 	"bamboospread/internal/worker/guardian"
 	"bamboospread/internal/worker/invoker"
 )
@@ -145,3 +147,47 @@
 		})
 	}
 }
+
+// The stand-in must end runs as a real executor may: some time after their leases have expired, and listed
+// until then; a renewal in between comes too late.
+func TestRunsEndAfterTheirLapseTime(t *testing.T) {
+	const lease, lapseTime = time.Second, 400 * time.Millisecond
+	now := time.Unix(1000, 0)
+	e := New(Config{VM: "vm-1", LapseTime: lapseTime, Now: func() time.Time { return now }})
+	advance := func(d time.Duration) int {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		now = now.Add(d)
+		e.advanceLocked()
+		return len(e.runs)
+	}
+	e.mu.Lock()
+	status, _ := e.startLocked(invoker.Start{Task: "00000000000004d2.0.0.0", Run: 1, Payload: `{"run-ms":-1}`, LeaseMillis: lease.Milliseconds()})
+	e.mu.Unlock()
+	if status != http.StatusOK {
+		t.Fatalf("the start is answered with %d", status)
+	}
+	for _, step := range []struct {
+		after time.Duration
+		runs  int
+		renew bool
+	}{
+		{lease, 1, false},
+		{time.Millisecond, 1, false}, // its lease has expired
+		{lapseTime - time.Millisecond, 1, true},
+		{time.Millisecond, 0, false},
+	} {
+		if runs := advance(step.after); runs != step.runs {
+			t.Fatalf("%d runs at %s, want %d", runs, now.Sub(time.Unix(1000, 0)), step.runs)
+		}
+		if step.renew {
+			e.mu.Lock()
+			e.extendLeaseLocked(time.Minute.Milliseconds())
+			e.mu.Unlock()
+		}
+	}
+	events := e.Events()
+	if last := events[len(events)-1]; last.Kind != "end" || last.Outcome != string(tracker.EndLapsed) {
+		t.Errorf("the last event is %+v", last)
+	}
+}
--- a/internal/standin/executor/executor.go
+++ b/internal/standin/executor/executor.go
@@ -43,15 +43,16 @@
 
 // Config holds the settings of an Executor.
 type Config struct {
-	VM       string
-	Capacity specifier.Resources
-	Labels   []string
-	LeaseMax time.Duration       // longer leases are shortened to this; default 10 s
-	StopTime time.Duration       // duration of a stop; default 50 ms
-	Process  *inspector.Identity // stated to the agent; may be nil
-	Now      func() time.Time
-	OnEvent  func(Event)        // called for each event; may be nil
-	Recorder *recorder.Recorder // records each event; may be nil
+	VM        string
+	Capacity  specifier.Resources
+	Labels    []string
+	LeaseMax  time.Duration       // longer leases are shortened to this; default 10 s
+	StopTime  time.Duration       // duration of a stop; default 50 ms
+	LapseTime time.Duration       // how long runs take to end once their leases have expired, also if these are renewed meanwhile
+	Process   *inspector.Identity // stated to the agent; may be nil
+	Now       func() time.Time
+	OnEvent   func(Event)        // called for each event; may be nil
+	Recorder  *recorder.Recorder // records each event; may be nil
 }
 
 // Event is a start or an end of a run, the acknowledgement of an end, or the expiry
@@ -85,6 +86,7 @@
 	progress  time.Duration
 	pace      int
 	stopAt    time.Time // when a stop completes; zero: not being stopped
+	lapseAt   time.Time // when the run ends for its expired lease, which no renewal prevents; zero: it has not expired
 	startedAt time.Time
 }
 
@@ -253,9 +255,14 @@
 	e.leaseExpired = leaseExpired
 	for _, key := range e.sortedTasksLocked() {
 		r := e.runs[key]
+		if leaseExpired && r.lapseAt.IsZero() {
+			r.lapseAt = now.Add(e.config.LapseTime)
+		}
 		switch {
-		case leaseExpired:
-			e.endLocked(r, tracker.EndLapsed)
+		case !r.lapseAt.IsZero():
+			if !now.Before(r.lapseAt) {
+				e.endLocked(r, tracker.EndLapsed)
+			}
 		case r.crashes() && now.Sub(r.startedAt) >= time.Duration(r.payload.CrashMillis)*time.Millisecond:
 			e.crashLocked(r.task, r.number)
 			return
--- a/internal/worker/guardian/lease_bound_test.go
+++ b/internal/worker/guardian/lease_bound_test.go
@@ -41,7 +41,10 @@
 	answeredAt time.Duration // of the model
 }
 
-const modelGrant = 5 * time.Second
+const (
+	modelGrant    = 5 * time.Second
+	modelStopTime = 400 * time.Millisecond
+)
 
 func newLeaseModel(t *rapid.T) *leaseModel {
 	rate := rapid.SampledFrom([]float64{1 - timekeeper.MaxClockError, 1 - timekeeper.MaxClockError/2, 1})
@@ -117,8 +120,8 @@
 	}
 	endsAt := time.Duration(float64(m.longest-m.workerBegin) / m.worker) // by the model's time
 	const rounding = time.Microsecond                                    // of the model's clocks
-	if outlived := scale(endsAt-m.answeredAt, m.owner) - scheduler.LeaseExpiry(modelGrant); outlived > -scheduler.LapseTime+rounding {
-		m.t.Fatalf("the leases end %s too late for the owner, which allows %s for their lapse", outlived+scheduler.LapseTime, scheduler.LapseTime)
+	if outlived := scale(endsAt-m.answeredAt, m.owner) - scheduler.LeaseExpiry(modelGrant, modelStopTime); outlived > -modelStopTime+rounding {
+		m.t.Fatalf("the leases end %s too late for the owner, which allows %s for their end", outlived+modelStopTime, modelStopTime)
 	}
 	if late := m.begin.Add(scale(endsAt, m.agent)).Sub(m.g.leaseEnd); late > rounding {
 		m.t.Fatalf("the leases end %s after the agent takes them for expired", late)
--- a/tests/integration/job_faults_test.go
+++ b/tests/integration/job_faults_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -27,21 +29,24 @@
 	}
 }
 
-// jobOwner returns the entry that owns the jobs' cell according to the entries' logs.
+// jobOwner returns the entry that was the latest to take the jobs' cell according to the entries' logs.
 func (r *jobTestbed) jobOwner() *harness.Entry {
+	owner, latest := r.Entries[0], 0
 	for _, e := range r.Entries {
-		owns := false
 		for _, line := range e.LogLines() {
-			owns = owns || containsEvent(line, "ownership taken")
-			owns = owns && !containsEvent(line, "ownership lost")
-		}
-		if owns {
-			return e
+			if match := epochField.FindStringSubmatch(line); match != nil && containsEvent(line, "ownership taken") {
+				if epoch, err := strconv.Atoi(match[1]); err == nil && epoch > latest {
+					owner, latest = e, epoch
+				}
+			}
 		}
 	}
-	return r.Entries[0]
+	return owner
 }
 
+// epochField matches the epoch in a line of the log.
+var epochField = regexp.MustCompile(` epoch=(\d+)`)
+
 var jobFaults = []jobFault{
 	{"no fault", func(context.Context, *jobTestbed) {}},
 	{"owner killed", func(ctx context.Context, r *jobTestbed) {
--- a/tests/integration/job_testbed_test.go
+++ b/tests/integration/job_testbed_test.go
@@ -46,11 +46,11 @@
 
 // newLinkedJobTestbed returns a testbed in which the agents of some VMs, the last ones, reach their
 // executors through a proxy.
-func newLinkedJobTestbed(t *testing.T, seed uint64, links int) *jobTestbed {
+func newLinkedJobTestbed(t *testing.T, seed uint64, links int, executorArgs ...string) *jobTestbed {
 	t.Helper()
 	k := harness.New(t, harness.Config{
 		Entries: 2, NoVMs: true, JobVMs: 3, ExecutorLinks: links,
-		ExecutorArgs: []string{"--cpu-millis", fmt.Sprint(jobVMMillis), "--memory-mb", "16000", "--lease-max", "10s"},
+		ExecutorArgs: append([]string{"--cpu-millis", fmt.Sprint(jobVMMillis), "--memory-mb", "16000", "--lease-max", "10s"}, executorArgs...),
 	})
 	k.ApplyFleet(jobFleet)
 	return &jobTestbed{
