scheduler: a change of owner waits for leases that no grant allowed

Cause: a late call of a worker's former life may set a lease of the longest length (hold_max_ms, 6 or 10 s) in its next one. Agents report how long that may last, and the owner keeps the runs until then, but it removed the VM from the stored members, and stored how long the VM had been silent, as if the lease had ended with the grant, up to 4.9 s earlier. The next owner then waited for nothing.

Evidence: TestMembersAreKeptUntilUnrequestedLeasesEnd fails on the code before: removed after 6.1 s while a lease of 10 s lasts. Two runs at once need a late call, a lost VM and a change of owner within 10 s, so it is not supposed to explain the users' cases.

Change: such a lease counts as granted so that it ends with its grant, for the members, the record of silent members and the VM's own runs. The record may hold negative times; an older owner counts them as at most 2 s ahead, as before.

Not covered: an owner that is killed, or frozen until it is replaced, within some 2 s of the new life's first answer; the next owner knows nothing of the lease and waits for 2 s, the grant and the time of a stop from its start.

--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -271,7 +271,7 @@
 			o.state.Detach(vm)
 			o.s.config.Reporter.Report(reporter.VMDetached, reporter.Fields{"vm": vm.Name, "quiet": sinceContact.String(), "runs": len(vm.Runs)})
 		}
-		if !vm.Attached && (len(vm.Runs) > 0 || vm.MoreEnds) && sinceContact > o.leaseExpiry() && now.Sub(vm.UnrequestedLeaseEnd) > o.s.config.StopTime {
+		if !vm.Attached && (len(vm.Runs) > 0 || vm.MoreEnds) && o.hasLapsed(vm.Name, now) {
 			o.reportLost(vm, o.state.DropRuns(vm, now), "leases expired")
 		}
 		if !vm.Attached && len(vm.Runs) == 0 && sinceContact > goneVMRetention {
--- a/internal/job/scheduler/silence.go
+++ b/internal/job/scheduler/silence.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/kernel/timekeeper"
 	"bamboospread/internal/store/keeper"
 )
 
@@ -38,6 +39,7 @@
 type silenceRecord struct {
 	Epoch int64 `json:"epoch"`
 	// SilentMillis is for how long the members had certainly been granted nothing when the record was written.
+	// It is negative where leases that no grant allowed last longer than one granted then.
 	SilentMillis map[string]int64 `json:"silent-ms"`
 }
 
@@ -83,8 +85,11 @@
 		return nil
 	}
 	for vm, ms := range r.SilentMillis {
-		// Beyond these limits it makes no difference, or no owner has written it.
-		ms = min(max(ms, -o.s.config.Lease.Milliseconds()), 2*o.leaseExpiry().Milliseconds())
+		limit := 2 * o.leaseExpiry().Milliseconds()
+		if ms < -limit {
+			continue // no owner has written it
+		}
+		ms = min(ms, limit) // beyond it makes no difference
 		o.silences.earlier[vm] = o.started.Add(-time.Duration(ms) * time.Millisecond)
 	}
 	return nil
@@ -95,6 +100,10 @@
 // dropped that lease early.
 func (o *owner) lastGrant(member string) time.Time {
 	if vm := o.state.VMs[member]; vm != nil {
+		// Leases that no grant allowed may outlast those that were granted.
+		if at := vm.UnrequestedLeaseEnd.Add(-timekeeper.Longest(o.s.config.Grant)); at.After(vm.GrantedAt) {
+			return at
+		}
 		return vm.GrantedAt
 	}
 	if at, ok := o.silences.earlier[member]; ok {
--- a/internal/job/scheduler/silence_test.go
+++ b/internal/job/scheduler/silence_test.go
@@ -66,6 +66,7 @@
 	}{
 		{"the former owner's", `{"epoch":4,"silent-ms":{"vm-1":2000}}`, lapses - 2*time.Second},
 		{"of its last moment", `{"epoch":4,"silent-ms":{"vm-1":0}}`, lapses},
+		{"leases that outlast a grant", `{"epoch":4,"silent-ms":{"vm-1":-4000}}`, lapses + 4*time.Second},
 		{"of another member", `{"epoch":4,"silent-ms":{"vm-2":2000}}`, lapses + lease},
 		{"of an owner before", `{"epoch":3,"silent-ms":{"vm-1":2000}}`, lapses + lease},
 		{"of a later owner", `{"epoch":5,"silent-ms":{"vm-1":2000}}`, lapses + lease},
--- a/internal/job/scheduler/stops_test.go
+++ b/internal/job/scheduler/stops_test.go
@@ -128,6 +128,36 @@
 	}
 }
 
+// Guards against two concurrent runs of a task after a change of owner: leases that no grant allowed, set by a
+// late call, last longer than any grant, and the next owner must wait for their VM as this one does.
+func TestMembersAreKeptUntilUnrequestedLeasesEnd(t *testing.T) {
+	const left = 10 * time.Second
+	b := newStopFixture(t)
+	b.o.members["vm-1"], b.o.listed["vm-1"] = true, true
+	b.report.LeaseMillis = left.Milliseconds()
+	b.sendReport()
+	begin := b.now
+	for _, tt := range []struct {
+		after  time.Duration
+		leaves bool
+	}{
+		{LeaseExpiry(DefaultGrant, DefaultStopTime) + time.Millisecond, false},
+		{left + DefaultStopTime, false},
+		{left + DefaultStopTime + time.Millisecond, true},
+	} {
+		b.now = begin.Add(tt.after)
+		b.o.checkVMContact(b.now)
+		if leaves := b.o.leaving["vm-1"]; leaves != tt.leaves {
+			t.Errorf("removed from the members after %s: %t, want %t", tt.after, leaves, tt.leaves)
+		}
+		// The next owner counts on from here.
+		silent := time.Duration(b.o.allSilences()["vm-1"]) * time.Millisecond
+		if waits := LeaseExpiry(DefaultGrant, DefaultStopTime) - silent; waits < left+DefaultStopTime-tt.after {
+			t.Errorf("the next owner waits for %s after %s, the leases last %s", waits, tt.after, left)
+		}
+	}
+}
+
 // Guards against two concurrent runs of a task: a worker takes up to the time of a stop to end its runs once
 // their leases have expired; and its leases may last longer than any grant if a late call of its former
 // incarnation has set them, and its VM is lost before they end.
