--- a/tests/harness/cluster.go
+++ b/tests/harness/cluster.go
@@ -39,8 +39,8 @@
 	ExecutorArgs []string
 	// ExecutorLabels are the labels of each of the JobVMs; nil: none.
 	ExecutorLabels [][]string
-	// ExecutorLinks is how many of the JobVMs, the last ones, have a proxy between
-	// agent and executor. On the others an agent's connection is refused when the
+	// ExecutorLinks is how many of the JobVMs, the last ones, have two proxies between
+	// agent and executor, one behind the other. On the others an agent's connection is refused when the
 	// executor does not listen.
 	ExecutorLinks int
 }
@@ -199,6 +199,7 @@
 		k.Control(vm.ExecutorURL+"/control/faults", executor.Faults{})
 		if vm.ExecutorLink != nil {
 			vm.ExecutorLink.Reset()
+			vm.ExecutorFarLink.Reset()
 		}
 	}
 	for _, vm := range k.VMs {
--- a/tests/harness/jobs.go
+++ b/tests/harness/jobs.go
@@ -15,6 +15,9 @@
 	Executor, Agent  *Process
 	ExecutorURL      string       // direct, not through ExecutorLink
 	ExecutorLink     *proxy.Proxy // from the agent to the executor; nil: no proxy
+	// ExecutorFarLink is between ExecutorLink and the executor: what it holds, it delivers also after
+	// ExecutorLink has reset its connections; nil: no proxy.
+	ExecutorFarLink *proxy.Proxy
 }
 
 func (k *Cluster) startJobVM(c Config, i int) *JobVM {
@@ -32,7 +35,8 @@
 	k.wait(vm.ExecutorURL + "/control/witness")
 	executorURL := vm.ExecutorURL
 	if i >= c.JobVMs-c.ExecutorLinks {
-		vm.ExecutorLink = k.StartProxy(proxy.Config{Target: address})
+		vm.ExecutorFarLink = k.StartProxy(proxy.Config{Target: address})
+		vm.ExecutorLink = k.StartProxy(proxy.Config{Target: vm.ExecutorFarLink.Address()})
 		executorURL = "http://" + vm.ExecutorLink.Address()
 	}
 	admin := FreeAddress(k.t)
