--- a/internal/job/scheduler/silence_test.go
+++ b/internal/job/scheduler/silence_test.go
@@ -49,8 +49,8 @@
 				tt.replace(r, vacancy)
 			}
 			// The time without an owner, and what no owner has stored, is not counted.
-			changes := time.Duration(LeaseExpiry(DefaultGrant)/tt.lasting) + 1
-			r.checkGaps(LeaseExpiry(DefaultGrant) + changes*(vacancy+tt.stale) + time.Second)
+			changes := time.Duration(LeaseExpiry(DefaultGrant, DefaultStopTime)/tt.lasting) + 1
+			r.checkGaps(LeaseExpiry(DefaultGrant, DefaultStopTime) + changes*(vacancy+tt.stale) + time.Second)
 		})
 	}
 }
@@ -59,13 +59,14 @@
 // that is not the former owner's or can't be true.
 func TestRecordOfSilentMembers(t *testing.T) {
 	const lease = DefaultLease
-	lapses := LeaseExpiry(DefaultGrant)
+	lapses := LeaseExpiry(DefaultGrant, DefaultStopTime)
 	tests := []struct {
 		name, value string
 		want        time.Duration // from the takeover until the member's leases have certainly ended
 	}{
 		{"the former owner's", `{"epoch":4,"silent-ms":{"vm-1":2000}}`, lapses - 2*time.Second},
 		{"of its last moment", `{"epoch":4,"silent-ms":{"vm-1":0}}`, lapses},
+		{"leases that outlast a grant", `{"epoch":4,"silent-ms":{"vm-1":-4000}}`, lapses + 4*time.Second},
 		{"of another member", `{"epoch":4,"silent-ms":{"vm-2":2000}}`, lapses + lease},
 		{"of an owner before", `{"epoch":3,"silent-ms":{"vm-1":2000}}`, lapses + lease},
 		{"of a later owner", `{"epoch":5,"silent-ms":{"vm-1":2000}}`, lapses + lease},
@@ -224,7 +225,7 @@
 			play(length)
 		}
 		d.storeDown = false
-		play(DefaultLease + LeaseExpiry(DefaultGrant) + 2*time.Second)
+		play(DefaultLease + LeaseExpiry(DefaultGrant, DefaultStopTime) + 2*time.Second)
 		for task := range maps.Keys(d.lastRun) {
 			if d.lastRun[task] != d.now && d.now.Sub(d.lastRun[task]) > time.Second {
 				rt.Fatalf("%s has had no run for %s", task, d.now.Sub(d.lastRun[task]))
--- a/internal/job/scheduler/stops_test.go
+++ b/internal/job/scheduler/stops_test.go
@@ -11,6 +11,7 @@
 	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
 	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/kernel/timekeeper"
 	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/wire/connector"
 	"bamboospread/internal/wire/messenger"
@@ -128,21 +129,57 @@
 	}
 }
 
-// Guards against two concurrent runs of a task: a worker's leases may last longer than any grant if a late
-// call of its former incarnation has set them, and its VM is lost before they end.
+// Guards against two concurrent runs of a task after a change of owner: leases that no grant allowed, set by a
+// late call, last longer than any grant, and the next owner must wait for their VM as this one does.
+func TestMembersAreKeptUntilUnrequestedLeasesEnd(t *testing.T) {
+	const left = 10 * time.Second
+	b := newStopFixture(t)
+	b.o.members["vm-1"], b.o.listed["vm-1"] = true, true
+	b.report.LeaseMillis = left.Milliseconds()
+	b.sendReport()
+	begin := b.now
+	for _, tt := range []struct {
+		after  time.Duration
+		leaves bool
+	}{
+		{LeaseExpiry(DefaultGrant, DefaultStopTime) + time.Millisecond, false},
+		{left + DefaultStopTime, false},
+		{left + DefaultStopTime + time.Millisecond, true},
+	} {
+		b.now = begin.Add(tt.after)
+		b.o.checkVMContact(b.now)
+		if leaves := b.o.leaving["vm-1"]; leaves != tt.leaves {
+			t.Errorf("removed from the members after %s: %t, want %t", tt.after, leaves, tt.leaves)
+		}
+		// The next owner counts on from here.
+		silent := time.Duration(b.o.allSilences()["vm-1"]) * time.Millisecond
+		if waits := LeaseExpiry(DefaultGrant, DefaultStopTime) - silent; waits < left+DefaultStopTime-tt.after {
+			t.Errorf("the next owner waits for %s after %s, the leases last %s", waits, tt.after, left)
+		}
+	}
+}
+
+// Guards against two concurrent runs of a task: a worker takes up to the time of a stop to end its runs once
+// their leases have expired; and its leases may last longer than any grant if a late call of its former
+// incarnation has set them, and its VM is lost before they end.
 func TestRunsAreKeptUntilUnrequestedLeasesEnd(t *testing.T) {
 	const left = 10 * time.Second
+	const stopTime = 900 * time.Millisecond
 	for _, tt := range []struct {
 		name        string
 		leaseMillis int64
+		stopTime    time.Duration
 		expiry      time.Duration
 	}{
-		{"granted leases", 0, LeaseExpiry(DefaultGrant)},
-		{"shorter than the grant", 1000, LeaseExpiry(DefaultGrant)},
-		{"longer than the grant", left.Milliseconds(), left + LapseTime},
+		{"granted leases", 0, 0, timekeeper.Longest(DefaultGrant) + DefaultStopTime},
+		{"granted leases, stop time stated", 0, stopTime, timekeeper.Longest(DefaultGrant) + stopTime},
+		{"shorter than the grant", 1000, 0, timekeeper.Longest(DefaultGrant) + DefaultStopTime},
+		{"longer than the grant", left.Milliseconds(), 0, left + DefaultStopTime},
+		{"longer than the grant, stop time stated", left.Milliseconds(), stopTime, left + stopTime},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			b := newStopFixture(t)
+			b.o.s = New(Config{Cell: "jobs", StopTime: tt.stopTime, Reporter: b.o.s.config.Reporter, Now: b.o.s.config.Now, Policy: b.o.s.config.Policy})
 			b.report.LeaseMillis = tt.leaseMillis
 			b.sendReport()
 			b.report.LeaseMillis = 0 // of a later report, which takes nothing back
--- a/tests/harness/jobs.go
+++ b/tests/harness/jobs.go
@@ -16,7 +16,10 @@
 	Executor, Agent  *Process
 	ExecutorURL      string       // direct, not through ExecutorLink
 	ExecutorLink     *proxy.Proxy // from the agent to the executor; nil: no proxy
-	agentArgs        []string     // without its addresses and the executor's
+	// ExecutorFarLink is between ExecutorLink and the executor: what it holds, it delivers also after
+	// ExecutorLink has reset its connections; nil: no proxy.
+	ExecutorFarLink *proxy.Proxy
+	agentArgs       []string // without its addresses and the executor's
 }
 
 func (k *Cluster) startJobVM(c Config, i int) *JobVM {
@@ -34,7 +37,8 @@
 	k.wait(vm.ExecutorURL + "/control/witness")
 	executorURL := vm.ExecutorURL
 	if i >= c.JobVMs-c.ExecutorLinks {
-		vm.ExecutorLink = k.StartProxy(proxy.Config{Target: address})
+		vm.ExecutorFarLink = k.StartProxy(proxy.Config{Target: address})
+		vm.ExecutorLink = k.StartProxy(proxy.Config{Target: vm.ExecutorFarLink.Address()})
 		executorURL = "http://" + vm.ExecutorLink.Address()
 	}
 	vm.agentArgs = append([]string{
