tests: entries that refuse agents for 0.3 s, as the fault was seen

The case was drawn up with 0.3 s, failed, and was shortened to 0.1 s beside the fix (runner: the first poll after a lost one is answered at once), on the supposition that reconnecting takes the rest of the leases on a busy machine. That was not measured, so the bound comes back.

--- a/tests/integration/control_unreachable_test.go
+++ b/tests/integration/control_unreachable_test.go
@@ -158,7 +158,7 @@
 			for _, e := range r.Entries {
 				e.RPCLink.Set(proxy.Faults{Unreachable: true})
 			}
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(300 * time.Millisecond)
 		}},
 		{"the entries refuse all connections for longer than the leases", false, func(r *cellTestbed, _ *harness.VM) {
 			for _, e := range r.Entries {
