elector: a test's bound counts from before the lease, as the lease does

TestReplacesRecordOfEarlierIncarnation/another_entry failed once in a run of all unit tests at a load of 14 to 18 ("acquired before the lease expired: true"), and passed 8 of 8 times afterwards.

Cause: the test gives the second entry one second from when the first one was set up, and the lease of two seconds counts from before that. If the setup takes a second, the lease ends within the bound, and the entry acquires the cell rightly.

Change: where the cell must not be acquired, the bound counts from before the lease was granted, and is three quarters of it, longer than before.

--- a/internal/control/elector/elector_test.go
+++ b/internal/control/elector/elector_test.go
@@ -36,6 +36,7 @@
 			server := httptest.NewServer(storer.New(storer.Config{}).Handler())
 			t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 			k := keeper.New(keeper.Config{URL: server.URL, CallTimeout: time.Second})
+			began := time.Now()
 			first := New(FromKeeper(Config{Cell: "c", EntryID: "entry-1", Address: "127.0.0.1:1", Lease: lease}, k))
 			if err := first.Acquire(t.Context()); err != nil {
 				t.Fatal(err)
@@ -44,7 +45,11 @@
 				t.Fatal(err)
 			}
 			second := New(FromKeeper(Config{Cell: "c", EntryID: tt.id, Address: tt.address, Lease: lease, ReplaceOwnRecord: tt.replace}, k))
-			ctx, cancel := context.WithTimeout(t.Context(), lease/2)
+			deadline := time.Now().Add(lease / 2)
+			if !tt.want {
+				deadline = began.Add(lease * 3 / 4) // the lease certainly lasts longer
+			}
+			ctx, cancel := context.WithDeadline(t.Context(), deadline)
 			defer cancel()
 			if got := second.Acquire(ctx) == nil; got != tt.want {
 				t.Fatalf("acquired before the lease expired: %t, want %t", got, tt.want)
