proxy: refused connections that end for certain, and leave open ones

A test that refuses connections could hang, or find a link still in order whose connections it had reset: the fault was not in force for classes with faults of their own, also once these had ended, and while the listener was closed another socket could take its port, for which Set then waited without a limit.

Cause: faults of a class override those of all, and the port belonged to nobody while it was refused; it is one of the ephemeral ports.

Change: Unreachable is in force for each class. A bound socket that does not listen keeps the port for the proxy. The new fault RefuseNew refuses new connections and leaves the open ones, as a closed listener does.

--- a/tests/proxy/proxy.go
+++ b/tests/proxy/proxy.go
@@ -27,13 +27,15 @@
 
 const (
 	chunkBytes       = 32 << 10              // maximum size of one read
-	listenRetryDelay = 20 * time.Millisecond // while another socket has the port
+	listenRetryDelay = 20 * time.Millisecond // while the address can't be listened on
 )
 
 // Faults are the faults in effect. The zero value has none.
 type Faults struct {
-	Refuse      bool          // reset all connections, also new ones
-	Unreachable bool          // reset all connections and refuse new ones at once, as a filter or a closed listener does; of all classes only
+	Refuse bool // reset all connections, also new ones
+	// Unreachable and RefuseNew are of all classes only: of a refused connection, no class is known.
+	Unreachable bool          // reset all connections and refuse new ones at once, as a filter does
+	RefuseNew   bool          // refuse new connections at once and leave the open ones, as a closed listener does
 	Cut         Direction     // discard bytes in these directions, as a broken link does
 	Hold        Direction     // hold bytes back and deliver them when this is unset
 	DropAnswers bool          // forward requests and reset the connection when the answer arrives
@@ -53,6 +55,7 @@
 type Proxy struct {
 	config      Config
 	address     string
+	port        port
 	changeMutex sync.Mutex   // held while a change of the faults takes effect
 	listener    net.Listener // nil while the proxy is unreachable or closed; changeMutex is held to access it
 	closed      bool         // likewise
@@ -80,12 +83,17 @@
 
 // New starts a proxy for a target; it listens on a free loopback port.
 func New(c Config) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	held, address, err := holdPort()
 	if err != nil {
 		return nil, err
 	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		held.close()
+		return nil, err
+	}
 	p := &Proxy{
-		config: c, address: l.Addr().String(), listener: l, byClass: make(map[string]Faults),
+		config: c, address: address, port: held, listener: l, byClass: make(map[string]Faults),
 		changed: make(chan struct{}), links: make(map[*link]bool),
 	}
 	go p.accept(l)
@@ -95,7 +103,8 @@
 // Address returns the address on which the proxy listens.
 func (p *Proxy) Address() string { return p.address }
 
-// Set replaces the faults of all connections except those whose class has its own.
+// Set replaces the faults of all connections except those whose class has its own; Unreachable
+// is for these, too.
 // Connections that lost bytes are reset once nothing is cut any more. After Set,
 // SetFor or Reset has returned, no byte is forwarded under the earlier faults; bytes
 // that the kernel has already accepted are still delivered.
@@ -120,9 +129,9 @@
 	set()
 	close(p.changed)
 	p.changed = make(chan struct{})
-	links, unreachable := slices.Collect(maps.Keys(p.links)), p.all.Unreachable
+	links, refused := slices.Collect(maps.Keys(p.links)), p.all.Unreachable || p.all.RefuseNew
 	p.mu.Unlock()
-	p.listen(!unreachable && !p.closed)
+	p.listen(!refused && !p.closed)
 	for _, l := range links {
 		l.quiesce(ToServer, l.server)
 		l.quiesce(ToClient, l.client)
@@ -142,7 +151,7 @@
 	case open && p.listener == nil:
 		l, err := net.Listen("tcp", p.address)
 		for ; err != nil; l, err = net.Listen("tcp", p.address) {
-			time.Sleep(listenRetryDelay) // another socket has the port
+			time.Sleep(listenRetryDelay)
 		}
 		p.listener = l
 		go p.accept(l)
@@ -169,7 +178,7 @@
 }
 
 func (p *Proxy) faultsLocked(class string) Faults {
-	if f, ok := p.byClass[class]; ok {
+	if f, ok := p.byClass[class]; ok && !p.all.Unreachable {
 		return f
 	}
 	return p.all
@@ -185,7 +194,12 @@
 
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
-	p.change(func() { p.closed, p.all, p.byClass = true, Faults{Refuse: true}, nil })
+	p.change(func() {
+		if !p.closed {
+			p.port.close()
+		}
+		p.closed, p.all, p.byClass = true, Faults{Refuse: true}, nil
+	})
 }
 
 func (p *Proxy) accept(l net.Listener) {
--- a/tests/proxy/proxy_test.go
+++ b/tests/proxy/proxy_test.go
@@ -61,6 +61,7 @@
 		{"none", Faults{}, true, true, true},
 		{"refuse", Faults{Refuse: true}, false, false, false},
 		{"unreachable", Faults{Unreachable: true}, false, false, false},
+		{"new connections refused", Faults{RefuseNew: true}, true, true, true},
 		{"cut both ways", Faults{Cut: BothDirections}, false, false, false},
 		{"cut to server", Faults{Cut: ToServer}, false, false, false},
 		{"cut to client", Faults{Cut: ToClient}, true, false, false},
@@ -121,28 +122,53 @@
 	}
 }
 
-// While a proxy is unreachable, the kernel must refuse connections to it, and the proxy must accept them
-// at the same address afterwards.
-func TestUnreachableProxyRefusesConnections(t *testing.T) {
-	target, _ := echo(t)
-	p, err := New(Config{Target: target})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer p.Close()
-	for range 3 {
-		p.Set(Faults{Unreachable: true})
-		if c, err := net.Dial("tcp", p.Address()); !errors.Is(err, syscall.ECONNREFUSED) {
-			t.Fatalf("connection %v, %v", c, err)
-		}
-		p.Reset()
-		c, err := net.Dial("tcp", p.Address())
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err := roundTrip(c, "line"); err != nil {
-			t.Error(err)
-		}
-		c.Close()
+// While a proxy refuses connections, the kernel must refuse them, open ones must be reset or go on as the
+// fault says, also those of a class with faults of its own, and the proxy must accept connections at the
+// same address afterwards. No other socket may take its port meanwhile: the fault would not end.
+func TestProxyRefusesConnections(t *testing.T) {
+	const class = "class"
+	for _, tt := range []struct {
+		name   string
+		faults Faults
+		goesOn bool // the open connection
+	}{
+		{"unreachable", Faults{Unreachable: true}, false},
+		{"new connections refused", Faults{RefuseNew: true}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			target, _ := echo(t)
+			p, err := New(Config{Target: target, Classify: func(net.Conn) string { return class }})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer p.Close()
+			own, err := net.ResolveTCPAddr("tcp", p.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.SetFor(class, Faults{})
+			for range 3 {
+				c, err := net.Dial("tcp", p.Address())
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := roundTrip(c, "line"); err != nil {
+					t.Error(err)
+				}
+				p.Set(tt.faults)
+				if c, err := net.Dial("tcp", p.Address()); !errors.Is(err, syscall.ECONNREFUSED) {
+					t.Fatalf("connection %v, %v", c, err)
+				}
+				other := net.Dialer{LocalAddr: own}
+				if c, err := other.Dial("tcp", target); !errors.Is(err, syscall.EADDRINUSE) {
+					t.Errorf("another socket takes the port: %v, %v", c, err)
+				}
+				if _, err := roundTrip(c, "line"); (err == nil) != tt.goesOn {
+					t.Errorf("open connection: %v", err)
+				}
+				c.Close()
+				p.Set(Faults{})
+			}
+		})
 	}
 }
