soak: refused connections on all links

Change: in each burst connections are refused one to four times, at least once between agents and executors, else also between entries and agents, entries and store, callers and entries: with resets of the open connections or without, singly or in series, in half of the cases while a process at one end is stopped, frozen or, if an executor, becomes another incarnation. The RPC link of an entry is refused as a whole. The draws have a random source of their own: the other faults of each seed remain what they were. No check is changed.

--- a/tests/soak/faults_test.go
+++ b/tests/soak/faults_test.go
@@ -193,19 +193,24 @@
 	cancelOffset          time.Duration // from the beginning to a cancellation during it
 }
 
-func drawInjection(b *testbed, r *rand.Rand, burst time.Duration) injection {
+func drawInjection(b *testbed, r *rand.Rand, burst time.Duration) (s injection) {
 	sum := 0
 	for _, k := range faultKinds {
 		sum += k.weight
 	}
 	drawn := r.IntN(sum)
-	var s injection
 	for _, k := range faultKinds {
 		if drawn -= k.weight; drawn < 0 {
 			s.fault = k.draw(b, r)
 			break
 		}
 	}
+	s.drawSchedule(r, burst)
+	return s
+}
+
+// drawSchedule draws when a fault is injected, how often, and what is cancelled near it.
+func (s *injection) drawSchedule(r *rand.Rand, burst time.Duration) {
 	longest := maxFault
 	if r.IntN(8) == 0 {
 		longest = maxFaultPastLeases
@@ -230,16 +235,14 @@
 	if s.gap = time.Duration(r.Int64N(int64(500 * time.Millisecond))); r.IntN(2) == 0 {
 		s.gap /= 20
 	}
-	return s
 }
 
 // burst draws overlapping faults and injects them; it returns once all have ended.
-// Cancellations are retried until seedCtx ends.
-func (b *testbed) burst(ctx, seedCtx context.Context, r *rand.Rand) {
+// Cancellations are retried until seedCtx ends. Refusals of connections are drawn from a source of their own.
+func (b *testbed) burst(ctx, seedCtx context.Context, r, refusing *rand.Rand) {
 	duration := minBurst + time.Duration(r.Int64N(int64(maxBurst-minBurst)))
 	var injections sync.WaitGroup
-	for range minInjections + r.IntN(maxInjections-minInjections+1) {
-		s, c := drawInjection(b, r, duration), b.callers[r.IntN(len(b.callers))]
+	start := func(s injection, c *caller) {
 		injections.Go(func() {
 			wait(ctx, s.at)
 			for range s.repeats {
@@ -247,6 +250,14 @@
 			}
 		})
 	}
+	for range minInjections + r.IntN(maxInjections-minInjections+1) {
+		s, c := drawInjection(b, r, duration), b.callers[r.IntN(len(b.callers))]
+		start(s, c)
+	}
+	for _, s := range b.drawRefusals(refusing, duration) {
+		b.refusals += s.repeats
+		start(s, b.callers[refusing.IntN(len(b.callers))])
+	}
 	injections.Wait()
 	// Twice, since requests that were sent to a process while it was frozen arrive late.
 	for range 2 {
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -20,6 +20,7 @@
 	completionBound = 40 * time.Second // after the last fault, for accepted jobs and cancellations to take effect
 	seedLimit       = 3 * time.Minute
 	pollInterval    = 200 * time.Millisecond
+	refusalSource   = 6 // of the random sources of a seed
 )
 
 // seeds lists the seeds that run with all tests and, with a cause, those that have failed.
@@ -122,7 +123,7 @@
 		callerGroup.Go(func() { c.run(ctx, seedCtx) })
 	}
 	wait(ctx, warmUp)
-	r, crashing := rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3))
+	r, crashing, refusing := rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, refusalSource))
 	var findings []string
 	for n := range 2 + r.IntN(2) {
 		if b.scenarios == nil {
@@ -130,7 +131,7 @@
 		}
 		b.submitBacklog(seedCtx, n)
 		b.scenarios.submitShapes(seedCtx, n)
-		b.burst(ctx, seedCtx, r)
+		b.burst(ctx, seedCtx, r, refusing)
 		b.beginFaultFree()
 		wait(seedCtx, faultFreeTime)
 		if findings = b.history().check(); len(findings) > 0 {
@@ -198,10 +199,10 @@
 func (b *testbed) report(findings []string) {
 	b.t.Helper()
 	count := func(want func(*record) bool) int { return len(b.registry.jobIDs(want)) }
-	b.t.Logf("seed %d: %d jobs, %d refused, %d long-running, %d done, %d cancelled, %d crashing, %d of them failed, %d events of executors", b.seed,
+	b.t.Logf("seed %d: %d jobs, %d refused, %d long-running, %d done, %d cancelled, %d crashing, %d of them failed, %d events of executors, connections refused %d times", b.seed,
 		count(func(*record) bool { return true }), count(func(r *record) bool { return r.refused }), count(func(r *record) bool { return r.spec.LongRunning() }),
 		count(func(r *record) bool { return !r.done.IsZero() }), count(func(r *record) bool { return !r.acked.IsZero() }),
-		count(func(r *record) bool { return r.crashes }), count(func(r *record) bool { return r.crashes && r.state == stateFailed }), len(b.JobEvents()))
+		count(func(r *record) bool { return r.crashes }), count(func(r *record) bool { return r.crashes && r.state == stateFailed }), len(b.JobEvents()), b.refusals)
 	if len(findings) == 0 {
 		return
 	}
--- a/tests/soak/testbed_test.go
+++ b/tests/soak/testbed_test.go
@@ -61,6 +61,9 @@
 	executorStacks []*faultStack[executor.Faults] // by VM
 
 	agentLinks, storeLinks, executorLinks, callerLinks []*faultStack[proxy.Faults]
+	// rpcLinks are the whole RPC links of the entries, of which agentLinks are the parts by process.
+	rpcLinks []*faultStack[proxy.Faults]
+	refusals int // how often connections were refused
 
 	mu         sync.Mutex
 	eventLog   []string // injected faults, saved if the seed fails
@@ -96,6 +99,7 @@
 	for _, e := range k.Entries {
 		b.entries = append(b.entries, &managedProcess{Process: e.Process})
 		b.storeLinks = append(b.storeLinks, newFaultStack(e.StoreLink.Set))
+		b.rpcLinks = append(b.rpcLinks, newFaultStack(e.RPCLink.Set))
 	}
 	for _, vm := range k.JobVMs {
 		b.agents = append(b.agents, &managedProcess{Process: vm.Agent})
