relayer: a read that failed once is tried at the store while entries are asked

Change: while other entries are asked, a read is made directly as well, after 0.1 s and then every 0.5 s; the first answer counts. While the store counts as unreachable, the calls of all readers together try it every 0.5 s, as before. A read that ends so closes no connection: a write of another caller may be under way there.

TestSilentEntryDelaysNoRead: 5.7 s for a watch, 15 s for a list and 3 s for a record on the code before, without an answer. TestReadAnsweredDirectlyBreaksNoRelayedWrite fails with the last check taken out.

--- a/internal/store/relayer/relayer.go
+++ b/internal/store/relayer/relayer.go
@@ -21,6 +21,9 @@
 const (
 	// probeInterval is the time between direct calls while calls are relayed.
 	probeInterval = 500 * time.Millisecond
+	// firstProbe is the time until a read that is relayed is first made directly again: one that failed
+	// does not show that the store refuses this VM.
+	firstProbe = 100 * time.Millisecond
 	// dialTimeout is long compared with the round trip to the farthest entry, about 30 ms.
 	dialTimeout = 200 * time.Millisecond
 	// answerTime is how long an entry may take beyond the wait of a call until its answer begins to
@@ -63,14 +66,14 @@
 	d := r.config.Calls
 	return keeper.Calls{
 		GetRecord: func(ctx context.Context, key string) (keeper.Record, error) {
-			a, err := relay(ctx, r, keeper.KindGet, keeper.KeyCall{Key: key}, 0, func() (keeper.RecordAnswer, error) {
+			a, err := relayRead(ctx, r, keeper.KindGet, keeper.KeyCall{Key: key}, 0, func(ctx context.Context, _ time.Duration) (keeper.RecordAnswer, error) {
 				record, err := d.GetRecord(ctx, key)
 				return keeper.RecordAnswer{Record: record}, err
 			})
 			return a.Record, err
 		},
 		FindRecords: func(ctx context.Context, o keeper.ListOptions) (keeper.ListResult, error) {
-			a, err := relay(ctx, r, keeper.KindList, keeper.ListCall(o), listTime, func() (keeper.ListAnswer, error) {
+			a, err := relayRead(ctx, r, keeper.KindList, keeper.ListCall(o), listTime, func(ctx context.Context, _ time.Duration) (keeper.ListAnswer, error) {
 				found, err := d.FindRecords(ctx, o)
 				return keeper.ListAnswer(found), err
 			})
@@ -97,8 +100,8 @@
 			return err
 		},
 		Watch: func(ctx context.Context, o keeper.WatchOptions) (keeper.WatchResult, error) {
-			a, err := relay(ctx, r, keeper.KindWatch, keeper.WatchCall{Prefix: o.Prefix, After: o.After, WaitMillis: o.Wait.Milliseconds()}, o.Wait, func() (keeper.WatchAnswer, error) {
-				seen, err := d.Watch(ctx, o)
+			a, err := relayRead(ctx, r, keeper.KindWatch, keeper.WatchCall{Prefix: o.Prefix, After: o.After, WaitMillis: o.Wait.Milliseconds()}, o.Wait, func(ctx context.Context, wait time.Duration) (keeper.WatchAnswer, error) {
+				seen, err := d.Watch(ctx, keeper.WatchOptions{Prefix: o.Prefix, After: o.After, Wait: wait})
 				return keeper.WatchAnswer(seen), err
 			})
 			return keeper.WatchResult(a), err
@@ -109,15 +112,70 @@
 // relay makes a call directly, and by way of another entry if the store has certainly not carried it
 // out.
 func relay[Q, A any](ctx context.Context, r *Relayer, kind string, body Q, wait time.Duration, direct func() (A, error)) (A, error) {
-	if !r.config.Active() || !r.config.Unreachable() || r.probes(kind) {
-		a, err := direct()
-		if err == nil {
-			r.recordDirect()
-		}
-		if !keeper.IsErrUnavailable(err) || !r.config.Active() || ctx.Err() != nil {
-			return a, err
+	if a, final, err := callDirectly(ctx, r, kind, direct); final {
+		return a, err
+	}
+	return callEntries[Q, A](ctx, r, kind, body, wait)
+}
+
+// callDirectly makes a call directly, unless the store refuses this process, and reports whether that is its
+// result.
+func callDirectly[A any](ctx context.Context, r *Relayer, kind string, direct func() (A, error)) (a A, final bool, err error) {
+	if r.config.Active() && r.config.Unreachable() && !r.probes(kind) {
+		return a, false, nil
+	}
+	a, err = direct()
+	if err == nil {
+		r.recordDirect()
+	}
+	return a, !keeper.IsErrUnavailable(err) || !r.config.Active() || ctx.Err() != nil, err
+}
+
+// relayRead makes a read as relay does. While other entries are asked, the store is tried directly as
+// well: an entry that stands still holds a call for seconds, and the reader would know nothing newer
+// meanwhile although the store answers this process.
+func relayRead[Q, A any](ctx context.Context, r *Relayer, kind string, body Q, wait time.Duration, direct func(ctx context.Context, wait time.Duration) (A, error)) (A, error) {
+	if a, final, err := callDirectly(ctx, r, kind, func() (A, error) { return direct(ctx, wait) }); final {
+		return a, err
+	}
+	type outcome struct {
+		answer A
+		err    error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	relayed, own := make(chan outcome, 1), make(chan outcome, 1)
+	go func() {
+		a, err := callEntries[Q, A](ctx, r, kind, body, wait)
+		relayed <- outcome{a, err}
+	}()
+	next := time.NewTimer(firstProbe)
+	defer next.Stop()
+	for {
+		select {
+		case o := <-relayed:
+			return o.answer, o.err
+		case <-next.C:
+			if r.config.Unreachable() && !r.probes(kind) {
+				next.Reset(firstProbe)
+				continue
+			}
+			go func() {
+				a, err := direct(ctx, 0)
+				own <- outcome{a, err}
+			}()
+		case o := <-own:
+			if !keeper.IsErrUnavailable(o.err) {
+				r.recordDirect()
+				return o.answer, o.err
+			}
+			next.Reset(probeInterval)
 		}
 	}
+}
+
+// callEntries makes a call by way of other entries and decodes its answer.
+func callEntries[Q, A any](ctx context.Context, r *Relayer, kind string, body Q, wait time.Duration) (A, error) {
 	var a A
 	raw, err := json.Marshal(body)
 	if err != nil {
@@ -171,6 +229,9 @@
 		var a Reply
 		callErr := conn.CallWithin(ctx, answerTime+time.Duration(q.WaitMillis)*time.Millisecond, messenger.MethodStoreCall, q, &a)
 		switch {
+		case callErr != nil && ctx.Err() != nil && !q.writes():
+			// The reader has its answer. Other calls may be under way on the connection.
+			return nil, keeper.ErrUnavailable{Cause: callErr}
 		case callErr == nil && a.Failure == nil:
 			r.recordRelayed()
 			return a.Answer, nil
