job/follower: a watch whose answer is lost delays no change

Change: once the policy is 0.1 s older than watches that are answered leave it (1.8 s), the store is asked again beside the watch, without a wait, until either is answered. Event 944 says that a watch was overdue, since when and which call was answered.

TestLostWatchDelaysNoChange: 4.1 s on the code before, as long as the fake loses the watch. TestNextWait, TestSlowAnswerIsForgotten.

--- a/internal/job/follower/follower.go
+++ b/internal/job/follower/follower.go
@@ -23,6 +23,11 @@
 	// policy is the newest. Operators expect a change to apply within 2 s.
 	watchWait  = 900 * time.Millisecond
 	retryDelay = 100 * time.Millisecond
+	// confirmedAge is the highest age of the policy while watches are answered in time: it is as old as
+	// the watch before the present one.
+	confirmedAge = 2 * watchWait
+	// overdueTime is how much older the policy may become before the present watch counts as lost.
+	overdueTime = 100 * time.Millisecond
 	// maxListLag is how long lists may be behind the newest known revision. After it the store
 	// is assumed to have lost its state and to have restarted its revisions.
 	maxListLag = 5 * time.Second
@@ -61,6 +66,7 @@
 	listingSince   time.Time      // when the first page of the latest list was requested
 	newestRevision int64          // highest revision seen
 	lagSince       time.Time      // when lists first were behind newestRevision; zero: they are not
+	transfer       time.Duration  // how much longer than its wait the latest watch took
 	lost           bool
 }
 
@@ -155,7 +161,7 @@
 // Records answers the request of an entry that cannot reach the store. The reply of a follower that
 // has read nothing yet is empty and as old as can be.
 func (f *Follower) Records(q messenger.WorkPolicyRequest) messenger.WorkPolicyReply {
-	age := f.Age() // before the records are read: they may be newer, but not older
+	age := f.Age()                                                   // before the records are read: they may be newer, but not older
 	known := f.known.Load()
 	if known == nil {
 		return messenger.WorkPolicyReply{AgeMillis: age.Milliseconds()}
@@ -177,14 +183,7 @@
 		at, err = f.list(ctx)
 		return at, true, err
 	}
-	at = f.config.Now()
-	wait := watchWait
-	if f.lost {
-		// A waiting watch would be answered almost a second after the store is back, and
-		// callers would be refused until then.
-		wait = 0
-	}
-	result, err := f.config.Store.Watch(ctx, keeper.WatchOptions{Prefix: f.config.Prefix, After: f.after, Wait: wait})
+	at, result, err := f.watch(ctx)
 	if keeper.IsErrHistoryNotExist(err) {
 		// Not a confirmation: the answer does not tell whether anything has changed.
 		f.after = 0
@@ -210,6 +209,84 @@
 	return at, true, nil
 }
 
+// watched is the result of a watch.
+type watched struct {
+	sentAt time.Time
+	wait   time.Duration
+	result keeper.WatchResult
+	err    error
+}
+
+// watch waits for changes and returns when the watch that was answered was sent. A watch whose answer is
+// lost looks like one that waits, and callers would be served by a policy that is known to be old until
+// it fails: once the policy is older than watches leave it, the store is asked again beside it.
+func (f *Follower) watch(ctx context.Context) (time.Time, keeper.WatchResult, error) {
+	o := keeper.WatchOptions{Prefix: f.config.Prefix, After: f.after, Wait: f.nextWait()}
+	w := watched{}
+	if o.Wait == 0 {
+		w = f.ask(ctx, o)
+	} else {
+		w = f.askTwice(ctx, o)
+	}
+	if w.err == nil && (len(w.result.Changes) == 0 || w.wait == 0) {
+		f.transfer = max(f.config.Now().Sub(w.sentAt)-w.wait, 0)
+	}
+	return w.sentAt, w.result, w.err
+}
+
+// askTwice makes a watch, and another that does not wait once the first is overdue.
+func (f *Follower) askTwice(ctx context.Context, o keeper.WatchOptions) watched {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan watched, 2)
+	go func() { answers <- f.ask(ctx, o) }()
+	overdue := time.NewTimer(confirmedAge + overdueTime - f.Age())
+	defer overdue.Stop()
+	select {
+	case w := <-answers:
+		return w
+	case <-overdue.C:
+	}
+	go func() {
+		again := keeper.WatchOptions{Prefix: o.Prefix, After: o.After}
+		w := f.ask(ctx, again)
+		for keeper.IsErrUnavailable(w.err) && pauser.Pause(ctx, retryDelay) == nil {
+			w = f.ask(ctx, again)
+		}
+		answers <- w
+	}()
+	w := <-answers
+	f.config.Reporter.Report(reporter.PolicyWatchOverdue, reporter.Fields{
+		"age": f.Age().String(), "asked-again": w.wait == 0, "took": f.config.Now().Sub(w.sentAt).String(), "error": errorText(w.err),
+	})
+	return w
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// nextWait returns how long the next watch may wait. An answer confirms the policy for the time at which
+// its watch was sent, so a watch that waits leaves an old policy old.
+func (f *Follower) nextWait() time.Duration {
+	if f.lost {
+		// A waiting watch would be answered almost a second after the store is back, and
+		// callers would be refused until then.
+		return 0
+	}
+	return min(watchWait, max(confirmedAge-f.transfer-f.Age(), 0))
+}
+
+// ask makes one watch.
+func (f *Follower) ask(ctx context.Context, o keeper.WatchOptions) watched {
+	w := watched{sentAt: f.config.Now(), wait: o.Wait}
+	w.result, w.err = f.config.Store.Watch(ctx, o)
+	return w
+}
+
 // list reads all records and returns when the first page was requested. Pages that were read are kept
 // when a later one can't be read.
 func (f *Follower) list(ctx context.Context) (time.Time, error) {
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -48,6 +48,7 @@
 	JobVMReleased
 	GangRoomMade
 	MembersAwaited
+	PolicyWatchOverdue
 )
 
 // Events of jobs at agents, numbered from 950.
@@ -126,6 +127,7 @@
 	{JobVMReleased, log.InfoLevel, "VM released from probation", "A run on a VM that was quarantined has shown that its worker is sound, the worker has restarted, or tasks of the same jobs fail on other VMs too: the VM accepts tasks without limit again."},
 	{GangRoomMade, log.InfoLevel, "room made for a gang", "Long-running tasks stop so that a gang that has waited too long finds room for all its tasks. Of the stops, so many move to another VM. With held=false only a part of them may stop at once, and the search is repeated after these moves."},
 	{MembersAwaited, log.InfoLevel, "members awaited", "VMs that may run tasks of earlier owners have not reported to this owner. Tasks of jobs from before the change of owner start once all have, or once the leases of the others have certainly ended; at-most says how long that takes."},
+	{PolicyWatchOverdue, log.WarnLevel, "policy watch overdue", "The watch of the operators' records was not answered in time: its answer may be lost, and the policy was about to count as old. The store was asked again beside it; asked-again says whether that call or the watch ended first, age how old the policy was then, and error why neither has the records."},
 
 	{WorkerAnnounced, log.InfoLevel, "worker announced itself", "The worker of this VM reported its state."},
 	{WorkerRestarted, log.WarnLevel, "worker restarted", "The worker restarted as a new incarnation and has lost its state; its runs are lost."},
