job/follower: an old confirmation is none

Change: ages are passed on rounded up, and only a confirmation that leaves the policy as new as watches do is a reason to try the store less often.

TestOwnAnswerConfirmsNothing and TestOldConfirmationDelaysNoRead (0.40 s) fail on the code before.

--- /dev/null
+++ b/internal/job/follower/confirmation_test.go
@@ -0,0 +1,67 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/store/keeper"
+	"bamboospread/internal/wire/messenger"
+)
+
+// Guards against an owner that takes its own answer for a confirmation, since an age that is rounded down
+// looks newer, and leaves the store alone for as long as if the policy were known to be the newest.
+func TestOwnAnswerConfirmsNothing(t *testing.T) {
+	now := time.Now()
+	var f *Follower
+	f = New(Config{Prefix: "op/", Decode: decode, Reporter: reporter.Discard(), Now: func() time.Time { return now }, AskOwner: func(_ context.Context, q messenger.WorkPolicyRequest) (messenger.WorkPolicyReply, error) {
+		return f.Records(q), nil
+	}})
+	f.after = 1
+	f.confirm(now, false)
+	now = now.Add(3*time.Second + 700*time.Microsecond)
+	if f.askOwner(t.Context()) {
+		t.Error("the policy counts as confirmed")
+	}
+	if want := 3*time.Second + 700*time.Microsecond; f.Age() != want {
+		t.Errorf("age %s, want %s", f.Age(), want)
+	}
+}
+
+// Guards against an entry that leaves the store alone because the owner, which has not reached it for as
+// long, knows the policy a little newer.
+func TestOldConfirmationDelaysNoRead(t *testing.T) {
+	var failed atomic.Bool
+	answered := make(chan time.Time, 1)
+	s := &fakeStore{value: "5", revision: 1}
+	w := New(Config{
+		Store: keeper.Calls{FindRecords: s.find, Watch: func(ctx context.Context, o keeper.WatchOptions) (keeper.WatchResult, error) {
+			if failed.CompareAndSwap(false, true) {
+				return keeper.WatchResult{}, keeper.ErrUnavailable{Cause: errors.New("no answer")}
+			}
+			select {
+			case answered <- time.Now():
+			default:
+			}
+			return s.watch(ctx, o)
+		}},
+		Prefix: "op/", Decode: decode, Now: time.Now, Reporter: reporter.Discard(),
+		AskOwner: func(_ context.Context, q messenger.WorkPolicyRequest) (messenger.WorkPolicyReply, error) {
+			return messenger.WorkPolicyReply{Revision: q.After, AgeMillis: 3000}, nil
+		},
+	})
+	at := time.Now().Add(-4 * time.Second)
+	w.contact.Store(&at)
+	w.after, w.records = 1, map[string][]byte{"op/config": []byte("5")}
+	startedAt := time.Now()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- w.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	if took := (<-answered).Sub(startedAt); took > retryDelay+200*time.Millisecond {
+		t.Errorf("the store is asked again after %s", took)
+	}
+}
--- a/internal/job/follower/follower.go
+++ b/internal/job/follower/follower.go
@@ -32,7 +32,7 @@
 	// is assumed to have lost its state and to have restarted its revisions.
 	maxListLag = 5 * time.Second
 	// askInterval is the minimum time between requests to the owner while the store does not answer.
-	// While the owner confirms the policy, the store is tried as often: the calls that it refuses
+	// While the owner confirms the policy in time, the store is tried as often: the calls that it refuses
 	// would otherwise grow with the VMs that it turns away.
 	askInterval = 400 * time.Millisecond
 )
@@ -107,7 +107,7 @@
 		f.reportReachability(err)
 		if err != nil {
 			pause := retryDelay
-			if f.askOwner(ctx) {
+			if f.askOwner(ctx) && f.Age() <= confirmedAge {
 				pause = askInterval
 			}
 			_ = pauser.Pause(ctx, pause)
@@ -162,11 +162,12 @@
 // has read nothing yet is empty and as old as can be.
 func (f *Follower) Records(q messenger.WorkPolicyRequest) messenger.WorkPolicyReply {
 	age := f.Age()                                                   // before the records are read: they may be newer, but not older
+	millis := int64((age + time.Millisecond - 1) / time.Millisecond) // rounded up: an owner that asks itself would confirm an old policy
 	known := f.known.Load()
 	if known == nil {
-		return messenger.WorkPolicyReply{AgeMillis: age.Milliseconds()}
+		return messenger.WorkPolicyReply{AgeMillis: millis}
 	}
-	a := messenger.WorkPolicyReply{Revision: known.revision, AgeMillis: age.Milliseconds(), Changed: q.After < known.changedAt}
+	a := messenger.WorkPolicyReply{Revision: known.revision, AgeMillis: millis, Changed: q.After < known.changedAt}
 	if !a.Changed {
 		return a
 	}
