job/follower: the age of a policy is never that of a later one

Callers could be refused with 404 for the absence of a queue that exists, tasks could start by the old policy, and other entries could be sent the old records as the newest: the time of the confirmation was stored before the policy and the records to which it belongs.

Change: policy, records and time are put in force in this order. Event 921 gives the age of the policy that it reports, as before.

TestAgeIsNeverThatOfALaterPolicy fails on the code before (0 s in place of 5 s while version 4 is decoded, for callers and for other entries).

--- a/internal/job/follower/confirmation_test.go
+++ b/internal/job/follower/confirmation_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/wire/messenger"
@@ -65,3 +66,33 @@
 		t.Errorf("the store is asked again after %s", took)
 	}
 }
+
+// Guards against a caller that is refused by a queue's absence, a start, or another entry that is sent the
+// records, by the old policy and the age of the new one while the new one is being decoded.
+func TestAgeIsNeverThatOfALaterPolicy(t *testing.T) {
+	now := time.Now()
+	var f *Follower
+	var ages []time.Duration
+	f = New(Config{Prefix: "op/", Reporter: reporter.Discard(), Now: func() time.Time { return now }, Decode: func(records map[string][]byte) (*specifier.Policy, error) {
+		if a := f.Records(messenger.WorkPolicyRequest{After: 1}); f.Policy().Version > 0 {
+			ages = append(ages, f.Age(), time.Duration(a.AgeMillis)*time.Millisecond)
+		}
+		return decode(records)
+	}})
+	f.after, f.records = 1, map[string][]byte{"op/config": []byte("2")}
+	f.confirm(now, true)
+	now = now.Add(5 * time.Second)
+	f.after, f.records = 2, map[string][]byte{"op/config": []byte("4")}
+	f.confirm(now, true)
+	if f.Policy().Version != 4 || f.Age() != 0 {
+		t.Errorf("version %d, age %s", f.Policy().Version, f.Age())
+	}
+	for _, age := range ages {
+		if age != 5*time.Second {
+			t.Errorf("version 2 is %s old while version 4 is decoded", age)
+		}
+	}
+	if len(ages) != 2 {
+		t.Errorf("%d ages", len(ages))
+	}
+}
--- a/internal/job/follower/follower.go
+++ b/internal/job/follower/follower.go
@@ -91,7 +91,7 @@
 var noPolicy specifier.Policy
 
 // Age returns the time since the policy was last confirmed to be the newest. Before the first
-// answered read it returns a duration above every limit.
+// answered read it returns a duration above every limit. It holds for a policy that is read after it.
 func (f *Follower) Age() time.Duration {
 	at := f.contact.Load()
 	if at == nil {
@@ -119,13 +119,14 @@
 	return ctx.Err()
 }
 
-// confirm records that the records were certainly the newest at the given time.
+// confirm records that the records were certainly the newest at the given time. The time comes last:
+// whoever reads the age before the policy never takes an old policy for a new one.
 func (f *Follower) confirm(at time.Time, changed bool) {
-	f.contact.Store(&at)
-	f.known.Store(&snapshot{records: f.records, revision: f.after, changedAt: f.changedAt})
 	if changed {
 		f.publish(at)
 	}
+	f.known.Store(&snapshot{records: f.records, revision: f.after, changedAt: f.changedAt})
+	f.contact.Store(&at)
 }
 
 // askOwner takes the records from the owner, which may reach the store while this process does not,
@@ -346,7 +347,7 @@
 	}
 	p.ReadAt = sentAt
 	f.policy.Store(p)
-	f.config.Reporter.Report(reporter.PolicyApplied, reporter.Fields{"version": p.Version, "queues": len(p.Queues), "zones-out": len(p.ZonesOut), "bytes": sizeOf(f.records), "age": f.Age().String()})
+	f.config.Reporter.Report(reporter.PolicyApplied, reporter.Fields{"version": p.Version, "queues": len(p.Queues), "zones-out": len(p.ZonesOut), "bytes": sizeOf(f.records), "age": f.config.Now().Sub(sentAt).String()})
 }
 
 func sizeOf(records map[string][]byte) (bytes int) {
