job/follower: an overdue watch is replaced by a list, not by another watch

Callers would still have been served by an old configuration for a second: while the store drops its history it answers no watch at all, also none that does not wait.

Change: all records are read beside the overdue watch, and again until that succeeds or the watch has ended; pages that were read are kept.

TestLostWatchDelaysNoChange: no watch is answered, two changes follow each other. TestOverdueWatchDoesNotRevertTheList fails if the changes of a watch are applied to a list that is newer.

--- a/internal/job/follower/follower.go
+++ b/internal/job/follower/follower.go
@@ -185,7 +185,11 @@
 		at, err = f.list(ctx)
 		return at, true, err
 	}
-	at, result, err := f.watch(ctx)
+	a := f.ask(ctx)
+	if a.listed {
+		return a.sentAt, true, nil
+	}
+	at, result, err := a.sentAt, a.result, a.err
 	if keeper.IsErrHistoryNotExist(err) {
 		// Not a confirmation: the answer does not tell whether anything has changed.
 		f.after = 0
@@ -195,7 +199,7 @@
 	if err != nil {
 		return at, false, err
 	}
-	f.after = max(f.after, result.Revision)
+	f.after, f.listing = max(f.after, result.Revision), nil
 	f.newestRevision = max(f.newestRevision, f.after)
 	if len(result.Changes) == 0 {
 		return at, false, nil
@@ -211,57 +215,76 @@
 	return at, true, nil
 }
 
-// watched is the result of a watch.
-type watched struct {
+// answer is the result of a watch, or of a list that was made beside it.
+type answer struct {
 	sentAt time.Time
-	wait   time.Duration
-	result keeper.WatchResult
+	result keeper.WatchResult // of a watch
+	listed bool               // the records are those of the list
 	err    error
 }
 
-// watch waits for changes and returns when the watch that was answered was sent. A watch whose answer is
-// lost looks like one that waits, and callers would be served by a policy that is known to be old until
-// it fails: once the policy is older than watches leave it, the store is asked again beside it.
-func (f *Follower) watch(ctx context.Context) (time.Time, keeper.WatchResult, error) {
+// ask watches for changes. A watch whose answer is lost looks like one that waits, and callers would be
+// served by a policy that is known to be old until it fails: once it is overdue, all records are read
+// beside it. That is not another watch, since the store may answer none before it drops its history.
+func (f *Follower) ask(ctx context.Context) answer {
 	o := keeper.WatchOptions{Prefix: f.config.Prefix, After: f.after, Wait: f.nextWait()}
-	w := watched{}
-	if o.Wait == 0 {
-		w = f.ask(ctx, o)
-	} else {
-		w = f.askTwice(ctx, o)
-	}
-	if w.err == nil && (len(w.result.Changes) == 0 || w.wait == 0) {
-		f.transfer = max(f.config.Now().Sub(w.sentAt)-w.wait, 0)
+	limit := overdueTime + f.transfer
+	if o.Wait > 0 {
+		limit = confirmedAge + overdueTime - f.Age()
 	}
-	return w.sentAt, w.result, w.err
-}
-
-// askTwice makes a watch, and another that does not wait once the first is overdue.
-func (f *Follower) askTwice(ctx context.Context, o keeper.WatchOptions) watched {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answers := make(chan watched, 2)
-	go func() { answers <- f.ask(ctx, o) }()
-	overdue := time.NewTimer(confirmedAge + overdueTime - f.Age())
+	watched := make(chan answer, 1)
+	go func() { watched <- f.watch(ctx, o) }()
+	overdue := time.NewTimer(limit)
 	defer overdue.Stop()
 	select {
-	case w := <-answers:
-		return w
+	case a := <-watched:
+		if a.err == nil && (len(a.result.Changes) == 0 || o.Wait == 0) {
+			f.transfer = max(f.config.Now().Sub(a.sentAt)-o.Wait, 0)
+		}
+		return a
 	case <-overdue.C:
 	}
+	a := f.listBeside(ctx, watched)
+	f.config.Reporter.Report(reporter.PolicyWatchOverdue, reporter.Fields{
+		"age": f.Age().String(), "listed": a.listed, "took": f.config.Now().Sub(a.sentAt).String(), "error": errorText(a.err),
+	})
+	return a
+}
+
+// listBeside reads all records until that succeeds or the watch has ended.
+func (f *Follower) listBeside(ctx context.Context, watched <-chan answer) answer {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	listed := make(chan answer, 1)
 	go func() {
-		again := keeper.WatchOptions{Prefix: o.Prefix, After: o.After}
-		w := f.ask(ctx, again)
-		for keeper.IsErrUnavailable(w.err) && pauser.Pause(ctx, retryDelay) == nil {
-			w = f.ask(ctx, again)
+		for {
+			at, err := f.list(ctx)
+			if err == nil || pauser.Pause(ctx, retryDelay) != nil {
+				listed <- answer{sentAt: at, listed: err == nil, err: err}
+				return
+			}
 		}
-		answers <- w
 	}()
-	w := <-answers
-	f.config.Reporter.Report(reporter.PolicyWatchOverdue, reporter.Fields{
-		"age": f.Age().String(), "asked-again": w.wait == 0, "took": f.config.Now().Sub(w.sentAt).String(), "error": errorText(w.err),
-	})
-	return w
+	select {
+	case a := <-listed:
+		return a
+	case a := <-watched:
+		cancel()
+		// The changes that the watch has seen may be older than a list that is complete.
+		if l := <-listed; l.listed {
+			return l
+		}
+		return a
+	}
+}
+
+// watch makes a watch.
+func (f *Follower) watch(ctx context.Context, o keeper.WatchOptions) answer {
+	a := answer{sentAt: f.config.Now()}
+	a.result, a.err = f.config.Store.Watch(ctx, o)
+	return a
 }
 
 func errorText(err error) string {
@@ -282,13 +305,6 @@
 	return min(watchWait, max(confirmedAge-f.transfer-f.Age(), 0))
 }
 
-// ask makes one watch.
-func (f *Follower) ask(ctx context.Context, o keeper.WatchOptions) watched {
-	w := watched{sentAt: f.config.Now(), wait: o.Wait}
-	w.result, w.err = f.config.Store.Watch(ctx, o)
-	return w
-}
-
 // list reads all records and returns when the first page was requested. Pages that were read are kept
 // when a later one can't be read.
 func (f *Follower) list(ctx context.Context) (time.Time, error) {
--- a/internal/job/follower/overdue_test.go
+++ b/internal/job/follower/overdue_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,19 +12,19 @@
 	"bamboospread/internal/store/keeper"
 )
 
-// lossyStore loses the answers of waiting watches while silent; other calls are answered.
+// lossyStore loses the answers of watches while silent; lists are answered.
 type lossyStore struct {
 	fakeStore
 
 	silent atomic.Bool
-	lost   atomic.Int64 // waiting watches that were not answered
+	lost   atomic.Int64 // watches that were not answered
 }
 
 // lossLimit is how long an unanswered watch lasts, as with other entries that are asked in vain.
 const lossLimit = 4 * time.Second
 
 func (l *lossyStore) watch(ctx context.Context, o keeper.WatchOptions) (keeper.WatchResult, error) {
-	if o.Wait > 0 && l.silent.Load() {
+	if l.silent.Load() {
 		l.lost.Add(1)
 		select {
 		case <-ctx.Done():
@@ -37,32 +38,52 @@
 // Guards against callers that are served by a configuration that was replaced seconds before: the answer
 // of a watch was lost, and nothing else was read until it failed, though the store answered.
 func TestLostWatchDelaysNoChange(t *testing.T) {
-	tests := []struct {
-		name           string
-		historyDropped bool
-	}{
-		{"the history is kept", false},
-		{"the history is dropped", true},
+	s := &lossyStore{fakeStore: fakeStore{value: "2", revision: 1}}
+	w := New(Config{Store: keeper.Calls{FindRecords: s.find, Watch: s.watch}, Prefix: "op/", Decode: decode, Now: time.Now, Reporter: reporter.Discard()})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- w.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	await(t, "version 2", func() bool { return w.Policy().Version == 2 })
+	s.silent.Store(true)
+	await(t, "watch without an answer", func() bool { return s.lost.Load() > 0 })
+	const margin = 500 * time.Millisecond // for a busy machine
+	for _, version := range []string{"4", "6"} {
+		s.set(func() { s.value = version })
+		changedAt := time.Now()
+		await(t, "version "+version, func() bool { return strconv.FormatInt(w.Policy().Version, 10) == version })
+		if took := time.Since(changedAt); took > confirmedAge+overdueTime+margin {
+			t.Errorf("version %s is in force %s after it was stored", version, took)
+		}
 	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			s := &lossyStore{fakeStore: fakeStore{value: "2", revision: 1}}
-			w := New(Config{Store: keeper.Calls{FindRecords: s.find, Watch: s.watch}, Prefix: "op/", Decode: decode, Now: time.Now, Reporter: reporter.Discard()})
-			ctx, cancel := context.WithCancel(t.Context())
-			ended := make(chan error, 1)
-			go func() { ended <- w.Run(ctx) }()
-			t.Cleanup(func() { cancel(); <-ended })
-			await(t, "version 2", func() bool { return w.Policy().Version == 2 })
-			s.silent.Store(true)
-			await(t, "watch without an answer", func() bool { return s.lost.Load() > 0 })
-			s.set(func() { s.value, s.historyDropped = "4", tt.historyDropped })
-			changedAt := time.Now()
-			await(t, "version 4", func() bool { return w.Policy().Version == 4 })
-			const margin = 500 * time.Millisecond // for a busy machine
-			if took := time.Since(changedAt); took > confirmedAge+overdueTime+margin {
-				t.Errorf("version 4 is in force %s after it was stored", took)
-			}
-		})
+	s.silent.Store(false)
+	s.set(func() { s.value = "8" })
+	await(t, "version 8, by a watch", func() bool { return w.Policy().Version == 8 })
+}
+
+// Guards against older records in place of newer ones: the answer of an overdue watch comes while the
+// records that were read beside it are complete, and must not be applied to them.
+func TestOverdueWatchDoesNotRevertTheList(t *testing.T) {
+	answered := make(chan struct{})
+	f := New(Config{Prefix: "op/", Decode: decode, Now: time.Now, Reporter: reporter.Discard(), Store: keeper.Calls{
+		Watch: func(context.Context, keeper.WatchOptions) (keeper.WatchResult, error) {
+			<-answered
+			return keeper.WatchResult{Revision: 2, Changes: []keeper.Change{{Record: keeper.Record{Key: "op/config", Value: []byte("3"), Revision: 2}}}}, nil
+		},
+		FindRecords: func(context.Context, keeper.ListOptions) (keeper.ListResult, error) {
+			close(answered)
+			time.Sleep(20 * time.Millisecond) // the watch is answered first
+			return keeper.ListResult{Revision: 3, Records: []keeper.Record{{Key: "op/config", Value: []byte("4"), Revision: 3}}}, nil
+		},
+	}})
+	f.after, f.newestRevision, f.records, f.lost = 1, 1, map[string][]byte{"op/config": []byte("2")}, true
+	at, changed, err := f.step(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.confirm(at, changed)
+	if f.Policy().Version != 4 || f.after != 3 {
+		t.Errorf("version %d at revision %d", f.Policy().Version, f.after)
 	}
 }
 
