platform: a configuration that may be old serves nobody while the store answers

Change: while the policy is older than 2 s and the store answers this process, all calls are refused with 503 and a retry time: submissions, states, cancellations and counts, since each may be of a queue that was removed. While the store does not answer, the last known policy serves on, as before: then it can't be changed either, or the process is cut off from it, and what needs no store is of use. An entry that refuses so is not ready. The age is read before the policy, so that it is never that of a later one.

--- a/internal/service/hoster/entry.go
+++ b/internal/service/hoster/entry.go
@@ -46,6 +46,7 @@
 	metrics     *metrics.Set
 	store       *platform.Store
 	directCalls keeper.Calls // of the store, by this process itself
+	observed    *observer.Observer
 	follower    *follower.Follower
 	scheduler   *scheduler.Scheduler
 	forwarder   *forwarder.Forwarder
@@ -60,6 +61,7 @@
 		e.metrics.GetOrCreateCounter(fmt.Sprintf(`bamboospread_store_calls_total{call=%q}`, call)).Inc()
 	})
 	directly, observed := observer.New(now), observer.New(now)
+	e.observed = observed
 	e.directCalls = directly.Observe(e.store.Calls())
 	calls := observed.Observe(relayer.New(relayer.Config{
 		Calls: e.directCalls, Unreachable: directly.Unreachable, Now: now, Reporter: c.Reporter,
@@ -181,9 +183,9 @@
 
 func (e *Entry) callerHandler() http.Handler {
 	return &platform.Callers{
-		Receiver: e.receiver, Policy: e.follower.Policy, PolicyAge: e.follower.Age,
+		Receiver: e.receiver, Policy: e.follower.Policy, PolicyAge: e.follower.Age, StoreAnswers: e.storeAnswers,
 		OnRefused: func(reason, host, path string) {
-			e.config.Reporter.Report(reporter.JobRefused, reporter.Fields{"reason": reason, "host": host, "path": path, "policy": e.follower.Policy().Version})
+			e.config.Reporter.Report(reporter.JobRefused, reporter.Fields{"reason": reason, "host": host, "path": path, "policy": e.follower.Policy().Version, "policy-age": e.follower.Age().String()})
 		},
 		Observe: func(queue, method string, status int, took time.Duration) {
 			e.metrics.GetOrCreateCounter(fmt.Sprintf(`bamboospread_requests_total{queue=%q,method=%q,status="%d"}`, queue, method, status)).Inc()
@@ -192,16 +194,30 @@
 	}
 }
 
+// storeAnswers reports whether the store has answered this process lately.
+func (e *Entry) storeAnswers() bool {
+	return !e.observed.Unreachable() && e.observed.Age() <= platform.MaxPolicyAge
+}
+
 // serveReadiness answers the platform's balancer.
 func (e *Entry) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	age := e.follower.Age()
+	if reason := notReady(e.draining.Load(), e.follower.Policy().Version, age, e.storeAnswers()); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+	}
+}
+
+// notReady returns why an entry is not ready, or an empty string. One that refuses all callers is not.
+func notReady(draining bool, version int64, age time.Duration, storeAnswers bool) string {
 	switch {
-	case e.draining.Load():
-		http.Error(w, "leaving", http.StatusServiceUnavailable)
-	case e.follower.Policy().Version == 0:
-		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
-	case e.follower.Age() > maxReadyPolicyAge:
-		http.Error(w, "store not reached", http.StatusServiceUnavailable)
-	default:
-		w.WriteHeader(http.StatusOK)
+	case draining:
+		return "leaving"
+	case version == 0:
+		return "no configuration yet"
+	case age > platform.MaxPolicyAge && storeAnswers:
+		return "configuration may be old"
+	case age > maxReadyPolicyAge:
+		return "store not reached"
 	}
+	return ""
 }
--- a/internal/store/relayer/silent_test.go
+++ b/internal/store/relayer/silent_test.go
@@ -60,7 +60,7 @@
 				FindRecords: func(context.Context, keeper.ListOptions) (keeper.ListResult, error) {
 					return keeper.ListResult{Revision: 7}, fails()
 				},
-				Watch: func(ctx context.Context, o keeper.WatchOptions) (keeper.WatchResult, error) {
+				Watch: func(context.Context, keeper.WatchOptions) (keeper.WatchResult, error) {
 					if err := fails(); err != nil {
 						return keeper.WatchResult{}, err
 					}
