scheduler: each round goes by the newest policy

Callers with long-running tasks could see them moved into a zone that is out: once a newer policy was confirmed, its age was that of a new one, and the checks of that round (moves, yields, shares) still went by the policy before it until the next placement.

Change: the newest policy is put in force at the start of each round.

--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -200,6 +200,7 @@
 // change within minRoundInterval; everything else waits for the next periodic checks, so that
 // it does not delay urgent tasks.
 func (o *owner) runRound(ctx context.Context, now time.Time) {
+	o.takePolicy(now)
 	if o.checks.due(now) {
 		o.dirty = true
 		o.decide(&o.checks, now, func() { o.runChecks(ctx, now) })
@@ -217,12 +218,17 @@
 	o.sendOrders()
 }
 
-// place starts waiting tasks by the newest policy.
-func (o *owner) place(now time.Time) {
+// takePolicy puts the newest policy in force for the decisions of a round, whose age is checked in it.
+func (o *owner) takePolicy(now time.Time) {
 	if p := o.s.config.Policy(); p != o.state.Policy() {
 		o.state.SetPolicy(p)
 		o.updateShares(now) // the quotas of a policy are in force with it
 	}
+}
+
+// place starts waiting tasks by the newest policy.
+func (o *owner) place(now time.Time) {
+	o.takePolicy(now)
 	o.reconcile(now)
 	o.startWaitingTasks(now)
 }
--- a/internal/job/scheduler/policy_test.go
+++ b/internal/job/scheduler/policy_test.go
@@ -1,12 +1,15 @@
 package scheduler
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"time"
 
 	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
 	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/wire/messenger"
 )
 
@@ -56,3 +59,19 @@
 		})
 	}
 }
+
+// Guards against long-running tasks that are moved into a zone that is out: once a newer policy is
+// confirmed, its age counts in the checks, which must not go by the policy before it.
+func TestChecksGoByTheNewestPolicy(t *testing.T) {
+	now := time.Now()
+	policy := &specifier.Policy{Version: 2}
+	transact := func(context.Context, keeper.Transaction) (int64, error) { return 0, errors.New("not used") }
+	s := New(Config{Cell: "jobs", Reporter: reporter.Discard(), Now: time.Now, Policy: func() *specifier.Policy { return policy }, Store: keeper.Calls{Transact: transact}})
+	o := newOwner(s, 1, tracker.New(tracker.Config{Policy: policy}), now)
+	o.placement.madeAt = now // not due
+	policy = &specifier.Policy{Version: 4, ZonesOut: map[string]bool{"a": true}}
+	o.runRound(t.Context(), now)
+	if got := o.state.Policy().Version; got != 4 || o.checks.madeAt != now {
+		t.Errorf("checks made at %s by version %d", o.checks.madeAt, got)
+	}
+}
