job/follower: a confirmation counts if it lasts until the next request

Change: it is left alone only if the policy does not get old meanwhile.

TestOldConfirmationDelaysNoRead, second case, fails on the code before.

--- a/internal/job/follower/confirmation_test.go
+++ b/internal/job/follower/confirmation_test.go
@@ -32,38 +32,52 @@
 	}
 }
 
-// Guards against an entry that leaves the store alone because the owner, which has not reached it for as
-// long, knows the policy a little newer.
+// Guards against an entry that leaves the store alone because the owner, which has not reached it for
+// almost as long, knows the policy a little newer.
 func TestOldConfirmationDelaysNoRead(t *testing.T) {
-	var failed atomic.Bool
-	answered := make(chan time.Time, 1)
-	s := &fakeStore{value: "5", revision: 1}
-	w := New(Config{
-		Store: keeper.Calls{FindRecords: s.find, Watch: func(ctx context.Context, o keeper.WatchOptions) (keeper.WatchResult, error) {
-			if failed.CompareAndSwap(false, true) {
-				return keeper.WatchResult{}, keeper.ErrUnavailable{Cause: errors.New("no answer")}
-			}
-			select {
-			case answered <- time.Now():
-			default:
+	tests := []struct {
+		name string
+		age  time.Duration // of the owner's policy
+		want time.Duration
+	}{
+		{"in time", watchWait, askInterval},
+		{"old before the next request", confirmedAge - 100*time.Millisecond, retryDelay},
+		{"old", 3 * time.Second, retryDelay},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var failed atomic.Bool
+			answered := make(chan time.Time, 1)
+			s := &fakeStore{value: "5", revision: 1}
+			w := New(Config{
+				Store: keeper.Calls{FindRecords: s.find, Watch: func(ctx context.Context, o keeper.WatchOptions) (keeper.WatchResult, error) {
+					if failed.CompareAndSwap(false, true) {
+						return keeper.WatchResult{}, keeper.ErrUnavailable{Cause: errors.New("no answer")}
+					}
+					select {
+					case answered <- time.Now():
+					default:
+					}
+					return s.watch(ctx, o)
+				}},
+				Prefix: "op/", Decode: decode, Now: time.Now, Reporter: reporter.Discard(),
+				AskOwner: func(_ context.Context, q messenger.WorkPolicyRequest) (messenger.WorkPolicyReply, error) {
+					return messenger.WorkPolicyReply{Revision: q.After, AgeMillis: tt.age.Milliseconds()}, nil
+				},
+			})
+			at := time.Now().Add(-4 * time.Second)
+			w.contact.Store(&at)
+			w.after, w.records = 1, map[string][]byte{"op/config": []byte("5")}
+			startedAt := time.Now()
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			go func() { ended <- w.Run(ctx) }()
+			t.Cleanup(func() { cancel(); <-ended })
+			const margin = 200 * time.Millisecond // for a busy machine
+			if took := (<-answered).Sub(startedAt); took < tt.want || took > tt.want+margin {
+				t.Errorf("the store is asked again after %s, want %s", took, tt.want)
 			}
-			return s.watch(ctx, o)
-		}},
-		Prefix: "op/", Decode: decode, Now: time.Now, Reporter: reporter.Discard(),
-		AskOwner: func(_ context.Context, q messenger.WorkPolicyRequest) (messenger.WorkPolicyReply, error) {
-			return messenger.WorkPolicyReply{Revision: q.After, AgeMillis: 3000}, nil
-		},
-	})
-	at := time.Now().Add(-4 * time.Second)
-	w.contact.Store(&at)
-	w.after, w.records = 1, map[string][]byte{"op/config": []byte("5")}
-	startedAt := time.Now()
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- w.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-ended })
-	if took := (<-answered).Sub(startedAt); took > retryDelay+200*time.Millisecond {
-		t.Errorf("the store is asked again after %s", took)
+		})
 	}
 }
 
--- a/internal/job/follower/follower.go
+++ b/internal/job/follower/follower.go
@@ -32,7 +32,7 @@
 	// is assumed to have lost its state and to have restarted its revisions.
 	maxListLag = 5 * time.Second
 	// askInterval is the minimum time between requests to the owner while the store does not answer.
-	// While the owner confirms the policy in time, the store is tried as often: the calls that it refuses
+	// While the owner confirms the policy, so that it is not old before the next request, the store is tried as often: the calls that it refuses
 	// would otherwise grow with the VMs that it turns away.
 	askInterval = 400 * time.Millisecond
 )
@@ -107,7 +107,7 @@
 		f.reportReachability(err)
 		if err != nil {
 			pause := retryDelay
-			if f.askOwner(ctx) && f.Age() <= confirmedAge {
+			if f.askOwner(ctx) && f.Age()+askInterval <= confirmedAge+overdueTime {
 				pause = askInterval
 			}
 			_ = pauser.Pause(ctx, pause)
