--- a/internal/job/follower/follower.go
+++ b/internal/job/follower/follower.go
@@ -23,11 +23,16 @@
 	// policy is the newest. Operators expect a change to apply within 2 s.
 	watchWait  = 900 * time.Millisecond
 	retryDelay = 100 * time.Millisecond
+	// confirmedAge is the highest age of the policy while watches are answered in time: it is as old as
+	// the watch before the present one.
+	confirmedAge = 2 * watchWait
+	// overdueTime is how much older the policy may become before the present watch counts as lost.
+	overdueTime = 100 * time.Millisecond
 	// maxListLag is how long lists may be behind the newest known revision. After it the store
 	// is assumed to have lost its state and to have restarted its revisions.
 	maxListLag = 5 * time.Second
 	// askInterval is the minimum time between requests to the owner while the store does not answer.
-	// While the owner confirms the policy, the store is tried as often: the calls that it refuses
+	// While the owner confirms the policy, so that it is not old before the next request, the store is tried as often: the calls that it refuses
 	// would otherwise grow with the VMs that it turns away.
 	askInterval = 400 * time.Millisecond
 )
@@ -61,6 +66,7 @@
 	listingSince   time.Time      // when the first page of the latest list was requested
 	newestRevision int64          // highest revision seen
 	lagSince       time.Time      // when lists first were behind newestRevision; zero: they are not
+	transfer       time.Duration  // how much longer than its wait the latest watch took
 	lost           bool
 }
 
@@ -85,7 +91,7 @@
 var noPolicy specifier.Policy
 
 // Age returns the time since the policy was last confirmed to be the newest. Before the first
-// answered read it returns a duration above every limit.
+// answered read it returns a duration above every limit. It holds for a policy that is read after it.
 func (f *Follower) Age() time.Duration {
 	at := f.contact.Load()
 	if at == nil {
@@ -101,7 +107,7 @@
 		f.reportReachability(err)
 		if err != nil {
 			pause := retryDelay
-			if f.askOwner(ctx) {
+			if f.askOwner(ctx) && f.Age()+askInterval <= confirmedAge+overdueTime {
 				pause = askInterval
 			}
 			_ = pauser.Pause(ctx, pause)
@@ -113,13 +119,14 @@
 	return ctx.Err()
 }
 
-// confirm records that the records were certainly the newest at the given time.
+// confirm records that the records were certainly the newest at the given time. The time comes last:
+// whoever reads the age before the policy never takes an old policy for a new one.
 func (f *Follower) confirm(at time.Time, changed bool) {
-	f.contact.Store(&at)
-	f.known.Store(&snapshot{records: f.records, revision: f.after, changedAt: f.changedAt})
 	if changed {
 		f.publish(at)
 	}
+	f.known.Store(&snapshot{records: f.records, revision: f.after, changedAt: f.changedAt})
+	f.contact.Store(&at)
 }
 
 // askOwner takes the records from the owner, which may reach the store while this process does not,
@@ -155,12 +162,13 @@
 // Records answers the request of an entry that cannot reach the store. The reply of a follower that
 // has read nothing yet is empty and as old as can be.
 func (f *Follower) Records(q messenger.WorkPolicyRequest) messenger.WorkPolicyReply {
-	age := f.Age() // before the records are read: they may be newer, but not older
+	age := f.Age()                                                   // before the records are read: they may be newer, but not older
+	millis := int64((age + time.Millisecond - 1) / time.Millisecond) // rounded up: an owner that asks itself would confirm an old policy
 	known := f.known.Load()
 	if known == nil {
-		return messenger.WorkPolicyReply{AgeMillis: age.Milliseconds()}
+		return messenger.WorkPolicyReply{AgeMillis: millis}
 	}
-	a := messenger.WorkPolicyReply{Revision: known.revision, AgeMillis: age.Milliseconds(), Changed: q.After < known.changedAt}
+	a := messenger.WorkPolicyReply{Revision: known.revision, AgeMillis: millis, Changed: q.After < known.changedAt}
 	if !a.Changed {
 		return a
 	}
@@ -177,14 +185,11 @@
 		at, err = f.list(ctx)
 		return at, true, err
 	}
-	at = f.config.Now()
-	wait := watchWait
-	if f.lost {
-		// A waiting watch would be answered almost a second after the store is back, and
-		// callers would be refused until then.
-		wait = 0
+	a := f.ask(ctx)
+	if a.listed {
+		return a.sentAt, true, nil
 	}
-	result, err := f.config.Store.Watch(ctx, keeper.WatchOptions{Prefix: f.config.Prefix, After: f.after, Wait: wait})
+	at, result, err := a.sentAt, a.result, a.err
 	if keeper.IsErrHistoryNotExist(err) {
 		// Not a confirmation: the answer does not tell whether anything has changed.
 		f.after = 0
@@ -194,7 +199,7 @@
 	if err != nil {
 		return at, false, err
 	}
-	f.after = max(f.after, result.Revision)
+	f.after, f.listing = max(f.after, result.Revision), nil
 	f.newestRevision = max(f.newestRevision, f.after)
 	if len(result.Changes) == 0 {
 		return at, false, nil
@@ -210,6 +215,96 @@
 	return at, true, nil
 }
 
+// answer is the result of a watch, or of a list that was made beside it.
+type answer struct {
+	sentAt time.Time
+	result keeper.WatchResult // of a watch
+	listed bool               // the records are those of the list
+	err    error
+}
+
+// ask watches for changes. A watch whose answer is lost looks like one that waits, and callers would be
+// served by a policy that is known to be old until it fails: once it is overdue, all records are read
+// beside it. That is not another watch, since the store may answer none before it drops its history.
+func (f *Follower) ask(ctx context.Context) answer {
+	o := keeper.WatchOptions{Prefix: f.config.Prefix, After: f.after, Wait: f.nextWait()}
+	limit := overdueTime + f.transfer
+	if o.Wait > 0 {
+		limit = confirmedAge + overdueTime - f.Age()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watched := make(chan answer, 1)
+	go func() { watched <- f.watch(ctx, o) }()
+	overdue := time.NewTimer(limit)
+	defer overdue.Stop()
+	select {
+	case a := <-watched:
+		if a.err == nil && (len(a.result.Changes) == 0 || o.Wait == 0) {
+			f.transfer = max(f.config.Now().Sub(a.sentAt)-o.Wait, 0)
+		}
+		return a
+	case <-overdue.C:
+	}
+	a := f.listBeside(ctx, watched)
+	f.config.Reporter.Report(reporter.PolicyWatchOverdue, reporter.Fields{
+		"age": f.Age().String(), "listed": a.listed, "took": f.config.Now().Sub(a.sentAt).String(), "error": errorText(a.err),
+	})
+	return a
+}
+
+// listBeside reads all records until that succeeds or the watch has ended.
+func (f *Follower) listBeside(ctx context.Context, watched <-chan answer) answer {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	listed := make(chan answer, 1)
+	go func() {
+		for {
+			at, err := f.list(ctx)
+			if err == nil || pauser.Pause(ctx, retryDelay) != nil {
+				listed <- answer{sentAt: at, listed: err == nil, err: err}
+				return
+			}
+		}
+	}()
+	select {
+	case a := <-listed:
+		return a
+	case a := <-watched:
+		cancel()
+		// The changes that the watch has seen may be older than a list that is complete.
+		if l := <-listed; l.listed {
+			return l
+		}
+		return a
+	}
+}
+
+// watch makes a watch.
+func (f *Follower) watch(ctx context.Context, o keeper.WatchOptions) answer {
+	a := answer{sentAt: f.config.Now()}
+	a.result, a.err = f.config.Store.Watch(ctx, o)
+	return a
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// nextWait returns how long the next watch may wait. An answer confirms the policy for the time at which
+// its watch was sent, so a watch that waits leaves an old policy old.
+func (f *Follower) nextWait() time.Duration {
+	if f.lost {
+		// A waiting watch would be answered almost a second after the store is back, and
+		// callers would be refused until then.
+		return 0
+	}
+	return min(watchWait, max(confirmedAge-f.transfer-f.Age(), 0))
+}
+
 // list reads all records and returns when the first page was requested. Pages that were read are kept
 // when a later one can't be read.
 func (f *Follower) list(ctx context.Context) (time.Time, error) {
@@ -268,7 +363,7 @@
 	}
 	p.ReadAt = sentAt
 	f.policy.Store(p)
-	f.config.Reporter.Report(reporter.PolicyApplied, reporter.Fields{"version": p.Version, "queues": len(p.Queues), "zones-out": len(p.ZonesOut), "bytes": sizeOf(f.records), "age": f.Age().String()})
+	f.config.Reporter.Report(reporter.PolicyApplied, reporter.Fields{"version": p.Version, "queues": len(p.Queues), "zones-out": len(p.ZonesOut), "bytes": sizeOf(f.records), "age": f.config.Now().Sub(sentAt).String()})
 }
 
 func sizeOf(records map[string][]byte) (bytes int) {
