--- a/internal/job/follower/follower.go
+++ b/internal/job/follower/follower.go
@@ -32,8 +32,8 @@
 	// is assumed to have lost its state and to have restarted its revisions.
 	maxListLag = 5 * time.Second
 	// askInterval is the minimum time between requests to the owner while the store does not answer.
-	// While the owner confirms the policy, so that it is not old before the next request, the store is tried as often: the calls that it refuses
-	// would otherwise grow with the VMs that it turns away.
+	// While the owner confirms the policy, and it does not get old before the next request, the store
+	// is tried as often: the calls that it refuses would otherwise grow with the VMs that it turns away.
 	askInterval = 400 * time.Millisecond
 )
 
--- a/internal/worker/guardian/crash.go
+++ b/internal/worker/guardian/crash.go
@@ -30,8 +30,9 @@
 )
 
 // AwaitCrashesStored returns once the owner has stored the crashes that this process has seen and it
-// is known whether a worker that does not answer has crashed, or after CrashReportTimeout. The next process of the agent knows nothing of them: an agent that stops
-// earlier lets the tasks that crashed its worker crash others.
+// is known whether a worker that does not answer has crashed, or after CrashReportTimeout. The next
+// process of the agent knows nothing of them: an agent that stops earlier lets the tasks that crashed
+// its worker crash others.
 func (g *Guardian) AwaitCrashesStored(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, CrashReportTimeout)
 	defer cancel()
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -190,8 +190,8 @@
 	}
 }
 
-// Deregister records that the worker has deregistered, the last thing that one does that leaves: it ends,
-// and all its runs with it. A former incarnation's deregistration may be late, so it counts only for a
+// Deregister records that the worker has deregistered, which it does last when it leaves: it ends, and
+// all its runs with it. The deregistration of a former incarnation may be late, so it counts only for a
 // worker that has announced that it leaves, and once its connections are refused.
 func (g *Guardian) Deregister(workerID string) {
 	g.mu.Lock()
--- a/internal/worker/guardian/poll.go
+++ b/internal/worker/guardian/poll.go
@@ -176,7 +176,7 @@
 }
 
 // successorPollLocked returns a poll that shows whether the announced incarnation has replaced the
-// present one. The other one refuses it or answers it, so it requests no lease and forgets no ends.
+// present one. Either of them may answer it, so it requests no lease and lets no ends be forgotten.
 func (g *Guardian) successorPollLocked(now time.Time) (PollCall, pollStart) {
 	g.pollInProgress, g.pollGeneration, g.pollAnswered, g.confirmingPoll = true, g.generation, false, false
 	call := PollCall{Fence: g.fenceLocked(), Incarnation: g.successor.Incarnation}
@@ -293,7 +293,7 @@
 	}
 	var lives ErrFormerWorkerLives
 	if errors.As(err, &lives) {
-		g.crashRecorded, g.expiredRuns = true, nil // none has come
+		g.crashRecorded, g.expiredRuns = true, nil // there is none to record
 	}
 	if g.processEnded {
 		g.recordCrashLocked(g.pollsFailSince, processEnded)
--- a/internal/worker/guardian/worker.go
+++ b/internal/worker/guardian/worker.go
@@ -66,7 +66,7 @@
 type PollCall struct {
 	Fence       Fence
 	Incarnation string        // of the worker, which EndsSeen and LeaseUntil are meant for; empty before the first contact
-	Replaces    string        // the incarnation that the announced one is to replace, as far as its runs have not ended; empty: none
+	Replaces    string        // the incarnation that the polled one would replace while its runs have not ended; empty: none
 	EndsSeen    int64         // the worker may drop ends up to this number; 0: no further ones
 	LeaseUntil  time.Duration // on the worker's clock; 0: no renewal
 	Wait        time.Duration // how long the answer may wait for a run to end
@@ -144,7 +144,8 @@
 	return errors.As(err, &target)
 }
 
-// CallError returns the error of a call that failed with err and has no answer.
+// CallError returns the error of a call that got no answer but err: ErrWorkerUnreachable if its
+// connection was refused, else err.
 func CallError(err error) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" && errors.Is(op, syscall.ECONNREFUSED) {
