tests: executors that state no process, and faults that certainly took effect

Two new cases of TestTasksOfEndedWorkerStartAgainAtOnce: such an executor is killed and is back at once, or after 0.7 s; its tasks start again within 2 s of its return. All its cases now want the crash in the agent's log, and those of the other test that the agent noticed that its worker did not respond.

--- a/internal/cli/commander/standin_executor.go
+++ b/internal/cli/commander/standin_executor.go
@@ -13,6 +13,7 @@
 	var o standinOptions
 	var c executor.Config
 	var witness string
+	var stateProcess bool
 	cmd := &cobra.Command{
 		Use:   "executor",
 		Short: "Run the executor of a VM with simulated tasks of jobs",
@@ -33,7 +34,7 @@
 			if c.Recorder, err = recorder.Open(witness); err != nil {
 				return ExitError{Code: ExitUsage, Err: err}
 			}
-			if self, err := inspector.Self(); err == nil { // elsewhere than on Linux it states no process
+			if self, err := inspector.Self(); err == nil && stateProcess { // elsewhere than on Linux it can't be stated
 				c.Process = &self
 			}
 			return o.serve(cmd, c.VM, executor.New(c).Run)
@@ -49,6 +50,7 @@
 	f.DurationVar(&c.LeaseMax, "lease-max", 0, "longest lease that it grants (default 10s)")
 	f.DurationVar(&c.StopTime, "stop-time", 0, "how long a stop takes (default 50ms)")
 	f.DurationVar(&c.LapseTime, "lapse-time", 0, "how long runs take to end once their leases have expired (default 0s)")
+	f.BoolVar(&stateProcess, "state-process", true, "state its process, so that the agent knows when it has ended")
 	f.StringVar(&witness, "witness-file", "", "append the starts and ends of tasks to this file")
 	return cmd
 }
--- a/tests/integration/job_unreachable_test.go
+++ b/tests/integration/job_unreachable_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -112,6 +114,9 @@
 			r.ClearFaults()
 			r.awaitJobs()
 			r.checkDuplicateRuns()
+			if !slices.ContainsFunc(vm.Agent.LogLines(), func(l string) bool { return strings.Contains(l, `message="worker not responding"`) }) {
+				t.Error("the fault had no effect")
+			}
 			for _, l := range r.jobLogLines() {
 				if strings.Contains(l, `message="worker crashed"`) || strings.Contains(l, `message="task suspected"`) {
 					t.Errorf("a worker that lives has crashed: %s", l)
@@ -124,19 +129,23 @@
 // TestTasksOfEndedWorkerStartAgainAtOnce guards against tasks that wait for the leases of a worker whose
 // process has certainly ended.
 func TestTasksOfEndedWorkerStartAgainAtOnce(t *testing.T) {
+	statesNoProcess := []string{"--state-process=false"}
 	for _, tt := range []struct {
 		name  string
 		links int // how many agents reach their executor through a proxy
 		back  time.Duration
+		args  []string // of the executors
 	}{
-		{"stays away", 0, 0},
-		{"stays away behind a proxy", 3, 0},
-		{"is back at once", 0, time.Millisecond},
-		{"is back after some time", 3, 700 * time.Millisecond},
+		{"stays away", 0, 0, nil},
+		{"stays away behind a proxy", 3, 0, nil},
+		{"is back at once", 0, time.Millisecond, nil},
+		{"is back after some time", 3, 700 * time.Millisecond, nil},
+		{"states no process and is back at once", 0, time.Millisecond, statesNoProcess},
+		{"states no process and is back after some time", 0, 700 * time.Millisecond, statesNoProcess},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			r := newLinkedJobTestbed(t, harness.Seed(t), tt.links)
+			r := newLinkedJobTestbed(t, harness.Seed(t), tt.links, tt.args...)
 			vm, tasks := r.submitLongTasks()
 			ended := time.Now()
 			vm.Executor.Kill()
@@ -150,6 +159,14 @@
 				}
 				return nil
 			})
+			harness.WaitFor(t, quickRestart, "the crash", func(context.Context) error {
+				for _, l := range vm.Agent.LogLines() {
+					if strings.Contains(l, `message="worker crashed"`) {
+						return nil
+					}
+				}
+				return errors.New("no crash is logged")
+			})
 		})
 	}
 }
