invoker: a test of failed polls no longer depends on a free port

The test was wrong there: what it guards is whether the error says that the process has ended. The server now closes the connections of polls without an answer, at an address that stays its own.

--- a/internal/worker/invoker/process_test.go
+++ b/internal/worker/invoker/process_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"os/exec"
 	"sync"
 	"testing"
@@ -40,8 +41,9 @@
 
 // address is an address at which executors answer, one at a time. Each has one run.
 type address struct {
-	mu sync.Mutex
-	vm VM
+	mu     sync.Mutex
+	vm     VM
+	broken bool // connections of polls are closed without an answer
 }
 
 func (a *address) set(vm VM) {
@@ -52,7 +54,7 @@
 
 func (a *address) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	a.mu.Lock()
-	vm := a.vm
+	vm, broken := a.vm, a.broken
 	a.mu.Unlock()
 	want := r.Header.Get(HeaderIncarnation)
 	switch {
@@ -61,14 +63,16 @@
 	case want != "" && want != vm.Incarnation:
 		rw.WriteHeader(http.StatusConflict)
 		_ = json.NewEncoder(rw).Encode(Refusal{Reason: string(guardian.RefusedIncarnation)})
+	case broken:
+		panic(http.ErrAbortHandler)
 	default:
 		time.Sleep(10 * time.Millisecond) // a poll waits
 		_ = json.NewEncoder(rw).Encode(PollResponse{Incarnation: vm.Incarnation, ClockMillis: 1000, Runs: []Run{{Task: testTask.String(), Run: int64(vm.Incarnation[0])}}})
 	}
 }
 
-// Guards against runs that are given up, or kept, wrongly: that an executor refuses connections says
-// nothing about its process, and the end of another process than the one it has stated neither.
+// Guards against runs that are given up, or kept, wrongly: a call without an answer says nothing about the
+// executor's process, and the end of another process than the one that it has stated neither.
 func TestFailedPollSaysWhetherTheProcessHasEnded(t *testing.T) {
 	for _, tt := range []struct {
 		name              string
@@ -109,10 +113,13 @@
 			if tt.ends {
 				end()
 			}
-			s.Close()
+			a.mu.Lock()
+			a.broken = true
+			a.mu.Unlock()
 			_, err := i.poll(t.Context(), guardian.PollCall{Incarnation: "b"})
 			var ended guardian.ErrWorkerEnded
-			if got := errors.As(err, &ended); got != tt.wantEnded || got && ended.Incarnation != "b" || !guardian.IsErrWorkerUnreachable(err) {
+			var cause *url.Error
+			if got := errors.As(err, &ended); got != tt.wantEnded || got && ended.Incarnation != "b" || !errors.As(err, &cause) {
 				t.Errorf("ended %t: %v", got, err)
 			}
 		})
