--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,17 +19,21 @@
 )
 
 // cases are the scripted cases by name. Each returns what breaks its rule.
-var cases = map[string]func(d *deployment, disturbed bool) ([]string, error){
-	"occurrences": occurrences,
+var cases = map[string]scriptedCase{
+	"occurrences": {play: occurrences, runnersPerZone: 2},
+	"rack":        {play: rack, runnersPerZone: 4},
 }
 
-// runnersPerZone is the number of runners in each zone.
-const runnersPerZone = 2
+// scriptedCase is a case.
+type scriptedCase struct {
+	play           func(d *deployment, disturbed bool) ([]string, error)
+	runnersPerZone int
+}
 
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	if len(args) != 2 || cases[args[0]] == nil {
+	if len(args) != 2 || cases[args[0]].play == nil {
 		fmt.Fprintln(os.Stderr, usage)
 		return notRun
 	}
@@ -56,7 +60,7 @@
 		fmt.Println("logs:", temporary)
 	}
 	rec := newRecord()
-	d, err := newDeployment(temporary, runnersPerZone, rec)
+	d, err := newDeployment(temporary, cases[name].runnersPerZone, rec)
 	if err != nil {
 		return nil, err
 	}
@@ -65,7 +69,7 @@
 		return nil, err
 	}
 	disturbed := os.Getenv(trouble) != "0"
-	found, err = cases[name](d, disturbed)
+	found, err = cases[name].play(d, disturbed)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin-3/record.go
+++ b/review/standin-3/record.go
@@ -10,6 +10,12 @@
 	"time"
 )
 
+// lostRun is how a run ends that its runner has lost in a crash.
+const lostRun = "lost with its runner"
+
+// maxRunLines bounds the lines of a record on tasks that ran more than once.
+const maxRunLines = 1000
+
 // runOf is what the runners have seen of one run.
 type runOf struct {
 	runner    string
@@ -101,6 +107,25 @@
 	return broken
 }
 
+// unnoted returns the ends that runners have listed for longer than a time and that the system has not taken
+// note of, and the number of all ends that they have listed since a moment.
+func (r *record) unnoted(since time.Time, timeout time.Duration) (late []string, all int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, task := range slices.Sorted(maps.Keys(r.runs)) {
+		for _, x := range r.runs[task] {
+			if x.endedAt.Before(since) || time.Since(x.endedAt) < timeout || x.how == lostRun {
+				continue
+			}
+			all++
+			if !x.noted {
+				late = append(late, fmt.Sprintf("%s: run %d ended %s on %s at %s, which is not taken note of %.1f s later", task, x.number, x.how, x.runner, r.at(x.endedAt), time.Since(x.endedAt).Seconds()))
+			}
+		}
+	}
+	return late, all
+}
+
 // write writes the record and what is judged.
 func (r *record) write(path string, verdict []string) error {
 	r.mu.Lock()
@@ -117,12 +142,14 @@
 	for _, l := range r.lines {
 		fmt.Fprintln(w, l)
 	}
-	fmt.Fprintln(w, "\nruns of the tasks that ran more than once; the others ran once:")
+	fmt.Fprintf(w, "\n%d tasks ran; runs of those that ran more than once, the first %d lines:\n", len(r.runs), maxRunLines)
+	lines := 0
 	for _, task := range slices.Sorted(maps.Keys(r.runs)) {
-		if len(r.runs[task]) == 1 {
+		if len(r.runs[task]) == 1 || lines >= maxRunLines {
 			continue
 		}
 		for _, x := range r.runs[task] {
+			lines++
 			until := "until the end of the test"
 			if !x.endedAt.IsZero() {
 				until = fmt.Sprintf("until %s, %s, taken note of: %t", r.at(x.endedAt), x.how, x.noted)
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -57,19 +58,57 @@
 	deadline time.Time
 	sequence int64
 	changed  chan struct{}
+	down     bool // it has crashed and is not back yet
 }
 
 func newRunner(r *runner) *runner {
-	r.running, r.highest, r.changed, r.born = make(map[string]*taskRun), make(map[string]int64), make(chan struct{}), time.Now()
+	r.begin()
 	return r
 }
 
+// begin begins a boot of the runner.
+func (r *runner) begin() {
+	r.running, r.highest, r.changed, r.born = make(map[string]*taskRun), make(map[string]int64), make(chan struct{}), time.Now()
+	r.token, r.ends, r.lastSeq, r.deadline, r.sequence, r.down = 0, nil, 0, time.Time{}, 0, false
+}
+
+// crash ends the runner with all that runs on it. It is back after a time, under another id.
+func (r *runner) crash(after time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.note("runner %s crashes with %d runs", r.id, len(r.running))
+	r.down = true
+	for _, t := range r.running {
+		t.timer.Stop()
+		r.record.ended(r.id, t.task, t.number, lostRun)
+	}
+	r.running, r.ends = make(map[string]*taskRun), nil
+	time.AfterFunc(after, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.id = fmt.Sprintf("i-%08x", rand.Uint32())
+		r.begin()
+		r.record.note("runner %s is back", r.id)
+	})
+}
+
+// isDown reports whether the runner has crashed and is not back yet.
+func (r *runner) isDown() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.down
+}
+
 func (r *runner) clock() int64 { return time.Since(r.born).Milliseconds() }
 
 // beat sends heartbeats until done is closed.
 func (r *runner) beat(done <-chan struct{}) {
 	client := &http.Client{Timeout: time.Second}
 	for {
+		if r.isDown() {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
 		r.mu.Lock()
 		r.sequence++
 		body, err := json.Marshal(map[string]any{
@@ -77,12 +116,13 @@
 			"capacity": map[string]int64{"cpu": r.cpu, "mem_mb": r.memory, "gpu": 0}, "labels": []string{"a", r.rack},
 			"clock_ms": r.clock(), "sequence": r.sequence, "born": r.born.UnixMilli(),
 		})
+		id := r.id
 		r.mu.Unlock()
 		if err != nil {
 			panic(err)
 		}
 		pause := 1500 * time.Millisecond
-		q, err := http.NewRequest(http.MethodPut, "http://"+r.beatTo+"/instances/"+r.id, bytes.NewReader(body))
+		q, err := http.NewRequest(http.MethodPut, "http://"+r.beatTo+"/instances/"+id, bytes.NewReader(body))
 		if err != nil {
 			panic(err)
 		}
@@ -107,7 +147,12 @@
 	mux.HandleFunc("POST /run-stop", r.call(r.stop))
 	mux.HandleFunc("POST /pace", r.call(func(runnerCall) string { return "" }))
 	mux.HandleFunc("POST /hold", r.hold)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if r.isDown() {
+			panic(http.ErrAbortHandler) // resets the channel
+		}
+		mux.ServeHTTP(w, q)
+	})
 }
 
 // runnerCall is the body of a call.
@@ -123,7 +168,10 @@
 
 // decode reads a call for this boot and checks its token. It answers those that it refuses.
 func (r *runner) decode(w http.ResponseWriter, q *http.Request) (c runnerCall, ok bool) {
-	if want := q.Header.Get("X-Expected-Instance"); want != "" && want != r.id {
+	r.mu.Lock()
+	id := r.id
+	r.mu.Unlock()
+	if want := q.Header.Get("X-Expected-Instance"); want != "" && want != id {
 		answer(w, http.StatusMisdirectedRequest, map[string]any{"clock_ms": r.clock(), "born": r.born.UnixMilli()})
 		return c, false
 	}
@@ -216,7 +264,7 @@
 func (r *runner) finish(t *taskRun, how string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.running[t.task] == t && !(how == "done" && t.stopping) {
+	if !r.down && r.running[t.task] == t && !(how == "done" && t.stopping) {
 		r.finishLocked(t, how)
 	}
 }
@@ -262,6 +310,7 @@
 		r.record.takenNote(r.id, r.ends[0].task, r.ends[0].number)
 		r.ends = r.ends[1:]
 	}
+	born := r.born
 	limit := time.NewTimer(min(time.Duration(c.Wait)*time.Millisecond, maxHoldWait))
 	defer limit.Stop()
 	for waiting := c.Wait > 0; waiting && len(r.ends) == 0; {
@@ -276,6 +325,10 @@
 		}
 		r.mu.Lock()
 	}
+	if r.down || r.born != born {
+		r.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	running, finished := [][]any{}, [][]any{}
 	for _, t := range r.running {
 		percent := min(100*time.Since(t.startedAt)/max(t.work, 1), 99)
