--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]scriptedCase{
 	"occurrences": {play: occurrences, runnersPerZone: 2},
 	"rack":        {play: rack, runnersPerZone: 4},
+	"heartbeat":   {play: heartbeat, runnersPerZone: 2},
 }
 
 // scriptedCase is a case.
--- a/review/standin-3/record.go
+++ b/review/standin-3/record.go
@@ -126,6 +126,35 @@
 	return late, all
 }
 
+// startsAfter returns the starts after a moment on the runners that match.
+func (r *record) startsAfter(at time.Time, match func(runner string) bool, where string) (found []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, task := range slices.Sorted(maps.Keys(r.runs)) {
+		for _, x := range r.runs[task] {
+			if match(x.runner) && x.startedAt.After(at) {
+				found = append(found, fmt.Sprintf("%s: run %d started on %s at %s, %s", task, x.number, x.runner, r.at(x.startedAt), where))
+			}
+		}
+	}
+	return found
+}
+
+// notRestarted tells that a task has had no run for longer than a limit; empty: it has one, or had.
+func (r *record) notRestarted(task string, limit time.Duration) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs := r.runs[task]
+	if len(runs) == 0 {
+		return task + " has never run"
+	}
+	last := runs[len(runs)-1]
+	if last.endedAt.IsZero() || time.Since(last.endedAt) < limit {
+		return ""
+	}
+	return fmt.Sprintf("%s: its last run, %d on %s, ended %s at %s, and nothing runs %.1f s later", task, last.number, last.runner, last.how, r.at(last.endedAt), time.Since(last.endedAt).Seconds())
+}
+
 // write writes the record and what is judged.
 func (r *record) write(path string, verdict []string) error {
 	r.mu.Lock()
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -18,6 +18,7 @@
 	maxListedEnds = 500
 	stopTime      = 300 * time.Millisecond // of a stop; the bound, stop_timeout_ms, is 400
 	startupTime   = 20 * time.Millisecond
+	lastingFrom   = 10 * time.Minute // work of tasks that last
 )
 
 // taskRun is a run on a runner.
@@ -332,6 +333,9 @@
 	running, finished := [][]any{}, [][]any{}
 	for _, t := range r.running {
 		percent := min(100*time.Since(t.startedAt)/max(t.work, 1), 99)
+		if t.work >= lastingFrom { // at work after a short startup
+			percent = 100
+		}
 		running = append(running, []any{t.task, t.number, "", int64(percent), 100})
 	}
 	for _, e := range r.ends[:min(len(r.ends), maxListedEnds)] {
