--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -23,6 +23,7 @@
 	"occurrences": {play: occurrences, runnersPerZone: 2},
 	"rack":        {play: rack, runnersPerZone: 4},
 	"heartbeat":   {play: heartbeat, runnersPerZone: 2},
+	"lasting":     {play: lasting, runnersPerZone: 2},
 }
 
 // scriptedCase is a case.
