--- a/review/standin-3/cluster.go
+++ b/review/standin-3/cluster.go
@@ -36,6 +36,7 @@
 	args                []string
 	cmd                 *exec.Cmd
 	ended               chan struct{}
+	startedAt           time.Time
 }
 
 // deployment is a small deployment: the stand-ins, which run in this process, and the project's own
@@ -195,12 +196,18 @@
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
+	p.startedAt = time.Now()
 	d.record.note("process %s starts", p.name)
 	cmd, ended := p.cmd, make(chan struct{})
 	p.ended = ended
 	go func() { _ = cmd.Wait(); close(ended) }()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	select {
+	case <-d.done: // too late: all processes are being ended
+		return p.cmd.Process.Kill()
+	default:
+	}
 	d.started = append(d.started, p)
 	return nil
 }
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -24,6 +24,8 @@
 	"rack":        {play: rack, runnersPerZone: 4},
 	"heartbeat":   {play: heartbeat, runnersPerZone: 2},
 	"lasting":     {play: lasting, runnersPerZone: 2},
+	"latestart":   {play: lateStart, runnersPerZone: 3},
+	"deadly":      {play: deadly, runnersPerZone: 4},
 }
 
 // scriptedCase is a case.
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -60,6 +60,9 @@
 	sequence int64
 	changed  chan struct{}
 	down     bool // it has crashed and is not back yet
+	keeps    bool // the next start gets no answer and is kept
+	kept     *runnerCall
+	onBegin  func() // is called as the runner is back; nil: nothing
 }
 
 func newRunner(r *runner) *runner {
@@ -70,7 +73,7 @@
 // begin begins a boot of the runner.
 func (r *runner) begin() {
 	r.running, r.highest, r.changed, r.born = make(map[string]*taskRun), make(map[string]int64), make(chan struct{}), time.Now()
-	r.token, r.ends, r.lastSeq, r.deadline, r.sequence, r.down = 0, nil, 0, time.Time{}, 0, false
+	r.token, r.ends, r.lastSeq, r.deadline, r.sequence, r.down, r.keeps = 0, nil, 0, time.Time{}, 0, false, false
 }
 
 // crash ends the runner with all that runs on it. It is back after a time, under another id.
@@ -89,10 +92,54 @@
 		defer r.mu.Unlock()
 		r.id = fmt.Sprintf("i-%08x", rand.Uint32())
 		r.begin()
+		if r.onBegin != nil {
+			r.onBegin()
+			return
+		}
 		r.record.note("runner %s is back", r.id)
 	})
 }
 
+// keepNextStart leaves the next start without an answer.
+func (r *runner) keepNextStart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.keeps = true
+}
+
+// keep keeps a start, if it is the next one.
+func (r *runner) keep(c runnerCall) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.keeps {
+		return false
+	}
+	r.keeps, r.kept = false, &c
+	r.record.note("runner %s gets the start of %s run %d and does not answer", r.id, c.Task, c.Run)
+	return true
+}
+
+// crashAndCarryOut crashes the runner. It is back after a time under the same id, and the first call that it
+// carries out then is the start that it has not answered. It reports whether there is one.
+func (r *runner) crashAndCarryOut(after time.Duration) bool {
+	r.mu.Lock()
+	id, kept := r.id, r.kept
+	r.mu.Unlock()
+	if kept == nil {
+		return false
+	}
+	r.crash(after)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.onBegin = func() {
+		r.id = id
+		reason := r.start(*kept)
+		r.token = max(r.token, kept.Token)
+		r.record.note("runner %s is back under its id and carries the late start of %s run %d out: %q", r.id, kept.Task, kept.Run, reason)
+	}
+	return true
+}
+
 // isDown reports whether the runner has crashed and is not back yet.
 func (r *runner) isDown() bool {
 	r.mu.Lock()
@@ -201,6 +248,10 @@
 		if !ok {
 			return
 		}
+		if q.URL.Path == "/run-start" && r.keep(c) {
+			<-q.Context().Done()
+			return
+		}
 		r.mu.Lock()
 		reason := carry(c)
 		r.mu.Unlock()
