--- a/review/standin-3/cluster.go
+++ b/review/standin-3/cluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -65,14 +64,14 @@
 		callers: make(map[string]string), ready: make(map[string]string), done: make(chan struct{}),
 	}
 	d.store.put("op/config", config(1))
+	storeAddress, err := d.serve(d.store.handler())
+	if err != nil {
+		return nil, err
+	}
 	for _, zone := range zones {
 		name := "frontend-" + zone + "-1"
 		ip := d.address()
 		frontend, readiness, internal := d.port(ip), d.port(ip), d.port(ip)
-		storeAddress, err := d.serve(d.store.handler(name))
-		if err != nil {
-			return nil, err
-		}
 		d.callers[name], d.ready[name] = frontend, readiness
 		p := &process{name: name, args: []string{"hosted", "entry", "--load-control", "estimates"}}
 		settings := []string{
@@ -89,10 +88,6 @@
 			name := fmt.Sprintf("side-%s-%d", zone, n+1)
 			ip := d.address()
 			control, internal := d.port(ip), d.port(ip)
-			storeAddress, err := d.serve(d.store.handler(name))
-			if err != nil {
-				return nil, err
-			}
 			r := newRunner(&runner{
 				id: fmt.Sprintf("i-%08x", rand.Uint32()), zone: zone, rack: fmt.Sprintf("r%d-%d", z+1, n/3), service: service,
 				cpu: 64_000, memory: 256_000, beatTo: control, holdMax: 6 * time.Second, record: rec,
@@ -242,28 +237,6 @@
 	return fmt.Errorf("%s is not ready", p.name)
 }
 
-// leader returns the entry that last renewed a lease in the store.
-func (d *deployment) leader() *process {
-	name := d.store.lastRenewedBy()
-	for _, p := range d.entries {
-		if p.name == name {
-			return p
-		}
-	}
-	return nil
-}
-
-// kill kills a process, which is started again after a short delay.
-func (d *deployment) kill(p *process, after time.Duration) error {
-	d.record.note("process %s is killed", p.name)
-	if err := p.cmd.Process.Kill(); err != nil {
-		return err
-	}
-	<-p.ended
-	time.Sleep(after)
-	return d.start(p)
-}
-
 // stopAll ends all processes.
 func (d *deployment) stopAll() {
 	close(d.done)
@@ -301,7 +274,7 @@
 	defer a.Body.Close()
 	answered, err = io.ReadAll(a.Body)
 	if err != nil {
-		return 0, nil, errors.Join(err, nil)
+		return 0, nil, err
 	}
 	d.record.note("%s %s at %s: %d %s", method, path, entry, a.StatusCode, strings.TrimSpace(string(answered)))
 	return a.StatusCode, answered, nil
--- a/review/standin-3/rack.go
+++ b/review/standin-3/rack.go
@@ -7,7 +7,7 @@
 
 // The submissions of the case: a wide one, whose data lies on one rack, and small ones.
 const (
-	wideTasks    = 12_000
+	wideTasks    = 16_000
 	wideWork     = "work-ms 30000"
 	smallWork    = "work-ms 500"
 	smallTasks   = 4
@@ -25,7 +25,7 @@
 // afterwards.
 func rack(d *deployment, disturbed bool) ([]string, error) {
 	err := d.submit("5c0e7a21d94b36f8", map[string]any{
-		"spec": wideWork, "steps": []map[string]any{{"count": wideTasks, "cpu": 15, "mem_mb": 10, "estimate_ms": 30000, "affinity": dataRack}},
+		"spec": wideWork, "steps": []map[string]any{{"count": wideTasks, "cpu": 10, "mem_mb": 10, "estimate_ms": 30000, "affinity": dataRack}},
 	})
 	if err != nil {
 		return nil, err
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -46,8 +46,6 @@
 	changed  chan struct{}
 	// down is set while the store answers all calls with 503. Leases run out meanwhile.
 	down bool
-	// keptBy is the process that last renewed a lease, by the address that it calls.
-	keptBy string
 }
 
 func newStore() *store {
@@ -87,13 +85,6 @@
 	return s.down
 }
 
-// lastRenewedBy returns the process that last renewed a lease.
-func (s *store) lastRenewedBy() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.keptBy
-}
-
 func (s *store) putLocked(key string, value []byte, lease int64) {
 	created := s.revision
 	if old, ok := s.items[key]; ok {
@@ -137,15 +128,15 @@
 	s.notifyLocked()
 }
 
-// handler serves the store to one process, which calls an address of its own.
-func (s *store) handler(process string) http.Handler {
+// handler serves the store.
+func (s *store) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", s.getKey)
 	mux.HandleFunc("GET /kv-range", s.getRange)
 	mux.HandleFunc("GET /kv-watch", s.watch)
 	mux.HandleFunc("POST /kv-txn", s.transact)
 	mux.HandleFunc("POST /kv-lease", s.grant)
-	mux.HandleFunc("POST /kv-keep/{id}", func(w http.ResponseWriter, r *http.Request) { s.keep(w, r, process) })
+	mux.HandleFunc("POST /kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.end)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.isDown() {
@@ -302,7 +293,7 @@
 	answer(w, http.StatusOK, map[string]any{"lease": s.revision, "ttl_ms": body.TTL})
 }
 
-func (s *store) keep(w http.ResponseWriter, r *http.Request, process string) {
+func (s *store) keep(w http.ResponseWriter, r *http.Request) {
 	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -311,7 +302,7 @@
 		answer(w, http.StatusNotFound, map[string]any{})
 		return
 	}
-	l.until, s.keptBy = time.Now().Add(l.ttl), process
+	l.until = time.Now().Add(l.ttl)
 	answer(w, http.StatusOK, map[string]any{"ttl_ms": l.ttl.Milliseconds()})
 }
 
