--- a/review/standin-3/record.go
+++ b/review/standin-3/record.go
@@ -13,9 +13,6 @@
 // lostRun is how a run ends that its runner has lost in a crash.
 const lostRun = "lost with its runner"
 
-// maxRunLines bounds the lines of a record on tasks that ran more than once.
-const maxRunLines = 1000
-
 // runOf is what the runners have seen of one run.
 type runOf struct {
 	runner    string
@@ -171,19 +168,17 @@
 	for _, l := range r.lines {
 		fmt.Fprintln(w, l)
 	}
-	fmt.Fprintf(w, "\n%d tasks ran; runs of those that ran more than once, the first %d lines:\n", len(r.runs), maxRunLines)
-	lines := 0
+	fmt.Fprintf(w, "\n%d tasks ran; all runs, as TASK RUN RUNNER FROM UNTIL HOW, noted if the end was taken note of:\n", len(r.runs))
 	for _, task := range slices.Sorted(maps.Keys(r.runs)) {
-		if len(r.runs[task]) == 1 || lines >= maxRunLines {
-			continue
-		}
 		for _, x := range r.runs[task] {
-			lines++
-			until := "until the end of the test"
+			end := "- runs"
 			if !x.endedAt.IsZero() {
-				until = fmt.Sprintf("until %s, %s, taken note of: %t", r.at(x.endedAt), x.how, x.noted)
+				end = r.at(x.endedAt) + " " + x.how
+			}
+			if x.noted {
+				end += ", noted"
 			}
-			fmt.Fprintf(w, "%s run %d on %s from %s %s\n", x.task, x.number, x.runner, r.at(x.startedAt), until)
+			fmt.Fprintf(w, "%s %d %s %s %s\n", x.task, x.number, x.runner, r.at(x.startedAt), end)
 		}
 	}
 	if err := w.Flush(); err != nil {
