tracker: restart long-running tasks whose runs end as done

Cause: EndRun marks the task of each end as done, whether its step is long-running or not. Only ends as failed looked at it.

In the unit test all 6 kinds of step (one of several, all, gang, copies, beside and before other steps) never start again.

Change: such an end schedules a restart with the backoff of failures, and is neither a success nor a failure of its worker. An end that is reported again after a later run has begun counts nothing. Tasks that an earlier build stored as done, and occurrences that it closed for that, are open again after a takeover; a completed job stays completed.

--- a/internal/job/tracker/job.go
+++ b/internal/job/tracker/job.go
@@ -127,7 +127,8 @@
 	return ended
 }
 
-// taskDone marks a task as done. This may make later steps ready, and end the occurrence.
+// taskDone marks a task as done. This may make later steps ready, and end the occurrence. Long-running
+// tasks are never done: their job goes on until it is cancelled.
 func (tr *Tracker) taskDone(t *Task, now time.Time) {
 	s := t.Step
 	if t.Done {
@@ -179,7 +180,7 @@
 // and is restarted however it ends.
 func (tr *Tracker) taskFailed(t *Task, number int64, lasted time.Duration, now time.Time) {
 	if t.Step.Spec.LongRunning {
-		t.recordRestart(lasted, tr.random, now)
+		tr.scheduleRestart(t, number, lasted, now)
 		return
 	}
 	if slices.Contains(t.Failed, number) {
--- a/internal/job/tracker/record.go
+++ b/internal/job/tracker/record.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -128,9 +129,41 @@
 	j.State, j.StoredState, j.Finished, j.Next = r.State, r.State, r.Finished, r.Next
 	j.EndedAt, j.Reason = time.UnixMilli(r.EndedAt), r.Reason
 	j.Occurrences = open
+	j.reopenLongRunning(now)
 	return nil
 }
 
+// reopenLongRunning opens the occurrences again that an earlier build closed because all their tasks had
+// ended as done, the long-running ones among them. Those that exceed the limit of open ones stay closed.
+func (j *Job) reopenLongRunning(now time.Time) {
+	if j.State.Final() || j.Finished == 0 || !j.Spec.LongRunning() {
+		return
+	}
+	isOpen := make(map[int]bool, len(j.Occurrences))
+	for _, o := range j.Occurrences {
+		isOpen[o.Number] = true
+	}
+	for n := 0; n < j.Next && j.Finished > 0 && j.canOpenNext(); n++ {
+		if isOpen[n] {
+			continue
+		}
+		o := newOccurrence(j, n, now)
+		for _, s := range o.Steps {
+			for _, t := range s.Tasks {
+				t.HasRun = true
+				if !s.Spec.LongRunning {
+					t.Done = true
+					s.Done++
+				}
+			}
+		}
+		o.markReady(now)
+		j.Occurrences = append(j.Occurrences, o)
+		j.Finished--
+	}
+	slices.SortFunc(j.Occurrences, func(a, b *Occurrence) int { return cmp.Compare(a.Number, b.Number) })
+}
+
 func (o *Occurrence) restore(r OccurrenceRecord, now time.Time) error {
 	if len(r.Steps) != len(o.Steps) {
 		return fmt.Errorf("occurrence %d has %d steps, its job has %d", o.Number, len(r.Steps), len(o.Steps))
@@ -142,7 +175,7 @@
 			return fmt.Errorf("decode done tasks of step %d: %w", i, err)
 		}
 		for n, t := range s.Tasks {
-			if done.has(n) {
+			if done.has(n) && !s.Spec.LongRunning { // earlier builds took their ends done for the last ones
 				t.Done = true
 				s.Done++
 			}
@@ -154,12 +187,17 @@
 			return fmt.Errorf("decode has-run bitmap of step %d: %w", i, err)
 		}
 	}
+	o.markReady(now)
+	return nil
+}
+
+// markReady records since when the steps wait for capacity that depend on no unfinished step.
+func (o *Occurrence) markReady(now time.Time) {
 	for _, s := range o.Steps {
 		if s.Ready() {
 			s.ReadyAt = now
 		}
 	}
-	return nil
 }
 
 // Flush is one write of progress to the store: the jobs to write, and the run ends that
--- a/internal/job/tracker/restart.go
+++ b/internal/job/tracker/restart.go
@@ -1,8 +1,11 @@
 package tracker
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// Backoff before a long-running task that fails again and again is restarted. Like that of other
+// Backoff before a long-running task that ends by itself again and again, done or failed, is restarted. Like that of other
 // tasks, its first restart is immediate: most failures are caused by the worker.
 const (
 	// restartDelayFirst is the greatest delay of the second restart. It doubles with each further one.
@@ -10,32 +13,37 @@
 	// restartDelayMax is the greatest delay of all. It is no longer than the time after which an
 	// unavailable task takes precedence, so a task that has recovered is back as soon as any other.
 	restartDelayMax = 3 * time.Second
-	// restartResetAfter is how long a run must last for its failure to count as the first again.
+	// restartResetAfter is how long a run must last for its end to count as the first again.
 	restartResetAfter = 10 * time.Second
 )
 
-// recordRestart delays the restart of a long-running task whose run has failed.
-func (t *Task) recordRestart(lasted time.Duration, random func() float64, now time.Time) {
+// scheduleRestart delays the restart of a long-running task whose run has ended by itself. An end that was
+// stored but not acknowledged is reported to the next owner again; it changes nothing once the task has a
+// later run.
+func (tr *Tracker) scheduleRestart(t *Task, number int64, lasted time.Duration, now time.Time) {
+	if slices.ContainsFunc(t.Runs, func(r *Run) bool { return r.Number > number }) {
+		return
+	}
 	if lasted >= restartResetAfter {
 		t.Restarts = 0
 	}
 	t.Restarts++
-	t.NotBefore = now.Add(time.Duration(random() * float64(restartDelayLimit(t.Restarts))))
+	t.NotBefore = now.Add(time.Duration(tr.random() * float64(restartDelayLimit(t.Restarts))))
 }
 
-// restartDelayLimit is the greatest delay of a restart after the given number of failures in a row.
-func restartDelayLimit(failures int) time.Duration {
-	if failures <= 1 {
+// restartDelayLimit is the greatest delay of a restart after the given number of such ends in a row.
+func restartDelayLimit(ends int) time.Duration {
+	if ends <= 1 {
 		return 0
 	}
 	delay := restartDelayFirst
-	for n := 2; n < failures && delay < restartDelayMax; n++ {
+	for n := 2; n < ends && delay < restartDelayMax; n++ {
 		delay *= 2
 	}
 	return min(delay, restartDelayMax)
 }
 
-// RestartDelay returns how long a waiting task is still delayed after failures.
+// RestartDelay returns how long a waiting task is still delayed after its runs have ended by themselves.
 func (t *Task) RestartDelay(now time.Time) time.Duration {
 	if t.Done || len(t.Runs) > 0 {
 		return 0
--- a/internal/job/tracker/run.go
+++ b/internal/job/tracker/run.go
@@ -221,6 +221,11 @@
 	}
 	switch outcome {
 	case EndDone:
+		if t.Step.Spec.LongRunning {
+			// It says nothing of the worker: such a task may end by itself on any.
+			tr.scheduleRestart(t, key.Number, lasted, now)
+			break
+		}
 		tr.taskDone(t, now)
 		tr.recordSuccess(vm, t.Step, now)
 	case EndFailed:
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -86,8 +86,8 @@
 	// WaitSince is when its last run ended. For a long-running task, a run that no worker has confirmed
 	// does not count.
 	WaitSince  time.Time
-	NotBefore  time.Time       // earliest restart after a failure
-	Restarts   int             // of a long-running task, after failures in a row
+	NotBefore  time.Time       // earliest restart after a run that ended by itself
+	Restarts   int             // of a long-running task, after runs in a row that ended by themselves
 	GiveUpAt   time.Time       // when its job fails, if too many workers have crashed under it; zero: not
 	Apart      time.Duration   // from the start of another task on the VM that repeats late crashes too
 	AvoidedVMs map[string]bool // VMs on which a run of it failed
