tracker: know the occurrences that a former owner has opened

Cause: an owner opens occurrences and starts their tasks before it stores how many it has opened. The next owner restores the older number, drops the ends of the later occurrences as those of no task, stops their runs, and opens the occurrences again.

Change: a report that names an occurrence that is not open yet opens it and those before it, before it is applied; occurrences open in order, and nothing of an inherited job starts before all VMs have reported. So no start waits for the store. What is opened and not stored is bounded by the tasks that may be open. Tasks of inherited occurrences wait for their time by the present owner's clock. Ends of unknown tasks are logged.

--- a/internal/job/scheduler/replay_test.go
+++ b/internal/job/scheduler/replay_test.go
@@ -75,6 +75,8 @@
 	mu       sync.Mutex
 	records  map[string]keeper.Record
 	revision int64
+	down     bool                       // it refuses all writes
+	refuses  func(put keeper.Put) error // nil: it takes every record
 }
 
 // replayAgent is an agent with its worker.
@@ -155,6 +157,14 @@
 		Transact: func(_ context.Context, tx keeper.Transaction) (int64, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
+			if s.down {
+				return 0, keeper.ErrUnavailable{Cause: errNoAnswer}
+			}
+			for _, p := range tx.Puts {
+				if s.refuses != nil && s.refuses(p) != nil {
+					return 0, s.refuses(p)
+				}
+			}
 			s.revision++
 			for _, p := range tx.Puts {
 				s.records[p.Key] = keeper.Record{Key: p.Key, Value: p.Value, Revision: s.revision}
@@ -171,13 +181,19 @@
 func (r *replay) submit(queue string, steps ...specifier.Step) {
 	r.t.Helper()
 	r.jobs++
-	spec := specifier.Job{ID: fmt.Sprintf("%016x", r.jobs), Queue: queue, Steps: steps, AcceptedMillis: r.now.UnixMilli()}
+	r.submitJob(&specifier.Job{ID: fmt.Sprintf("%016x", r.jobs), Queue: queue, Steps: steps, AcceptedMillis: r.now.UnixMilli()})
+}
+
+func (r *replay) submitJob(spec *specifier.Job) {
+	r.t.Helper()
 	value, err := json.Marshal(spec)
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	for n, step := range steps {
-		r.work[fmt.Sprintf("%s.0.%d", spec.ID, n)] = step.Estimate()
+	for occurrence := range spec.OccurrenceCount() {
+		for n, step := range spec.Steps {
+			r.work[fmt.Sprintf("%s.%d.%d", spec.ID, occurrence, n)] = step.Estimate()
+		}
 	}
 	revision, _ := r.store.calls().Transact(r.t.Context(), keeper.Transaction{Puts: []keeper.Put{{Key: JobKey(spec.ID), Value: value}}})
 	if r.owner != nil {
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -279,6 +279,9 @@
 		o.s.config.Metrics.runEnded(e.Outcome)
 		o.s.config.Reporter.Report(reporter.JobRunEnded, reporter.Fields{"task": e.Key.Task.String(), "run": e.Key.Number, "vm": vm.Name, "how": string(e.Outcome), "end": e.Seq})
 	}
+	for _, e := range c.Unassigned {
+		o.s.config.Reporter.Report(reporter.JobRunEndUnassigned, reporter.Fields{"task": e.Key.Task.String(), "run": e.Key.Number, "vm": vm.Name, "how": string(e.Outcome), "end": e.Seq})
+	}
 	o.reportSuspicions(vm, c)
 	o.reportLost(vm, c.Lost, "no longer reported by the worker")
 	for _, r := range c.Adopted {
--- a/internal/job/specifier/specifier.go
+++ b/internal/job/specifier/specifier.go
@@ -128,6 +128,20 @@
 // OccurrenceCount returns how many times the steps run.
 func (j *Job) OccurrenceCount() int { return max(j.Occurrences, 1) }
 
+// TaskCount returns the number of tasks of an occurrence.
+func (j *Job) TaskCount() (tasks int) {
+	for i := range j.Steps {
+		tasks += j.Steps[i].Count
+	}
+	return tasks
+}
+
+// HasTask reports whether the job has a task with the ID.
+func (j *Job) HasTask(id TaskID) bool {
+	return id.Job == j.ID && id.Occurrence >= 0 && id.Occurrence < j.OccurrenceCount() &&
+		id.Step >= 0 && id.Step < len(j.Steps) && id.Index >= 0 && id.Index < j.Steps[id.Step].Count
+}
+
 // Due returns when an occurrence may start.
 func (j *Job) Due(occurrence int) time.Time {
 	if j.Occurrences == 0 {
--- a/internal/job/tracker/job.go
+++ b/internal/job/tracker/job.go
@@ -28,48 +28,6 @@
 	return true
 }
 
-// OpenDue opens the occurrences that are due.
-func (tr *Tracker) OpenDue(now time.Time) {
-	for _, j := range tr.open {
-		tr.openDue(j, now)
-	}
-}
-
-func (tr *Tracker) openDue(j *Job, now time.Time) {
-	if j.Unreadable {
-		return
-	}
-	for !j.State.Final() && j.Next < j.Spec.OccurrenceCount() && j.canOpenNext() && (j.Spec.Occurrences == 0 || !j.Spec.Due(j.Next).After(now)) {
-		j.Occurrences = append(j.Occurrences, newOccurrence(j, j.Next, now))
-		j.Next++
-	}
-}
-
-// canOpenNext reports whether the job may open another occurrence. The limit bounds the
-// owner's memory for the job, however many occurrences are due.
-func (j *Job) canOpenNext() bool {
-	open, tasks := len(j.Occurrences), 0
-	for i := range j.Spec.Steps {
-		tasks += j.Spec.Steps[i].Count
-	}
-	return open == 0 || open < specifier.MaxOpen && (open+1)*tasks <= specifier.MaxTasks
-}
-
-func newOccurrence(j *Job, number int, now time.Time) *Occurrence {
-	o := &Occurrence{Job: j, Number: number, DueAt: j.Spec.Due(number)}
-	for i := range j.Spec.Steps {
-		s := &Step{Occurrence: o, Number: i, Spec: &j.Spec.Steps[i]}
-		for t := range s.Spec.Count {
-			s.Tasks = append(s.Tasks, &Task{Step: s, Index: t, WaitSince: now})
-		}
-		if len(s.Spec.After) == 0 {
-			s.ReadyAt = now
-		}
-		o.Steps = append(o.Steps, s)
-	}
-	return o
-}
-
 // Find returns a task of an open occurrence, or nil if there is none with the ID.
 func (tr *Tracker) Find(id specifier.TaskID) *Task {
 	j := tr.Jobs[id.Job]
@@ -317,7 +275,7 @@
 
 // Waits reports whether the task's own state allows a start now.
 func (t *Task) Waits(now time.Time) bool {
-	return !t.Done && len(t.Runs) == 0 && !t.NotBefore.After(now) && t.GiveUpAt.IsZero()
+	return !t.Done && len(t.Runs) == 0 && !t.NotBefore.After(now) && t.GiveUpAt.IsZero() && t.Step.Occurrence.isDue(now)
 }
 
 // updateOpen adds a job to the open ones, or removes it once it has ended. Ended jobs are kept for
--- a/internal/job/tracker/record.go
+++ b/internal/job/tracker/record.go
@@ -126,7 +126,7 @@
 		}
 		open = append(open, o)
 	}
-	j.State, j.StoredState, j.Finished, j.Next = r.State, r.State, r.Finished, r.Next
+	j.State, j.StoredState, j.Finished, j.Next, j.storedNext = r.State, r.State, r.Finished, r.Next, r.Next
 	j.EndedAt, j.Reason = time.UnixMilli(r.EndedAt), r.Reason
 	j.Occurrences = open
 	j.reopenLongRunning(now)
@@ -204,6 +204,7 @@
 // may be acknowledged to each VM's agent once they are written.
 type Flush struct {
 	Jobs      []*Job
+	next      []int // next occurrence to open, by the index of the job
 	acks      []pendingAck
 	crashAcks []pendingCrashAck
 }
@@ -233,6 +234,9 @@
 	}
 	clear(tr.dirty)
 	slices.SortFunc(f.Jobs, byID)
+	for _, j := range f.Jobs {
+		f.next = append(f.next, j.Next)
+	}
 	for vm := range tr.unstored {
 		if vm.EndSeen <= vm.EndStored && vm.CrashSeen <= vm.CrashStored {
 			delete(tr.unstored, vm)
@@ -251,13 +255,13 @@
 // by ID. After an error the jobs are written again by the next flush. It returns the VMs whose agents
 // may be told that ends are stored.
 func (tr *Tracker) EndFlush(f *Flush, states map[string]JobState, err error) (stored []*VM) {
-	for _, j := range f.Jobs {
+	for i, j := range f.Jobs {
 		j.inFlight = false
 		if err != nil {
 			j.markDirty()
 			continue
 		}
-		j.StoredState = states[j.Spec.ID]
+		j.StoredState, j.storedNext = states[j.Spec.ID], f.next[i]
 	}
 	if err != nil {
 		return nil
--- a/internal/job/tracker/report.go
+++ b/internal/job/tracker/report.go
@@ -58,10 +58,11 @@
 // Changes lists the effects of a report.
 type Changes struct {
 	Ended      []ReportedEnd
-	Lost       []*Run      // no longer listed, and no end was reported
-	Adopted    []*Run      // not ordered by this owner
-	Suspicions []Suspicion // crashes attributed to tasks
-	Cleared    []*Task     // no longer suspected of crashes
+	Unassigned []ReportedEnd // of them, those that can't be stored since no task has their ID
+	Lost       []*Run        // no longer listed, and no end was reported
+	Adopted    []*Run        // not ordered by this owner
+	Suspicions []Suspicion   // crashes attributed to tasks
+	Cleared    []*Task       // no longer suspected of crashes
 }
 
 // Any reports whether anything changed that decisions depend on.
@@ -187,6 +188,7 @@
 // Apply applies a report. A run whose order the agent has received and that the report
 // does not list counts as lost, unless the report may lack ends.
 func (tr *Tracker) Apply(vm *VM, rep Report, now time.Time) Changes {
+	tr.openReported(rep, now)
 	var c Changes
 	listed := make(map[RunKey]bool, len(rep.Runs))
 	for _, r := range rep.Runs {
@@ -210,6 +212,9 @@
 		if e.Seq > vm.EndSeen {
 			vm.EndSeen = e.Seq
 			tr.unstored[vm] = true
+			if tr.isUnassignable(e.Key.Task) {
+				c.Unassigned = append(c.Unassigned, e)
+			}
 			tr.EndRun(vm, e.Key, e.Outcome, e.Checkpoint, now)
 			c.Ended = append(c.Ended, e)
 		}
@@ -234,6 +239,13 @@
 	return c
 }
 
+// isUnassignable reports whether there never was a task with the ID, or none of its job can be read. Tasks of
+// jobs that have ended, and of finished occurrences, are not kept: their ends change nothing.
+func (tr *Tracker) isUnassignable(id specifier.TaskID) bool {
+	j := tr.Jobs[id.Job]
+	return j == nil || j.Unreadable || !j.State.Final() && (id.Occurrence >= j.Next || !j.Spec.HasTask(id))
+}
+
 func (tr *Tracker) applyRun(vm *VM, rep ReportedRun, ordersSeen int64, now time.Time) (adopted *Run) {
 	r := vm.Runs[rep.Key]
 	if r == nil {
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -216,6 +216,7 @@
 	Queue       specifier.Queue // its present settings, or those with which the job was accepted
 	Occurrences []*Occurrence   // due and not finished
 	Next        int             // next occurrence to open
+	storedNext  int             // the same as stored
 	Finished    int             // number of finished occurrences
 	Started     bool            // one of its tasks has started
 	State       JobState
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -49,6 +49,7 @@
 	GangRoomMade
 	MembersAwaited
 	PolicyWatchOverdue
+	JobRunEndUnassigned
 )
 
 // Events of jobs at agents, numbered from 950.
@@ -128,6 +129,7 @@
 	{GangRoomMade, log.InfoLevel, "room made for a gang", "Long-running tasks stop so that a gang that has waited too long finds room for all its tasks. Of the stops, so many move to another VM. With held=false only a part of them may stop at once, and the search is repeated after these moves."},
 	{MembersAwaited, log.InfoLevel, "members awaited", "VMs that may run tasks of earlier owners have not reported to this owner. Tasks of jobs from before the change of owner start once all have, or once the leases of the others have certainly ended; at-most says how long that takes."},
 	{PolicyWatchOverdue, log.WarnLevel, "policy watch overdue", "The watch of the operators' records was not answered in time: its answer may be lost, and the policy was about to count as old. All records were read beside it; with listed=true that was answered first. The field age says how old the policy was then, error why the records are not known."},
+	{JobRunEndUnassigned, log.ErrorLevel, "run end of an unknown task", "A worker reported the end of a run of a task that this owner doesn't know: the record of its job, or of the job's progress, is missing or can't be read, or the task's ID is invalid. The end is acknowledged, since later ones could not be otherwise, and is not stored."},
 
 	{WorkerAnnounced, log.InfoLevel, "worker announced itself", "The worker of this VM reported its state."},
 	{WorkerRestarted, log.WarnLevel, "worker restarted", "The worker restarted as a new incarnation and has lost its state; its runs are lost."},
