tracker, scheduler: one job's record no longer stops all acknowledgements

Cause: a crash adds some 100 bytes to the record of the job's progress for each task that was there, without a bound; the store takes 1,048,576 bytes. And the progress of all changed jobs was one write: a record that could not be written, for any reason, failed all of them, each time.

Change: a record has a limit; what callers were promised is always in it, notes on tasks are omitted in a stated order, with a log line and a gauge. Records are written apart, the smallest first, and ends are acknowledged as far as their own jobs are stored. A refused job starts nothing until it is stored; its ends are kept in a record of their own, so that those behind them in the order of a VM's numbers can be acknowledged.

EndFlush takes what was written in place of one error, so the tests that fail a write pass no states; one that relied on nil counting as written names them.

--- a/internal/job/scheduler/fleet_bench_test.go
+++ b/internal/job/scheduler/fleet_bench_test.go
@@ -45,7 +45,7 @@
 	for _, j := range f.Jobs {
 		states[j.Spec.ID] = j.State
 	}
-	o.state.EndFlush(f, states, nil)
+	o.state.EndFlush(f, states)
 	var reports []messenger.WorkReport
 	conn := connToNobody(b)
 	for n := range vms {
--- a/internal/job/scheduler/former_life_test.go
+++ b/internal/job/scheduler/former_life_test.go
@@ -24,8 +24,11 @@
 		}
 	}
 	store := func() {
-		f := b.o.state.BeginFlush()
-		for _, vm := range b.o.state.EndFlush(f, nil, nil) {
+		f, states := b.o.state.BeginFlush(), make(map[string]tracker.JobState)
+		for _, j := range f.Jobs {
+			states[j.Spec.ID] = j.State
+		}
+		for _, vm := range b.o.state.EndFlush(f, states) {
 			b.o.unsent[b.o.sessions[vm.Name]] = true
 		}
 		b.o.sendOrders()
@@ -79,7 +82,7 @@
 	accept()
 	for _, lost := range []bool{true, false} {
 		store.loseAnswers = lost
-		if err := o.write(t.Context(), nil, []string{CancelKey("a")}); (err != nil) != lost {
+		if err := o.remove(t.Context(), []string{CancelKey("a")}); (err != nil) != lost {
 			t.Fatalf("answer lost: %t, %v", lost, err)
 		}
 	}
--- a/internal/job/scheduler/metrics.go
+++ b/internal/job/scheduler/metrics.go
@@ -63,6 +63,13 @@
 	}
 }
 
+// largestRecord sets the size of the largest record of a kind.
+func (m *Metrics) largestRecord(kind string, bytes int) {
+	if m != nil {
+		m.set.GetOrCreateGauge(fmt.Sprintf(`bamboospread_job_largest_record_bytes{record=%q}`, kind), nil).Set(float64(bytes))
+	}
+}
+
 // runTimesCovered sets how many run times of a queue were predicted, and how many did not exceed each
 // predicted quantile.
 func (m *Metrics) runTimesCovered(queue string, c *coverage) {
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -107,7 +107,8 @@
 	flushAfter          time.Time // no write before this
 	snapshotAt          time.Time // when snapshots were last stored
 	removals            []string  // keys of expired jobs to remove
-	dirty               bool      // something changed that affects placement
+	records             progressRecords
+	dirty               bool // something changed that affects placement
 	placement           decision
 	checks              decision
 	moves               decision             // search for long-running tasks to move
@@ -122,7 +123,7 @@
 	load := newLoadControl()
 	state.SetObserver(load.observer(s.config.Now))
 	return &owner{
-		s: s, epoch: epoch, started: now, phases: phaseTimes{now: s.config.Now, startedAt: now}, state: state, load: load, forecasts: newForecasts(), learner: learner.New(), snapshotAt: now, cache: planner.NewCache(), writer: newWriter(s.config.Store.Transact), events: make(chan event, eventBuffer), done: make(chan struct{}),
+		s: s, epoch: epoch, started: now, phases: phaseTimes{now: s.config.Now, startedAt: now}, state: state, load: load, forecasts: newForecasts(), learner: learner.New(), snapshotAt: now, records: newProgressRecords(), cache: planner.NewCache(), writer: newWriter(s.config.Store.Transact), events: make(chan event, eventBuffer), done: make(chan struct{}),
 		placement: decision{name: "placement", planned: minRoundInterval}, checks: decision{name: "checks", planned: minCheckInterval}, moves: decision{name: "moves", planned: moveInterval}, gangRooms: decision{name: "gang rooms", planned: gangRoomInterval},
 		restorers: make(map[*connector.Conn]*abridger.Restorer),
 		sessions:  make(map[string]*session), unsent: make(map[*session]bool), window: newWindow(), cancelled: make(map[string]bool), unknown: newUnknownJobs(), members: make(map[string]bool), listed: make(map[string]bool),
--- a/internal/job/scheduler/snapshots.go
+++ b/internal/job/scheduler/snapshots.go
@@ -60,6 +60,7 @@
 			o.s.config.Reporter.Report(reporter.ProgressNotStored, reporter.Fields{"record": s.name, "error": err.Error()})
 			continue
 		}
+		o.s.config.Metrics.largestRecord(s.name, len(value))
 		puts = append(puts, keeper.Put{Key: o.s.snapshotKey(s.name), Value: value})
 	}
 	return puts
--- a/internal/job/scheduler/takeover.go
+++ b/internal/job/scheduler/takeover.go
@@ -40,13 +40,21 @@
 			o.addJob(r, now.Add(s.config.Lease+o.leaseExpiry()), now)
 		}
 	}
+	var held keeper.Record
 	for _, r := range progress {
 		o.writer.setRevision(r.Key, r.Revision)
 		id := strings.TrimPrefix(r.Key, progressPrefix)
+		if r.Key == heldEndsKey {
+			held = r
+			continue
+		}
 		if err := state.Restore(id, r.Value, now); err != nil {
 			s.config.Reporter.Report(reporter.JobRecordsUnreadable, reporter.Fields{"key": r.Key, "error": err.Error()})
 		}
 	}
+	if held.Key != "" {
+		o.restoreHeldEnds(held, now)
+	}
 	for _, r := range work {
 		if id, ok := strings.CutPrefix(r.Key, cancelPrefix); ok {
 			o.addCancellation(id, recordSeen{r, sourceTakeover}, now)
--- a/internal/job/scheduler/writer.go
+++ b/internal/job/scheduler/writer.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -40,6 +41,102 @@
 	w.revisions[key] = max(w.revisions[key], revision)
 }
 
+const (
+	// maxPutsPerTransaction is the number of records per transaction. Each needs an expectation and
+	// a put; the fence takes one entry.
+	maxPutsPerTransaction = (keeper.MaxTransactionEntries - 1) / 2
+	// maxBytesPerTransaction is the size of the values of a transaction with several records, so that large
+	// ones don't delay others.
+	maxBytesPerTransaction = 256 << 10
+	// extraConflictTries is how many attempts, beyond one for each record, a write makes to update
+	// outdated revisions before it fails until the next flush.
+	extraConflictTries = 4
+)
+
+// errOwnershipEnded is returned by writes once another owner has the cell.
+var errOwnershipEnded = errors.New("ownership has ended")
+
+// isTransient reports whether a write has failed for no fault of its records.
+func isTransient(err error) bool {
+	return keeper.IsErrUnavailable(err) || keeper.IsErrOutcomeUnknown(err) || errors.Is(err, errOwnershipEnded) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+}
+
+// writeErrors are the errors of the records that could not be written, by key.
+type writeErrors struct {
+	all    map[string]error
+	own    map[string]bool // those that failed in a transaction of their own
+	others bool            // other records were written
+}
+
+func (e writeErrors) add(puts []keeper.Put, err error, own bool) {
+	for _, p := range puts {
+		e.all[p.Key] = err
+		if own {
+			e.own[p.Key] = true
+		}
+	}
+}
+
+// putAll writes records in as many transactions as they require. The records of a transaction that fails for
+// one of them are written one by one. The smallest come first, and those with the keys in last at the end, so
+// that they hold back no others.
+func (w *writer) putAll(ctx context.Context, puts []keeper.Put, last map[string]bool) writeErrors {
+	failed := writeErrors{all: make(map[string]error), own: make(map[string]bool)}
+	var unavailable error // the store takes no records of this owner
+	var write func(group []keeper.Put)
+	write = func(group []keeper.Put) {
+		if unavailable != nil {
+			failed.add(group, unavailable, false)
+			return
+		}
+		err := w.put(ctx, group)
+		switch {
+		case err == nil:
+		case isTransient(err):
+			failed.add(group, err, len(group) == 1)
+			if !last[group[0].Key] {
+				unavailable = err
+			}
+		case len(group) == 1:
+			failed.add(group, err, true)
+		default:
+			for _, p := range group {
+				write([]keeper.Put{p})
+			}
+		}
+	}
+	for _, group := range groupPuts(puts, last) {
+		write(group)
+	}
+	failed.others = len(failed.all) < len(puts)
+	return failed
+}
+
+// groupPuts returns the records by transaction.
+func groupPuts(puts []keeper.Put, last map[string]bool) (groups [][]keeper.Put) {
+	sorted := slices.Clone(puts)
+	slices.SortStableFunc(sorted, func(a, b keeper.Put) int {
+		if last[a.Key] != last[b.Key] {
+			if last[a.Key] {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(len(a.Value), len(b.Value))
+	})
+	bytes := 0
+	for _, p := range sorted {
+		n := len(groups) - 1
+		if n < 0 || last[p.Key] || len(groups[n]) == maxPutsPerTransaction || bytes+len(p.Value) > maxBytesPerTransaction {
+			groups, bytes = append(groups, nil), 0
+			n++
+		}
+		groups[n] = append(groups[n], p)
+		bytes += len(p.Value)
+	}
+	return groups
+}
+
 // put writes records in one transaction. If an earlier write with a lost answer took effect,
 // this one conflicts; put then updates the revisions and overwrites the records.
 func (w *writer) put(ctx context.Context, puts []keeper.Put) error {
@@ -57,11 +154,11 @@
 			return err
 		}
 		if w.fence.Key == conflict.Key || w.fence.Key == conflict.Current.Key {
-			return fmt.Errorf("ownership has ended: %w", err)
+			return fmt.Errorf("%w: %w", errOwnershipEnded, err)
 		}
 		w.applyConflict(conflict)
 	}
-	return fmt.Errorf("write of %d records: %d conflicts, the last on %q at revision %d", len(puts), tries, conflict.Current.Key, conflict.Current.Revision)
+	return fmt.Errorf("write of %d records: %d conflicts: %w", len(puts), tries, conflict)
 }
 
 func (w *writer) transaction(puts []keeper.Put) keeper.Transaction {
@@ -89,7 +186,7 @@
 			return err
 		}
 		if w.fence.Key == conflict.Key || w.fence.Key == conflict.Current.Key {
-			return fmt.Errorf("ownership has ended: %w", err)
+			return fmt.Errorf("%w: %w", errOwnershipEnded, err)
 		}
 		if keys = w.dropChanged(keys, conflict); len(keys) == 0 {
 			return nil
--- a/internal/job/tracker/availability.go
+++ b/internal/job/tracker/availability.go
@@ -42,21 +42,6 @@
 	return slices.ContainsFunc(t.Runs, func(r *Run) bool { return !r.StartedAt.IsZero() })
 }
 
-// waitsOf returns since when the tasks of a step that have run are without a confirmed run, in
-// Unix ms by task index.
-func waitsOf(s *Step) (since map[int]int64) {
-	for i, t := range s.Tasks {
-		if !t.HasRun || t.Done || t.hasConfirmedRun() {
-			continue
-		}
-		if since == nil {
-			since = make(map[int]int64)
-		}
-		since[i] = t.WaitSince.UnixMilli()
-	}
-	return since
-}
-
 // restoreRuns restores which tasks have run, and since when those without a run are unavailable. A
 // time after now is that of another VM's clock.
 func (s *Step) restoreRuns(r StepRecord, now time.Time) error {
--- a/internal/job/tracker/changes.go
+++ b/internal/job/tracker/changes.go
@@ -12,6 +12,7 @@
 // markDirty records that the progress of a job is to be stored.
 func (j *Job) markDirty() {
 	j.dirty = true
+	j.version++
 	if j.tracker != nil { // otherwise the job is not known, and its run was adopted to be stopped
 		j.tracker.dirty[j] = true
 	}
--- a/internal/job/tracker/changes_test.go
+++ b/internal/job/tracker/changes_test.go
@@ -60,7 +60,7 @@
 	for _, j := range f.Jobs {
 		states[j.Spec.ID] = j.State
 	}
-	if tr.EndFlush(f, states, nil); len(states) != 2000 {
+	if tr.EndFlush(f, states); len(states) != 2000 {
 		t.Fatalf("%d jobs stored", len(states))
 	}
 	if got := testing.AllocsPerRun(100, func() {
--- a/internal/job/tracker/checkpoint_test.go
+++ b/internal/job/tracker/checkpoint_test.go
@@ -42,10 +42,7 @@
 				}
 			}
 			check("at this owner", tasks)
-			record, err := j.Encode()
-			if err != nil {
-				t.Fatal(err)
-			}
+			record := encode(t, j)
 			check("at the next owner", restoreFrom(t, j.Spec, record))
 		})
 	}
--- a/internal/job/tracker/crash.go
+++ b/internal/job/tracker/crash.go
@@ -56,7 +56,11 @@
 		if c.Seq > vm.CrashSeen {
 			vm.CrashSeen = c.Seq
 			tr.unstored[vm] = true
-			found = append(found, tr.attributeCrash(vm, c, now)...)
+			suspicions := tr.attributeCrash(vm, c, now)
+			for _, s := range suspicions {
+				vm.addUnstoredCrash(c.Seq, s.Task.Step.Occurrence.Job)
+			}
+			found = append(found, suspicions...)
 		}
 	}
 	return found
@@ -190,16 +194,3 @@
 func (t *Task) hasCrash(run int64) bool {
 	return slices.ContainsFunc(t.Crashes, func(c attributor.Crash) bool { return c.Run == run })
 }
-
-// crashesOf returns the crashes in their stored form, by the index of the task.
-func crashesOf(s *Step) (stored map[int][]attributor.Crash) {
-	for i, t := range s.Tasks {
-		if len(t.Crashes) > 0 {
-			if stored == nil {
-				stored = make(map[int][]attributor.Crash)
-			}
-			stored[i] = t.Crashes
-		}
-	}
-	return stored
-}
--- a/internal/job/tracker/crash_test.go
+++ b/internal/job/tracker/crash_test.go
@@ -1,7 +1,6 @@
 package tracker
 
 import (
-	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -240,10 +239,7 @@
 	j := addJob(t, f.tr, 1, oneTask(1))
 	crashing := j.Occurrences[0].Steps[0].Tasks[0]
 	f.crashOnce("vm-1", map[*Task]time.Duration{crashing: time.Millisecond})
-	value, err := j.Encode()
-	if err != nil {
-		t.Fatal(err)
-	}
+	value := encode(t, j)
 	next := newCrashFixture(t)
 	next.tr.runFloor = 1000
 	restored := addJob(t, next.tr, 1, oneTask(1))
@@ -265,9 +261,7 @@
 	if restored.State != JobFailed {
 		t.Errorf("after three crashes, two of them under the next owner, the job is %s", restored.State)
 	}
-	if value, err = restored.Encode(); err != nil {
-		t.Fatal(err)
-	}
+	value = encode(t, restored)
 	last := newCrashFixture(t)
 	failed := addJob(t, last.tr, 1, oneTask(1))
 	if err := last.tr.Restore(failed.Spec.ID, value, begin); err != nil {
@@ -289,12 +283,12 @@
 	if len(flush.Jobs) != 1 || vm().CrashStored != 0 {
 		t.Fatalf("%d jobs to store, crash %d acknowledged", len(flush.Jobs), vm().CrashStored)
 	}
-	f.tr.EndFlush(flush, nil, errors.New("store unavailable"))
+	f.tr.EndFlush(flush, nil)
 	if vm().CrashStored != 0 {
 		t.Error("acknowledged after a failed write")
 	}
 	flush = f.tr.BeginFlush()
-	f.tr.EndFlush(flush, map[string]JobState{j.Spec.ID: j.State}, nil)
+	f.tr.EndFlush(flush, map[string]JobState{j.Spec.ID: j.State})
 	if vm().CrashStored != 1 {
 		t.Errorf("crash %d acknowledged after the write", vm().CrashStored)
 	}
--- a/internal/job/tracker/fuzz_test.go
+++ b/internal/job/tracker/fuzz_test.go
@@ -33,8 +33,8 @@
 		Unwanted(tr.SortedVMs())
 		tr.Pending("q")
 		tr.Find(specifier.TaskID{Job: spec.ID, Index: 1})
-		if _, err := tr.Jobs[spec.ID].Encode(); err != nil {
-			t.Error(err)
+		if e, err := tr.Jobs[spec.ID].Encode(MaxRecordBytes); err != nil || len(e.Value) > MaxRecordBytes {
+			t.Errorf("%d bytes, %v", len(e.Value), err)
 		}
 	})
 }
--- a/internal/job/tracker/helpers_test.go
+++ b/internal/job/tracker/helpers_test.go
@@ -47,3 +47,13 @@
 }
 
 func key(n, step, index int, run int64) RunKey { return RunKey{task(n, step, index), run} }
+
+// encode returns the record of a job.
+func encode(t *testing.T, j *Job) []byte {
+	t.Helper()
+	e, err := j.Encode(MaxRecordBytes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e.Value
+}
--- a/internal/job/tracker/record.go
+++ b/internal/job/tracker/record.go
@@ -42,50 +42,6 @@
 	WaitSince map[int]int64 `json:"wait-since-ms,omitempty"`
 }
 
-// Encode returns the record of a job.
-func (j *Job) Encode() ([]byte, error) {
-	r := Record{State: j.State, Reason: j.Reason, Finished: j.Finished, Next: j.Next}
-	if j.State.Final() {
-		r.EndedAt = j.EndedAt.UnixMilli()
-	} else {
-		budget := maxStoredCheckpointBytes
-		for _, o := range j.Occurrences {
-			r.Open = append(r.Open, o.record(&budget))
-		}
-	}
-	b, err := json.Marshal(r)
-	if err != nil {
-		return nil, fmt.Errorf("encode progress of job %s: %w", j.Spec.ID, err)
-	}
-	return b, nil
-}
-
-// record returns the progress of an occurrence. Its checkpoints reduce the budget of bytes for them.
-func (o *Occurrence) record(budget *int) OccurrenceRecord {
-	r := OccurrenceRecord{Number: o.Number}
-	for _, s := range o.Steps {
-		var sr StepRecord
-		if s.Done > 0 {
-			sr.Done = encodeBitmap(s.Tasks, func(t *Task) bool { return t.Done })
-		}
-		if s.Spec.LongRunning {
-			sr.HasRun = encodeBitmap(s.Tasks, func(t *Task) bool { return t.HasRun })
-			sr.WaitSince = waitsOf(s)
-		}
-		for i, t := range s.Tasks {
-			if len(t.Failed) > 0 {
-				if sr.Failed == nil {
-					sr.Failed = make(map[int][]int64)
-				}
-				sr.Failed[i] = t.Failed
-			}
-		}
-		sr.Crashes, sr.Checkpoints = crashesOf(s), checkpointsOf(s, budget)
-		r.Steps = append(r.Steps, sr)
-	}
-	return r
-}
-
 // Restore applies the stored progress of a job that was just added.
 func (tr *Tracker) Restore(id string, value []byte, now time.Time) error {
 	j := tr.Jobs[id]
@@ -200,86 +156,6 @@
 	}
 }
 
-// Flush is one write of progress to the store: the jobs to write, and the run ends that
-// may be acknowledged to each VM's agent once they are written.
-type Flush struct {
-	Jobs      []*Job
-	next      []int // next occurrence to open, by the index of the job
-	acks      []pendingAck
-	crashAcks []pendingCrashAck
-}
-
-type pendingAck struct {
-	vm          *VM
-	incarnation string
-	seq         int64
-}
-
-type pendingCrashAck struct {
-	vm      *VM
-	process int64 // of the agent
-	seq     int64
-}
-
-// Empty reports whether there is nothing to write and nothing to acknowledge.
-func (f *Flush) Empty() bool { return len(f.Jobs)+len(f.acks)+len(f.crashAcks) == 0 }
-
-// BeginFlush collects the jobs with unstored progress, and the run ends that may be
-// acknowledged once they are written.
-func (tr *Tracker) BeginFlush() *Flush {
-	f := &Flush{}
-	for j := range tr.dirty {
-		j.dirty, j.inFlight = false, true
-		f.Jobs = append(f.Jobs, j)
-	}
-	clear(tr.dirty)
-	slices.SortFunc(f.Jobs, byID)
-	for _, j := range f.Jobs {
-		f.next = append(f.next, j.Next)
-	}
-	for vm := range tr.unstored {
-		if vm.EndSeen <= vm.EndStored && vm.CrashSeen <= vm.CrashStored {
-			delete(tr.unstored, vm)
-		}
-		if vm.EndSeen > vm.EndStored {
-			f.acks = append(f.acks, pendingAck{vm, vm.Incarnation, vm.EndSeen})
-		}
-		if vm.CrashSeen > vm.CrashStored {
-			f.crashAcks = append(f.crashAcks, pendingCrashAck{vm, vm.Process, vm.CrashSeen})
-		}
-	}
-	return f
-}
-
-// EndFlush records the outcome of a flush: states holds the written state of each job
-// by ID. After an error the jobs are written again by the next flush. It returns the VMs whose agents
-// may be told that ends are stored.
-func (tr *Tracker) EndFlush(f *Flush, states map[string]JobState, err error) (stored []*VM) {
-	for i, j := range f.Jobs {
-		j.inFlight = false
-		if err != nil {
-			j.markDirty()
-			continue
-		}
-		j.StoredState, j.storedNext = states[j.Spec.ID], f.next[i]
-	}
-	if err != nil {
-		return nil
-	}
-	for _, e := range f.acks {
-		if e.vm.Incarnation == e.incarnation {
-			e.vm.EndStored = max(e.vm.EndStored, e.seq)
-			stored = append(stored, e.vm)
-		}
-	}
-	for _, c := range f.crashAcks {
-		if c.vm.Process == c.process {
-			c.vm.CrashStored = max(c.vm.CrashStored, c.seq)
-		}
-	}
-	return stored
-}
-
 // ReportedState returns the state that is reported to callers. A final state is reported only
 // once it is stored, so that it can never be reverted.
 func (j *Job) ReportedState() JobState {
@@ -332,7 +208,7 @@
 
 // Startable reports whether new runs of the job's tasks may start.
 func (j *Job) Startable() bool {
-	return !j.State.Final() && j.ReconcileAt.IsZero() && !j.Unreadable
+	return !j.State.Final() && j.ReconcileAt.IsZero() && !j.Unreadable && !j.Refused
 }
 
 // EncodeTombstone returns the tombstone of an ended job in its stored form.
--- a/internal/job/tracker/record_test.go
+++ b/internal/job/tracker/record_test.go
@@ -48,13 +48,10 @@
 	t.Helper()
 	f, states := tr.BeginFlush(), make(map[string]JobState)
 	for _, j := range f.Jobs {
-		value, err := j.Encode()
-		if err != nil {
-			t.Fatal(err)
-		}
+		value := encode(t, j)
 		p[j.Spec.ID], states[j.Spec.ID] = value, j.State
 	}
-	tr.EndFlush(f, states, nil)
+	tr.EndFlush(f, states)
 }
 
 // takeOver returns the state of the next owner, before any agent has reported.
@@ -199,10 +196,7 @@
 			task.Checkpoint = strings.Repeat("x", 100)
 		}
 	}
-	value, err := j.Encode()
-	if err != nil {
-		t.Fatal(err)
-	}
+	value := encode(t, j)
 	if len(value) > keeper.MaxValueBytes {
 		t.Errorf("the record has %d bytes, want at most %d", len(value), keeper.MaxValueBytes)
 	}
@@ -283,10 +277,7 @@
 					task.Failed = append(task.Failed, int64(100_001+n)) // of the 100th owner
 				}
 			}
-			value, err := j.Encode()
-			if err != nil {
-				t.Fatal(err)
-			}
+			value := encode(t, j)
 			if len(value) > keeper.MaxValueBytes {
 				t.Errorf("the record has %d bytes, want at most %d", len(value), keeper.MaxValueBytes)
 			}
--- a/internal/job/tracker/report.go
+++ b/internal/job/tracker/report.go
@@ -100,7 +100,7 @@
 	}
 	restarted := vm.Process != 0 && vm.Process != rep.Process
 	if vm.Process != rep.Process {
-		vm.CrashSeen, vm.CrashStored = 0, 0
+		vm.CrashSeen, vm.CrashStored, vm.unstoredCrashes = 0, 0, nil
 	}
 	vm.Attached, vm.Process = true, rep.Process
 	vm.OrderSeq = 0
@@ -196,6 +196,7 @@
 	}
 	if vm.Incarnation != rep.Incarnation {
 		vm.releaseUnconfirmedRuns(now)
+		vm.unstoredEnds = nil
 		vm.Incarnation, vm.EndSeen, vm.EndStored, vm.Health, vm.Throttle, vm.Speed = rep.Incarnation, 0, 0, Health{}, ThrottleState{}, Speed{}
 	}
 	vm.Version++
@@ -216,6 +217,7 @@
 				c.Unassigned = append(c.Unassigned, e)
 			}
 			tr.EndRun(vm, e.Key, e.Outcome, e.Checkpoint, now)
+			tr.addUnstoredEnd(vm, e)
 			c.Ended = append(c.Ended, e)
 		}
 	}
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -228,9 +228,15 @@
 	// reported. Zero: all its runs are known.
 	ReconcileAt time.Time
 	Unreadable  bool // its stored progress can't be read, so none of its tasks may start
+	Refused     bool // the store refuses its progress, so none of its tasks may start until it is stored
 	tracker     *Tracker
 	dirty       bool // its progress is not stored yet
 	inFlight    bool // a write of its progress is in flight
+	// version increases with each change of its progress; storedVersion is the stored one.
+	version, storedVersion int64
+	// heldVersion is the version up to which its ends are stored as held ones.
+	heldVersion  int64
+	unstoredEnds []unstoredEnd
 }
 
 // VM is a VM with its worker.
@@ -242,16 +248,18 @@
 	Service           string
 	WorkerID          string // ID of the worker for advising services
 	Capacity          specifier.Resources
-	Incarnation       string // incarnation of the worker; a new one knows nothing of earlier ones
-	Ready             bool   // the worker accepts new tasks
-	MoreEnds          bool   // the worker may have ends that its agent has not reported yet
-	Attached          bool   // its agent has a session and has reported its runs
-	Process           int64  // process of its agent
-	OrderSeq          int64  // number of orders sent in this session
-	EndSeen           int64  // highest applied end of this incarnation
-	EndStored         int64  // highest stored end of this incarnation
-	CrashSeen         int64  // highest applied crash that this process of the agent has reported
-	CrashStored       int64  // highest of them that is stored
+	Incarnation       string           // incarnation of the worker; a new one knows nothing of earlier ones
+	Ready             bool             // the worker accepts new tasks
+	MoreEnds          bool             // the worker may have ends that its agent has not reported yet
+	Attached          bool             // its agent has a session and has reported its runs
+	Process           int64            // process of its agent
+	OrderSeq          int64            // number of orders sent in this session
+	EndSeen           int64            // highest applied end of this incarnation
+	EndStored         int64            // highest stored end of this incarnation
+	CrashSeen         int64            // highest applied crash that this process of the agent has reported
+	CrashStored       int64            // highest of them that is stored
+	unstoredEnds      []unstoredChange // by ends of this incarnation, in ascending order
+	unstoredCrashes   []unstoredChange // by crashes that this process of the agent has reported
 	Committed         specifier.Resources
 	BestEffortCPU     int64 // thousandths of a core that best-effort tasks would use
 	BestEffortEnding  int   // number of its runs of best-effort tasks that end by themselves
--- a/internal/job/tracker/tracker_test.go
+++ b/internal/job/tracker/tracker_test.go
@@ -1,7 +1,6 @@
 package tracker
 
 import (
-	"errors"
 	"testing"
 	"time"
 
@@ -45,7 +44,7 @@
 		t.Fatalf("state %s reported, end %d acknowledged before the write", j.ReportedState(), vm.EndStored)
 	}
 	f := tr.BeginFlush()
-	tr.EndFlush(f, nil, errors.New("store unreachable"))
+	tr.EndFlush(f, nil)
 	if j.ReportedState() != JobRunning || vm.EndStored != 0 {
 		t.Fatalf("state %s reported, end %d acknowledged after a failed write", j.ReportedState(), vm.EndStored)
 	}
@@ -53,7 +52,7 @@
 	if len(f.Jobs) != 1 {
 		t.Fatalf("%d jobs are written again, want 1", len(f.Jobs))
 	}
-	tr.EndFlush(f, map[string]JobState{j.Spec.ID: j.State}, nil)
+	tr.EndFlush(f, map[string]JobState{j.Spec.ID: j.State})
 	if j.ReportedState() != JobDone || vm.EndStored != 1 {
 		t.Errorf("state %s reported, end %d acknowledged", j.ReportedState(), vm.EndStored)
 	}
@@ -74,7 +73,7 @@
 	f := tr.BeginFlush()
 	state := j.State
 	end(2, 1)
-	tr.EndFlush(f, map[string]JobState{j.Spec.ID: state}, nil)
+	tr.EndFlush(f, map[string]JobState{j.Spec.ID: state})
 	if vm.EndStored != 1 || j.ReportedState() != JobRunning {
 		t.Errorf("end %d acknowledged, job reported as %s", vm.EndStored, j.ReportedState())
 	}
@@ -192,10 +191,7 @@
 		tr.EndRun(vm, key(1, 0, i, 1), EndDone, "", at(10))
 	}
 	tr.EndRun(vm, key(1, 0, 4, 1), EndFailed, "", at(10))
-	value, err := j.Encode()
-	if err != nil {
-		t.Fatal(err)
-	}
+	value := encode(t, j)
 	next := newState(t, 3)
 	restored := addJob(t, next, 1, steps...)
 	if err := next.Restore(jobID(1), value, at(20)); err != nil {
@@ -283,10 +279,7 @@
 	tr := newState(t, 2)
 	j := addJob(t, tr, 1, specifier.Step{Count: 1, Needs: oneCore})
 	tr.EndRun(attach(tr, "vm"), key(1, 0, 0, 1), EndFailed, "", at(10))
-	value, err := j.Encode()
-	if err != nil {
-		t.Fatal(err)
-	}
+	value := encode(t, j)
 	next := newState(t, 2)
 	restored := addJob(t, next, 1, specifier.Step{Count: 1, Needs: oneCore})
 	if err := next.Restore(jobID(1), value, at(20)); err != nil {
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -50,6 +50,8 @@
 	MembersAwaited
 	PolicyWatchOverdue
 	JobRunEndUnassigned
+	JobRecordLarge
+	JobRecordRefused
 )
 
 // Events of jobs at agents, numbered from 950.
@@ -130,6 +132,8 @@
 	{MembersAwaited, log.InfoLevel, "members awaited", "VMs that may run tasks of earlier owners have not reported to this owner. Tasks of jobs from before the change of owner start once all have, or once the leases of the others have certainly ended; at-most says how long that takes."},
 	{PolicyWatchOverdue, log.WarnLevel, "policy watch overdue", "The watch of the operators' records was not answered in time: its answer may be lost, and the policy was about to count as old. All records were read beside it; with listed=true that was answered first. The field age says how old the policy was then, error why the records are not known."},
 	{JobRunEndUnassigned, log.ErrorLevel, "run end of an unknown task", "A worker reported the end of a run of a task that this owner doesn't know: the record of its job, or of the job's progress, is missing or can't be read, or the task's ID is invalid. The end is acknowledged, since later ones could not be otherwise, and is not stored."},
+	{JobRecordLarge, log.WarnLevel, "progress record large", "The record of a job's progress has more than half of the size that it may have. The fields omitted-* count the tasks whose notes do not fit any more, of each kind; the next owner will not know them: failed runs, crashes that a task is suspected of, since when long-running tasks are unavailable, checkpoints."},
+	{JobRecordRefused, log.ErrorLevel, "progress record refused", "The store refuses the record of a job's progress, or another writer replaces it each time. Other jobs are stored. Nothing of the job starts until its record is stored; the ends of its runs are kept in another record. It is written again with fewer notes if it was refused for its content."},
 
 	{WorkerAnnounced, log.InfoLevel, "worker announced itself", "The worker of this VM reported its state."},
 	{WorkerRestarted, log.WarnLevel, "worker restarted", "The worker restarted as a new incarnation and has lost its state; its runs are lost."},
