--- a/internal/job/tracker/suspicion.go
+++ b/internal/job/tracker/suspicion.go
@@ -189,26 +189,35 @@
 // SuspectedTasks returns the tasks that Suspected reports, the most likely causes of crashes first,
 // and drops those that have ended. A task that crashes its workers does so each time, at the same
 // age.
-func (tr *Tracker) SuspectedTasks() (tasks []*Task) {
+func (tr *Tracker) SuspectedTasks() []*Task {
+	type suspected struct {
+		task   *Task
+		oldest time.Duration
+	}
+	var found []suspected
 	for t := range tr.suspected {
 		switch {
 		case t.Done || len(t.Crashes) == 0 || t.Step.Occurrence.Job.State.Final():
 			delete(tr.suspected, t)
 		case t.Suspected():
-			tasks = append(tasks, t)
+			found = append(found, suspected{t, t.oldestCrash()})
 		}
 	}
-	slices.SortFunc(tasks, func(a, b *Task) int {
+	slices.SortFunc(found, func(a, b suspected) int {
 		switch {
-		case len(a.Crashes) != len(b.Crashes):
-			return len(b.Crashes) - len(a.Crashes)
-		case a.oldestCrash() != b.oldestCrash():
-			return int(a.oldestCrash() - b.oldestCrash())
-		case a.ID().Less(b.ID()):
+		case len(a.task.Crashes) != len(b.task.Crashes):
+			return len(b.task.Crashes) - len(a.task.Crashes)
+		case a.oldest != b.oldest:
+			return int(a.oldest - b.oldest)
+		case a.task.ID().Less(b.task.ID()):
 			return -1
 		}
 		return 1
 	})
+	tasks := make([]*Task, len(found))
+	for i, s := range found {
+		tasks[i] = s.task
+	}
 	return tasks
 }
 
