--- a/internal/job/scheduler/records_test.go
+++ b/internal/job/scheduler/records_test.go
@@ -165,6 +165,7 @@
 		{"the large one is not answered", map[string]error{"progress/large": errNoResponse}, nil, 40, 4, "progress/large"},
 		{"the first is not answered", map[string]error{"progress/00": errNoResponse}, nil, 0, 1, ""},
 		{"the first is not answered again", map[string]error{"progress/00": errNoResponse}, map[string]bool{"progress/00": true}, 40, 5, "progress/00"},
+		{"one of two that have failed before", map[string]error{"progress/00": errNoResponse}, map[string]bool{"progress/00": true, "progress/01": true}, 40, 6, "progress/00"},
 		{"the ownership has ended", map[string]error{"progress/00": keeper.ErrConflict{Key: "owner"}}, nil, 0, 1, ""},
 	}
 	for _, tt := range tests {
--- a/tests/soak/history_checks_test.go
+++ b/tests/soak/history_checks_test.go
@@ -50,6 +50,7 @@
 		{"frozen in one of two places", append(expired[:1:1], elsewhere, expired[1]), record{}, window{second(1), second(8.99)}, time.Time{}, ""},
 		{"unfrozen long before", append(expired[:1:1], elsewhere, expired[1]), record{}, window{second(1), second(6)}, time.Time{}, "twice"},
 		{"its executor ended", append(started[:1:1], elsewhere), record{}, window{}, second(6), ""},
+		{"a long-running task again", append(acknowledged[:3:3], elsewhere), record{spec: &specifier.Job{ID: "00000000000004d2", Steps: []specifier.Step{{Count: 1, LongRunning: true}}}}, window{}, time.Time{}, ""},
 		{"again before its end was acknowledged", append(done[:2:2], elsewhere), record{}, window{}, time.Time{}, ""},
 		{"again after its end was acknowledged", append(acknowledged[:3:3], elsewhere), record{}, window{}, time.Time{}, "twice"},
 		{"out of order", append(started[:1:1], event(0.5, "b", "start", "0.1.0", 1, "")), record{}, window{}, time.Time{}, "order"},
