scheduler: a removal that is repeated leaves ends that are held since

Found by reading the diff: the removal of the record of held ends may fail and is repeated. If ends are held again by then, they would be removed although they are acknowledged. The removal is dropped when ends are held; TestRemovalLeavesEndsThatAreHeldSince fails without.

--- a/internal/job/scheduler/records.go
+++ b/internal/job/scheduler/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"bamboospread/internal/job/tracker"
@@ -144,6 +145,8 @@
 		return nil
 	}
 	e.held, e.holds = held, true
+	// A removal that failed must not take effect on the ends that are held now.
+	o.removals = slices.DeleteFunc(o.removals, func(key string) bool { return key == heldEndsKey })
 	if bytes.Equal(held.Value, o.records.held) {
 		return nil
 	}
--- a/internal/job/scheduler/records_test.go
+++ b/internal/job/scheduler/records_test.go
@@ -94,6 +94,27 @@
 	}
 }
 
+// Guards against acknowledged ends that are lost: the removal of the record of held ends has failed, and is
+// repeated after ends are held again.
+func TestRemovalLeavesEndsThatAreHeldSince(t *testing.T) {
+	r := newReplay(t, 0)
+	r.submit("urgent", specifier.Step{Count: 4, Needs: specifier.Resources{CPUMillis: 100, MemoryMB: 10}, EstimateMillis: 1000})
+	r.run(500 * time.Millisecond)
+	r.store.refuses = func(p keeper.Put) error {
+		if p.Key == ProgressKey(largeJobID) {
+			return errForbidden
+		}
+		return nil
+	}
+	r.owner.state.Jobs[largeJobID].Refused = true
+	r.run(time.Second)
+	r.owner.removals = append(r.owner.removals, heldEndsKey)
+	r.run(time.Second)
+	if got := string(r.store.records[heldEndsKey].Value); !strings.Contains(got, largeJobID) {
+		t.Errorf("held ends: %q", got)
+	}
+}
+
 // Guards against a cell in which no end is acknowledged any more after the workers of a rack have crashed under a
 // job with many tasks: its record holds a crash for each of them.
 func TestCrashUnderLargeJobStopsNoAcknowledgement(t *testing.T) {
