tracker: reflow a comment

The comment on the backoff of long-running tasks names ends as done too since they are restarted; its lines were longer than those around it.

No change of code.

--- a/internal/job/tracker/restart.go
+++ b/internal/job/tracker/restart.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Backoff before a long-running task that ends by itself again and again, done or failed, is restarted. Like that of other
-// tasks, its first restart is immediate: most failures are caused by the worker.
+// Backoff before a long-running task that ends by itself again and again, done or failed, is restarted. Like
+// that of other tasks, its first restart is immediate: most failures are caused by the worker.
 const (
 	// restartDelayFirst is the greatest delay of the second restart. It doubles with each further one.
 	restartDelayFirst = 500 * time.Millisecond
