tracker: encode a record once if all notes fit

A record was encoded without its notes first to know their room. An upper bound of its size tells in the usual case that all fit, so it is encoded once, as before; only a record near its limit is encoded twice.

The limits of records are checked by TestRecordKeepsItsLimit as before.

--- a/internal/job/tracker/encode.go
+++ b/internal/job/tracker/encode.go
@@ -41,34 +41,50 @@
 	for _, o := range j.Occurrences {
 		r.Open = append(r.Open, o.record())
 	}
-	base, err := encodeRecord(j, r, Omitted{})
+	var omitted Omitted
+	kinds := []noteKind{
+		{j.failedNotes(r), limit, &omitted.Failed},
+		{j.crashNotes(r), limit, &omitted.Crashes},
+		{j.waitNotes(r), limit, &omitted.Waits},
+		{j.checkpointNotes(r), maxStoredCheckpointBytes, &omitted.Checkpoints},
+	}
+	left, err := j.bytesForNotes(r, limit, kinds)
 	if err != nil {
 		return Encoded{}, err
 	}
-	left := limit - len(base.Value)
-	var omitted Omitted
-	for _, k := range []struct {
-		notes   []note
-		omitted *int
-		most    int // bytes
-	}{
-		{j.failedNotes(r), &omitted.Failed, limit},
-		{j.crashNotes(r), &omitted.Crashes, limit},
-		{j.waitNotes(r), &omitted.Waits, limit},
-		{j.checkpointNotes(r), &omitted.Checkpoints, maxStoredCheckpointBytes},
-	} {
-		if len(k.notes) > 0 {
-			budget := min(left, k.most)
-			*k.omitted = addNotes(k.notes, &budget)
-			left -= min(left, k.most) - budget
-		}
-	}
-	if left == limit-len(base.Value) {
-		return Encoded{base.Value, omitted}, nil // there are no notes
+	for _, k := range kinds {
+		left -= k.addWithin(min(left, k.most))
 	}
 	return encodeRecord(j, r, omitted)
 }
 
+// bytesForNotes returns how many bytes the notes of a record may have. The record without them is encoded only
+// if they may not all fit beside it.
+func (j *Job) bytesForNotes(r Record, limit int, kinds []noteKind) (int, error) {
+	size := 0
+	for _, k := range kinds {
+		size += k.size()
+	}
+	if left := limit - r.bytesWithoutNotes(); size <= left {
+		return left, nil
+	}
+	base, err := encodeRecord(j, r, Omitted{})
+	return limit - len(base.Value), err
+}
+
+// bytesWithoutNotes returns the size in bytes that the record has at most, without notes.
+func (r Record) bytesWithoutNotes() int {
+	const number = len("-9223372036854775808")
+	size := len(`{"state":"cancelled","ended-ms":,"finished":,"next":,"open":[],"reason":""}`) + 3*number + textBytes(r.Reason)
+	for _, o := range r.Open {
+		size += len(`{"number":,"steps":[]},`) + number
+		for _, s := range o.Steps {
+			size += len(`{"done":"","has-run":""},`) + len(s.Done) + len(s.HasRun)
+		}
+	}
+	return size
+}
+
 func encodeRecord(j *Job, r Record, omitted Omitted) (Encoded, error) {
 	b, err := json.Marshal(r)
 	if err != nil {
@@ -104,25 +120,37 @@
 // noteHeaderBytes is the size of the name and the brackets of the notes of a kind on a step.
 const noteHeaderBytes = len(`"wait-since-ms":{},`)
 
-// addNotes adds the notes that fit into the budget of bytes, which they reduce, and returns how many do not.
-func addNotes(notes []note, budget *int) (omitted int) {
-	total := 0
-	for _, n := range notes {
-		total += n.size + noteHeaderBytes
+// noteKind holds the notes of one kind on the tasks of a job.
+type noteKind struct {
+	notes   []note
+	most    int  // bytes
+	omitted *int // number of those that are left out
+}
+
+// size returns the size in bytes that all notes have at most.
+func (k noteKind) size() (size int) {
+	for _, n := range k.notes {
+		size += n.size + noteHeaderBytes
 	}
-	if total > *budget {
-		slices.SortStableFunc(notes, func(a, b note) int { return cmp.Compare(b.weight, a.weight) })
+	return size
+}
+
+// addWithin adds the notes that fit into the budget of bytes, and returns their size.
+func (k noteKind) addWithin(budget int) (added int) {
+	if k.size() > budget {
+		slices.SortStableFunc(k.notes, func(a, b note) int { return cmp.Compare(b.weight, a.weight) })
 	}
-	for _, n := range notes {
-		if n.size+*n.header > *budget {
-			omitted++
+	for _, n := range k.notes {
+		size := n.size + *n.header
+		if added+size > budget {
+			*k.omitted++
 			continue
 		}
-		*budget -= n.size + *n.header
+		added += size
 		*n.header = 0
 		n.add()
 	}
-	return omitted
+	return added
 }
 
 // notesOf returns the notes of a kind on the tasks of a job. noteOf returns the note on a task, which add
