scheduler, guardian: say which conclusion gave up a run that goes on

- Event 948 "task has two runs", with both runs and with what had shown that the first one had ended, and the counter bamboospread_job_runs_overlapping_total.
- "run lost" (911): life, confirmed, granted-ago, epoch.
"run adopted" (912) and "start decided" (907): the last run of the task that was given up, when, and by which conclusion.
- "run found" (954): the worker's life, the epoch, and how long ago this agent sent a start of it that got no answer.
- "worker responding again" (953): by how much the worker's clock stood still.

No decision is changed.

--- a/internal/job/scheduler/metrics.go
+++ b/internal/job/scheduler/metrics.go
@@ -44,6 +44,13 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`bamboospread_job_turnaround_seconds{queue=%q}`, j.Spec.Queue)).Update(now.Sub(j.Spec.Due(0)).Seconds())
 }
 
+// runsOverlapped counts a task that was found to have two runs, though its step allows no copies.
+func (m *Metrics) runsOverlapped() {
+	if m != nil {
+		m.set.GetOrCreateCounter("bamboospread_job_runs_overlapping_total").Inc()
+	}
+}
+
 func (m *Metrics) stopsOverdue(runs int) {
 	if m != nil {
 		m.set.GetOrCreateGauge("bamboospread_job_stops_overdue", nil).Set(float64(runs))
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -279,7 +279,7 @@
 			o.s.config.Reporter.Report(reporter.VMDetached, reporter.Fields{"vm": vm.Name, "quiet": sinceContact.String(), "runs": len(vm.Runs)})
 		}
 		if !vm.Attached && (len(vm.Runs) > 0 || vm.MoreEnds) && o.hasLapsed(vm.Name, now) {
-			o.reportLost(vm, o.state.DropRuns(vm, now), "leases expired")
+			o.reportLost(vm, o.state.DropRuns(vm, now), tracker.LossLeasesExpired, now)
 		}
 		if !vm.Attached && len(vm.Runs) == 0 && sinceContact > goneVMRetention {
 			o.state.ForgetVM(vm)
@@ -295,9 +295,12 @@
 	return LeaseExpiry(o.s.config.Grant, o.s.config.StopTime)
 }
 
-func (o *owner) reportLost(vm *tracker.VM, lost []*tracker.Run, cause string) {
+func (o *owner) reportLost(vm *tracker.VM, lost []*tracker.Run, cause tracker.LossCause, now time.Time) {
 	for _, r := range lost {
-		o.s.config.Reporter.Report(reporter.JobRunLost, reporter.Fields{"task": r.Key().Task.String(), "run": r.Number, "vm": vm.Name, "state": r.State.String(), "cause": cause})
+		o.s.config.Reporter.Report(reporter.JobRunLost, reporter.Fields{
+			"task": r.Key().Task.String(), "run": r.Number, "vm": vm.Name, "life": vm.Incarnation, "state": r.State.String(), "cause": string(cause),
+			"confirmed": !r.StartedAt.IsZero(), "granted-ago": now.Sub(vm.GrantedAt).String(), "epoch": o.epoch,
+		})
 	}
 }
 
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -150,7 +150,7 @@
 	o.dirty = o.dirty || s.granted != e.report.Granted
 	s.granted = e.report.Granted
 	delete(o.unreported, s.vm.Name)
-	o.reportChanges(s.vm, changes)
+	o.reportChanges(s.vm, changes, now)
 	o.observeSpeed(s.vm, now)
 	o.dirty = o.dirty || changes.Any()
 	// A VM gets no grant before it is stored as a member: the next owner must know which VMs to
@@ -274,7 +274,7 @@
 }
 
 // reportChanges logs and counts the changes of a report.
-func (o *owner) reportChanges(vm *tracker.VM, c tracker.Changes) {
+func (o *owner) reportChanges(vm *tracker.VM, c tracker.Changes, now time.Time) {
 	for _, e := range c.Ended {
 		o.s.config.Metrics.runEnded(e.Outcome)
 		o.s.config.Reporter.Report(reporter.JobRunEnded, reporter.Fields{"task": e.Key.Task.String(), "run": e.Key.Number, "vm": vm.Name, "how": string(e.Outcome), "end": e.Seq})
@@ -283,9 +283,26 @@
 		o.s.config.Reporter.Report(reporter.JobRunEndUnassigned, reporter.Fields{"task": e.Key.Task.String(), "run": e.Key.Number, "vm": vm.Name, "how": string(e.Outcome), "end": e.Seq})
 	}
 	o.reportSuspicions(vm, c)
-	o.reportLost(vm, c.Lost, "no longer reported by the worker")
+	o.reportLost(vm, c.Lost, tracker.LossNotReported, now)
 	for _, r := range c.Adopted {
-		o.s.config.Reporter.Report(reporter.JobRunAdopted, reporter.Fields{"task": r.Key().Task.String(), "run": r.Number, "vm": vm.Name})
+		o.s.config.Reporter.Report(reporter.JobRunAdopted, reporter.Fields{"task": r.Key().Task.String(), "run": r.Number, "vm": vm.Name, "life": vm.Incarnation, "confirmed": r.Inherited, "lost": r.Task.LastLoss().Describe(now)})
+		if r.Overlaps() {
+			o.reportOverlap(r, now)
+		}
+	}
+}
+
+// reportOverlap logs that a task has another run beside one that was just adopted.
+func (o *owner) reportOverlap(r *tracker.Run, now time.Time) {
+	o.s.config.Metrics.runsOverlapped()
+	for _, other := range r.Task.Runs {
+		if other == r {
+			continue
+		}
+		o.s.config.Reporter.Report(reporter.JobRunsOverlap, reporter.Fields{
+			"task": r.Key().Task.String(), "run": r.Number, "vm": r.VM.Name, "life": r.VM.Incarnation, "confirmed": r.Inherited, "epoch": o.epoch,
+			"other-run": other.Number, "other-vm": other.VM.Name, "other-state": other.State.String(), "other-ordered": now.Sub(other.OrderedAt).String(), "lost": r.Task.LastLoss().Describe(now),
+		})
 	}
 }
 
@@ -376,11 +393,15 @@
 	})
 	o.s.config.Metrics.runStarted(r, now)
 	o.predictRunTime(r, start)
-	o.s.config.Reporter.Report(reporter.JobStartDecided, reporter.Fields{
+	fields := reporter.Fields{
 		"task": r.Key().Task.String(), "run": r.Number, "vm": start.VM.Name, "waited": start.Task.CapacityWait(now).String(), "waited-for-steps": start.Task.DependencyWait().String(),
 		"committed-cpu": start.VM.Committed.CPUMillis, "fill-cpu": start.VM.BestEffortCPU, "lasting": start.VM.LongRunning,
 		"policy": o.state.Policy().Version, "copy": start.Copy,
-	})
+	}
+	if lost := start.Task.LastLoss(); lost != nil {
+		fields["lost"] = lost.Describe(now)
+	}
+	o.s.config.Reporter.Report(reporter.JobStartDecided, fields)
 }
 
 // orderStop reports whether the stop was ordered. A detached VM gets no orders; its runs are
--- a/internal/job/tracker/report.go
+++ b/internal/job/tracker/report.go
@@ -234,7 +234,7 @@
 	for key, r := range vm.Runs {
 		if !listed[key] && r.Order <= rep.OrdersSeen && !vm.MoreEnds {
 			delete(r.Step().Advice.Tickets, vm.Name) // the worker may have refused the ticket
-			tr.dropRun(r, now)
+			tr.dropRun(r, LossNotReported, now)
 			c.Lost = append(c.Lost, r)
 		}
 	}
--- a/internal/job/tracker/run.go
+++ b/internal/job/tracker/run.go
@@ -251,13 +251,14 @@
 		lost = append(lost, r)
 	}
 	for _, r := range lost {
-		tr.dropRun(r, now)
+		tr.dropRun(r, LossLeasesExpired, now)
 	}
 	vm.MoreEnds = false // what has not been reported by now is lost too
 	return lost
 }
 
-func (tr *Tracker) dropRun(r *Run, now time.Time) {
+func (tr *Tracker) dropRun(r *Run, cause LossCause, now time.Time) {
+	r.Task.lastLoss = &Loss{number: r.Number, vm: r.VM.Name, cause: cause, at: now}
 	r.Task.recordCheckpoint(r.Checkpoint)
 	tr.removeRun(r, now)
 }
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -93,6 +93,7 @@
 	AvoidedVMs map[string]bool // VMs on which a run of it failed
 	Relocation Relocation      // zero: it is not being moved
 	Yielded    bool            // long-running task that was stopped to free capacity for urgent ones or a gang
+	lastLoss   *Loss           // nil: none
 }
 
 // Relocation describes the move of a long-running task: the VM on which it was stopped, if any,
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -52,6 +52,7 @@
 	JobRunEndUnassigned
 	JobRecordLarge
 	JobRecordRefused
+	JobRunsOverlap
 )
 
 // Events of jobs at agents, numbered from 950.
@@ -93,12 +94,12 @@
 	{JobQueryFailed, log.WarnLevel, "job query failed", "Neither the owner nor the store could answer; the caller was asked to retry."},
 	{JobLoaded, log.InfoLevel, "job loaded", "The owner of the cell has loaded the job and will start its tasks."},
 	{JobEnded, log.InfoLevel, "job ended", "All tasks are done, or the job failed or was cancelled."},
-	{JobStartDecided, log.InfoLevel, "start decided", "A task was assigned to a VM; the fields show the inputs of the decision."},
+	{JobStartDecided, log.InfoLevel, "start decided", "A task was assigned to a VM; the fields show the inputs of the decision. The field lost says which run of the task was given up last without a report of its end, and what showed that it had ended."},
 	{JobStopDecided, log.InfoLevel, "stop decided", "A run is being stopped; the cause says why."},
 	{JobPaceDecided, log.InfoLevel, "pace decided", "Best-effort tasks are throttled, or their throttling is lifted, to protect co-located long-running tasks."},
 	{JobRunEnded, log.InfoLevel, "run end recorded", "The owner applied the end of a run; it is acknowledged once it is stored."},
-	{JobRunLost, log.WarnLevel, "run lost", "A run was lost without a report of its end: its worker restarted, its lease expired, or its start was refused. The task waits again."},
-	{JobRunAdopted, log.InfoLevel, "run adopted", "A worker has a run that this owner did not order, for example after a change of owner."},
+	{JobRunLost, log.WarnLevel, "run lost", "A run was lost without a report of its end: its worker restarted, its lease expired, or its start was refused. The task waits again. The field granted-ago says when the VM's last report was answered, which granted leases."},
+	{JobRunAdopted, log.InfoLevel, "run adopted", "A worker has a run that this owner did not order, for example after a change of owner. The field lost is not empty if this owner has given up a run of the task."},
 	{VMAttached, log.InfoLevel, "VM attached", "The agent of a VM has a session with this owner and reported its runs."},
 	{VMDetached, log.WarnLevel, "VM detached", "There is no contact with the agent of a VM; its runs count as running until their leases have expired."},
 	{CellOwnershipTaken, log.InfoLevel, "ownership taken", "This entry owns the cell from now on, with the given epoch."},
@@ -134,12 +135,13 @@
 	{JobRunEndUnassigned, log.ErrorLevel, "run end of an unknown task", "A worker reported the end of a run of a task that this owner doesn't know: the record of its job, or of the job's progress, is missing or can't be read, or the task's ID is invalid. The end is acknowledged, since later ones could not be otherwise, and is not stored."},
 	{JobRecordLarge, log.WarnLevel, "progress record large", "The record of a job's progress has more than half of the size that it may have. The fields omitted-* count the tasks whose notes do not fit any more, of each kind; the next owner will not know them: failed runs, crashes that a task is suspected of, since when long-running tasks are unavailable, checkpoints."},
 	{JobRecordRefused, log.ErrorLevel, "progress record refused", "The store refuses the record of a job's progress, or another writer replaces it each time. Other jobs are stored. Nothing of the job starts until its record is stored; the ends of its runs are kept in another record. It is written again with fewer notes if it was refused for its content."},
+	{JobRunsOverlap, log.ErrorLevel, "task has two runs", "A worker reports a run of a task that has another run, though its step allows no copies: the later one to be known is stopped. The field lost says which run this owner had given up last, and what showed that it had ended; empty, another owner had started the run."},
 
 	{WorkerAnnounced, log.InfoLevel, "worker announced itself", "The worker of this VM reported its state."},
 	{WorkerRestarted, log.WarnLevel, "worker restarted", "The worker restarted as a new incarnation and has lost its state; its runs are lost."},
 	{WorkerNotResponding, log.WarnLevel, "worker not responding", "The worker of this VM does not answer; nothing starts here."},
-	{WorkerResponding, log.InfoLevel, "worker responding again", "The worker answers again."},
-	{RunFound, log.WarnLevel, "run found", "The worker has a run that this process did not start; the owner decides what to do with it."},
+	{WorkerResponding, log.InfoLevel, "worker responding again", "The worker answers again. The field clock-behind says by how much its clock has advanced less than that of its agent since its last answer: a worker that stood still keeps leases for longer by that."},
+	{RunFound, log.WarnLevel, "run found", "The worker has a run that this process did not start, or has given up; the owner decides what to do with it. A field unanswered that is not empty says how long ago this agent sent a start of it that got no answer, perhaps to an earlier life of the worker."},
 	{RunStarted, log.InfoLevel, "run started", "The worker has confirmed the run."},
 	{RunEnded, log.InfoLevel, "run ended", "The worker reported the end of the run."},
 	{RunStopped, log.InfoLevel, "run is being stopped", "A stop was ordered, or a start was not answered and is being prevented."},
--- a/internal/worker/guardian/poll.go
+++ b/internal/worker/guardian/poll.go
@@ -101,7 +101,7 @@
 	}
 	g.failedPolls, g.processEnded, g.unreachable = 0, false, false
 	if !g.unresponsiveSince.IsZero() {
-		g.config.Reporter.Report(reporter.WorkerResponding, reporter.Fields{"silent": g.config.Now().Sub(g.unresponsiveSince).String()})
+		g.config.Reporter.Report(reporter.WorkerResponding, reporter.Fields{"life": status.Incarnation, "silent": g.config.Now().Sub(g.unresponsiveSince).String(), "clock-behind": g.clockBehindLocked(status).String()})
 		g.unresponsiveSince = time.Time{}
 		g.signal()
 	}
@@ -130,6 +130,15 @@
 	return g.applyRunsAndEndsLocked(status, from)
 }
 
+// clockBehindLocked returns by how much the worker's clock has advanced less than that of this process since
+// the worker's last answer, 0 if another incarnation gave that.
+func (g *Guardian) clockBehindLocked(status Status) time.Duration {
+	if g.clockAt.IsZero() || g.incarnation != status.Incarnation {
+		return 0
+	}
+	return g.config.Now().Sub(g.clockAt) - (status.Clock - g.clock)
+}
+
 // countUnrequestedLeaseLocked counts a lease of the longest length, which a late call may have set
 // until the first poll that was meant for this incarnation. All that runs there has it.
 func (g *Guardian) countUnrequestedLeaseLocked() {
@@ -341,7 +350,7 @@
 			// decides what happens to it.
 			r = &run{state: running, sentAt: from.sentAt}
 			g.runs[key] = r
-			g.config.Reporter.Report(reporter.RunFound, reporter.Fields{"task": s.Task.String(), "run": s.Run})
+			g.config.Reporter.Report(reporter.RunFound, reporter.Fields{"task": s.Task.String(), "run": s.Run, "life": g.incarnation, "epoch": g.epoch, "unanswered": g.describeUnansweredLocked(key)})
 			news = true
 		}
 		r.startUnconfirmed, r.confirmed = false, true
--- a/internal/worker/guardian/unconfirmed_starts.go
+++ b/internal/worker/guardian/unconfirmed_starts.go
@@ -56,6 +56,16 @@
 	return all
 }
 
+// describeUnansweredLocked returns for the log how long ago the start of a run was sent that got no answer;
+// empty if there is none.
+func (g *Guardian) describeUnansweredLocked(key tracker.RunKey) string {
+	s, ok := g.unconfirmedStarts[key]
+	if !ok {
+		return ""
+	}
+	return g.config.Now().Sub(s.sentAt).Round(time.Millisecond).String()
+}
+
 // adoptUnconfirmedStartLocked adopts a start sent by an earlier process of this agent, unless
 // the worker is known to have the run.
 func (g *Guardian) adoptUnconfirmedStartLocked(s messenger.WorkUnconfirmedStart) {
