scheduler: jobs accepted beside a former owner wait for its VMs

Cause: the store can drop an owner's lease early, without the owner noticing. For up to the length of the lease it starts tasks, also of jobs that are accepted meanwhile, on the VMs that still follow it. The next owner took jobs that it saw after its takeover for ones that no earlier owner can have started later than one lease after it, and started them then, whether or not those VMs had reported. Its VMs are free to look for the next owner only once the former one has ended, so they report at about that time or later.

Change: such a job waits like inherited ones, until all members have reported or their leases have certainly ended. A job is exempt if its record has a higher revision than the store had once the former owner's lease had certainly expired; the owner reads that revision once, one lease after its takeover. An owner counts as reconciled only once no member is awaited any more.

TestJobAcceptedAfterTakeoverWaitsNoLongerThanNeeded: a job that is accepted after the former lease starts at once beside a VM that is lost, one that was accepted before waits for its leases.

--- a/internal/job/scheduler/accepted_since_test.go
+++ b/internal/job/scheduler/accepted_since_test.go
@@ -133,3 +133,65 @@
 		}
 	}
 }
+
+// Guards against jobs that stand still for seconds after each change of owner: the wait for a VM that does not
+// report ends with its leases, and does not concern jobs that the former owner can't have started.
+func TestJobAcceptedAfterTakeoverWaitsNoLongerThanNeeded(t *testing.T) {
+	const expiry = DefaultLease + 6200*time.Millisecond // longer than all leases
+	tests := []struct {
+		name       string
+		acceptedAt time.Duration
+		leaseOver  time.Duration // when the store's revision after the former owner's lease is known; 0: never
+		reportsAt  time.Duration // when the silent VM reports; 0: never
+		startsAt   time.Duration // when the tasks have started at the latest
+		notBefore  time.Duration
+	}{
+		{"accepted after the former owner's lease", 3 * time.Second, DefaultLease + 50*time.Millisecond, 0, 3010 * time.Millisecond, 3 * time.Second},
+		{"accepted before that is known", 2100 * time.Millisecond, 2200 * time.Millisecond, 0, expiry, DefaultLease + 5*time.Second},
+		{"the store does not answer", 3 * time.Second, 0, 0, expiry, DefaultLease + 5*time.Second},
+		{"accepted before, and the VM is lost", time.Second, DefaultLease + 50*time.Millisecond, 0, expiry, DefaultLease + 5*time.Second},
+		{"accepted before, and the VM reports at once", time.Second, 0, 1100 * time.Millisecond, 1110 * time.Millisecond, 1100 * time.Millisecond},
+		{"all VMs have reported", time.Second, 0, 500 * time.Millisecond, 1010 * time.Millisecond, time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newAcceptedSinceFixture(t)
+			steps := []struct {
+				at time.Duration
+				do func()
+			}{
+				{tt.acceptedAt, func() { f.accept(sourceWatch) }},
+				{tt.leaseOver, func() { formerLeaseOver{f.revision}.apply(f.o, f.now) }},
+				{tt.reportsAt, func() { f.report("vm-1", nil) }},
+			}
+			for at := time.Duration(0); at < tt.startsAt; at += 10 * time.Millisecond {
+				for _, s := range steps {
+					if s.at > 0 && at == s.at {
+						s.do()
+					}
+				}
+				f.round()
+				if n := f.started(); n > 0 && at < tt.notBefore {
+					t.Fatalf("%d tasks are started %s after the takeover, %s is the earliest", n, at, tt.notBefore)
+				}
+				f.advance(at + 10*time.Millisecond)
+			}
+			f.round()
+			if n := f.started(); n != lateJobTasks {
+				t.Errorf("%d tasks are started %s after the takeover, want %d", n, tt.startsAt, lateJobTasks)
+			}
+		})
+	}
+}
+
+// Guards against tasks that run twice: the owner must not count as reconciled while a VM that may run tasks of
+// the former owner has not reported, since jobs that were accepted before may still arrive.
+func TestOwnerIsNotReconciledWhileAMemberIsUnreported(t *testing.T) {
+	f := newAcceptedSinceFixture(t)
+	f.advance(DefaultLease + time.Second)
+	f.accept(sourceWatch)
+	f.round()
+	if n := f.started(); n > 0 || f.o.reconciled {
+		t.Errorf("%d tasks are started, reconciled: %t", n, f.o.reconciled)
+	}
+}
--- a/internal/job/scheduler/follow.go
+++ b/internal/job/scheduler/follow.go
@@ -31,11 +31,7 @@
 		o.addCancellation(id, e, now)
 		return
 	}
-	reconcileAt := time.Time{}
-	if !o.reconciled {
-		reconcileAt = o.started.Add(o.s.config.Lease)
-	}
-	if o.addJob(e.record, reconcileAt, now) {
+	if o.addJob(e.record, o.reconcileTime(e.record), now) {
 		id := strings.TrimPrefix(e.record.Key, jobPrefix)
 		o.unknown.forget(id)
 		if o.cancelled[id] {
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -98,6 +98,7 @@
 	dropAfter           time.Time            // members without reports are removed only after this
 	reportedQuarantines map[string]time.Time // end of the quarantine that was last logged, by VM
 	reconciled          bool
+	formerLeaseOver     int64    // revision of the store once the former owner's lease had certainly expired; 0: not known yet
 	lapsed              []string // members that had not reported when their leases had certainly ended
 	awaitedReported     bool
 	policyStale         bool // the policy is too old to start tasks
@@ -146,15 +147,18 @@
 // run executes the loop until ctx or the ownership ends.
 func (o *owner) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
-	followed := make(chan struct{})
-	go func() {
-		defer close(followed)
-		o.follow(ctx)
-	}()
+	followed := make(chan struct{}, 2)
+	for _, read := range []func(context.Context){o.follow, o.findFormerLeaseOver} {
+		go func() {
+			read(ctx)
+			followed <- struct{}{}
+		}()
+	}
 	defer func() {
 		cancel()
 		close(o.done)
 		<-followed
+		<-followed
 		o.closeSessions()
 		o.s.config.Metrics.stopsOverdue(0)
 		o.s.config.Metrics.accounts(nil)
--- a/internal/job/scheduler/reconcile.go
+++ b/internal/job/scheduler/reconcile.go
@@ -1,17 +1,20 @@
 package scheduler
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/kernel/timekeeper"
+	"bamboospread/internal/store/keeper"
 )
 
 // reconcile ends the wait for VMs that may run tasks of earlier owners: each has reported, or its leases
-// have certainly ended. Jobs that were accepted after this ownership began wait only for the former owner's
-// lease: no earlier owner can have started them later.
+// have certainly ended.
 func (o *owner) reconcile(now time.Time) {
 	if o.reconciled {
 		return
@@ -22,7 +25,7 @@
 			o.lapsed = append(o.lapsed, n)
 		}
 	}
-	if waiting := o.state.Reconcile(len(o.unreported) == 0, now); waiting > 0 || now.Sub(o.started) < o.s.config.Lease && len(o.unreported) > 0 {
+	if waiting := o.state.Reconcile(len(o.unreported) == 0, now); waiting > 0 || len(o.unreported) > 0 {
 		o.reportAwaited(now)
 		return
 	}
@@ -32,6 +35,38 @@
 	o.s.config.Reporter.Report(reporter.CellReconciled, reporter.Fields{"epoch": o.epoch, "unheard": len(o.lapsed) + len(o.unreported), "lapsed": firstNames(o.lapsed), "after": now.Sub(o.started).String()})
 }
 
+// reconcileTime returns when all runs under earlier owners of the tasks of a job have certainly ended. It is zero
+// if no earlier owner can have started any.
+//
+// The store may drop the lease of the former owner early. That owner goes on until the lease has expired by its
+// own clock, and starts tasks of jobs that are accepted meanwhile, on VMs that still follow it.
+func (o *owner) reconcileTime(job keeper.Record) time.Time {
+	if o.reconciled || o.formerLeaseOver > 0 && job.Revision > o.formerLeaseOver {
+		return time.Time{}
+	}
+	return o.started.Add(o.s.config.Lease + o.leaseExpiry())
+}
+
+// findFormerLeaseOver reads a revision of the store once the lease of the former owner has certainly expired.
+func (o *owner) findFormerLeaseOver(ctx context.Context) {
+	if pauser.Pause(ctx, timekeeper.Longest(o.s.config.Lease)) != nil {
+		return
+	}
+	for ctx.Err() == nil {
+		found, err := o.s.config.Store.FindRecords(ctx, keeper.ListOptions{Prefix: o.s.membersKey(), Limit: 1})
+		if err == nil {
+			_ = o.send(ctx, formerLeaseOver{found.Revision}) // fails only if the loop has ended
+			return
+		}
+		_ = pauser.Pause(ctx, retryDelay)
+	}
+}
+
+// formerLeaseOver is the event that the lease of the former owner had expired when the store was at a revision.
+type formerLeaseOver struct{ revision int64 }
+
+func (e formerLeaseOver) apply(o *owner, _ time.Time) { o.formerLeaseOver = e.revision }
+
 // reportAwaited logs once which members an owner waits for that have not reported by now.
 func (o *owner) reportAwaited(now time.Time) {
 	if o.awaitedReported || len(o.unreported) == 0 || now.Sub(o.started) < reportTimeout {
