scheduler: an owner ends once a write shows that the cell is not its own

Cause: the fence rejects its writes, which proves that its record was replaced or removed. The owner repeated them and went on by the lease's time on its own clock.

Change: the first write that the fence rejects ends the ownership.

--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -178,7 +178,7 @@
 		case <-ticker.C:
 			o.dirty = true
 		}
-		if !o.s.elector.Held() {
+		if !o.holdsCell() {
 			return errCellLost
 		}
 		o.runRound(ctx, o.s.config.Now())
@@ -189,6 +189,10 @@
 	}
 }
 
+// holdsCell reports whether this owner may still decide. The store can drop its lease early: then a write
+// shows that the ownership has ended while the lease goes on by the clock of this process.
+func (o *owner) holdsCell() bool { return o.s.elector.Held() && !o.writer.ownershipEnded() }
+
 // drainEvents applies all queued events, so that one round of decisions covers them.
 func (o *owner) drainEvents(now time.Time) {
 	for range eventBuffer {
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -274,7 +274,7 @@
 		return s.ownerInfo(), nil
 	}
 	o := s.owner.Load()
-	if o == nil || !s.elector.Held() {
+	if o == nil || !o.holdsCell() {
 		return nil, connector.Errorf(messenger.CodeNotOwner, "entry %s does not own cell %s", s.config.EntryID, s.config.Cell)
 	}
 	switch method {
--- a/internal/job/scheduler/silence.go
+++ b/internal/job/scheduler/silence.go
@@ -206,7 +206,7 @@
 // closeSilences stores for how long each member has been granted nothing, once the loop has ended: after
 // a planned stop the next owner need not allow for grants of the last moment.
 func (o *owner) closeSilences(ctx context.Context) {
-	if len(o.listed) == 0 || !o.s.elector.Held() {
+	if len(o.listed) == 0 || !o.holdsCell() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
--- a/internal/job/scheduler/writer.go
+++ b/internal/job/scheduler/writer.go
@@ -22,6 +22,7 @@
 	fence     keeper.Expectation // fails once the ownership has ended
 	mu        sync.Mutex
 	revisions map[string]int64 // last known, by key; 0: no record
+	fenced    bool             // the fence has rejected a write
 }
 
 func newWriter(transact func(ctx context.Context, t keeper.Transaction) (int64, error)) *writer {
@@ -153,7 +154,7 @@
 		if !errors.As(err, &conflict) {
 			return err
 		}
-		if w.fence.Key == conflict.Key || w.fence.Key == conflict.Current.Key {
+		if w.isFenced(conflict) {
 			return fmt.Errorf("%w: %w", errOwnershipEnded, err)
 		}
 		w.applyConflict(conflict)
@@ -185,7 +186,7 @@
 		if !errors.As(err, &conflict) {
 			return err
 		}
-		if w.fence.Key == conflict.Key || w.fence.Key == conflict.Current.Key {
+		if w.isFenced(conflict) {
 			return fmt.Errorf("%w: %w", errOwnershipEnded, err)
 		}
 		if keys = w.dropChanged(keys, conflict); len(keys) == 0 {
@@ -233,6 +234,24 @@
 	return slices.DeleteFunc(slices.Clone(keys), func(key string) bool { return before[key] != 0 && w.revisions[key] != before[key] })
 }
 
+// isFenced reports whether a conflict shows that the ownership has ended, and records it.
+func (w *writer) isFenced(c keeper.ErrConflict) bool {
+	if w.fence.Key != c.Key && w.fence.Key != c.Current.Key {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fenced = true
+	return true
+}
+
+// ownershipEnded reports whether a write has shown that the ownership has ended.
+func (w *writer) ownershipEnded() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fenced
+}
+
 // applyConflict updates the known revisions from a conflict.
 func (w *writer) applyConflict(c keeper.ErrConflict) {
 	w.mu.Lock()
