tracker, planner: a task that may still start late starts on no other VM

Cause: a start without an answer was given up once the worker's clock had passed its expiry, and the task started elsewhere. If the worker then restarts under its ID, its clock begins anew and it has seen no fence, so it carries the late start out as its first call. The protocol has nothing by which it could refuse it: X-Expected-Instance names the ID, deadline_ms a time on the new clock, fencing_token is compared with what this life has seen.

Change: the agent tells its owner that its worker's starts may come late (`late-starts`; the stand-in executor refuses them by its incarnation and doesn't set it). Until an unanswered start can't be carried out any more (15 s, as was already recorded for them), or the worker has another ID, its task starts on the same VM only. There a later run ends with the worker's life, or is preceded by a call that fences the late start off. Steps that allow copies are exempt. Not covered: a VM that is lost before its agent has reported that there was no answer.

--- a/internal/job/planner/explain.go
+++ b/internal/job/planner/explain.go
@@ -35,6 +35,9 @@
 	if reason := r.explainShare(s); reason != "" {
 		delayed = strings.Trim(reason+", "+delayed, ", ")
 	}
+	if late := r.explainLateStarts(s); late != "" {
+		delayed = strings.Trim(late+", "+delayed, ", ")
+	}
 	if members := r.explainMembers(s); members != "" {
 		delayed = strings.Trim(members+", "+delayed, ", ")
 	}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -92,6 +92,8 @@
 	holdings              *holdings              // of client accounts; nil without shares
 	reserve               *roundReserve          // room for urgent tasks; nil until it is needed
 	nextTask              map[*tracker.Step]int  // of steps that have had a turn
+	lateStarts            map[specifier.TaskID][]*tracker.VM
+	lateStartsKnown       bool
 }
 
 // vms returns the VMs that periodic decisions about single VMs look at.
@@ -188,7 +190,7 @@
 			if r.needsReservation(t) {
 				r.reserveFor(t)
 			}
-			if t.StartsObserved() {
+			if t.StartsObserved() || len(r.lateStartsOf(t)) > 0 {
 				continue // the others may not wait for the same VM
 			}
 			r.noteUnplaceable(s, wait)
@@ -302,5 +304,5 @@
 	if !m.admitsTask(s, t, count[m.vm]) || t.RunsOn(m.vm) {
 		return false
 	}
-	return !t.MovesElsewhere(m.vm.Name, r.now) && !r.separates(m, t) && !r.waitsForSound(m, t) && !r.heldBack(m, t)
+	return !t.MovesElsewhere(m.vm.Name, r.now) && !r.mayStartLate(t, m.vm) && !r.separates(m, t) && !r.waitsForSound(m, t) && !r.heldBack(m, t)
 }
--- a/internal/job/planner/reservation.go
+++ b/internal/job/planner/reservation.go
@@ -57,13 +57,14 @@
 			continue
 		}
 		best := (*vmState)(nil)
-		if !noFit[s] || t.Relocation.To != "" {
+		elsewhere := t.Relocation.To != "" || len(r.lateStartsOf(t)) > 0 // it waits for another VM than its step
+		if !noFit[s] || elsewhere {
 			best = r.choose(s, t, r.runCounts(s))
 		}
 		if best != nil {
 			starts = append(starts, r.place(t, best, r.state.NextNumber(t)))
 		} else {
-			noFit[s] = true
+			noFit[s] = noFit[s] || !elsewhere
 			r.reserveUnlessRotation(t)
 		}
 	}
@@ -198,7 +199,7 @@
 // hold: it has no precedence over urgent tasks for processors.
 func (r *round) mayReserve(t *tracker.Task, m *vmState) bool {
 	s := t.Step
-	if m.slow || t.RunsOn(m.vm) || t.MovesElsewhere(m.vm.Name, r.now) || !m.eligible(s, r.runCounts(s)[m.vm]) {
+	if m.slow || t.RunsOn(m.vm) || t.MovesElsewhere(m.vm.Name, r.now) || r.mayStartLate(t, m.vm) || !m.eligible(s, r.runCounts(s)[m.vm]) {
 		return false
 	}
 	if !t.HasRun && m.free.CPUMillis < s.Spec.Needs.CPUMillis {
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -339,7 +339,7 @@
 }
 
 func parseReport(r messenger.WorkReport) (tracker.Report, tracker.VMInfo, error) {
-	rep := tracker.Report{Incarnation: r.Incarnation, Process: r.Process, Ready: r.Ready, OrdersSeen: r.OrdersSeen, MoreEnds: r.MoreEnds, Age: time.Duration(r.AgeMillis) * time.Millisecond, LeaseLeft: time.Duration(r.LeaseMillis) * time.Millisecond, Unresponsive: time.Duration(r.UnresponsiveMillis) * time.Millisecond}
+	rep := tracker.Report{Incarnation: r.Incarnation, Process: r.Process, Ready: r.Ready, OrdersSeen: r.OrdersSeen, MoreEnds: r.MoreEnds, LateStarts: r.LateStarts, Age: time.Duration(r.AgeMillis) * time.Millisecond, LeaseLeft: time.Duration(r.LeaseMillis) * time.Millisecond, Unresponsive: time.Duration(r.UnresponsiveMillis) * time.Millisecond}
 	for _, w := range r.Runs {
 		id, err := specifier.ParseTaskID(w.Task)
 		if err != nil {
--- a/internal/job/tracker/report.go
+++ b/internal/job/tracker/report.go
@@ -27,6 +27,7 @@
 	Ends              []ReportedEnd // not yet acknowledged, in ascending order of Seq
 	MoreEnds          bool          // the worker may have more, so runs that are not listed may have ended
 	UnconfirmedStarts []UnconfirmedStart
+	LateStarts        bool            // a later incarnation of the worker with its ID may carry them out
 	Crashes           []ReportedCrash // not yet acknowledged, in ascending order of Seq
 }
 
@@ -208,6 +209,7 @@
 	if end := now.Add(rep.LeaseLeft); end.After(vm.UnrequestedLeaseEnd) {
 		vm.UnrequestedLeaseEnd = end
 	}
+	vm.LateStarts = rep.LateStarts
 	vm.applyUnconfirmedStarts(rep, now)
 	for _, e := range rep.Ends {
 		if e.Seq > vm.EndSeen {
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -269,6 +269,7 @@
 	Runs              map[RunKey]*Run
 	unknownSizeRuns   int // number of its runs of unknown size
 	unconfirmedStarts map[RunKey]recordedStart
+	LateStarts        bool  // a later incarnation of the worker with its ID may carry them out
 	Version           int64 // increases with each change of the runs, of their reported data and of whether they are needed
 	checkedVersion    int64 // Version when periodic checks last looked at the VM
 	// GrantedAt is when the last report was answered. From then on, the agent may keep
--- a/internal/job/tracker/unconfirmed.go
+++ b/internal/job/tracker/unconfirmed.go
@@ -1,29 +1,36 @@
 package tracker
 
-import "time"
+import (
+	"time"
+
+	"bamboospread/internal/job/specifier"
+)
 
 // UnconfirmedStartMaxAge is how long after a start call was sent without an answer the start
 // may still be carried out. The users' platform documents a maximum of 12 s.
 const UnconfirmedStartMaxAge = 15 * time.Second
 
-// recordedStart is a start call that was not answered. It does not keep its task from starting
-// elsewhere; the run does, for as long as it is counted on the VM.
+// recordedStart is a start call that was not answered. It keeps its task from starting on other VMs only if
+// LateStarts is set; the run does, for as long as it is counted on the VM.
 type recordedStart struct {
-	sentAt  time.Time
-	process int64 // process of the agent that reported it; 0: one that has ended
+	sentAt   time.Time
+	process  int64  // process of the agent that reported it; 0: one that has ended
+	workerID string // of the worker that the call names, or of a later one
 }
 
 // applyUnconfirmedStarts applies what the agent's process reports. Starts reported by earlier
 // processes are kept: a new process does not know them, and neither does a new incarnation of
 // the worker.
 func (vm *VM) applyUnconfirmedStarts(rep Report, now time.Time) {
-	for key, u := range vm.unconfirmedStarts {
-		if u.process == rep.Process || now.Sub(u.sentAt) >= UnconfirmedStartMaxAge {
-			delete(vm.unconfirmedStarts, key)
+	known := vm.unconfirmedStarts
+	vm.unconfirmedStarts = nil
+	for key, u := range known {
+		if u.process != rep.Process && now.Sub(u.sentAt) < UnconfirmedStartMaxAge {
+			vm.recordUnconfirmedStart(key, u)
 		}
 	}
 	for _, s := range rep.UnconfirmedStarts {
-		vm.recordUnconfirmedStart(s.Key, recordedStart{sentAt: now.Add(-s.Age), process: rep.Process})
+		vm.recordUnconfirmedStart(s.Key, recordedStart{sentAt: now.Add(-s.Age), process: rep.Process, workerID: known[s.Key].workerID})
 	}
 }
 
@@ -44,9 +51,35 @@
 	if vm.unconfirmedStarts == nil {
 		vm.unconfirmedStarts = make(map[RunKey]recordedStart)
 	}
+	if u.workerID == "" {
+		u.workerID = vm.WorkerID
+	}
 	vm.unconfirmedStarts[key] = u
 }
 
+// LateStarts returns the VMs on which tasks may still start late, by the task. A start without an answer is
+// given up once the worker's clock has passed its expiry. If the worker restarts under its ID, its clock begins
+// anew, and it may carry the start out as its first call, beside a run on another VM. A later run on the same VM
+// ends with that incarnation, or is preceded by a call that fences the start off.
+func (tr *Tracker) LateStarts(now time.Time) map[specifier.TaskID][]*VM {
+	var found map[specifier.TaskID][]*VM
+	for _, vm := range tr.SortedVMs() {
+		if !vm.LateStarts {
+			continue
+		}
+		for key, u := range vm.unconfirmedStarts {
+			if u.workerID != vm.WorkerID || now.Sub(u.sentAt) >= UnconfirmedStartMaxAge {
+				continue // a worker with another ID refuses it
+			}
+			if found == nil {
+				found = make(map[specifier.TaskID][]*VM)
+			}
+			found[key.Task] = append(found[key.Task], vm)
+		}
+	}
+	return found
+}
+
 // InheritedStarts returns the unconfirmed starts of earlier processes of the VM's agent.
 func (vm *VM) InheritedStarts(now time.Time) []UnconfirmedStart {
 	var all []UnconfirmedStart
--- a/internal/wire/messenger/work.go
+++ b/internal/wire/messenger/work.go
@@ -53,7 +53,9 @@
 	// Unconfirmed starts: they were not answered and no status poll has shown the run yet.
 	// The worker may still carry them out, even in another incarnation.
 	UnconfirmedStarts []WorkUnconfirmedStart `json:"doubts,omitempty"`
-	Crashes           []WorkCrash            `json:"crashes,omitempty"` // of the worker, that are not stored yet
+	// LateStarts is set if a later incarnation of the worker under the same ID may carry them out.
+	LateStarts bool        `json:"late-starts,omitempty"`
+	Crashes    []WorkCrash `json:"crashes,omitempty"` // of the worker, that are not stored yet
 	// An abridged report lists only runs that are new or changed in more than progress and
 	// measure; wire/abridger restores the full report.
 	Abridged bool       `json:"abridged,omitempty"`
--- a/internal/worker/guardian/guardian.go
+++ b/internal/worker/guardian/guardian.go
@@ -314,7 +314,7 @@
 			rep.Ends = append(rep.Ends, messenger.WorkEnd{Seq: e.Seq, Task: e.Task.String(), Run: e.Run, Outcome: e.Outcome, Checkpoint: e.Checkpoint})
 		}
 	}
-	rep.UnconfirmedStarts, rep.Crashes = g.unconfirmedStartsLocked(), g.crashesLocked()
+	rep.UnconfirmedStarts, rep.LateStarts, rep.Crashes = g.unconfirmedStartsLocked(), g.config.Worker.LateStarts, g.crashesLocked()
 	return rep, true
 }
 
--- a/internal/worker/guardian/worker.go
+++ b/internal/worker/guardian/worker.go
@@ -20,6 +20,9 @@
 	Stop  func(ctx context.Context, c StopCall) error
 	Pace  func(ctx context.Context, c PaceCall) error
 	Poll  func(ctx context.Context, c PollCall) (Status, error)
+	// LateStarts is set if a start without an answer may be carried out by a later incarnation of the worker
+	// under the same ID, before that one has answered a call: its calls name no incarnation.
+	LateStarts bool
 }
 
 // Fence orders the calls of a worker. One fence is below another if its epoch is lower, or if
