guardian: a test of unanswered starts reports before the stop is answered

TestUnansweredStartIsStoppedBeforeItIsDropped failed once in a run of the package with -race at a load of 50 ("reported [] while the start may be carried out"), and in 7 of 400 repeats at a load of 50 to 65. The fake worker answers at once, so start, stop and poll can all be over before the test asks for its report; the run is rightly gone then. The stop now waits for that report.

--- a/internal/worker/guardian/unanswered_start_test.go
+++ b/internal/worker/guardian/unanswered_start_test.go
@@ -14,12 +14,19 @@
 // may be carried out, and is stopped, which makes the worker refuse the start, before it is
 // reported as ended.
 func TestUnansweredStartIsStoppedBeforeItIsDropped(t *testing.T) {
-	worker := newFakeWorker()
-	e := newTestEnv(t, worker)
+	worker, reported := newFakeWorker(), make(chan struct{})
+	e := newTestEnvWith(t, worker, func(w *Worker) {
+		w.Stop = func(ctx context.Context, c StopCall) error {
+			<-reported // once the stop is answered, the run may be dropped
+			return worker.stop(ctx, c)
+		}
+	})
 	e.own(1)
 	worker.withLock(func() { worker.lostStarts = 1000 })
 	e.order(1, messenger.WorkStart, 0, 1)
-	if got := e.report().Runs; len(got) != 1 || got[0].Confirmed {
+	got := e.report().Runs
+	close(reported)
+	if len(got) != 1 || got[0].Confirmed {
 		t.Fatalf("reported %+v while the start may be carried out", got)
 	}
 	e.until("end of the unconfirmed start", func() bool { return len(e.report().Runs) == 0 })
