scheduler: each event is applied with the time at which it was taken

Cause: all queued events of a round were applied with one time, read before the first of them. If the owner's process stood still, or was slow, while it applied them, a report that an agent had sent meanwhile counted as received before it was sent. The agent counts the grant from when it sent the report, so its leases lasted longer than LeaseExpiry after the moment that the owner had noted. It matters if the owner stood still for longer than the stop time that the expiry allows for (1 s), but not for longer than its own lease (2 s), and hears nothing of the VM after that report.

Change: the time is read after an event was taken.

Not shown with real processes.

Cost: one reading of the clock an event.

--- a/internal/job/scheduler/fleet_bench_test.go
+++ b/internal/job/scheduler/fleet_bench_test.go
@@ -125,7 +125,7 @@
 				o.storeMembers(b.Context())
 				o.flush(b.Context())
 				o.sendOrders()
-				o.drainEvents(time.Now())
+				o.drainEvents()
 			}
 		})
 		b.Run(fmt.Sprintf("checks/vms-%d", vms), func(b *testing.B) {
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -172,9 +172,8 @@
 			return ctx.Err()
 		case <-due:
 		case e := <-o.events:
-			now := o.s.config.Now()
-			e.apply(o, now)
-			o.drainEvents(now)
+			o.apply(e)
+			o.drainEvents()
 		case <-ticker.C:
 			o.dirty = true
 		}
@@ -193,12 +192,16 @@
 // shows that the ownership has ended while the lease goes on by the clock of this process.
 func (o *owner) holdsCell() bool { return o.s.elector.Held() && !o.writer.ownershipEnded() }
 
+// apply applies an event that was taken from the queue. Its time is read after that: with an earlier one, a
+// report would count as received before it was sent, and the leases granted by its answer as ended too early.
+func (o *owner) apply(e event) { e.apply(o, o.s.config.Now()) }
+
 // drainEvents applies all queued events, so that one round of decisions covers them.
-func (o *owner) drainEvents(now time.Time) {
+func (o *owner) drainEvents() {
 	for range eventBuffer {
 		select {
 		case e := <-o.events:
-			e.apply(o, now)
+			o.apply(e)
 		default:
 			return
 		}
