scheduler: the former owner's lease is counted by the slowest clock

Cause: a new owner took the former one's lease as 2 s of its own time, for the last grant to a member and for the start of inherited jobs. The former owner holds it by its own clock, which may be 2 % slow. All else that depends on the clocks of two processes goes by timekeeper.Longest, as does the reading of the revision at the end of that lease.

Change: formerLeaseEnd, used for both.

TestFormerOwnerWithSlowClockIsAwaited failed before (both checks; an inherited job could start 40.8 ms early) and passes. TestRecordOfSilentMembers required 2 s of the next owner's clock; it now requires 2 s of the slowest clock, which is stricter: eight of its cases failed before.

Cost: inherited jobs beside a VM that is lost, and whose silence no record names, start 41 ms later.

--- a/internal/job/scheduler/reconcile.go
+++ b/internal/job/scheduler/reconcile.go
@@ -44,7 +44,13 @@
 	if o.reconciled || o.formerLeaseOver > 0 && job.Revision > o.formerLeaseOver {
 		return time.Time{}
 	}
-	return o.started.Add(o.s.config.Lease + o.leaseExpiry())
+	return o.formerLeaseEnd().Add(o.leaseExpiry())
+}
+
+// formerLeaseEnd returns when the lease of the former owner has certainly expired by that owner's own clock, which
+// may be slow. The store may have dropped it as early as this ownership began.
+func (o *owner) formerLeaseEnd() time.Time {
+	return o.started.Add(timekeeper.Longest(o.s.config.Lease))
 }
 
 // findFormerLeaseOver reads a revision of the store once the lease of the former owner has certainly expired.
--- a/internal/job/scheduler/silence.go
+++ b/internal/job/scheduler/silence.go
@@ -109,7 +109,7 @@
 	if at, ok := o.silences.earlier[member]; ok {
 		return at
 	}
-	return o.started.Add(o.s.config.Lease)
+	return o.formerLeaseEnd()
 }
 
 // hasLapsed reports whether all runs of a member have certainly ended, if it does not report.
--- a/internal/job/scheduler/takeover.go
+++ b/internal/job/scheduler/takeover.go
@@ -37,7 +37,7 @@
 	o.watchFrom = revision
 	for _, r := range work {
 		if strings.HasPrefix(r.Key, jobPrefix) {
-			o.addJob(r, now.Add(s.config.Lease+o.leaseExpiry()), now)
+			o.addJob(r, o.formerLeaseEnd().Add(o.leaseExpiry()), now)
 		}
 	}
 	var held keeper.Record
