scheduler: jobs wait for leases that no grant allowed, however long

Cause: a job of an earlier owner, or one accepted beside it, may start 8.1 s after the takeover even if a member has not reported, as all granted leases have ended by then. Leases that no grant allowed (a late poll of a worker's former life, up to hold_max_ms) may last longer; the record of silent members says so by a negative duration, and only the wait for the member itself counted it.

Change: the time until which jobs wait includes these leases; the takeover reads members and silences before it adds jobs.

TestInheritedJobAwaitsLeasesThatNoGrantAllowed failed before (4 tasks started at 8.11 s, leases on vm-1 to 10.10 s) and passes, as does TestTakeoverCountsLeasesThatNoGrantAllowed.

--- a/internal/job/scheduler/reconcile.go
+++ b/internal/job/scheduler/reconcile.go
@@ -44,7 +44,13 @@
 	if o.reconciled || o.formerLeaseOver > 0 && job.Revision > o.formerLeaseOver {
 		return time.Time{}
 	}
-	return o.formerLeaseEnd().Add(o.leaseExpiry())
+	last := o.formerLeaseEnd()
+	for _, at := range o.silences.earlier {
+		if at.After(last) { // leases that no grant allowed may outlast those of the former owner
+			last = at
+		}
+	}
+	return last.Add(o.leaseExpiry())
 }
 
 // formerLeaseEnd returns when the lease of the former owner has certainly expired by that owner's own clock, which
--- a/internal/job/scheduler/takeover.go
+++ b/internal/job/scheduler/takeover.go
@@ -35,9 +35,15 @@
 	}
 	o.phases.endRead("read-progress", progress)
 	o.watchFrom = revision
+	if err := o.loadMembers(ctx); err != nil {
+		return nil, err
+	}
+	if err := o.loadSilences(ctx); err != nil {
+		return nil, err
+	}
 	for _, r := range work {
 		if strings.HasPrefix(r.Key, jobPrefix) {
-			o.addJob(r, o.formerLeaseEnd().Add(o.leaseExpiry()), now)
+			o.addJob(r, o.reconcileTime(r), now)
 		}
 	}
 	var held keeper.Record
@@ -61,12 +67,6 @@
 		}
 	}
 	o.phases.end("restore")
-	if err := o.loadMembers(ctx); err != nil {
-		return nil, err
-	}
-	if err := o.loadSilences(ctx); err != nil {
-		return nil, err
-	}
 	o.loadSnapshots(ctx, now)
 	o.phases.end("read-rest")
 	return o, nil
