guardian: a stop that crosses the end of its run is no start without an answer

What callers see: since a task whose start got no answer starts on the same VM only, tasks would wait up to 15 s for their VM where nothing can start late: the owner stops the members of a gang, the first stop ends the others as broken, and the stops of these find no run. Before, the record of such a start had no effect but a second stop.

Cause: a stop of a run that is not known was taken for one whose start an earlier process had sent, even if the worker had listed the run's end.

Change: no record, and no call, if the end is listed; ends that the same message says are stored are dropped after its stops.

--- a/internal/worker/guardian/orders.go
+++ b/internal/worker/guardian/orders.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"bamboospread/internal/job/specifier"
@@ -69,7 +70,6 @@
 		})
 		return ErrOrdersExpired{Session: o.Session, Epoch: o.Epoch, Incarnation: o.Incarnation}
 	}
-	g.dropStoredEndsLocked(o.EndsStored)
 	for _, order := range o.Orders {
 		g.ordersSeen = max(g.ordersSeen, order.Seq)
 		id, err := specifier.ParseTaskID(order.Task)
@@ -79,6 +79,7 @@
 		}
 		g.executeLocked(tracker.RunKey{Task: id, Number: order.Run}, order)
 	}
+	g.dropStoredEndsLocked(o.EndsStored) // after the stops, which may be of runs that these ends name
 	return nil
 }
 
@@ -95,6 +96,9 @@
 		go g.start(ctx, key, g.incarnation, o)
 	case messenger.WorkStop:
 		r := g.runs[key]
+		if r == nil && g.hasEndedLocked(key) {
+			return
+		}
 		if r == nil {
 			// A start sent by an earlier process of this agent may still be carried out. The
 			// stop makes the worker refuse it; until the stop has taken effect, the run is
@@ -111,6 +115,11 @@
 	}
 }
 
+// hasEndedLocked reports whether the worker has listed the end of a run that the owner has not stored yet.
+func (g *Guardian) hasEndedLocked(key tracker.RunKey) bool {
+	return slices.ContainsFunc(g.ends, func(e ListedEnd) bool { return e.Task == key.Task && e.Run == key.Number })
+}
+
 // rejectReasonLocked returns why a start must not be carried out, or "".
 //
 // This is the last check before the worker, which starts whatever it is asked to: an owner
