tracker, planner: what a task that may still start late does not wait for

Callers would see tasks that stand still for longer than the rule behind it needs, found by the review of "a task that may still start late starts on no other VM":

- A worker that answers polls but no starts kept its task for good, since each start without an answer began the 15 s anew.
A second start without an answer on a VM is the last there; once none can be carried out any more, any VM may have the task (TestTaskLeavesVMThatDoesNotAnswerStarts: 60 s without an end before).
- Rotations stopped a long-running task for one that may start on another VM only (TestNoRotationForTaskThatMayStartLateElsewhere), and runs of such tasks could be moved to VMs on which they may not start: no run of such a task is interrupted.

--- a/internal/job/planner/latestart_test.go
+++ b/internal/job/planner/latestart_test.go
@@ -61,3 +61,60 @@
 		})
 	}
 }
+
+// Guards against tasks that stay on one VM without end: a worker that answers polls but not its starts in time.
+func TestTaskLeavesVMThatDoesNotAnswerStarts(t *testing.T) {
+	b := newFixture()
+	j := b.job("q", specifier.Step{Count: 1, Needs: cores(1)})
+	b.vm("another", "in", "r2", cores(8))
+	rep := tracker.Report{Incarnation: "1", Process: 1, Ready: true, LateStarts: true}
+	info := tracker.VMInfo{Name: "late", Zone: "in", Rack: "r1", WorkerID: "i-1", Capacity: cores(8)}
+	vm, _ := b.state.Attach(info, rep, begin)
+	task := j.Occurrences[0].Steps[0].Tasks[0]
+	sentAt := make(map[int64]time.Time) // by run
+	unanswered := func(number int64, now time.Time) {
+		sentAt[number] = now
+	}
+	report := func(now time.Time) { // the agent lists each start without an answer for 15 s
+		rep.UnconfirmedStarts = nil
+		for number, at := range sentAt {
+			if age := now.Sub(at); age < tracker.UnconfirmedStartMaxAge {
+				rep.UnconfirmedStarts = append(rep.UnconfirmedStarts, tracker.UnconfirmedStart{Key: tracker.RunKey{Task: task.ID(), Number: number}, Age: age})
+			}
+		}
+		b.state.Apply(vm, rep, now)
+	}
+	unanswered(1, begin)
+	now := begin
+	for number := int64(1); now.Before(begin.Add(time.Minute)); now = now.Add(2 * time.Second) {
+		report(now)
+		for _, s := range b.plan(now) {
+			if s.VM.Name == "another" {
+				if early := tracker.UnconfirmedStartMaxAge - now.Sub(sentAt[number]); early > 0 {
+					t.Errorf("started on another VM %s before the last start can't be carried out any more", early)
+				}
+				return
+			}
+			number++
+			unanswered(number, now)
+		}
+	}
+	t.Errorf("%s after the first start without an answer the task still starts on the same VM only", now.Sub(begin))
+}
+
+// Guards against long-running tasks that are stopped in vain: the task that is to start in their place may start on
+// another VM only.
+func TestNoRotationForTaskThatMayStartLateElsewhere(t *testing.T) {
+	b, longRunning := fullFleet()
+	task := longRunning[0].Occurrences[0].Steps[0].Tasks[0]
+	b.state.EndRun(task.Runs[0].VM, task.Runs[0].Key(), tracker.EndStopped, "", begin)
+	b.occupy(task)
+	task.WaitSince = begin.Add(-returnAfterPressure)
+	rep := tracker.Report{Incarnation: "1", Process: 1, LateStarts: true, UnconfirmedStarts: []tracker.UnconfirmedStart{{
+		Key: tracker.RunKey{Task: task.ID(), Number: 9}, Age: returnAfterPressure,
+	}}}
+	b.state.Attach(tracker.VMInfo{Name: "late", Zone: "in", Rack: "r1", WorkerID: "i-1", Capacity: cores(8)}, rep, begin)
+	for _, r := range Rotations(Input{Now: begin, State: b.state, UrgentDelayedAt: begin}) {
+		t.Errorf("%s is stopped on %s for %s, which may start on late only", r.Run.Key().Task, r.Run.VM.Name, r.Task.ID())
+	}
+}
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -92,7 +92,7 @@
 	holdings              *holdings              // of client accounts; nil without shares
 	reserve               *roundReserve          // room for urgent tasks; nil until it is needed
 	nextTask              map[*tracker.Step]int  // of steps that have had a turn
-	lateStarts            map[specifier.TaskID][]*tracker.VM
+	lateStarts            map[specifier.TaskID][]tracker.LateStart
 	lateStartsKnown       bool
 }
 
@@ -304,5 +304,5 @@
 	if !m.admitsTask(s, t, count[m.vm]) || t.RunsOn(m.vm) {
 		return false
 	}
-	return !t.MovesElsewhere(m.vm.Name, r.now) && !r.mayStartLate(t, m.vm) && !r.separates(m, t) && !r.waitsForSound(m, t) && !r.heldBack(m, t)
+	return !t.MovesElsewhere(m.vm.Name, r.now) && r.admitsAfterLateStart(t, m.vm) && !r.separates(m, t) && !r.waitsForSound(m, t) && !r.heldBack(m, t)
 }
--- a/internal/job/planner/reservation.go
+++ b/internal/job/planner/reservation.go
@@ -199,7 +199,7 @@
 // hold: it has no precedence over urgent tasks for processors.
 func (r *round) mayReserve(t *tracker.Task, m *vmState) bool {
 	s := t.Step
-	if m.slow || t.RunsOn(m.vm) || t.MovesElsewhere(m.vm.Name, r.now) || r.mayStartLate(t, m.vm) || !m.eligible(s, r.runCounts(s)[m.vm]) {
+	if m.slow || t.RunsOn(m.vm) || t.MovesElsewhere(m.vm.Name, r.now) || !r.admitsAfterLateStart(t, m.vm) || !m.eligible(s, r.runCounts(s)[m.vm]) {
 		return false
 	}
 	if !t.HasRun && m.free.CPUMillis < s.Spec.Needs.CPUMillis {
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -418,10 +418,15 @@
 }
 
 // interrupt stops a run that is still needed, to continue elsewhere or later, unless too many tasks of its
-// step would be unavailable. It reports whether the stop was ordered. All decisions of a round stop runs by
-// it, so that together they stay within the limit.
+// step would be unavailable, or it could continue on no other VM. It reports whether the stop was ordered. All
+// decisions of a round stop runs by it, so that together they stay within the limit.
 func (o *owner) interrupt(r *tracker.Run, cause string) bool {
-	return r.MayInterrupt() && o.orderStop(r, cause)
+	return r.MayInterrupt() && !o.mayStartLate(r.Task) && o.orderStop(r, cause)
+}
+
+// mayStartLate reports whether an earlier start of a task may still be carried out late.
+func (o *owner) mayStartLate(t *tracker.Task) bool {
+	return !t.Step.Spec.Copies && len(o.state.LateStarts(o.s.config.Now())[t.ID()]) > 0
 }
 
 func (o *owner) orderPace(p planner.Pace) {
--- a/internal/job/tracker/run.go
+++ b/internal/job/tracker/run.go
@@ -11,7 +11,7 @@
 	vm.OrderSeq++
 	r := &Run{
 		Task: t, Number: number, VM: vm, State: Ordered, Order: vm.OrderSeq, OrderedAt: now,
-		Pace: fullPace, Checkpoint: t.Checkpoint, Resumed: t.Checkpoint != "", ProgressedAt: now,
+		Pace: fullPace, Checkpoint: t.Checkpoint, Resumed: t.Checkpoint != "", ProgressedAt: now, workerID: vm.WorkerID,
 	}
 	tr.addRun(r)
 	return r
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -48,6 +48,7 @@
 	Checkpoint      string        // latest reported
 	Resumed         bool          // from a checkpoint of an earlier run, or started under another owner
 	ProgressedAt    time.Time     // when the progress last changed
+	workerID        string        // of the worker that its start was ordered for
 	worked          time.Duration // work until workedUntil
 	workedUntil     time.Time
 }
--- a/internal/job/tracker/unconfirmed.go
+++ b/internal/job/tracker/unconfirmed.go
@@ -16,6 +16,7 @@
 	sentAt   time.Time
 	process  int64  // process of the agent that reported it; 0: one that has ended
 	workerID string // of the worker that the call names, or of a later one
+	repeated bool   // an earlier start of the task on the VM had no answer either
 }
 
 // applyUnconfirmedStarts applies what the agent's process reports. Starts reported by earlier
@@ -30,7 +31,7 @@
 		}
 	}
 	for _, s := range rep.UnconfirmedStarts {
-		vm.recordUnconfirmedStart(s.Key, recordedStart{sentAt: now.Add(-s.Age), process: rep.Process, workerID: known[s.Key].workerID})
+		vm.recordUnconfirmedStart(s.Key, recordedStart{sentAt: now.Add(-s.Age), process: rep.Process, workerID: known[s.Key].workerID, repeated: known[s.Key].repeated})
 	}
 }
 
@@ -43,7 +44,7 @@
 			continue
 		}
 		r.Unconfirmed, r.Order = false, 0
-		vm.recordUnconfirmedStart(key, recordedStart{sentAt: now})
+		vm.recordUnconfirmedStart(key, recordedStart{sentAt: now, workerID: r.workerID})
 	}
 }
 
@@ -54,15 +55,38 @@
 	if u.workerID == "" {
 		u.workerID = vm.WorkerID
 	}
+	for other, o := range vm.unconfirmedStarts {
+		switch {
+		case other.Task != key.Task:
+		case other.Number < key.Number:
+			u.repeated = true
+		case other.Number > key.Number:
+			o.repeated = true
+			vm.unconfirmedStarts[other] = o
+		}
+	}
 	vm.unconfirmedStarts[key] = u
 }
 
-// LateStarts returns the VMs on which tasks may still start late, by the task. A start without an answer is
+// LateStart is a start without an answer that may still be carried out by a later incarnation of the worker.
+type LateStart struct {
+	vm       *VM
+	repeated bool
+}
+
+// VM returns the VM of the worker.
+func (l LateStart) VM() *VM { return l.vm }
+
+// Admits reports whether another start of the task on a VM is safe, and of use: on the same VM only, and not if
+// the worker has left two of its starts without an answer.
+func (l LateStart) Admits(vm *VM) bool { return l.vm == vm && !l.repeated }
+
+// LateStarts returns the starts that may still be carried out late, by their task. A start without an answer is
 // given up once the worker's clock has passed its expiry. If the worker restarts under its ID, its clock begins
 // anew, and it may carry the start out as its first call, beside a run on another VM. A later run on the same VM
 // ends with that incarnation, or is preceded by a call that fences the start off.
-func (tr *Tracker) LateStarts(now time.Time) map[specifier.TaskID][]*VM {
-	var found map[specifier.TaskID][]*VM
+func (tr *Tracker) LateStarts(now time.Time) map[specifier.TaskID][]LateStart {
+	var found map[specifier.TaskID][]LateStart
 	for _, vm := range tr.SortedVMs() {
 		if !vm.LateStarts {
 			continue
@@ -72,9 +96,9 @@
 				continue // a worker with another ID refuses it
 			}
 			if found == nil {
-				found = make(map[specifier.TaskID][]*VM)
+				found = make(map[specifier.TaskID][]LateStart)
 			}
-			found[key.Task] = append(found[key.Task], vm)
+			found[key.Task] = append(found[key.Task], LateStart{vm, u.repeated})
 		}
 	}
 	return found
