scheduler: the wait for the former owner's lease counts from the takeover, and is tested

The revision that exempts later jobs was read one lease after the end of the takeover, which may take seconds; it counts from its beginning now. Names: recordFenced, revisionAfterFormer.

--- a/internal/job/scheduler/accepted_since_test.go
+++ b/internal/job/scheduler/accepted_since_test.go
@@ -195,3 +195,25 @@
 		t.Errorf("%d tasks are started, reconciled: %t", n, f.o.reconciled)
 	}
 }
+
+// Guards against tasks that run twice: the former owner may start a job whose record has exactly the revision that
+// the store had once its lease was over, and a revision that is read earlier shows nothing.
+func TestRevisionAfterFormerLeaseIsReadOnceItIsOver(t *testing.T) {
+	const lease = 200 * time.Millisecond
+	f := newAcceptedSinceFixture(t)
+	f.o.s.config.Now, f.o.s.config.Lease = time.Now, lease
+	f.o.started = time.Now()
+	f.o.findFormerLeaseOver(t.Context())
+	if early := f.o.formerLeaseEnd().Sub(time.Now()); early > 0 {
+		t.Errorf("the revision is read %s before the former owner's lease is over", early)
+	}
+	(<-f.o.events).apply(f.o, f.now)
+	for _, tt := range []struct {
+		revision int64
+		waits    bool
+	}{{f.revision - 1, true}, {f.revision, true}, {f.revision + 1, false}, {0, true}} {
+		if waits := !f.o.reconcileTime(keeper.Record{Revision: tt.revision}).IsZero(); waits != tt.waits {
+			t.Errorf("a job at revision %d waits: %t, the store was at %d", tt.revision, waits, f.revision)
+		}
+	}
+}
--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -98,7 +98,7 @@
 	dropAfter           time.Time            // members without reports are removed only after this
 	reportedQuarantines map[string]time.Time // end of the quarantine that was last logged, by VM
 	reconciled          bool
-	formerLeaseOver     int64    // revision of the store once the former owner's lease had certainly expired; 0: not known yet
+	revisionAfterFormer int64    // of the store once the former owner's lease had certainly expired; 0: not known yet
 	lapsed              []string // members that had not reported when their leases had certainly ended
 	awaitedReported     bool
 	policyStale         bool // the policy is too old to start tasks
--- a/internal/job/scheduler/reconcile.go
+++ b/internal/job/scheduler/reconcile.go
@@ -41,7 +41,7 @@
 // The store may drop the lease of the former owner early. That owner goes on until the lease has expired by its
 // own clock, and starts tasks of jobs that are accepted meanwhile, on VMs that still follow it.
 func (o *owner) reconcileTime(job keeper.Record) time.Time {
-	if o.reconciled || o.formerLeaseOver > 0 && job.Revision > o.formerLeaseOver {
+	if o.reconciled || o.revisionAfterFormer > 0 && job.Revision > o.revisionAfterFormer {
 		return time.Time{}
 	}
 	last := o.formerLeaseEnd()
@@ -61,7 +61,7 @@
 
 // findFormerLeaseOver reads a revision of the store once the lease of the former owner has certainly expired.
 func (o *owner) findFormerLeaseOver(ctx context.Context) {
-	if pauser.Pause(ctx, timekeeper.Longest(o.s.config.Lease)) != nil {
+	if pauser.Pause(ctx, o.formerLeaseEnd().Sub(o.s.config.Now())) != nil {
 		return
 	}
 	for ctx.Err() == nil {
@@ -77,7 +77,7 @@
 // formerLeaseOver is the event that the lease of the former owner had expired when the store was at a revision.
 type formerLeaseOver struct{ revision int64 }
 
-func (e formerLeaseOver) apply(o *owner, _ time.Time) { o.formerLeaseOver = e.revision }
+func (e formerLeaseOver) apply(o *owner, _ time.Time) { o.revisionAfterFormer = e.revision }
 
 // reportAwaited logs once which members an owner waits for that have not reported by now.
 func (o *owner) reportAwaited(now time.Time) {
--- a/internal/job/scheduler/writer.go
+++ b/internal/job/scheduler/writer.go
@@ -154,7 +154,7 @@
 		if !errors.As(err, &conflict) {
 			return err
 		}
-		if w.isFenced(conflict) {
+		if w.recordFenced(conflict) {
 			return fmt.Errorf("%w: %w", errOwnershipEnded, err)
 		}
 		w.applyConflict(conflict)
@@ -186,7 +186,7 @@
 		if !errors.As(err, &conflict) {
 			return err
 		}
-		if w.isFenced(conflict) {
+		if w.recordFenced(conflict) {
 			return fmt.Errorf("%w: %w", errOwnershipEnded, err)
 		}
 		if keys = w.dropChanged(keys, conflict); len(keys) == 0 {
@@ -234,8 +234,8 @@
 	return slices.DeleteFunc(slices.Clone(keys), func(key string) bool { return before[key] != 0 && w.revisions[key] != before[key] })
 }
 
-// isFenced reports whether a conflict shows that the ownership has ended, and records it.
-func (w *writer) isFenced(c keeper.ErrConflict) bool {
+// recordFenced reports whether a conflict shows that the ownership has ended, and if so records it.
+func (w *writer) recordFenced(c keeper.ErrConflict) bool {
 	if w.fence.Key != c.Key && w.fence.Key != c.Current.Key {
 		return false
 	}
