worker, driver: starts and leases of tasks of classes count on a clock that does not step

What callers may see: a start of a task of a class that arrives late is carried out, and its lease lasts too long, if the VM's clock has stepped back since it was sent; a renewal that is under way gives too long a lease, too.

The agent also checked the age of a reply by the time of day and by a clock that stops while the VM is suspended.

Change: the worker states its incarnation and the reading of its boot clock when it lists its attempts. The agent converts its bounds to that clock, rounded to the earlier, and names the incarnation; any other refuses the call. The agent counts the age of replies and its lease on its own boot clock as well.

For them the worker follows the time of day: its life, which their starts name, changes with each step back, so a start sent before is refused and one after the next list is taken; renewals numbered up to the step are ignored, which costs one renewal a step, repeated before the next poll. Left open: a renewal of an earlier agent whose poll was under way at the step is too long until its next one.

Measured: the test passes, with TestStartAroundStepOfClock (19 cases), TestRenewalAroundStepOfClock, TestRenewalOfFormerLifeIsRefused, TestOrderThatExpiredWhileClockSteppedBack and TestWorkerThatStatesNoClock. With the rule for starts without a life, the refused renewals, the life per step, the bounds of starts or of renewals on the worker's clock, the agent's boot clock or the check of the renewal's incarnation taken out, one of them fails.

--- a/internal/agent/runner/order.go
+++ b/internal/agent/runner/order.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"time"
 
 	"bamboospread/internal/fleet/describer"
 	"bamboospread/internal/kernel/reporter"
@@ -13,7 +12,7 @@
 )
 
 // applyReply executes the reply to the poll that was sent at the given time.
-func (r *Runner) applyReply(ctx context.Context, sent time.Time, p messenger.Poll, reply messenger.PollReply) error {
+func (r *Runner) applyReply(ctx context.Context, sent reading, p messenger.Poll, reply messenger.PollReply) error {
 	if reply.Epoch < r.epoch {
 		// The reply comes from a process that lost the cell while it was paused.
 		// Its successor may have assigned the tasks elsewhere, so neither its
@@ -23,7 +22,7 @@
 	}
 	r.epoch = reply.Epoch
 	r.setConnected(true, nil)
-	r.leaseUntil, r.renewalDue = sent.Add(messenger.FromMillis(reply.LeaseMillis)), true
+	r.leaseUntil, r.renewalDue = sent.add(messenger.FromMillis(reply.LeaseMillis)), true
 	if err := r.renewLeases(ctx); err != nil {
 		return err
 	}
@@ -48,7 +47,7 @@
 // when this agent is paused or has exited. The lease is a point in time and not a
 // duration, so a pause before the call does not extend it.
 func (r *Runner) renewLeases(ctx context.Context) error {
-	if err := r.config.Driver.RenewLeasesUntil(ctx, r.leaseUntil.Round(0)); err != nil {
+	if err := r.config.Driver.RenewLeasesUntil(ctx, r.leaseUntil.time.Round(0), r.leaseUntil.clock); err != nil {
 		return fmt.Errorf("renew leases at worker: %w", err)
 	}
 	r.renewalDue = false
@@ -65,7 +64,7 @@
 
 // executeOrders executes orders and returns when all are done, so that the next
 // poll reports the effect of each.
-func (r *Runner) executeOrders(ctx context.Context, sent time.Time, orders []messenger.Order) {
+func (r *Runner) executeOrders(ctx context.Context, sent reading, orders []messenger.Order) {
 	free := r.freeCapacity()
 	refusals := make(chan refusal, len(orders))
 	slots := make(chan struct{}, maxConcurrentOrders)
@@ -134,18 +133,18 @@
 }
 
 // checkStart returns why a start must be refused, or an empty string.
-func (r *Runner) checkStart(o messenger.Order, sent time.Time, free describer.Resources) string {
-	now := r.config.Now()
+func (r *Runner) checkStart(o messenger.Order, sent reading, free describer.Resources) string {
+	now := r.readClocks()
 	switch {
 	case o.Epoch < r.epoch:
 		return "order of an earlier owner"
 	case r.leaving.Load():
 		return "agent is leaving"
-	case r.elapsed(sent, now) > messenger.FromMillis(o.ExpiresAfterMillis):
+	case now.since(sent) > messenger.FromMillis(o.ExpiresAfterMillis):
 		// The zone may have been taken out since the owner decided; the expiry of
 		// the order bounds how long a paused process can delay it.
 		return "order expired before it was executed"
-	case !now.Before(r.leaseUntil):
+	case !now.before(r.leaseUntil):
 		return "lease of the VM has expired"
 	}
 	if !r.isRunning(o) && !o.Needs.Fits(free) {
@@ -167,14 +166,8 @@
 	return false
 }
 
-// elapsed returns the time between two readings of the clock. It compares the wall
-// clock as well, since the monotonic clock stops while the whole VM is suspended.
-func (r *Runner) elapsed(from, now time.Time) time.Duration {
-	return max(now.Sub(from), now.Round(0).Sub(from.Round(0)))
-}
-
 // execute executes one order. A start with a reason to refuse it is not run.
-func (r *Runner) execute(ctx context.Context, o messenger.Order, sent time.Time, refuseReason string) *refusal {
+func (r *Runner) execute(ctx context.Context, o messenger.Order, sent reading, refuseReason string) *refusal {
 	switch o.Kind {
 	case messenger.OrderStart:
 		if refuseReason != "" {
@@ -205,12 +198,13 @@
 	return &refusal{order: o, state: messenger.ReportRefused, reason: "never started on this VM"}
 }
 
-func (r *Runner) start(ctx context.Context, o messenger.Order, sent time.Time) *refusal {
+func (r *Runner) start(ctx context.Context, o messenger.Order, sent reading) *refusal {
+	startBy := sent.add(messenger.FromMillis(o.ExpiresAfterMillis))
 	err := r.config.Driver.StartTask(ctx, driver.StartOptions{
 		TaskID: o.TaskID, Attempt: o.Attempt, Needs: o.Needs, Class: o.Class, Tenant: o.Tenant,
 		Service: o.Service, Payload: o.Payload, Checkpoint: o.Checkpoint, RunTime: messenger.FromMillis(o.RunTime),
-		LeaseUntil: r.leaseUntil.Round(0),
-		StartBy:    sent.Round(0).Add(messenger.FromMillis(o.ExpiresAfterMillis)),
+		LeaseUntil: r.leaseUntil.time.Round(0), LeaseUntilClock: r.leaseUntil.clock,
+		StartBy: startBy.time.Round(0), StartByClock: startBy.clock,
 	})
 	switch {
 	case err == nil:
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -50,7 +50,7 @@
 	config            Config
 	epoch             int64 // highest seen
 	sequence          int64
-	leaseUntil        time.Time
+	leaseUntil        reading
 	renewalDue        bool // the worker has not answered the renewal up to leaseUntil
 	capacity          messenger.Capacity
 	capacityAt        time.Time
@@ -118,7 +118,7 @@
 	p := r.newPoll(ctx)
 	// Lease and expiry of orders count from here, before the poll is sent: the
 	// owner counts from later times, so they always expire first on this side.
-	sent := r.config.Now()
+	sent := r.readClocks()
 	reply, err := r.call(ctx, p)
 	if err != nil {
 		r.setConnected(false, err)
--- a/internal/kernel/timekeeper/timekeeper.go
+++ b/internal/kernel/timekeeper/timekeeper.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -36,6 +37,22 @@
 // since, including suspensions.
 func Now() time.Time { return bootTime.Add(sinceBoot()) }
 
+// Forward returns a clock that advances with now and stands still while now steps back. It
+// replaces Uptime where the time is set by a test.
+func Forward(now func() time.Time) func() time.Duration {
+	var mu sync.Mutex
+	latest := now()
+	clock := time.Duration(latest.UnixNano())
+	return func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		at := now()
+		clock += max(0, at.Sub(latest))
+		latest = at
+		return clock
+	}
+}
+
 // MaxClockError bounds the difference between the clocks of the processes that share a
 // lease: of an owner, an agent and a worker, none counts less than this fraction below what
 // another counts in the same time. All that depends on it goes by Longest and Shortest.
--- a/internal/standin/worker/calls.go
+++ b/internal/standin/worker/calls.go
@@ -94,9 +94,9 @@
 		return http.StatusOK, struct{}{}
 	case c.Attempt <= w.highestAttempt[c.TaskID]:
 		return http.StatusConflict, "attempt has ended or a later one was started"
-	case c.Life != "" && c.Life != w.life:
+	case w.isForFormerLife(c):
 		return http.StatusPreconditionFailed, "start is meant for another life of the worker"
-	case c.StartBy != 0 && w.config.Now().UnixNano() > c.StartBy:
+	case w.isLate(c):
 		return http.StatusPreconditionFailed, "start deadline has passed"
 	case w.faults.Refuse:
 		return http.StatusServiceUnavailable, "refused by fault injection"
@@ -157,11 +157,17 @@
 // a longer lease would extend the leases beyond what the caller granted last, so only
 // the call with the highest number is applied.
 func (w *Worker) renew(c driver.LeaseCall) (int, any) {
-	if c.Number < w.latestRenewal {
-		return http.StatusOK, driver.LeaseAnswer{Number: w.latestRenewal}
+	end, latest := time.Duration(c.UntilClock), w.latestRenewal
+	switch {
+	case c.Incarnation == "":
+		end, latest = w.day.toClock(c.Until), max(latest, w.day.refusedUpTo)
+	case c.Incarnation != w.incarnation:
+		return http.StatusPreconditionFailed, "renewal is meant for another life of the worker"
+	}
+	if c.Number < latest {
+		return http.StatusOK, driver.LeaseAnswer{Number: latest}
 	}
 	w.latestRenewal = c.Number
-	end := w.leaseEnd(c.Until)
 	for _, t := range w.tasks {
 		t.leaseEnd = end
 	}
@@ -169,7 +175,9 @@
 }
 
 func (w *Worker) list(struct{}) (int, any) {
-	a := driver.TasksAnswer{Life: w.life, Tasks: make([]driver.Task, 0, len(w.tasks))}
+	a := driver.TasksAnswer{
+		Life: w.life(), Incarnation: w.incarnation, Clock: int64(w.config.Clock()), Tasks: make([]driver.Task, 0, len(w.tasks)),
+	}
 	for _, t := range w.tasks {
 		a.Tasks = append(a.Tasks, t.info)
 	}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/kernel/timekeeper"
 	"bamboospread/internal/standin/recorder"
 	"bamboospread/internal/standin/server"
 	"bamboospread/internal/wire/messenger"
@@ -41,8 +42,9 @@
 	UsageLag    time.Duration // default 2 s
 	UsageWindow time.Duration // default 1 s
 	Now         func() time.Time
-	OnEvent     func(Event)        // called for each event; may be nil
-	Recorder    *recorder.Recorder // records each event; may be nil
+	Clock       func() time.Duration // does not step; default: the boot clock, or, if Now is set, what follows it
+	OnEvent     func(Event)          // called for each event; may be nil
+	Recorder    *recorder.Recorder   // records each event; may be nil
 }
 
 // payload controls the behaviour of a task.
@@ -59,21 +61,22 @@
 	payload  payload
 	runTime  time.Duration // 0: runs until it is stopped
 	progress time.Duration
-	leaseEnd time.Time
+	leaseEnd time.Duration // on the worker's clock
 	window   time.Duration // progress within the current usage window
 }
 
 // Worker is the worker of one VM. It is safe for concurrent use.
 type Worker struct {
-	config Config
-	mux    *http.ServeMux
-	life   string // differs from that of any other Worker
+	config      Config
+	mux         *http.ServeMux
+	incarnation string // differs from that of any other Worker
 
 	mu             sync.Mutex
+	day            dayClock
 	tasks          map[string]*task
 	highestAttempt map[string]int64 // highest attempt started or stopped, by task
 	latestRenewal  int64            // number of the latest lease renewal
-	advancedAt     time.Time        // when the progress of tasks was last updated
+	advancedAt     time.Duration    // when the progress of tasks was last updated
 	faults         Faults
 	unfrozen       chan struct{} // closed when answers are no longer held
 	events         []Event
@@ -89,13 +92,20 @@
 	if c.UsageWindow <= 0 {
 		c.UsageWindow = time.Second
 	}
+	if c.Clock == nil && c.Now != nil {
+		c.Clock = timekeeper.Forward(c.Now)
+	}
+	if c.Clock == nil {
+		c.Clock = timekeeper.Uptime
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
 	w := &Worker{
-		config: c, mux: http.NewServeMux(), life: rand.Text(), tasks: make(map[string]*task), highestAttempt: make(map[string]int64),
-		advancedAt: c.Now(), windowStart: c.Now(), unfrozen: make(chan struct{}),
+		config: c, mux: http.NewServeMux(), incarnation: rand.Text(), tasks: make(map[string]*task), highestAttempt: make(map[string]int64),
+		advancedAt: c.Clock(), windowStart: c.Now(), unfrozen: make(chan struct{}), day: dayClock{now: c.Now, clock: c.Clock},
 	}
+	w.day.observe()
 	close(w.unfrozen)
 	w.routes()
 	return w
@@ -138,14 +148,15 @@
 // progress: a task that was paused for longer than its lease must not complete when it
 // resumes, since it may run on another VM by then.
 func (w *Worker) advanceLocked() {
-	now := w.config.Now()
-	elapsed := min(now.Sub(w.advancedAt), maxAdvance)
+	w.day.observe()
+	now := w.config.Clock()
+	elapsed := min(now-w.advancedAt, maxAdvance)
 	w.advancedAt = now
 	for _, t := range w.tasks {
 		if t.info.State != messenger.ReportRunning {
 			continue
 		}
-		if !now.Before(t.leaseEnd) {
+		if now >= t.leaseEnd {
 			w.endLocked(t, messenger.ReportLost, "lease expired")
 			continue
 		}
@@ -162,11 +173,11 @@
 			w.endLocked(t, messenger.ReportCompleted, "")
 		}
 	}
-	w.closeWindowLocked(now)
+	w.closeWindowLocked(w.config.Now())
 }
 
 func (w *Worker) startLocked(c driver.StartCall) error {
-	t := &task{leaseEnd: w.leaseEnd(c.LeaseUntil), info: driver.Task{
+	t := &task{leaseEnd: w.leaseEnd(c), info: driver.Task{
 		TaskID: c.TaskID, Attempt: c.Attempt, State: messenger.ReportRunning, Checkpoint: c.Checkpoint,
 		Needs: c.Needs, Class: c.Class, Tenant: c.Tenant, Service: c.Service, Percent: 100,
 	}}
@@ -195,12 +206,6 @@
 	return nil
 }
 
-// leaseEnd converts a Unix time on the VM's clock to a time with a monotonic reading.
-func (w *Worker) leaseEnd(unixNano int64) time.Time {
-	now := w.config.Now()
-	return now.Add(time.Unix(0, unixNano).Sub(now))
-}
-
 func (w *Worker) endLocked(t *task, state messenger.ReportState, reason string) {
 	t.info.State, t.info.Reason = state, reason
 	w.recordLocked(t, EventKind(state), t.progress)
--- a/internal/worker/driver/driver.go
+++ b/internal/worker/driver/driver.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/kernel/timekeeper"
 	"bamboospread/internal/wire/messenger"
 )
 
@@ -88,6 +89,17 @@
 // IsErrRenewalIgnored reports whether err is, or wraps, an ErrRenewalIgnored.
 func IsErrRenewalIgnored(err error) bool { return asError[ErrRenewalIgnored](err) }
 
+// ErrWorkerRestarted is returned for a renewal of leases that was meant for another life of the worker: it had
+// no effect.
+type ErrWorkerRestarted struct{ Life string }
+
+func (e ErrWorkerRestarted) Error() string {
+	return fmt.Sprintf("life %s of the worker has ended", e.Life)
+}
+
+// IsErrWorkerRestarted reports whether err is, or wraps, an ErrWorkerRestarted.
+func IsErrWorkerRestarted(err error) bool { return asError[ErrWorkerRestarted](err) }
+
 func asError[T error](err error) bool {
 	var target T
 	return errors.As(err, &target)
@@ -99,6 +111,7 @@
 	CallTimeout time.Duration // default 2 s
 	HTTP        *http.Client  // default: a new client
 	Now         func() time.Time
+	Clock       func() time.Duration // does not step; default: the boot clock, or, if Now is set, what follows it
 }
 
 // Driver is a client of a worker. It is safe for concurrent use.
@@ -106,7 +119,20 @@
 	config     Config
 	client     *http.Client
 	lastNumber atomic.Int64 // number of the latest lease renewal, including those of earlier processes
-	life       atomic.Value // string: of the worker that listed its attempts last
+	worker     atomic.Pointer[workerState]
+}
+
+// workerState is what the worker stated when it listed its attempts last.
+type workerState struct {
+	life, incarnation string
+	clock             time.Duration // of the worker
+	at                time.Duration // of the agent's clock, not before the worker's reading
+}
+
+// bound converts a time on the agent's clock to the worker's. The result is not later: the worker's clock
+// may have read more than the state says when its answer arrived.
+func (w workerState) bound(until time.Duration) int64 {
+	return max(1, int64(w.clock+until-w.at)) // 0 means no bound
 }
 
 // New returns a client of the worker at c.URL.
@@ -114,6 +140,12 @@
 	if c.CallTimeout <= 0 {
 		c.CallTimeout = 2 * time.Second
 	}
+	if c.Clock == nil && c.Now != nil {
+		c.Clock = timekeeper.Forward(c.Now)
+	}
+	if c.Clock == nil {
+		c.Clock = timekeeper.Uptime
+	}
 	if c.Now == nil {
 		c.Now = time.Now
 	}
@@ -121,9 +153,14 @@
 	if client == nil {
 		client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
 	}
-	return &Driver{config: c, client: client}
+	d := &Driver{config: c, client: client}
+	d.worker.Store(&workerState{})
+	return d
 }
 
+// Clock returns the reading of the agent's clock on which bounds are counted. It does not step.
+func (d *Driver) Clock() time.Duration { return d.config.Clock() }
+
 // StartOptions describes the attempt that StartTask starts.
 type StartOptions struct {
 	TaskID     string
@@ -138,13 +175,16 @@
 	Lease      time.Duration // from the call on; the worker ends the task afterwards
 	LeaseUntil time.Time     // if set, replaces Lease
 	StartBy    time.Time     // zero: no limit
+	// LeaseUntilClock and StartByClock are the same two times on the agent's clock. A worker that states its own
+	// clock goes by them.
+	LeaseUntilClock, StartByClock time.Duration
 }
 
 // StartTask starts an attempt. It is no error if the attempt is already running.
 //
-// The lease is sent as a time on the VM's clock rather than as a duration: with a duration, a
+// The lease is sent as a time on the worker's clock rather than as a duration: with a duration, a
 // call that waits in a queue or a paused process would give the task more time than the owner
-// of its cell accounts for.
+// of its cell accounts for. A worker that states no clock gets times of day.
 func (d *Driver) StartTask(ctx context.Context, o StartOptions) error {
 	c := StartCall{
 		TaskID: o.TaskID, Attempt: o.Attempt, Needs: o.Needs, Class: o.Class, Tenant: o.Tenant,
@@ -152,13 +192,22 @@
 		RunTime:    messenger.Millis(o.RunTime),
 		LeaseUntil: d.config.Now().Add(o.Lease).UnixNano(),
 	}
-	c.Life, _ = d.life.Load().(string)
 	if !o.LeaseUntil.IsZero() {
 		c.LeaseUntil = o.LeaseUntil.UnixNano()
+	} else {
+		o.LeaseUntilClock = d.config.Clock() + o.Lease
 	}
 	if !o.StartBy.IsZero() {
 		c.StartBy = o.StartBy.UnixNano()
 	}
+	w := d.worker.Load()
+	c.Life = w.life
+	if w.incarnation != "" && o.LeaseUntilClock != 0 && (o.StartBy.IsZero() || o.StartByClock != 0) {
+		c.Incarnation, c.LeaseUntilClock = w.incarnation, w.bound(o.LeaseUntilClock)
+		if o.StartByClock != 0 {
+			c.StartByClock = w.bound(o.StartByClock)
+		}
+	}
 	return d.post(ctx, PathStart, TaskCall{TaskID: o.TaskID, Attempt: o.Attempt}, c, nil)
 }
 
@@ -196,15 +245,22 @@
 // RenewLeases sets the leases of all running tasks to end after lease, counted from this
 // call. The worker ends a task whose lease expires.
 func (d *Driver) RenewLeases(ctx context.Context, lease time.Duration) error {
-	return d.RenewLeasesUntil(ctx, d.config.Now().Add(lease))
+	return d.RenewLeasesUntil(ctx, d.config.Now().Add(lease), d.config.Clock()+lease)
 }
 
-// RenewLeasesUntil sets the leases of all running tasks to end at a time on the VM's clock,
-// so that a caller paused before the call does not extend them.
-func (d *Driver) RenewLeasesUntil(ctx context.Context, until time.Time) error {
+// RenewLeasesUntil sets the leases of all running tasks to end at a time, which is given as the time of
+// day and on the agent's clock, so that a caller paused before the call does not extend them.
+func (d *Driver) RenewLeasesUntil(ctx context.Context, until time.Time, untilClock time.Duration) error {
 	c := LeaseCall{Number: d.nextNumber(d.config.Now().UnixNano()), Until: until.UnixNano()}
+	if w := d.worker.Load(); w.incarnation != "" {
+		c.Incarnation, c.UntilClock = w.incarnation, w.bound(untilClock)
+	}
 	var a LeaseAnswer
-	if err := d.post(ctx, PathLeases, TaskCall{}, c, &a); err != nil {
+	err := d.post(ctx, PathLeases, TaskCall{}, c, &a)
+	if IsErrStartExpired(err) {
+		return ErrWorkerRestarted{Life: c.Incarnation}
+	}
+	if err != nil {
 		return err
 	}
 	if a.Number > c.Number {
@@ -238,7 +294,7 @@
 	var a TasksAnswer
 	err := d.get(ctx, PathTasks, &a)
 	if err == nil {
-		d.life.Store(a.Life)
+		d.worker.Store(&workerState{life: a.Life, incarnation: a.Incarnation, clock: time.Duration(a.Clock), at: d.config.Clock()})
 	}
 	return a.Tasks, err
 }
--- a/internal/worker/driver/protocol.go
+++ b/internal/worker/driver/protocol.go
@@ -18,8 +18,8 @@
 	PathLeases     = "/v1/leases"           // POST LeaseCall
 )
 
-// StartCall requests the start of an attempt. Times are Unix ns on the VM's clock, which the
-// worker and its callers share.
+// StartCall requests the start of an attempt. LeaseUntil and StartBy are times of day in Unix ns, which
+// may step back; they apply only if Incarnation is empty, as it is for a worker that states no clock.
 type StartCall struct {
 	TaskID     string              `json:"task-id"`
 	Attempt    int64               `json:"attempt"`
@@ -33,6 +33,10 @@
 	LeaseUntil int64               `json:"lease-until-ns"`
 	StartBy    int64               `json:"start-by-ns,omitempty"` // 0: no limit
 	Life       string              `json:"life,omitempty"`        // of the worker; any other refuses the start; empty: any carries it out
+	// Incarnation names the worker whose clock the bounds below are counted on; any other refuses the start.
+	Incarnation     string `json:"incarnation,omitempty"`
+	LeaseUntilClock int64  `json:"lease-until-clock-ns,omitempty"`
+	StartByClock    int64  `json:"start-by-clock-ns,omitempty"` // 0: no limit
 }
 
 // TaskCall identifies an attempt.
@@ -46,7 +50,10 @@
 // number than the latest one it has seen.
 type LeaseCall struct {
 	Number int64 `json:"issued-ns"`
-	Until  int64 `json:"until-ns"`
+	Until  int64 `json:"until-ns"` // time of day; applies only if Incarnation is empty
+	// Incarnation names the worker on whose clock UntilClock is counted; any other refuses the renewal.
+	Incarnation string `json:"incarnation,omitempty"`
+	UntilClock  int64  `json:"until-clock-ns,omitempty"`
 }
 
 // LeaseAnswer holds the number of the latest renewal that the worker has seen. If it is higher
@@ -63,9 +70,13 @@
 // TasksAnswer lists the attempts known to the worker.
 type TasksAnswer struct {
 	Tasks []Task `json:"tasks"`
-	// Life names the worker's process. The next one knows nothing of the attempts of this one, nor which
-	// it was told to refuse. Empty: the worker names none.
+	// Life is what a start by the time of day has to name: it changes with the worker's process and each
+	// time that the time of day steps back. Empty: the worker names none.
 	Life string `json:"life,omitempty"`
+	// Incarnation names the worker's process. The next one knows nothing of the attempts of this one, nor
+	// which it was told to refuse. Empty, as Clock is then: the worker states no clock.
+	Incarnation string `json:"incarnation,omitempty"`
+	Clock       int64  `json:"clock-ns,omitempty"` // reading of the worker's clock, which does not step
 }
 
 // Task is an attempt on the worker. Ended attempts are listed until they are removed.
