runner, controller: an attempt that a former life of the worker may have run is lost

Cause: an order names task and attempt only, and the worker's next life knows neither. By the same cause the answer of the next life to a stop or checkpoint, also to the stop that follows a start without an answer, was reported as "never started"; and a held task was queued again as never started if its agent lived on, though the worker had not.

Change: the agent remembers to which life of the worker it sent each start, until its end is acknowledged. The owner journals, with each start, the worker's life and the agent's process at the decision, and its orders name both for an agent that has started again since. The answer to a stop or checkpoint names the life; a worker of an earlier build is asked for its list after it. An attempt that may have run in another life is not sent; it is reported as lost with an unknown end, so the owner holds it if its class says so and starts it as a new attempt otherwise. The owner records it as confirmed, so no owner concludes later that it never started, and counts a crash, as for an attempt that polls have listed. A start that certainly was not sent before, since its reply was lost or the connection refused, starts in the present life. A held task is queued as never started only if the worker is that of its start, too.

An owner of an earlier build takes the new report for an attempt that did not complete. If agent and worker both start again before the first copy of an order arrives, nobody knows that, so the attempt counts as lost. The agent's entry for a start whose end is never acknowledged, as of a running task that is lost with its worker, stays until a later attempt of the task is sent there or the agent ends.

--- a/internal/agent/runner/order.go
+++ b/internal/agent/runner/order.go
@@ -29,6 +29,9 @@
 	for _, at := range reply.Acked {
 		if err := r.config.Driver.ForgetTask(ctx, at.TaskID, at.Attempt); err == nil {
 			delete(r.refused, at)
+			if r.sentStarts[at.TaskID].attempt == at.Attempt {
+				delete(r.sentStarts, at.TaskID)
+			}
 		}
 	}
 	if p.Leaving {
@@ -60,35 +63,49 @@
 	state       messenger.ReportState
 	reason      string
 	unavailable bool // the worker was unavailable
+	endUnknown  bool // it may have run in a former life of the worker
+}
+
+// result is the effect of an order.
+type result struct {
+	instruction instruction
+	refused     *refusal
+	unsent      bool // the worker has not carried out the start that this order caused
 }
 
 // executeOrders executes orders and returns when all are done, so that the next
 // poll reports the effect of each.
 func (r *Runner) executeOrders(ctx context.Context, sent reading, orders []messenger.Order) {
 	free := r.freeCapacity()
-	refusals := make(chan refusal, len(orders))
+	results := make(chan result, len(orders))
 	slots := make(chan struct{}, maxConcurrentOrders)
 	var wait sync.WaitGroup
 	for _, order := range orders {
-		reason := ""
-		if order.Kind == messenger.OrderStart {
-			if reason = r.checkStart(order, sent, free); reason == "" && !r.isRunning(order) {
-				free = free.Sub(order.Needs)
+		i := r.instruct(order, sent)
+		if order.Kind == messenger.OrderStart && !i.isForFormerLife() {
+			if i.refuseReason = r.checkStart(order, sent, free); i.refuseReason == "" {
+				r.recordStart(&i)
+				if !r.isRunning(order) {
+					free = free.Sub(order.Needs)
+				}
 			}
 		}
 		slots <- struct{}{}
 		wait.Add(1)
 		go func() {
 			defer func() { <-slots; wait.Done() }()
-			if refused := r.execute(ctx, order, sent, reason); refused != nil {
-				refusals <- *refused
-			}
+			results <- r.execute(ctx, i)
 		}()
 	}
 	wait.Wait()
-	close(refusals)
-	for refused := range refusals {
-		r.recordRefusal(refused)
+	close(results)
+	for done := range results {
+		if done.refused != nil {
+			r.recordRefusal(*done.refused)
+		}
+		if done.unsent && done.instruction.first {
+			delete(r.sentStarts, done.instruction.order.TaskID)
+		}
 	}
 }
 
@@ -97,7 +114,7 @@
 	r.refused[at] = messenger.TaskReport{
 		TaskID: at.TaskID, Attempt: at.Attempt, State: f.state, Reason: f.reason,
 		Needs: f.order.Needs, Class: f.order.Class, Tenant: f.order.Tenant, Service: f.order.Service,
-		Unavailable: f.unavailable,
+		Unavailable: f.unavailable, EndUnknown: f.endUnknown,
 	}
 	r.config.Reporter.Report(reporter.RunnerOrderRefused, reporter.Fields{
 		"kind": string(f.order.Kind), "task": at.TaskID, "attempt": at.Attempt, "reason": f.reason,
@@ -167,70 +184,68 @@
 }
 
 // execute executes one order. A start with a reason to refuse it is not run.
-func (r *Runner) execute(ctx context.Context, o messenger.Order, sent reading, refuseReason string) *refusal {
-	switch o.Kind {
-	case messenger.OrderStart:
-		if refuseReason != "" {
-			return r.preventStart(ctx, o, messenger.ReportRefused, refuseReason)
-		}
-		return r.start(ctx, o, sent)
-	case messenger.OrderStop:
-		_, err := r.config.Driver.StopTask(ctx, o.TaskID, o.Attempt)
-		return endResult(o, err)
-	case messenger.OrderCheckpoint:
-		_, err := r.config.Driver.CheckpointTask(ctx, o.TaskID, o.Attempt)
-		return endResult(o, err)
-	case messenger.OrderThrottle:
+func (r *Runner) execute(ctx context.Context, i instruction) result {
+	o := i.order
+	switch {
+	case o.Kind == messenger.OrderThrottle:
 		// An error is not recorded: the next poll reports the percentage in force,
 		// and the owner sends the order again.
 		_ = r.config.Driver.ThrottleTask(ctx, o.TaskID, o.Attempt, o.Percent)
-	}
-	return nil
-}
-
-// endResult returns the report on an attempt that the worker was ordered to end.
-// If the worker lists the attempt, the worker's report replaces this one; if not,
-// the attempt was never started.
-func endResult(o messenger.Order, err error) *refusal {
-	if err != nil {
-		return nil // the owner sends the order again
-	}
-	return &refusal{order: o, state: messenger.ReportRefused, reason: "never started on this VM"}
+		return result{instruction: i}
+	case o.Kind != messenger.OrderStart:
+		// If the worker lists the attempt, its report replaces this one; if not, the
+		// attempt was never started.
+		return result{instruction: i, refused: r.end(ctx, i, messenger.ReportRefused, "never started on this VM")}
+	case i.isForFormerLife():
+		return result{instruction: i, refused: r.end(ctx, i, messenger.ReportLost, "")}
+	case i.refuseReason != "":
+		return result{instruction: i, refused: r.end(ctx, i, messenger.ReportRefused, i.refuseReason)}
+	}
+	return r.start(ctx, i)
 }
 
-func (r *Runner) start(ctx context.Context, o messenger.Order, sent reading) *refusal {
-	startBy := sent.add(messenger.FromMillis(o.ExpiresAfterMillis))
+func (r *Runner) start(ctx context.Context, i instruction) result {
+	o := i.order
+	startBy := i.sent.add(messenger.FromMillis(o.ExpiresAfterMillis))
 	err := r.config.Driver.StartTask(ctx, driver.StartOptions{
 		TaskID: o.TaskID, Attempt: o.Attempt, Needs: o.Needs, Class: o.Class, Tenant: o.Tenant,
 		Service: o.Service, Payload: o.Payload, Checkpoint: o.Checkpoint, RunTime: messenger.FromMillis(o.RunTime),
 		LeaseUntil: r.leaseUntil.time.Round(0), LeaseUntilClock: r.leaseUntil.clock,
-		StartBy: startBy.time.Round(0), StartByClock: startBy.clock,
+		StartBy: startBy.time.Round(0), StartByClock: startBy.clock, Life: i.present,
 	})
+	done := result{instruction: i, unsent: driver.IsErrNotSent(err) || driver.IsErrStartExpired(err)}
+	if !done.unsent {
+		i.startedIn = i.present
+	}
 	switch {
 	case err == nil:
-		return nil
 	case driver.IsErrUnavailable(err):
-		refused := r.preventStart(ctx, o, messenger.ReportRefused, "the worker was unavailable: "+err.Error())
-		if refused != nil {
-			refused.unavailable = true
+		if done.refused = r.end(ctx, i, messenger.ReportRefused, "the worker was unavailable: "+err.Error()); done.refused != nil {
+			done.refused.unavailable = !done.refused.endUnknown
 		}
-		return refused
 	case driver.IsErrStartExpired(err):
-		return r.preventStart(ctx, o, messenger.ReportRefused, "order expired before it was executed")
+		done.refused = r.end(ctx, i, messenger.ReportRefused, "order expired before it was executed")
 	case driver.IsErrAttemptEnded(err):
-		return r.preventStart(ctx, o, messenger.ReportRefused, "attempt has ended or a later one exists")
+		done.refused = r.end(ctx, i, messenger.ReportRefused, "attempt has ended or a later one exists")
 	case driver.IsErrOutcomeUnknown(err):
-		return r.preventStart(ctx, o, messenger.ReportRefused, "the worker did not answer the start")
+		done.refused = r.end(ctx, i, messenger.ReportRefused, "the worker did not answer the start")
+	default:
+		done.refused = r.end(ctx, i, messenger.ReportFailed, "the worker refused the start: "+err.Error())
 	}
-	return r.preventStart(ctx, o, messenger.ReportFailed, "the worker refused the start: "+err.Error())
+	return done
 }
 
-// preventStart records a tombstone at the worker, so that the attempt can't start
-// any more, not even by a call that is still in transit. Only then is the attempt
-// reported as not started: the owner will run the task elsewhere.
-func (r *Runner) preventStart(ctx context.Context, o messenger.Order, state messenger.ReportState, reason string) *refusal {
-	if _, err := r.config.Driver.StopTask(ctx, o.TaskID, o.Attempt); err != nil {
-		return nil // the owner sends the start again, or withdraws it
-	}
-	return &refusal{order: o, state: state, reason: reason}
+// end ends the attempt of an order at the worker, which records a tombstone, so that the attempt can't start
+// any more, not even by a call that is still in transit. Only then is it reported, and the owner will run the
+// task elsewhere. The answer of a life of the worker that the attempt was not sent to does not show that it has
+// not run, nor that it has not completed.
+func (r *Runner) end(ctx context.Context, i instruction, state messenger.ReportState, reason string) *refusal {
+	life, err := r.config.Driver.EndTask(ctx, i.order.TaskID, i.order.Attempt, i.order.Kind == messenger.OrderCheckpoint)
+	if err != nil {
+		return nil // the owner sends the order again, or withdraws the start
+	}
+	if i.startedIn != "" && life != "" && life != i.startedIn {
+		return &refusal{order: i.order, state: messenger.ReportLost, endUnknown: true, reason: "the worker has started again since the attempt was sent to it"}
+	}
+	return &refusal{order: i.order, state: state, reason: reason}
 }
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -60,6 +60,7 @@
 	tasks             []driver.Task
 	loads             []loadWindow                                   // of the local upstreams, oldest first
 	refused           map[messenger.TaskAttempt]messenger.TaskReport // until acknowledged
+	sentStarts        map[string]sentStart                           // the latest one of each task, until its end is acknowledged
 
 	leaving      atomic.Bool
 	draining     chan struct{} // closed by the first Drain
@@ -75,7 +76,7 @@
 		c.Reporter = reporter.Discard()
 	}
 	return &Runner{
-		config: c, refused: make(map[messenger.TaskAttempt]messenger.TaskReport),
+		config: c, refused: make(map[messenger.TaskAttempt]messenger.TaskReport), sentStarts: make(map[string]sentStart),
 		draining: make(chan struct{}), leavingAcked: make(chan struct{}),
 	}
 }
@@ -179,7 +180,7 @@
 	p := messenger.Poll{
 		Cell: r.config.Cell, AgentID: r.config.AgentID, Incarnation: r.config.Incarnation, Epoch: r.epoch,
 		Sequence: r.sequence, Capacity: r.capacity, Upstreams: r.upstreams(), Leaving: r.leaving.Load(),
-		WaitMillis: messenger.Millis(pollWaitTime),
+		WaitMillis: messenger.Millis(pollWaitTime), WorkerLife: r.config.Driver.Life(),
 	}
 	if !r.connected {
 		p.WaitMillis = 0 // the latest renewal is older than after a poll that was answered
--- a/internal/control/bookkeeper/apply.go
+++ b/internal/control/bookkeeper/apply.go
@@ -204,7 +204,7 @@
 		return ErrOvercommitted{r.Started.Task, r.Started.VM}
 	}
 	s.update(r, t, func(t *Task) {
-		t.StartedOn, t.StartedBy, t.Confirmed = r.Started.VM, r.Started.Incarnation, false
+		t.StartedOn, t.StartedBy, t.StartedLife, t.Confirmed = r.Started.VM, r.Started.Incarnation, r.Started.WorkerLife, false
 		t.State, t.VM, t.Attempt, t.Reason = messenger.TaskStarting, r.Started.VM, r.Started.Attempt, ""
 		t.Stop, t.Percent, t.NotBefore, t.Quarantines = "", 0, r.At, v.Quarantines
 	})
--- a/internal/control/bookkeeper/bookkeeper.go
+++ b/internal/control/bookkeeper/bookkeeper.go
@@ -30,11 +30,12 @@
 	State         messenger.TaskState `json:"state"`
 	Reason        string              `json:"reason,omitempty"`
 	Impossible    bool                `json:"impossible,omitempty"`
-	EndUnreported bool                `json:"unheard,omitempty"`    // held because it may have completed without a report
-	VM            string              `json:"vm,omitempty"`         // VM on which it holds resources
-	StartedOn     string              `json:"started-on,omitempty"` // VM of the latest attempt
-	StartedBy     int64               `json:"started-by,omitempty"` // incarnation of that VM's agent
-	Confirmed     bool                `json:"confirmed,omitempty"`  // the agent reported the latest attempt running
+	EndUnreported bool                `json:"unheard,omitempty"`      // held because it may have completed without a report
+	VM            string              `json:"vm,omitempty"`           // VM on which it holds resources
+	StartedOn     string              `json:"started-on,omitempty"`   // VM of the latest attempt
+	StartedBy     int64               `json:"started-by,omitempty"`   // incarnation of that VM's agent
+	StartedLife   string              `json:"started-life,omitempty"` // life of that VM's worker
+	Confirmed     bool                `json:"confirmed,omitempty"`    // the agent reported that the latest attempt runs or may have run
 	Attempt       int64               `json:"attempt"`
 	Quarantines   int                 `json:"quarantines,omitempty"` // of the VM when the latest attempt started
 	Stop          StopKind            `json:"stop,omitempty"`
--- a/internal/control/bookkeeper/record.go
+++ b/internal/control/bookkeeper/record.go
@@ -110,9 +110,11 @@
 	// Incarnation is the incarnation of the VM's agent when the start was
 	// decided.
 	Incarnation int64 `json:"incarnation,omitempty"`
+	// WorkerLife is the life of the VM's worker that the agent had reported then.
+	WorkerLife string `json:"worker-life,omitempty"`
 }
 
-// Confirmed records that the agent reported the attempt as running.
+// Confirmed records that the agent reported the attempt as running, or that it may have run.
 type Confirmed struct {
 	Task    string `json:"task"`
 	Attempt int64  `json:"attempt"`
--- a/internal/control/controller/crash.go
+++ b/internal/control/controller/crash.go
@@ -11,26 +11,31 @@
 )
 
 // attributeCrash returns the crashes that the tasks of a VM are suspected of, by task and including
-// earlier ones, if the latest poll lists none of the VM's confirmed attempts: its worker has started
-// again without its state. The worker of a VM that leaves has not crashed. Agents do not report the
-// time of a crash, so the age of an attempt is counted from its confirmation to the poll.
+// earlier ones, if the latest poll lists none of the VM's confirmed attempts as running: its worker has
+// started again without its state. The worker of a VM that leaves has not crashed. Agents do not report the
+// time of a crash, so the age of an attempt is counted from its confirmation to the poll. An attempt that no
+// poll has listed before the worker started again had just started.
 func (o *owner) attributeCrash(s *session, p messenger.Poll, now time.Time) map[string][]attributor.Crash {
-	if p.Leaving {
+	if p.Leaving || p.Epoch != o.epoch {
 		return nil
 	}
 	var running []*bookkeeper.Task
 	for _, t := range o.state.On(p.Capacity.VM) {
-		if t.State != messenger.TaskRunning {
-			continue
-		}
-		if s.hasReport(messenger.TaskAttempt{TaskID: t.Spec.ID, Attempt: t.Attempt}) {
+		r, reported := s.reported[messenger.TaskAttempt{TaskID: t.Spec.ID, Attempt: t.Attempt}]
+		switch {
+		case t.State == messenger.TaskStopping:
+		case r.State == messenger.ReportRunning:
 			return nil
+		case r.EndUnknown, t.State == messenger.TaskRunning && !reported:
+			running = append(running, t)
 		}
-		running = append(running, t)
 	}
 	crashes, likely := make(map[string][]attributor.Crash), 0
 	for _, t := range running {
 		age := now.Sub(t.Changed)
+		if t.State == messenger.TaskStarting {
+			age = 0
+		}
 		c := attributor.Crash{Run: t.Attempt, VM: p.Capacity.VM, AgeMillis: age.Milliseconds(), Likely: attributor.IsLikely(t.Crashes, age)}
 		if !c.Likely && t.Spec.Service != "" {
 			continue // a replica that had run for long is there at every crash
--- a/internal/control/controller/order.go
+++ b/internal/control/controller/order.go
@@ -183,7 +183,7 @@
 
 // orderFor returns the order that the state of a task calls for, if any.
 func (o *owner) orderFor(t *bookkeeper.Task, s *session, now time.Time) (messenger.Order, bool) {
-	order := messenger.Order{TaskID: t.Spec.ID, Attempt: t.Attempt}
+	order := messenger.Order{TaskID: t.Spec.ID, Attempt: t.Attempt, AgentIncarnation: t.StartedBy, WorkerLife: t.StartedLife}
 	switch t.State {
 	case messenger.TaskStarting:
 		if !o.contactFresh(now) || o.zoneOut(t.VM) || now.Sub(s.pending.call.received) > startValidity {
--- a/internal/control/controller/planning.go
+++ b/internal/control/controller/planning.go
@@ -94,10 +94,11 @@
 		probed[s.VM] = true
 	}
 	d := messenger.Decision{Task: s.TaskID, VM: s.VM, Service: t.Spec.Service, Reason: s.Reason, Inputs: s.Inputs}
-	started := bookkeeper.Started{Task: s.TaskID, VM: s.VM, Attempt: t.Attempt + 1, Incarnation: o.session(s.VM).incarnation}
+	session := o.session(s.VM)
+	started := bookkeeper.Started{Task: s.TaskID, VM: s.VM, Attempt: t.Attempt + 1, Incarnation: session.incarnation, WorkerLife: session.workerLife}
 	if o.decide(bookkeeper.Record{Started: &started}, reporter.StartDecided, d, nil) == nil {
 		o.metrics.starts.Inc()
-		o.session(s.VM).addPlacement(t, o.config.Now())
+		session.addPlacement(t, o.config.Now())
 	}
 }
 
--- a/internal/control/controller/report.go
+++ b/internal/control/controller/report.go
@@ -36,9 +36,11 @@
 	vm := p.Capacity.VM
 	s.reported = make(map[messenger.TaskAttempt]messenger.TaskReport, len(p.Tasks))
 	for _, r := range p.Tasks {
-		at := messenger.TaskAttempt{TaskID: r.TaskID, Attempt: r.Attempt}
-		s.reported[at] = r
-		o.applyReport(s, vm, at, r)
+		s.reported[messenger.TaskAttempt{TaskID: r.TaskID, Attempt: r.Attempt}] = r
+	}
+	crashes := o.attributeCrash(s, p, o.config.Now())
+	for _, r := range p.Tasks {
+		o.applyReport(s, vm, r, crashes[r.TaskID])
 	}
 	for at := range s.unassigned {
 		if !s.hasReport(at) {
@@ -48,7 +50,6 @@
 	if p.Epoch != o.epoch {
 		return
 	}
-	crashes := o.attributeCrash(s, p, o.config.Now())
 	for _, t := range o.state.On(vm) {
 		at := messenger.TaskAttempt{TaskID: t.Spec.ID, Attempt: t.Attempt}
 		if t.State == messenger.TaskRunning && !s.hasReport(at) {
@@ -63,7 +64,8 @@
 	return ok
 }
 
-func (o *owner) applyReport(s *session, vm string, at messenger.TaskAttempt, r messenger.TaskReport) {
+func (o *owner) applyReport(s *session, vm string, r messenger.TaskReport, crashes []attributor.Crash) {
+	at := messenger.TaskAttempt{TaskID: r.TaskID, Attempt: r.Attempt}
 	t := o.state.Task(at.TaskID)
 	current := t != nil && t.HoldsResources() && t.VM == vm && t.Attempt == at.Attempt
 	switch {
@@ -75,6 +77,8 @@
 				o.metrics.observeStartWait(t.Spec, o.config.Now().Sub(t.Submitted))
 			}
 		}
+	case current && r.EndUnknown:
+		o.endInFormerLife(s, vm, t, r, crashes)
 	case current:
 		o.endAttempt(t, attemptEnd{state: r.State, reason: r.Reason, checkpoint: r.Checkpoint, unavailable: r.Unavailable}, func() { o.ack(s, at) })
 	case r.State == messenger.ReportRunning:
@@ -85,7 +89,7 @@
 	case r.State == messenger.ReportCompleted && t != nil && !t.Final() && t.Stop != bookkeeper.StopCompleted &&
 		at.Attempt <= t.Attempt && t.Spec.Service == "":
 		o.completeAfterLoss(s, vm, at)
-	case t != nil && t.State == messenger.TaskHeld && t.EndUnreported && at.Attempt == t.Attempt:
+	case t != nil && t.State == messenger.TaskHeld && t.EndUnreported && at.Attempt == t.Attempt && !r.EndUnknown:
 		o.requeueAfterLoss(s, vm, at, r)
 	case o.commits.uncommitted[at.TaskID] == 0:
 		// The end is already journalled, or was decided without this report.
@@ -93,6 +97,18 @@
 	}
 }
 
+// endInFormerLife ends an attempt that may have run in a former life of the worker, of which no poll has
+// reported the end. It is recorded as confirmed: that the VM does not list it later does not show that it never
+// ran.
+func (o *owner) endInFormerLife(s *session, vm string, t *bookkeeper.Task, r messenger.TaskReport, crashes []attributor.Crash) {
+	at := messenger.TaskAttempt{TaskID: r.TaskID, Attempt: r.Attempt}
+	if !t.Confirmed && o.decide(bookkeeper.Record{Confirmed: &bookkeeper.Confirmed{Task: at.TaskID, Attempt: at.Attempt}}, reporter.StartConfirmed,
+		messenger.Decision{Task: at.TaskID, VM: vm, Reason: "agent reports that it may have run in a former life of the worker"}, nil) != nil {
+		return
+	}
+	o.endAttempt(t, attemptEnd{state: messenger.ReportLost, reason: r.Reason, unreported: true, crashes: crashes}, func() { o.ack(s, at) })
+}
+
 // completeAfterLoss accepts the completion by an attempt that was assumed to be lost: its
 // VM was unreachable for longer than its lease, but had completed the task by then. If the
 // task ran to its end again, it would print its labels twice.
@@ -111,13 +127,13 @@
 // requeueIfNeverStarted requeues a task that was held because its VM was lost, if the VM is
 // back and does not list the attempt, because the start order never arrived. This can be
 // concluded only if the attempt was never confirmed and the agent is the one that ran when
-// the start was decided: a VM that was restarted since has no record of the attempts that
-// it completed, so the task stays held there. A start order still in transit is the reply
+// the start was decided, with the same worker: one that was restarted since has no record of the
+// attempts that it completed, so the task stays held there. A start order still in transit is the reply
 // to an earlier poll, which the agent no longer waits for.
 func (o *owner) requeueIfNeverStarted(t *bookkeeper.Task, now time.Time) {
 	s := o.session(t.StartedOn)
 	at := messenger.TaskAttempt{TaskID: t.Spec.ID, Attempt: t.Attempt}
-	mayHaveRun := !s.epochAcked || t.Confirmed || s.incarnation != t.StartedBy || s.hasReport(at)
+	mayHaveRun := !s.epochAcked || t.Confirmed || s.incarnation != t.StartedBy || s.workerLife != t.StartedLife || s.hasReport(at)
 	if mayHaveRun || !s.reachable(now) || !s.lastPoll.After(t.Changed) {
 		return
 	}
--- a/internal/control/controller/session.go
+++ b/internal/control/controller/session.go
@@ -28,6 +28,7 @@
 type session struct {
 	polled       bool // the agent has polled in this epoch
 	incarnation  int64
+	workerLife   string         // of the worker that the latest poll listed
 	replaced     map[int64]bool // earlier incarnations of the agent
 	sequence     int64
 	epochAcked   bool // the agent has received a reply of this epoch
@@ -135,7 +136,7 @@
 	if !s.polled {
 		o.dirty = true
 	}
-	s.polled, s.incarnation, s.sequence = true, p.Incarnation, p.Sequence
+	s.polled, s.incarnation, s.sequence, s.workerLife = true, p.Incarnation, p.Sequence, p.WorkerLife
 	s.lastPoll = o.config.Now()
 	if p.Epoch == o.epoch && !s.epochAcked {
 		s.epochAcked = true
--- a/internal/standin/worker/calls.go
+++ b/internal/standin/worker/calls.go
@@ -117,12 +117,12 @@
 	t := w.tasks[c.TaskID]
 	w.highestAttempt[c.TaskID] = max(w.highestAttempt[c.TaskID], c.Attempt)
 	if t == nil || t.info.Attempt != c.Attempt {
-		return http.StatusOK, driver.EndAnswer{}
+		return http.StatusOK, driver.EndAnswer{Incarnation: w.incarnation}
 	}
 	if t.info.State == messenger.ReportRunning {
 		do(t)
 	}
-	return http.StatusOK, driver.EndAnswer{Checkpoint: t.info.Checkpoint}
+	return http.StatusOK, driver.EndAnswer{Checkpoint: t.info.Checkpoint, Incarnation: w.incarnation}
 }
 
 func (w *Worker) stop(c driver.TaskCall) (int, any) {
--- a/internal/wire/messenger/cell.go
+++ b/internal/wire/messenger/cell.go
@@ -63,6 +63,10 @@
 	// Time after which a start is refused, counted from when the agent sent the
 	// poll that this order answers.
 	ExpiresAfterMillis int64 `json:"void-after-ms,omitempty"`
+	// AgentIncarnation is the agent's process, and WorkerLife the worker's, when the start of the attempt was
+	// decided. Zero and empty: not known.
+	AgentIncarnation int64  `json:"agent-incarnation,omitempty"`
+	WorkerLife       string `json:"worker-life,omitempty"`
 }
 
 // ReportState is the state of an attempt as reported by its agent.
@@ -93,6 +97,9 @@
 	// Unavailable is set with ReportRefused if the worker was unavailable. An owner
 	// that does not know it takes the report for any other refusal.
 	Unavailable bool `json:"unavailable,omitempty"`
+	// EndUnknown is set with ReportLost if the attempt may have run, and completed, in a former life of the
+	// worker. An owner that does not know it takes the attempt for one that did not complete.
+	EndUnknown bool `json:"end-unknown,omitempty"`
 }
 
 // Usage is the resource usage of a VM, measured over a past window.
@@ -134,8 +141,9 @@
 	Upstreams   []Upstream   `json:"upstreams,omitempty"` // the needs of their services are committed on the VM
 	Tasks       []TaskReport `json:"tasks,omitempty"`     // every attempt that is running or awaits acknowledgement
 	Usage       *Usage       `json:"usage,omitempty"`
-	Leaving     bool         `json:"leaving,omitempty"` // the agent is draining
-	WaitMillis  int64        `json:"wait-ms"`           // how long the owner may delay the answer
+	Leaving     bool         `json:"leaving,omitempty"`     // the agent is draining
+	WorkerLife  string       `json:"worker-life,omitempty"` // of the worker that listed Tasks; empty: it names none
+	WaitMillis  int64        `json:"wait-ms"`               // how long the owner may delay the answer
 }
 
 // TaskAttempt identifies one attempt of a task.
--- a/internal/worker/driver/driver.go
+++ b/internal/worker/driver/driver.go
@@ -75,6 +75,12 @@
 }
 func (e ErrOutcomeUnknown) Unwrap() error { return e.Cause }
 
+// IsErrNotSent reports whether err shows that the call was not sent: no worker, and no proxy, can carry it out.
+func IsErrNotSent(err error) bool {
+	var unavailable ErrUnavailable
+	return errors.As(err, &unavailable) && !asError[errStatus](unavailable.Cause)
+}
+
 // IsErrOutcomeUnknown reports whether err is, or wraps, an ErrOutcomeUnknown.
 func IsErrOutcomeUnknown(err error) bool { return asError[ErrOutcomeUnknown](err) }
 
@@ -129,6 +135,13 @@
 	at                time.Duration // of the agent's clock, not before the worker's reading
 }
 
+func (w workerState) process() string {
+	if w.incarnation != "" {
+		return w.incarnation
+	}
+	return w.life
+}
+
 // bound converts a time on the agent's clock to the worker's. The result is not later: the worker's clock
 // may have read more than the state says when its answer arrived.
 func (w workerState) bound(until time.Duration) int64 {
@@ -158,6 +171,9 @@
 	return d
 }
 
+// Life names the process of the worker that listed its attempts last; empty if it does not say.
+func (d *Driver) Life() string { return d.worker.Load().process() }
+
 // Clock returns the reading of the agent's clock on which bounds are counted. It does not step.
 func (d *Driver) Clock() time.Duration { return d.config.Clock() }
 
@@ -178,6 +194,7 @@
 	// LeaseUntilClock and StartByClock are the same two times on the agent's clock. A worker that states its own
 	// clock goes by them.
 	LeaseUntilClock, StartByClock time.Duration
+	Life                          string // of the worker, as returned by Life; if set, nothing is sent to another one
 }
 
 // StartTask starts an attempt. It is no error if the attempt is already running.
@@ -201,6 +218,9 @@
 		c.StartBy = o.StartBy.UnixNano()
 	}
 	w := d.worker.Load()
+	if o.Life != "" && o.Life != w.process() {
+		return ErrStartExpired{TaskID: o.TaskID}
+	}
 	c.Life = w.life
 	if w.incarnation != "" && o.LeaseUntilClock != 0 && (o.StartBy.IsZero() || o.StartByClock != 0) {
 		c.Incarnation, c.LeaseUntilClock = w.incarnation, w.bound(o.LeaseUntilClock)
@@ -214,20 +234,40 @@
 // StopTask ends an attempt and returns its latest checkpoint. An attempt that the worker has
 // not seen yet cannot start afterwards.
 func (d *Driver) StopTask(ctx context.Context, taskID string, attempt int64) (string, error) {
-	return d.end(ctx, PathStop, taskID, attempt)
+	a, err := d.end(ctx, PathStop, taskID, attempt)
+	return a.Checkpoint, err
 }
 
 // CheckpointTask checkpoints an attempt, ends it and returns the checkpoint. An attempt that
 // the worker has not seen yet cannot start afterwards.
 func (d *Driver) CheckpointTask(ctx context.Context, taskID string, attempt int64) (string, error) {
-	return d.end(ctx, PathCheckpoint, taskID, attempt)
+	a, err := d.end(ctx, PathCheckpoint, taskID, attempt)
+	return a.Checkpoint, err
 }
 
-func (d *Driver) end(ctx context.Context, path, taskID string, attempt int64) (string, error) {
+// EndTask ends an attempt as StopTask does, or CheckpointTask, and returns the life of the worker that has
+// answered. One that does not say is asked for its list: if that names the life that the attempt was sent to,
+// no other has answered in between.
+func (d *Driver) EndTask(ctx context.Context, taskID string, attempt int64, checkpoint bool) (string, error) {
+	path := PathStop
+	if checkpoint {
+		path = PathCheckpoint
+	}
+	a, err := d.end(ctx, path, taskID, attempt)
+	if err != nil || a.Incarnation != "" {
+		return a.Incarnation, err
+	}
+	if _, err := d.FindTasks(ctx); err != nil {
+		return "", err
+	}
+	return d.Life(), nil
+}
+
+func (d *Driver) end(ctx context.Context, path, taskID string, attempt int64) (EndAnswer, error) {
 	var a EndAnswer
 	c := TaskCall{TaskID: taskID, Attempt: attempt}
 	err := d.post(ctx, path, c, c, &a)
-	return a.Checkpoint, err
+	return a, err
 }
 
 // ThrottleTask limits an attempt to percent of its processors.
--- a/internal/worker/driver/driver_test.go
+++ b/internal/worker/driver/driver_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 )
@@ -28,6 +29,33 @@
 	_, _ = conn.Write([]byte("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n"))
 }
 
+// TestStartIsNotSentToOtherLife guards against tasks that run twice: a start that was decided for one life of the
+// worker must not be sent to the next, which knows nothing of the attempt.
+func TestStartIsNotSentToOtherLife(t *testing.T) {
+	starts := 0
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == PathStart {
+			starts++
+		}
+		_, _ = rw.Write([]byte(`{"life":"next"}`))
+	}))
+	t.Cleanup(server.Close)
+	d := New(Config{URL: server.URL})
+	if _, err := d.FindTasks(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range []struct {
+		life string
+		sent bool
+	}{{"former", false}, {"next", true}, {"", true}} {
+		starts = 0
+		err := d.StartTask(t.Context(), StartOptions{TaskID: "t", Attempt: 1, Life: tt.life})
+		if sent := starts == 1; sent != tt.sent || IsErrStartExpired(err) == tt.sent {
+			t.Errorf("start for life %q: sent %t, error %v", tt.life, sent, err)
+		}
+	}
+}
+
 // TestOnlyUnsentCallsAreUnavailable guards against tasks that run twice: a call that may have reached the
 // worker must not count as one without an effect.
 func TestOnlyUnsentCallsAreUnavailable(t *testing.T) {
--- a/internal/worker/driver/protocol.go
+++ b/internal/worker/driver/protocol.go
@@ -65,6 +65,9 @@
 // EndAnswer holds the checkpoint from which an ended attempt can be resumed.
 type EndAnswer struct {
 	Checkpoint string `json:"checkpoint"`
+	// Incarnation names the worker that answered: only of its own life does it know what has run. Empty: the
+	// worker does not say.
+	Incarnation string `json:"incarnation,omitempty"`
 }
 
 // TasksAnswer lists the attempts known to the worker.
