controller: leases of tasks of classes count until they have certainly ended

Cause, twice the same: a lease was counted from one side's state. - A new owner took the moment of its takeover for the last one at which an earlier owner granted leases. If the store drops the earlier owner's lease early, that one goes on granting until it has expired by its own clock: 2.7 s too short with leases of 6 s (TestLeasesGrantedBesideThisOwnerAreCounted). - The first poll that names this owner's epoch replaced the end of all leases, also of one that this owner had granted with its first reply; if its second reply was lost, a lease granted during an outage of the store counted as ended 25.75 s too early (TestLeaseOfFirstReplyIsCountedUntilItEnds).

Change: the earlier owner's lease by the slowest clock is added; the later of both ends counts.

Cost: tasks of a VM that has no contact after a change of owner restart up to 3.1 s later.

--- a/internal/control/controller/order.go
+++ b/internal/control/controller/order.go
@@ -131,9 +131,8 @@
 	}
 	now := o.config.Now()
 	grant := o.grantNow()
-	if end := o.leaseEnd(now, grant); end.After(s.leaseUntil) {
-		s.leaseUntil = end
-	}
+	s.grantedUntil = later(s.grantedUntil, o.leaseEnd(now, grant))
+	s.leaseUntil = later(s.leaseUntil, s.grantedUntil)
 	for _, order := range orders {
 		at := messenger.TaskAttempt{TaskID: order.TaskID, Attempt: order.Attempt}
 		s.sentOrders[sentOrder{at, order.Kind, order.Percent}] = now
--- a/internal/control/controller/session.go
+++ b/internal/control/controller/session.go
@@ -1,14 +1,17 @@
 package controller
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"sort"
 	"time"
 
 	"bamboospread/internal/control/bookkeeper"
+	"bamboospread/internal/control/elector"
 	"bamboospread/internal/fleet/describer"
 	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/kernel/timekeeper"
 	"bamboospread/internal/wire/messenger"
 )
 
@@ -35,6 +38,7 @@
 	lastPoll     time.Time
 	reported     map[messenger.TaskAttempt]messenger.TaskReport // all attempts in the latest poll
 	leaseUntil   time.Time                                      // when every lease granted to the VM has certainly expired
+	grantedUntil time.Time                                      // the same of those that this owner has granted
 	pending      *pendingPoll
 	replyNow     bool                           // reply to the pending poll even without orders
 	acked        []messenger.TaskAttempt        // ended attempts to acknowledge in the next reply
@@ -67,6 +71,19 @@
 	return granted.Add(lease + max(lease/leaseMarginDivisor, minLeaseMargin))
 }
 
+// earlierLeaseEnd returns when every lease that earlier owners have granted has certainly expired. The store may
+// drop the lease of the owner before this one early; that owner goes on granting until it has expired by its own clock.
+func (o *owner) earlierLeaseEnd() time.Time {
+	return o.leaseEnd(o.takeoverAt.Add(timekeeper.Longest(cmp.Or(o.config.OwnerLease, elector.DefaultLease))), o.priorLease)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (s *session) reachable(now time.Time) bool {
 	return s.polled && now.Sub(s.lastPoll) < reachableTimeout
 }
@@ -140,7 +157,7 @@
 	s.lastPoll = o.config.Now()
 	if p.Epoch == o.epoch && !s.epochAcked {
 		s.epochAcked = true
-		s.leaseUntil = o.leaseEnd(s.lastPoll, max(o.config.VMLease, o.grantNow()))
+		s.leaseUntil = later(s.grantedUntil, o.leaseEnd(s.lastPoll, max(o.config.VMLease, o.grantNow())))
 	}
 }
 
@@ -230,7 +247,7 @@
 	leasesPending := false
 	for _, name := range o.state.VMs() {
 		s := o.session(name)
-		if !s.epochAcked && now.Before(o.leaseEnd(o.takeoverAt, o.priorLease)) {
+		if !s.epochAcked && now.Before(o.earlierLeaseEnd()) {
 			leasesPending = true
 		}
 		if now.Before(s.leaseUntil) {
