guardian: a poll that follows a failed one does not wait

Cause: once an agent has given up the runs of a silent worker, it polls as it polls an idle one: the worker may take 1 s to answer. So the agent sees the runs, and the owner orders their stop, that much later than it could. The same holds after one failed poll, which an agent has that stood still itself.

Change: a poll that follows a failed one does not wait.

Evidence: TestRunsOfReturningWorkerAreSeenAtOnce: 1.02 to 1.11 s in 3 of 3 runs before (0.3 s at most is wanted), passes 8 of 8.

--- a/internal/worker/guardian/poll.go
+++ b/internal/worker/guardian/poll.go
@@ -172,7 +172,10 @@
 	// Reports, and therefore all starts, wait for the first poll of an incarnation and of an
 	// epoch. Where nothing ends, it would be answered only after its full wait, up to 1 s
 	// after each change of owner.
-	if g.clockAt.IsZero() || g.polledEpoch != g.epoch || g.resolvesUnconfirmedStartLocked() {
+	//
+	// A worker that stood still together with its clock has runs whose leases count as ended. They are stopped only
+	// once it has answered.
+	if g.clockAt.IsZero() || g.polledEpoch != g.epoch || g.failedPolls > 0 || g.resolvesUnconfirmedStartLocked() {
 		call.Wait = 0
 	}
 	call.EndsSeen, call.Wait = g.endsToForgetLocked(call.Wait)
