guardian: runs that outlive their leases are stopped by the agent

Cause: only the worker's own timer ended runs whose leases have expired. The agent knows when all leases that it may have requested have certainly ended, by its own clock, and that the worker still lists runs, and did nothing with it.

Change: the agent stops what a poll lists that it sent after the end of all leases. Such runs have been given up, or are about to be, and the worker had to end them. A lease that was renewed or a start that was sent meanwhile moves that end, so nothing is stopped under a grant.

--- a/internal/worker/guardian/poll.go
+++ b/internal/worker/guardian/poll.go
@@ -343,6 +343,9 @@
 // applyRunsAndEndsLocked applies the runs and ends of a poll and reports whether they contain
 // news other than measurements.
 func (g *Guardian) applyRunsAndEndsLocked(status Status, from pollStart) (news bool) {
+	// Runs that a poll lists that was sent after all leases had certainly ended go on because the worker's clock stood
+	// still or is slow. The owner starts their tasks elsewhere, and may not be able to order the stop.
+	outlived := from.incarnation == g.incarnation && from.sentAt.After(g.leaseEnd)
 	listed := make(map[tracker.RunKey]bool, len(status.Runs))
 	for _, s := range status.Runs {
 		key := tracker.RunKey{Task: s.Task, Number: s.Run}
@@ -363,6 +366,9 @@
 			r.state = running
 			news = true
 		}
+		if outlived {
+			g.stopLocked(key, r, "lease ended")
+		}
 		r.checkpoint, r.progress, r.measure = s.Checkpoint, s.Progress, s.Measure
 	}
 	news = g.addEndsLocked(status.Ends) || news
--- a/internal/worker/guardian/standstill_test.go
+++ b/internal/worker/guardian/standstill_test.go
@@ -44,3 +44,52 @@
 		t.Errorf("the run is seen %s after the worker is back", took)
 	}
 }
+
+// Guards against tasks with two runs for as long as a worker's clock is behind: it keeps runs whose leases have ended
+// by all other clocks, and the owner, which starts their tasks elsewhere, is not reached.
+func TestRunsThatOutliveTheirLeasesAreStopped(t *testing.T) {
+	tests := []struct {
+		name     string
+		renewals int  // of a grant of half a second
+		silent   bool // the worker answers nothing until the leases have ended
+	}{
+		{"the owner is not reached", 0, false},
+		{"the owner is not reached any more", 4, false},
+		{"nor does the worker answer", 4, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			const grant = time.Second
+			worker := newFakeWorker() // ends no run by itself
+			e := newTestEnv(t, worker)
+			e.g.Follow(1)
+			e.session = e.g.BeginSession()
+			e.grant(1, grant)
+			e.order(1, messenger.WorkStart, 0, 1)
+			e.until("the run", func() bool { return e.confirmed() == 1 })
+			for range tt.renewals {
+				e.grant(1, grant)
+				time.Sleep(grant / 4)
+			}
+			stops := func() (n int) {
+				worker.withLock(func() { n = len(worker.stops) })
+				return n
+			}
+			e.grant(1, grant)
+			grantedAt := time.Now()
+			if stops() > 0 {
+				t.Fatal("a run is stopped under a grant that lasts")
+			}
+			if tt.silent {
+				worker.withLock(func() { worker.unresponsive = true })
+				e.until("the run is given up", func() bool { return len(e.report().Runs) == 0 })
+				worker.withLock(func() { worker.unresponsive = false })
+			}
+			e.until("its stop", func() bool { return stops() > 0 })
+			if after := time.Since(grantedAt); after < grant-10*time.Millisecond {
+				t.Errorf("the run is stopped %s after the grant of %s", after, grant)
+			}
+			e.until("its end", func() bool { return len(e.report().Runs) == 0 })
+		})
+	}
+}
