--- a/internal/job/scheduler/standstill_test.go
+++ b/internal/job/scheduler/standstill_test.go
@@ -37,7 +37,7 @@
 			GrantLease:  func(context.Context, time.Duration) (keeper.Lease, error) { return keeper.Lease{ID: 1}, nil },
 			Transact:    func(context.Context, keeper.Transaction) (int64, error) { return 1, nil },
 			FindRecords: func(context.Context, keeper.ListOptions) (keeper.ListResult, error) { return keeper.ListResult{}, nil },
-			Watch: func(ctx context.Context, w keeper.WatchOptions) (keeper.WatchResult, error) {
+			Watch: func(ctx context.Context, _ keeper.WatchOptions) (keeper.WatchResult, error) {
 				<-ctx.Done()
 				return keeper.WatchResult{}, ctx.Err()
 			},
