--- a/internal/standin/storer/calls.go
+++ b/internal/standin/storer/calls.go
@@ -95,9 +95,18 @@
 
 // transact checks every expectation and lease before it changes anything. All
 // changes of one transaction become visible together.
-func (s *Store) transact(_ context.Context, t keeper.Transaction) result {
+func (s *Store) transact(ctx context.Context, t keeper.Transaction) result {
+	a, showsEnd := s.transactAtOnce(t)
+	if showsEnd {
+		s.awaitShown(ctx, func(f Faults) bool { return f.HideFromWrites })
+	}
+	return a
+}
+
+// transactAtOnce also reports whether its answer shows the end of a lease.
+func (s *Store) transactAtOnce(t keeper.Transaction) (a result, showsEnd bool) {
 	if n := len(t.Expect) + len(t.Puts) + len(t.Removes); n > keeper.MaxTransactionEntries {
-		return result{http.StatusBadRequest, "too many entries"}
+		return result{http.StatusBadRequest, "too many entries"}, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -105,15 +114,15 @@
 	for _, e := range t.Expect {
 		if old := s.recordLocked(e.Key); old.Revision != e.Revision {
 			old.Key = e.Key // a record that does not exist has no key
-			return result{http.StatusConflict, keeper.RecordAnswer{Record: old}}
+			return result{http.StatusConflict, keeper.RecordAnswer{Record: old}}, s.ended[e.Revision]
 		}
 	}
 	for _, p := range t.Puts {
 		if len(p.Value) > keeper.MaxValueBytes {
-			return result{http.StatusRequestEntityTooLarge, "value too large"}
+			return result{http.StatusRequestEntityTooLarge, "value too large"}, false
 		}
 		if p.Lease != 0 && s.leases[p.Lease] == nil {
-			return result{http.StatusGone, p.Lease}
+			return result{http.StatusGone, p.Lease}, true
 		}
 	}
 	for _, p := range t.Puts {
@@ -124,7 +133,7 @@
 			s.deleteLocked(key)
 		}
 	}
-	return ok(keeper.RevisionAnswer{Revision: s.revision})
+	return ok(keeper.RevisionAnswer{Revision: s.revision}), false
 }
 
 func (s *Store) remove(_ context.Context, c keeper.DeleteCall) result {
@@ -152,16 +161,24 @@
 	return ok(keeper.LeaseCall{Lease: s.lastID, TTLMillis: c.TTLMillis})
 }
 
-func (s *Store) keepAlive(_ context.Context, c keeper.LeaseCall) result {
+func (s *Store) keepAlive(ctx context.Context, c keeper.LeaseCall) result {
+	if !s.renew(c.Lease) {
+		s.awaitShown(ctx, func(f Faults) bool { return f.HideFromRenewals })
+		return result{http.StatusGone, c.Lease}
+	}
+	return ok(struct{}{})
+}
+
+// renew renews a lease and reports whether it exists.
+func (s *Store) renew(id int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
-	l := s.leases[c.Lease]
-	if l == nil {
-		return result{http.StatusGone, c.Lease}
+	l := s.leases[id]
+	if l != nil {
+		l.expiresAt = s.config.Now().Add(l.ttl)
 	}
-	l.expiresAt = s.config.Now().Add(l.ttl)
-	return ok(struct{}{})
+	return l != nil
 }
 
 func (s *Store) revoke(_ context.Context, c keeper.LeaseCall) result {
--- a/internal/standin/storer/faults.go
+++ b/internal/standin/storer/faults.go
@@ -1,6 +1,7 @@
 package storer
 
 import (
+	"context"
 	"maps"
 	"net/http"
 	"time"
@@ -16,6 +17,10 @@
 	DropHistory bool    `json:"drop-history"` // once, at the call: watches from an earlier revision get 410
 	DelayMillis int64   `json:"delay-ms"`     // before the effect, which occurs even if the caller has disconnected
 	LoseAnswers float64 `json:"lose-answers"` // probability of closing the connection after the effect
+	// While these faults are in force, calls that show the end of a lease get no answer: its renewals, and
+	// transactions that expect a record which has ended with it.
+	HideFromRenewals bool `json:"hide-from-renewals"`
+	HideFromWrites   bool `json:"hide-from-writes"`
 }
 
 // Delay returns the delay of each call.
@@ -42,6 +47,22 @@
 	s.expireLocked() // up to now, so that a pause of leases begins here
 }
 
+// awaitShown waits until a call that shows the end of a lease may be answered.
+func (s *Store) awaitShown(ctx context.Context, hidden func(f Faults) bool) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		f := s.faults
+		s.mu.Unlock()
+		if !hidden(f) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(expiryCheckInterval):
+		}
+	}
+}
+
 // Calls returns the counts so far.
 func (s *Store) Calls() Calls {
 	s.mu.Lock()
--- a/internal/standin/storer/storer.go
+++ b/internal/standin/storer/storer.go
@@ -41,7 +41,8 @@
 	changes         map[string]keeper.Change // latest change of each key, including deletions
 	log             []string                 // keys of consecutive changes, the last one at the current revision
 	leases          map[int64]*lease
-	expiryCheckedAt time.Time // when leases were last checked for expiry
+	ended           map[int64]bool // revisions of records that have ended with their leases
+	expiryCheckedAt time.Time      // when leases were last checked for expiry
 	lastID          int64
 	changed         chan struct{} // closed and replaced at each change
 	faults          Faults
@@ -71,7 +72,7 @@
 	}
 	s := &Store{
 		config: c, mux: http.NewServeMux(), changes: make(map[string]keeper.Change),
-		leases: make(map[int64]*lease), changed: make(chan struct{}),
+		leases: make(map[int64]*lease), ended: make(map[int64]bool), changed: make(chan struct{}),
 		random: rand.New(rand.NewPCG(c.Seed, c.Seed)), calls: make(map[string]int64),
 	}
 	s.routes()
@@ -109,6 +110,7 @@
 	}
 	sort.Strings(keys)
 	for _, key := range keys {
+		s.ended[s.recordLocked(key).Revision] = true
 		s.deleteLocked(key)
 	}
 	delete(s.leases, id)
--- a/internal/standin/storer/storer_test.go
+++ b/internal/standin/storer/storer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net"
 	"net/http/httptest"
 	"testing"
@@ -116,6 +117,57 @@
 
 // The service drops its history. A watch from an earlier revision fails; one from the
 // newest revision continues and returns later changes.
+// Guards against a fault that shows an owner the end of its lease, or that holds back the calls of others.
+func TestHiddenEndOfLease(t *testing.T) {
+	s, k := start(t, storer.Config{})
+	ctx := t.Context()
+	var ids, revisions []int64
+	for i := range 2 {
+		l, err := k.GrantLease(ctx, time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		revision, err := k.CompareAndSwap(ctx, keeper.SwapOptions{Key: fmt.Sprint("owner", i), Value: []byte("x"), Lease: l.ID})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ids, revisions = append(ids, l.ID), append(revisions, revision)
+	}
+	write := func(i int) error {
+		_, err := k.Transact(ctx, keeper.Transaction{
+			Expect: []keeper.Expectation{{Key: fmt.Sprint("owner", i), Revision: revisions[i]}}, Puts: []keeper.Put{{Key: "k", Value: []byte("x")}},
+		})
+		return err
+	}
+	s.SetFaults(storer.Faults{HideFromRenewals: true, HideFromWrites: true})
+	if err := k.RevokeLease(ctx, ids[0]); err != nil {
+		t.Fatal(err)
+	}
+	renewed, written := make(chan error, 1), make(chan error, 1)
+	go func() { renewed <- k.KeepAlive(ctx, ids[0]) }()
+	go func() { written <- write(0) }()
+	if err := k.KeepAlive(ctx, ids[1]); err != nil {
+		t.Errorf("the renewal of another lease: %v", err)
+	}
+	if err := write(1); err != nil {
+		t.Errorf("the write of another owner: %v", err)
+	}
+	select {
+	case err := <-renewed:
+		t.Errorf("the renewal of an ended lease is answered: %v", err)
+	case err := <-written:
+		t.Errorf("the write is answered: %v", err)
+	case <-time.After(200 * time.Millisecond):
+	}
+	s.SetFaults(storer.Faults{})
+	if err := <-renewed; !keeper.IsErrLeaseNotExist(err) {
+		t.Errorf("once the fault has ended, the renewal: %v", err)
+	}
+	if err := <-written; !keeper.IsErrConflict(err) {
+		t.Errorf("once the fault has ended, the write: %v", err)
+	}
+}
+
 func TestDroppedHistory(t *testing.T) {
 	ctx := context.Background()
 	s, k := start(t, storer.Config{})
--- a/tests/integration/job_testbed_test.go
+++ b/tests/integration/job_testbed_test.go
@@ -48,10 +48,15 @@
 // executors through a proxy.
 func newLinkedJobTestbed(t *testing.T, seed uint64, links int, executorArgs ...string) *jobTestbed {
 	t.Helper()
-	k := harness.New(t, harness.Config{
-		Entries: 2, NoVMs: true, JobVMs: 3, ExecutorLinks: links,
-		ExecutorArgs: append([]string{"--cpu-millis", fmt.Sprint(jobVMMillis), "--memory-mb", "16000", "--lease-max", "10s"}, executorArgs...),
-	})
+	return newJobTestbedOf(t, seed, harness.Config{Entries: 2, JobVMs: 3, ExecutorLinks: links, ExecutorArgs: executorArgs})
+}
+
+// newJobTestbedOf returns a testbed with the processes of c, all of whose VMs have executors.
+func newJobTestbedOf(t *testing.T, seed uint64, c harness.Config) *jobTestbed {
+	t.Helper()
+	c.NoVMs = true
+	c.ExecutorArgs = append([]string{"--cpu-millis", fmt.Sprint(jobVMMillis), "--memory-mb", "16000", "--lease-max", "10s"}, c.ExecutorArgs...)
+	k := harness.New(t, c)
 	k.ApplyFleet(jobFleet)
 	return &jobTestbed{
 		Cluster: k, t: t, random: rand.New(rand.NewPCG(seed, 11)), operator: k.Operator(),
@@ -91,13 +96,16 @@
 	}
 }
 
-// submit submits a job. That no entry can take it is final only if no earlier try may have
-// been accepted.
-func (r *jobTestbed) submit(j *specifier.Job) {
+// submit submits a job to any entry.
+func (r *jobTestbed) submit(j *specifier.Job) { r.submitTo(r.operator, j) }
+
+// submitTo submits a job to the entries of a client. That none can take it is final only if no earlier try may
+// have been accepted.
+func (r *jobTestbed) submitTo(operator *requester.Requester, j *specifier.Job) {
 	ctx, cancel := context.WithTimeout(context.Background(), jobTimeout)
 	defer cancel()
 	for unknown := false; ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
-		_, err := r.operator.SubmitJob(ctx, j)
+		_, err := operator.SubmitJob(ctx, j)
 		unknown = unknown || err != nil && !requester.IsErrUnavailable(err)
 		r.mu.Lock()
 		switch {
