controller: leases of an owner whose own was dropped early are awaited

What callers may see: tasks of classes run twice at once after a change of owner, all of a VM together.

The next owner counted the longest earlier lease from its takeover, and gave up the tasks of VMs that had not polled it by then, up to the owner's lease too early. With the defaults (6 s, and 180 s in an outage) the margin for slow clocks, 9 s, covers that; with shorter leases of VMs it does not.

Change: earlier leases are counted from the time at which the former owner's lease has certainly expired. It is taken to be as long as this owner's, as in the scheduler of jobs.

Cost: tasks of a VM that is lost with the owner start again elsewhere later by one owner's lease.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -91,6 +91,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.OwnerLease <= 0 {
+		c.OwnerLease = elector.DefaultLease
+	}
 	if c.VMLease <= 0 {
 		c.VMLease = DefaultVMLease
 	}
--- a/internal/control/controller/owner.go
+++ b/internal/control/controller/owner.go
@@ -157,7 +157,7 @@
 	}
 	o.metrics = newCellMetrics(c.config.Metrics, c.config.Cell)
 	for _, name := range state.VMs() {
-		o.sessions[name] = &session{leaseUntil: o.leaseEnd(takeoverAt, priorLease), unassigned: make(map[messenger.TaskAttempt]bool), sentOrders: make(map[sentOrder]time.Time)}
+		o.sessions[name] = &session{leaseUntil: o.earlierLeasesEnd(), unassigned: make(map[messenger.TaskAttempt]bool), sentOrders: make(map[sentOrder]time.Time)}
 	}
 	return o
 }
--- a/internal/control/controller/session.go
+++ b/internal/control/controller/session.go
@@ -66,6 +66,15 @@
 	return granted.Add(lease + max(lease/leaseMarginDivisor, minLeaseMargin))
 }
 
+// earlierLeasesEnd returns when every lease that an earlier owner has granted has certainly expired. The store may
+// have dropped the lease of that owner early: then it goes on to grant leases until its own has expired by its clock.
+func (o *owner) earlierLeasesEnd() time.Time {
+	if o.priorLease <= 0 {
+		return o.takeoverAt
+	}
+	return o.leaseEnd(o.takeoverAt, o.config.OwnerLease+o.priorLease)
+}
+
 func (s *session) reachable(now time.Time) bool {
 	return s.polled && now.Sub(s.lastPoll) < reachableTimeout
 }
@@ -229,7 +238,7 @@
 	leasesPending := false
 	for _, name := range o.state.VMs() {
 		s := o.session(name)
-		if !s.epochAcked && now.Before(o.leaseEnd(o.takeoverAt, o.priorLease)) {
+		if !s.epochAcked && now.Before(o.earlierLeasesEnd()) {
 			leasesPending = true
 		}
 		if now.Before(s.leaseUntil) {
--- a/tests/integration/control_testbed_test.go
+++ b/tests/integration/control_testbed_test.go
@@ -51,14 +51,14 @@
 
 // newLinkedCellTestbed returns a testbed in which, with links, agents reach their workers and upstreams
 // through proxies.
-func newLinkedCellTestbed(t *testing.T, seed uint64, vms int, fleetText string, links bool) *cellTestbed {
+func newLinkedCellTestbed(t *testing.T, seed uint64, vms int, fleetText string, links bool, entryArgs ...string) *cellTestbed {
 	t.Helper()
 	k := harness.New(t, harness.Config{
 		Entries: 2, VMs: vms, LocalLinks: links,
-		EntryArgs: []string{
+		EntryArgs: append([]string{
 			"--owner-lease", testOwnerLease.String(), "--vm-lease", testVMLease.String(),
 			"--outage-lease", testOutageLease.String(), "--log-level", "info",
-		},
+		}, entryArgs...),
 		WorkerArgs: []string{"--millicores", fmt.Sprint(vmProcessors), "--memory-bytes", fmt.Sprint(64 << 30)},
 	})
 	k.ApplyFleet(fleetText)
