--- a/internal/control/controller/session.go
+++ b/internal/control/controller/session.go
@@ -1,17 +1,14 @@
 package controller
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"sort"
 	"time"
 
 	"bamboospread/internal/control/bookkeeper"
-	"bamboospread/internal/control/elector"
 	"bamboospread/internal/fleet/describer"
 	"bamboospread/internal/kernel/reporter"
-	"bamboospread/internal/kernel/timekeeper"
 	"bamboospread/internal/wire/messenger"
 )
 
@@ -71,10 +68,13 @@
 	return granted.Add(lease + max(lease/leaseMarginDivisor, minLeaseMargin))
 }
 
-// earlierLeaseEnd returns when every lease that earlier owners have granted has certainly expired. The store may
-// drop the lease of the owner before this one early; that owner goes on granting until it has expired by its own clock.
-func (o *owner) earlierLeaseEnd() time.Time {
-	return o.leaseEnd(o.takeoverAt.Add(timekeeper.Longest(cmp.Or(o.config.OwnerLease, elector.DefaultLease))), o.priorLease)
+// earlierLeasesEnd returns when every lease that an earlier owner has granted has certainly expired. The store may
+// have dropped the lease of that owner early: then it goes on to grant leases until its own has expired by its clock.
+func (o *owner) earlierLeasesEnd() time.Time {
+	if o.priorLease <= 0 {
+		return o.takeoverAt
+	}
+	return o.leaseEnd(o.takeoverAt, o.config.OwnerLease+o.priorLease)
 }
 
 func later(a, b time.Time) time.Time {
@@ -247,7 +247,7 @@
 	leasesPending := false
 	for _, name := range o.state.VMs() {
 		s := o.session(name)
-		if !s.epochAcked && now.Before(o.earlierLeaseEnd()) {
+		if !s.epochAcked && now.Before(o.earlierLeasesEnd()) {
 			leasesPending = true
 		}
 		if now.Before(s.leaseUntil) {
