--- a/internal/standin/storer/storer_test.go
+++ b/internal/standin/storer/storer_test.go
@@ -115,8 +115,6 @@
 	}
 }
 
-// The service drops its history. A watch from an earlier revision fails; one from the
-// newest revision continues and returns later changes.
 // Guards against a fault that shows an owner the end of its lease, or that holds back the calls of others.
 func TestHiddenEndOfLease(t *testing.T) {
 	s, k := start(t, storer.Config{})
@@ -168,6 +166,8 @@
 	}
 }
 
+// The service drops its history. A watch from an earlier revision fails; one from the
+// newest revision continues and returns later changes.
 func TestDroppedHistory(t *testing.T) {
 	ctx := context.Background()
 	s, k := start(t, storer.Config{})
