guardian: a start is not sent once the grant has ended

Cause: an order is accepted under a grant, and its start is sent by another goroutine.

Change: such a start counts as not sent.

--- a/internal/worker/guardian/orders.go
+++ b/internal/worker/guardian/orders.go
@@ -51,6 +51,10 @@
 	return errors.As(err, &e)
 }
 
+// errGrantEnded is the cause of a start that was not sent: without a lease it has no expiry, and the worker
+// could carry it out at any time.
+var errGrantEnded = errors.New("the grant has ended since the order")
+
 // Execute carries out orders. Orders of an ended session, of a replaced owner or for another
 // incarnation of the worker have expired. They are answered with an error, because the owner
 // assumes that acknowledged orders are carried out and never repeats them.
@@ -187,6 +191,10 @@
 		if r := g.runs[key]; r != nil && r.state == starting {
 			r.startExpiresAt, r.sentAt = call.Until, g.config.Now()
 		}
+		if call.Until <= 0 {
+			g.mu.Unlock()
+			return call, ErrWorkerUnreachable{Cause: errGrantEnded}
+		}
 		g.startsInFlight++
 		g.mu.Unlock()
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
