--- a/internal/job/tracker/unconfirmed.go
+++ b/internal/job/tracker/unconfirmed.go
@@ -10,13 +10,17 @@
 // may still be carried out. The users' platform documents a maximum of 12 s.
 const UnconfirmedStartMaxAge = 15 * time.Second
 
+// maxUnansweredStarts is how many starts of a task in a row a worker may leave without an answer before none is sent
+// to it. The task starts on another VM once none of them can be carried out any more.
+const maxUnansweredStarts = 4
+
 // recordedStart is a start call that was not answered. It keeps its task from starting on other VMs only if
 // LateStarts is set; the run does, for as long as it is counted on the VM.
 type recordedStart struct {
 	sentAt   time.Time
 	process  int64  // process of the agent that reported it; 0: one that has ended
 	workerID string // of the worker that the call names, or of a later one
-	repeated bool   // an earlier start of the task on the VM had no answer either
+	earlier  int    // starts of the task on the VM before it that had no answer either
 }
 
 // applyUnconfirmedStarts applies what the agent's process reports. Starts reported by earlier
@@ -31,7 +35,7 @@
 		}
 	}
 	for _, s := range rep.UnconfirmedStarts {
-		vm.recordUnconfirmedStart(s.Key, recordedStart{sentAt: now.Add(-s.Age), process: rep.Process, workerID: known[s.Key].workerID, repeated: known[s.Key].repeated})
+		vm.recordUnconfirmedStart(s.Key, recordedStart{sentAt: now.Add(-s.Age), process: rep.Process, workerID: known[s.Key].workerID, earlier: known[s.Key].earlier})
 	}
 }
 
@@ -55,31 +59,28 @@
 	if u.workerID == "" {
 		u.workerID = vm.WorkerID
 	}
+	before := 0
 	for other, o := range vm.unconfirmedStarts {
-		switch {
-		case other.Task != key.Task:
-		case other.Number < key.Number:
-			u.repeated = true
-		case other.Number > key.Number:
-			o.repeated = true
-			vm.unconfirmedStarts[other] = o
+		if other.Task == key.Task && other.Number < key.Number {
+			before = max(before, o.earlier+1)
 		}
 	}
+	u.earlier = max(u.earlier, before)
 	vm.unconfirmedStarts[key] = u
 }
 
 // LateStart is a start without an answer that may still be carried out by a later incarnation of the worker.
 type LateStart struct {
-	vm       *VM
-	repeated bool
+	vm      *VM
+	earlier int
 }
 
 // VM returns the VM of the worker.
 func (l LateStart) VM() *VM { return l.vm }
 
 // Admits reports whether another start of the task on a VM is safe, and of use: on the same VM only, and not if
-// the worker has left two of its starts without an answer.
-func (l LateStart) Admits(vm *VM) bool { return l.vm == vm && !l.repeated }
+// the worker has left maxUnansweredStarts in a row without an answer.
+func (l LateStart) Admits(vm *VM) bool { return l.vm == vm && l.earlier+1 < maxUnansweredStarts }
 
 // LateStarts returns the starts that may still be carried out late, by their task. A start without an answer is
 // given up once the worker's clock has passed its expiry. If the worker restarts under its ID, its clock begins
@@ -98,7 +99,7 @@
 			if found == nil {
 				found = make(map[specifier.TaskID][]LateStart)
 			}
-			found[key.Task] = append(found[key.Task], LateStart{vm, u.repeated})
+			found[key.Task] = append(found[key.Task], LateStart{vm, u.earlier})
 		}
 	}
 	return found
