--- a/internal/operator/requester/requester_test.go
+++ b/internal/operator/requester/requester_test.go
@@ -159,6 +159,7 @@
 
 func TestTaskRequestsReachOwner(t *testing.T) {
 	_, url := newStore(t)
+	var mu sync.Mutex // a handler may go on after its caller has given up
 	var got []string
 	failure := error(nil)
 	e := newEntry(t, url, func(method string, params, result any) error {
@@ -166,6 +167,8 @@
 		if err != nil {
 			return err
 		}
+		mu.Lock()
+		defer mu.Unlock()
 		got = append(got, method+" "+string(data))
 		if failure != nil {
 			return failure
@@ -198,9 +201,11 @@
 		}
 		want = append(want, c.want)
 	}
+	mu.Lock()
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
+	mu.Unlock()
 	failures := []struct {
 		err   error
 		write func(error) bool
@@ -214,7 +219,9 @@
 		{connector.Errorf(messenger.CodeNotExist, "x"), IsErrRefused, IsErrRefused},
 	}
 	for _, f := range failures {
+		mu.Lock()
 		failure = f.err
+		mu.Unlock()
 		if err := calls[0].do(); !f.write(err) {
 			t.Errorf("submit, %v: %v", f.err, err)
 		}
