elector: the lease of a former process of the entry is revoked

What callers could see: two processes of one entry at once both hold the cell, and both start tasks until the former one's next write is rejected. Class: that the former process has ended was concluded from its record, which the next process of its entry replaces without waiting for its lease. Cause: the replaced record was the only thing that depended on the former lease. Renewals of the lease went on to succeed, so a former process that was still alive held the ownership for as long as it renewed. Change: the process that replaces the record revokes the former lease after its first renewal, and again after each renewal until that has succeeded. The keys of a lease go with it; the record is the next process's by then and stays. It costs one store call a replacement. A record that another writer replaces while its lease lives is not covered: there the owner ends with its next rejected write, as before.

--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -75,6 +75,7 @@
 type Elector struct {
 	config      Config
 	lease       int64
+	formerLease int64                     // of the process whose record this one has replaced; 0: none
 	lastRenewal atomic.Pointer[time.Time] // when the last successful renewal was sent
 	lastSeen    atomic.Pointer[messenger.CellOwner]
 	revision    int64
@@ -199,7 +200,7 @@
 		_ = e.config.RevokeLease(context.WithoutCancel(ctx), lease.ID)
 		return keeper.IsErrConflict(err), ignoreConflict(err)
 	}
-	e.lease, e.revision = lease.ID, rev
+	e.lease, e.revision, e.formerLease = lease.ID, rev, record.Lease
 	e.lastRenewal.Store(&sent)
 	return false, nil
 }
@@ -400,9 +401,10 @@
 	return nil
 }
 
-// RenewLease renews the lease until the lease has expired or ctx ends.
+// RenewLease renews the lease until the lease has expired or ctx ends. It revokes the lease of the earlier
+// incarnation whose record was replaced.
 func (e *Elector) RenewLease(ctx context.Context) error {
-	for {
+	for former := e.formerLease; ; {
 		if err := pauser.Pause(ctx, e.config.Lease/renewalsPerLease); err != nil {
 			return err
 		}
@@ -410,6 +412,7 @@
 		err := e.config.KeepAlive(ctx, e.lease)
 		if err == nil {
 			e.lastRenewal.Store(&sent)
+			former = e.revokeFormerLease(ctx, former)
 			continue
 		}
 		if keeper.IsErrLeaseNotExist(err) {
@@ -420,6 +423,21 @@
 	}
 }
 
+// revokeFormerLease revokes the lease of an earlier incarnation, unless it is 0, and returns the lease that remains
+// to be revoked. An earlier process that is still alive would otherwise renew its lease, which has no record any
+// more, and hold the ownership beside this one.
+func (e *Elector) revokeFormerLease(ctx context.Context, former int64) int64 {
+	if former == 0 {
+		return 0
+	}
+	limit, cancel := context.WithTimeout(ctx, e.config.Lease/renewalsPerLease)
+	defer cancel()
+	if err := e.config.RevokeLease(limit, former); err != nil && !keeper.IsErrLeaseNotExist(err) {
+		return former
+	}
+	return 0
+}
+
 // Fence returns the condition that makes a transaction of this owner fail once the
 // ownership has ended. It is valid after Publish.
 func (e *Elector) Fence() keeper.Expectation {
