platform: an announcement that lacks a field changes nothing

An announcement without a zone that is `ready` ended a draining in the same way. Cause: a missing field counted as stated and empty, and the announcement took the sequence number of the worker's next own one. Class: a part of a message is believed although the whole can't be right. Change: the announcement is checked whole against what the agent uses before any of it is applied. Service, zone, state, start time and capacity must be stated; sequence number, labels and parts of the capacity if the same worker has stated them before, so that a site whose workers have no labels works on. Malformed ones are counted by field and logged once a minute for each.

--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -163,5 +163,5 @@
 	{EndsMissing, log.WarnLevel, "ends missing", "The worker leaves out numbers in its list of ends: it has forgotten ends that this process has not read."},
 	{RunsGivenUp, log.WarnLevel, "runs given up", "The worker does not respond, and its runs count as ended: the owner may start their tasks elsewhere. The field proof says what showed that: their leases have expired, the process has ended, or the worker has left. lease-left is how long leases that were requested could still last."},
 	{AnnouncementLate, log.WarnLevel, "announcement late", "An incarnation of the worker announced itself, and another one answered the status poll that followed: the announcement was ignored."},
-	{AnnouncementMalformed, log.WarnLevel, "announcement malformed", "An announcement to this agent did not come from a worker and was ignored."},
+	{AnnouncementMalformed, log.WarnLevel, "announcement malformed", "An announcement to this agent did not come from a worker and was ignored: the field is missing or can't be right. Logged once a minute for each field; bamboospread_agent_announcements_malformed_total counts them."},
 }
--- a/internal/service/hoster/agent.go
+++ b/internal/service/hoster/agent.go
@@ -9,7 +9,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/kernel/timekeeper"
 	"bamboospread/internal/worker/attender"
 	"bamboospread/internal/worker/guardian"
@@ -50,9 +49,7 @@
 	})
 	a.announcements = &platform.Announcements{
 		Worker: worker, OnAnnouncement: a.guardian.Announce, OnDeregistration: a.guardian.Deregister,
-		OnMalformed: func(err error) {
-			c.Reporter.Report(reporter.AnnouncementMalformed, reporter.Fields{"error": err.Error()})
-		},
+		OnMalformed: newMalformedLog(c.Reporter, a.metrics, now).record,
 	}
 	return a
 }
