scheduler: records of a takeover that are null or lack a field are not believed

What callers could see: tasks that run twice. A list of members that is null counted as no members, so inherited jobs started while the leases of their runs may last. An epoch that is null, or 0, made the next owner epoch 1, below those that workers have seen, with run numbers that were given out before. Cause: encoding/json takes null for the zero value. The owner itself wrote null for an empty list of members; it writes [] now, and a reader that finds the null of an earlier build waits for all leases once. Change: the three records are decoded whole.

--- a/internal/job/scheduler/flush.go
+++ b/internal/job/scheduler/flush.go
@@ -197,7 +197,7 @@
 }
 
 func (o *owner) writeMembers(ctx context.Context, names []string) error {
-	value, err := json.Marshal(names)
+	value, err := json.Marshal(append([]string{}, names...)) // null is no list that a reader believes
 	if err != nil {
 		return fmt.Errorf("encode members: %w", err)
 	}
--- a/internal/job/scheduler/metrics.go
+++ b/internal/job/scheduler/metrics.go
@@ -70,6 +70,13 @@
 	}
 }
 
+// recordUnreadable counts a record of the store of a kind that can't be read.
+func (m *Metrics) recordUnreadable(kind string) {
+	if m != nil {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`bamboospread_job_records_unreadable_total{record=%q}`, kind)).Inc()
+	}
+}
+
 // largestRecord sets the size of the largest record of a kind.
 func (m *Metrics) largestRecord(kind string, bytes int) {
 	if m != nil {
--- a/internal/job/scheduler/records.go
+++ b/internal/job/scheduler/records.go
@@ -157,6 +157,6 @@
 func (o *owner) restoreHeldEnds(r keeper.Record, now time.Time) {
 	o.records.held = r.Value
 	if err := o.state.RestoreHeldEnds(r.Value, now); err != nil {
-		o.s.config.Reporter.Report(reporter.JobRecordsUnreadable, reporter.Fields{"key": r.Key, "error": err.Error()})
+		o.s.reportUnreadable(r.Key, err, nil)
 	}
 }
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -17,6 +17,7 @@
 	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/kernel/timekeeper"
+	"bamboospread/internal/store/decoder"
 	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/wire/connector"
 	"bamboospread/internal/wire/messenger"
@@ -102,6 +103,8 @@
 	elector *elector.Elector
 	owner   atomic.Pointer[owner] // nil unless this process owns the cell
 	peers   *peers
+
+	unreadable unreadableRecords
 }
 
 // New returns a Scheduler. It competes for the cell once Run is called.
@@ -250,15 +253,14 @@
 // decodeEpoch returns the epoch of its record. If that is unreadable, or is an epoch that no owner can
 // have had, it returns the revision of the record: each epoch took a write, so none was above it.
 func (s *Scheduler) decodeEpoch(record keeper.Record) int64 {
-	var epoch int64
-	err := json.Unmarshal(record.Value, &epoch)
-	if err == nil && epoch >= 0 && epoch <= maxEpoch {
+	epoch, err := decoder.Decode[int64](record.Value)
+	if err == nil && epoch >= 1 && epoch <= maxEpoch {
 		return epoch
 	}
 	if err == nil {
 		err = fmt.Errorf("epoch %d is out of range", epoch)
 	}
-	s.config.Reporter.Report(reporter.JobRecordsUnreadable, reporter.Fields{"key": record.Key, "error": err.Error(), "epoch": record.Revision})
+	s.reportUnreadable(record.Key, err, reporter.Fields{"epoch": record.Revision})
 	return record.Revision
 }
 
--- a/internal/job/scheduler/session_test.go
+++ b/internal/job/scheduler/session_test.go
@@ -93,7 +93,7 @@
 	}
 	report(false)
 	store()
-	if stored != "[]" && stored != "null" {
+	if stored != "[]" {
 		t.Errorf("members %s after it became idle", stored)
 	}
 	if report(true); len(o.sessions["vm-1"].queued) != 0 {
--- a/internal/job/scheduler/silence.go
+++ b/internal/job/scheduler/silence.go
@@ -10,6 +10,7 @@
 
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/kernel/timekeeper"
+	"bamboospread/internal/store/decoder"
 	"bamboospread/internal/store/keeper"
 )
 
@@ -76,9 +77,9 @@
 		return fmt.Errorf("read silent members: %w", err)
 	}
 	o.writer.setRevision(record.Key, record.Revision)
-	var r silenceRecord
-	if err := json.Unmarshal(record.Value, &r); err != nil {
-		o.s.config.Reporter.Report(reporter.JobRecordsUnreadable, reporter.Fields{"key": record.Key, "error": err.Error()})
+	r, err := decoder.Decode[silenceRecord](record.Value)
+	if err != nil {
+		o.s.reportUnreadable(record.Key, err, nil)
 		return nil
 	}
 	if r.Epoch != o.epoch-1 {
--- a/internal/job/scheduler/snapshots.go
+++ b/internal/job/scheduler/snapshots.go
@@ -79,7 +79,7 @@
 			err = s.decode(record.Value, now)
 		}
 		if err != nil {
-			o.s.config.Reporter.Report(reporter.JobRecordsUnreadable, reporter.Fields{"key": key, "error": err.Error()})
+			o.s.reportUnreadable(key, err, nil)
 		}
 	}
 }
--- a/internal/job/scheduler/takeover.go
+++ b/internal/job/scheduler/takeover.go
@@ -2,15 +2,17 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
 	"bamboospread/internal/job/tracker"
 	"bamboospread/internal/kernel/pauser"
 	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/store/decoder"
 	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/store/lister"
 )
@@ -55,7 +57,7 @@
 			continue
 		}
 		if err := state.Restore(id, r.Value, now); err != nil {
-			s.config.Reporter.Report(reporter.JobRecordsUnreadable, reporter.Fields{"key": r.Key, "error": err.Error()})
+			s.reportUnreadable(r.Key, err, nil)
 		}
 	}
 	if held.Key != "" {
@@ -131,7 +133,10 @@
 func (o *owner) addJob(r keeper.Record, reconcileAt, now time.Time) bool {
 	spec, err := tracker.DecodeJob(r.Value)
 	if err != nil || JobKey(spec.ID) != r.Key {
-		o.s.config.Reporter.Report(reporter.JobRecordsUnreadable, reporter.Fields{"key": r.Key, "error": fmt.Sprint(err)})
+		if err == nil {
+			err = fmt.Errorf("job %q is not that of the key", spec.ID)
+		}
+		o.s.reportUnreadable(r.Key, err, nil)
 		return false
 	}
 	if !o.state.AddJob(spec, reconcileAt, now) {
@@ -163,9 +168,12 @@
 		return fmt.Errorf("read members: %w", err)
 	}
 	o.writer.setRevision(record.Key, record.Revision)
-	var names []string
-	if err := json.Unmarshal(record.Value, &names); err != nil {
-		o.s.config.Reporter.Report(reporter.JobRecordsUnreadable, reporter.Fields{"key": record.Key, "error": err.Error()})
+	names, err := decoder.Decode[[]string](record.Value)
+	if err == nil && slices.Contains(names, "") {
+		err = errors.New("a member has no name")
+	}
+	if err != nil {
+		o.s.reportUnreadable(record.Key, err, nil)
 		names = []string{unknownMember}
 	}
 	for _, n := range names {
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -105,7 +105,7 @@
 	{CellOwnershipTaken, log.InfoLevel, "ownership taken", "This entry owns the cell from now on, with the given epoch."},
 	{CellOwnershipLost, log.WarnLevel, "ownership lost", "This entry no longer owns the cell; another one takes over."},
 	{CellReconciled, log.InfoLevel, "inherited jobs reconciled", "Every VM has reported, or its leases have expired: tasks of jobs that an earlier owner may have started may start."},
-	{JobRecordsUnreadable, log.ErrorLevel, "record unreadable", "A record in the store can't be read and is left unchanged; it was written by another program or is damaged."},
+	{JobRecordsUnreadable, log.ErrorLevel, "record unreadable", "A record in the store lacks a field or can't be read, and changes nothing; it was written by another program or is damaged. Logged once a minute for each key; bamboospread_job_records_unreadable_total counts them."},
 	{ProgressNotStored, log.WarnLevel, "progress not stored", "Ends of runs could not be stored; they are not acknowledged and are written again."},
 	{ProgressStored, log.DebugLevel, "progress stored", "Ends of runs are stored and workers may discard them."},
 	{PolicyApplied, log.InfoLevel, "policy applied", "A newer version of queues and services, or a change of the availability zones that are out, is in force here."},
