tracker: progress of a job that lacks a field is not believed

What callers could see: tasks that are done run again, and a state that is none. A progress record without "next" (or null) began its job anew; one whose occurrence had no number, or one that was not opened, put another in its place; one without its open occurrences left the job without any, for good; a final one (or a tombstone) without its time counted as ended in 1970, so it was forgotten at once and a repeated submission would run again. For a caller that asked while there is no owner, {} was answered as accepted with no state. Cause: fields that are missing counted as zero; only the upper bound of the occurrences was checked. Class: a part of a record is believed although the whole can't be right. Change: DecodeRecord decodes it whole, for the owner and for entries; each occurrence that was opened must be finished or open, with a number of its own, until the job has ended. Otherwise the job counts as unreadable, as before for damaged ones. Tombstones need a final state and its time. Records in three tests of the two packages lacked fields that every writer states ({"state":"done"}): they are whole now, and the tombstone without its time, which TestDecodeJob accepted, is refused.

--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -320,8 +320,8 @@
 	case err != nil:
 		return Result{}, err
 	default:
-		var p tracker.Record
-		if err := json.Unmarshal(record.Value, &p); err != nil {
+		p, err := tracker.DecodeRecord(record.Value)
+		if err != nil {
 			return Result{}, fmt.Errorf("decode progress of job %s: %w", id, err)
 		}
 		state, reason = p.State, p.Reason
--- a/internal/job/receiver/receiver_test.go
+++ b/internal/job/receiver/receiver_test.go
@@ -160,11 +160,15 @@
 	}{
 		{"from the owner", "running", nil, Accepted, tracker.JobRunning},
 		{"stored, owner unavailable", "", map[string]string{scheduler.JobKey(id): "{}"}, Accepted, tracker.JobQueued},
-		{"progress", "", map[string]string{scheduler.JobKey(id): "{}", scheduler.ProgressKey(id): `{"state":"done"}`}, Accepted, tracker.JobDone},
-		{"cancelled", "", map[string]string{scheduler.JobKey(id): "{}", scheduler.ProgressKey(id): `{"state":"running"}`, scheduler.CancelKey(id): "1"}, Accepted, tracker.JobCancelled},
-		{"cancelled after its end", "", map[string]string{scheduler.JobKey(id): "{}", scheduler.ProgressKey(id): `{"state":"done"}`, scheduler.CancelKey(id): "1"}, Accepted, tracker.JobDone},
+		{"progress", "", map[string]string{scheduler.JobKey(id): "{}", scheduler.ProgressKey(id): `{"state":"done","ended-ms":7,"next":1,"finished":1}`}, Accepted, tracker.JobDone},
+		{"cancelled", "", map[string]string{scheduler.JobKey(id): "{}", scheduler.ProgressKey(id): `{"state":"running","next":1,"open":[{"number":0,"steps":[{}]}]}`, scheduler.CancelKey(id): "1"}, Accepted, tracker.JobCancelled},
+		{"cancelled after its end", "", map[string]string{scheduler.JobKey(id): "{}", scheduler.ProgressKey(id): `{"state":"done","ended-ms":7,"next":1,"finished":1}`, scheduler.CancelKey(id): "1"}, Accepted, tracker.JobDone},
 		{"unknown", "", nil, NotExist, ""},
 		{"unreadable", "", map[string]string{scheduler.JobKey(id): "{}", scheduler.ProgressKey(id): `{`}, Refused, ""},
+		{"null", "", map[string]string{scheduler.JobKey(id): "{}", scheduler.ProgressKey(id): `null`}, Refused, ""},
+		{"without a state", "", map[string]string{scheduler.JobKey(id): "{}", scheduler.ProgressKey(id): `{"next":1,"finished":1}`}, Refused, ""},
+		{"of an unknown state", "", map[string]string{scheduler.JobKey(id): "{}", scheduler.ProgressKey(id): `{"state":"sleeping","next":1,"finished":1}`}, Refused, ""},
+		{"done at no time", "", map[string]string{scheduler.JobKey(id): "{}", scheduler.ProgressKey(id): `{"state":"done","next":1,"finished":1}`}, Refused, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/job/tracker/fuzz_test.go
+++ b/internal/job/tracker/fuzz_test.go
@@ -13,6 +13,7 @@
 	f.Add(`{"id":"`+id+`","queue":"q","steps":[{"count":2,"needs":{"cpu-millis":1000}},{"count":1,"after":[0]}]}`, `{"state":"running","next":1,"open":[{"number":0,"steps":[{"done":"01","failed":{"1":[3]}},{}]}]}`)
 	f.Add(`{"id":"`+id+`","steps":[{"count":1,"after":[7]}]}`, `{"state":"running","finished":-3,"next":-1,"open":[{"number":0,"steps":[]}]}`)
 	f.Add(`{"id":"`+id+`","steps":[{"count":1}],"occurrences":1000000}`, `{"open":[{"number":0,"steps":[{"failed":{"-9":[1]}}]}]}`)
+	f.Add(`{"id":"`+id+`","steps":[{"count":1}]}`, `{"state":"running"}`)
 	f.Add(`null`, `null`)
 	f.Fuzz(func(t *testing.T, job, progress string) {
 		spec, err := DecodeJob([]byte(job))
@@ -24,7 +25,11 @@
 		if tr.Jobs[spec.ID] == nil {
 			t.Fatal("the decoded job is missing")
 		}
-		_ = tr.Restore(spec.ID, []byte(progress), at(10))
+		if err := tr.Restore(spec.ID, []byte(progress), at(10)); err != nil {
+			if j := tr.Jobs[spec.ID]; j.Startable() || len(j.Occurrences) > 0 || j.Finished > 0 || j.State.Final() && spec.Ended == "" {
+				t.Errorf("parts of a refused record are believed: %+v", j)
+			}
+		}
 		tr.Reconcile(true, at(20))
 		tr.OpenDue(at(20))
 		for _, s := range tr.OpenSteps() {
--- a/internal/job/tracker/occurrences_test.go
+++ b/internal/job/tracker/occurrences_test.go
@@ -64,6 +64,20 @@
 		{"an unknown state", `{"state":"sleeping","next":1,"open":[{"number":0,"steps":[{"done":"01"}]}]}`, 0},
 		{"more steps than the job", `{"state":"running","next":1,"open":[{"number":0,"steps":[{},{}]}]}`, 0},
 		{"invalid bitmap", `{"state":"running","next":1,"open":[{"number":0,"steps":[{"done":"zz"}]}]}`, 0},
+		{"readable, with a checkpoint and a failed run", `{"state":"running","next":1,"open":[{"number":0,"steps":[{"failed":{"1":[3]},"checkpoints":{"0":"c"}}]}]}`, 1},
+		{"null", `null`, 0},
+		{"nothing", `{}`, 0},
+		{"no state", `{"next":1,"open":[{"number":0,"steps":[{"done":"01"}]}]}`, 0},
+		{"a state in other letters", `{"state":"running","State":"queued","next":1,"open":[{"number":0,"steps":[{"done":"01"}]}]}`, 0},
+		{"no next occurrence", `{"state":"running"}`, 0},
+		{"next occurrence null", `{"state":"running","next":null}`, 0},
+		{"no open occurrences", `{"state":"running","next":1}`, 0},
+		{"an occurrence without number", `{"state":"running","next":1,"open":[{"steps":[{"done":"01"}]}]}`, 0},
+		{"an occurrence that is not opened yet", `{"state":"running","next":1,"open":[{"number":1,"steps":[{"done":"01"}]}]}`, 0},
+		{"an occurrence with a negative number", `{"state":"running","next":1,"open":[{"number":-1,"steps":[{"done":"01"}]}]}`, 0},
+		{"an occurrence without steps", `{"state":"running","next":1,"open":[{"number":0}]}`, 0},
+		{"a crash without its VM", `{"state":"running","next":1,"open":[{"number":0,"steps":[{"crashes":{"0":[{"run":3,"age-ms":5}]}}]}]}`, 0},
+		{"ended at no time", `{"state":"done","next":1,"finished":1}`, 0},
 		{"more occurrences than the job", `{"state":"running","next":2,"open":[{"number":1,"steps":[{"done":"01"}]}]}`, 0},
 	}
 	for _, tt := range tests {
@@ -87,11 +101,15 @@
 		ok    bool
 	}{
 		{"valid", `{"id":"0000000000000001","queue":"q","steps":[{"count":1},{"count":1,"after":[0]}]}`, true},
-		{"tombstone", `{"id":"0000000000000001","queue":"q","ended":"done"}`, true},
+		{"tombstone", `{"id":"0000000000000001","queue":"q","ended":"done","ended-ms":7}`, true},
 		{"invalid JSON", `{`, false},
 		{"no steps", `{"id":"0000000000000001","queue":"q"}`, false},
 		{"after a step that does not exist", `{"id":"0000000000000001","queue":"q","steps":[{"count":1,"after":[7]}]}`, false},
 		{"too many occurrences", `{"id":"0000000000000001","queue":"q","steps":[{"count":1}],"occurrences":99999999999}`, false},
+		{"null", `null`, false},
+		{"nothing", `{}`, false},
+		{"tombstone of a state that is none", `{"id":"0000000000000001","queue":"q","ended":"running","ended-ms":7}`, false},
+		{"tombstone that ended at no time", `{"id":"0000000000000001","queue":"q","ended":"done"}`, false},
 		{"an interval that overflows", `{"id":"0000000000000001","queue":"q","steps":[{"count":1}],"occurrences":3,"interval-ms":9223372036854775807}`, false},
 	}
 	for _, tt := range tests {
--- a/internal/job/tracker/record.go
+++ b/internal/job/tracker/record.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/store/decoder"
 	"bamboospread/internal/worker/attributor"
 )
 
@@ -59,25 +60,58 @@
 	return nil
 }
 
-func (j *Job) restore(value []byte, now time.Time) error {
-	var r Record
-	if err := json.Unmarshal(value, &r); err != nil {
-		return fmt.Errorf("decode: %w", err)
+// DecodeRecord decodes the progress of a job whole or not at all. A field that its writer always states must be there;
+// the error names it.
+func DecodeRecord(value []byte) (Record, error) {
+	r, err := decoder.Decode[Record](value)
+	if err != nil {
+		return Record{}, fmt.Errorf("decode: %w", err)
 	}
 	switch r.State {
 	case JobQueued, JobRunning, JobDone, JobFailed, JobCancelled:
 	default:
-		return fmt.Errorf("unknown state %q", r.State)
+		return Record{}, decoder.ErrField{Field: "state", Problem: fmt.Sprintf("%.100q is unknown", r.State)}
+	}
+	if r.State.Final() && r.EndedAt <= 0 { // the job would be forgotten at once
+		return Record{}, decoder.ErrField{Field: "ended-ms", Problem: "missing"}
+	}
+	return r, nil
+}
+
+// checkOccurrences returns an error if the occurrences are not those of a job. Each one that was opened is finished
+// or open, until the job has ended.
+func (r Record) checkOccurrences(count int) error {
+	opened := r.Finished + len(r.Open)
+	if r.Finished < 0 || r.Next < 0 || r.Next > count || opened > r.Next || opened < r.Next && !r.State.Final() {
+		return fmt.Errorf("inconsistent occurrences: %d finished, %d open, %d opened so far of %d", r.Finished, len(r.Open), r.Next, count)
+	}
+	numbers := make(map[int]bool, len(r.Open))
+	for i, o := range r.Open {
+		if o.Number < 0 || o.Number >= r.Next || numbers[o.Number] {
+			return decoder.ErrField{Field: fmt.Sprintf("open[%d].number", i), Problem: fmt.Sprintf("%d is given twice or not opened", o.Number)}
+		}
+		numbers[o.Number] = true
+	}
+	return nil
+}
+
+func (j *Job) restore(value []byte, now time.Time) error {
+	r, err := DecodeRecord(value)
+	if err != nil {
+		return err
 	}
-	hasSteps := j.Spec.Ended == "" // tombstones have no steps and no occurrences
-	if hasSteps && (r.Finished < 0 || r.Next < 0 || r.Next > j.Spec.OccurrenceCount() || r.Finished+len(r.Open) > r.Next) {
-		return fmt.Errorf("inconsistent occurrences: %d finished, %d open, %d opened so far of %d", r.Finished, len(r.Open), r.Next, j.Spec.OccurrenceCount())
+	if j.Spec.Ended == "" { // tombstones have no steps and no occurrences
+		if err := r.checkOccurrences(j.Spec.OccurrenceCount()); err != nil {
+			return err
+		}
 	}
+	wasStarted := j.Started
 	j.Started = r.State != JobQueued
 	var open []*Occurrence
 	for _, or := range r.Open {
 		o := newOccurrence(j, or.Number, now)
 		if err := o.restore(or, now); err != nil {
+			j.Started = wasStarted
 			return err
 		}
 		open = append(open, o)
@@ -227,6 +261,12 @@
 		return nil, fmt.Errorf("decode job: %w", err)
 	}
 	if j.Ended != "" { // a tombstone has no steps to check
+		if !JobState(j.Ended).Final() {
+			return nil, decoder.ErrField{Field: "ended", Problem: fmt.Sprintf("%.100q is no final state", j.Ended)}
+		}
+		if j.EndedMillis <= 0 {
+			return nil, decoder.ErrField{Field: "ended-ms", Problem: "missing"}
+		}
 		return &j, nil
 	}
 	if err := specifier.Check(&j); err != nil {
--- a/internal/job/tracker/tracker_test.go
+++ b/internal/job/tracker/tracker_test.go
@@ -324,7 +324,7 @@
 	if got := tr.open; len(got) != 1 || got[0].Spec.ID != jobID(2) {
 		t.Errorf("open jobs are %v", got)
 	}
-	if err := tr.Restore(jobID(2), []byte(`{"state":"cancelled"}`), at(20)); err != nil {
+	if err := tr.Restore(jobID(2), []byte(`{"state":"cancelled","ended-ms":20,"next":1}`), at(20)); err != nil {
 		t.Fatal(err)
 	}
 	if got := tr.open; len(got) != 0 {
