tracker: an odd end in the record of held ends is left out, the others count

What callers could see: tasks that are done run again, as one end that can't be read kept those after it from the next owner, which had been acknowledged to their workers. An end without a run or with an unknown outcome counted in part (the task as started). Cause: the ends were applied one by one until the first error, and nothing but the task was checked. Class: a reader that stops for good at one entry, and one that believes parts of it. Change: each end is decoded whole before it is applied (task, run, outcome). One that can't be right is left out; the error names the first, with its index and field. The decoder leaves the check of raw messages to its caller.

--- a/internal/job/tracker/flush_test.go
+++ b/internal/job/tracker/flush_test.go
@@ -1,10 +1,12 @@
 package tracker
 
 import (
+	"errors"
 	"testing"
 	"time"
 
 	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/store/decoder"
 )
 
 // flushFixture is a VM with runs of two jobs, of which the store may take only the second.
@@ -148,3 +150,57 @@
 		t.Errorf("ends are held after their job is stored: %s", held.Value)
 	}
 }
+
+// Guards against tasks that run twice, and against a run number that no worker takes any more: an odd end in the
+// record of held ends, of another writer, is left out, and the others count.
+func TestOddHeldEndIsLeftOut(t *testing.T) {
+	const sound = `{"task":"0000000000000001.0.0.1","run":3,"outcome":"done"}`
+	tests := []struct {
+		name, odd, field string
+	}{
+		{"null", `null`, "[0]"},
+		{"nothing", `{}`, "[0].task"},
+		{"of another type", `7`, "[0]"},
+		{"a list", `[1,null]`, "[0]"},
+		{"no task", `{"run":3,"outcome":"done"}`, "[0].task"},
+		{"another task", `{"task":"x","run":3,"outcome":"done"}`, "[0].task"},
+		{"no run", `{"task":"0000000000000001.0.0.0","outcome":"done"}`, "[0].run"},
+		{"run of another type", `{"task":"0000000000000001.0.0.0","run":"3","outcome":"done"}`, "[0].run"},
+		{"run that can't be", `{"task":"0000000000000001.0.0.0","run":9223372036854775807,"outcome":"done"}`, "[0].run"},
+		{"no outcome", `{"task":"0000000000000001.0.0.0","run":3}`, "[0].outcome"},
+		{"unknown outcome", `{"task":"0000000000000001.0.0.0","run":3,"outcome":"fine"}`, "[0].outcome"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tr := newState(t, 3)
+			j := addJob(t, tr, 1, specifier.Step{Count: 2, Needs: oneCore})
+			err := tr.RestoreHeldEnds([]byte("["+tt.odd+","+sound+"]"), at(10))
+			if e, ok := errors.AsType[decoder.ErrField](err); !ok || e.Field != tt.field {
+				t.Errorf("error %v, want field %s", err, tt.field)
+			}
+			tasks := j.Occurrences[0].Steps[0].Tasks
+			if tasks[0].Done || tasks[0].LastNumber != 0 || !tasks[1].Done {
+				t.Errorf("done %t, %t, last run %d", tasks[0].Done, tasks[1].Done, tasks[0].LastNumber)
+			}
+		})
+	}
+}
+
+// Guards against an owner that crashes at a record of held ends, or gives a run a number that no worker takes.
+func FuzzHeldEnds(f *testing.F) {
+	for _, value := range []string{`[{"task":"0000000000000001.0.0.1","run":3,"outcome":"done"}]`, `null`, `[null]`, `[{"task":"0000000000000001.9.0.0","run":-1,"outcome":"failed"}]`, `{}`} {
+		f.Add([]byte(value))
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		tr := newState(t, 3)
+		j := addJob(t, tr, 1, specifier.Step{Count: 2, Needs: oneCore})
+		_ = tr.RestoreHeldEnds(value, at(10))
+		for _, o := range j.Occurrences {
+			for _, task := range o.Steps[0].Tasks {
+				if n := tr.NextNumber(task); n <= 0 || n > maxHeldRun+1 {
+					t.Errorf("the next run has number %d", n)
+				}
+			}
+		}
+	})
+}
--- a/internal/job/tracker/held.go
+++ b/internal/job/tracker/held.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"bamboospread/internal/job/specifier"
+	"bamboospread/internal/store/decoder"
 )
 
 // Ends are acknowledged to a VM in the order of their numbers, so one that can't be stored holds back those of
@@ -98,36 +101,69 @@
 
 // RestoreHeldEnds applies the ends that an earlier owner has acknowledged and could not store with the progress
 // of their jobs. Those that were stored since change nothing. The jobs count as refused until they are stored,
-// so that their ends stay held.
+// so that their ends stay held. An end that can't be read is left out, as the others were acknowledged; the error is
+// that of the first one.
 func (tr *Tracker) RestoreHeldEnds(value []byte, now time.Time) error {
-	var ends []heldEnd
-	if err := json.Unmarshal(value, &ends); err != nil {
+	all, err := decoder.Decode[[]json.RawMessage](value)
+	if err != nil {
 		return fmt.Errorf("decode held ends: %w", err)
 	}
-	for _, e := range ends {
-		id, err := specifier.ParseTaskID(e.Task)
-		if err != nil {
-			return fmt.Errorf("decode held ends: %w", err)
-		}
-		tr.openThrough(id, now)
-		t := tr.Find(id)
-		if t == nil {
+	var first error
+	for i, raw := range all {
+		e, id, err := decodeHeldEnd(raw)
+		if err == nil {
+			tr.restoreHeldEnd(e, id, now)
 			continue
 		}
-		j := t.Step.Occurrence.Job
-		j.markStarted()
-		t.markRun()
-		t.LastNumber = max(t.LastNumber, e.Run)
-		t.recordCheckpoint(e.Checkpoint)
-		switch {
-		case e.Outcome == EndDone && !t.Step.Spec.LongRunning:
-			tr.taskDone(t, now)
-		case e.Outcome == EndFailed:
-			tr.taskFailed(t, e.Run, 0, now)
+		if f, ok := errors.AsType[decoder.ErrField](err); ok && first == nil {
+			f.Field = strings.TrimSuffix(fmt.Sprintf("[%d].%s", i, f.Field), ".")
+			first = fmt.Errorf("decode held ends: %w", f)
 		}
-		j.markDirty()
-		j.Refused, j.heldVersion = true, j.version
-		j.unstoredEnds = append(j.unstoredEnds, unstoredEnd{e, j.version})
 	}
-	return nil
+	return first
+}
+
+// maxHeldRun is above the number of each run that an owner can have started.
+const maxHeldRun = 1 << 51
+
+// decodeHeldEnd decodes an end whole or not at all. The error is a decoder.ErrField.
+func decodeHeldEnd(raw []byte) (heldEnd, specifier.TaskID, error) {
+	e, err := decoder.Decode[heldEnd](raw)
+	if err != nil {
+		return heldEnd{}, specifier.TaskID{}, err
+	}
+	id, err := specifier.ParseTaskID(e.Task)
+	if err != nil {
+		return heldEnd{}, specifier.TaskID{}, decoder.ErrField{Field: "task", Problem: err.Error()}
+	}
+	if e.Run < 1 || e.Run > maxHeldRun {
+		return heldEnd{}, specifier.TaskID{}, decoder.ErrField{Field: "run", Problem: fmt.Sprintf("%d is out of range", e.Run)}
+	}
+	switch e.Outcome {
+	case EndDone, EndFailed, EndStopped, EndLapsed, EndGangBroken, EndGangIncomplete, EndLost:
+		return e, id, nil
+	}
+	return heldEnd{}, specifier.TaskID{}, decoder.ErrField{Field: "outcome", Problem: fmt.Sprintf("%.100q is unknown", e.Outcome)}
+}
+
+func (tr *Tracker) restoreHeldEnd(e heldEnd, id specifier.TaskID, now time.Time) {
+	tr.openThrough(id, now)
+	t := tr.Find(id)
+	if t == nil {
+		return
+	}
+	j := t.Step.Occurrence.Job
+	j.markStarted()
+	t.markRun()
+	t.LastNumber = max(t.LastNumber, e.Run)
+	t.recordCheckpoint(e.Checkpoint)
+	switch {
+	case e.Outcome == EndDone && !t.Step.Spec.LongRunning:
+		tr.taskDone(t, now)
+	case e.Outcome == EndFailed:
+		tr.taskFailed(t, e.Run, 0, now)
+	}
+	j.markDirty()
+	j.Refused, j.heldVersion = true, j.version
+	j.unstoredEnds = append(j.unstoredEnds, unstoredEnd{e, j.version})
 }
--- a/internal/store/decoder/decoder.go
+++ b/internal/store/decoder/decoder.go
@@ -55,6 +55,9 @@
 
 // check returns an error if a decoded value lacks a part of a type. field is its name.
 func check(t reflect.Type, stated any, field string) error {
+	if t == reflect.TypeFor[json.RawMessage]() { // decoded by the caller
+		return nil
+	}
 	switch t.Kind() {
 	case reflect.Pointer:
 		return check(t.Elem(), stated, field)
