enroller: an odd registration names no entry and blocks none

What callers could see: an entry that never registers again ("key entries/e1 is at revision 1, not at the expected one", every 5 s), once another writer has put null, bytes that can't be read, or another entry's name in its place, or its name under another key. Records without a name or an address counted as peers that every exchange tries to reach. Cause: the entry's own record was found by what it says, not by its key, and fields that are missing counted as stated. Class: a reader that stops for good at one record. Change: a record is decoded whole and must name the entry of its key and host:port; the entry's own is replaced if it is not sound.

--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -104,7 +104,7 @@
 	owner   atomic.Pointer[owner] // nil unless this process owns the cell
 	peers   *peers
 
-	unreadable unreadableRecords
+	unreadable decoder.LogLimit
 }
 
 // New returns a Scheduler. It competes for the cell once Run is called.
--- a/internal/job/scheduler/unreadable_test.go
+++ b/internal/job/scheduler/unreadable_test.go
@@ -27,7 +27,7 @@
 	for range 3 {
 		s.reportUnreadable("progress/1", decoder.ErrField{Field: "next", Problem: "missing"}, nil)
 		s.reportUnreadable("cells/jobs/epoch", decoder.ErrField{Problem: "null"}, reporter.Fields{"epoch": 7})
-		now = now.Add(unreadableLogInterval / 2)
+		now = now.Add(30 * time.Second)
 	}
 	if n := strings.Count(output.String(), "progress/1"); n != 2 || strings.Count(output.String(), "field next: missing") != 2 {
 		t.Errorf("logged %d times, want 2:\n%s", n, &output)
@@ -39,11 +39,11 @@
 		}
 	}
 	output.Reset()
-	for n := range 2 * maxUnreadableLines {
+	for n := range 200 {
 		s.reportUnreadable("progress/other-"+strings.Repeat("x", n), decoder.ErrField{Problem: "null"}, nil)
 	}
-	if n := strings.Count(output.String(), "progress/other-"); n == 0 || n > maxUnreadableLines {
-		t.Errorf("%d lines in a minute, want at most %d", n, maxUnreadableLines)
+	if n := strings.Count(output.String(), "progress/other-"); n == 0 || n > 100 {
+		t.Errorf("%d lines in a minute, want at most 100", n)
 	}
 }
 
--- a/internal/service/enroller/enroller.go
+++ b/internal/service/enroller/enroller.go
@@ -6,12 +6,15 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net"
 	"sort"
 	"sync"
 	"time"
 
 	"bamboospread/internal/kernel/reporter"
+	"bamboospread/internal/store/decoder"
 	"bamboospread/internal/store/keeper"
 	"bamboospread/internal/store/lister"
 	"bamboospread/internal/wire/connector"
@@ -59,6 +62,7 @@
 	mu     sync.Mutex
 	peers  map[string]*peer // by address
 	owners map[string]messenger.CellOwner
+	odd    decoder.LogLimit
 	lease  int64
 }
 
@@ -349,19 +353,20 @@
 func (e *Enroller) applyRecords(ctx context.Context, records []keeper.Record) error {
 	own := keeper.Record{}
 	e.mu.Lock()
+	isSound := true
 	for _, r := range records {
-		var a messenger.PeerAddress
-		if err := json.Unmarshal(r.Value, &a); err != nil {
-			continue // written by a newer program version; the exchange still finds the entry
+		a, err := decodeEntry(r)
+		if err != nil { // the exchange still finds the entry
+			e.reportOdd(r.Key, err)
 		}
-		if a.EntryID == e.config.Self.EntryID {
-			own = r
-		} else if a.Address != e.config.Self.Address {
+		if r.Key == keyPrefix+e.config.Self.EntryID {
+			own, isSound = r, err == nil
+		} else if err == nil && a.Address != e.config.Self.Address {
 			e.ensurePeer(a)
 		}
 	}
 	e.mu.Unlock()
-	if own.Lease == e.lease {
+	if own.Lease == e.lease && isSound {
 		return nil
 	}
 	value, err := json.Marshal(e.config.Self)
@@ -377,6 +382,30 @@
 	return nil
 }
 
+// decodeEntry decodes the record of an entry whole or not at all.
+func decodeEntry(r keeper.Record) (messenger.PeerAddress, error) {
+	a, err := decoder.Decode[messenger.PeerAddress](r.Value)
+	if err != nil {
+		return messenger.PeerAddress{}, err
+	}
+	if a.EntryID == "" || keyPrefix+a.EntryID != r.Key {
+		return messenger.PeerAddress{}, decoder.ErrField{Field: "entry-id", Problem: fmt.Sprintf("%.100q is not that of the key", a.EntryID)}
+	}
+	if host, port, err := net.SplitHostPort(a.Address); err != nil || host == "" || port == "" {
+		return messenger.PeerAddress{}, decoder.ErrField{Field: "address", Problem: fmt.Sprintf("%.100q is not host:port", a.Address)}
+	}
+	return a, nil
+}
+
+// reportOdd logs a record that can't be read, with the field that is wrong if that is known.
+func (e *Enroller) reportOdd(key string, err error) {
+	if !e.odd.Allows(key, e.config.Now()) {
+		return
+	}
+	field, _ := errors.AsType[decoder.ErrField](err)
+	e.config.Reporter.Report(reporter.RegistrationUnreadable, reporter.Fields{"key": key, "field": field.Field, "error": err.Error()})
+}
+
 func (e *Enroller) unregister() error {
 	e.mu.Lock()
 	for _, p := range e.peers {
