platform: a configuration that lacks its version or routes is refused

What callers could see: every route gone. A configuration without "routes" (or null there) counted as one without any and replaced the one in force; null for a route, or one without a name, counted as a queue without a name. At a process that has no configuration yet, one without a version counted as version 0. Cause: a field that is missing counted as stated and empty. Change: the configuration is decoded whole: version, routes (an empty list is one) and each route's name must be there. Otherwise it is refused as bytes that can't be read are: the one in force stays, zones that are out apply. What a route may leave out is as before. In the decoder null for a field that may be missing counts as missing, as operators may write it.

--- a/internal/store/decoder/decoder.go
+++ b/internal/store/decoder/decoder.go
@@ -30,7 +30,8 @@
 
 // Decode decodes a record in JSON. Its writer always states the fields whose tags do not say omitempty, so one that
 // is missing or null is an error, as is an array of another length or a name in other letters. The error is an
-// ErrField. Where a writer encodes an empty slice or map as null, null is read as empty.
+// ErrField. Where a writer encodes an empty slice or map as null, null is read as empty; null for a field that may be
+// missing counts as missing.
 func Decode[T any](value []byte) (T, error) {
 	var v, none T
 	if err := json.Unmarshal(value, &v); err != nil {
@@ -83,14 +84,16 @@
 		name, options, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
 		known = append(known, name)
 		inner := strings.TrimPrefix(field+"."+name, ".")
+		optional := strings.Contains(options, "omitempty")
 		part, ok := object[name]
 		switch {
-		case ok:
+		case part == nil && optional:
+		case !ok:
+			return ErrField{inner, "missing"}
+		default:
 			if err := check(t.Field(i).Type, part, inner); err != nil {
 				return err
 			}
-		case !strings.Contains(options, "omitempty"):
-			return ErrField{inner, "missing"}
 		}
 	}
 	for name := range object {
