messenger, elector, attender: an odd record of the owner names none

What callers could see: refused submissions and reports that reach nobody. An entry that read an owner's record without an entry (null, {}) forgot the owner that it knew; one without an address, or of another cell, became the owner that it calls. An agent took such a record for an owner, or for one that takes over, so it asked no entry while the record stayed. Cause: fields that are missing counted as stated and empty. Change: messenger.DecodeOwner decodes the record whole: cell (that of the key), epoch, entry and address. Otherwise an entry keeps the owner that it knows, and an agent asks the entries as when the store can't be read.

--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -220,8 +220,8 @@
 // for up to two seconds. Only one process of an entry runs at an address, so the earlier
 // one has ended.
 func (e *Elector) isOwnEarlierRecord(record keeper.Record) bool {
-	var o messenger.CellOwner
-	if !e.config.ReplaceOwnRecord || json.Unmarshal(record.Value, &o) != nil {
+	o, err := messenger.DecodeOwner(record.Value, e.config.Cell)
+	if !e.config.ReplaceOwnRecord || err != nil {
 		return false
 	}
 	return o.EntryID == e.config.EntryID && o.Address == e.config.Address
@@ -245,8 +245,7 @@
 }
 
 func (e *Elector) rememberOwner(record keeper.Record) {
-	var o messenger.CellOwner
-	if json.Unmarshal(record.Value, &o) == nil {
+	if o, err := messenger.DecodeOwner(record.Value, e.config.Cell); err == nil {
 		e.lastSeen.Store(&o)
 	}
 }
--- a/internal/worker/attender/lookup.go
+++ b/internal/worker/attender/lookup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -68,7 +67,7 @@
 	if err != nil {
 		return messenger.CellOwner{}, err
 	}
-	o, err := decodeOwner(key, found.Records)
+	o, err := decodeOwner(key, a.config.Cell, found.Records)
 	if err == nil || a.config.Watch == nil {
 		return o, err
 	}
@@ -84,20 +83,19 @@
 			records = append(records, c.Record)
 		}
 	}
-	return decodeOwner(key, records)
+	return decodeOwner(key, a.config.Cell, records)
 }
 
 // decodeOwner returns the owner that the last record of key names.
-func decodeOwner(key string, records []keeper.Record) (o messenger.CellOwner, err error) {
+func decodeOwner(key, cell string, records []keeper.Record) (o messenger.CellOwner, err error) {
 	err = keeper.ErrKeyNotExist{Key: key}
 	for _, r := range records {
 		if r.Key != key {
 			continue
 		}
-		if err = json.Unmarshal(r.Value, &o); err != nil {
-			return o, fmt.Errorf("decode owner: %w", err)
-		}
-		if o.Epoch == 0 {
+		if o, err = messenger.DecodeOwner(r.Value, cell); err != nil {
+			err = fmt.Errorf("decode owner: %w", err)
+		} else if o.Epoch == 0 {
 			err = errTakingOver{o.EntryID}
 		}
 	}
