learner, calibrator, estimator, sharer, admitter: records are restored whole

What callers could see: decisions by data that nobody measured. In the records that an owner leaves to the next one, an effect without its mean counted as none, a VM without its speed as one of full speed, one without its age as measured just now, a kind without its level as level 0, an account without its use as one that has used nothing. A refusal without its times counted as expired, one without its work as a job of none. null counted as an empty record and was not reported. Cause: fields that are missing counted as zero, which is within the limits that are checked. A mean of 1e308 of an effect would make the mean of several infinite. Change: the five are decoded whole; the mean has a limit. Unreadable refusals are logged once a minute for each key where the owner removes old ones. Records in tests that lacked fields which the writer states are whole now but for the damage that they test; four wanted texts of errors name the field instead of its zero value.

--- a/internal/job/admitter/refusal.go
+++ b/internal/job/admitter/refusal.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"bamboospread/internal/store/decoder"
 )
 
 // Retention is how long a refusal is kept: longer than the longest time after which callers return and
@@ -33,8 +35,8 @@
 
 // DecodeRefusal decodes a record.
 func DecodeRefusal(value []byte) (Refusal, error) {
-	var r Refusal
-	if err := json.Unmarshal(value, &r); err != nil {
+	r, err := decoder.Decode[Refusal](value)
+	if err != nil {
 		return Refusal{}, fmt.Errorf("decode refusal: %w", err)
 	}
 	return r, nil
--- a/internal/job/calibrator/snapshot.go
+++ b/internal/job/calibrator/snapshot.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"bamboospread/internal/store/decoder"
 )
 
 // Limits of the snapshot that one owner stores for the next.
@@ -84,8 +86,8 @@
 // Decode restores a snapshot. If the snapshot is invalid or of an unknown version, it returns an
 // error and restores nothing. Speeds that are too old are left out.
 func (c *Calibrator) Decode(value []byte, now time.Time) error {
-	var s snapshot
-	if err := json.Unmarshal(value, &s); err != nil {
+	s, err := decoder.Decode[snapshot](value)
+	if err != nil {
 		return fmt.Errorf("decode speeds of VMs: %w", err)
 	}
 	if err := s.check(); err != nil {
--- a/internal/job/calibrator/snapshot_test.go
+++ b/internal/job/calibrator/snapshot_test.go
@@ -65,12 +65,18 @@
 	tests := []struct{ name, value, want string }{
 		{"cut off", `{"version":1,"within":0.1,"vms":[` + good, "unexpected end"},
 		{"version of a newer build", `{"version":2,"within":0.1,"vms":[` + good + `]}`, "version 2 is not known"},
-		{"no version", `{"within":0.1,"vms":[` + good + `]}`, "version 0 is not known"},
+		{"no version", `{"within":0.1,"vms":[` + good + `]}`, "field version: missing"},
 		{"speed out of range", `{"version":1,"within":0.1,"vms":[` + good + `,{"vm":"b","log":-70,"spread":0.2,"age-ms":0}]}`, `VM "b" has log -70`},
 		{"negative age", `{"version":1,"within":0.1,"vms":[` + good + `,{"vm":"b","log":0,"spread":0.2,"age-ms":-1}]}`, "age -1 ms"},
-		{"VM without a name", `{"version":1,"within":0.1,"vms":[` + good + `,{"log":0,"spread":0.2}]}`, `VM ""`},
-		{"kind without a queue", `{"version":1,"within":0.1,"vms":[` + good + `],"kinds":[{"mean":0,"variance":1}]}`, `kind ""`},
-		{"no spread", `{"version":1,"vms":[` + good + `]}`, "variance within a step is 0"},
+		{"VM without a name", `{"version":1,"within":0.1,"vms":[` + good + `,{"log":0,"spread":0.2}]}`, "field vms[1].vm: missing"},
+		{"kind without a queue", `{"version":1,"within":0.1,"vms":[` + good + `],"kinds":[{"mean":0,"variance":1}]}`, "field kinds[0].queue: missing"},
+		{"null", `null`, "null"},
+		{"VM without a speed", `{"version":1,"within":0.1,"vms":[` + good + `,{"vm":"b","spread":0.2,"age-ms":0}]}`, "vms[1].log"},
+		{"VM without an age", `{"version":1,"within":0.1,"vms":[` + good + `,{"vm":"b","log":0,"spread":0.2}]}`, "vms[1].age-ms"},
+		{"VM that is null", `{"version":1,"within":0.1,"vms":[` + good + `,null]}`, "vms[1]"},
+		{"kind without a mean", `{"version":1,"within":0.1,"vms":[` + good + `],"kinds":[{"queue":"q","variance":1,"count":3}]}`, "kinds[0].mean"},
+		{"kind without a count", `{"version":1,"within":0.1,"vms":[` + good + `],"kinds":[{"queue":"q","mean":0,"variance":1}]}`, "kinds[0].count"},
+		{"no spread", `{"version":1,"vms":[` + good + `]}`, "field within: missing"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -88,3 +94,16 @@
 		t.Errorf("%v; a speed of a minute ago was restored: %t", err, c.Slow("old"))
 	}
 }
+
+// Guards against a panic, and against parts of a snapshot that is refused.
+func FuzzDecode(f *testing.F) {
+	for _, value := range []string{`{"version":1,"within":0.1,"vms":[{"vm":"a","log":-1.5,"spread":0.2,"age-ms":10}],"kinds":[{"queue":"q","mean":0,"variance":1,"count":2}]}`, `null`, `{"version":1,"vms":[null]}`} {
+		f.Add([]byte(value))
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		c := New()
+		if err := c.Decode(value, begin); err != nil && (len(c.vms) > 0 || len(c.kinds) > 0) {
+			t.Errorf("parts of a refused snapshot are restored: %v", err)
+		}
+	})
+}
--- a/internal/job/estimator/snapshot.go
+++ b/internal/job/estimator/snapshot.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"bamboospread/internal/store/decoder"
 )
 
 const (
@@ -71,8 +73,8 @@
 // Decode adds a snapshot. If the snapshot is invalid or of an unknown version, it returns an error and
 // restores nothing.
 func (e *Estimator) Decode(value []byte) error {
-	var s snapshot
-	if err := json.Unmarshal(value, &s); err != nil {
+	s, err := decoder.Decode[snapshot](value)
+	if err != nil {
 		return fmt.Errorf("decode run times: %w", err)
 	}
 	if s.Version != snapshotVersion {
--- a/internal/job/estimator/snapshot_test.go
+++ b/internal/job/estimator/snapshot_test.go
@@ -112,7 +112,12 @@
 		want  string
 	}{
 		{"cut off", value[:len(value)/2], "unexpected end"},
-		{"empty", []byte("{}"), "version 0, known is 1"},
+		{"empty", []byte("{}"), "field version: missing"},
+		{"null", []byte("null"), "null"},
+		{"group that is null", []byte(`{"version":1,"groups":[null]}`), "groups[0]: null"},
+		{"group without counts", []byte(`{"version":1,"groups":[{"queue":"q","at-ms":1,"support":1}]}`), "groups[0].done: missing"},
+		{"group without support", []byte(`{"version":1,"groups":[{"queue":"q","at-ms":1,"done":null}]}`), "groups[0].support: missing"},
+		{"half a count", []byte(`{"version":1,"groups":[{"queue":"q","at-ms":1,"support":1,"done":[[5]]}]}`), "groups[0].done[0]"},
 		{"newer version", change(func(s *snapshot) { s.Version = 2 }), "version 2, known is 1"},
 		{"no queue", change(func(s *snapshot) { last(s).Queue = "" }), "queue is missing"},
 		{"negative count", change(func(s *snapshot) { last(s).Done[0][1] = -1 }), "count -1 at"},
--- a/internal/job/learner/snapshot.go
+++ b/internal/job/learner/snapshot.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math"
 	"slices"
+
+	"bamboospread/internal/store/decoder"
 )
 
 // Limits of the snapshot that one owner stores for the next. Without it, each change of owner
@@ -15,6 +17,8 @@
 	// maxSnapshotPairs bounds the stored record, at about 70 bytes per pair; the pairs with
 	// the latest reports are kept.
 	maxSnapshotPairs = 300
+	// maxStoredEffect is far above each effect; the mean of several must not overflow.
+	maxStoredEffect = 1e6
 	// restoredSpread is added in quadrature to the standard deviation of a restored effect: it
 	// may have changed in the meantime.
 	restoredSpread = 1.0
@@ -64,12 +68,12 @@
 // Decode restores the effects from the snapshot of another owner. If the snapshot has invalid
 // values, it returns an error and restores nothing.
 func (l *Learner) Decode(value []byte) error {
-	var s snapshot
-	if err := json.Unmarshal(value, &s); err != nil {
+	s, err := decoder.Decode[snapshot](value)
+	if err != nil {
 		return fmt.Errorf("decode learned interference data: %w", err)
 	}
 	for _, p := range s.Pairs {
-		if p.Mean < 0 || p.Variance < 0 || p.LongRunning == "" || p.BestEffort == "" {
+		if p.Mean < 0 || p.Mean > maxStoredEffect || p.Variance < 0 || p.LongRunning == "" || p.BestEffort == "" {
 			return fmt.Errorf("decode learned interference data: pair %q and %q has mean %v and variance %v", p.LongRunning, p.BestEffort, p.Mean, p.Variance)
 		}
 	}
--- a/internal/job/learner/snapshot_test.go
+++ b/internal/job/learner/snapshot_test.go
@@ -56,7 +56,11 @@
 }
 
 func TestInvalidSnapshotIsRejectedWhole(t *testing.T) {
-	for _, text := range []string{"", "[]", `{"pairs":[{"lasting":"l","filling":"f","mean":-1,"variance":1}]}`, `{"pairs":[{"lasting":"l","filling":"g","mean":3,"variance":1},{"mean":1}]}`} {
+	for _, text := range []string{
+		"", "[]", "null", "{}", `{"pairs":[{"lasting":"l","filling":"g","variance":1}]}`, `{"pairs":[{"lasting":"l","filling":"g","mean":3}]}`,
+		`{"pairs":[{"lasting":"l","filling":"g","mean":null,"variance":1}]}`, `{"pairs":[{"lasting":"l","filling":"g","mean":3,"variance":1},null]}`,
+		`{"pairs":[{"lasting":"l","filling":"g","mean":1e308,"variance":1}]}`, `{"pairs":[{"lasting":"l","filling":"f","mean":-1,"variance":1}]}`, `{"pairs":[{"lasting":"l","filling":"g","mean":3,"variance":1},{"mean":1}]}`,
+	} {
 		l := New()
 		if err := l.Decode([]byte(text)); err == nil {
 			t.Errorf("%q was accepted", text)
@@ -66,3 +70,16 @@
 		}
 	}
 }
+
+// Guards against a panic, and against parts of a snapshot that is refused.
+func FuzzDecode(f *testing.F) {
+	for _, value := range []string{`{"pairs":[{"lasting":"l","filling":"g","mean":3,"variance":1}]}`, `null`, `{"pairs":[null]}`} {
+		f.Add([]byte(value))
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		l := New()
+		if err := l.Decode(value); err != nil && len(l.effects) > 0 {
+			t.Errorf("parts of a refused snapshot are restored: %v", err)
+		}
+	})
+}
--- a/internal/job/scheduler/estimates_test.go
+++ b/internal/job/scheduler/estimates_test.go
@@ -139,7 +139,7 @@
 // Guards against a takeover that fails, or restores a part, because the snapshot is damaged: the owner logs
 // why and learns anew.
 func TestTakeoverWithDamagedRunTimes(t *testing.T) {
-	b := newEstimatesFixture(t, true, map[string][]byte{"cells/jobs/run-times": []byte(`{"version":1,"groups":[{"queue":"q","support":20,"done":[[1,80]]},{"queue":"p","support":-1}]}`)})
+	b := newEstimatesFixture(t, true, map[string][]byte{"cells/jobs/run-times": []byte(`{"version":1,"groups":[{"queue":"q","at-ms":1,"support":20,"done":[[1,80]]},{"queue":"p","at-ms":1,"support":-1,"done":null}]}`)})
 	if n := b.o.load.estimator.Size(); n != 0 {
 		t.Errorf("%d groups restored", n)
 	}
--- a/internal/job/scheduler/refusals.go
+++ b/internal/job/scheduler/refusals.go
@@ -53,7 +53,9 @@
 	for _, record := range all {
 		r, err := admitter.DecodeRefusal(record.Value)
 		if err != nil {
-			s.config.Reporter.Report(reporter.RefusalUnreadable, reporter.Fields{"key": record.Key, "error": err.Error()})
+			if s.unreadable.Allows(record.Key, s.config.Now()) {
+				s.config.Reporter.Report(reporter.RefusalUnreadable, reporter.Fields{"key": record.Key, "error": err.Error()})
+			}
 			continue
 		}
 		if r.Expired(s.config.Now()) {
--- a/internal/job/scheduler/shares_test.go
+++ b/internal/job/scheduler/shares_test.go
@@ -134,7 +134,7 @@
 // of shares is damaged; and against one that says nothing about it.
 func TestDamagedShareSnapshotIsReported(t *testing.T) {
 	c := newSharedCell(t)
-	c.records["cells/jobs/shares"] = []byte(`{"version":1,"rows":[{"account":"a","priority":0,"recent":0.5},{"account":"b","priority":0,"recent":-1}]}`)
+	c.records["cells/jobs/shares"] = []byte(`{"version":1,"at-ms":1,"rows":[{"account":"a","priority":0,"recent":0.5},{"account":"b","priority":0,"recent":-1}]}`)
 	c.takeOver()
 	c.report("vm-1")
 	c.owner.updateShares(c.now)
--- a/internal/job/sharer/sharer_test.go
+++ b/internal/job/sharer/sharer_test.go
@@ -209,15 +209,20 @@
 func TestDamagedSnapshotIsRefusedWhole(t *testing.T) {
 	row := `{"account":"a","priority":0,"recent":0.5}`
 	tests := []struct{ name, value, want string }{
-		{"cut off", `{"version":1,"rows":[` + row, "decode shares"},
-		{"newer version", `{"version":2,"rows":[` + row + `]}`, "version 2"},
-		{"negative", `{"version":1,"rows":[` + row + `,{"account":"b","recent":-1}]}`, "rows[1]"},
-		{"too large a use", `{"version":1,"rows":[` + row + `,{"account":"b","recent":1e9}]}`, "rows[1]"},
-		{"given twice", `{"version":1,"rows":[` + row + `,` + row + `]}`, "rows[1]"},
-		{"name too long", `{"version":1,"rows":[` + row + `,{"account":"` + strings.Repeat("b", 200) + `","recent":1}]}`, "rows[1]"},
-		{"too many rows", `{"version":1,"rows":[` + row + strings.Repeat(`,{"account":"b","recent":1}`, 300) + `]}`, "rows, at most"},
-		{"too many bytes", `{"version":1,"rows":[` + strings.Repeat(" ", 70_000) + row + `]}`, "bytes, at most"},
+		{"cut off", `{"version":1,"at-ms":1,"rows":[` + row, "decode shares"},
+		{"newer version", `{"version":2,"at-ms":1,"rows":[` + row + `]}`, "version 2"},
+		{"negative", `{"version":1,"at-ms":1,"rows":[` + row + `,{"account":"b","priority":0,"recent":-1}]}`, "rows[1]"},
+		{"too large a use", `{"version":1,"at-ms":1,"rows":[` + row + `,{"account":"b","priority":0,"recent":1e9}]}`, "rows[1]"},
+		{"given twice", `{"version":1,"at-ms":1,"rows":[` + row + `,` + row + `]}`, "rows[1]"},
+		{"name too long", `{"version":1,"at-ms":1,"rows":[` + row + `,{"account":"` + strings.Repeat("b", 200) + `","priority":0,"recent":1}]}`, "rows[1]"},
+		{"too many rows", `{"version":1,"at-ms":1,"rows":[` + row + strings.Repeat(`,{"account":"b","priority":0,"recent":1}`, 300) + `]}`, "rows, at most"},
+		{"too many bytes", `{"version":1,"at-ms":1,"rows":[` + strings.Repeat(" ", 70_000) + row + `]}`, "bytes, at most"},
 		{"not JSON", "\x00\x01", "decode shares"},
+		{"null", "null", "null"},
+		{"without its time", `{"version":1,"rows":[` + row + `]}`, "at-ms: missing"},
+		{"row without a use", `{"version":1,"at-ms":1,"rows":[` + row + `,{"account":"b","priority":0}]}`, "rows[1].recent: missing"},
+		{"row without a priority", `{"version":1,"at-ms":1,"rows":[` + row + `,{"account":"b","recent":1}]}`, "rows[1].priority: missing"},
+		{"row that is null", `{"version":1,"at-ms":1,"rows":[` + row + `,null]}`, "rows[1]: null"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -263,3 +268,16 @@
 		t.Error("a nil Sharer has an opinion")
 	}
 }
+
+// Guards against a panic, and against parts of a snapshot that is refused.
+func FuzzDecode(f *testing.F) {
+	for _, value := range []string{`{"version":1,"at-ms":1,"rows":[{"account":"a","priority":0,"recent":0.5}]}`, `null`, `{"version":1,"rows":[null]}`} {
+		f.Add([]byte(value))
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		s := New()
+		if err := s.Decode(value); err != nil && len(s.recent) > 0 {
+			t.Errorf("parts of a refused snapshot are restored: %v", err)
+		}
+	})
+}
--- a/internal/job/sharer/snapshot.go
+++ b/internal/job/sharer/snapshot.go
@@ -1,12 +1,13 @@
 package sharer
 
 import (
-	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
+
+	"bamboospread/internal/store/decoder"
 )
 
 // Limits of a snapshot.
@@ -53,9 +54,8 @@
 	if len(value) > maxSnapshotBytes {
 		return fmt.Errorf("shares: %d bytes, at most %d", len(value), maxSnapshotBytes)
 	}
-	var snap snapshot
-	d := json.NewDecoder(bytes.NewReader(value))
-	if err := d.Decode(&snap); err != nil {
+	snap, err := decoder.Decode[snapshot](value)
+	if err != nil {
 		return fmt.Errorf("decode shares: %w", err)
 	}
 	if snap.Version != snapshotVersion {
