tracker, planner: a task that ended with its VM is unavailable since then

Cause of what the test shows: precedence after 6 s under pressure, and 1.5 s more for a rotation, counted from when the run was given up, 6.1 s after its VM was last heard of. So such a task was unavailable for twice as long as the bound that is meant for all. Change: a run that is given up makes its task unavailable since its worker was last heard of, in the owner's decisions on overdue tasks and in what it stores for the next owner. When it is placed at once, for which the wait for room matters, is as before (WaitSince).

--- a/internal/job/planner/reservation.go
+++ b/internal/job/planner/reservation.go
@@ -38,7 +38,7 @@
 	if r.underPressure() || r.returnsLater(t) {
 		after = returnAfterPressure
 	}
-	return t.Step.Spec.LongRunning && !t.Step.Spec.Gang && t.Waits(r.now) && r.now.Sub(t.WaitSince) >= after
+	return t.Step.Spec.LongRunning && !t.Step.Spec.Gang && t.Waits(r.now) && r.now.Sub(t.UnavailableSince()) >= after
 }
 
 // underPressure reports whether urgent tasks recently waited too long for capacity.
@@ -85,7 +85,7 @@
 			}
 		}
 	}
-	slices.SortStableFunc(found, func(a, b *tracker.Task) int { return a.WaitSince.Compare(b.WaitSince) })
+	slices.SortStableFunc(found, func(a, b *tracker.Task) int { return a.UnavailableSince().Compare(b.UnavailableSince()) })
 	return found
 }
 
@@ -160,7 +160,7 @@
 // reserveUnlessRotation reserves capacity for an overdue task unless another long-running task
 // is expected to free capacity for it soon.
 func (r *round) reserveUnlessRotation(t *tracker.Task) {
-	if r.underPressure() && r.now.Sub(t.WaitSince) < returnAfterPressure+rotationWait {
+	if r.underPressure() && r.now.Sub(t.UnavailableSince()) < returnAfterPressure+rotationWait {
 		r.reservationsRequested++
 		return
 	}
--- a/internal/job/planner/reservation_test.go
+++ b/internal/job/planner/reservation_test.go
@@ -26,6 +26,8 @@
 	now  time.Time
 	ends map[*tracker.Run]time.Time
 	rand *rand.Rand
+
+	pressure bool // urgent tasks wait too long all the time
 }
 
 func newOverload(b *fixture) *overload {
@@ -54,7 +56,7 @@
 		r.submitUrgent()
 		in := Input{Now: r.now, State: r.state}
 		yields, underPressure := Yields(in)
-		if underPressure {
+		if underPressure || r.pressure {
 			in.UrgentDelayedAt = r.now
 		}
 		for _, run := range yields {
@@ -184,6 +186,40 @@
 	}
 }
 
+// Guards against a long-running task that ended with its VM and is unavailable twice as long as others under
+// pressure: it counted as unavailable only once the leases of its VM had certainly ended.
+func TestTaskLostWithItsVMReturnsUnderPressure(t *testing.T) {
+	const leases = 6100 * time.Millisecond // from the last contact until they have certainly ended
+	tests := []struct {
+		name string
+		seen time.Duration // before contact was lost
+		want time.Duration // from the loss of contact
+	}{
+		{"leases as long as pressure defers others", 0, leases + rotationWait + returnBound},
+		{"its worker had not answered for a while", time.Second, leases + rotationWait + returnBound - time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b, longRunning := halfFullFleet(10)
+			r := newOverload(b)
+			r.starveBestEffort()
+			r.replayUntil(2*time.Second, func() bool { return false })
+			tasks := longRunning.Occurrences[0].Steps[0].Tasks
+			task := tasks[slices.IndexFunc(tasks, func(t *tracker.Task) bool { return !t.Unavailable() })]
+			r.pressure = true
+			vm, lostAt := task.Runs[0].VM, r.now
+			vm.Ready, vm.SeenAt = false, r.now.Add(-tt.seen)
+			r.state.Detach(vm)
+			r.replayUntil(leases, func() bool { return false })
+			r.state.DropRuns(vm, r.now)
+			_, back := r.replayUntil(20*time.Second, func() bool { return !task.Unavailable() })
+			if took := r.now.Sub(lostAt); !back || took > tt.want {
+				t.Errorf("running again %t, %s after the loss of contact, want within %s", back, took, tt.want)
+			}
+		})
+	}
+}
+
 // Guards against useless reservations. A task that fits on no VM even when all other tasks
 // have ended, or that has been unavailable only briefly, must not keep urgent tasks off any
 // VM.
--- a/internal/job/tracker/availability.go
+++ b/internal/job/tracker/availability.go
@@ -34,10 +34,19 @@
 		return // no worker has had the run, so the task has been unavailable all the time
 	}
 	t.markRun()
-	t.WaitSince = now
+	t.WaitSince, t.lostSince = now, time.Time{}
 	t.Step.Occurrence.Job.markDirty()
 }
 
+// UnavailableSince returns since when a waiting long-running task is unavailable. A run that was given up may have
+// ended when its worker was last heard of: the time until its leases had certainly ended is part of it.
+func (t *Task) UnavailableSince() time.Time {
+	if !t.lostSince.IsZero() && t.lostSince.Before(t.WaitSince) {
+		return t.lostSince
+	}
+	return t.WaitSince
+}
+
 func (t *Task) hasConfirmedRun() bool {
 	return slices.ContainsFunc(t.Runs, func(r *Run) bool { return !r.StartedAt.IsZero() })
 }
--- a/internal/job/tracker/encode.go
+++ b/internal/job/tracker/encode.go
@@ -216,7 +216,7 @@
 		if !t.Step.Spec.LongRunning || !t.HasRun || t.hasConfirmedRun() {
 			return note{}, false
 		}
-		since := t.WaitSince.UnixMilli()
+		since := t.UnavailableSince().UnixMilli()
 		return note{size: len(strconv.FormatInt(since, 10)), weight: -int(since), add: func() { setNote(&sr.WaitSince, t, since) }}, true
 	})
 }
--- a/internal/job/tracker/restart_test.go
+++ b/internal/job/tracker/restart_test.go
@@ -204,3 +204,43 @@
 		}
 	}
 }
+
+// A task whose run was given up is unavailable since its worker was last heard of; one that ended otherwise, since its end.
+func TestUnavailableSince(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(tr *Tracker, vm *VM, r *Run)
+		want time.Time
+	}{
+		{"leases expired", func(tr *Tracker, vm *VM, _ *Run) {
+			tr.Detach(vm)
+			tr.DropRuns(vm, at(8000))
+		}, at(2000)},
+		{"stopped", func(tr *Tracker, vm *VM, r *Run) { tr.EndRun(vm, r.Key(), EndStopped, "", at(8000)) }, at(8000)},
+		{"no longer reported", func(tr *Tracker, vm *VM, _ *Run) {
+			tr.Apply(vm, Report{Incarnation: "1", Ready: true, OrdersSeen: 1, Age: time.Second}, at(8000))
+		}, at(7000)},
+		{"lost, then stopped elsewhere", func(tr *Tracker, vm *VM, r *Run) {
+			tr.Detach(vm)
+			tr.DropRuns(vm, at(8000))
+			other := attach(tr, "other")
+			again := tr.Place(r.Task, other, 2, at(9000))
+			tr.Apply(other, Report{Incarnation: "1", Ready: true, OrdersSeen: 1, Runs: []ReportedRun{{Key: again.Key(), Confirmed: true}}}, at(9500))
+			tr.EndRun(other, again.Key(), EndStopped, "", at(12_000))
+		}, at(12_000)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tr := newState(t, 2)
+			j := addJob(t, tr, 1, specifier.Step{Count: 1, Needs: oneCore, LongRunning: true})
+			vm := attach(tr, "vm")
+			r := tr.Place(j.Occurrences[0].Steps[0].Tasks[0], vm, 1, at(0))
+			tr.Apply(vm, Report{Incarnation: "1", Ready: true, OrdersSeen: 1, Runs: []ReportedRun{{Key: r.Key(), Confirmed: true}}}, at(1000))
+			tr.Apply(vm, Report{Incarnation: "1", Ready: true, OrdersSeen: 1, Runs: []ReportedRun{{Key: r.Key(), Confirmed: true}}}, at(2000))
+			tt.end(tr, vm, r)
+			if got := r.Task.UnavailableSince(); !got.Equal(tt.want) {
+				t.Errorf("unavailable since %s, want %s", got.Sub(begin), tt.want.Sub(begin))
+			}
+		})
+	}
+}
--- a/internal/job/tracker/run.go
+++ b/internal/job/tracker/run.go
@@ -261,6 +261,9 @@
 	r.Task.lastLoss = &Loss{number: r.Number, vm: r.VM.Name, cause: cause, at: now}
 	r.Task.recordCheckpoint(r.Checkpoint)
 	tr.removeRun(r, now)
+	if !r.StartedAt.IsZero() && r.VM.SeenAt.After(r.StartedAt) {
+		r.Task.lostSince = r.VM.SeenAt
+	}
 }
 
 // adopt adds a run that a worker has, or may still receive, and that this owner did not
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -87,6 +87,7 @@
 	// WaitSince is when its last run ended. For a long-running task, a run that no worker has confirmed
 	// does not count.
 	WaitSince  time.Time
+	lostSince  time.Time       // when the worker of its last run was last heard of, if that run was given up
 	NotBefore  time.Time       // earliest restart after a run that ended by itself
 	Restarts   int             // of a long-running task, after runs in a row that ended by themselves
 	GiveUpAt   time.Time       // when its job fails, if too many workers have crashed under it; zero: not
