elector: the lease of a former process ends before its entry has the cell

What callers could see: tasks of a job that run twice at once. A former process of the owner's entry that is still alive, and whose writes get no answer, goes on for longer than the next owner waits for it. Class: the end of the former owner's lease was counted from the beginning of the next ownership, but the former process could renew it for longer: until the revocation that followed the first renewal of the next process (a sixth of a lease plus two store calls; for good while revocations failed, or if the next process ended before and another replaced its record in turn). A revocation without an answer also held up renewals by a sixth of a lease each. Change: a process revokes the lease of its entry's earlier record before it grants its own. The next ownership then begins after the last renewal of the former one that can succeed, which is what formerLeaseEnd counts on. Unless the revocation succeeds or the lease is gone, the cell is not acquired; then the former lease expires. The number of store calls is the same, one of them is now on the way of the takeover. Test changed: TestLateStoreCallsOfFormerProcessChangeNothing asked that late renewals and the late revocation succeed and late swaps under the former lease conflict. The lease does not exist any more, so it asks that each is refused for that, and in addition that the same swaps without a lease conflict. That the record stays is checked as before.

--- a/internal/control/elector/elector.go
+++ b/internal/control/elector/elector.go
@@ -75,7 +75,6 @@
 type Elector struct {
 	config      Config
 	lease       int64
-	formerLease int64                     // of the process whose record this one has replaced; 0: none
 	lastRenewal atomic.Pointer[time.Time] // when the last successful renewal was sent
 	lastSeen    atomic.Pointer[messenger.CellOwner]
 	revision    int64
@@ -179,6 +178,9 @@
 		return true, nil
 	}
 	e.lastSeen.Store(nil)
+	if record, err = e.revokeFormerLease(ctx, record); err != nil {
+		return false, err
+	}
 	sent := e.config.Now()
 	lease, err := e.config.GrantLease(ctx, e.config.Lease)
 	if err != nil {
@@ -200,11 +202,27 @@
 		_ = e.config.RevokeLease(context.WithoutCancel(ctx), lease.ID)
 		return keeper.IsErrConflict(err), ignoreConflict(err)
 	}
-	e.lease, e.revision, e.formerLease = lease.ID, rev, record.Lease
+	e.lease, e.revision = lease.ID, rev
 	e.lastRenewal.Store(&sent)
 	return false, nil
 }
 
+// revokeFormerLease ends the lease of a replaceable record, and returns the record that is left. A former process
+// that is still alive would otherwise renew its lease, and go on as owner beside this one for longer than a lease.
+func (e *Elector) revokeFormerLease(ctx context.Context, record keeper.Record) (keeper.Record, error) {
+	if record.Lease == 0 {
+		return record, nil
+	}
+	err := e.config.RevokeLease(ctx, record.Lease)
+	switch {
+	case err == nil:
+		return keeper.Record{}, nil
+	case keeper.IsErrLeaseNotExist(err):
+		return record, nil
+	}
+	return record, fmt.Errorf("revoke lease %d of the earlier incarnation: %w", record.Lease, err)
+}
+
 // isReplaceable reports whether a record belongs to no owner, or to an earlier incarnation of this
 // process. An owner writes its record under its lease; one without a lease is of another writer, and
 // would stay for good.
@@ -401,10 +419,9 @@
 	return nil
 }
 
-// RenewLease renews the lease until the lease has expired or ctx ends. It revokes the lease of the earlier
-// incarnation whose record was replaced.
+// RenewLease renews the lease until the lease has expired or ctx ends.
 func (e *Elector) RenewLease(ctx context.Context) error {
-	for former := e.formerLease; ; {
+	for {
 		if err := pauser.Pause(ctx, e.config.Lease/renewalsPerLease); err != nil {
 			return err
 		}
@@ -412,7 +429,6 @@
 		err := e.config.KeepAlive(ctx, e.lease)
 		if err == nil {
 			e.lastRenewal.Store(&sent)
-			former = e.revokeFormerLease(ctx, former)
 			continue
 		}
 		if keeper.IsErrLeaseNotExist(err) {
@@ -423,21 +439,6 @@
 	}
 }
 
-// revokeFormerLease revokes the lease of an earlier incarnation, unless it is 0, and returns the lease that remains
-// to be revoked. An earlier process that is still alive would otherwise renew its lease, which has no record any
-// more, and hold the ownership beside this one.
-func (e *Elector) revokeFormerLease(ctx context.Context, former int64) int64 {
-	if former == 0 {
-		return 0
-	}
-	limit, cancel := context.WithTimeout(ctx, e.config.Lease/renewalsPerLease)
-	defer cancel()
-	if err := e.config.RevokeLease(limit, former); err != nil && !keeper.IsErrLeaseNotExist(err) {
-		return former
-	}
-	return 0
-}
-
 // Fence returns the condition that makes a transaction of this owner fail once the
 // ownership has ended. It is valid after Publish.
 func (e *Elector) Fence() keeper.Expectation {
--- a/internal/control/elector/former_life_test.go
+++ b/internal/control/elector/former_life_test.go
@@ -31,12 +31,17 @@
 	late := func() {
 		t.Helper()
 		for _, expect := range []int64{0, acquired, former.revision} {
-			if _, err := k.CompareAndSwap(t.Context(), keeper.SwapOptions{Key: former.key(), Value: []byte("{}"), ExpectRevision: expect, Lease: former.lease}); !keeper.IsErrConflict(err) {
+			swap := keeper.SwapOptions{Key: former.key(), Value: []byte("{}"), ExpectRevision: expect}
+			if _, err := k.CompareAndSwap(t.Context(), swap); !keeper.IsErrConflict(err) {
 				t.Errorf("late swap at revision %d: %v", expect, err)
 			}
+			swap.Lease = former.lease
+			if _, err := k.CompareAndSwap(t.Context(), swap); !keeper.IsErrLeaseNotExist(err) {
+				t.Errorf("late swap at revision %d under the former lease: %v", expect, err)
+			}
 		}
-		if err := k.KeepAlive(t.Context(), former.lease); err != nil {
-			t.Error(err)
+		if err := k.KeepAlive(t.Context(), former.lease); !keeper.IsErrLeaseNotExist(err) {
+			t.Errorf("late renewal: %v", err)
 		}
 	}
 	late()
@@ -44,8 +49,8 @@
 		t.Fatal(err)
 	}
 	late()
-	if err := k.RevokeLease(t.Context(), former.lease); err != nil {
-		t.Error(err)
+	if err := k.RevokeLease(t.Context(), former.lease); !keeper.IsErrLeaseNotExist(err) {
+		t.Errorf("late revocation: %v", err)
 	}
 	record, err := k.GetRecord(t.Context(), present.key())
 	if err != nil || record.Lease != present.lease || record.Revision != present.Fence().Revision {
--- a/internal/control/elector/replaced_test.go
+++ b/internal/control/elector/replaced_test.go
@@ -1,6 +1,7 @@
 package elector
 
 import (
+	"context"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -29,3 +30,49 @@
 		t.Error("two electors hold the cell")
 	}
 }
+
+// Guards against two owners for longer than one lease: once the next process of the entry has the cell, no renewal
+// of a former one succeeds, also if processes between them ended before their first renewal.
+func TestNoFormerProcessRenewsItsLease(t *testing.T) {
+	for _, processes := range []int{2, 3} {
+		server := httptest.NewServer(storer.New(storer.Config{}).Handler())
+		t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+		k := keeper.New(keeper.Config{URL: server.URL, CallTimeout: time.Second})
+		config := FromKeeper(Config{Cell: "c", EntryID: "entry-1", Address: "127.0.0.1:1", Lease: time.Minute, ReplaceOwnRecord: true}, k)
+		var all []*Elector
+		for range processes {
+			e := New(config)
+			if err := e.Acquire(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			all = append(all, e)
+		}
+		for n, e := range all[:processes-1] {
+			if err := k.KeepAlive(t.Context(), e.lease); !keeper.IsErrLeaseNotExist(err) {
+				t.Errorf("%d processes: renewal of process %d: %v", processes, n+1, err)
+			}
+		}
+		if err := k.KeepAlive(t.Context(), all[processes-1].lease); err != nil {
+			t.Errorf("%d processes: renewal of the owner: %v", processes, err)
+		}
+	}
+}
+
+// Guards against a takeover beside a former process whose lease goes on: the store does not answer the revocation.
+func TestCellIsNotAcquiredUntilFormerLeaseHasEnded(t *testing.T) {
+	server := httptest.NewServer(storer.New(storer.Config{}).Handler())
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	k := keeper.New(keeper.Config{URL: server.URL, CallTimeout: time.Second})
+	config := FromKeeper(Config{Cell: "c", EntryID: "entry-1", Address: "127.0.0.1:1", Lease: time.Second, ReplaceOwnRecord: true}, k)
+	former := New(config)
+	if err := former.Acquire(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	config.RevokeLease = func(context.Context, int64) error { return keeper.ErrOutcomeUnknown{} }
+	if err := New(config).Acquire(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if former.Held() {
+		t.Error("two electors hold the cell")
+	}
+}
