scheduler: a removal of refusals that the fence rejects ends the ownership

What callers could see: tasks that run twice at once, started by an owner whose lease the store has dropped early. Cause: the writer of progress ends the ownership at the first conflict of its fence. The removal of refusals, the other fenced write, only logged it. Change: the conflict is recorded as for other writes; the loop takes note of it with the event of the removal's end. The remaining conditional writes of the scheduler are the epoch and the owner's record, whose failures end a takeover.

--- a/internal/job/scheduler/refusals.go
+++ b/internal/job/scheduler/refusals.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -38,6 +39,9 @@
 		defer cancel()
 		e := refusalsRemoved{}
 		e.kept, e.removed, e.err = o.s.removeExpiredRefusals(ctx, o.writer.fence)
+		if conflict, ok := errors.AsType[keeper.ErrConflict](e.err); ok {
+			o.writer.recordFenced(conflict)
+		}
 		_ = o.send(ctx, e) // fails only if the loop has ended
 	}()
 }
--- a/internal/job/scheduler/replaced_test.go
+++ b/internal/job/scheduler/replaced_test.go
@@ -63,3 +63,33 @@
 		t.Errorf("the ownership goes on %s after the store has given the cell free", limit)
 	}
 }
+
+// Guards against tasks that run twice: the removal of refusals shows as well that the cell belongs to the next owner.
+func TestOwnerStopsOnceARemovalOfRefusalsIsFenced(t *testing.T) {
+	tests := []struct {
+		name, conflict string // key of the record that is not as expected
+		ends           bool
+	}{
+		{"fence", "cells/jobs/owner", true},
+		{"refusal changed meanwhile", RefusalKey("old"), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.UnixMilli(100_000_000)
+			o, _ := admissionOwner(t, now)
+			o.writer.fence = keeper.Expectation{Key: "cells/jobs/owner", Revision: 1}
+			o.s.config.Store.FindRecords = func(context.Context, keeper.ListOptions) (keeper.ListResult, error) {
+				return keeper.ListResult{Records: []keeper.Record{{Key: RefusalKey("old"), Value: []byte(`{}`), Revision: 8}}}, nil
+			}
+			o.s.config.Store.Transact = func(context.Context, keeper.Transaction) (int64, error) {
+				return 0, keeper.ErrConflict{Key: tt.conflict}
+			}
+			o.load.admission.removeAt = now
+			o.removeRefusals(now)
+			o.apply(<-o.events)
+			if got := o.writer.ownershipEnded(); got != tt.ends {
+				t.Errorf("the ownership has ended: %t, want %t", got, tt.ends)
+			}
+		})
+	}
+}
