scheduler: leases that no grant allowed are not forgotten at the second change of owner

What callers could see: all tasks of a VM that run twice at once after two changes of owner in a row. Cause: the record of silent members says where leases outlast a grant, and only the owner just after counted it. A record of an owner before that was dropped as a whole, though only its silences can't be counted on (one in between may have granted leases). That is the case after an owner in between that stored none, and after a raising of the epoch that got no answer and was repeated. An owner that named other silent members replaced the record by one without these leases. Evidence, each failed before in 1 of 1 runs and passes: a new case of TestRecordOfSilentMembers (ended 8.14 s after the takeover, they last until 10.10 s; the second new case passed before); the first case of TestOwnerPassesOnLeasesThatNoGrantAllowed; TestRecordOfOutlastingLeasesIsReplaced (nothing was written; without it each later owner would count the old record anew). Found by reading, not shown with real processes. Change: of a record of any epoch, entries count that are later than the end of the former owner's lease. An owner that reads such ones replaces the record in its first round, and until they are over it names the members that have not reported. Cost: one write at a takeover that reads such a record. Not covered: an owner that is killed while such leases last on a VM that reports to it stores nothing of them.

--- a/internal/job/scheduler/silence.go
+++ b/internal/job/scheduler/silence.go
@@ -47,7 +47,7 @@
 type silences struct {
 	earlier    map[string]time.Time // when earlier owners can last have granted something to members, by the former owner's record
 	named      map[string]bool      // members that the stored record of this owner may name
-	returned   bool                 // one of them has reported
+	returned   bool                 // one of them has reported, or the stored record is of an earlier owner and must not stay
 	countedAt  time.Time            // when this owner began to count
 	storing    bool                 // a write is in flight
 	storeAfter time.Time            // no write before this, unless a member has returned
@@ -61,8 +61,8 @@
 // silenceKey returns the key of the record of silent members.
 func (s *Scheduler) silenceKey() string { return fmt.Sprintf("cells/%s/silent", s.config.Cell) }
 
-// loadSilences reads the former owner's record. That of another owner is not used: one in between may have
-// granted leases since.
+// loadSilences reads the former owner's record. Of another owner's, only leases count that outlast all that one in
+// between may have granted since.
 func (o *owner) loadSilences(ctx context.Context) error {
 	var record keeper.Record
 	err := o.s.retryRead(ctx, func() (err error) {
@@ -81,16 +81,19 @@
 		o.s.config.Reporter.Report(reporter.JobRecordsUnreadable, reporter.Fields{"key": record.Key, "error": err.Error()})
 		return nil
 	}
-	if r.Epoch != o.epoch-1 {
-		return nil
-	}
+	former := r.Epoch == o.epoch-1
 	for vm, ms := range r.SilentMillis {
 		limit := 2 * o.leaseExpiry().Milliseconds()
 		if ms < -limit {
 			continue // no owner has written it
 		}
 		ms = min(ms, limit) // beyond it makes no difference
-		o.silences.earlier[vm] = o.started.Add(-time.Duration(ms) * time.Millisecond)
+		at := o.started.Add(-time.Duration(ms) * time.Millisecond)
+		outlasts := at.After(o.formerLeaseEnd())
+		if former || outlasts {
+			o.silences.earlier[vm] = at
+		}
+		o.silences.returned = o.silences.returned || outlasts // later owners must not count from this record
 	}
 	return nil
 }
@@ -123,7 +126,8 @@
 }
 
 // silentMembers returns for how long the members have been granted nothing that are worth a record: those
-// that were silent when this owner began, and those that it has not heard from for long. While it is late
+// that were silent when this owner began, or whose leases outlast a grant by the former owner's record, and those
+// that it has not heard from for long. While it is late
 // with the reports of others, that is as long as until a member is detached: a member that is named for the
 // owner's delay would wait for a write before its next start.
 func (o *owner) silentMembers(now time.Time) map[string]int64 {
@@ -134,6 +138,8 @@
 		last := o.lastGrant(n)
 		silence := now.Sub(last)
 		switch {
+		case o.state.VMs[n] == nil && last.After(o.formerLeaseEnd()): // the next owner must know of these leases
+			silent[n] = silence.Milliseconds()
 		case silence < silentAfter:
 			late = late || silence > silentAfter/2
 		case o.started.Sub(last) >= silentAfter, silence >= reportTimeout && counted >= silentAfter:
@@ -193,6 +199,7 @@
 	if e.err != nil {
 		// The write may have taken effect: what it names stays named.
 		o.silences.retryAfter = now.Add(flushRetryDelay)
+		o.silences.returned = o.silences.returned || len(e.named) == 0
 		o.s.config.Reporter.Report(reporter.ProgressNotStored, reporter.Fields{"silent-members": len(e.named), "error": e.err.Error()})
 		return
 	}
--- a/internal/job/scheduler/silence_test.go
+++ b/internal/job/scheduler/silence_test.go
@@ -70,6 +70,8 @@
 		{"leases that outlast a grant", `{"epoch":4,"silent-ms":{"vm-1":-4000}}`, lapses + 4*time.Second},
 		{"of another member", `{"epoch":4,"silent-ms":{"vm-2":2000}}`, lapses + lease},
 		{"of an owner before", `{"epoch":3,"silent-ms":{"vm-1":2000}}`, lapses + lease},
+		{"leases that outlast a grant, of an owner before", `{"epoch":3,"silent-ms":{"vm-1":-4000}}`, lapses + 4*time.Second},
+		{"leases that outlast a grant of its last moment only, of an owner before", `{"epoch":2,"silent-ms":{"vm-1":-1000}}`, lapses + lease},
 		{"of a later owner", `{"epoch":5,"silent-ms":{"vm-1":2000}}`, lapses + lease},
 		{"long ago", `{"epoch":4,"silent-ms":{"vm-1":9223372036854775807}}`, 0},
 		{"in the future", `{"epoch":4,"silent-ms":{"vm-1":-9223372036854775808}}`, lapses + lease},
--- a/internal/job/scheduler/unrequested_test.go
+++ b/internal/job/scheduler/unrequested_test.go
@@ -63,3 +63,77 @@
 		}
 	}
 }
+
+// Guards against tasks that run twice: an owner that names other silent members replaces the record of the former
+// one, which said that the leases of a member that has not reported outlast a grant.
+func TestOwnerPassesOnLeasesThatNoGrantAllowed(t *testing.T) {
+	tests := []struct {
+		name     string
+		outlasts time.Duration // of the leases on vm-1, after the takeover, beyond a grant; 0: no record names it
+		reported bool          // vm-1 has reported
+		want     bool          // it is named
+	}{
+		{"leases outlast a grant", 4 * time.Second, false, true},
+		{"not beyond the former owner's lease", time.Second, false, false},
+		{"no record", 0, false, false},
+		{"the member has reported", 4 * time.Second, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newAcceptedSinceFixture(t)
+			if tt.outlasts > 0 {
+				f.o.silences.earlier["vm-1"] = f.o.started.Add(tt.outlasts)
+			}
+			if tt.reported {
+				f.report("vm-1", nil)
+			}
+			f.now = f.now.Add(500 * time.Millisecond)
+			ms, named := f.o.silentMembers(f.now)["vm-1"]
+			if want := (500*time.Millisecond - tt.outlasts).Milliseconds(); named != tt.want || named && ms != want {
+				t.Errorf("named %t with %d ms, want %t with %d ms", named, ms, tt.want, want)
+			}
+		})
+	}
+}
+
+// Guards against jobs that wait without need: a record of leases that outlast a grant is used up by the next owner,
+// also if the member has reported to it, or its first write fails.
+func TestRecordOfOutlastingLeasesIsReplaced(t *testing.T) {
+	for _, failures := range []int{0, 1} {
+		stored := []byte(`{"epoch":4,"silent-ms":{"vm-1":-4000}}`)
+		s := newFollowScheduler(keeper.Calls{
+			FindRecords: func(context.Context, keeper.ListOptions) (keeper.ListResult, error) { return keeper.ListResult{}, nil },
+			GetRecord: func(_ context.Context, key string) (keeper.Record, error) {
+				if key != "cells/jobs/silent" {
+					return keeper.Record{}, keeper.ErrKeyNotExist{Key: key}
+				}
+				return keeper.Record{Key: key, Revision: 1, Value: stored}, nil
+			},
+		})
+		o, err := s.takeOver(t.Context(), 5)
+		if err != nil {
+			t.Fatal(err)
+		}
+		tries := 0
+		o.writer.transact = func(_ context.Context, tx keeper.Transaction) (int64, error) {
+			if tries++; tries <= failures {
+				return 0, keeper.ErrUnavailable{Cause: errNoAnswer}
+			}
+			stored = tx.Puts[0].Value
+			return 2, nil
+		}
+		for range failures + 1 {
+			o.silences.retryAfter = time.Time{}
+			o.storeSilences(t.Context())
+			select {
+			case e := <-o.events:
+				o.apply(e)
+			case <-time.After(time.Second):
+				t.Fatalf("%d failures: nothing is written", failures)
+			}
+		}
+		if got := string(stored); got != `{"epoch":5,"silent-ms":{}}` {
+			t.Errorf("%d failures: the record is %s", failures, got)
+		}
+	}
+}
