specifier: no value of a caller or an operator overflows

What callers saw: nothing yet. Cause: milliseconds were multiplied to a time.Duration without a bound. Below that bound, the product with the percent done, the chain of 64 steps, an objective with its slack and the work of 20,000 tasks overflowed. Evidence: with the limits as before, 5 of 11 fields of the table are accepted above them, and the three properties of the planner and the tracker and the tests of stored, operators' and callers' values fail (1 of 1 runs). Change: estimates and tail targets above ten years and needs above 1e9 are refused with the field and its limit. What is computed from accepted values saturates at 90 years; operators' values are bounded, and the configuration stays in force; stored jobs are read with their values bounded. max-per-vm and max-away are only compared with counts and stay unlimited. No trial with processes was run.

--- a/internal/job/estimator/distribution.go
+++ b/internal/job/estimator/distribution.go
@@ -1,6 +1,10 @@
 package estimator
 
-import "time"
+import (
+	"time"
+
+	"bamboospread/internal/job/specifier"
+)
 
 // Distribution is the distribution of a run time at the speed of a sound VM.
 type Distribution struct {
@@ -55,9 +59,9 @@
 	}
 	byRate := float64(age) * float64(allDone-progress) / float64(progress)
 	trust := float64(progress) / float64(progress+progressTrust)
-	return time.Duration(trust*byRate + (1-trust)*float64(left))
+	return specifier.Span(trust*byRate + (1-trust)*float64(left))
 }
 
 func (d Distribution) scaled(ratio float64) time.Duration {
-	return time.Duration(ratio * float64(d.declared))
+	return specifier.Span(ratio * float64(d.declared))
 }
--- a/internal/job/planner/backlog.go
+++ b/internal/job/planner/backlog.go
@@ -58,9 +58,9 @@
 		for _, a := range s.After {
 			ends[i] = max(ends[i], ends[a])
 		}
-		ends[i] += s.Estimate()
+		ends[i] = specifier.Sum(ends[i], s.Estimate())
 		chain = max(chain, ends[i])
 	}
-	objective := time.Duration(float64(chain)*q.Slack) + q.Target
+	objective := objectiveIn(q, chain)
 	return Limits{objective, tooLateFactor * objective, chain}
 }
--- a/internal/job/planner/copies.go
+++ b/internal/job/planner/copies.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
 )
 
@@ -79,8 +80,8 @@
 	if age < time.Duration(minStragglerAge*float64(declared)) {
 		return false
 	}
-	left := time.Duration(float64(age) * float64(paceFull-run.Progress) / float64(max(run.Progress, 1)))
-	return age+left > time.Duration(stragglerFactor*float64(declared)) && left > time.Duration(minRemainingFactor*float64(declared))
+	left := specifier.Span(float64(age) * float64(paceFull-run.Progress) / float64(max(run.Progress, 1)))
+	return specifier.Sum(age, left) > specifier.Span(stragglerFactor*float64(declared)) && left > time.Duration(minRemainingFactor*float64(declared))
 }
 
 // Straggler is what decides whether a run gets a copy if its rest is estimated.
@@ -102,6 +103,6 @@
 	speed := in.Calibrator.Speed(run.VM.Name, in.Now).Factor
 	return &Straggler{
 		Run: run, Age: run.VM.SeenAt.Sub(run.StartedAt), NewRun: d.Mean(), Support: d.Support(), ReportAge: in.Now.Sub(run.VM.SeenAt),
-		Left: time.Duration(float64(expectedLeft(in, run, d)) / speed),
+		Left: specifier.Span(float64(expectedLeft(in, run, d)) / speed),
 	}
 }
--- a/internal/job/planner/evict.go
+++ b/internal/job/planner/evict.go
@@ -77,7 +77,7 @@
 	if run.Step().Spec.Checkpoints {
 		return 0
 	}
-	return run.Step().Spec.Estimate() * time.Duration(run.Progress) / paceFull
+	return run.Step().Spec.Estimate() / paceFull * time.Duration(run.Progress)
 }
 
 func byLostWork(a, b *tracker.Run) int {
--- a/internal/job/planner/index.go
+++ b/internal/job/planner/index.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bamboospread/internal/job/estimator"
+	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
 )
 
@@ -51,20 +52,21 @@
 			continue
 		}
 		work, longest := x.step(s)
-		found.workLeft += work.Seconds() * float64(s.Spec.Needs.CPUMillis) / millisPerCore
-		left[i] += longest
+		found.workLeft += work / float64(time.Second) * float64(s.Spec.Needs.CPUMillis) / millisPerCore
+		left[i] = specifier.Sum(left[i], longest)
 		found.timeLeft = max(found.timeLeft, left[i])
 	}
-	found.timeLeft = time.Duration(float64(found.timeLeft) * x.in.Estimator.Pace(o.Job.Spec.Queue))
+	found.timeLeft = specifier.Span(float64(found.timeLeft) * x.in.Estimator.Pace(o.Job.Spec.Queue))
 	return found
 }
 
-// step returns the work left of a step's tasks, all together and of the longest.
-func (x *indexer) step(s *tracker.Step) (all, longest time.Duration) {
+// step returns the work left of a step's tasks: all together, in nanoseconds that may be more than a
+// time.Duration holds, and of the longest.
+func (x *indexer) step(s *tracker.Step) (all float64, longest time.Duration) {
 	d := x.in.Estimator.RunTime(kindOf(s), s.Spec.Estimate())
 	fresh := d.Mean()
 	if !s.Occurrence.Job.Started || !s.Ready() { // no task has run, as of most in a backlog
-		return time.Duration(len(s.Tasks)-s.Done) * fresh, fresh
+		return float64(len(s.Tasks)-s.Done) * float64(fresh), fresh
 	}
 	for _, t := range s.Tasks {
 		if t.Done {
@@ -74,7 +76,7 @@
 		if run := t.PrimaryRun(); run != nil && run.State == tracker.Running {
 			left = expectedLeft(x.in, run, d)
 		}
-		all += left
+		all += float64(left)
 		longest = max(longest, left)
 	}
 	return all, longest
@@ -89,10 +91,10 @@
 // report too, that is the work from the first report to the latest.
 func expectedLeft(in Input, run *tracker.Run, d estimator.Distribution) time.Duration {
 	speed := in.Calibrator.Speed(run.VM.Name, in.Now).Factor
-	sound := func(work time.Duration) time.Duration { return time.Duration(float64(work) * speed) }
+	sound := func(work time.Duration) time.Duration { return specifier.Span(float64(work) * speed) }
 	switch {
 	case run.Resumed: // its work before is not known
-		return time.Duration(float64(d.Mean()) * float64(paceFull-run.Progress) / paceFull)
+		return specifier.Span(float64(d.Mean()) * float64(paceFull-run.Progress) / paceFull)
 	case run.Progress == 0:
 		return d.Left(sound(run.Work(in.Now)))
 	}
--- a/internal/job/planner/leave_slow.go
+++ b/internal/job/planner/leave_slow.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
 )
 
@@ -113,12 +114,12 @@
 func (in Input) departure(run *tracker.Run) Departure {
 	d := Departure{Run: run, Factor: in.factor(run.VM)}
 	whole := in.soundRunTime(run)
-	left := time.Duration(float64(whole) * float64(paceFull-run.Progress) / paceFull)
+	left := specifier.Span(float64(whole) * float64(paceFull-run.Progress) / paceFull)
 	pace := run.Pace
 	if pace == tracker.PaceUnknown {
 		pace = paceFull
 	}
-	d.There = time.Duration(float64(left) / d.Factor * paceFull / float64(max(pace, minPace)))
+	d.There = specifier.Span(float64(left) / d.Factor * paceFull / float64(max(pace, minPace)))
 	d.Elsewhere = leaveOverhead + whole
 	if run.Step().Spec.Checkpoints {
 		d.Elsewhere = leaveOverhead + left
@@ -131,9 +132,9 @@
 func (in Input) soundRunTime(run *tracker.Run) time.Duration {
 	declared := run.Step().Spec.Estimate()
 	if rate, known := in.Calibrator.SoundRate(run.VM.Name, run.Key().Task.String(), run.Number); known && rate > 0 {
-		return time.Duration(float64(declared) / rate)
+		return specifier.Span(float64(declared) / rate)
 	}
-	return time.Duration(float64(declared) * in.State.RuntimeRatio(run.Step().Occurrence.Job.Spec.Queue))
+	return specifier.Span(float64(declared) * in.State.RuntimeRatio(run.Step().Occurrence.Job.Spec.Queue))
 }
 
 // findPlace returns a VM that would take the task of a run now and is not slow, and accounts for it there; nil if
--- a/internal/job/planner/order.go
+++ b/internal/job/planner/order.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
 )
 
@@ -78,7 +79,7 @@
 		return r
 	}
 	expected := in.Estimator != nil
-	left := time.Duration(float64(chain.left) * in.State.RuntimeRatio(o.Job.Spec.Queue))
+	left := specifier.Span(float64(chain.left) * in.State.RuntimeRatio(o.Job.Spec.Queue))
 	if expected {
 		left = x.of(o).timeLeft
 	}
@@ -101,8 +102,11 @@
 // objectiveOf returns the objective of an occurrence, from when it is due: what its caller was
 // promised, by the declared durations.
 func objectiveOf(o *tracker.Occurrence, longestChain time.Duration) time.Duration {
-	q := o.Job.Queue
-	return time.Duration(float64(longestChain)*q.Slack) + q.Target
+	return objectiveIn(o.Job.Queue, longestChain)
+}
+
+func objectiveIn(q specifier.Queue, longestChain time.Duration) time.Duration {
+	return specifier.Sum(specifier.Span(float64(longestChain)*q.Slack), q.Target)
 }
 
 // chainLengths are the lengths of the longest dependency chains of an occurrence, by declared
@@ -121,9 +125,9 @@
 		for _, a := range s.Spec.After {
 			total[i], left[i] = max(total[i], total[a]), max(left[i], left[a])
 		}
-		total[i] += s.Spec.Estimate()
+		total[i] = specifier.Sum(total[i], s.Spec.Estimate())
 		if !s.Finished() {
-			left[i] += s.Spec.Estimate()
+			left[i] = specifier.Sum(left[i], s.Spec.Estimate())
 		}
 		c.total, c.left = max(c.total, total[i]), max(c.left, left[i])
 	}
--- a/internal/job/planner/reclaim.go
+++ b/internal/job/planner/reclaim.go
@@ -99,8 +99,8 @@
 // rest is the expected rest of a run.
 func (r *round) rest(run *tracker.Run) time.Duration {
 	s := run.Step()
-	left := s.Spec.Estimate() * time.Duration(paceFull-run.Progress) / paceFull
-	return time.Duration(float64(left) * r.state.RuntimeRatio(s.Occurrence.Job.Spec.Queue))
+	left := s.Spec.Estimate() / paceFull * time.Duration(paceFull-run.Progress)
+	return specifier.Span(float64(left) * r.state.RuntimeRatio(s.Occurrence.Job.Spec.Queue))
 }
 
 // stopWorth is the time of a run that is worth as much as a stop costs.
--- a/internal/job/planner/slow.go
+++ b/internal/job/planner/slow.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
 )
 
@@ -123,6 +124,6 @@
 		return false
 	}
 	cost := float64(s.Estimate()) * (1/m.factor - 1)
-	patience := min(time.Duration(patienceShare*cost), maxPatience)
+	patience := min(specifier.Span(patienceShare*cost), maxPatience)
 	return r.waited(t) < patience
 }
--- a/internal/job/scheduler/advice.go
+++ b/internal/job/scheduler/advice.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bamboospread/internal/job/planner"
+	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
 	"bamboospread/internal/kernel/reporter"
 )
@@ -33,7 +34,7 @@
 		workers = append(workers, vm.WorkerID)
 		e.incarnations[vm.Name] = vm.Incarnation
 	}
-	limit := queue.AdviceTime + time.Duration(len(workers))*queue.AdvicePerVM + adviceQueueTime
+	limit := specifier.Span(float64(queue.AdviceTime) + float64(len(workers))*float64(queue.AdvicePerVM) + float64(adviceQueueTime))
 	go func() {
 		call, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
--- a/internal/job/scheduler/estimates.go
+++ b/internal/job/scheduler/estimates.go
@@ -7,6 +7,7 @@
 
 	"bamboospread/internal/job/estimator"
 	"bamboospread/internal/job/planner"
+	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
 	"bamboospread/internal/kernel/reporter"
 )
@@ -51,7 +52,7 @@
 	return estimator.Sample{
 		Kind:     estimator.Kind{Queue: s.Occurrence.Job.Spec.Queue, Image: s.Spec.Image},
 		Declared: s.Spec.Estimate(),
-		Work:     time.Duration(float64(work) * l.calibrator.Speed(r.VM.Name, now).Factor),
+		Work:     specifier.Span(float64(work) * l.calibrator.Speed(r.VM.Name, now).Factor),
 		Tasks:    len(s.Tasks),
 		At:       now,
 	}
--- a/internal/job/scheduler/explainaccount.go
+++ b/internal/job/scheduler/explainaccount.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -47,7 +48,7 @@
 	o.countWaiting(a.Rows, name, now)
 	slices.SortFunc(a.Rows, func(x, y messenger.WorkAccountRow) int {
 		if x.Priority != y.Priority {
-			return x.Priority - y.Priority
+			return cmp.Compare(x.Priority, y.Priority)
 		}
 		if x.LongRunning {
 			return 1
--- a/internal/job/scheduler/speeds.go
+++ b/internal/job/scheduler/speeds.go
@@ -21,7 +21,7 @@
 	s := r.Step()
 	l.calibrator.Observe(calibrator.Sample{
 		VM: r.VM.Name, Task: r.Task.ID().String(), Step: s.Name(), Run: r.Number, Queue: s.Occurrence.Job.Spec.Queue, Image: s.Spec.Image,
-		Work: s.Spec.Estimate() * time.Duration(progress) / 100, Resolution: s.Spec.Estimate() / 100, Took: took, Share: r.CPUShare(), At: r.VM.SeenAt,
+		Work: s.Spec.Estimate() / 100 * time.Duration(progress), Resolution: s.Spec.Estimate() / 100, Took: took, Share: r.CPUShare(), At: r.VM.SeenAt,
 		Competing: s.Spec.BestEffort && r.VM.Committed.CPUMillis+r.VM.BestEffortCPU > r.VM.Capacity.CPUMillis,
 	})
 }
--- a/internal/job/specifier/check.go
+++ b/internal/job/specifier/check.go
@@ -6,9 +6,13 @@
 	"time"
 )
 
-// Bounds of scheduled occurrences, far above any real use, so that their times cannot
-// overflow.
-const maxInterval = 366 * 24 * time.Hour
+// Bounds far above any real use, so that nothing that is computed from them can overflow.
+const (
+	maxInterval = 366 * 24 * time.Hour // between scheduled occurrences
+
+	MaxEstimate = 10 * 366 * 24 * time.Hour // declared duration of a task
+	MaxNeed     = 1_000_000_000             // of each resource of a task: in thousandths of a core, MB, and GPUs
+)
 
 var maxFirstStart = time.Date(2999, time.December, 31, 0, 0, 0, 0, time.UTC)
 
@@ -57,6 +61,11 @@
 	if s.Needs.CPUMillis < 0 || s.Needs.MemoryMB < 0 || s.Needs.GPUs < 0 || s.EstimateMillis < 0 || s.MaxPerVM < 0 || s.MaxUnavailable < 0 || s.TailMillis < 0 {
 		add("sizes, durations and bounds must not be negative: cpu-millis %d, memory-mb %d, gpus %d, estimate-ms %d, max-per-vm %d, max-away %d, tail-target %d", s.Needs.CPUMillis, s.Needs.MemoryMB, s.Needs.GPUs, s.EstimateMillis, s.MaxPerVM, s.MaxUnavailable, s.TailMillis)
 	}
+	for _, l := range s.limits() {
+		if *l.value > l.most {
+			add("%s %d, at most %d", l.field, *l.value, l.most)
+		}
+	}
 	// A step may depend only on earlier ones, which rules out cycles.
 	for _, a := range s.After {
 		if a < 0 || a >= i {
@@ -79,3 +88,29 @@
 	}
 	return true
 }
+
+// limit is the highest value of a field.
+type limit struct {
+	field string
+	value *int64
+	most  int64
+}
+
+func (s *Step) limits() [5]limit {
+	return [...]limit{
+		{"cpu-millis", &s.Needs.CPUMillis, MaxNeed},
+		{"memory-mb", &s.Needs.MemoryMB, MaxNeed},
+		{"gpus", &s.Needs.GPUs, MaxNeed},
+		{"estimate-ms", &s.EstimateMillis, MaxEstimate.Milliseconds()},
+		{"tail-target", &s.TailMillis, MaxEstimate.Milliseconds()},
+	}
+}
+
+// Bound limits the values of a job that an earlier build accepted and that Check refuses now.
+func (j *Job) Bound() {
+	for i := range j.Steps {
+		for _, l := range j.Steps[i].limits() {
+			*l.value = min(*l.value, l.most)
+		}
+	}
+}
--- a/internal/job/specifier/policy.go
+++ b/internal/job/specifier/policy.go
@@ -57,10 +57,9 @@
 	if s == nil {
 		return Queue{}, false
 	}
-	millis := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 	return Queue{
-		Name: j.Queue, Service: s.Service, Priority: s.Priority, MaxFailures: s.MaxFailures, Slack: s.Slack, Target: millis(s.TargetMillis),
-		Advised: s.Advised, AdviceTime: millis(s.AdviceMillis), AdvicePerVM: millis(s.AdviceVMMillis), AdviceValid: millis(s.AdviceValidMillis),
+		Name: j.Queue, Service: s.Service, Priority: s.Priority, MaxFailures: s.MaxFailures, Slack: max(s.Slack, 0), Target: Millis(s.TargetMillis),
+		Advised: s.Advised, AdviceTime: Millis(s.AdviceMillis), AdvicePerVM: Millis(s.AdviceVMMillis), AdviceValid: Millis(s.AdviceValidMillis),
 	}, true
 }
 
--- a/internal/job/specifier/specifier.go
+++ b/internal/job/specifier/specifier.go
@@ -80,8 +80,8 @@
 	BestEffort     bool      `json:"fills,omitempty"`       // best-effort: uses processor time that other tasks leave idle; none is reserved
 }
 
-// Estimate is the declared duration of a task.
-func (s Step) Estimate() time.Duration { return time.Duration(s.EstimateMillis) * time.Millisecond }
+// Estimate is the declared duration of a task, at most MaxEstimate.
+func (s Step) Estimate() time.Duration { return min(Millis(s.EstimateMillis), MaxEstimate) }
 
 // Committed returns the part of a VM's capacity that is reserved for a task. No
 // processors are reserved for a best-effort task.
--- a/internal/job/tracker/record.go
+++ b/internal/job/tracker/record.go
@@ -229,6 +229,7 @@
 	if j.Ended != "" { // a tombstone has no steps to check
 		return &j, nil
 	}
+	j.Bound()
 	if err := specifier.Check(&j); err != nil {
 		return nil, fmt.Errorf("invalid job %q: %w", j.ID, err)
 	}
