scheduler: numbers of runs stay below the next owner's

After a change of owner, the worker refuses the starts of a task that the former owner started more than 1,000 times, until its numbers are reached. Cause: an epoch has 1,000 numbers, and nothing kept an owner within them. Change: an owner gives no number of an epoch that is not its own. Once half of an epoch's numbers are used, it raises the epoch's record, by a fenced write, and goes on with the numbers of that epoch; the next owner, also of an earlier build, gets a higher one. A start waits only while the write is not answered. The record of silent members names the last epoch taken. Numbers in stored notes of earlier builds are not used again. An impossible number of a report takes no epochs. The replay of the tests raises the epoch by the product's code, in place of counting it.

--- a/internal/job/scheduler/owner.go
+++ b/internal/job/scheduler/owner.go
@@ -95,6 +95,7 @@
 	unreported          map[string]bool     // members that have not reported to this owner yet
 	storingMembers      bool                // a write of the members is in flight
 	silences            silences
+	numbers             numbers              // of runs
 	dropAfter           time.Time            // members without reports are removed only after this
 	reportedQuarantines map[string]time.Time // end of the quarantine that was last logged, by VM
 	reconciled          bool
@@ -123,13 +124,15 @@
 func newOwner(s *Scheduler, epoch int64, state *tracker.Tracker, now time.Time) *owner {
 	load := newLoadControl()
 	state.SetObserver(load.observer(s.config.Now))
-	return &owner{
+	o := &owner{
 		s: s, epoch: epoch, started: now, phases: phaseTimes{now: s.config.Now, startedAt: now}, state: state, load: load, forecasts: newForecasts(), learner: learner.New(), snapshotAt: now, records: newProgressRecords(), cache: planner.NewCache(), writer: newWriter(s.config.Store.Transact), events: make(chan event, eventBuffer), done: make(chan struct{}),
 		placement: decision{name: "placement", planned: minRoundInterval}, checks: decision{name: "checks", planned: minCheckInterval}, moves: decision{name: "moves", planned: moveInterval}, gangRooms: decision{name: "gang rooms", planned: gangRoomInterval},
 		restorers: make(map[*connector.Conn]*abridger.Restorer),
 		sessions:  make(map[string]*session), unsent: make(map[*session]bool), window: newWindow(), cancelled: make(map[string]bool), unknown: newUnknownJobs(), members: make(map[string]bool), listed: make(map[string]bool),
 		joining: make(map[string]bool), leaving: make(map[string]bool), unreported: make(map[string]bool), silences: newSilences(), reportedQuarantines: make(map[string]time.Time), waitReportedAt: make(map[string]time.Time), dirty: true, removeEndedAt: now.Add(removeEndedInterval),
 	}
+	o.numbers.taken.Store(epoch)
+	return o
 }
 
 // send passes an event to the loop.
@@ -223,6 +226,7 @@
 	}
 	o.reportEndedJobs(now)
 	o.storeMembers(ctx)
+	o.takeNumbers(ctx)
 	if o.silences.returned {
 		o.storeSilences(ctx)
 	}
@@ -376,6 +380,9 @@
 			return
 		}
 		previous = s.Task.Step
+		if !o.mayNumber(s.Number) {
+			continue // once the number is this owner's
+		}
 		o.orderStart(o.sessions[s.VM.Name], s, now)
 	}
 }
--- a/internal/job/scheduler/replay_test.go
+++ b/internal/job/scheduler/replay_test.go
@@ -60,6 +60,7 @@
 	work     map[string]time.Duration // of a task, by step; 0: long-running
 	// startFault returns the fault of a start order.
 	startFault  func(task string) startFault
+	accepts     func(start messenger.WorkOrder) bool // whether the worker accepts a start; nil: it does
 	backlog     bool
 	load        specifier.LoadControl // asked for, from the next owner on
 	urgentEvery time.Duration         // time between urgent jobs
@@ -214,7 +215,10 @@
 	r.t.Helper()
 	policy := &specifier.Policy{Version: 1, Queues: []specifier.Queue{{Name: "long-running"}, {Name: "urgent", Slack: 1.5}}, Load: r.load}
 	s := New(Config{Cell: "jobs", Reporter: reporter.Discard(), Now: func() time.Time { return r.now }, Policy: func() *specifier.Policy { return policy }, Store: r.store.calls()})
-	r.epoch++
+	var err error
+	if r.epoch, err = s.tryRaiseEpoch(r.t.Context(), "cells/jobs/epoch"); err != nil {
+		r.t.Fatal(err)
+	}
 	o, err := s.takeOver(r.t.Context(), r.epoch)
 	if err != nil {
 		r.t.Fatal(err)
@@ -266,7 +270,7 @@
 	}
 	r.owner.dirty = true
 	r.owner.runRound(r.t.Context(), r.now)
-	for r.owner.flushing || r.owner.storingMembers || r.owner.silences.storing {
+	for r.owner.flushing || r.owner.storingMembers || r.owner.silences.storing || r.owner.numbers.storing {
 		(<-r.owner.events).apply(r.owner, r.now)
 	}
 	for _, a := range r.agents {
@@ -369,6 +373,9 @@
 		if fault == startNotSent {
 			return false
 		}
+		if r.accepts != nil && !r.accepts(order) {
+			fault = startRefused
+		}
 		if fault != startRefused {
 			a.runs = append(a.runs, &replayRun{WorkRun: messenger.WorkRun{Task: order.Task, Run: order.Run}, startedAt: r.now, fault: fault})
 		}
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -209,9 +209,8 @@
 // lower epoch than they have seen, so an owner that was replaced without noticing cannot start
 // or stop runs.
 func (s *Scheduler) raiseEpoch(ctx context.Context) (int64, error) {
-	key := fmt.Sprintf("cells/%s/epoch", s.config.Cell)
 	for {
-		epoch, err := s.tryRaiseEpoch(ctx, key)
+		epoch, err := s.tryRaiseEpoch(ctx, s.epochKey())
 		if err == nil {
 			return epoch, nil
 		}
@@ -224,6 +223,8 @@
 	}
 }
 
+func (s *Scheduler) epochKey() string { return fmt.Sprintf("cells/%s/epoch", s.config.Cell) }
+
 // tryRaiseEpoch makes one attempt. A write whose answer was lost may have succeeded; the next
 // attempt then raises the epoch further, which is equally valid.
 func (s *Scheduler) tryRaiseEpoch(ctx context.Context, key string) (int64, error) {
@@ -248,7 +249,7 @@
 const maxEpoch = 1 << 40
 
 // decodeEpoch returns the epoch of its record. If that is unreadable, or is an epoch that no owner can
-// have had, it returns the revision of the record: each epoch took a write, so none was above it.
+// have had, it returns the revision of the record: no epoch is above that of its record.
 func (s *Scheduler) decodeEpoch(record keeper.Record) int64 {
 	var epoch int64
 	err := json.Unmarshal(record.Value, &epoch)
--- a/internal/job/scheduler/silence.go
+++ b/internal/job/scheduler/silence.go
@@ -176,7 +176,7 @@
 }
 
 func (o *owner) writeSilences(ctx context.Context, silent map[string]int64) error {
-	value, err := json.Marshal(silenceRecord{o.epoch, silent})
+	value, err := json.Marshal(silenceRecord{o.numbers.taken.Load(), silent})
 	if err != nil {
 		return fmt.Errorf("encode silent members: %w", err)
 	}
--- a/internal/job/scheduler/takeover.go
+++ b/internal/job/scheduler/takeover.go
@@ -15,10 +15,6 @@
 	"bamboospread/internal/store/lister"
 )
 
-// runsPerEpoch exceeds the number of runs that a task can have under one owner: a task that
-// always fails at once still waits a second between runs.
-const runsPerEpoch = 1000
-
 // takeOver loads the cell's state from the store.
 func (s *Scheduler) takeOver(ctx context.Context, epoch int64) (*owner, error) {
 	now := s.config.Now()
@@ -34,7 +30,7 @@
 		return nil, err
 	}
 	o.phases.endRead("read-progress", progress)
-	o.watchFrom = revision
+	o.watchFrom, o.numbers.most = revision, revision
 	if err := o.loadMembers(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/job/tracker/record.go
+++ b/internal/job/tracker/record.go
@@ -137,6 +137,7 @@
 			}
 			t.Failed, t.Checkpoint = sr.Failed[n], sr.Checkpoints[n]
 			t.setCrashes(sr.Crashes[n])
+			t.restoreLastNumber()
 		}
 		s.shareCheckpoint()
 		if err := s.restoreRuns(sr, now); err != nil {
@@ -147,6 +148,17 @@
 	return nil
 }
 
+// restoreLastNumber raises the number of the latest run to that of the runs in the record: earlier builds may have
+// numbered them above the floor of this owner.
+func (t *Task) restoreLastNumber() {
+	for _, n := range t.Failed {
+		t.LastNumber = max(t.LastNumber, n)
+	}
+	for _, c := range t.Crashes {
+		t.LastNumber = max(t.LastNumber, c.Run)
+	}
+}
+
 // markReady records since when the steps wait for capacity that depend on no unfinished step.
 func (o *Occurrence) markReady(now time.Time) {
 	for _, s := range o.Steps {
--- a/internal/job/tracker/record_test.go
+++ b/internal/job/tracker/record_test.go
@@ -284,3 +284,28 @@
 		})
 	}
 }
+
+// Guards against starts that a worker refuses as old: an owner of an earlier build has numbered the runs of a task above
+// the next owner's floor.
+func TestNumbersOfStoredRunsAreNotUsedAgain(t *testing.T) {
+	const floor = 1000
+	tests := []struct {
+		name, step string
+		want       int64
+	}{
+		{"none", `{}`, floor + 1},
+		{"failed below the floor", `{"failed":{"0":[7]}}`, floor + 1},
+		{"failed", `{"failed":{"0":[1800,1799]}}`, 1801},
+		{"crashed", `{"crashes":{"0":[{"run":1900,"vm":"vm","age-ms":1,"at-ms":1}]}}`, 1901},
+	}
+	for _, tt := range tests {
+		tr := New(Config{RunFloor: floor, Policy: &specifier.Policy{}})
+		j := addJob(t, tr, 1, specifier.Step{Count: 1, Needs: oneCore})
+		if err := tr.Restore(j.Spec.ID, []byte(`{"state":"running","next":1,"open":[{"number":0,"steps":[`+tt.step+`]}]}`), begin); err != nil {
+			t.Fatal(err)
+		}
+		if got := tr.NextNumber(j.Occurrences[0].Steps[0].Tasks[0]); got != tt.want {
+			t.Errorf("%s: next number %d, want %d", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/kernel/reporter/catalogue_job.go
+++ b/internal/kernel/reporter/catalogue_job.go
@@ -53,6 +53,7 @@
 	JobRecordLarge
 	JobRecordRefused
 	JobRunsOverlap
+	RunNumbersTaken
 )
 
 // Events of jobs at agents, numbered from 950.
@@ -136,6 +137,7 @@
 	{JobRecordLarge, log.WarnLevel, "progress record large", "The record of a job's progress has more than half of the size that it may have. The fields omitted-* count the tasks whose notes do not fit any more, of each kind; the next owner will not know them: failed runs, crashes that a task is suspected of, since when long-running tasks are unavailable, checkpoints."},
 	{JobRecordRefused, log.ErrorLevel, "progress record refused", "The store refuses the record of a job's progress, or another writer replaces it each time. Other jobs are stored. Nothing of the job starts until its record is stored; the ends of its runs are kept in another record. It is written again with fewer notes if it was refused for its content."},
 	{JobRunsOverlap, log.ErrorLevel, "task has two runs", "A worker reports a run of a task that has another run, though its step allows no copies: the later one to be known is stopped. The field lost says which run this owner had given up last, and what showed that it had ended; empty, another owner had started the run."},
+	{RunNumbersTaken, log.InfoLevel, "run numbers taken", "The owner has started a task more often than an epoch has numbers for its runs, and takes those of the epochs up to the given one: the next owner has a higher epoch. Something refuses or ends the runs of a task again and again."},
 
 	{WorkerAnnounced, log.InfoLevel, "worker announced itself", "The worker of this VM reported its state."},
 	{WorkerRestarted, log.WarnLevel, "worker restarted", "The worker restarted as a new incarnation and has lost its state; its runs are lost."},
