admitter: a wait longer than a duration holds is a refusal

With admission asked for and a backlog of more than 292 years of work at its drain, as one job of the largest accepted sizes is, every job was let in at once. Cause: the seconds of the wait, and of the time until the next refused caller may come back, were converted to a time.Duration without a bound; on x86-64 that gives the lowest one.

--- a/internal/job/admitter/admitter.go
+++ b/internal/job/admitter/admitter.go
@@ -8,6 +8,8 @@
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"bamboospread/internal/job/specifier"
 )
 
 // Format is the version of the meaning of tables. Tables of another format are not used.
@@ -105,5 +107,5 @@
 	if row == nil || row.Drain <= 0 || byAccount && row.Account != account {
 		return 0, false
 	}
-	return time.Duration(upTo(row.Ahead, rank) / row.Drain * float64(time.Second)), true
+	return specifier.Span(upTo(row.Ahead, rank) / row.Drain * float64(time.Second)), true
 }
--- a/internal/job/admitter/gate.go
+++ b/internal/job/admitter/gate.go
@@ -166,7 +166,7 @@
 	if !q.Returning {
 		work += g.returns.due(key(row), now)
 	}
-	wait := time.Duration(work / row.Drain * float64(time.Second))
+	wait := specifier.Span(work / row.Drain * float64(time.Second))
 	return max(wait-now.Sub(g.computedAt), 0)
 }
 
--- a/internal/job/admitter/gate_test.go
+++ b/internal/job/admitter/gate_test.go
@@ -49,6 +49,8 @@
 		{"in time before those that are late", &Table{Rows: []Row{{Queue: "q", Drain: 100, OnTime: []Point{{1, 190}}, Ahead: []Point{{1, 1e5}}}}}, 0, request(nil), false},
 		{"late itself before it starts", &Table{Rows: []Row{{Queue: "q", Drain: 100, OnTime: []Point{{1, 210}}, Ahead: []Point{{1, 1e5}}}}}, 0, request(nil), true},
 		{"late already", &Table{Rows: []Row{{Queue: "q", Drain: 100, OnTime: []Point{{1, 190}}, Ahead: []Point{{1, 1e5}}}}}, 0, request(func(q *Request) { q.FirstAt = begin.Add(-time.Second) }), true},
+		{"work that takes longer than a duration holds", backlogTable(1, 1, 1e12), 0, request(nil), true},
+		{"its own work takes longer than a duration holds", backlogTable(1, 1, 100), 0, request(func(q *Request) { q.Work = 1e18 }), true},
 		{"drain not known", &Table{Rows: []Row{{Queue: "q", Ahead: []Point{{1, 1e6}}}}}, 0, request(nil), false},
 	}
 	for _, tt := range tests {
@@ -357,3 +359,18 @@
 		})
 	}
 }
+
+// Guards against a wait or a return time that overflows: a caller is told to come back at once, and callers after it
+// are let in before it.
+func TestReturnTimesDoNotOverflow(t *testing.T) {
+	g := NewGate()
+	g.Use(backlogTable(1, 1, 1e12), begin)
+	for range 3 {
+		if d := g.Decide(request(func(q *Request) { q.Work = 1e18 }), begin); !d.Refuse || d.Wait < time.Hour || d.RetryAfter != maxRetryAfter {
+			t.Errorf("refused: %t, a wait of %s, back after %s", d.Refuse, d.Wait, d.RetryAfter)
+		}
+	}
+	if wait, _ := WaitAt(g.table.Rows, "q", "", 1); wait < time.Hour {
+		t.Errorf("a wait of %s", wait)
+	}
+}
--- a/internal/job/admitter/returns.go
+++ b/internal/job/admitter/returns.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"bamboospread/internal/job/specifier"
 )
 
 // Limits of the times after which refused callers return.
@@ -43,7 +45,7 @@
 	if next := r.next[k]; next.After(at) {
 		at = next
 	}
-	r.next[k] = at.Add(time.Duration(seconds * float64(time.Second)))
+	r.next[k] = at.Add(specifier.Span(seconds * float64(time.Second)))
 	if r.next[k].Sub(now) > maxRetryAfter {
 		r.next[k] = now.Add(maxRetryAfter)
 	}
--- a/internal/job/scheduler/admission.go
+++ b/internal/job/scheduler/admission.go
@@ -8,6 +8,7 @@
 
 	"bamboospread/internal/job/admitter"
 	"bamboospread/internal/job/planner"
+	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/wire/messenger"
@@ -278,7 +279,7 @@
 	for _, q := range b.Queues {
 		drain, wait := a.meter.Drain(q.Pool), time.Duration(0)
 		if drain > 0 && b.Saturated(q.Pool) {
-			wait = time.Duration(work[q.Pool] / drain * float64(time.Second))
+			wait = specifier.Span(work[q.Pool] / drain * float64(time.Second))
 		}
 		if has := wait >= backlogWait; has != a.backlogged[q.Pool] && now.Sub(a.reportedAt[q.Pool]) >= backlogReportInterval {
 			a.backlogged[q.Pool], a.reportedAt[q.Pool] = has, now
