--- a/internal/job/planner/copies.go
+++ b/internal/job/planner/copies.go
@@ -53,12 +53,12 @@
 // needsCopy reports whether the first run of a task is a straggler and another run may start. A
 // copy of a task that may crash its worker could crash a second one.
 func needsCopy(in Input, t *tracker.Task) bool {
-	if t.Done || len(t.Crashes) > 0 || len(t.Runs) == 0 || len(t.Runs) >= maxConcurrentRuns || t.NotBefore.After(in.Now) {
+	if t.Done || len(t.Crashes()) > 0 || len(t.Runs) == 0 || len(t.Runs) >= maxConcurrentRuns || t.NotBefore.After(in.Now) {
 		return false
 	}
 	// The present run may still fail; with a copy the task could then exceed its allowed
 	// failures.
-	if maxFailures := t.Step.Occurrence.Job.Queue.MaxFailures; maxFailures > 0 && len(t.Failed)+len(t.Runs) >= maxFailures {
+	if maxFailures := t.Step.Occurrence.Job.Queue.MaxFailures; maxFailures > 0 && len(t.Failed())+len(t.Runs) >= maxFailures {
 		return false
 	}
 	return isStraggler(in, t.Runs[0])
--- a/internal/job/planner/copies_test.go
+++ b/internal/job/planner/copies_test.go
@@ -119,7 +119,7 @@
 // the limit.
 func TestNoCopyBeyondMaxFailures(t *testing.T) {
 	b, task := newCopyFixture(t, nil)
-	task.Failed = []int64{101, 102}
+	task.SetFailed([]int64{101, 102})
 	b.reportProgress(0, 0)
 	if starts := b.plan(b.reportProgress(10, 900*time.Millisecond)); len(starts) != 0 {
 		t.Error("a copy was started")
--- a/internal/job/planner/defragment.go
+++ b/internal/job/planner/defragment.go
@@ -79,7 +79,7 @@
 	s := run.Step()
 	count := r.runCounts(s)
 	for _, m := range r.vmStates {
-		if m != from && !m.slow && !run.Task.AvoidedVMs[m.vm.Name] && m.admits(s, count[m.vm]) {
+		if m != from && !m.slow && !run.Task.AvoidsVM(m.vm.Name) && m.admits(s, count[m.vm]) {
 			return m
 		}
 	}
--- a/internal/job/planner/exchange.go
+++ b/internal/job/planner/exchange.go
@@ -261,7 +261,7 @@
 	joined := make(map[*tracker.Step]int)
 	for _, run := range arriving.runs {
 		s := run.Step()
-		if to.slow || run.Task.AvoidedVMs[to.vm.Name] || !to.admits(s, runsPerVM(s)[to.vm]+joined[s]) {
+		if to.slow || run.Task.AvoidsVM(to.vm.Name) || !to.admits(s, runsPerVM(s)[to.vm]+joined[s]) {
 			return false
 		}
 		to.addLongRunning(s)
--- a/internal/job/planner/gangroom_arrange.go
+++ b/internal/job/planner/gangroom_arrange.go
@@ -94,7 +94,7 @@
 	run := a.stops[i].Run
 	s := run.Step()
 	for k, to := range a.states {
-		if to.vm == run.VM || to.slow || run.Task.AvoidedVMs[to.vm.Name] || !a.admits(k, s) {
+		if to.vm == run.VM || to.slow || run.Task.AvoidsVM(to.vm.Name) || !a.admits(k, s) {
 			continue
 		}
 		a.join(s, k, 1)
--- a/internal/job/planner/leave_slow.go
+++ b/internal/job/planner/leave_slow.go
@@ -107,7 +107,7 @@
 func mayLeave(run *tracker.Run) bool {
 	s, t := run.Step().Spec, run.Task
 	return run.State == tracker.Running && run.VM.Attached && !s.LongRunning && !s.Gang && !s.Copies && s.EstimateMillis > 0 &&
-		len(t.Runs) == 1 && len(t.Crashes) == 0
+		len(t.Runs) == 1 && len(t.Crashes()) == 0
 }
 
 // departure returns the expected time left of a run where it is, and that of the task elsewhere.
--- a/internal/job/planner/leave_slow_long_running.go
+++ b/internal/job/planner/leave_slow_long_running.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		for _, run := range longRunningRuns(vm) {
-			rested := run.Task.Relocation.From == "" || r.now.Sub(run.Task.Relocation.Until) >= slowMoveRest
+			rested := run.Task.Relocation().From == "" || r.now.Sub(run.Task.Relocation().Until) >= slowMoveRest
 			if s := run.Step().Spec; s.TailMillis > 0 && run.Measure > s.TailMillis && rested && r.mayMove(run) {
 				runs = append(runs, run)
 			}
--- a/internal/job/planner/move.go
+++ b/internal/job/planner/move.go
@@ -118,13 +118,13 @@
 		}
 		all += len(s.Tasks)
 		for _, t := range s.Tasks {
-			if t.Relocation.To == "" || !in.Now.Before(t.Relocation.Until.Add(moveTimeout)) || !t.Unavailable() {
+			if t.Relocation().To == "" || !in.Now.Before(t.Relocation().Until.Add(moveTimeout)) || !t.Unavailable() {
 				continue
 			}
 			ongoing.unavailable++
-			ongoing.vms[t.Relocation.From], ongoing.vms[t.Relocation.To] = true, true
-			if t.Relocation.For != nil {
-				ongoing.steps[t.Relocation.For] = true
+			ongoing.vms[t.Relocation().From], ongoing.vms[t.Relocation().To] = true, true
+			if t.Relocation().For != nil {
+				ongoing.steps[t.Relocation().For] = true
 			}
 		}
 	}
--- a/internal/job/planner/move_test.go
+++ b/internal/job/planner/move_test.go
@@ -153,10 +153,10 @@
 		}, false},
 		{"one has failed", func(f *mixedFleet) { f.fail() }, true},
 		{"one moves and is not running yet", func(f *mixedFleet) {
-			f.fail().Relocation = tracker.Relocation{To: "2", Until: begin.Add(moveHold)}
+			f.fail().SetRelocation(tracker.Relocation{To: "2", Until: begin.Add(moveHold)})
 		}, false},
 		{"one has moved and is running", func(f *mixedFleet) {
-			f.jobs[0].Occurrences[0].Steps[0].Tasks[0].Relocation = tracker.Relocation{To: "1", Until: begin.Add(moveHold)}
+			f.jobs[0].Occurrences[0].Steps[0].Tasks[0].SetRelocation(tracker.Relocation{To: "1", Until: begin.Add(moveHold)})
 		}, true},
 		{"no other task may be unavailable", func(f *mixedFleet) {
 			for _, j := range f.jobs {
@@ -210,7 +210,7 @@
 	f.vm("spare", "in", "r1", cores(32))
 	run := longRunningRunsOf(f.vms[0], "a")[0]
 	task := run.Task
-	task.Relocation = tracker.Relocation{To: f.vms[1].Name, Until: begin.Add(moveHold)}
+	task.SetRelocation(tracker.Relocation{To: f.vms[1].Name, Until: begin.Add(moveHold)})
 	f.state.EndRun(run.VM, run.Key(), tracker.EndStopped, "", begin)
 	if got := f.plan(begin); len(got) != 0 {
 		t.Fatalf("starts on %s while its place is taken", got[0].VM.Name)
--- a/internal/job/planner/observe.go
+++ b/internal/job/planner/observe.go
@@ -83,7 +83,7 @@
 	if m.observed != nil && m.observed != t {
 		return !startTogether(m.observed, t)
 	}
-	if m.lateSuspects > 0 && !t.Step.Spec.Gang && t.RepeatsLate() && r.now.Sub(m.lateSince) < t.Apart && r.now.Sub(t.WaitSince) < maxApartWait {
+	if m.lateSuspects > 0 && !t.Step.Spec.Gang && t.RepeatsLate() && r.now.Sub(m.lateSince) < t.Apart() && r.now.Sub(t.WaitSince) < maxApartWait {
 		return true
 	}
 	if !r.waitsForObservation(t) {
--- a/internal/job/planner/observe_test.go
+++ b/internal/job/planner/observe_test.go
@@ -51,7 +51,7 @@
 		for _, task := range tasks {
 			b.crashTwice(task)
 			if !task.StartsObserved() || len(task.Runs) != 0 {
-				t.Fatalf("crashes %+v, runs %v", task.Crashes, task.Runs)
+				t.Fatalf("crashes %+v, runs %v", task.Crashes(), task.Runs)
 			}
 		}
 		return b, tasks
@@ -357,12 +357,12 @@
 	}
 	for _, task := range innocent {
 		if j := task.Step.Occurrence.Job; j.State.Final() {
-			t.Errorf("job %s is %s; %s, %+v", j.Spec.ID, j.State, j.Reason, task.Crashes)
+			t.Errorf("job %s is %s; %s, %+v", j.Spec.ID, j.State, j.Reason, task.Crashes())
 		}
 	}
 	for task, after := range f.guilty {
 		if j := task.Step.Occurrence.Job; j.State != tracker.JobFailed || f.late[task] >= 3 {
-			t.Errorf("job %s, which crashes its workers after %s, is %s after %d crashes and %d starts after the third; %+v", j.Spec.ID, after, j.State, f.crashes[task], f.late[task], task.Crashes)
+			t.Errorf("job %s, which crashes its workers after %s, is %s after %d crashes and %d starts after the third; %+v", j.Spec.ID, after, j.State, f.crashes[task], f.late[task], task.Crashes())
 		}
 	}
 }
--- a/internal/job/planner/planner.go
+++ b/internal/job/planner/planner.go
@@ -197,7 +197,7 @@
 			// Tasks of a step have the same needs, so the others that have waited as long fit on
 			// no VM either, except for a task that only avoids VMs where it failed or that may wait for
 			// urgent ones.
-			unplaceable[wait] = len(t.AvoidedVMs) == 0 && !r.mayHold(t)
+			unplaceable[wait] = !t.AvoidsVMs() && !r.mayHold(t)
 			continue
 		}
 		starts = append(starts, r.place(t, best, r.state.NextNumber(t)))
--- a/internal/job/planner/reclaim.go
+++ b/internal/job/planner/reclaim.go
@@ -189,7 +189,7 @@
 // replace reports whether a task fits in the place of a best-effort run, and accounts for it if so.
 func (c *reclaimer) replace(run *tracker.Run, t *tracker.Task) bool {
 	m := c.findVM(run.VM.Name)
-	if m == nil || m.vm.Slow() || t.AvoidedVMs[m.vm.Name] || c.separates(m, t) {
+	if m == nil || m.vm.Slow() || t.AvoidsVM(m.vm.Name) || c.separates(m, t) {
 		return false
 	}
 	s, count := t.Step, c.runCounts(t.Step)
--- a/internal/job/planner/reservation.go
+++ b/internal/job/planner/reservation.go
@@ -57,7 +57,7 @@
 			continue
 		}
 		best := (*vmState)(nil)
-		elsewhere := t.Relocation.To != "" || len(r.lateStartsOf(t)) > 0 // it waits for another VM than its step
+		elsewhere := t.Relocation().To != "" || len(r.lateStartsOf(t)) > 0 // it waits for another VM than its step
 		if !noFit[s] || elsewhere {
 			best = r.choose(s, t, r.runCounts(s))
 		}
@@ -94,11 +94,11 @@
 // run that is to leave may still be there; the free capacity is negative then.
 func (r *round) reserveForMoves() {
 	for _, t := range r.state.MovingTasks(r.now) {
-		if m := r.findVM(t.Relocation.To); m != nil {
+		if m := r.findVM(t.Relocation().To); m != nil {
 			m.reserve(t)
 		}
-		if m := r.findVM(t.Relocation.From); m != nil && t.Relocation.For != nil {
-			if next := longestWaiting(t.Relocation.For, r.now); next != nil {
+		if m := r.findVM(t.Relocation().From); m != nil && t.Relocation().For != nil {
+			if next := longestWaiting(t.Relocation().For, r.now); next != nil {
 				m.reserve(next)
 			}
 		}
--- a/internal/job/planner/rotation.go
+++ b/internal/job/planner/rotation.go
@@ -71,7 +71,7 @@
 func (r *round) tryRotation(run *tracker.Run, t *tracker.Task) bool {
 	s := t.Step
 	m := r.findVM(run.VM.Name)
-	if run.Step() == s || m == nil || m.slow || t.AvoidedVMs[m.vm.Name] || !r.admitsAfterLateStart(t, m.vm) {
+	if run.Step() == s || m == nil || m.slow || t.AvoidsVM(m.vm.Name) || !r.admitsAfterLateStart(t, m.vm) {
 		return false
 	}
 	free := m.free.Add(run.Step().Spec.Committed())
--- a/internal/job/planner/score.go
+++ b/internal/job/planner/score.go
@@ -23,7 +23,7 @@
 func scoreVM(m *vmState, s *tracker.Step, t *tracker.Task, running int, cost float64) score {
 	spec := s.Spec
 	var sc score
-	if t.AvoidedVMs[m.vm.Name] {
+	if t.AvoidsVM(m.vm.Name) {
 		sc[0]--
 	}
 	if m.slow {
@@ -38,7 +38,7 @@
 	if m.lateSuspects > 1 && t.RepeatsLate() {
 		sc[0] -= besideSuspected * (1 - 1/float64(m.lateSuspects)) // each crash rules out those on other VMs
 	}
-	if t.Relocation.To == m.vm.Name {
+	if t.Relocation().To == m.vm.Name {
 		sc[0] += 0.75
 	}
 	if spec.DataRack != "" && m.vm.Rack == spec.DataRack {
--- a/internal/job/planner/slow_test.go
+++ b/internal/job/planner/slow_test.go
@@ -192,7 +192,7 @@
 		{"out of contact", urgentTask, 10, func(b *fixture, _ []*tracker.Run) { b.state.Detach(b.state.VMs["vm-1"]) }, 0},
 		{"suspected of a crash", urgentTask, 10, func(_ *fixture, runs []*tracker.Run) {
 			for _, r := range runs {
-				r.Task.Crashes = []attributor.Crash{{}}
+				r.Task.SetCrashes([]attributor.Crash{{}})
 			}
 		}, 0},
 	}
@@ -283,7 +283,7 @@
 		}, 0},
 		{"moved from a slow VM shortly before", longRunning, func(_ *Input, _ *fixture, runs []*tracker.Run) {
 			for _, r := range runs {
-				r.Task.Relocation = tracker.Relocation{From: "vm-2", To: "vm-1", Until: begin.Add(-slowMoveRest / 2)}
+				r.Task.SetRelocation(tracker.Relocation{From: "vm-2", To: "vm-1", Until: begin.Add(-slowMoveRest / 2)})
 			}
 		}, 0},
 		{"urgent tasks wait", longRunning, func(in *Input, _ *fixture, _ []*tracker.Run) { in.UrgentDelayedAt = begin }, 0},
--- a/internal/job/scheduler/explain.go
+++ b/internal/job/scheduler/explain.go
@@ -34,7 +34,7 @@
 func stepStatus(in planner.Input, s *tracker.Step) messenger.WorkStepStatus {
 	w := messenger.WorkStepStatus{Occurrence: s.Occurrence.Number, Step: s.Number, Tasks: len(s.Tasks), Done: s.Done}
 	for _, t := range s.Tasks {
-		w.Failures += len(t.Failed)
+		w.Failures += len(t.Failed())
 		for _, r := range t.Runs {
 			w.Running++
 			w.Runs = append(w.Runs, messenger.WorkRunStatus{Task: r.Key().Task.String(), Run: r.Number, VM: r.VM.Name, State: r.State.String()})
--- a/internal/job/scheduler/session.go
+++ b/internal/job/scheduler/session.go
@@ -311,7 +311,7 @@
 func (o *owner) reportSuspicions(vm *tracker.VM, c tracker.Changes) {
 	for _, p := range c.Suspicions {
 		o.s.config.Reporter.Report(reporter.JobTaskSuspected, reporter.Fields{
-			"task": p.Task.ID().String(), "run": p.Crash.Run, "vm": vm.Name, "age": p.Crash.Age().String(), "likely": p.Likely, "sole": p.Crash.Sole, "crashes": len(p.Task.Crashes),
+			"task": p.Task.ID().String(), "run": p.Crash.Run, "vm": vm.Name, "age": p.Crash.Age().String(), "likely": p.Likely, "sole": p.Crash.Sole, "crashes": len(p.Task.Crashes()),
 		})
 	}
 	for _, t := range c.Cleared {
--- a/internal/job/tracker/crash.go
+++ b/internal/job/tracker/crash.go
@@ -81,10 +81,10 @@
 		}
 		crash := attributor.Crash{Run: s.Key.Number, VM: vm.Name, AgeMillis: s.Age.Milliseconds(), AtMillis: now.UnixMilli(), Likely: s.likely, Sole: s.likely && sole}
 		if s.isLongRunning() {
-			t.setCrashes(attributor.WithoutOutlived(t.Crashes, s.Age))
+			t.SetCrashes(attributor.WithoutOutlived(t.Crashes(), s.Age))
 		}
-		t.setCrashes(append(t.Crashes, crash))
-		t.Apart = time.Duration(tr.random() * float64(attributor.MaxTimeApart))
+		t.SetCrashes(append(t.Crashes(), crash))
+		t.change().apart = time.Duration(tr.random() * float64(attributor.MaxTimeApart))
 		t.Step.Occurrence.Job.markDirty()
 		tr.suspected[t] = true
 		found = append(found, Suspicion{Task: t, Crash: crash, Likely: len(likely)})
@@ -111,9 +111,9 @@
 			continue
 		}
 		age := vm.SeenAt.Sub(r.StartedAt) // when last reported; the crash came later
-		if attributor.Repeats(t.Crashes, age) {
+		if attributor.Repeats(t.Crashes(), age) {
 			c := attributor.Crash{Run: key.Number, VM: vm.Name, AgeMillis: max(age, 0).Milliseconds(), Likely: true}
-			t.setCrashes(append(t.Crashes, c))
+			t.SetCrashes(append(t.Crashes(), c))
 			t.Step.Occurrence.Job.markDirty()
 			found = append(found, Suspicion{Task: t, Crash: c})
 		}
@@ -147,10 +147,11 @@
 
 // withdrawSole records that the task was not the sole cause of a crash.
 func (t *Task) withdrawSole(run int64) {
-	for i := range t.Crashes {
-		if t.Crashes[i].Run == run && t.Crashes[i].Sole {
-			t.Crashes[i].Sole = false
-			t.setCrashes(t.Crashes)
+	crashes := t.Crashes()
+	for i := range crashes {
+		if crashes[i].Run == run && crashes[i].Sole {
+			crashes[i].Sole = false
+			t.SetCrashes(crashes)
 			t.Step.Occurrence.Job.markDirty()
 		}
 	}
@@ -192,5 +193,5 @@
 }
 
 func (t *Task) hasCrash(run int64) bool {
-	return slices.ContainsFunc(t.Crashes, func(c attributor.Crash) bool { return c.Run == run })
+	return slices.ContainsFunc(t.Crashes(), func(c attributor.Crash) bool { return c.Run == run })
 }
--- a/internal/job/tracker/crash_test.go
+++ b/internal/job/tracker/crash_test.go
@@ -117,17 +117,17 @@
 			f.crashOnce("vm", ages)
 			for i, task := range tasks {
 				got := none
-				for _, c := range task.Crashes {
+				for _, c := range task.Crashes() {
 					got = counts
 					switch {
 					case c.Sole:
 						got = sole
-					case task.Step.Spec.LongRunning && !c.Likely && !task.Suspected() && attributor.Weight(task.Crashes) == 0:
+					case task.Step.Spec.LongRunning && !c.Likely && !task.Suspected() && attributor.Weight(task.Crashes()) == 0:
 						got = beside
 					}
 				}
 				if got != tt.want[i] {
-					t.Errorf("task %d: %+v, want %d", i, task.Crashes, tt.want[i])
+					t.Errorf("task %d: %+v, want %d", i, task.Crashes(), tt.want[i])
 				}
 			}
 		})
@@ -221,8 +221,8 @@
 			f.run("vm-2", suspected)
 			f.now = f.now.Add(tt.ran)
 			c := f.report("vm-2")
-			if got := len(suspected.Crashes) == 0; got != tt.cleared || len(c.Cleared) == 1 != tt.cleared {
-				t.Errorf("crashes %+v, cleared %v", suspected.Crashes, c.Cleared)
+			if got := len(suspected.Crashes()) == 0; got != tt.cleared || len(c.Cleared) == 1 != tt.cleared {
+				t.Errorf("crashes %+v, cleared %v", suspected.Crashes(), c.Cleared)
 			}
 			if tasks := f.tr.SuspectedTasks(); tt.cleared && len(tasks) > 0 {
 				t.Errorf("suspected: %v", tasks)
@@ -247,13 +247,13 @@
 		t.Fatal(err)
 	}
 	again := restored.Occurrences[0].Steps[0].Tasks[0]
-	if len(again.Crashes) != 1 || again.Crashes[0] != crashing.Crashes[0] {
-		t.Fatalf("restored %+v, stored %+v", again.Crashes, crashing.Crashes)
+	if len(again.Crashes()) != 1 || again.Crashes()[0] != crashing.Crashes()[0] {
+		t.Fatalf("restored %+v, stored %+v", again.Crashes(), crashing.Crashes())
 	}
 	repeated := Report{Incarnation: "1", Process: 7, Crashes: []ReportedCrash{{Seq: 1, Runs: []CrashedRun{{Key: key(1, 0, 0, 1), Age: time.Millisecond}}}}}
 	next.tr.Attach(VMInfo{Name: "vm-1", Capacity: eightCore}, repeated, begin)
-	if len(again.Crashes) != 1 || restored.State.Final() {
-		t.Fatalf("the crash counts twice: %+v, %s", again.Crashes, restored.State)
+	if len(again.Crashes()) != 1 || restored.State.Final() {
+		t.Fatalf("the crash counts twice: %+v, %s", again.Crashes(), restored.State)
 	}
 	next.crashOnce("vm-2", map[*Task]time.Duration{again: time.Millisecond})
 	next.crashOnce("vm-3", map[*Task]time.Duration{again: time.Millisecond})
@@ -311,8 +311,8 @@
 		Incarnation: "1", Ends: []ReportedEnd{{Seq: 1, Key: r.Key(), Outcome: EndDone}},
 		Crashes: []ReportedCrash{{Seq: 1, Runs: []CrashedRun{{Key: r.Key(), Age: time.Millisecond}}}},
 	}, f.now)
-	if !done.Done || len(done.Crashes) != 0 {
-		t.Errorf("done %t, crashes %+v", done.Done, done.Crashes)
+	if !done.Done || len(done.Crashes()) != 0 {
+		t.Errorf("done %t, crashes %+v", done.Done, done.Crashes())
 	}
 }
 
@@ -351,7 +351,7 @@
 			f.crash(tt.vm, nil)
 			f.waitToGiveUp()
 			if got := j.State == JobFailed; got != tt.failed {
-				t.Errorf("the job is %s: %+v", j.State, j.Occurrences[0].Steps[0].Tasks[0].Crashes)
+				t.Errorf("the job is %s: %+v", j.State, j.Occurrences[0].Steps[0].Tasks[0].Crashes())
 			}
 		})
 	}
@@ -391,8 +391,8 @@
 			if tt.otherAgo >= 0 {
 				report(other, Report{Crashes: []ReportedCrash{{Seq: 1, Ago: tt.otherAgo}}})
 			}
-			if len(task.Crashes) != 1 || task.Crashes[0].Sole != tt.sole {
-				t.Errorf("crashes %+v, want sole %t", task.Crashes, tt.sole)
+			if len(task.Crashes()) != 1 || task.Crashes()[0].Sole != tt.sole {
+				t.Errorf("crashes %+v, want sole %t", task.Crashes(), tt.sole)
 			}
 		})
 	}
--- a/internal/job/tracker/encode.go
+++ b/internal/job/tracker/encode.go
@@ -176,14 +176,14 @@
 // failedNotes returns the failed runs of tasks. The tasks that are closest to the limit of failures come first.
 func (j *Job) failedNotes(r Record) []note {
 	return j.notesOf(r, func(t *Task, sr *StepRecord) (note, bool) {
-		if len(t.Failed) == 0 || t.Done {
+		if len(t.Failed()) == 0 || t.Done {
 			return note{}, false
 		}
 		size := len(`[]`)
-		for _, n := range t.Failed {
+		for _, n := range t.Failed() {
 			size += len(strconv.FormatInt(n, 10)) + len(`,`)
 		}
-		return note{size: size, weight: len(t.Failed), add: func() { setNote(&sr.Failed, t, t.Failed) }}, true
+		return note{size: size, weight: len(t.Failed()), add: func() { setNote(&sr.Failed, t, t.Failed()) }}, true
 	})
 }
 
@@ -191,11 +191,11 @@
 // crashes its workers is there again at the next crash, unlike most of the thousands that were beside it.
 func (j *Job) crashNotes(r Record) []note {
 	return j.notesOf(r, func(t *Task, sr *StepRecord) (note, bool) {
-		if len(t.Crashes) == 0 || t.Done {
+		if len(t.Crashes()) == 0 || t.Done {
 			return note{}, false
 		}
 		size, likely := len(`[]`), 0
-		for _, c := range t.Crashes {
+		for _, c := range t.Crashes() {
 			size += len(`{"run":,"vm":"","age-ms":,"at-ms":,"likely":true,"sole":true},`) + textBytes(c.VM)
 			for _, n := range []int64{c.Run, c.AgeMillis, c.AtMillis} {
 				size += len(strconv.FormatInt(n, 10))
@@ -204,8 +204,8 @@
 				likely++
 			}
 		}
-		weight := 2*attributor.CrashesToGiveUp*likely + len(t.Crashes)
-		return note{size: size, weight: weight, add: func() { setNote(&sr.Crashes, t, t.Crashes) }}, true
+		weight := 2*attributor.CrashesToGiveUp*likely + len(t.Crashes())
+		return note{size: size, weight: weight, add: func() { setNote(&sr.Crashes, t, t.Crashes()) }}, true
 	})
 }
 
--- a/internal/job/tracker/encode_test.go
+++ b/internal/job/tracker/encode_test.go
@@ -26,10 +26,10 @@
 func noteEverything(tasks []*Task) {
 	for _, t := range tasks {
 		t.HasRun, t.WaitSince = true, begin
-		t.setCrashes(manyCrashes(attributor.CrashesToGiveUp))
+		t.SetCrashes(manyCrashes(attributor.CrashesToGiveUp))
 		t.Checkpoint = strings.Repeat("x", 100)
 		for n := range 9 {
-			t.Failed = append(t.Failed, int64(1_000_001+n))
+			t.SetFailed(append(t.Failed(), int64(1_000_001+n)))
 		}
 	}
 }
@@ -102,12 +102,12 @@
 	j := addJob(t, tr, 1, specifier.Step{Count: specifier.MaxTasks})
 	tasks := j.Occurrences[0].Steps[0].Tasks
 	for _, t := range tasks {
-		t.Failed = []int64{1_000_001, 1_000_002, 1_000_003}
-		t.setCrashes(manyCrashes(1))
+		t.SetFailed([]int64{1_000_001, 1_000_002, 1_000_003})
+		t.SetCrashes(manyCrashes(1))
 	}
 	last := tasks[len(tasks)-1]
-	last.Failed = append(last.Failed, 1_000_004)
-	last.setCrashes(manyCrashes(2))
+	last.SetFailed(append(last.Failed(), 1_000_004))
+	last.SetCrashes(manyCrashes(2))
 	record, err := j.Encode(MaxRecordBytes)
 	if err != nil {
 		t.Fatal(err)
@@ -116,16 +116,16 @@
 		t.Errorf("left out: %+v, want crashes alone", record.Omitted)
 	}
 	next := storedProgress{j.Spec.ID: record.Value}.takeOver(t, j.Spec, at(10))
-	if got := next.Find(last.ID()); len(got.Failed) != 4 || len(got.Crashes) != 2 {
-		t.Errorf("the next owner knows %d failed runs and %d crashes, want 4 and 2", len(got.Failed), len(got.Crashes))
+	if got := next.Find(last.ID()); len(got.Failed()) != 4 || len(got.Crashes()) != 2 {
+		t.Errorf("the next owner knows %d failed runs and %d crashes, want 4 and 2", len(got.Failed()), len(got.Crashes()))
 	}
 	small, err := j.Encode(MaxRecordBytes / 4)
 	if err != nil {
 		t.Fatal(err)
 	}
 	next = storedProgress{j.Spec.ID: small.Value}.takeOver(t, j.Spec, at(10))
-	if got := next.Find(last.ID()); len(small.Value) > MaxRecordBytes/4 || small.Omitted.Failed == 0 || len(got.Failed) != 4 {
-		t.Errorf("a record of %d bytes, left out %+v, %d failed runs of the task with most", len(small.Value), small.Omitted, len(got.Failed))
+	if got := next.Find(last.ID()); len(small.Value) > MaxRecordBytes/4 || small.Omitted.Failed == 0 || len(got.Failed()) != 4 {
+		t.Errorf("a record of %d bytes, left out %+v, %d failed runs of the task with most", len(small.Value), small.Omitted, len(got.Failed()))
 	}
 }
 
@@ -142,9 +142,9 @@
 		for _, s := range j.Occurrences[0].Steps {
 			for _, t := range s.Tasks {
 				t.HasRun = rapid.Bool().Draw(rt, "has run")
-				t.setCrashes(manyCrashes(rapid.IntRange(0, 3).Draw(rt, "crashes")))
+				t.SetCrashes(manyCrashes(rapid.IntRange(0, 3).Draw(rt, "crashes")))
 				t.Checkpoint = rapid.String().Draw(rt, "checkpoint")
-				t.Failed = rapid.SliceOfN(rapid.Int64Min(1), 0, 4).Draw(rt, "failed")
+				t.SetFailed(rapid.SliceOfN(rapid.Int64Min(1), 0, 4).Draw(rt, "failed"))
 			}
 		}
 		whole, err := j.Encode(MaxRecordBytes)
--- a/internal/job/tracker/job.go
+++ b/internal/job/tracker/job.go
@@ -141,18 +141,18 @@
 		tr.scheduleRestart(t, number, lasted, now)
 		return
 	}
-	if slices.Contains(t.Failed, number) {
+	if slices.Contains(t.Failed(), number) {
 		return
 	}
 	j := t.Step.Occurrence.Job
-	t.NotBefore = now.Add(failureBackoff(len(t.Failed) + 1))
-	t.Failed = append(t.Failed, number)
+	t.NotBefore = now.Add(failureBackoff(len(t.Failed()) + 1))
+	t.SetFailed(append(t.Failed(), number))
 	j.markDirty()
 	if j.State.Final() || j.Queue.MaxFailures <= 0 {
 		return
 	}
-	if len(t.Failed) >= j.Queue.MaxFailures {
-		tr.fail(j, fmt.Sprintf("task %s has failed %d times", t.ID(), len(t.Failed)), now)
+	if len(t.Failed()) >= j.Queue.MaxFailures {
+		tr.fail(j, fmt.Sprintf("task %s has failed %d times", t.ID(), len(t.Failed())), now)
 	}
 }
 
@@ -275,7 +275,7 @@
 
 // Waits reports whether the task's own state allows a start now.
 func (t *Task) Waits(now time.Time) bool {
-	return !t.Done && len(t.Runs) == 0 && !t.NotBefore.After(now) && t.GiveUpAt.IsZero() && t.Step.Occurrence.isDue(now)
+	return !t.Done && len(t.Runs) == 0 && !t.NotBefore.After(now) && t.GiveUpAt().IsZero() && t.Step.Occurrence.isDue(now)
 }
 
 // updateOpen adds a job to the open ones, or removes it once it has ended. Ended jobs are kept for
--- a/internal/job/tracker/loss.go
+++ b/internal/job/tracker/loss.go
@@ -33,7 +33,12 @@
 
 // LastLoss returns the last run of the task that this owner has given up without a report of its end; nil:
 // there is none.
-func (t *Task) LastLoss() *Loss { return t.lastLoss }
+func (t *Task) LastLoss() *Loss {
+	if t.setbacks == nil {
+		return nil
+	}
+	return t.setbacks.lastLoss
+}
 
 // Overlaps reports whether the task has another run beside r, though its step allows no copies.
 func (r *Run) Overlaps() bool { return !r.Step().Spec.Copies && len(r.Task.Runs) > 1 }
--- a/internal/job/tracker/occurrences.go
+++ b/internal/job/tracker/occurrences.go
@@ -84,8 +84,11 @@
 	o := &Occurrence{Job: j, Number: number, DueAt: j.Spec.Due(number)}
 	for i := range j.Spec.Steps {
 		s := &Step{Occurrence: o, Number: i, Spec: &j.Spec.Steps[i]}
-		for t := range s.Spec.Count {
-			s.Tasks = append(s.Tasks, &Task{Step: s, Index: t, WaitSince: now})
+		tasks := make([]Task, s.Spec.Count)
+		s.Tasks = make([]*Task, s.Spec.Count)
+		for t := range tasks {
+			tasks[t] = Task{Step: s, Index: t, WaitSince: now}
+			s.Tasks[t] = &tasks[t]
 		}
 		if len(s.Spec.After) == 0 {
 			s.ReadyAt = now
--- a/internal/job/tracker/record.go
+++ b/internal/job/tracker/record.go
@@ -135,8 +135,9 @@
 				t.Done = true
 				s.Done++
 			}
-			t.Failed, t.Checkpoint = sr.Failed[n], sr.Checkpoints[n]
-			t.setCrashes(sr.Crashes[n])
+			t.Checkpoint = sr.Checkpoints[n]
+			t.SetFailed(sr.Failed[n])
+			t.SetCrashes(sr.Crashes[n])
 			t.restoreLastNumber()
 		}
 		s.shareCheckpoint()
@@ -151,10 +152,10 @@
 // restoreLastNumber raises the number of the latest run to that of the runs in the record: earlier builds may have
 // numbered them above the floor of this owner.
 func (t *Task) restoreLastNumber() {
-	for _, n := range t.Failed {
+	for _, n := range t.Failed() {
 		t.LastNumber = max(t.LastNumber, n)
 	}
-	for _, c := range t.Crashes {
+	for _, c := range t.Crashes() {
 		t.LastNumber = max(t.LastNumber, c.Run)
 	}
 }
--- a/internal/job/tracker/record_test.go
+++ b/internal/job/tracker/record_test.go
@@ -274,7 +274,7 @@
 			for _, task := range j.Occurrences[0].Steps[0].Tasks {
 				task.Checkpoint = tt.checkpoint
 				for n := range tt.failures {
-					task.Failed = append(task.Failed, int64(100_001+n)) // of the 100th owner
+					task.SetFailed(append(task.Failed(), int64(100_001+n))) // of the 100th owner
 				}
 			}
 			value := encode(t, j)
--- a/internal/job/tracker/report.go
+++ b/internal/job/tracker/report.go
@@ -139,7 +139,8 @@
 // move or a yield, is cleared with it.
 func (r *Run) clearStop() {
 	r.State, r.StopCause = Running, ""
-	r.Task.Relocation, r.Task.Yielded = Relocation{}, false
+	r.Task.SetRelocation(Relocation{})
+	r.Task.Yielded = false
 	if r.StartedAt.IsZero() {
 		r.State = Ordered
 	}
--- a/internal/job/tracker/report_test.go
+++ b/internal/job/tracker/report_test.go
@@ -209,12 +209,13 @@
 			task := j.Occurrences[0].Steps[0].Tasks[0]
 			report := Report{Incarnation: "1", Process: 1, Ready: true, Runs: []ReportedRun{{Key: key(1, 0, 0, 1), Confirmed: true}}}
 			vm, _ := tr.Attach(VMInfo{Name: "vm", Capacity: oneCore}, report, begin)
-			task.Yielded, task.Relocation = true, Relocation{To: "other", Until: at(1000)}
+			task.Yielded = true
+			task.SetRelocation(Relocation{To: "other", Until: at(1000)})
 			tr.Stop(vm.Runs[key(1, 0, 0, 1)], "yields", at(5))
 			report.Runs[0].Stopping = tt.stopping
 			tr.Attach(VMInfo{Name: "vm", Capacity: oneCore}, report, at(10))
 			if got := task.Yielded && task.MovesElsewhere("vm", at(20)); got != tt.stopping {
-				t.Errorf("yielded: %t, moving to %q", task.Yielded, task.Relocation.To)
+				t.Errorf("yielded: %t, moving to %q", task.Yielded, task.Relocation().To)
 			}
 		})
 	}
--- a/internal/job/tracker/restart.go
+++ b/internal/job/tracker/restart.go
@@ -24,11 +24,12 @@
 	if slices.ContainsFunc(t.Runs, func(r *Run) bool { return r.Number > number }) {
 		return
 	}
+	s := t.change()
 	if lasted >= restartResetAfter {
-		t.Restarts = 0
+		s.restarts = 0
 	}
-	t.Restarts++
-	t.NotBefore = now.Add(time.Duration(tr.random() * float64(restartDelayLimit(t.Restarts))))
+	s.restarts++
+	t.NotBefore = now.Add(time.Duration(tr.random() * float64(restartDelayLimit(s.restarts))))
 }
 
 // restartDelayLimit is the greatest delay of a restart after the given number of such ends in a row.
--- a/internal/job/tracker/restart_test.go
+++ b/internal/job/tracker/restart_test.go
@@ -131,8 +131,8 @@
 	startRun(tr, vm, key(1, 0, 0, 2), at(0))
 	tr.Apply(late, Report{Incarnation: "1", Ready: true, Ends: []ReportedEnd{{Seq: 1, Key: key(1, 0, 0, 1), Outcome: EndDone}}}, at(100))
 	got := tr.Find(task(1, 0, 0))
-	if got.Restarts != 0 || len(got.Runs) != 1 || len(tr.WaitingSteps(at(200))) != 0 {
-		t.Errorf("%d restarts are counted, %d runs, %d steps wait", got.Restarts, len(got.Runs), len(tr.WaitingSteps(at(200))))
+	if got.change().restarts != 0 || len(got.Runs) != 1 || len(tr.WaitingSteps(at(200))) != 0 {
+		t.Errorf("%d restarts are counted, %d runs, %d steps wait", got.change().restarts, len(got.Runs), len(tr.WaitingSteps(at(200))))
 	}
 }
 
--- a/internal/job/tracker/run.go
+++ b/internal/job/tracker/run.go
@@ -215,9 +215,10 @@
 	t.LastNumber = max(t.LastNumber, key.Number)
 	t.recordCheckpoint(checkpoint)
 	if outcome != EndStopped {
-		t.Relocation = Relocation{}
-	} else if t.Relocation.Hold > 0 {
-		t.Relocation.Until = now.Add(t.Relocation.Hold)
+		t.SetRelocation(Relocation{})
+	} else if m := t.Relocation(); m.Hold > 0 {
+		m.Until = now.Add(m.Hold)
+		t.SetRelocation(m)
 	}
 	switch outcome {
 	case EndDone:
@@ -236,13 +237,6 @@
 	}
 }
 
-func (t *Task) avoidVM(vm string) {
-	if t.AvoidedVMs == nil {
-		t.AvoidedVMs = make(map[string]bool)
-	}
-	t.AvoidedVMs[vm] = true
-}
-
 // DropRuns removes all runs of a VM: a new incarnation of its worker has started, or its
 // leases have certainly expired. The tasks wait again, to resume from their last checkpoint.
 func (tr *Tracker) DropRuns(vm *VM, now time.Time) []*Run {
@@ -258,7 +252,7 @@
 }
 
 func (tr *Tracker) dropRun(r *Run, cause LossCause, now time.Time) {
-	r.Task.lastLoss = &Loss{number: r.Number, vm: r.VM.Name, cause: cause, at: now}
+	r.Task.change().lastLoss = &Loss{number: r.Number, vm: r.VM.Name, cause: cause, at: now}
 	r.Task.recordCheckpoint(r.Checkpoint)
 	tr.removeRun(r, now)
 }
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"bamboospread/internal/job/specifier"
-	"bamboospread/internal/worker/attributor"
 )
 
 // RunState is the state of a run as known to the owner.
@@ -78,23 +77,16 @@
 	Step       *Step
 	Index      int
 	Done       bool
-	Failed     []int64            // numbers of the failed runs
-	Crashes    []attributor.Crash // of workers, that it is suspected of
-	LastNumber int64              // number of its latest run, 0 if this owner knows of none
-	HasRun     bool               // a worker has, or had, a run of it
-	Checkpoint string             // to resume from
-	Runs       []*Run             // runs that have not ended; more than one only if copies are allowed
+	HasRun     bool   // a worker has, or had, a run of it
+	Yielded    bool   // long-running task that was stopped to free capacity for urgent ones or a gang
+	LastNumber int64  // number of its latest run, 0 if this owner knows of none
+	Checkpoint string // to resume from
+	Runs       []*Run // runs that have not ended; more than one only if copies are allowed
 	// WaitSince is when its last run ended. For a long-running task, a run that no worker has confirmed
 	// does not count.
-	WaitSince  time.Time
-	NotBefore  time.Time       // earliest restart after a run that ended by itself
-	Restarts   int             // of a long-running task, after runs in a row that ended by themselves
-	GiveUpAt   time.Time       // when its job fails, if too many workers have crashed under it; zero: not
-	Apart      time.Duration   // from the start of another task on the VM that repeats late crashes too
-	AvoidedVMs map[string]bool // VMs on which a run of it failed
-	Relocation Relocation      // zero: it is not being moved
-	Yielded    bool            // long-running task that was stopped to free capacity for urgent ones or a gang
-	lastLoss   *Loss           // nil: none
+	WaitSince time.Time
+	NotBefore time.Time // earliest restart after a run that ended by itself
+	setbacks  *setbacks // nil: none
 }
 
 // Relocation describes the move of a long-running task: the VM on which it was stopped, if any,
@@ -108,7 +100,7 @@
 
 // SetRelocation records the move of a task that is stopped to be restarted elsewhere.
 func (tr *Tracker) SetRelocation(t *Task, m Relocation, now time.Time) {
-	t.Relocation = m
+	t.SetRelocation(m)
 	tr.moving = append(slices.DeleteFunc(tr.moving, func(t *Task) bool { return !t.Moving(now) }), t)
 }
 
@@ -116,7 +108,7 @@
 func (tr *Tracker) MovingTasks(now time.Time) []*Task {
 	var found []*Task
 	for _, t := range tr.moving {
-		if t.Moving(now) && t.Step.Occurrence.Job.Startable() && !t.RunsOn(tr.VMs[t.Relocation.To]) {
+		if t.Moving(now) && t.Step.Occurrence.Job.Startable() && !t.RunsOn(tr.VMs[t.Relocation().To]) {
 			found = append(found, t)
 		}
 	}
@@ -125,16 +117,16 @@
 
 // Moving reports whether capacity is held for the task on the VM that it moves to.
 func (t *Task) Moving(now time.Time) bool {
-	if t.Relocation.To == "" {
+	if t.Relocation().To == "" {
 		return false
 	}
 	r := t.PrimaryRun()
-	return now.Before(t.Relocation.Until) || r != nil && r.State == Stopping
+	return now.Before(t.Relocation().Until) || r != nil && r.State == Stopping
 }
 
 // MovesElsewhere reports whether the task must not start on a VM because it moves to another.
 func (t *Task) MovesElsewhere(vm string, now time.Time) bool {
-	return t.Moving(now) && t.Relocation.To != vm
+	return t.Moving(now) && t.Relocation().To != vm
 }
 
 // ID returns the ID of the task.
--- a/internal/job/tracker/suspicion.go
+++ b/internal/job/tracker/suspicion.go
@@ -16,12 +16,12 @@
 	if t == nil {
 		return nil
 	}
-	return t.Crashes
+	return t.Crashes()
 }
 
 // oldestCrash returns the greatest age that a run had at a crash.
 func (t *Task) oldestCrash() (age time.Duration) {
-	for _, c := range t.Crashes {
+	for _, c := range t.Crashes() {
 		age = max(age, c.Age())
 	}
 	return age
@@ -36,11 +36,6 @@
 	return []*Task{t}
 }
 
-// setCrashes sets the crashes that the task is suspected of.
-func (t *Task) setCrashes(crashes []attributor.Crash) {
-	t.Crashes, t.Step.unitCrashes = crashes, nil
-}
-
 // unitCrashes holds the crashes that a gang is suspected of.
 type unitCrashes struct{ all []attributor.Crash }
 
@@ -49,7 +44,7 @@
 func (t *Task) unitCrashes() []attributor.Crash {
 	s := t.Step
 	if !s.Spec.Gang {
-		return t.Crashes
+		return t.Crashes()
 	}
 	if s.unitCrashes == nil {
 		s.unitCrashes = &unitCrashes{all: s.crashesOfMembers()}
@@ -65,7 +60,7 @@
 	}
 	seen := make(map[start]bool)
 	for _, member := range s.Tasks {
-		for _, c := range member.Crashes {
+		for _, c := range member.Crashes() {
 			if at := (start{c.Run, c.VM}); !seen[at] {
 				seen[at] = true
 				crashes = append(crashes, c)
@@ -77,9 +72,9 @@
 
 func (t *Task) crashedTooOften() bool {
 	if t.Step.Spec.LongRunning {
-		return attributor.TooManyOfLongRunning(t.Crashes, t.unitCrashes())
+		return attributor.TooManyOfLongRunning(t.Crashes(), t.unitCrashes())
 	}
-	return attributor.TooMany(t.Crashes, t.unitCrashes())
+	return attributor.TooMany(t.Crashes(), t.unitCrashes())
 }
 
 func (t *Task) crashReason() string {
@@ -98,15 +93,15 @@
 	for t := range tr.suspected {
 		switch {
 		case t.Done || t.Step.Occurrence.Job.State.Final() || !t.crashedTooOften():
-			t.GiveUpAt = time.Time{}
-		case t.GiveUpAt.IsZero():
-			t.GiveUpAt = now.Add(attributor.CrashesTogether)
-		case !now.Before(t.GiveUpAt):
+			t.setGiveUpAt(time.Time{})
+		case t.GiveUpAt().IsZero():
+			t.setGiveUpAt(now.Add(attributor.CrashesTogether))
+		case !now.Before(t.GiveUpAt()):
 			due = append(due, t)
 		}
 	}
 	slices.SortFunc(due, func(a, b *Task) int {
-		if c := cmp.Compare(attributor.Weight(b.Crashes), attributor.Weight(a.Crashes)); c != 0 || a.ID() == b.ID() {
+		if c := cmp.Compare(attributor.Weight(b.Crashes()), attributor.Weight(a.Crashes())); c != 0 || a.ID() == b.ID() {
 			return c
 		}
 		if a.ID().Less(b.ID()) {
@@ -116,7 +111,7 @@
 	})
 	for _, t := range due {
 		if !t.crashedTooOften() {
-			t.GiveUpAt = time.Time{}
+			t.setGiveUpAt(time.Time{})
 			continue
 		}
 		tr.fail(t.Step.Occurrence.Job, t.crashReason(), now)
@@ -131,11 +126,11 @@
 		return
 	}
 	for t := range tr.suspected {
-		if !t.Step.Spec.LongRunning || t.Step.Occurrence.Job.State.Final() || attributor.Weight(t.Crashes) >= attributor.Weight(cause.Crashes) {
+		if !t.Step.Spec.LongRunning || t.Step.Occurrence.Job.State.Final() || attributor.Weight(t.Crashes()) >= attributor.Weight(cause.Crashes()) {
 			continue
 		}
-		if left := attributor.Unexplained(t.Crashes, cause.Crashes); len(left) < len(t.Crashes) {
-			t.setCrashes(left)
+		if left := attributor.Unexplained(t.Crashes(), cause.Crashes()); len(left) < len(t.Crashes()) {
+			t.SetCrashes(left)
 			t.Step.Occurrence.Job.markDirty()
 		}
 	}
@@ -144,22 +139,22 @@
 // clearCrashes clears the task of the crashes that it is suspected of if a run of it has outlived
 // the time at which it would have repeated them. It reports whether it did.
 func (tr *Tracker) clearCrashes(t *Task, age time.Duration) bool {
-	if len(t.Crashes) == 0 {
+	if len(t.Crashes()) == 0 {
 		return false
 	}
 	if t.Step.Spec.LongRunning {
-		if left := attributor.WithoutOutlived(t.Crashes, age); len(left) > 0 {
-			if len(left) < len(t.Crashes) {
-				t.setCrashes(left)
+		if left := attributor.WithoutOutlived(t.Crashes(), age); len(left) > 0 {
+			if len(left) < len(t.Crashes()) {
+				t.SetCrashes(left)
 				t.Step.Occurrence.Job.markDirty()
 			}
 			return false
 		}
-	} else if attributor.Repeats(t.Crashes, age) {
+	} else if attributor.Repeats(t.Crashes(), age) {
 		return false
 	}
-	t.setCrashes(nil)
-	t.GiveUpAt = time.Time{}
+	t.SetCrashes(nil)
+	t.setGiveUpAt(time.Time{})
 	t.Step.Occurrence.Job.markDirty()
 	delete(tr.suspected, t)
 	return true
@@ -197,7 +192,7 @@
 	var found []suspected
 	for t := range tr.suspected {
 		switch {
-		case t.Done || len(t.Crashes) == 0 || t.Step.Occurrence.Job.State.Final():
+		case t.Done || len(t.Crashes()) == 0 || t.Step.Occurrence.Job.State.Final():
 			delete(tr.suspected, t)
 		case t.Suspected():
 			found = append(found, suspected{t, t.oldestCrash()})
@@ -205,8 +200,8 @@
 	}
 	slices.SortFunc(found, func(a, b suspected) int {
 		switch {
-		case len(a.task.Crashes) != len(b.task.Crashes):
-			return len(b.task.Crashes) - len(a.task.Crashes)
+		case len(a.task.Crashes()) != len(b.task.Crashes()):
+			return len(b.task.Crashes()) - len(a.task.Crashes())
 		case a.oldest != b.oldest:
 			return int(a.oldest - b.oldest)
 		case a.task.ID().Less(b.task.ID()):
@@ -237,7 +232,7 @@
 	for _, o := range j.Occurrences {
 		for _, s := range o.Steps {
 			for _, t := range s.Tasks {
-				if len(t.Crashes) > 0 {
+				if len(t.Crashes()) > 0 {
 					tr.suspected[t] = true
 				}
 			}
@@ -248,7 +243,7 @@
 // SuspectedTaskIDs returns the IDs of the tasks that are suspected of a crash.
 func (s *Step) SuspectedTaskIDs() (ids []specifier.TaskID) {
 	for _, t := range s.Tasks {
-		if len(t.Crashes) > 0 {
+		if len(t.Crashes()) > 0 {
 			ids = append(ids, t.ID())
 		}
 	}
--- a/internal/job/tracker/suspicion_test.go
+++ b/internal/job/tracker/suspicion_test.go
@@ -41,7 +41,7 @@
 			}
 			f.waitToGiveUp()
 			if got := j.State == JobFailed; got != tt.failed {
-				t.Errorf("the job is %s: %+v", j.State, j.Occurrences[0].Steps[0].Tasks[0].Crashes)
+				t.Errorf("the job is %s: %+v", j.State, j.Occurrences[0].Steps[0].Tasks[0].Crashes())
 			}
 		})
 	}
@@ -71,7 +71,7 @@
 			}
 			f.waitToGiveUp()
 			if got := j.State == JobFailed; got != tt.failed {
-				t.Errorf("the job is %s: %+v", j.State, j.Occurrences[0].Steps[0].Tasks[0].Crashes)
+				t.Errorf("the job is %s: %+v", j.State, j.Occurrences[0].Steps[0].Tasks[0].Crashes())
 			}
 		})
 	}
--- a/internal/job/tracker/tracker_test.go
+++ b/internal/job/tracker/tracker_test.go
@@ -177,8 +177,8 @@
 		tr.EndRun(vm, key(1, 0, 0, int64(run+1)), outcome, "c", at(10))
 	}
 	task := j.Occurrences[0].Steps[0].Tasks[0]
-	if j.State.Final() || len(task.Failed) != 0 || task.Checkpoint != "c" || tr.NextNumber(task) != 6 {
-		t.Errorf("job %s, failed runs %v, checkpoint %q, next run %d", j.State, task.Failed, task.Checkpoint, tr.NextNumber(task))
+	if j.State.Final() || len(task.Failed()) != 0 || task.Checkpoint != "c" || tr.NextNumber(task) != 6 {
+		t.Errorf("job %s, failed runs %v, checkpoint %q, next run %d", j.State, task.Failed(), task.Checkpoint, tr.NextNumber(task))
 	}
 }
 
@@ -204,7 +204,7 @@
 			done = append(done, i)
 		}
 	}
-	if diff := cmp.Diff([]int{0, 3, 9}, done); diff != "" || step.Done != 3 || len(step.Tasks[4].Failed) != 1 {
+	if diff := cmp.Diff([]int{0, 3, 9}, done); diff != "" || step.Done != 3 || len(step.Tasks[4].Failed()) != 1 {
 		t.Errorf("restored %+v: %s", done, diff)
 	}
 }
--- a/internal/job/tracker/unreported_crash_test.go
+++ b/internal/job/tracker/unreported_crash_test.go
@@ -52,8 +52,8 @@
 				incarnation = "2"
 			}
 			c := f.loseAgent("vm-2", incarnation)
-			if len(crashing.Crashes) != tt.crashes {
-				t.Errorf("crashes %+v, want %d", crashing.Crashes, tt.crashes)
+			if len(crashing.Crashes()) != tt.crashes {
+				t.Errorf("crashes %+v, want %d", crashing.Crashes(), tt.crashes)
 			}
 			if got := len(c.Suspicions) == 1; got != (tt.crashes > tt.reported) {
 				t.Errorf("suspicions %+v", c.Suspicions)
@@ -85,6 +85,6 @@
 	crash("vm-5", others[3])
 	f.waitToGiveUp()
 	if j.State != JobFailed {
-		t.Errorf("the job is %s after five crashes: %+v", j.State, crashing.Crashes)
+		t.Errorf("the job is %s after five crashes: %+v", j.State, crashing.Crashes())
 	}
 }
