--- a/internal/job/scheduler/replaced_test.go
+++ b/internal/job/scheduler/replaced_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"bamboospread/internal/job/admitter"
 	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/kernel/reporter"
 	"bamboospread/internal/standin/storer"
@@ -78,8 +79,12 @@
 			now := time.UnixMilli(100_000_000)
 			o, _ := admissionOwner(t, now)
 			o.writer.fence = keeper.Expectation{Key: "cells/jobs/owner", Revision: 1}
+			refusal, err := admitter.Refusal{Queue: "q"}.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
 			o.s.config.Store.FindRecords = func(context.Context, keeper.ListOptions) (keeper.ListResult, error) {
-				return keeper.ListResult{Records: []keeper.Record{{Key: RefusalKey("old"), Value: []byte(`{}`), Revision: 8}}}, nil
+				return keeper.ListResult{Records: []keeper.Record{{Key: RefusalKey("old"), Value: refusal, Revision: 8}}}, nil
 			}
 			o.s.config.Store.Transact = func(context.Context, keeper.Transaction) (int64, error) {
 				return 0, keeper.ErrConflict{Key: tt.conflict}
