--- a/internal/job/planner/copies.go
+++ b/internal/job/planner/copies.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bamboospread/internal/job/specifier"
 	"bamboospread/internal/job/tracker"
 )
 
@@ -52,12 +53,12 @@
 // needsCopy reports whether the first run of a task is a straggler and another run may start. A
 // copy of a task that may crash its worker could crash a second one.
 func needsCopy(in Input, t *tracker.Task) bool {
-	if t.Done || len(t.Crashes) > 0 || len(t.Runs) == 0 || len(t.Runs) >= maxConcurrentRuns || t.NotBefore.After(in.Now) {
+	if t.Done || len(t.Crashes()) > 0 || len(t.Runs) == 0 || len(t.Runs) >= maxConcurrentRuns || t.NotBefore.After(in.Now) {
 		return false
 	}
 	// The present run may still fail; with a copy the task could then exceed its allowed
 	// failures.
-	if maxFailures := t.Step.Occurrence.Job.Queue.MaxFailures; maxFailures > 0 && len(t.Failed)+len(t.Runs) >= maxFailures {
+	if maxFailures := t.Step.Occurrence.Job.Queue.MaxFailures; maxFailures > 0 && len(t.Failed())+len(t.Runs) >= maxFailures {
 		return false
 	}
 	return isStraggler(in, t.Runs[0])
@@ -79,8 +80,8 @@
 	if age < time.Duration(minStragglerAge*float64(declared)) {
 		return false
 	}
-	left := time.Duration(float64(age) * float64(paceFull-run.Progress) / float64(max(run.Progress, 1)))
-	return age+left > time.Duration(stragglerFactor*float64(declared)) && left > time.Duration(minRemainingFactor*float64(declared))
+	left := specifier.Span(float64(age) * float64(paceFull-run.Progress) / float64(max(run.Progress, 1)))
+	return specifier.Sum(age, left) > specifier.Span(stragglerFactor*float64(declared)) && left > time.Duration(minRemainingFactor*float64(declared))
 }
 
 // Straggler is what decides whether a run gets a copy if its rest is estimated.
@@ -102,6 +103,6 @@
 	speed := in.Calibrator.Speed(run.VM.Name, in.Now).Factor
 	return &Straggler{
 		Run: run, Age: run.VM.SeenAt.Sub(run.StartedAt), NewRun: d.Mean(), Support: d.Support(), ReportAge: in.Now.Sub(run.VM.SeenAt),
-		Left: time.Duration(float64(expectedLeft(in, run, d)) / speed),
+		Left: specifier.Span(float64(expectedLeft(in, run, d)) / speed),
 	}
 }
--- a/internal/job/planner/reclaim.go
+++ b/internal/job/planner/reclaim.go
@@ -99,8 +99,8 @@
 // rest is the expected rest of a run.
 func (r *round) rest(run *tracker.Run) time.Duration {
 	s := run.Step()
-	left := s.Spec.Estimate() * time.Duration(paceFull-run.Progress) / paceFull
-	return time.Duration(float64(left) * r.state.RuntimeRatio(s.Occurrence.Job.Spec.Queue))
+	left := s.Spec.Estimate() / paceFull * time.Duration(paceFull-run.Progress)
+	return specifier.Span(float64(left) * r.state.RuntimeRatio(s.Occurrence.Job.Spec.Queue))
 }
 
 // stopWorth is the time of a run that is worth as much as a stop costs.
@@ -189,7 +189,7 @@
 // replace reports whether a task fits in the place of a best-effort run, and accounts for it if so.
 func (c *reclaimer) replace(run *tracker.Run, t *tracker.Task) bool {
 	m := c.findVM(run.VM.Name)
-	if m == nil || m.vm.Slow() || t.AvoidedVMs[m.vm.Name] || c.separates(m, t) {
+	if m == nil || m.vm.Slow() || t.AvoidsVM(m.vm.Name) || c.separates(m, t) {
 		return false
 	}
 	s, count := t.Step, c.runCounts(t.Step)
--- a/internal/job/tracker/record.go
+++ b/internal/job/tracker/record.go
@@ -169,8 +169,10 @@
 				t.Done = true
 				s.Done++
 			}
-			t.Failed, t.Checkpoint = sr.Failed[n], sr.Checkpoints[n]
-			t.setCrashes(sr.Crashes[n])
+			t.Checkpoint = sr.Checkpoints[n]
+			t.SetFailed(sr.Failed[n])
+			t.SetCrashes(sr.Crashes[n])
+			t.restoreLastNumber()
 		}
 		s.shareCheckpoint()
 		if err := s.restoreRuns(sr, now); err != nil {
@@ -181,6 +183,17 @@
 	return nil
 }
 
+// restoreLastNumber raises the number of the latest run to that of the runs in the record: earlier builds may have
+// numbered them above the floor of this owner.
+func (t *Task) restoreLastNumber() {
+	for _, n := range t.Failed() {
+		t.LastNumber = max(t.LastNumber, n)
+	}
+	for _, c := range t.Crashes() {
+		t.LastNumber = max(t.LastNumber, c.Run)
+	}
+}
+
 // markReady records since when the steps wait for capacity that depend on no unfinished step.
 func (o *Occurrence) markReady(now time.Time) {
 	for _, s := range o.Steps {
@@ -269,6 +282,7 @@
 		}
 		return &j, nil
 	}
+	j.Bound()
 	if err := specifier.Check(&j); err != nil {
 		return nil, fmt.Errorf("invalid job %q: %w", j.ID, err)
 	}
