--- a/internal/job/tracker/availability.go
+++ b/internal/job/tracker/availability.go
@@ -35,9 +35,21 @@
 	}
 	t.markRun()
 	t.WaitSince = now
+	if t.setbacks != nil {
+		t.setbacks.lostSince = time.Time{}
+	}
 	t.Step.Occurrence.Job.markDirty()
 }
 
+// UnavailableSince returns since when a waiting long-running task is unavailable. A run that was given up may have
+// ended when its worker was last heard of: the time until its leases had certainly ended is part of it.
+func (t *Task) UnavailableSince() time.Time {
+	if t.setbacks != nil && !t.setbacks.lostSince.IsZero() && t.setbacks.lostSince.Before(t.WaitSince) {
+		return t.setbacks.lostSince
+	}
+	return t.WaitSince
+}
+
 func (t *Task) hasConfirmedRun() bool {
 	return slices.ContainsFunc(t.Runs, func(r *Run) bool { return !r.StartedAt.IsZero() })
 }
--- a/internal/job/tracker/setbacks.go
+++ b/internal/job/tracker/setbacks.go
@@ -17,6 +17,7 @@
 	avoidedVMs map[string]bool    // VMs on which a run of it failed
 	relocation Relocation         // zero: it is not being moved
 	lastLoss   *Loss              // nil: none
+	lostSince  time.Time          // when the worker of its last run was last heard of, if that run was given up
 }
 
 // change returns the setbacks of a task, to be changed.
