job: the end of a VM with its agent counts against what ran there

Cause: an agent keeps crashes in memory, so it reports none of its own end, and the owner counted that only as the repetition of a reported crash.

Change: such an end is evidence with an interval for the age, stored in the record of the job. Four at one age on two VMs or more give a task up, never as its sole cause. Other VMs that ended or fell silent at about the same time withdraw it, also later. The next start is on a VM that has not ended under the task.

--- a/internal/job/planner/observe.go
+++ b/internal/job/planner/observe.go
@@ -60,7 +60,7 @@
 }
 
 // keepFree chooses the VM on which a task is to be observed: the one on which nothing has started
-// for longest. It stays the same from one round to the next, since nothing starts there meanwhile.
+// for longest, of those that have not ended under it without a report. It stays the same from one round to the next, since nothing starts there meanwhile.
 func (r *round) keepFree(t *tracker.Task) {
 	count := r.runCounts(t.Step)
 	var best *vmState
@@ -68,7 +68,7 @@
 		if m.observed != nil || !m.admitsTask(t.Step, t, count[m.vm]) || t.RunsOn(m.vm) {
 			continue
 		}
-		if best == nil || m.vm.LatestStart().Before(best.vm.LatestStart()) {
+		if best == nil || showsMore(t, m, best) {
 			best = m
 		}
 	}
@@ -78,6 +78,15 @@
 	}
 }
 
+// showsMore reports whether a crash on one VM would show more about the task than one on another: the task has not been
+// there at an end of the VM for which the VM may be the cause, or less has just started there.
+func showsMore(t *tracker.Task, m, than *vmState) bool {
+	if before, beforeThan := t.CrashedUnreported(m.vm.Name), t.CrashedUnreported(than.vm.Name); before != beforeThan {
+		return beforeThan
+	}
+	return m.vm.LatestStart().Before(than.vm.LatestStart())
+}
+
 // separates reports whether a task must not start on a VM because of observed starts.
 func (r *round) separates(m *vmState, t *tracker.Task) bool {
 	if m.observed != nil && m.observed != t {
--- a/internal/job/planner/score.go
+++ b/internal/job/planner/score.go
@@ -32,6 +32,9 @@
 	if spec.Gang && running > 0 && m.vm.OnProbation() {
 		sc[0]-- // one member shows as much as several
 	}
+	if t.CrashedUnreported(m.vm.Name) {
+		sc[0]--
+	}
 	if m.suspected && t.Suspected() {
 		sc[0] -= besideSuspected
 	}
--- a/internal/job/tracker/crash.go
+++ b/internal/job/tracker/crash.go
@@ -20,7 +20,9 @@
 // CrashedRun is a run that a worker had when it crashed.
 type CrashedRun struct {
 	Key RunKey
-	Age time.Duration // since its start
+	Age time.Duration // since its start, at least
+	// spread is how much older it may have been; above 0 only if no process reported the crash.
+	spread time.Duration
 }
 
 // Suspicion is the attribution of a crash to a task.
@@ -46,7 +48,8 @@
 // recentCrash is a crash that another may turn out to have come with.
 type recentCrash struct {
 	vm         *VM
-	at         time.Time // when it came
+	at         time.Time     // when it came, at the earliest
+	spread     time.Duration // it came so much later at most; above 0 if no process reported it
 	suspicions []Suspicion
 }
 
@@ -72,7 +75,7 @@
 	suspects := tr.crashSuspects(c)
 	likely := slices.DeleteFunc(slices.Clone(suspects), func(s suspect) bool { return !s.likely })
 	at := now.Add(-c.Ago)
-	together := tr.comesWithOthers(vm, at, now)
+	together := tr.comesWithOthers(recentCrash{vm: vm, at: at}, now)
 	sole := areOneUnit(likely) && !together && !c.TimeUnknown
 	for _, s := range suspects {
 		t := s.task
@@ -94,57 +97,6 @@
 	return found
 }
 
-// attributeUnreportedCrash records the end of a VM's worker that no process of its agent reported,
-// because that ended with it. Both may have ended for a cause outside, such as a loss of power, so
-// it counts only as the repetition of a reported crash, and for no task as the sole cause.
-func (tr *Tracker) attributeUnreportedCrash(vm *VM, rep Report) (found []Suspicion) {
-	ended := make(map[RunKey]bool)
-	for _, r := range rep.Runs {
-		ended[r.Key] = true
-	}
-	for _, e := range rep.Ends {
-		ended[e.Key] = true
-	}
-	for key, r := range vm.Runs {
-		t := r.Task
-		if ended[key] || r.State != Running || t.Done || t.Step.Occurrence.Job.State.Final() || t.hasCrash(key.Number) {
-			continue
-		}
-		age := vm.SeenAt.Sub(r.StartedAt) // when last reported; the crash came later
-		if attributor.Repeats(t.Crashes, age) {
-			c := attributor.Crash{Run: key.Number, VM: vm.Name, AgeMillis: max(age, 0).Milliseconds(), Likely: true}
-			t.setCrashes(append(t.Crashes, c))
-			t.Step.Occurrence.Job.markDirty()
-			found = append(found, Suspicion{Task: t, Crash: c})
-		}
-	}
-	for i := range found {
-		found[i].Likely = len(found)
-	}
-	return found
-}
-
-// comesWithOthers reports whether the worker of another VM has crashed at the same time as one did at
-// at, or may have: it does not answer since. No task counts as the sole cause of either crash then.
-func (tr *Tracker) comesWithOthers(vm *VM, at, now time.Time) (together bool) {
-	tr.recentCrashes = slices.DeleteFunc(tr.recentCrashes, func(c recentCrash) bool { return now.Sub(c.at) > recentCrashTime })
-	for _, other := range tr.VMs {
-		together = together || other != vm && !other.Responds() && areTogether(other.UnresponsiveSince, at)
-	}
-	for _, c := range tr.recentCrashes {
-		if c.vm == vm || !areTogether(c.at, at) {
-			continue
-		}
-		together = true
-		for _, s := range c.suspicions {
-			s.Task.withdrawSole(s.Crash.Run)
-		}
-	}
-	return together
-}
-
-func areTogether(a, b time.Time) bool { return a.Sub(b).Abs() <= attributor.CrashesTogether }
-
 // withdrawSole records that the task was not the sole cause of a crash.
 func (t *Task) withdrawSole(run int64) {
 	for i := range t.Crashes {
@@ -164,7 +116,7 @@
 	for _, r := range c.Runs {
 		s := suspect{CrashedRun: r, task: tr.Find(r.Key.Task)}
 		if s.isLongRunning() {
-			s.likely = attributor.IsLikelyOfLongRunning(s.task.crashes(), r.Age)
+			s.likely = attributor.MayBeLikelyOfLongRunning(s.task.crashes(), r.Age, r.Age+r.spread)
 		} else {
 			s.likely = attributor.IsLikely(s.task.crashes(), r.Age)
 		}
--- a/internal/job/tracker/crash_test.go
+++ b/internal/job/tracker/crash_test.go
@@ -63,6 +63,7 @@
 // crashOnce lets tasks run on a VM and its worker crash.
 func (f *crashFixture) crashOnce(vm string, ages map[*Task]time.Duration) Changes {
 	f.now = f.now.Add(2 * attributor.CrashesTogether)
+	f.reportOthers(vm)
 	runs := make(map[*Run]time.Duration)
 	for task, age := range ages {
 		runs[f.run(vm, task)] = age
--- a/internal/job/tracker/encode.go
+++ b/internal/job/tracker/encode.go
@@ -196,8 +196,8 @@
 		}
 		size, likely := len(`[]`), 0
 		for _, c := range t.Crashes {
-			size += len(`{"run":,"vm":"","age-ms":,"at-ms":,"likely":true,"sole":true},`) + textBytes(c.VM)
-			for _, n := range []int64{c.Run, c.AgeMillis, c.AtMillis} {
+			size += len(`{"run":,"vm":"","age-ms":,"at-ms":,"spread-ms":,"likely":true,"sole":true},`) + textBytes(c.VM)
+			for _, n := range []int64{c.Run, c.AgeMillis, c.AtMillis, c.SpreadMillis} {
 				size += len(strconv.FormatInt(n, 10))
 			}
 			if c.Likely {
--- a/internal/job/tracker/job.go
+++ b/internal/job/tracker/job.go
@@ -275,7 +275,7 @@
 
 // Waits reports whether the task's own state allows a start now.
 func (t *Task) Waits(now time.Time) bool {
-	return !t.Done && len(t.Runs) == 0 && !t.NotBefore.After(now) && t.GiveUpAt.IsZero() && t.Step.Occurrence.isDue(now)
+	return !t.Done && len(t.Runs) == 0 && !t.NotBefore.After(now) && t.GiveUpAt.IsZero() && !now.Before(t.heldUntil) && t.Step.Occurrence.isDue(now)
 }
 
 // updateOpen adds a job to the open ones, or removes it once it has ended. Ended jobs are kept for
--- a/internal/job/tracker/report.go
+++ b/internal/job/tracker/report.go
@@ -118,8 +118,9 @@
 	rep.OrdersSeen = 0
 	var unreported []Suspicion
 	if restarted && vm.Incarnation != rep.Incarnation {
-		unreported = tr.attributeUnreportedCrash(vm, rep)
+		unreported = tr.attributeUnreportedCrash(vm, rep, now)
 	}
+	vm.gaps = reportGaps{}
 	changes := tr.Apply(vm, rep, now)
 	changes.Suspicions = append(unreported, changes.Suspicions...)
 	return vm, changes
@@ -201,6 +202,8 @@
 		vm.Incarnation, vm.EndSeen, vm.EndStored, vm.Health, vm.Throttle, vm.Speed = rep.Incarnation, 0, 0, Health{}, ThrottleState{}, Speed{}
 	}
 	vm.Version++
+	tr.forgetVanished(vm)
+	vm.gaps.add(now.Sub(vm.GrantedAt))
 	vm.Ready, vm.MoreEnds, vm.GrantedAt, vm.SeenAt = rep.Ready, rep.MoreEnds, now, now.Add(-rep.Age)
 	vm.UnresponsiveSince = time.Time{}
 	if rep.Unresponsive > 0 {
--- a/internal/job/tracker/run.go
+++ b/internal/job/tracker/run.go
@@ -247,6 +247,7 @@
 // leases have certainly expired. The tasks wait again, to resume from their last checkpoint.
 func (tr *Tracker) DropRuns(vm *VM, now time.Time) []*Run {
 	var lost []*Run
+	tr.noteVanished(vm, now)
 	for _, r := range vm.Runs {
 		lost = append(lost, r)
 	}
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -90,6 +90,7 @@
 	NotBefore  time.Time       // earliest restart after a run that ended by itself
 	Restarts   int             // of a long-running task, after runs in a row that ended by themselves
 	GiveUpAt   time.Time       // when its job fails, if too many workers have crashed under it; zero: not
+	heldUntil  time.Time       // it does not start before, since a VM that may have ended under it is without contact
 	Apart      time.Duration   // from the start of another task on the VM that repeats late crashes too
 	AvoidedVMs map[string]bool // VMs on which a run of it failed
 	Relocation Relocation      // zero: it is not being moved
@@ -268,7 +269,9 @@
 	LongRunning       int   // number of its runs of long-running tasks
 	LongRunningCPU    int64 // thousandths of a core that they declare
 	Runs              map[RunKey]*Run
-	unknownSizeRuns   int // number of its runs of unknown size
+	gaps              reportGaps
+	vanished          []vanishedRun // given up while the VM is without contact
+	unknownSizeRuns   int           // number of its runs of unknown size
 	unconfirmedStarts map[RunKey]recordedStart
 	LateStarts        bool  // a later incarnation of the worker with its ID may carry them out
 	Version           int64 // increases with each change of the runs, of their reported data and of whether they are needed
--- a/internal/job/tracker/suspicion.go
+++ b/internal/job/tracker/suspicion.go
@@ -94,6 +94,7 @@
 // waits until crashes that came with the last one would have been reported. The tasks against which
 // most crashes speak come first, since they explain those of others that were there.
 func (tr *Tracker) GiveUpCrashingTasks(now time.Time) {
+	tr.withdrawIfTogether(now)
 	var due []*Task
 	for t := range tr.suspected {
 		switch {
@@ -156,6 +157,10 @@
 			return false
 		}
 	} else if attributor.Repeats(t.Crashes, age) {
+		if left := attributor.WithoutDisproved(t.Crashes, age); len(left) < len(t.Crashes) {
+			t.setCrashes(left)
+			t.Step.Occurrence.Job.markDirty()
+		}
 		return false
 	}
 	t.setCrashes(nil)
--- a/internal/worker/attributor/attributor.go
+++ b/internal/worker/attributor/attributor.go
@@ -41,23 +41,40 @@
 	// CrashesToGiveUp is the number of crashes in all. A task may start twice after three workers
 	// have crashed under it.
 	CrashesToGiveUp = 5
+	// ReportGap is the longest time between two reports of an agent without news. What ended with its agent may have
+	// gone on for so long after the last report.
+	ReportGap = 600 * time.Millisecond
 )
 
 // Crash is a crash of a worker that a task is suspected of, in its stored form.
 type Crash struct {
 	Run       int64  `json:"run"`
 	VM        string `json:"vm"`
-	AgeMillis int64  `json:"age-ms"`           // of the run
-	AtMillis  int64  `json:"at-ms,omitempty"`  // when it was attributed, in Unix time; the same for all tasks that were there
-	Likely    bool   `json:"likely,omitempty"` // it had just started, or repeated a crash
-	Sole      bool   `json:"sole,omitempty"`   // no other task was a likely cause
+	AgeMillis int64  `json:"age-ms"` // of the run, at least
+	// SpreadMillis is how much older the run may have been. It is above 0 if no process reported the crash: worker and
+	// agent ended together, which a loss of power causes, too. Such a crash counts only beside others at the same age.
+	SpreadMillis int64 `json:"spread-ms,omitempty"`
+	AtMillis     int64 `json:"at-ms,omitempty"`  // when it was attributed, in Unix time; the same for all tasks that were there
+	Likely       bool  `json:"likely,omitempty"` // it had just started, or repeated a crash
+	Sole         bool  `json:"sole,omitempty"`   // no other task was a likely cause
 }
 
-// Age is how long the run had run at the crash.
+// Age is how long the run had run at the crash, at least.
 func (c Crash) Age() time.Duration { return time.Duration(c.AgeMillis) * time.Millisecond }
 
+// oldest is how long the run had run at the crash, at most.
+func (c Crash) oldest() time.Duration {
+	return c.Age() + time.Duration(c.SpreadMillis)*time.Millisecond
+}
+
+// Unreported reports whether no process reported the crash.
+func (c Crash) Unreported() bool { return c.SpreadMillis > 0 }
+
 // observation is how long a later run of the task must run to clear it.
 func (c Crash) observation() time.Duration {
+	if c.Unreported() {
+		return c.oldest() + MinObservation // it counts only if it is repeated at the same age
+	}
 	return max(MinObservation, crashRepeatFactor*c.Age())
 }
 
@@ -76,17 +93,24 @@
 // isLate reports whether the run had run for so long that only a repetition shows whether it is the cause.
 func (c Crash) isLate() bool { return c.Age() > CrashWindow }
 
-// sameAge reports whether two runs were equally old at a crash, as those of a task are that crashes its
+// sameAge reports whether two runs may have been equally old at a crash, as those of a task are that crashes its
 // workers.
-func sameAge(a, b time.Duration) bool {
-	return (a - b).Abs() <= CrashAgeSpread
+func sameAge(a, b Crash) bool {
+	return a.Age() <= b.oldest()+CrashAgeSpread && b.Age() <= a.oldest()+CrashAgeSpread
 }
 
 // IsLikelyOfLongRunning reports whether a run of this age, of a long-running task with these earlier crashes,
 // is a likely cause of a crash. Such tasks are there at every crash, so of a task that had run for longer
 // than CrashWindow the age has to be the same as at an earlier one.
 func IsLikelyOfLongRunning(crashes []Crash, age time.Duration) bool {
-	return age <= CrashWindow || slices.ContainsFunc(crashes, func(c Crash) bool { return sameAge(c.Age(), age) })
+	return MayBeLikelyOfLongRunning(crashes, age, age)
+}
+
+// MayBeLikelyOfLongRunning reports the same of a run whose age is between two bounds.
+func MayBeLikelyOfLongRunning(crashes []Crash, least, most time.Duration) bool {
+	return least <= CrashWindow || slices.ContainsFunc(crashes, func(c Crash) bool {
+		return least <= c.oldest()+CrashAgeSpread && c.Age() <= most+CrashAgeSpread
+	})
 }
 
 // WithoutOutlived returns the crashes of a long-running task that a run of this age has not outlived.
@@ -94,7 +118,7 @@
 	early := slices.ContainsFunc(crashes, func(c Crash) bool { return !c.isLate() && age <= c.observation() })
 	return slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool {
 		if c.isLate() {
-			return age > c.Age()+MinObservation // it would have crashed its worker again at the same age
+			return age > c.oldest()+MinObservation // it would have crashed its worker again at the same age
 		}
 		return !early
 	})
@@ -120,11 +144,12 @@
 	if len(own) < LikelyCrashesToGiveUp {
 		return false
 	}
-	least, most := own[len(own)-1].Age(), own[len(own)-1].Age()
-	for _, c := range own[len(own)-LikelyCrashesToGiveUp:] {
-		least, most = min(least, c.Age()), max(most, c.Age())
+	last := own[len(own)-LikelyCrashesToGiveUp:]
+	least, most, late := last[0].oldest(), last[0].Age(), true
+	for _, c := range last {
+		least, most, late = min(least, c.oldest()), max(most, c.Age()), late && c.isLate()
 	}
-	return least > CrashWindow && most-least <= CrashAgeSpread
+	return late && most-least <= CrashAgeSpread && conclusive(last)
 }
 
 // Weight returns how many crashes speak against a task: those that came at the same late age as the last one,
@@ -151,6 +176,14 @@
 // TooMany reports whether a task has crashed too many workers to start again. own are its crashes,
 // the last one last, and all those of the tasks that start together with it, itself included.
 func TooMany(own, all []Crash) bool {
+	if tooMany(reported(own), reported(all)) {
+		return true
+	}
+	all = counted(own, all)
+	return conclusive(all) && tooMany(own, all)
+}
+
+func tooMany(own, all []Crash) bool {
 	likely := 0
 	for _, c := range all {
 		if c.Likely {
@@ -160,6 +193,33 @@
 	return likeObserved(own, all) >= ObservedCrashesToGiveUp || likely >= LikelyCrashesToGiveUp || len(all) >= CrashesToGiveUp
 }
 
+func reported(crashes []Crash) []Crash {
+	return slices.DeleteFunc(slices.Clone(crashes), Crash.Unreported)
+}
+
+// counted returns the crashes that speak against a task: those that were reported, and others that came at the same age
+// as its last one.
+func counted(own, all []Crash) []Crash {
+	return slices.DeleteFunc(slices.Clone(all), func(c Crash) bool {
+		return c.Unreported() && (len(own) == 0 || !sameAge(c, own[len(own)-1]))
+	})
+}
+
+// conclusive reports whether the crashes may give a task up: if some were not reported, they must have come on more
+// than one VM, since one that loses power often does so under whatever runs there.
+func conclusive(crashes []Crash) bool {
+	if !slices.ContainsFunc(crashes, Crash.Unreported) {
+		return true
+	}
+	return slices.ContainsFunc(crashes, func(c Crash) bool { return c.VM != crashes[0].VM })
+}
+
+// WithoutDisproved returns the crashes of a task without those that were not reported and that a run of this age has
+// outlived.
+func WithoutDisproved(crashes []Crash, age time.Duration) []Crash {
+	return slices.DeleteFunc(slices.Clone(crashes), func(c Crash) bool { return c.Unreported() && age > c.observation() })
+}
+
 // likeObserved returns how many of all crashes came at the same age as the task's last one, if the
 // task was the sole cause of that, or else 0.
 func likeObserved(own, all []Crash) int {
@@ -173,7 +233,7 @@
 func likeLast(own, all []Crash) (count int) {
 	last := own[len(own)-1]
 	for _, c := range all {
-		if sameAge(c.Age(), last.Age()) {
+		if sameAge(c, last) {
 			count++
 		}
 	}
--- a/internal/worker/attributor/attributor_test.go
+++ b/internal/worker/attributor/attributor_test.go
@@ -34,6 +34,43 @@
 	}
 }
 
+// Guards against a task that is given up for losses of power: crashes that no process reported count only together,
+// at one age, and on several VMs.
+func TestUnreportedCrashesWeighLess(t *testing.T) {
+	const age, gap = 300 * time.Millisecond, 50 * time.Millisecond
+	unreported := func(vm string, age time.Duration) Crash {
+		return Crash{VM: vm, AgeMillis: age.Milliseconds(), SpreadMillis: gap.Milliseconds(), Likely: true}
+	}
+	reported := Crash{VM: "d", AgeMillis: age.Milliseconds(), Likely: true, Sole: true}
+	tests := []struct {
+		name     string
+		own, all []Crash // all nil: the same
+		want     bool
+	}{
+		{"three", []Crash{unreported("a", age), unreported("b", age), unreported("c", age)}, nil, false},
+		{"four", []Crash{unreported("a", age), unreported("b", age), unreported("c", age), unreported("d", age)}, nil, true},
+		{"four on one VM", []Crash{unreported("a", age), unreported("a", age), unreported("a", age), unreported("a", age)}, nil, false},
+		{"six at ages that rise", []Crash{unreported("a", age), unreported("b", 2*age), unreported("c", 3*age), unreported("d", 4*age), unreported("e", 5*age), unreported("f", 6*age)}, nil, false},
+		{"ages that may be the same", []Crash{unreported("a", age-gap), unreported("b", age), unreported("c", age-gap), unreported("d", age+gap)}, nil, true},
+		{"two, and one reported", []Crash{unreported("a", age), unreported("b", age), reported}, nil, true},
+		{"two at another age, and one reported", []Crash{unreported("a", 4*age), unreported("b", 4*age), reported}, nil, false},
+		{"one on the VM of three that were reported", []Crash{reported, reported, reported, {VM: "d", AgeMillis: 5000, SpreadMillis: 50}}, nil, true},
+		{"four of other members of its gang", nil, []Crash{unreported("a", age), unreported("b", age), unreported("c", age), unreported("d", age)}, false},
+	}
+	for _, tt := range tests {
+		all := tt.all
+		if all == nil {
+			all = tt.own
+		}
+		if got := TooMany(tt.own, all); got != tt.want {
+			t.Errorf("%s: %t, want %t", tt.name, got, tt.want)
+		}
+	}
+	if left := WithoutDisproved([]Crash{unreported("a", age), reported}, age+gap+MinObservation+1); len(left) != 1 || left[0].Unreported() {
+		t.Errorf("left of a run that outlived the age: %+v", left)
+	}
+}
+
 // Guards against a long-running task that crashes its workers some time after each start without limit, and
 // against one that is given up because it is there at every crash.
 func TestTooManyOfLongRunning(t *testing.T) {
