--- a/internal/job/tracker/setbacks.go
+++ b/internal/job/tracker/setbacks.go
@@ -13,6 +13,7 @@
 	crashes    []attributor.Crash // of workers, that it is suspected of
 	restarts   int                // of a long-running task, after runs in a row that ended by themselves
 	giveUpAt   time.Time          // when its job fails, if too many workers have crashed under it; zero: not
+	heldUntil  time.Time          // it does not start before, since a VM that may have ended under it is without contact
 	apart      time.Duration      // from the start of another task on the VM that repeats late crashes too
 	avoidedVMs map[string]bool    // VMs on which a run of it failed
 	relocation Relocation         // zero: it is not being moved
@@ -73,6 +74,21 @@
 	}
 }
 
+// HeldUntil returns the time before which the task does not start, since a VM that may have ended under it is without
+// contact; zero: it may start.
+func (t *Task) HeldUntil() time.Time {
+	if t.setbacks == nil {
+		return time.Time{}
+	}
+	return t.setbacks.heldUntil
+}
+
+func (t *Task) setHeldUntil(at time.Time) {
+	if !at.IsZero() || t.setbacks != nil {
+		t.change().heldUntil = at
+	}
+}
+
 // Apart returns how long the task waits from the start of another one on the VM that repeats late crashes too.
 func (t *Task) Apart() time.Duration {
 	if t.setbacks == nil {
--- a/internal/job/tracker/state.go
+++ b/internal/job/tracker/state.go
@@ -260,7 +260,9 @@
 	LongRunning       int   // number of its runs of long-running tasks
 	LongRunningCPU    int64 // thousandths of a core that they declare
 	Runs              map[RunKey]*Run
-	unknownSizeRuns   int // number of its runs of unknown size
+	gaps              reportGaps
+	vanished          []vanishedRun // given up while the VM is without contact
+	unknownSizeRuns   int           // number of its runs of unknown size
 	unconfirmedStarts map[RunKey]recordedStart
 	LateStarts        bool  // a later incarnation of the worker with its ID may carry them out
 	Version           int64 // increases with each change of the runs, of their reported data and of whether they are needed
