standin: the tests of the stand-in worker have a clock of their own

Cause: the limit of 200 ms, which only the fault "freeze" of another test needs, runs on the machine's clock while the call waits for a processor. The tests' worker has a clock that the test sets, so nothing that is asserted depends on the limit. The product has no fault here. Change: the tests of worker_test.go run in bubbles of testing/synctest, over a network in memory (internal/standin/piper), since a bubble's clock does not advance while a goroutine waits for the kernel's network. The limit is the same 200 ms, of the bubble's clock: only time for which the worker holds a call counts. The other tests of the package keep the kernel's network.

--- a/internal/standin/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"path/filepath"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"bamboospread/internal/fleet/describer"
+	"bamboospread/internal/standin/piper"
 	"bamboospread/internal/standin/recorder"
 	"bamboospread/internal/standin/worker"
 	"bamboospread/internal/wire/messenger"
@@ -20,12 +23,45 @@
 // fixture is a worker with a clock that the test advances.
 type fixture struct {
 	*driver.Driver
-	w   *worker.Worker
-	url string
-	at  time.Time
+	w      *worker.Worker
+	url    string
+	client *http.Client
+	at     time.Time
 }
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := newWorker(t)
+	h := httptest.NewServer(f.w.Handler())
+	t.Cleanup(h.Close)
+	f.url = h.URL
+	f.Driver = f.newDriver(driver.Config{CallTimeout: callTimeout})
+	return f
+}
+
+// newBubbleFixture is newFixture in a bubble, where only a call that the worker holds takes time.
+func newBubbleFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := newWorker(t)
+	client, end := piper.Serve(f.w.Handler())
+	t.Cleanup(end)
+	f.url, f.client = "http://worker", client
+	f.Driver = f.newDriver(driver.Config{CallTimeout: callTimeout})
+	return f
+}
+
+const callTimeout = 200 * time.Millisecond
+
+// newDriver returns a driver of the fixture's worker, by default with its clock.
+func (f *fixture) newDriver(c driver.Config) *driver.Driver {
+	c.URL, c.HTTP = f.url, f.client
+	if c.Now == nil {
+		c.Now = func() time.Time { return f.at }
+	}
+	return driver.New(c)
+}
+
+func newWorker(t *testing.T) *fixture {
 	t.Helper()
 	f := &fixture{at: time.Unix(1000, 0)}
 	now := func() time.Time { return f.at }
@@ -37,10 +73,6 @@
 	f.w = worker.New(worker.Config{
 		Capacity: messenger.Capacity{VM: "vm-1", Zone: "a", Rack: "r", Total: total}, Now: now, Recorder: rec,
 	})
-	h := httptest.NewServer(f.w.Handler())
-	t.Cleanup(h.Close)
-	f.url = h.URL
-	f.Driver = driver.New(driver.Config{URL: h.URL, Now: now, CallTimeout: 200 * time.Millisecond})
 	return f
 }
 
@@ -69,9 +101,11 @@
 	}
 }
 
-func TestAttempts(t *testing.T) {
+func TestAttempts(t *testing.T) { synctest.Test(t, testAttempts) }
+
+func testAttempts(t *testing.T) {
 	ctx := context.Background()
-	f := newFixture(t)
+	f := newBubbleFixture(t)
 	must := func(err error) {
 		t.Helper()
 		if err != nil {
@@ -124,8 +158,10 @@
 
 // A start order is delayed in a queue until after its deadline. It must not start, since
 // the configuration on which it was based may have changed.
-func TestStartAfterDeadline(t *testing.T) {
-	f := newFixture(t)
+func TestStartAfterDeadline(t *testing.T) { synctest.Test(t, testStartAfterDeadline) }
+
+func testStartAfterDeadline(t *testing.T) {
+	f := newBubbleFixture(t)
 	o := startOptions(1)
 	o.StartBy = f.at.Add(-time.Millisecond)
 	if err := f.StartTask(context.Background(), o); !driver.IsErrStartExpired(err) {
@@ -139,8 +175,10 @@
 // The VM is paused for longer than the lease and the run time of the task. When it
 // resumes, the task ends as lost: it may run on another VM by then and must not also
 // complete.
-func TestTaskPausedPastLeaseIsLost(t *testing.T) {
-	f := newFixture(t)
+func TestTaskPausedPastLeaseIsLost(t *testing.T) { synctest.Test(t, testTaskPausedPastLeaseIsLost) }
+
+func testTaskPausedPastLeaseIsLost(t *testing.T) {
+	f := newBubbleFixture(t)
 	if err := f.StartTask(context.Background(), startOptions(1)); err != nil {
 		t.Fatal(err)
 	}
@@ -153,9 +191,11 @@
 
 // A renewal with a long lease arrives after one that was issued later with a short
 // lease. The short lease applies, since the caller relies on it.
-func TestOutOfOrderRenewalIsIgnored(t *testing.T) {
+func TestOutOfOrderRenewalIsIgnored(t *testing.T) { synctest.Test(t, testOutOfOrderRenewalIsIgnored) }
+
+func testOutOfOrderRenewalIsIgnored(t *testing.T) {
 	ctx := context.Background()
-	f := newFixture(t)
+	f := newBubbleFixture(t)
 	o := startOptions(1)
 	o.RunTime = time.Minute
 	if err := f.StartTask(ctx, o); err != nil {
@@ -166,7 +206,7 @@
 	if err := f.RenewLeases(ctx, time.Second); err != nil {
 		t.Fatal(err)
 	}
-	late := driver.New(driver.Config{URL: f.url, Now: func() time.Time { return sent }})
+	late := f.newDriver(driver.Config{Now: func() time.Time { return sent }})
 	if err := late.RenewLeases(ctx, time.Hour); !driver.IsErrRenewalIgnored(err) {
 		t.Fatal(err)
 	}
@@ -179,10 +219,12 @@
 // The time of day steps back between two processes of an agent, or within one. Later
 // renewals must still apply, since leases would otherwise expire on a healthy VM. The
 // first renewal of the new process has no effect, and says so.
-func TestRenewalAfterClockStepsBack(t *testing.T) {
+func TestRenewalAfterClockStepsBack(t *testing.T) { synctest.Test(t, testRenewalAfterClockStepsBack) }
+
+func testRenewalAfterClockStepsBack(t *testing.T) {
 	for _, restarted := range []bool{false, true} {
 		ctx := context.Background()
-		f := newFixture(t)
+		f := newBubbleFixture(t)
 		o := startOptions(1)
 		o.RunTime = time.Minute
 		if err := f.StartTask(ctx, o); err != nil {
@@ -194,7 +236,7 @@
 		f.advance(t, 100*time.Millisecond)
 		f.at = f.at.Add(-5 * time.Second)
 		if restarted {
-			f.Driver = driver.New(driver.Config{URL: f.url, Now: func() time.Time { return f.at }})
+			f.Driver = f.newDriver(driver.Config{})
 		}
 		for i := range 2 {
 			if err := f.RenewLeases(ctx, time.Second); driver.IsErrRenewalIgnored(err) != (restarted && i == 0) || err != nil && i > 0 {
@@ -208,9 +250,11 @@
 	}
 }
 
-func TestFaultsAndEvents(t *testing.T) {
+func TestFaultsAndEvents(t *testing.T) { synctest.Test(t, testFaultsAndEvents) }
+
+func testFaultsAndEvents(t *testing.T) {
 	ctx := context.Background()
-	f := newFixture(t)
+	f := newBubbleFixture(t)
 	f.w.SetFaults(worker.Faults{Refuse: true})
 	if err := f.StartTask(ctx, startOptions(1)); !driver.IsErrUnavailable(err) {
 		t.Fatal(err)
