planner: losses of power are drawn in full without the race detector

Cause: the 1,000 cases of TestTaskThatBringsDownItsMachineIsGivenUp and the 100 of TestLossesOfPowerGiveNoTaskUp simulate fleets in one goroutine each. Change: with the race detector a tenth of the seeds is drawn; make test runs both tests in full without it.

--- a/Makefile
+++ b/Makefile
@@ -31,10 +31,11 @@
 .PHONY: test
 test: test-unit test-integration ## run all tests
 
-# The bench runs in one goroutine, so the race detector would only slow it down.
+# The bench and the losses of power run in one goroutine each, so the race detector would only slow them down.
 .PHONY: test-unit
 test-unit: ## run the unit tests, with the race detector
 	$(GO) test -race -count=1 $(SKIP) $$($(GO) list ./internal/... ./platform/... | grep -v /internal/bench/)
+	$(GO) test -count=1 -run '^(TestTaskThatBringsDownItsMachineIsGivenUp|TestLossesOfPowerGiveNoTaskUp)$$' ./internal/job/planner
 	$(GO) test -count=1 ./internal/bench/...
 
 .PHONY: test-integration
--- /dev/null
+++ b/internal/job/planner/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package planner
+
+const raceDetector = false
--- a/internal/job/planner/power_test.go
+++ b/internal/job/planner/power_test.go
@@ -164,6 +164,15 @@
 	return found
 }
 
+// drawnSeeds returns how many seeds are drawn: a tenth with the race detector, which makes these tests, of one
+// goroutine each, ten times as slow. make test runs them without it as well.
+func drawnSeeds(all uint64) uint64 {
+	if raceDetector {
+		return all / 10
+	}
+	return all
+}
+
 // Guards against a task that brings down its machine with each start and is never given up, since no process
 // that lives on reports the crash, and against others that are given up because they stood beside it or on VMs
 // that lost power.
@@ -173,7 +182,7 @@
 		t.Run("reports every "+interval.String(), func(t *testing.T) {
 			t.Parallel()
 			wrong := 0
-			for seed := range uint64(cases) {
+			for seed := range drawnSeeds(cases) {
 				if failure := playDeadlyTask(seed, interval, maxStarts); failure != "" {
 					t.Errorf("seed %d: %s", seed, failure)
 					wrong++
@@ -222,7 +231,7 @@
 
 // Guards against tasks that are given up because they often stand on VMs that lose power, one at a time.
 func TestLossesOfPowerGiveNoTaskUp(t *testing.T) {
-	for seed := range uint64(100) {
+	for seed := range drawnSeeds(100) {
 		f := newPowerFleet(seed, 3+int(seed%10))
 		f.back = 0
 		for range 3 * len(f.vms) {
